Add design page, interfaces, record models and the fold of the log

Cause: the repository was empty. Change: the design page with the choices weighed, the Protocol interfaces between slices, the record models, and a first fold of documents, hosts, waves, claims and duty leases. Conclusion: slices can now be built side by side against these interfaces.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,59 @@
+# Every target sets up the virtual environment itself when it is missing or stale.
+
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+BENCH_STAMP := $(VENV)/.bench-installed
+SOURCES := $(shell find clementinespar -name '*.py' -not -path '*/tests/*')
+
+.PHONY: setup test lint types check demo bench bench-capacity binary proto clean
+
+setup: $(STAMP)
+
+$(STAMP): requirements.txt requirements-dev.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet -r requirements.txt -r requirements-dev.txt
+	touch $(STAMP)
+
+$(BENCH_STAMP): $(STAMP) requirements-bench.txt
+	$(BIN)/pip install --quiet -r requirements-bench.txt
+	touch $(BENCH_STAMP)
+
+test: $(STAMP)
+	$(BIN)/python -m pytest
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+types: $(STAMP)
+	$(BIN)/mypy
+
+check: test lint types
+
+binary: dist/clementinespar
+
+dist/clementinespar: $(STAMP) requirements.txt pyproject.toml $(SOURCES)
+	rm -rf build dist
+	$(BIN)/shiv --quiet -p '/usr/bin/env python3' -c clementinespar \
+		-o dist/clementinespar -r requirements.txt . >/dev/null
+	rm -rf build clementinespar.egg-info
+
+demo: $(STAMP) dist/clementinespar
+	$(BIN)/python -m demo --program dist/clementinespar
+
+bench: $(BENCH_STAMP)
+	$(BIN)/python -m bench
+
+bench-capacity: $(BENCH_STAMP)
+	$(BIN)/python -m bench.capacity
+
+# Regenerates the committed gRPC code; only needed after a change of a .proto file.
+proto: $(STAMP)
+	$(BIN)/pip install --quiet -r requirements-codegen.txt
+	PATH=$(abspath $(BIN)):$$PATH $(BIN)/python -m grpc_tools.protoc -I. --python_out=. --pyi_out=. \
+		--grpclib_python_out=. clementinespar/peers/peer.proto
+
+clean:
+	rm -rf $(VENV) build dist
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the policy, of whole processes and of the planned size."""
--- /dev/null
+++ b/clementinespar/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The admin port: status, explanations, publication, metrics, health."""
--- /dev/null
+++ b/clementinespar/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Capacity that follows demand."""
--- /dev/null
+++ b/clementinespar/claims/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once claims for requests that may not be repeated."""
--- /dev/null
+++ b/clementinespar/documents/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' documents: model, publication and promotion."""
--- /dev/null
+++ b/clementinespar/duties/__init__.py
@@ -0,0 +1,1 @@
+"""Duty leases, which keep one node at a time on a background duty."""
--- /dev/null
+++ b/clementinespar/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The folded state of the fleet and its snapshots."""
--- /dev/null
+++ b/clementinespar/fleet/source.py
@@ -0,0 +1,26 @@
+"""Access to the newest folded state."""
+
+from typing import Protocol
+
+from clementinespar.fleet import state
+
+
+class FleetSource(Protocol):
+    """Holder of the newest folded state of this node.
+
+    The state object is replaced when a snapshot is loaded, so callers read `state`
+    again after every await.
+    """
+
+    @property
+    def state(self) -> state.FleetState:
+        """The newest folded state; callers never change it."""
+        ...
+
+    async def wait_applied(self, offset: int) -> None:
+        """Wait until the entry at an offset has been applied."""
+        ...
+
+    async def refresh(self, timeout_s: float) -> bool:
+        """Apply all that the log has now; False if the log did not answer in time."""
+        ...
--- /dev/null
+++ b/clementinespar/log/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's append-only log."""
--- /dev/null
+++ b/clementinespar/options.py
@@ -0,0 +1,236 @@
+"""Settings of an entry node, read from an INI file.
+
+All sections and keys are defined here. `load_settings` reports every bad value at once.
+"""
+
+import configparser
+import dataclasses
+import ipaddress
+import pathlib
+from typing import Annotated, Literal
+
+import pydantic
+import pydantic.dataclasses
+import pydantic_core
+
+from clementinespar import codes, errors
+
+_CONFIG = pydantic.ConfigDict(extra="forbid")
+_MIB = 1024 * 1024
+
+
+def check_ip(text: str) -> str:
+    """Return an IP number unchanged, or raise ValueError."""
+    ipaddress.ip_address(text)
+    return text
+
+
+def parse_endpoints(text: object) -> object:
+    """Split a comma-separated list of ``IP:port`` into a tuple."""
+    if isinstance(text, str):
+        return tuple(part.strip() for part in text.split(",") if part.strip())
+    return text
+
+
+def check_endpoint(text: str) -> str:
+    """Return ``IP:port`` unchanged, or raise ValueError."""
+    host, separator, port = text.rpartition(":")
+    if not separator or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError("expected IP:port")
+    check_ip(host.strip("[]"))
+    return text
+
+
+IpNumber = Annotated[str, pydantic.AfterValidator(check_ip)]
+Endpoint = Annotated[str, pydantic.AfterValidator(check_endpoint)]
+Port = Annotated[int, pydantic.Field(ge=0, le=65535)]  # 0: the system chooses
+Seconds = Annotated[float, pydantic.Field(gt=0, le=86_400)]
+Name = Annotated[str, pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
+
+
+@pydantic.dataclasses.dataclass(frozen=True, slots=True, config=_CONFIG)
+class NodeSettings:
+    """Who this node is and where it stands."""
+
+    name: Name  # unique among the user's entry nodes
+    data_centre: Name
+    region: Name = "default"
+    stop_limit_s: Seconds = 60.0  # longest wait for requests in flight at a stop
+
+
+@pydantic.dataclasses.dataclass(frozen=True, slots=True, config=_CONFIG)
+class CallersSettings:
+    """HTTP port for callers."""
+
+    address: IpNumber
+    port: Port
+    max_body_bytes: int = pydantic.Field(default=_MIB, ge=1, le=64 * _MIB)
+    max_header_bytes: int = pydantic.Field(default=16_384, ge=1024, le=_MIB)
+    idle_timeout_s: Seconds = 75.0
+    max_connections: int = pydantic.Field(default=2_000, ge=1, le=100_000)
+
+
+@pydantic.dataclasses.dataclass(frozen=True, slots=True, config=_CONFIG)
+class AdminSettings:
+    """HTTP port for operators, metrics and health checks."""
+
+    address: IpNumber
+    port: Port
+    max_body_bytes: int = pydantic.Field(default=4 * _MIB, ge=1, le=64 * _MIB)
+
+
+@pydantic.dataclasses.dataclass(frozen=True, slots=True, config=_CONFIG)
+class PeersSettings:
+    """gRPC port for the other entry nodes."""
+
+    address: IpNumber
+    port: Port
+    seeds: Annotated[
+        tuple[Endpoint, ...], pydantic.BeforeValidator(parse_endpoints)
+    ] = ()
+    heartbeat_interval_s: Seconds = 0.5
+    missed_heartbeats: int = pydantic.Field(default=3, ge=1, le=100)
+    max_message_bytes: int = pydantic.Field(default=4 * _MIB, ge=1024, le=64 * _MIB)
+    tls_certificate: pathlib.Path | None = None  # PEM; all three keys or none
+    tls_key: pathlib.Path | None = None
+    tls_authority: pathlib.Path | None = None
+
+
+@pydantic.dataclasses.dataclass(frozen=True, slots=True, config=_CONFIG)
+class LogSettings:
+    """The platform's log service."""
+
+    url: str = pydantic.Field(pattern=r"^https?://[^/]+$")
+    request_timeout_s: Seconds = 2.0
+    poll_wait_s: Seconds = 1.0  # longest wait of one read for new records
+    batch_delay_s: float = pydantic.Field(default=0.005, ge=0.0, le=1.0)
+    snapshot_interval_s: Seconds = 300.0
+
+
+@pydantic.dataclasses.dataclass(frozen=True, slots=True, config=_CONFIG)
+class PlatformSettings:
+    """The platform's host list and host actions."""
+
+    url: str = pydantic.Field(pattern=r"^https?://[^/]+$")
+    request_timeout_s: Seconds = 2.0
+    poll_interval_s: Seconds = 1.0
+    planning_interval_s: Seconds = 1.0  # time between rounds of waves and capacity
+
+
+@pydantic.dataclasses.dataclass(frozen=True, slots=True, config=_CONFIG)
+class TelemetrySettings:
+    """Logs and traces."""
+
+    log_level: Literal["debug", "info", "notice", "warning", "error"] = "info"
+    trace_exporter: Literal["none", "log", "otlp"] = "none"
+    otlp_endpoint: str | None = None
+
+
+@pydantic.dataclasses.dataclass(frozen=True, slots=True, config=_CONFIG)
+class Settings:
+    """All settings of an entry node, one attribute for each INI section."""
+
+    node: NodeSettings
+    callers: CallersSettings
+    admin: AdminSettings
+    peers: PeersSettings
+    log: LogSettings
+    platform: PlatformSettings
+    telemetry: TelemetrySettings = dataclasses.field(default_factory=TelemetrySettings)
+
+    @pydantic.model_validator(mode="after")
+    def _check_combinations(self) -> "Settings":
+        tls = (
+            self.peers.tls_certificate,
+            self.peers.tls_key,
+            self.peers.tls_authority,
+        )
+        if any(tls) and not all(tls):
+            raise ValueError(
+                "peers: tls_certificate, tls_key and tls_authority go together"
+            )
+        if self.telemetry.trace_exporter == "otlp" and not self.telemetry.otlp_endpoint:
+            raise ValueError("telemetry: trace_exporter otlp needs otlp_endpoint")
+        return self
+
+
+class SettingError(errors.ClementinesparError):
+    """One setting that is not valid."""
+
+    section: str  # INI section, empty when the whole file is meant
+    key: str  # key within the section, empty when the whole section is meant
+    value: str  # value as written, empty when it is missing
+    expected: str  # what would be valid
+
+    def __init__(
+        self,
+        code: codes.ResultCode,
+        section: str,
+        key: str,
+        value: str,
+        expected: str,
+    ) -> None:
+        super().__init__(code, f"[{section}] {key} = {value!r}: {expected}")
+        self.section = section
+        self.key = key
+        self.value = value
+        self.expected = expected
+
+
+def load_settings(path: pathlib.Path) -> Settings:
+    """Read and validate an INI file.
+
+    Parameters
+    ----------
+    path : pathlib.Path
+        The INI file.
+
+    Returns
+    -------
+    Settings
+        The validated settings.
+
+    Raises
+    ------
+    ExceptionGroup
+        One `SettingError` for each bad section, key or value.
+    """
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        with path.open(encoding="utf-8") as file:
+            parser.read_file(file)
+    except (OSError, UnicodeDecodeError, configparser.Error) as error:
+        raise ExceptionGroup(
+            f"settings in {path} cannot be read",
+            [
+                SettingError(
+                    codes.ResultCode.SETTINGS_UNREADABLE, "", "", "", str(error)
+                )
+            ],
+        ) from error
+    values = {section: dict(parser[section]) for section in parser.sections()}
+    try:
+        return pydantic.TypeAdapter(Settings).validate_python(values)
+    except pydantic.ValidationError as error:
+        problems = [_setting_error(detail) for detail in error.errors()]
+        raise ExceptionGroup(f"settings in {path} are not valid", problems) from error
+
+
+_CODES_BY_ERROR_TYPE = {
+    "missing": codes.ResultCode.SETTING_MISSING,
+    "unexpected_keyword_argument": codes.ResultCode.SETTING_UNKNOWN,
+}
+
+
+def _setting_error(detail: pydantic_core.ErrorDetails) -> SettingError:
+    location = [str(part) for part in detail["loc"]]
+    code = _CODES_BY_ERROR_TYPE.get(detail["type"], codes.ResultCode.SETTING_INVALID)
+    value = detail["input"]
+    is_scalar = isinstance(value, str | int | float)
+    return SettingError(
+        code,
+        location[0] if location else "",
+        location[1] if len(location) > 1 else "",
+        str(value) if is_scalar else "",
+        detail["msg"],
+    )
--- /dev/null
+++ b/clementinespar/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's host list and host actions."""
--- /dev/null
+++ b/clementinespar/platform/service.py
@@ -0,0 +1,86 @@
+"""The interface of the platform's host list and host actions.
+
+Only implementations of `PlatformService` know the platform's wire format.
+"""
+
+import dataclasses
+from typing import Literal, Protocol
+
+HostCondition = Literal["live", "leaving"]
+OperationState = Literal["unknown", "running", "done", "refused"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListedHost:
+    """One host in the platform's list; each host runs one target."""
+
+    host_id: str
+    data_centre: str
+    rack: str
+    address: str  # IP number of the target on this host
+    port: int  # TCP port of the target on this host
+    condition: HostCondition
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostList:
+    """The platform's view of hosts, which lags behind reality."""
+
+    observed_ms: int  # wall time at which the platform made the list
+    hosts_by_id: dict[str, ListedHost]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Operation:
+    """Identity of a host action; repeating it with the same id has no new effect."""
+
+    operation_id: str  # record id of the host_taken_out record
+    fencing_offset: int  # offset of that record; a lower one is stale
+
+
+class PlatformService(Protocol):
+    """Host list and host actions of the platform.
+
+    Every call raises `errors.PlatformUnavailableError` when no answer came; the action
+    may then have taken effect, and `operation_status` tells.
+    """
+
+    async def list_hosts(self) -> HostList:
+        """Return the list of live and leaving hosts."""
+        ...
+
+    async def drain(self, host_id: str, operation: Operation) -> None:
+        """Start to drain a host: its target finishes its work and takes no more."""
+        ...
+
+    async def reboot(self, host_id: str, operation: Operation, pool: str) -> None:
+        """Start to reboot a drained host into a pool."""
+        ...
+
+    async def operation_status(
+        self, operation_id: str, step: Literal["drain", "reboot"]
+    ) -> OperationState:
+        """Return how far a step of an operation is."""
+        ...
+
+    async def throttle(self, host_id: str, request_id: str) -> None:
+        """Give a straggling task on a host less of its processors."""
+        ...
+
+    async def checkpoint(self, host_id: str, request_id: str) -> None:
+        """Checkpoint a task, so that it can go on elsewhere."""
+        ...
+
+
+class HostListSource(Protocol):
+    """Holder of the newest host list that this node has read."""
+
+    @property
+    def latest(self) -> HostList | None:
+        """The newest list, or None before the first one."""
+        ...
+
+    @property
+    def age_s(self) -> float:
+        """Seconds of event-loop time since the list was read; infinite before."""
+        ...
--- /dev/null
+++ b/clementinespar/pools/__init__.py
@@ -0,0 +1,1 @@
+"""Pool membership, availability budgets and host operations."""
--- /dev/null
+++ b/clementinespar/pools/state.py
@@ -0,0 +1,198 @@
+"""Folded state of pool membership and of hosts that are out of service."""
+
+import dataclasses
+
+from clementinespar import codes
+from clementinespar.documents import model
+from clementinespar.documents import state as documents_state
+from clementinespar.log import service as log_service
+from clementinespar.pools import budget, messages
+
+NO_REVISION = -1  # revision of a host that no record has changed yet
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostOut:
+    """Why a host is out of service."""
+
+    operation_id: str  # record id of the host_taken_out record
+    offset: int  # offset of that record, the fencing token of its host actions
+    reason: messages.OutReason
+    author: str  # node that took the host out
+    since_ms: int  # log time
+    to_pool: str | None  # destination of a move
+    wave_id: str | None  # wave of a maintenance
+    is_moved: bool = False  # the host already belongs to to_pool
+
+
+@dataclasses.dataclass(slots=True)
+class HostState:
+    """One host of the production document."""
+
+    host_id: str
+    data_centre: str
+    rack: str
+    home: str  # pool that the document names
+    pool: str  # pool that the host belongs to now
+    revision: int = NO_REVISION  # offset of the last record that changed the host
+    out: HostOut | None = None
+    failed_since_ms: int | None = None  # log time of the host_failed record
+    maintained_ms: int = 0  # log time of the last finished maintenance, 0 if never
+
+    @property
+    def is_available(self) -> bool:
+        """Whether the host counts as in service."""
+        return self.out is None and self.failed_since_ms is None
+
+
+@dataclasses.dataclass(slots=True)
+class PoolsState:
+    """Hosts by id, with an index by pool."""
+
+    hosts_by_id: dict[str, HostState] = dataclasses.field(default_factory=dict)
+    # Values are ordered sets: dicts whose values are unused.
+    host_ids_by_pool: dict[str, dict[str, None]] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def hosts_of(self, pool: str) -> list[HostState]:
+        """Return the hosts that belong to a pool now."""
+        return [self.hosts_by_id[i] for i in self.host_ids_by_pool.get(pool, {})]
+
+    def set_pool(self, host: HostState, pool: str) -> None:
+        """Move a host to a pool and keep the index in step."""
+        self.host_ids_by_pool.get(host.pool, {}).pop(host.host_id, None)
+        host.pool = pool
+        self.host_ids_by_pool.setdefault(pool, {})[host.host_id] = None
+
+
+def apply_document(state: PoolsState, document: model.Document, offset: int) -> None:
+    """Bring the hosts in line with a production document that came into force.
+
+    New hosts join their home pool, hosts that the document no longer names leave, and
+    hosts in a pool that no longer exists return to their home pool. Other hosts stay
+    where they are: a host changes pool only through a drain.
+    """
+    home_by_host = documents_state.home_pool_by_host(document)
+    for host_id in [i for i in state.hosts_by_id if i not in home_by_host]:
+        host = state.hosts_by_id.pop(host_id)
+        state.host_ids_by_pool.get(host.pool, {}).pop(host_id, None)
+    for host_id, home in home_by_host.items():
+        place = document.hosts[host_id]
+        known = state.hosts_by_id.get(host_id)
+        if known is None:
+            known = HostState(host_id, place.data_centre, place.rack, home, home)
+            state.hosts_by_id[host_id] = known
+            state.set_pool(known, home)
+        known.home = home
+        known.data_centre = place.data_centre
+        known.rack = place.rack
+        if known.pool not in document.pools:
+            state.set_pool(known, home)
+            known.revision = offset
+    for pool in [p for p in state.host_ids_by_pool if p not in document.pools]:
+        del state.host_ids_by_pool[pool]
+
+
+def apply_taken_out(
+    state: PoolsState,
+    document: model.Document | None,
+    record: messages.HostTakenOut,
+    entry: log_service.LogEntry,
+) -> codes.ResultCode:
+    """Take a host out if its pool's availability budget still holds afterwards."""
+    host = state.hosts_by_id.get(record.host_id)
+    if host is None or document is None:
+        return codes.ResultCode.HOST_UNKNOWN
+    if host.pool != record.pool:
+        return codes.ResultCode.HOST_NOT_IN_POOL
+    if host.out is not None:
+        return codes.ResultCode.HOST_ALREADY_OUT
+    if host.revision != record.host_revision:
+        return codes.ResultCode.HOST_REVISION_CONFLICT
+    if record.reason == "move" and (
+        record.to_pool not in document.pools or record.to_pool == host.pool
+    ):
+        return codes.ResultCode.POOL_UNKNOWN
+    code = budget.check_take_out(
+        document.pools[host.pool], state.hosts_of(host.pool), host, record.reason
+    )
+    if code != codes.ResultCode.OK:
+        return code
+    host.out = HostOut(
+        operation_id=record.record_id,
+        offset=entry.offset,
+        reason=record.reason,
+        author=record.author,
+        since_ms=entry.timestamp_ms,
+        to_pool=record.to_pool,
+        wave_id=record.wave_id,
+    )
+    host.revision = entry.offset
+    return codes.ResultCode.OK
+
+
+def apply_moved(
+    state: PoolsState,
+    document: model.Document | None,
+    record: messages.HostMoved,
+    entry: log_service.LogEntry,
+) -> codes.ResultCode:
+    """Change the pool of a host that is out for a move."""
+    host = state.hosts_by_id.get(record.host_id)
+    if host is None or document is None:
+        return codes.ResultCode.HOST_UNKNOWN
+    if host.out is None or host.out.operation_id != record.operation_id:
+        return codes.ResultCode.HOST_NOT_OUT
+    if host.out.to_pool is None or host.out.is_moved:
+        return codes.ResultCode.HOST_REVISION_CONFLICT
+    if host.out.to_pool not in document.pools:
+        return codes.ResultCode.POOL_UNKNOWN
+    state.set_pool(host, host.out.to_pool)
+    host.out = dataclasses.replace(host.out, is_moved=True)
+    host.revision = entry.offset
+    return codes.ResultCode.OK
+
+
+def apply_returned(
+    state: PoolsState,
+    record: messages.HostReturned,
+    entry: log_service.LogEntry,
+) -> codes.ResultCode:
+    """Put a host back into service."""
+    host = state.hosts_by_id.get(record.host_id)
+    if host is None:
+        return codes.ResultCode.HOST_UNKNOWN
+    if host.out is None or host.out.operation_id != record.operation_id:
+        return codes.ResultCode.HOST_NOT_OUT
+    if host.out.reason == "maintenance":
+        host.maintained_ms = entry.timestamp_ms
+    host.out = None
+    host.revision = entry.offset
+    return codes.ResultCode.OK
+
+
+def apply_failed(
+    state: PoolsState, record: messages.HostFailed, entry: log_service.LogEntry
+) -> codes.ResultCode:
+    """Count a host as failed."""
+    host = state.hosts_by_id.get(record.host_id)
+    if host is None:
+        return codes.ResultCode.HOST_UNKNOWN
+    if host.failed_since_ms is None:
+        host.failed_since_ms = entry.timestamp_ms
+        host.revision = entry.offset
+    return codes.ResultCode.OK
+
+
+def apply_recovered(
+    state: PoolsState, record: messages.HostRecovered, entry: log_service.LogEntry
+) -> codes.ResultCode:
+    """Count a host as working again."""
+    host = state.hosts_by_id.get(record.host_id)
+    if host is None:
+        return codes.ResultCode.HOST_UNKNOWN
+    if host.failed_since_ms is not None:
+        host.failed_since_ms = None
+        host.revision = entry.offset
+    return codes.ResultCode.OK
--- /dev/null
+++ b/clementinespar/requests/__init__.py
@@ -0,0 +1,1 @@
+"""The request path from callers to targets."""
--- /dev/null
+++ b/clementinespar/requests/model.py
@@ -0,0 +1,140 @@
+"""Requests, outcomes and the interfaces between the parts of the request path."""
+
+import dataclasses
+import enum
+from collections.abc import Callable, Sequence
+from typing import Protocol
+
+from clementinespar import codes
+
+
+class OutcomeKind(enum.Enum):
+    """What is certain about a request."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not-run"  # refused; it certainly did not run and will not run
+    UNKNOWN = "unknown"  # it may have run
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """One caller's request, as the ingress node accepted it."""
+
+    request_id: str
+    service: str
+    kind: str
+    body: bytes
+    content_type: str
+    deadline: float  # event-loop time on this node
+    team: str | None = None
+    is_urgent: bool = False
+    declared_run_ms: int | None = None  # caller's own estimate
+    traceparent: str | None = None  # W3C trace context of the calling span
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outcome:
+    """The one result that a caller receives."""
+
+    kind: OutcomeKind
+    code: codes.ResultCode
+    reason: str = ""  # plain sentence for operators and callers
+    status: int = 200  # HTTP status of an answer
+    body: bytes = b""  # whole answer
+    content_type: str = "application/json"
+    host_id: str | None = None  # host of the target that answered or failed last
+    attempts: int = 0  # attempts sent to targets
+    waited_s: float = 0.0  # time in the owner's queue
+
+
+class RequestHandler(Protocol):
+    """Takes a request to its one outcome: the owner's dispatcher or a remote owner."""
+
+    async def handle(self, request: Request, on_started: Callable[[], None]) -> Outcome:
+        """Return the outcome; never raises for a failure of targets or peers.
+
+        ``on_started`` is called before the first byte may leave for a target.
+        Cancellation of the task means that the caller is gone: a queued request is then
+        dropped, a running one goes on at its target.
+        """
+        ...
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnerCandidate:
+    """An entry node that may own a service's queue."""
+
+    node: str
+    handler: RequestHandler
+    is_local: bool
+
+
+class OwnerDirectory(Protocol):
+    """Which node owns which service now."""
+
+    def candidates(self, service: str) -> Sequence[OwnerCandidate]:
+        """Return live nodes in rendezvous order; the first one owns the queue."""
+        ...
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """The instance of a service on one host."""
+
+    host_id: str
+    address: str
+    port: int
+    data_centre: str
+    rack: str
+
+
+class AttemptKind(enum.Enum):
+    """What one attempt at a target proved."""
+
+    ANSWERED = "answered"
+    NOT_STARTED = "not-started"  # no byte left, or the target promised it did not start
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Attempt:
+    """Result of one attempt at one target."""
+
+    kind: AttemptKind
+    code: codes.ResultCode
+    reason: str = ""
+    status: int = 0
+    body: bytes = b""
+    content_type: str = "application/json"
+    is_leaving: bool = False  # the target said that it is leaving
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetStatus:
+    """What a target says about itself."""
+
+    busy_slots: int
+    slots: int
+    is_leaving: bool
+
+
+class TargetTransport(Protocol):
+    """Connections to targets."""
+
+    async def send(
+        self, target: Target, request: Request, timeout_s: float, repeatable: bool
+    ) -> Attempt:
+        """Send one attempt; never raises for a failure of the target."""
+        ...
+
+    async def status(self, target: Target, timeout_s: float) -> TargetStatus | None:
+        """Return the target's own status, or None if it did not answer."""
+        ...
+
+
+class TargetDirectory(Protocol):
+    """Targets that may receive new work."""
+
+    def targets_of(self, service: str) -> Sequence[Target]:
+        """Return the service's targets that are neither out nor leaving."""
+        ...
--- /dev/null
+++ b/clementinespar/requests/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of ``clementinespar.requests``."""
--- /dev/null
+++ b/clementinespar/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and traces."""
--- /dev/null
+++ b/clementinespar/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the top-level modules, and helpers that all tests share."""
--- /dev/null
+++ b/clementinespar/tests/paused_clock.py
@@ -0,0 +1,52 @@
+"""An event loop whose clock stands still until all tasks wait.
+
+Time then jumps to the next timer, so tests with timeouts run at once and always the
+same way. Code under test uses ``asyncio.get_running_loop().time()`` as its only clock.
+"""
+
+import asyncio
+import selectors
+from collections.abc import Coroutine
+from typing import Any, TypeVar
+
+_T = TypeVar("_T")
+
+
+class DeadlockError(Exception):
+    """All tasks wait and no timer is set."""
+
+
+class _JumpingSelector(selectors.DefaultSelector):
+    """Returns at once and counts the time that a real selector would have waited."""
+
+    jumped_s: float = 0.0  # event-loop time since the start
+
+    def select(
+        self, timeout: float | None = None
+    ) -> list[tuple[selectors.SelectorKey, int]]:
+        events = super().select(0)
+        if not events and timeout is None:
+            raise DeadlockError("all tasks wait and no timer is set")
+        if not events and timeout is not None and timeout > 0:
+            self.jumped_s += timeout
+        return events
+
+
+class PausedClockLoop(asyncio.SelectorEventLoop):
+    """Event loop with a paused clock that starts at 1000 s."""
+
+    _jumping_selector: _JumpingSelector
+
+    def __init__(self) -> None:
+        self._jumping_selector = _JumpingSelector()
+        super().__init__(self._jumping_selector)
+
+    def time(self) -> float:
+        """Return the paused time."""
+        return 1000.0 + self._jumping_selector.jumped_s
+
+
+def run(main: Coroutine[Any, Any, _T]) -> _T:
+    """Run a coroutine on a loop with a paused clock."""
+    with asyncio.Runner(loop_factory=PausedClockLoop) as runner:
+        return runner.run(main)
--- /dev/null
+++ b/clementinespar/waves/__init__.py
@@ -0,0 +1,1 @@
+"""Maintenance waves."""
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demo: both users' deployments as separate processes."""
