--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,7 @@
 
 dist/clementinespar: $(STAMP) requirements.txt pyproject.toml $(SOURCES)
 	rm -rf build dist
+	mkdir -p dist
 	$(BIN)/shiv --quiet -p '/usr/bin/env python3' -c clementinespar \
 		-o dist/clementinespar -r requirements.txt . >/dev/null
 	rm -rf build clementinespar.egg-info
