Declare required document fields without a default

Cause: a dataclass field whose default is pydantic.Field(...) counts as having a default, so Document could not be defined. Change: constraints of required fields stand in Annotated.

--- a/clementinespar/documents/model.py
+++ b/clementinespar/documents/model.py
@@ -5,7 +5,7 @@
 """
 
 import dataclasses
-from typing import Literal
+from typing import Annotated, Literal
 
 import pydantic
 import pydantic.dataclasses
@@ -20,7 +20,9 @@
 class Budget:
     """Availability budget of a pool, in hosts."""
 
-    min_available: int = pydantic.Field(ge=0)  # hosts that must stay in service
+    min_available: Annotated[
+        int, pydantic.Field(ge=0)
+    ]  # hosts that must stay in service
     max_out_per_rack: int = pydantic.Field(default=1, ge=1)
     max_out_per_data_centre: int = pydantic.Field(default=2, ge=1)
 
@@ -63,7 +65,7 @@
 class Team:
     """A team of callers with a quota."""
 
-    max_slots: int = pydantic.Field(ge=1)  # slots in use at once, per service
+    max_slots: Annotated[int, pydantic.Field(ge=1)]  # slots in use at once, per service
 
 
 @pydantic.dataclasses.dataclass(frozen=True, slots=True, config=_CONFIG)
@@ -99,7 +101,7 @@
 class Document:
     """One environment's document."""
 
-    user: str = pydantic.Field(min_length=1, max_length=80)
+    user: Annotated[str, pydantic.Field(min_length=1, max_length=80)]
     hosts: dict[str, Host]
     pools: dict[str, Pool]
     services: dict[str, Service]
--- a/clementinespar/options.py
+++ b/clementinespar/options.py
@@ -41,6 +41,7 @@
     return text
 
 
+Url = Annotated[str, pydantic.Field(pattern=r"^https?://[^/]+$")]
 IpNumber = Annotated[str, pydantic.AfterValidator(check_ip)]
 Endpoint = Annotated[str, pydantic.AfterValidator(check_endpoint)]
 Port = Annotated[int, pydantic.Field(ge=0, le=65535)]  # 0: the system chooses
@@ -100,7 +101,7 @@
 class LogSettings:
     """The platform's log service."""
 
-    url: str = pydantic.Field(pattern=r"^https?://[^/]+$")
+    url: Url
     request_timeout_s: Seconds = 2.0
     poll_wait_s: Seconds = 1.0  # longest wait of one read for new records
     batch_delay_s: float = pydantic.Field(default=0.005, ge=0.0, le=1.0)
@@ -111,7 +112,7 @@
 class PlatformSettings:
     """The platform's host list and host actions."""
 
-    url: str = pydantic.Field(pattern=r"^https?://[^/]+$")
+    url: Url
     request_timeout_s: Seconds = 2.0
     poll_interval_s: Seconds = 1.0
     planning_interval_s: Seconds = 1.0  # time between rounds of waves and capacity
