--- /dev/null
+++ b/clementinespar/requests/demand_meter.py
@@ -0,0 +1,45 @@
+"""Smoothed demand of one service, as its queue owner sees it."""
+
+import math
+
+# Peaks last a few seconds and are served by queueing; host moves follow what remains
+# after smoothing over many peaks.
+SMOOTHING_S = 60.0
+
+
+class DemandMeter:
+    """Exponentially smoothed slots in demand and rate of refusals."""
+
+    _mean_slots: float
+    _refused_per_s: float
+    _level_slots: float  # demand since the last update
+    _updated_at: float  # event-loop time
+
+    def __init__(self, now: float) -> None:
+        self._mean_slots = 0.0
+        self._refused_per_s = 0.0
+        self._level_slots = 0.0
+        self._updated_at = now
+
+    def set_level(self, slots: float, now: float) -> None:
+        """State the demand from now on."""
+        self._advance(now)
+        self._level_slots = slots
+
+    def note_refusal(self, now: float) -> None:
+        """Count a refusal for want of capacity."""
+        self._advance(now)
+        self._refused_per_s += 1.0 / SMOOTHING_S
+
+    def read(self, now: float) -> tuple[float, float]:
+        """Return the smoothed slots and refusals per second."""
+        self._advance(now)
+        return self._mean_slots, self._refused_per_s
+
+    def _advance(self, now: float) -> None:
+        kept = math.exp(-max(0.0, now - self._updated_at) / SMOOTHING_S)
+        self._mean_slots = self._level_slots + kept * (
+            self._mean_slots - self._level_slots
+        )
+        self._refused_per_s *= kept
+        self._updated_at = now
--- /dev/null
+++ b/clementinespar/requests/dispatcher.py
@@ -0,0 +1,1125 @@
+"""The owner of services' queues: takes each request to its one outcome.
+
+Outcomes are exact. A request is not run only if no attempt can have reached a target or
+every attempt was refused with the promise that nothing started. A request that must not
+repeat is claimed in the log before its first attempt and is never sent again after a
+byte of it may have left.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import math
+from collections.abc import Callable, Coroutine, Sequence
+from typing import Any
+
+import logbook
+
+from clementinespar import codes
+from clementinespar.capacity import demand
+from clementinespar.claims import service as claim_service
+from clementinespar.claims import state as claims_state
+from clementinespar.documents import model as document_model
+from clementinespar.fleet import source as fleet_source
+from clementinespar.requests import (
+    demand_meter,
+    ejection,
+    model,
+    queueing,
+    retries,
+    runtimes,
+    slots,
+)
+
+STATUS_TIMEOUT_S = 1.0
+# Time between two status reads of a target whose slots are in doubt or that is silent.
+STATUS_INTERVAL_S = 0.5
+# The fold and the host list change without notice, so waiting requests are tried again.
+PUMP_INTERVAL_S = 0.1
+# After this time without work another node may have owned the queue, so the targets'
+# busy slots are read again.
+OWNERSHIP_IDLE_S = 5.0
+# A transport ends an attempt at the deadline; the outcome then still takes some turns
+# of the loop.
+DEADLINE_GRACE_S = 1.0
+# An attempt that has no answer for this long, and for this many run times, is doubled
+# elsewhere if its target turns out to be silent and the budget allows it.
+SILENCE_S = 1.0
+SILENCE_RUN_TIMES = 8.0
+# A probe puts a request at risk. One that must not repeat is used only if no other one
+# came for this long.
+PROBE_OVERDUE_S = 10.0
+LEAVING_WATCH_INTERVAL_S = 2.0
+LEAVING_WATCH_S = 1800.0
+RELEASE_WAIT_S = 0.5  # longest time that a refusal waits for its claim's release
+REFUSED_IDS = 1024  # requests refused for good that are remembered
+
+_CAPACITY_CODES = frozenset(
+    {
+        codes.ResultCode.QUEUE_FULL,
+        codes.ResultCode.DEADLINE_TOO_SHORT,
+        codes.ResultCode.NO_TARGET,
+    }
+)
+
+_log = logbook.Logger(__name__)
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Assignment:
+    """A target with a slot taken for one attempt."""
+
+    target: model.Target
+    target_slots: slots.TargetSlots
+    use: slots.SlotUse
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Flight:
+    """One request from its admission to its outcome."""
+
+    request: model.Request
+    service: "_Service"
+    entry: queueing.QueueEntry
+    is_repeatable: bool
+    declared_s: float  # run time as the caller or the document declares it
+    started_callbacks: list[Callable[[], None]]
+    waiters: int = 0  # callers that still wait; 0 means all of them left
+    has_started: bool = False  # a byte may have left for a target
+    is_claimed: bool = False
+    waited_s: float = 0.0
+    attempts: int = 0
+    tried_host_ids: set[str] = dataclasses.field(default_factory=set)
+    failures: list[tuple[str, model.Attempt]] = dataclasses.field(default_factory=list)
+    running: set["asyncio.Task[tuple[str, model.Attempt]]"] = dataclasses.field(
+        default_factory=set
+    )
+    # Set while the request waits in the queue.
+    assigned: "asyncio.Future[_Assignment | model.Outcome] | None" = None
+    task: "asyncio.Task[model.Outcome] | None" = None
+
+    def note_started(self) -> None:
+        """Tell the callers that a byte may leave from now on."""
+        if not self.has_started:
+            self.has_started = True
+            for callback in self.started_callbacks:
+                callback()
+
+
+class _Service:
+    """Queue and memory of one service."""
+
+    name: str
+    queue: queueing.ServiceQueue
+    run_times: runtimes.RunTimes
+    budget: retries.RetryBudget
+    ejections: ejection.EjectionTracker
+    meter: demand_meter.DemandMeter
+    flights_by_entry: dict[queueing.QueueEntry, _Flight]  # those that wait
+    uses: dict[slots.SlotUse, str]  # attempts in flight, with their kind
+    is_long_by_kind: dict[str, bool]
+    host_ids: set[str]  # targets seen at the last look
+    claiming: int  # requests that wait for their claim
+    last_active_at: float  # event-loop time of the newest request or answer
+    pump_timer: asyncio.TimerHandle | None
+
+    def __init__(self, name: str, now: float) -> None:
+        self.name = name
+        self.queue = queueing.ServiceQueue()
+        self.run_times = runtimes.RunTimes()
+        self.budget = retries.RetryBudget()
+        self.ejections = ejection.EjectionTracker()
+        self.meter = demand_meter.DemandMeter(now)
+        self.flights_by_entry = {}
+        self.uses = {}
+        self.is_long_by_kind = {}
+        self.host_ids = set()
+        self.claiming = 0
+        self.last_active_at = -math.inf
+        self.pump_timer = None
+
+    def update_demand(self, now: float) -> None:
+        """Measure the demand after a change."""
+        # Queued work counts as the slots that would run it within a second.
+        queued = min(float(len(self.queue)), self.queue.queued_work_s())
+        self.meter.set_level(len(self.uses) + queued, now)
+
+
+class Dispatcher:
+    """`RequestHandler` at the owner node for all services that it owns.
+
+    Parameters
+    ----------
+    source : fleet_source.FleetSource
+        The document in force and the claims.
+    targets : model.TargetDirectory
+        Targets that may receive new work.
+    transport : model.TargetTransport
+        Connections to targets.
+    claims : claim_service.ClaimService
+        Claims of requests that may not be repeated.
+    """
+
+    _source: fleet_source.FleetSource
+    _targets: model.TargetDirectory
+    _transport: model.TargetTransport
+    _claims: claim_service.ClaimService
+    _services_by_name: dict[str, _Service]
+    _slots_by_host_id: dict[str, slots.TargetSlots]
+    _flights_by_request_id: dict[str, _Flight]
+    # Outcomes of requests that failed on several targets, oldest first.
+    _refused_by_request_id: collections.OrderedDict[str, model.Outcome]
+    _leaving_host_ids: set[str]  # targets whose statement to leave is being watched
+    _tasks: set[asyncio.Task[Any]]  # background tasks, kept so that they run on
+    _is_draining: bool
+    _idle: asyncio.Event  # no request is queued or in flight
+
+    def __init__(
+        self,
+        source: fleet_source.FleetSource,
+        targets: model.TargetDirectory,
+        transport: model.TargetTransport,
+        claims: claim_service.ClaimService,
+    ) -> None:
+        self._source = source
+        self._targets = targets
+        self._transport = transport
+        self._claims = claims
+        self._services_by_name = {}
+        self._slots_by_host_id = {}
+        self._flights_by_request_id = {}
+        self._refused_by_request_id = collections.OrderedDict()
+        self._leaving_host_ids = set()
+        self._tasks = set()
+        self._is_draining = False
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    # The interface of the request path.
+
+    async def handle(
+        self, request: model.Request, on_started: Callable[[], None]
+    ) -> model.Outcome:
+        """Return the outcome of a request; see `model.RequestHandler`."""
+        now = asyncio.get_running_loop().time()
+        flight = self._flights_by_request_id.get(request.request_id)
+        if flight is None:
+            admitted = self._admit(request, on_started, now)
+            if isinstance(admitted, model.Outcome):
+                return admitted
+            flight = admitted
+        elif not _is_same(flight.request, request):
+            return _unknown(
+                codes.ResultCode.ALREADY_CLAIMED,
+                "another request with this id is in flight",
+            )
+        else:
+            flight.started_callbacks.append(on_started)
+            if flight.has_started:
+                on_started()
+        assert flight.task is not None
+        flight.waiters += 1
+        try:
+            await asyncio.wait(
+                {flight.task},
+                timeout=max(0.0, request.deadline - now) + DEADLINE_GRACE_S,
+            )
+        finally:
+            flight.waiters -= 1
+            if flight.waiters == 0:
+                self._drop_if_queued(flight)
+        if not flight.task.done():
+            return _unknown(
+                codes.ResultCode.OUTCOME_UNKNOWN,
+                "the request was still in flight at its deadline",
+            )
+        return flight.task.result()
+
+    # The interface of capacity planning, explanation and stop.
+
+    def demand_by_service(self) -> dict[str, demand.ServiceDemand]:
+        """Return the demand of each service whose requests came to this node."""
+        now = asyncio.get_running_loop().time()
+        demands = {}
+        for name, service in self._services_by_name.items():
+            if service.last_active_at == -math.inf:
+                continue
+            service.update_demand(now)
+            mean_slots, refused_per_s = service.meter.read(now)
+            # A node that no longer owns the queue keeps the time of its last request,
+            # so the newer report of the new owner counts.
+            observed_at = (
+                now
+                if now - service.last_active_at < OWNERSHIP_IDLE_S
+                else service.last_active_at
+            )
+            demands[name] = demand.ServiceDemand(
+                name, mean_slots, refused_per_s, observed_at
+            )
+        return demands
+
+    def ejected_host_ids(self) -> frozenset[str]:
+        """Return hosts whose targets are ejected."""
+        ejected: frozenset[str] = frozenset()
+        for service in self._services_by_name.values():
+            ejected |= service.ejections.ejected_host_ids()
+        return ejected
+
+    def explain(self, service: str) -> dict[str, Any]:
+        """Return why the requests of a service wait, for operators."""
+        now = asyncio.get_running_loop().time()
+        known = self._services_by_name.get(service)
+        if known is None:
+            return {
+                "subject": f"service {service}",
+                "state": "idle",
+                "waits_for": "",
+                "because": ["no request for it came to this node"],
+                "code": int(codes.ResultCode.OK),
+            }
+        usable = self._usable_targets(known, now)
+        free = sum(target_slots.free for _, target_slots in usable)
+        waits_for = ""
+        if len(known.queue):
+            waits_for = "a free slot" if usable else "a target that may receive work"
+        because = [
+            f"{known.queue.count(False)} short and {known.queue.count(True)} long "
+            "requests wait",
+            f"{len(known.uses)} attempts in flight, {free} slots free on "
+            f"{len(usable)} targets",
+            f"{known.budget.remaining(now)} retries left in the budget",
+        ]
+        because += [
+            f"host {host_id} is ejected for failing requests"
+            for host_id in sorted(known.ejections.ejected_host_ids())
+        ]
+        because += [
+            f"host {target.host_id}: {target_slots.doubtful} slots may still run work "
+            "that this node does not follow"
+            for target, target_slots in usable
+            if target_slots.doubtful
+        ]
+        return {
+            "subject": f"service {service}",
+            "state": "draining" if self._is_draining else "serving",
+            "waits_for": waits_for,
+            "because": because,
+            "code": int(codes.ResultCode.OK if usable else codes.ResultCode.NO_TARGET),
+            "queued_short": known.queue.count(False),
+            "queued_long": known.queue.count(True),
+            "in_flight": len(known.uses),
+            "free_slots": free,
+            "run_s_by_kind": known.run_times.medians_by_kind(),
+        }
+
+    def begin_drain(self) -> None:
+        """Take no new requests; queued ones and those in flight are finished."""
+        self._is_draining = True
+
+    async def wait_idle(self, timeout_s: float) -> list[str]:
+        """Wait for the requests in flight; return the ids of those that remain."""
+        try:
+            await asyncio.wait_for(self._idle.wait(), timeout_s)
+        except TimeoutError:
+            pass
+        return sorted(self._flights_by_request_id)
+
+    # Admission.
+
+    def _admit(
+        self, request: model.Request, on_started: Callable[[], None], now: float
+    ) -> _Flight | model.Outcome:
+        """Return a flight with its task started, or why the request is refused."""
+        refused = self._refused_by_request_id.get(request.request_id)
+        if refused is not None:
+            return refused
+        document = self._source.state.documents.production
+        if document is None:
+            return _not_run(codes.ResultCode.NOT_READY, "no document is in force")
+        declared = document.services.get(request.service)
+        if declared is None:
+            return _not_run(
+                codes.ResultCode.SERVICE_UNKNOWN, f"no service {request.service}"
+            )
+        kind = declared.kinds.get(request.kind)
+        if kind is None:
+            return _not_run(
+                codes.ResultCode.REQUEST_INVALID,
+                f"service {request.service} has no kind {request.kind}",
+            )
+        claims = self._source.state.claims.claims_by_request_id
+        if not kind.repeatable and request.request_id in claims:
+            return _unknown(
+                codes.ResultCode.ALREADY_CLAIMED,
+                "a request with this id was claimed before; it may have run",
+            )
+        if self._is_draining:
+            return _not_run(
+                codes.ResultCode.NODE_STOPPING, "the owner node is stopping"
+            )
+        service = self._service(request.service, now)
+        flight = self._new_flight(request, service, declared, kind, on_started, now)
+        service.budget.note_request(now)
+        refusal = self._check_capacity(flight, document, declared, now)
+        if refusal is not None:
+            if refusal.code in _CAPACITY_CODES:
+                service.meter.note_refusal(now)
+            return refusal
+        self._flights_by_request_id[request.request_id] = flight
+        self._idle.clear()
+        flight.task = asyncio.get_running_loop().create_task(self._run(flight))
+        return flight
+
+    def _new_flight(
+        self,
+        request: model.Request,
+        service: _Service,
+        declared: document_model.Service,
+        kind: document_model.Kind,
+        on_started: Callable[[], None],
+        now: float,
+    ) -> _Flight:
+        declared_ms = request.declared_run_ms or kind.declared_run_ms
+        is_long = service.is_long_by_kind.get(
+            request.kind, declared_ms > declared.short_run_ms
+        )
+        document = self._source.state.documents.production
+        has_quota = document is not None and request.team in document.teams
+        entry = queueing.QueueEntry(
+            request_id=request.request_id,
+            kind=request.kind,
+            team=request.team if has_quota else None,
+            is_urgent=request.is_urgent,
+            deadline=request.deadline,
+            cost_s=service.run_times.expected_s(request.kind, 0.0),
+            is_long=is_long,
+        )
+        service.queue.note_arrival(is_long, now)
+        return _Flight(
+            request, service, entry, kind.repeatable, declared_ms / 1000, [on_started]
+        )
+
+    def _check_capacity(
+        self,
+        flight: _Flight,
+        document: document_model.Document,
+        declared: document_model.Service,
+        now: float,
+    ) -> model.Outcome | None:
+        """Refuse early what cannot start before its deadline."""
+        service, entry = flight.service, flight.entry
+        if entry.deadline <= now:
+            return _not_run(codes.ResultCode.DEADLINE_PASSED, "the deadline has passed")
+        if not self._targets.targets_of(service.name):
+            return _not_run(
+                codes.ResultCode.NO_TARGET, f"no target serves {service.name} now"
+            )
+        least_s = service.run_times.least_s(entry.kind, now)
+        if now + least_s > entry.deadline:
+            return _not_run(
+                codes.ResultCode.DEADLINE_TOO_SHORT,
+                f"such a request takes at least {least_s:.3f} s",
+            )
+        usable = self._usable_targets(service, now)
+        waiting = len(service.queue) + service.claiming
+        has_free = any(target_slots.free for _, target_slots in usable)
+        # Long work may fill its share of the queue only, so it cannot crowd out short
+        # work before either of them starts.
+        long_room = max(1, int(declared.max_queue * (1.0 - declared.short_reserve)))
+        is_full = waiting >= declared.max_queue and (waiting > 0 or not has_free)
+        if is_full or (entry.is_long and service.queue.count(True) >= long_room):
+            return _not_run(
+                codes.ResultCode.QUEUE_FULL, f"{waiting} requests wait already"
+            )
+        shares = self._shares(service, usable, document, declared)
+        wait_s, is_quota = service.queue.expected_wait_s(entry, shares, now)
+        if shares.total and now + wait_s + least_s > entry.deadline:
+            return _not_run(
+                codes.ResultCode.TEAM_QUOTA_EXCEEDED
+                if is_quota
+                else codes.ResultCode.DEADLINE_TOO_SHORT,
+                f"it would wait {wait_s:.3f} s for a slot",
+            )
+        return None
+
+    def _service(self, name: str, now: float) -> _Service:
+        """Return a service's memory; forgets slots that another owner may have used."""
+        service = self._services_by_name.get(name)
+        if service is None:
+            service = self._services_by_name[name] = _Service(name, now)
+        is_idle = not service.uses and not len(service.queue)
+        if is_idle and now - service.last_active_at > OWNERSHIP_IDLE_S:
+            for host_id in service.host_ids:
+                self._slots_by_host_id[host_id].is_read = False
+        service.last_active_at = now
+        return service
+
+    # The life of one request.
+
+    async def _run(self, flight: _Flight) -> model.Outcome:
+        """Take a request to its outcome; never raises."""
+        try:
+            outcome = await self._claim_and_send(flight)
+        except Exception:
+            _log.exception("request {} failed", flight.request.request_id)
+            make = _unknown if flight.has_started else _not_run
+            outcome = make(codes.ResultCode.INTERNAL_ERROR, "internal error")
+        if flight.is_claimed and outcome.kind is model.OutcomeKind.NOT_RUN:
+            await self._release(flight)
+        loop = asyncio.get_running_loop()
+        if outcome.code in _CAPACITY_CODES:
+            flight.service.meter.note_refusal(loop.time())
+        del self._flights_by_request_id[flight.request.request_id]
+        if not self._flights_by_request_id:
+            self._idle.set()
+        return dataclasses.replace(
+            outcome, attempts=flight.attempts, waited_s=flight.waited_s
+        )
+
+    async def _claim_and_send(self, flight: _Flight) -> model.Outcome:
+        if not flight.is_repeatable:
+            flight.service.claiming += 1
+            try:
+                refusal = await self._claim(flight)
+            finally:
+                flight.service.claiming -= 1
+            if refusal is not None:
+                return refusal
+        while True:
+            assigned = await self._wait_for_slot(flight)
+            if isinstance(assigned, model.Outcome):
+                return self._outcome_of_failures(flight, assigned)
+            self._start_attempt(flight, assigned)
+            answer = await self._wait_for_answer(flight)
+            if answer is not None:
+                host_id, attempt = answer
+                return model.Outcome(
+                    model.OutcomeKind.ANSWERED,
+                    codes.ResultCode.OK,
+                    status=attempt.status,
+                    body=attempt.body,
+                    content_type=attempt.content_type,
+                    host_id=host_id,
+                )
+            refusal = self._check_retry(flight)
+            if refusal is not None:
+                return self._outcome_of_failures(flight, refusal)
+
+    async def _claim(self, flight: _Flight) -> model.Outcome | None:
+        """Claim a request; returns why it must not be sent, or None."""
+        loop = asyncio.get_running_loop()
+        request_id = flight.request.request_id
+        least_s = flight.service.run_times.least_s(flight.request.kind, loop.time())
+        timeout_s = max(0.001, flight.request.deadline - loop.time() - least_s)
+        task = loop.create_task(self._claims.claim(request_id, timeout_s))
+        await asyncio.wait({task}, timeout=timeout_s + STATUS_INTERVAL_S)
+        if not task.done():
+            # The claim may still be won; nobody will use it.
+            self._spawn(self._release_when_won(task, request_id))
+            code = codes.ResultCode.CLAIM_UNAVAILABLE
+        elif task.exception() is not None:
+            _log.warning("claim of {} failed: {}", request_id, task.exception())
+            code = codes.ResultCode.CLAIM_UNAVAILABLE
+        else:
+            code = task.result()
+        if code == codes.ResultCode.OK:
+            flight.is_claimed = True
+            return None
+        if code == codes.ResultCode.ALREADY_CLAIMED:
+            return _unknown(
+                code, "another claim of this id came first; it may have run"
+            )
+        if code == codes.ResultCode.CLAIM_TOO_OLD:
+            return self._refuse_id_age(request_id)
+        if code == codes.ResultCode.REQUEST_INVALID:
+            return _not_run(
+                code,
+                "a request that may not be repeated needs an id of the form "
+                "<issued_ms>-<random>",
+            )
+        return _not_run(
+            codes.ResultCode.CLAIM_UNAVAILABLE,
+            "the log did not confirm in time that this request is the only one",
+        )
+
+    def _refuse_id_age(self, request_id: str) -> model.Outcome:
+        code = codes.ResultCode.REQUEST_ID_TOO_OLD
+        log_time_ms = self._source.state.log_time_ms
+        if (
+            claims_state.check_age(request_id, log_time_ms)
+            == codes.ResultCode.CLAIM_TOO_OLD
+            and int(request_id.partition("-")[0]) > log_time_ms
+        ):
+            return _not_run(code, "the id was issued by a clock that is ahead")
+        # Claims of older ids are forgotten, so an earlier copy may have run.
+        return _unknown(code, "the id is too old to tell whether it ran before")
+
+    async def _release(self, flight: _Flight) -> None:
+        """Release a claim; a refusal waits for it for a short time only."""
+        task = self._spawn(self._release_quietly(flight.request.request_id))
+        remaining_s = flight.request.deadline - asyncio.get_running_loop().time()
+        await asyncio.wait({task}, timeout=max(0.0, min(RELEASE_WAIT_S, remaining_s)))
+
+    async def _release_quietly(self, request_id: str) -> None:
+        try:
+            await self._claims.release(request_id)
+        except Exception as error:
+            _log.warning("release of the claim of {} failed: {}", request_id, error)
+
+    async def _release_when_won(
+        self, task: "asyncio.Task[codes.ResultCode]", request_id: str
+    ) -> None:
+        await asyncio.wait({task})
+        if task.exception() is None and task.result() == codes.ResultCode.OK:
+            await self._release_quietly(request_id)
+
+    async def _wait_for_slot(self, flight: _Flight) -> _Assignment | model.Outcome:
+        """Wait in the queue; returns a target with a slot, or why none was given."""
+        loop = asyncio.get_running_loop()
+        service, entry = flight.service, flight.entry
+        now = loop.time()
+        if flight.waiters == 0:
+            return _cancelled()
+        entry.is_long = service.is_long_by_kind.get(entry.kind, entry.is_long)
+        flight.assigned = loop.create_future()
+        service.flights_by_entry[entry] = flight
+        service.queue.add(entry)
+        least_s = service.run_times.least_s(entry.kind, now)
+        timer = loop.call_at(entry.deadline - least_s, self._expire, flight)
+        self._pump(service)
+        assigned = await flight.assigned
+        timer.cancel()
+        flight.assigned = None
+        flight.waited_s += loop.time() - now
+        if isinstance(assigned, _Assignment) and (
+            flight.waiters == 0 or loop.time() >= entry.deadline
+        ):
+            # The caller left or the loop was late between the choice and now.
+            self._give_back(flight, assigned)
+            if flight.waiters == 0:
+                return _cancelled()
+            return _not_run(codes.ResultCode.DEADLINE_PASSED, "the deadline has passed")
+        return assigned
+
+    def _start_attempt(self, flight: _Flight, assigned: _Assignment) -> None:
+        flight.attempts += 1
+        flight.tried_host_ids.add(assigned.target.host_id)
+        flight.note_started()
+        task = self._spawn(self._attempt(flight, assigned))
+        flight.running.add(task)
+
+    async def _attempt(
+        self, flight: _Flight, assigned: _Assignment
+    ) -> tuple[str, model.Attempt]:
+        """Make one attempt and account for it; goes on if nobody waits any more."""
+        loop = asyncio.get_running_loop()
+        service, use = flight.service, assigned.use
+        document = self._source.state.documents.production
+        declared = None if document is None else document.services.get(service.name)
+        short_run_s = math.inf if declared is None else declared.short_run_ms / 1000
+        timer = None
+        if not use.is_long and short_run_s < math.inf:
+            timer = loop.call_later(short_run_s, self._outlive, flight, use)
+        began_at = loop.time()
+        try:
+            attempt = await self._transport.send(
+                assigned.target,
+                flight.request,
+                flight.request.deadline - began_at,
+                flight.is_repeatable,
+            )
+        except Exception:
+            _log.exception("attempt of {} failed", flight.request.request_id)
+            attempt = model.Attempt(
+                model.AttemptKind.UNKNOWN, codes.ResultCode.INTERNAL_ERROR
+            )
+        finally:
+            if timer is not None:
+                timer.cancel()
+        self._settle(flight, assigned, attempt, loop.time() - began_at)
+        return assigned.target.host_id, attempt
+
+    def _settle(
+        self,
+        flight: _Flight,
+        assigned: _Assignment,
+        attempt: model.Attempt,
+        run_s: float,
+    ) -> None:
+        """Account for a finished attempt: slot, run time, ejection, leaving."""
+        now = asyncio.get_running_loop().time()
+        service, host_id = flight.service, assigned.target.host_id
+        request_id = flight.request.request_id
+        is_answer = attempt.kind is model.AttemptKind.ANSWERED
+        # An answer with another status came after the work had ended.
+        is_over = attempt.kind is not model.AttemptKind.UNKNOWN or attempt.status != 0
+        assigned.target_slots.release(assigned.use, is_over, now)
+        service.uses.pop(assigned.use, None)
+        service.last_active_at = now
+        if attempt.is_leaving:
+            self._note_leaving(assigned.target, service)
+        if is_answer:
+            service.run_times.observe(flight.request.kind, run_s, now)
+            self._learn_class(service, flight.request.kind)
+            service.ejections.note_success(host_id, request_id, now)
+        elif attempt.is_leaving:
+            service.ejections.note_neutral(host_id)
+        else:
+            if attempt.kind is model.AttemptKind.NOT_STARTED and attempt.status:
+                # The target has fewer free slots than counted here: another node may
+                # have sent work to it.
+                assigned.target_slots.is_read = False
+            service.ejections.note_failure(
+                host_id, request_id, now, len(service.host_ids)
+            )
+        service.update_demand(now)
+        self._pump(service)
+
+    async def _wait_for_answer(
+        self, flight: _Flight
+    ) -> tuple[str, model.Attempt] | None:
+        """Wait for the attempts in flight; None if all of them failed."""
+        loop = asyncio.get_running_loop()
+        gives_up_at = flight.request.deadline + DEADLINE_GRACE_S / 2
+        began_at = loop.time()
+        suspects_at = began_at + self._silence_s(flight)
+        check: asyncio.Task[None] | None = None
+        while flight.running:
+            now = loop.time()
+            if now >= gives_up_at:
+                silent = model.Attempt(
+                    model.AttemptKind.UNKNOWN, codes.ResultCode.TARGET_SILENT
+                )
+                flight.failures.append(("", silent))
+                return None
+            if now >= suspects_at:
+                # The expected run time may have been learned since the start.
+                suspects_at = began_at + self._silence_s(flight)
+                if now >= suspects_at:
+                    suspects_at = math.inf
+                    check = self._spawn(self._double_on_silence(flight))
+            waits_for: set[asyncio.Task[Any]] = set(flight.running)
+            if check is not None:
+                waits_for.add(check)
+            await asyncio.wait(
+                waits_for,
+                timeout=min(gives_up_at, suspects_at) - now,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if check is not None and check.done():
+                check = None
+            for task in [task for task in flight.running if task.done()]:
+                flight.running.discard(task)
+                host_id, attempt = task.result()
+                if attempt.kind is model.AttemptKind.ANSWERED:
+                    return host_id, attempt
+                flight.failures.append((host_id, attempt))
+        return None
+
+    def _silence_s(self, flight: _Flight) -> float:
+        """Return after what time an attempt without an answer is suspicious."""
+        expected_s = flight.service.run_times.expected_s(
+            flight.request.kind, flight.declared_s
+        )
+        return max(SILENCE_S, SILENCE_RUN_TIMES * expected_s)
+
+    async def _double_on_silence(self, flight: _Flight) -> None:
+        """Send a repeatable request to a second target if the first is silent.
+
+        A straggler shows in the busy slots of its target and is left alone. The first
+        attempt keeps its slot and its chance to answer.
+        """
+        loop = asyncio.get_running_loop()
+        service, request_id = flight.service, flight.request.request_id
+        targets_by_host_id = {
+            target.host_id: target for target in self._targets.targets_of(service.name)
+        }
+        for host_id in flight.tried_host_ids & targets_by_host_id.keys():
+            old_uses = self._slots_by_host_id[host_id].uses_before(
+                loop.time() - SILENCE_S / 2
+            )
+            status = await self._transport.status(
+                targets_by_host_id[host_id], STATUS_TIMEOUT_S
+            )
+            still_in_use = sum(not use.is_released for use in old_uses)
+            if status is not None and status.busy_slots >= still_in_use:
+                return
+            service.ejections.note_failure(
+                host_id, request_id, loop.time(), len(service.host_ids)
+            )
+        if (
+            not flight.running
+            or not flight.is_repeatable
+            or flight.attempts >= retries.MAX_ATTEMPTS
+            or len(service.queue)
+            or loop.time() >= flight.request.deadline
+        ):
+            return
+        now = loop.time()
+        chosen = self._choose(service, self._usable_targets(service, now), flight, now)
+        if chosen is not None and service.budget.take(now):
+            self._start_attempt(flight, self._assign(flight, chosen, now))
+
+    def _check_retry(self, flight: _Flight) -> model.Outcome | None:
+        """Return why a failed request must not be sent again, or None."""
+        now = asyncio.get_running_loop().time()
+        service = flight.service
+        has_run = any(
+            attempt.kind is model.AttemptKind.UNKNOWN for _, attempt in flight.failures
+        )
+        if has_run and not flight.is_repeatable:
+            return _not_run(codes.ResultCode.TARGETS_REFUSED, "it may have run")
+        if flight.waiters == 0:
+            return _cancelled()
+        if now >= flight.request.deadline:
+            return _not_run(codes.ResultCode.DEADLINE_PASSED, "the deadline has passed")
+        if flight.attempts >= retries.MAX_ATTEMPTS or not any(
+            target.host_id not in flight.tried_host_ids
+            for target in self._targets.targets_of(service.name)
+        ):
+            return _not_run(
+                codes.ResultCode.TARGETS_REFUSED,
+                f"{flight.attempts} targets did not take the request",
+            )
+        if not service.budget.take(now):
+            return _not_run(
+                codes.ResultCode.RETRY_BUDGET_EMPTY,
+                "a target did not take the request and the retry budget is empty",
+            )
+        return None
+
+    def _outcome_of_failures(
+        self, flight: _Flight, refusal: model.Outcome
+    ) -> model.Outcome:
+        """Return the outcome of a request of which no attempt was answered."""
+        may_have_run = [
+            (host_id, attempt)
+            for host_id, attempt in flight.failures
+            if attempt.kind is model.AttemptKind.UNKNOWN
+        ]
+        if not may_have_run and not flight.running:
+            host_id = flight.failures[-1][0] if flight.failures else None
+            return dataclasses.replace(refusal, host_id=host_id)
+        host_ids = {host_id for host_id, _ in may_have_run if host_id}
+        if len(host_ids) > 1:
+            flight.service.ejections.forgive(flight.request.request_id, host_ids)
+            outcome = _unknown(
+                codes.ResultCode.REQUEST_FAILED_REPEATEDLY,
+                f"the request failed on {len(host_ids)} targets",
+            )
+            self._refused_by_request_id[flight.request.request_id] = outcome
+            while len(self._refused_by_request_id) > REFUSED_IDS:
+                self._refused_by_request_id.popitem(last=False)
+            return outcome
+        if not may_have_run:
+            return _unknown(codes.ResultCode.TARGET_SILENT, "a target did not answer")
+        host_id, attempt = may_have_run[-1]
+        return dataclasses.replace(
+            _unknown(attempt.code, attempt.reason or "the target's answer was lost"),
+            host_id=host_id or None,
+        )
+
+    # The queue and the choice of targets.
+
+    def _drop_if_queued(self, flight: _Flight) -> None:
+        """Drop a queued request whose callers have all left."""
+        if flight.assigned is not None and not flight.assigned.done():
+            self._take_from_queue(flight, _cancelled())
+
+    def _expire(self, flight: _Flight) -> None:
+        """Refuse a queued request that can no longer finish before its deadline."""
+        if flight.assigned is None or flight.assigned.done():
+            return
+        service, entry = flight.service, flight.entry
+        now = asyncio.get_running_loop().time()
+        document = self._source.state.documents.production
+        usable = self._usable_targets(service, now)
+        code = codes.ResultCode.DEADLINE_TOO_SHORT
+        reason = "no slot became free before the deadline"
+        if not usable:
+            code = codes.ResultCode.NO_TARGET
+            reason = "no target could receive work before the deadline"
+        elif entry.team is not None and document is not None:
+            in_use = sum(use.team == entry.team for use in service.uses)
+            team = document.teams.get(entry.team)
+            if team is not None and in_use >= team.max_slots:
+                code = codes.ResultCode.TEAM_QUOTA_EXCEEDED
+                reason = f"team {entry.team} used its {team.max_slots} slots"
+        self._take_from_queue(flight, _not_run(code, reason))
+
+    def _take_from_queue(
+        self, flight: _Flight, result: _Assignment | model.Outcome
+    ) -> None:
+        assert flight.assigned is not None
+        flight.service.queue.remove(flight.entry)
+        del flight.service.flights_by_entry[flight.entry]
+        flight.assigned.set_result(result)
+        flight.service.update_demand(asyncio.get_running_loop().time())
+
+    def _pump(self, service: _Service) -> None:
+        """Give free slots to waiting requests."""
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        document = self._source.state.documents.production
+        declared = None if document is None else document.services.get(service.name)
+        while document is not None and declared is not None and len(service.queue):
+            usable = self._usable_targets(service, now)
+            if not self._has_room(service, usable, now):
+                break
+            shares = self._shares(service, usable, document, declared)
+            found = self._next_start(service, usable, shares, now)
+            if found is None:
+                break
+            flight, chosen = found
+            self._take_from_queue(flight, self._assign(flight, chosen, now))
+        if len(service.queue) and service.pump_timer is None:
+            service.pump_timer = loop.call_later(
+                PUMP_INTERVAL_S, self._pump_later, service
+            )
+
+    def _pump_later(self, service: _Service) -> None:
+        service.pump_timer = None
+        self._pump(service)
+
+    def _has_room(
+        self,
+        service: _Service,
+        usable: Sequence[tuple[model.Target, slots.TargetSlots]],
+        now: float,
+    ) -> bool:
+        return any(
+            target_slots.free
+            and (
+                not service.ejections.is_ejected(target.host_id)
+                or service.ejections.is_probe_due(target.host_id, now)
+            )
+            for target, target_slots in usable
+        )
+
+    def _next_start(
+        self,
+        service: _Service,
+        usable: Sequence[tuple[model.Target, slots.TargetSlots]],
+        shares: queueing.SlotShares,
+        now: float,
+    ) -> tuple[_Flight, tuple[model.Target, slots.TargetSlots]] | None:
+        for entry in service.queue.candidates(shares, now):
+            flight = service.flights_by_entry[entry]
+            chosen = self._choose(service, usable, flight, now)
+            if chosen is not None:
+                return flight, chosen
+        return None
+
+    def _choose(
+        self,
+        service: _Service,
+        usable: Sequence[tuple[model.Target, slots.TargetSlots]],
+        flight: _Flight,
+        now: float,
+    ) -> tuple[model.Target, slots.TargetSlots] | None:
+        """Return the least loaded target, or an ejected one that is due for a probe."""
+        best: tuple[model.Target, slots.TargetSlots] | None = None
+        best_key = (math.inf, math.inf)
+        for target, target_slots in usable:
+            host_id = target.host_id
+            if not target_slots.free or host_id in flight.tried_host_ids:
+                continue
+            if service.ejections.is_ejected(host_id):
+                # Requests that must not repeat probe only when nothing else does.
+                probe_at = now if flight.is_repeatable else now - PROBE_OVERDUE_S
+                if service.ejections.is_probe_due(host_id, probe_at):
+                    return target, target_slots
+                continue
+            seeming = target_slots.in_use + service.ejections.penalty(host_id, now)
+            key = (seeming / target_slots.slots, target_slots.last_used_at)
+            if key < best_key:
+                best, best_key = (target, target_slots), key
+        return best
+
+    def _assign(
+        self,
+        flight: _Flight,
+        chosen: tuple[model.Target, slots.TargetSlots],
+        now: float,
+    ) -> _Assignment:
+        target, target_slots = chosen
+        service, entry = flight.service, flight.entry
+        if service.ejections.is_ejected(target.host_id):
+            service.ejections.start_probe(target.host_id)
+        use = target_slots.acquire(entry.request_id, entry.is_long, entry.team, now)
+        service.uses[use] = entry.kind
+        return _Assignment(target, target_slots, use)
+
+    def _give_back(self, flight: _Flight, assigned: _Assignment) -> None:
+        """Give back a slot that was never used."""
+        now = asyncio.get_running_loop().time()
+        assigned.target_slots.release(assigned.use, True, now)
+        flight.service.uses.pop(assigned.use, None)
+        flight.service.ejections.note_neutral(assigned.target.host_id)
+        self._pump(flight.service)
+
+    def _shares(
+        self,
+        service: _Service,
+        usable: Sequence[tuple[model.Target, slots.TargetSlots]],
+        document: document_model.Document,
+        declared: document_model.Service,
+    ) -> queueing.SlotShares:
+        in_use_by_team: dict[str, int] = collections.Counter(
+            use.team for use in service.uses if use.team is not None
+        )
+        return queueing.SlotShares(
+            total=sum(
+                target_slots.slots
+                for target, target_slots in usable
+                if target_slots.is_read
+                and not service.ejections.is_ejected(target.host_id)
+            ),
+            short_reserve=declared.short_reserve,
+            in_use_long=sum(use.is_long for use in service.uses),
+            in_use_by_team=in_use_by_team,
+            quota_by_team={
+                name: team.max_slots for name, team in document.teams.items()
+            },
+        )
+
+    def _usable_targets(
+        self, service: _Service, now: float
+    ) -> list[tuple[model.Target, slots.TargetSlots]]:
+        """Return the targets in the directory; reads their status where needed."""
+        document = self._source.state.documents.production
+        declared = None if document is None else document.services.get(service.name)
+        if declared is None:
+            return []
+        targets = self._targets.targets_of(service.name)
+        host_ids = {target.host_id for target in targets}
+        if host_ids != service.host_ids:
+            for host_id in service.host_ids - host_ids:
+                # Its slots are read again when it returns: it may have rebooted.
+                self._slots_by_host_id[host_id].is_read = False
+            service.host_ids = host_ids
+            service.ejections.keep_only(host_ids)
+        usable = []
+        for target in targets:
+            target_slots = self._slots_by_host_id.get(target.host_id)
+            if target_slots is None:
+                target_slots = slots.TargetSlots(
+                    target.host_id, declared.slots_per_target
+                )
+                self._slots_by_host_id[target.host_id] = target_slots
+            target_slots.slots = min(
+                declared.slots_per_target,
+                declared.connections_per_target,
+                target_slots.reported_slots,
+            )
+            if (
+                (target_slots.doubtful or not target_slots.is_read)
+                and not target_slots.is_reading
+                and now >= target_slots.next_read_at
+            ):
+                target_slots.begin_read(now)
+                self._spawn(self._read_status(service, target, target_slots))
+            usable.append((target, target_slots))
+        return usable
+
+    async def _read_status(
+        self, service: _Service, target: model.Target, target_slots: slots.TargetSlots
+    ) -> None:
+        """Read a target's busy slots and bring the doubt in line with them."""
+        loop = asyncio.get_running_loop()
+        before = target_slots.uses_before(loop.time() - slots.SETTLE_S)
+        is_first = not target_slots.is_read
+        try:
+            status = await self._transport.status(target, STATUS_TIMEOUT_S)
+            if status is not None and before:
+                await asyncio.sleep(slots.SETTLE_S)
+        finally:
+            target_slots.is_reading = False
+            target_slots.next_read_at = loop.time() + STATUS_INTERVAL_S
+        if status is None:
+            return
+        if status.is_leaving:
+            self._note_leaving(target, service)
+        certain = sum(not use.is_released for use in before)
+        target_slots.reported_slots = max(1, status.slots)
+        target_slots.finish_read(status.busy_slots, certain, loop.time(), is_first)
+        target_slots.is_read = True
+        self._pump(service)
+
+    def _note_leaving(self, target: model.Target, service: _Service) -> None:
+        """Send nothing more to a target that leaves, until it says otherwise."""
+        self._targets.mark_leaving(target)
+        if target.host_id not in self._leaving_host_ids:
+            self._leaving_host_ids.add(target.host_id)
+            self._spawn(self._watch_leaving(target, service.name))
+
+    async def _watch_leaving(self, target: model.Target, service_name: str) -> None:
+        """Ask a leaving target until it has rebooted.
+
+        The directory learns of reboots from the fold and the host list; this covers
+        a reboot that is faster than the host list.
+        """
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + LEAVING_WATCH_S
+        try:
+            while loop.time() < ends_at:
+                await asyncio.sleep(LEAVING_WATCH_INTERVAL_S)
+                listed = self._targets.targets_of(service_name)
+                if any(other.host_id == target.host_id for other in listed):
+                    return
+                status = await self._transport.status(target, STATUS_TIMEOUT_S)
+                if status is not None and not status.is_leaving:
+                    self._targets.clear_leaving(target)
+                    return
+        finally:
+            self._leaving_host_ids.discard(target.host_id)
+
+    # Learned classes.
+
+    def _outlive(self, flight: _Flight, use: slots.SlotUse) -> None:
+        """Count a running request as long once it outlives the short class."""
+        now = asyncio.get_running_loop().time()
+        use.is_long = True
+        # A lower bound, learned now: otherwise a wave of long work that was declared
+        # short would take all slots before its first answer.
+        flight.service.run_times.observe(
+            flight.request.kind, 2 * (now - use.started_at), now
+        )
+        self._learn_class(flight.service, flight.request.kind)
+
+    def _learn_class(self, service: _Service, kind: str) -> None:
+        document = self._source.state.documents.production
+        declared = None if document is None else document.services.get(service.name)
+        if declared is None:
+            return
+        expected_s = service.run_times.expected_s(kind, 0.0)
+        is_long = expected_s > declared.short_run_ms / 1000
+        if service.is_long_by_kind.get(kind) != is_long:
+            service.is_long_by_kind[kind] = is_long
+            service.queue.reclassify(kind, is_long, expected_s)
+
+    def _spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+
+def _is_same(first: model.Request, second: model.Request) -> bool:
+    return (
+        first.service == second.service
+        and first.kind == second.kind
+        and first.body == second.body
+    )
+
+
+def _not_run(code: codes.ResultCode, reason: str) -> model.Outcome:
+    return model.Outcome(model.OutcomeKind.NOT_RUN, code, reason)
+
+
+def _unknown(code: codes.ResultCode, reason: str) -> model.Outcome:
+    return model.Outcome(model.OutcomeKind.UNKNOWN, code, reason)
+
+
+def _cancelled() -> model.Outcome:
+    return _not_run(codes.ResultCode.REQUEST_CANCELLED, "the caller left")
--- /dev/null
+++ b/clementinespar/requests/ejection.py
@@ -0,0 +1,149 @@
+"""Ejection of targets that fail, judged by the outcomes of attempts."""
+
+import collections
+import dataclasses
+from collections.abc import Iterable
+
+WINDOW_S = 10.0
+MIN_FAILURES = 3  # fewer may be one request's or one restart's
+MIN_FAILURE_SHARE = 0.5
+MAX_EJECTED_SHARE = 1 / 3  # more would put too much work on the rest
+FIRST_EJECTION_S = 2.0
+MAX_EJECTION_S = 60.0
+# A failure makes a target look as if it had one more slot in use for this long. Without
+# it, a worker that fails at once is always the least loaded one.
+PENALTY_S = 1.0
+
+
+@dataclasses.dataclass(slots=True)
+class _AttemptResult:
+    at: float  # event-loop time
+    is_failure: bool
+    request_id: str
+
+
+@dataclasses.dataclass(slots=True)
+class _TargetRecord:
+    """Recent results of one target."""
+
+    results: collections.deque[_AttemptResult] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    ejected_until: float | None = None  # None: in use; else loop time of the next probe
+    ejection_s: float = FIRST_EJECTION_S  # doubles with each failed probe
+    is_probing: bool = False  # one probe is in flight
+
+
+class EjectionTracker:
+    """Outcomes and ejections of the targets of one service."""
+
+    _records_by_host_id: dict[str, _TargetRecord]
+
+    def __init__(self) -> None:
+        self._records_by_host_id = collections.defaultdict(_TargetRecord)
+
+    def note_success(self, host_id: str, request_id: str, now: float) -> None:
+        """Count a good answer; a good probe ends the ejection."""
+        record = self._records_by_host_id[host_id]
+        if record.is_probing:
+            record.is_probing = False
+            record.ejected_until = None
+            record.ejection_s = FIRST_EJECTION_S
+            record.results.clear()
+        record.results.append(_AttemptResult(now, False, request_id))
+        self._forget(record, now)
+
+    def note_failure(
+        self, host_id: str, request_id: str, now: float, pool_size: int
+    ) -> None:
+        """Count a failed attempt; may eject the target."""
+        record = self._records_by_host_id[host_id]
+        # A silent attempt is noted when it is noticed and again when it ends.
+        if not any(r.is_failure and r.request_id == request_id for r in record.results):
+            record.results.append(_AttemptResult(now, True, request_id))
+        self._forget(record, now)
+        if record.ejected_until is not None:
+            if record.is_probing:
+                record.is_probing = False
+                record.ejection_s = min(MAX_EJECTION_S, record.ejection_s * 2)
+                record.ejected_until = now + record.ejection_s
+            return
+        if self._is_bad(record) and self._may_eject(pool_size):
+            record.ejected_until = now + record.ejection_s
+
+    def note_neutral(self, host_id: str) -> None:
+        """End a probe that neither succeeded nor failed."""
+        self._records_by_host_id[host_id].is_probing = False
+
+    def forgive(self, request_id: str, host_ids: Iterable[str]) -> None:
+        """Take back the failures of a request that failed on several targets."""
+        for host_id in host_ids:
+            record = self._records_by_host_id.get(host_id)
+            if record is None:
+                continue
+            kept = [r for r in record.results if r.request_id != request_id]
+            record.results = collections.deque(kept)
+            if (
+                record.ejected_until is not None
+                and not record.is_probing
+                and not self._is_bad(record)
+            ):
+                record.ejected_until = None
+
+    def is_ejected(self, host_id: str) -> bool:
+        """Whether a target gets no ordinary work now."""
+        record = self._records_by_host_id.get(host_id)
+        return record is not None and record.ejected_until is not None
+
+    def is_probe_due(self, host_id: str, now: float) -> bool:
+        """Whether an ejected target may get its one probe."""
+        record = self._records_by_host_id.get(host_id)
+        return (
+            record is not None
+            and record.ejected_until is not None
+            and not record.is_probing
+            and now >= record.ejected_until
+        )
+
+    def start_probe(self, host_id: str) -> None:
+        """Note that the probe of an ejected target was sent."""
+        self._records_by_host_id[host_id].is_probing = True
+
+    def penalty(self, host_id: str, now: float) -> int:
+        """Return how many slots more the target shall seem to use."""
+        record = self._records_by_host_id.get(host_id)
+        if record is None:
+            return 0
+        count = 0
+        for result in reversed(record.results):
+            if result.at < now - PENALTY_S:
+                break
+            count += result.is_failure
+        return count
+
+    def ejected_host_ids(self) -> frozenset[str]:
+        """Return the ejected targets' hosts."""
+        return frozenset(
+            host_id
+            for host_id, record in self._records_by_host_id.items()
+            if record.ejected_until is not None
+        )
+
+    def keep_only(self, host_ids: set[str]) -> None:
+        """Forget targets that left the pool; a rebooted one starts afresh."""
+        for host_id in [i for i in self._records_by_host_id if i not in host_ids]:
+            del self._records_by_host_id[host_id]
+
+    def _is_bad(self, record: _TargetRecord) -> bool:
+        failures = sum(result.is_failure for result in record.results)
+        return (
+            failures >= MIN_FAILURES
+            and failures >= len(record.results) * MIN_FAILURE_SHARE
+        )
+
+    def _may_eject(self, pool_size: int) -> bool:
+        return len(self.ejected_host_ids()) + 1 <= pool_size * MAX_EJECTED_SHARE
+
+    def _forget(self, record: _TargetRecord, now: float) -> None:
+        while record.results and record.results[0].at < now - WINDOW_S:
+            record.results.popleft()
--- a/clementinespar/requests/model.py
+++ b/clementinespar/requests/model.py
@@ -138,3 +138,11 @@
     def targets_of(self, service: str) -> Sequence[Target]:
         """Return the service's targets that are neither out nor leaving."""
         ...
+
+    def mark_leaving(self, target: Target) -> None:
+        """Exclude a target that said it is leaving."""
+        ...
+
+    def clear_leaving(self, target: Target) -> None:
+        """Include a target again that says it is no longer leaving."""
+        ...
--- /dev/null
+++ b/clementinespar/requests/retries.py
@@ -0,0 +1,43 @@
+"""Budget of retries, so that retries cannot multiply the load of an overload."""
+
+import collections
+
+WINDOW_S = 10.0
+RETRY_SHARE = 0.1  # retries per request within the window
+# A quiet service may still retry: one request's own attempts fit.
+MIN_RETRIES = 2
+MAX_ATTEMPTS = 3
+
+
+class RetryBudget:
+    """Counts requests and retries of one service over the last 10 s."""
+
+    _requests: collections.deque[float]  # event-loop times of accepted requests
+    _retries: collections.deque[float]  # event-loop times of retries
+
+    def __init__(self) -> None:
+        self._requests = collections.deque()
+        self._retries = collections.deque()
+
+    def note_request(self, now: float) -> None:
+        """Count an accepted request."""
+        self._requests.append(now)
+        self._forget(now)
+
+    def take(self, now: float) -> bool:
+        """Take one retry from the budget; False if it is empty."""
+        if self.remaining(now) < 1:
+            return False
+        self._retries.append(now)
+        return True
+
+    def remaining(self, now: float) -> int:
+        """Return how many retries the budget still allows."""
+        self._forget(now)
+        allowed = max(MIN_RETRIES, int(len(self._requests) * RETRY_SHARE))
+        return allowed - len(self._retries)
+
+    def _forget(self, now: float) -> None:
+        for times in (self._requests, self._retries):
+            while times and times[0] <= now - WINDOW_S:
+                times.popleft()
--- /dev/null
+++ b/clementinespar/requests/router.py
@@ -0,0 +1,155 @@
+"""Ingress of requests: finds the owner of a service's queue and hands over."""
+
+import asyncio
+import collections
+import dataclasses
+from collections.abc import Callable
+from typing import Any
+
+from clementinespar import codes
+from clementinespar.fleet import source as fleet_source
+from clementinespar.requests import model
+
+# Views of the membership differ for a few heartbeats after a change; a third candidate
+# is only right when two nodes stop within that time.
+MAX_CANDIDATES = 3
+RECENT_OUTCOMES = (
+    4096  # about 2 MB; an operator asks about requests of the last minutes
+)
+
+# The owner did not take the request, so another node may.
+_NOT_TAKEN_CODES = frozenset(
+    {
+        codes.ResultCode.OWNER_UNREACHABLE,
+        codes.ResultCode.NODE_STOPPING,
+        codes.ResultCode.NOT_READY,
+    }
+)
+
+
+@dataclasses.dataclass(slots=True)
+class _Trace:
+    """What this node knows about one request."""
+
+    service: str
+    kind: str
+    accepted_at: float  # event-loop time
+    owners: list[str]  # nodes that the request was handed to, in order
+    has_started: bool = False  # a byte may have left for a target
+    outcome: model.Outcome | None = None
+
+
+class Router:
+    """Takes requests to the owner of their service, on this node or another.
+
+    Parameters
+    ----------
+    directory : model.OwnerDirectory
+        Candidates for the owner of a service, best first.
+    source : fleet_source.FleetSource
+        The document in force, which states the kinds that may be repeated.
+    """
+
+    _directory: model.OwnerDirectory
+    _source: fleet_source.FleetSource
+    _traces_by_request_id: collections.OrderedDict[str, _Trace]  # oldest first
+
+    def __init__(
+        self, directory: model.OwnerDirectory, source: fleet_source.FleetSource
+    ) -> None:
+        self._directory = directory
+        self._source = source
+        self._traces_by_request_id = collections.OrderedDict()
+
+    async def handle(
+        self, request: model.Request, on_started: Callable[[], None] = lambda: None
+    ) -> model.Outcome:
+        """Return the one outcome of a caller's request."""
+        loop = asyncio.get_running_loop()
+        trace = _Trace(request.service, request.kind, loop.time(), [])
+        self._remember(request.request_id, trace)
+
+        def note_started() -> None:
+            trace.has_started = True
+            on_started()
+
+        outcome = model.Outcome(
+            model.OutcomeKind.NOT_RUN,
+            codes.ResultCode.NOT_READY,
+            "no entry node can own this service now",
+        )
+        for candidate in list(self._directory.candidates(request.service))[
+            :MAX_CANDIDATES
+        ]:
+            trace.owners.append(candidate.node)
+            try:
+                outcome = await candidate.handler.handle(request, note_started)
+            except asyncio.CancelledError:
+                trace.outcome = model.Outcome(
+                    model.OutcomeKind.UNKNOWN,
+                    codes.ResultCode.REQUEST_CANCELLED,
+                    "the caller left before the outcome",
+                )
+                raise
+            if not self._may_try_next(request, trace, outcome):
+                break
+            if loop.time() >= request.deadline:
+                break
+        trace.outcome = outcome
+        return outcome
+
+    def explain(self, request_id: str) -> dict[str, Any] | None:
+        """Return what is known of a recent request, or None."""
+        trace = self._traces_by_request_id.get(request_id)
+        if trace is None:
+            return None
+        outcome = trace.outcome
+        because = [f"handed to {' then '.join(trace.owners) or 'no node'}"]
+        if outcome is None:
+            state = "started" if trace.has_started else "queued"
+            waits_for = "a target's answer" if trace.has_started else "a free slot"
+        else:
+            state = outcome.kind.value
+            waits_for = ""
+            because.append(
+                f"{outcome.attempts} attempts, {outcome.waited_s:.3f} s in the queue"
+            )
+            if outcome.host_id is not None:
+                because.append(f"the last target was on host {outcome.host_id}")
+            if outcome.reason:
+                because.append(outcome.reason)
+        return {
+            "subject": f"request {request_id} ({trace.service}/{trace.kind})",
+            "state": state,
+            "waits_for": waits_for,
+            "because": because,
+            "code": int(codes.ResultCode.OK if outcome is None else outcome.code),
+        }
+
+    def _may_try_next(
+        self, request: model.Request, trace: _Trace, outcome: model.Outcome
+    ) -> bool:
+        if trace.has_started:
+            return False
+        if outcome.kind is model.OutcomeKind.NOT_RUN:
+            return outcome.code in _NOT_TAKEN_CODES
+        # The connection to the owner broke before it reported a start. A repeatable
+        # request may run twice, so it is sent again; any other one is unknown.
+        return (
+            outcome.kind is model.OutcomeKind.UNKNOWN
+            and outcome.code == codes.ResultCode.OWNER_LOST
+            and self._is_repeatable(request)
+        )
+
+    def _is_repeatable(self, request: model.Request) -> bool:
+        document = self._source.state.documents.production
+        if document is None or request.service not in document.services:
+            return False
+        kind = document.services[request.service].kinds.get(request.kind)
+        return kind is not None and kind.repeatable
+
+    def _remember(self, request_id: str, trace: _Trace) -> None:
+        self._traces_by_request_id[request_id] = trace
+        self._traces_by_request_id.move_to_end(request_id)
+        while len(self._traces_by_request_id) > RECENT_OUTCOMES:
+            self._traces_by_request_id.popitem(last=False)
--- /dev/null
+++ b/clementinespar/requests/targets.py
@@ -0,0 +1,89 @@
+"""Which targets may receive new work.
+
+Combines the fold (pool membership, hosts out, failed hosts), the platform's host list
+and what targets say about themselves.
+"""
+
+import dataclasses
+from collections.abc import Sequence
+
+from clementinespar.fleet import source as fleet_source
+from clementinespar.platform import service as platform_service
+from clementinespar.requests import model
+
+
+@dataclasses.dataclass(slots=True)
+class _LeavingMark:
+    """A target's own statement that it is leaving."""
+
+    host_revision: int  # revision of the host in the fold at the statement
+    was_absent: bool = False  # the host was since seen as leaving or missing
+
+
+class FleetTargetDirectory:
+    """`TargetDirectory` over the folded state and the host list.
+
+    Parameters
+    ----------
+    source : fleet_source.FleetSource
+        Pool membership, hosts out and failed hosts.
+    host_list : platform_service.HostListSource
+        Addresses, and hosts that the platform reports as leaving. An old list is still
+        used: the request path continues with what targets answer.
+    """
+
+    _source: fleet_source.FleetSource
+    _host_list: platform_service.HostListSource
+    # Targets that stated themselves that they leave; the host list lags behind this.
+    _marks_by_host_id: dict[str, _LeavingMark]
+
+    def __init__(
+        self,
+        source: fleet_source.FleetSource,
+        host_list: platform_service.HostListSource,
+    ) -> None:
+        self._source = source
+        self._host_list = host_list
+        self._marks_by_host_id = {}
+
+    def targets_of(self, service: str) -> Sequence[model.Target]:
+        """Return the service's targets that are neither out nor leaving."""
+        state = self._source.state
+        document = state.documents.production
+        host_list = self._host_list.latest
+        if document is None or host_list is None or service not in document.services:
+            return ()
+        targets = []
+        for host in state.pools.hosts_of(document.services[service].pool):
+            listed = host_list.hosts_by_id.get(host.host_id)
+            mark = self._marks_by_host_id.get(host.host_id)
+            if not host.is_available or listed is None or listed.condition != "live":
+                if mark is not None:
+                    mark.was_absent = True
+                continue
+            if mark is not None:
+                # The list may be older than the statement, so "live" alone proves
+                # nothing; a return after an absence does.
+                if not mark.was_absent and mark.host_revision == host.revision:
+                    continue
+                del self._marks_by_host_id[host.host_id]
+            targets.append(
+                model.Target(
+                    host_id=host.host_id,
+                    address=listed.address,
+                    port=listed.port,
+                    data_centre=host.data_centre,
+                    rack=host.rack,
+                )
+            )
+        return targets
+
+    def mark_leaving(self, target: model.Target) -> None:
+        """Exclude a target that said it is leaving, until it has rebooted."""
+        host = self._source.state.pools.hosts_by_id.get(target.host_id)
+        if host is not None and target.host_id not in self._marks_by_host_id:
+            self._marks_by_host_id[target.host_id] = _LeavingMark(host.revision)
+
+    def clear_leaving(self, target: model.Target) -> None:
+        """Include a target again that says it is no longer leaving."""
+        self._marks_by_host_id.pop(target.host_id, None)
