--- a/clementinespar/requests/dispatcher.py
+++ b/clementinespar/requests/dispatcher.py
@@ -757,6 +757,8 @@
             return
         now = loop.time()
         chosen = self._choose(service, self._usable_targets(service, now), flight, now)
+        if self._quota_in_use(service, flight.entry) is not None:
+            return
         if chosen is not None and service.budget.take(now):
             self._start_attempt(flight, self._assign(flight, chosen, now))
 
@@ -832,21 +834,32 @@
             return
         service, entry = flight.service, flight.entry
         now = asyncio.get_running_loop().time()
-        document = self._source.state.documents.production
         usable = self._usable_targets(service, now)
         code = codes.ResultCode.DEADLINE_TOO_SHORT
         reason = "no slot became free before the deadline"
         if not usable:
             code = codes.ResultCode.NO_TARGET
             reason = "no target could receive work before the deadline"
-        elif entry.team is not None and document is not None:
-            in_use = sum(use.team == entry.team for use in service.uses)
-            team = document.teams.get(entry.team)
-            if team is not None and in_use >= team.max_slots:
+        else:
+            max_slots = self._quota_in_use(service, entry)
+            if max_slots is not None:
                 code = codes.ResultCode.TEAM_QUOTA_EXCEEDED
-                reason = f"team {entry.team} used its {team.max_slots} slots"
+                reason = f"team {entry.team} used its {max_slots} slots"
         self._take_from_queue(flight, _not_run(code, reason))
 
+    def _quota_in_use(
+        self, service: _Service, entry: queueing.QueueEntry
+    ) -> int | None:
+        """Return the quota of a request's team if all of it is in use."""
+        document = self._source.state.documents.production
+        if entry.team is None or document is None:
+            return None
+        team = document.teams.get(entry.team)
+        in_use = sum(use.team == entry.team for use in service.uses)
+        if team is None or in_use < team.max_slots:
+            return None
+        return team.max_slots
+
     def _take_from_queue(
         self, flight: _Flight, result: _Assignment | model.Outcome
     ) -> None:
--- a/clementinespar/requests/tests/helpers.py
+++ b/clementinespar/requests/tests/helpers.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 
 from clementinespar import codes
+from clementinespar.claims import state as claims_state
 from clementinespar.documents import model as document_model
 from clementinespar.documents import state as documents_state
 from clementinespar.fleet import state as fleet_state
@@ -89,14 +90,12 @@
 class FakeClaimService:
     """`ClaimService` in memory; ``mode`` sets what goes wrong."""
 
+    source: FakeSource  # its folded claims follow
     mode: str  # ok, down, lost (won, but the reply is lost), stuck or broken
-    claimed: set[str]
-    released: list[str]
 
-    def __init__(self) -> None:
+    def __init__(self, source: FakeSource) -> None:
+        self.source = source
         self.mode = "ok"
-        self.claimed = set()
-        self.released = []
 
     async def claim(self, request_id: str, timeout_s: float) -> codes.ResultCode:
         """Claim a request id."""
@@ -109,9 +108,10 @@
                 await asyncio.sleep(3600)
             case "broken":
                 raise RuntimeError("claim service is broken")
-        if request_id in self.claimed:
+        claims = self.source.state.claims.claims_by_request_id
+        if request_id in claims:
             return codes.ResultCode.ALREADY_CLAIMED
-        self.claimed.add(request_id)
+        claims[request_id] = claims_state.HeldClaim("claim", "n1", 0)
         if self.mode == "lost":
             await asyncio.sleep(timeout_s)
             return codes.ResultCode.CLAIM_UNAVAILABLE
@@ -120,8 +120,7 @@
     async def release(self, request_id: str) -> None:
         """Release a claim."""
         await asyncio.sleep(0.01)
-        self.claimed.discard(request_id)
-        self.released.append(request_id)
+        self.source.state.claims.claims_by_request_id.pop(request_id, None)
 
 
 def make_fakes(host_count: int, slots: int = 8) -> dict[str, fake_target.FakeTarget]:
--- a/clementinespar/requests/tests/test_server.py
+++ b/clementinespar/requests/tests/test_server.py
@@ -31,7 +31,7 @@
         self.target = target_standin.TargetState("h0")
         self.source = helpers.FakeSource(helpers.make_document(1))
         self.directory = helpers.FakeTargetDirectory(["h0"])
-        self.claims = helpers.FakeClaimService()
+        self.claims = helpers.FakeClaimService(self.source)
 
     @contextlib.asynccontextmanager
     async def serve(self, **limits: Any) -> AsyncIterator[server.CallersServer]:
