Order, retry, ejection and claim policy: tests and fixes

Cause: tests of the policy showed two faults. Requests that arrive in the same round of the event loop did not see each other, so a burst passed the queue limit and the early refusal. A target that starts to fail everything after good answers was not ejected while those answers were in the window. Change: a request is queued when it is admitted, and three failures in a row eject. Tests of the policy on a paused clock. Conclusion: bursts are bounded and a failing worker is ejected within three attempts.

--- a/clementinespar/requests/dispatcher.py
+++ b/clementinespar/requests/dispatcher.py
@@ -87,6 +87,8 @@
     waiters: int = 0  # callers that still wait; 0 means all of them left
     has_started: bool = False  # a byte may have left for a target
     is_claimed: bool = False
+    queued_at: float = 0.0  # event-loop time
+    expiry: asyncio.TimerHandle | None = None  # refuses it while it is queued
     waited_s: float = 0.0
     attempts: int = 0
     tried_host_ids: set[str] = dataclasses.field(default_factory=set)
@@ -368,6 +370,12 @@
         self._flights_by_request_id[request.request_id] = flight
         self._idle.clear()
         flight.task = asyncio.get_running_loop().create_task(self._run(flight))
+        # Counted now, not when the task runs: requests that arrive in the same round
+        # of the loop must see each other.
+        if flight.is_repeatable:
+            self._enqueue(flight)
+        else:
+            service.claiming += 1
         return flight
 
     def _new_flight(
@@ -478,7 +486,6 @@
 
     async def _claim_and_send(self, flight: _Flight) -> model.Outcome:
         if not flight.is_repeatable:
-            flight.service.claiming += 1
             try:
                 refusal = await self._claim(flight)
             finally:
@@ -576,21 +583,15 @@
     async def _wait_for_slot(self, flight: _Flight) -> _Assignment | model.Outcome:
         """Wait in the queue; returns a target with a slot, or why none was given."""
         loop = asyncio.get_running_loop()
-        service, entry = flight.service, flight.entry
-        now = loop.time()
-        if flight.waiters == 0:
-            return _cancelled()
-        entry.is_long = service.is_long_by_kind.get(entry.kind, entry.is_long)
-        flight.assigned = loop.create_future()
-        service.flights_by_entry[entry] = flight
-        service.queue.add(entry)
-        least_s = service.run_times.least_s(entry.kind, now)
-        timer = loop.call_at(entry.deadline - least_s, self._expire, flight)
-        self._pump(service)
+        entry = flight.entry
+        if flight.assigned is None:
+            if flight.waiters == 0:
+                return _cancelled()
+            self._enqueue(flight)
+        assert flight.assigned is not None
         assigned = await flight.assigned
-        timer.cancel()
         flight.assigned = None
-        flight.waited_s += loop.time() - now
+        flight.waited_s += loop.time() - flight.queued_at
         if isinstance(assigned, _Assignment) and (
             flight.waiters == 0 or loop.time() >= entry.deadline
         ):
@@ -601,6 +602,20 @@
             return _not_run(codes.ResultCode.DEADLINE_PASSED, "the deadline has passed")
         return assigned
 
+    def _enqueue(self, flight: _Flight) -> None:
+        """Put a request into the queue; `_take_from_queue` takes it out."""
+        loop = asyncio.get_running_loop()
+        service, entry = flight.service, flight.entry
+        entry.is_long = service.is_long_by_kind.get(entry.kind, entry.is_long)
+        flight.assigned = loop.create_future()
+        flight.queued_at = loop.time()
+        service.flights_by_entry[entry] = flight
+        service.queue.add(entry)
+        least_s = service.run_times.least_s(entry.kind, loop.time())
+        flight.expiry = loop.call_at(entry.deadline - least_s, self._expire, flight)
+        service.update_demand(loop.time())
+        self._pump(service)
+
     def _start_attempt(self, flight: _Flight, assigned: _Assignment) -> None:
         flight.attempts += 1
         flight.tried_host_ids.add(assigned.target.host_id)
@@ -863,7 +878,8 @@
     def _take_from_queue(
         self, flight: _Flight, result: _Assignment | model.Outcome
     ) -> None:
-        assert flight.assigned is not None
+        assert flight.assigned is not None and flight.expiry is not None
+        flight.expiry.cancel()
         flight.service.queue.remove(flight.entry)
         del flight.service.flights_by_entry[flight.entry]
         flight.assigned.set_result(result)
--- a/clementinespar/requests/ejection.py
+++ b/clementinespar/requests/ejection.py
@@ -135,6 +135,12 @@
             del self._records_by_host_id[host_id]
 
     def _is_bad(self, record: _TargetRecord) -> bool:
+        newest = list(record.results)[-MIN_FAILURES:]
+        if len(newest) < MIN_FAILURES:
+            return False
+        # Failures in a row show a new fault before the good answers of the window fade.
+        if all(result.is_failure for result in newest):
+            return True
         failures = sum(result.is_failure for result in record.results)
         return (
             failures >= MIN_FAILURES
--- a/clementinespar/requests/tests/helpers.py
+++ b/clementinespar/requests/tests/helpers.py
@@ -92,9 +92,11 @@
 
     source: FakeSource  # its folded claims follow
     mode: str  # ok, down, lost (won, but the reply is lost), stuck or broken
+    hidden_claims: set[str]  # won by another node, not yet in this node's fold
 
     def __init__(self, source: FakeSource) -> None:
         self.source = source
+        self.hidden_claims = set()
         self.mode = "ok"
 
     async def claim(self, request_id: str, timeout_s: float) -> codes.ResultCode:
@@ -109,7 +111,7 @@
             case "broken":
                 raise RuntimeError("claim service is broken")
         claims = self.source.state.claims.claims_by_request_id
-        if request_id in claims:
+        if request_id in claims or request_id in self.hidden_claims:
             return codes.ResultCode.ALREADY_CLAIMED
         claims[request_id] = claims_state.HeldClaim("claim", "n1", 0)
         if self.mode == "lost":
--- /dev/null
+++ b/clementinespar/requests/tests/test_dispatcher_policy.py
@@ -0,0 +1,414 @@
+"""Tests of queue order, retries, ejection, claims and the first count of slots."""
+
+import asyncio
+import dataclasses
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from clementinespar import codes
+from clementinespar.requests import dispatcher, ejection, model, queueing, retries
+from clementinespar.requests.tests import helpers
+from clementinespar.tests import paused_clock
+from standins import fake_target
+
+
+class Setup:
+    """A dispatcher with fake targets on a paused clock."""
+
+    def __init__(self, host_count: int = 4, slots: int = 2, **options: object) -> None:
+        self.slots = slots
+        self.source = helpers.FakeSource(
+            helpers.make_document(host_count, slots_per_target=slots, **options)
+        )
+        self.fakes = helpers.make_fakes(host_count, slots)
+        self.directory = helpers.FakeTargetDirectory(list(self.fakes))
+        self.claims = helpers.FakeClaimService(self.source)
+        self.dispatcher = dispatcher.Dispatcher(
+            self.source,
+            self.directory,
+            fake_target.FakeTargetTransport(self.fakes),
+            self.claims,
+        )
+        self.count = 0
+
+    def submit(
+        self,
+        kind: str = "plan",
+        run_ms: int = 20,
+        deadline_s: float = 30.0,
+        request_id: str | None = None,
+        is_urgent: bool = False,
+    ) -> "asyncio.Task[model.Outcome]":
+        """Submit one request."""
+        self.count += 1
+        loop = asyncio.get_running_loop()
+        request = model.Request(
+            request_id=request_id or f"{self.count}-{kind}",
+            service="scale",
+            kind=kind,
+            body=b'{"run_ms": %d}' % run_ms,
+            content_type="application/json",
+            deadline=loop.time() + deadline_s,
+            is_urgent=is_urgent,
+        )
+        return loop.create_task(self.dispatcher.handle(request, lambda: None))
+
+    async def submit_many(self, count: int, **options: object) -> list[model.Outcome]:
+        """Submit requests at once and wait for all outcomes."""
+        tasks = [self.submit(**options) for _ in range(count)]  # type: ignore[arg-type]
+        return list(await asyncio.gather(*tasks))
+
+    def runs(self, request_id: str) -> int:
+        """Return how often a request ran."""
+        return sum(f.state.runs_by_request_id[request_id] for f in self.fakes.values())
+
+
+def run(main: Callable[[], Awaitable[None]]) -> None:
+    """Run a test on a paused clock."""
+
+    async def wrapped() -> None:
+        await main()
+
+    paused_clock.run(wrapped())
+
+
+def test_short_work_passes_long_work_that_came_first() -> None:
+    """Guards against head-of-line blocking by long work."""
+
+    async def main() -> None:
+        setup = Setup()
+        await setup.submit_many(4, run_ms=20)  # short work came recently
+        long_tasks = [setup.submit("report", run_ms=4000) for _ in range(12)]
+        await asyncio.sleep(1.0)
+        waits = [(await setup.submit(run_ms=20)).waited_s for _ in range(20)]
+        assert max(waits) < 0.1
+        outcomes = await asyncio.gather(*long_tasks)
+        assert all(o.kind is model.OutcomeKind.ANSWERED for o in outcomes)
+
+    run(main)
+
+
+def test_long_work_declared_short_is_learned_while_it_runs() -> None:
+    """Guards against a wave of misdeclared work that keeps the short reserve."""
+
+    async def main() -> None:
+        setup = Setup(short_run_ms=60)
+        await setup.submit_many(4, kind="plan", run_ms=20)
+        # All slots are taken by work that was declared short.
+        misdeclared = [setup.submit("order", run_ms=3000) for _ in range(24)]
+        await asyncio.sleep(3.5)  # the first eight have ended, the rest is known
+        waits = [(await setup.submit(run_ms=20)).waited_s for _ in range(10)]
+        assert max(waits) < 0.1
+        await asyncio.gather(*misdeclared)
+
+    run(main)
+
+
+def test_long_work_is_served_under_constant_short_work() -> None:
+    """Guards against starvation of long work."""
+
+    async def main() -> None:
+        setup = Setup(host_count=2, slots=2)
+        await setup.submit_many(4, run_ms=100)
+        long_task = setup.submit("report", run_ms=1000, deadline_s=10.0)
+        short = []
+        for _ in range(60):
+            short += [setup.submit(run_ms=100, deadline_s=5.0) for _ in range(6)]
+            await asyncio.sleep(0.1)
+        assert (await long_task).kind is model.OutcomeKind.ANSWERED
+        await asyncio.gather(*short)
+
+    run(main)
+
+
+def test_reserve_is_lent_when_no_short_work_comes() -> None:
+    """Guards against idle slots while long work waits."""
+
+    async def main() -> None:
+        setup = Setup(host_count=2, slots=2)
+        await setup.submit_many(1, run_ms=10)
+        await asyncio.sleep(queueing.RESERVE_IDLE_S + 1)
+        outcomes = await setup.submit_many(4, kind="report", run_ms=3000)
+        assert max(o.waited_s for o in outcomes) < 0.1
+        # Short work came, so the reserve is kept again.
+        await setup.submit_many(1, run_ms=10)
+        outcomes = await setup.submit_many(4, kind="report", run_ms=3000)
+        assert max(o.waited_s for o in outcomes) > 1.0
+
+    run(main)
+
+
+def test_urgent_first_then_earliest_deadline() -> None:
+    """Guards against order of arrival within a class."""
+
+    async def main() -> None:
+        setup = Setup(host_count=1, slots=1)
+        blocker = setup.submit(run_ms=100)
+        await asyncio.sleep(0.01)
+        late = setup.submit(deadline_s=20.0)
+        early = setup.submit(deadline_s=10.0)
+        urgent = setup.submit(deadline_s=25.0, is_urgent=True)
+        waits = [(await task).waited_s for task in (urgent, early, late)]
+        assert waits == sorted(waits)
+        await blocker
+
+    run(main)
+
+
+def test_refuses_early_what_cannot_start_in_time() -> None:
+    """Guards against refusals that come only after the caller waited in vain."""
+
+    async def main() -> None:
+        setup = Setup(host_count=1, slots=1)
+        await setup.submit_many(4, run_ms=200)  # teaches the run time
+        loop = asyncio.get_running_loop()
+        waiting = [setup.submit(run_ms=200, deadline_s=4.0) for _ in range(10)]
+        in_time = await setup.submit(run_ms=200, deadline_s=4.1)
+        assert in_time.kind is model.OutcomeKind.ANSWERED
+        began_at = loop.time()
+        waiting += [setup.submit(run_ms=200, deadline_s=2.0) for _ in range(10)]
+        refused = await setup.submit(run_ms=200, deadline_s=2.0)
+        assert refused.code == codes.ResultCode.DEADLINE_TOO_SHORT
+        assert loop.time() - began_at < 0.05
+        await asyncio.gather(*waiting)
+
+    run(main)
+
+
+def test_work_that_can_never_run_is_refused_at_once() -> None:
+    """Guards against work without a target that waits for its whole deadline."""
+
+    async def main() -> None:
+        setup = Setup()
+        setup.directory.leaving = set(setup.fakes)
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        outcome = await setup.submit()
+        assert outcome.code == codes.ResultCode.NO_TARGET
+        assert loop.time() - began_at < 0.01
+
+    run(main)
+
+
+def test_a_worker_that_fails_fast_does_not_attract_work() -> None:
+    """Guards against least-loaded choice of a worker that fails at once."""
+
+    async def main() -> None:
+        setup = Setup()
+        await setup.submit_many(40, run_ms=20)
+        bad = setup.fakes["h0"].state
+        bad.faults.fail_all = True
+        good = 0
+        for _ in range(50):
+            outcomes = await setup.submit_many(4, run_ms=20)
+            good += sum(o.kind is model.OutcomeKind.ANSWERED for o in outcomes)
+        assert setup.dispatcher.ejected_host_ids() == {"h0"}
+        assert good >= 196
+        bad.faults.fail_all = False
+        for _ in range(400):
+            await setup.submit_many(4, run_ms=20)
+        assert not setup.dispatcher.ejected_host_ids()  # one probe brought it back
+
+    run(main)
+
+
+def test_failures_before_ejection_make_a_target_look_loaded() -> None:
+    """Guards against a fast failing worker being the least loaded one."""
+    tracker = ejection.EjectionTracker()
+    for number in range(2):
+        tracker.note_failure("h0", f"r{number}", 1.0, 4)
+    assert not tracker.is_ejected("h0")
+    assert tracker.penalty("h0", 1.1) == 2
+    assert tracker.penalty("h0", 1.1 + ejection.PENALTY_S) == 0
+
+
+@pytest.mark.parametrize(("pool_size", "most"), [(2, 0), (3, 1), (8, 2), (9, 3)])
+def test_at_most_a_third_of_a_pool_is_ejected(pool_size: int, most: int) -> None:
+    """Guards against ejecting a whole pool for a fault of the requests."""
+    tracker = ejection.EjectionTracker()
+    for host in range(pool_size):
+        for number in range(5):
+            tracker.note_failure(f"h{host}", f"r{number}", 1.0, pool_size)
+    assert len(tracker.ejected_host_ids()) == most
+
+
+def test_a_request_that_fails_everywhere_is_refused_for_good() -> None:
+    """Guards against blaming targets for a request, and against running it again."""
+
+    async def main() -> None:
+        setup = Setup()
+        await setup.submit_many(40, run_ms=20)
+        for fake in setup.fakes.values():
+            fake.state.faults.fail_all = True
+        outcome = await setup.submit(request_id="1-poison")
+        assert outcome.code == codes.ResultCode.REQUEST_FAILED_REPEATEDLY
+        assert outcome.kind is model.OutcomeKind.UNKNOWN  # it did run
+        assert setup.runs("1-poison") == retries.MAX_ATTEMPTS
+        again = await setup.submit(request_id="1-poison")
+        assert again.code == codes.ResultCode.REQUEST_FAILED_REPEATEDLY
+        assert setup.runs("1-poison") == retries.MAX_ATTEMPTS
+        service = setup.dispatcher._services_by_name["scale"]
+        now = asyncio.get_running_loop().time()
+        assert all(service.ejections.penalty(h, now) == 0 for h in setup.fakes)
+
+    run(main)
+
+
+def test_retries_stay_within_the_budget() -> None:
+    """Guards against retries that multiply an overload."""
+
+    async def main() -> None:
+        setup = Setup(host_count=8, slots=8)
+        for fake in setup.fakes.values():
+            fake.state.faults.refuse = True
+        outcomes: list[model.Outcome] = []
+        for _ in range(10):
+            outcomes += await setup.submit_many(20, deadline_s=0.5)
+        retried = sum(max(0, outcome.attempts - 1) for outcome in outcomes)
+        assert 0 < retried <= 0.1 * len(outcomes)
+        assert all(o.kind is model.OutcomeKind.NOT_RUN for o in outcomes)
+
+    run(main)
+
+
+def test_new_owner_counts_slots_that_are_busy_already() -> None:
+    """Guards against over-admission after a change of owner or an idle time."""
+
+    async def main() -> None:
+        setup = Setup(host_count=2, slots=2)
+        state = setup.fakes["h0"].state
+        for _ in range(2):  # a first owner, then work of another one while idle
+            with state.running("other"), state.running("other"):
+                outcomes = await setup.submit_many(8, run_ms=100)
+                assert all(o.host_id == "h1" for o in outcomes)
+            await asyncio.sleep(1.0)
+            outcomes = await setup.submit_many(8, run_ms=100)
+            assert {o.host_id for o in outcomes} == {"h0", "h1"}
+            await asyncio.sleep(dispatcher.OWNERSHIP_IDLE_S + 1)
+        assert all(f.state.refused_full == 0 for f in setup.fakes.values())
+
+    run(main)
+
+
+def test_silent_target_is_doubled_and_straggler_is_not() -> None:
+    """Guards against lost answers of silent targets and doubled stragglers."""
+
+    async def main() -> None:
+        setup = Setup(host_count=2, slots=2)
+        await setup.submit_many(40, run_ms=20)
+        straggler = setup.submit(request_id="1-slow", run_ms=8000)
+        await straggler
+        assert setup.runs("1-slow") == 1
+        setup.fakes["h0"].state.faults.silent = True
+        setup.fakes["h1"].state.faults.silent = True
+        caught = setup.submit(request_id="1-caught")
+        await asyncio.sleep(0.1)
+        for name, fake in setup.fakes.items():  # the other target works again
+            in_use = setup.dispatcher._slots_by_host_id[name].uses
+            fake.state.faults.silent = bool(in_use)
+        outcome = await caught
+        assert outcome.kind is model.OutcomeKind.ANSWERED
+        assert outcome.attempts == 2
+
+    run(main)
+
+
+def test_claims_are_released_only_when_the_request_did_not_run() -> None:
+    """Guards against claims that block a retry, and against a second run."""
+
+    async def main() -> None:
+        setup = Setup(host_count=1, slots=1)
+        claims = setup.source.state.claims.claims_by_request_id
+        setup.fakes["h0"].state.faults.refuse = True
+        refused = await setup.submit("order", request_id="1-order")
+        assert refused.kind is model.OutcomeKind.NOT_RUN
+        assert "1-order" not in claims
+        setup.fakes["h0"].state.faults.refuse = False
+        await asyncio.sleep(20.0)
+        assert (await setup.submit("order", request_id="1-order")).attempts == 1
+        assert "1-order" in claims
+        # Another node's claim that this node's fold does not show yet.
+        setup.claims.hidden_claims.add("2-order")
+        lost = await setup.submit("order", request_id="2-order")
+        assert lost.code == codes.ResultCode.ALREADY_CLAIMED
+        assert lost.kind is model.OutcomeKind.UNKNOWN
+        assert setup.runs("2-order") == 0
+
+    run(main)
+
+
+def test_duplicates_in_flight_share_one_run_and_its_answer() -> None:
+    """Guards against a second run, and against an answer to other content."""
+
+    async def main() -> None:
+        setup = Setup()
+        first = setup.submit("order", request_id="1-order", run_ms=500)
+        await asyncio.sleep(0.1)
+        same = setup.submit("order", request_id="1-order", run_ms=500)
+        other = setup.submit("order", request_id="1-order", run_ms=501)
+        assert (await other).kind is model.OutcomeKind.UNKNOWN
+        first.cancel()
+        assert (await same).kind is model.OutcomeKind.ANSWERED
+        assert setup.runs("1-order") == 1
+
+    run(main)
+
+
+def test_leaving_target_returns_after_its_reboot() -> None:
+    """Guards against a target that stays excluded after a fast reboot."""
+
+    async def main() -> None:
+        setup = Setup(host_count=2)
+        setup.fakes["h0"].state.faults.leaving = True
+        await setup.submit_many(8)
+        assert setup.directory.leaving == {"h0"}
+        setup.fakes["h0"].restart()
+        await asyncio.sleep(dispatcher.LEAVING_WATCH_INTERVAL_S * 2)
+        assert not setup.directory.leaving
+
+    run(main)
+
+
+def test_demand_is_smoothed_and_counts_refusals() -> None:
+    """Guards against capacity decisions that follow a peak of a few seconds."""
+
+    async def main() -> None:
+        setup = Setup(host_count=1, slots=2, max_queue=4)
+        assert setup.dispatcher.demand_by_service() == {}
+        tasks = [setup.submit(run_ms=2000) for _ in range(20)]
+        await asyncio.sleep(1.0)
+        seen = setup.dispatcher.demand_by_service()["scale"]
+        assert 0 < seen.mean_slots < 1
+        assert seen.refused_per_s > 0
+        assert setup.dispatcher.explain("scale")["in_flight"] == 2
+        await asyncio.gather(*tasks)
+
+    run(main)
+
+
+def test_budget_counts_the_last_ten_seconds() -> None:
+    """Guards against retries saved up over a quiet day."""
+    budget = retries.RetryBudget()
+    for _ in range(100):
+        budget.note_request(0.0)
+    taken = sum(budget.take(1.0) for _ in range(50))
+    assert taken == 10
+    assert budget.remaining(20.0) == retries.MIN_RETRIES
+
+
+def test_queue_entries_keep_their_place() -> None:
+    """Guards against lost entries when a kind changes its class."""
+    queue = queueing.ServiceQueue()
+    first = queueing.QueueEntry("1", "plan", None, False, 5.0, 0.1, False)
+    second = dataclasses.replace(first, request_id="2", kind="report")
+    for entry in (first, second):
+        queue.add(entry)
+    queue.reclassify("plan", True, 2.0)
+    assert (queue.count(False), queue.count(True)) == (1, 1)
+    assert queue.queued_work_s() == pytest.approx(2.1)
+    shares = queueing.SlotShares(4, 0.5, 2, {}, {})
+    assert list(queue.candidates(shares, 0.0)) == [second]
+    queue.remove(first)
+    queue.remove(second)
+    assert len(queue) == 0
