--- /dev/null
+++ b/clementinespar/documents/checks.py
@@ -0,0 +1,102 @@
+"""Checks of a document for an operator's likely mistakes.
+
+The document model refuses what no node could act on, and it is part of the fold of the
+log: a document that one version accepted must stay valid in later versions. The checks
+here run only before publication, so they may become stricter from version to version.
+"""
+
+from collections.abc import Iterator
+
+from clementinespar.documents import model
+
+
+def operator_problems(document: model.Document) -> list[model.Problem]:
+    """Return everything that is valid but cannot be meant."""
+    return [
+        *_maintenance_problems(document),
+        *_capacity_problems(document),
+        *_service_problems(document),
+    ]
+
+
+def most_hosts_out(document: model.Document, pool_name: str) -> int:
+    """Return how many hosts of a full pool its budget lets out at once."""
+    pool = document.pools[pool_name]
+    count_by_rack: dict[tuple[str, str], int] = {}
+    for host_id in pool.host_ids:
+        host = document.hosts[host_id]
+        place = (host.data_centre, host.rack)
+        count_by_rack[place] = count_by_rack.get(place, 0) + 1
+    out_by_data_centre: dict[str, int] = {}
+    for (data_centre, _), count in count_by_rack.items():
+        out_by_data_centre[data_centre] = out_by_data_centre.get(data_centre, 0) + min(
+            count, pool.budget.max_out_per_rack
+        )
+    within_domains = sum(
+        min(out, pool.budget.max_out_per_data_centre)
+        for out in out_by_data_centre.values()
+    )
+    return max(0, min(within_domains, len(pool.host_ids) - pool.budget.min_available))
+
+
+def _maintenance_problems(document: model.Document) -> Iterator[model.Problem]:
+    if document.maintenance.paused:
+        return
+    out_by_pool = {
+        name: most_hosts_out(document, name)
+        for name, pool in document.pools.items()
+        if pool.host_ids
+    }
+    for name, out in out_by_pool.items():
+        if out == 0:
+            yield model.Problem(
+                f"pools.{name}.budget.min_available",
+                str(document.pools[name].budget.min_available),
+                f"fewer than the pool's {len(document.pools[name].host_ids)} hosts; "
+                "none could ever be maintained (or set maintenance.paused)",
+            )
+    largest = max(out_by_pool.values(), default=0)
+    if 0 < largest < document.maintenance.max_wave_hosts:
+        yield model.Problem(
+            "maintenance.max_wave_hosts",
+            str(document.maintenance.max_wave_hosts),
+            f"at most {largest}, the most hosts that any pool's budget lets out",
+        )
+
+
+def _capacity_problems(document: model.Document) -> Iterator[model.Problem]:
+    for name, pool in document.pools.items():
+        if len(pool.host_ids) > pool.max_hosts:
+            yield model.Problem(
+                f"pools.{name}.max_hosts",
+                str(pool.max_hosts),
+                f"at least the pool's own {len(pool.host_ids)} hosts",
+            )
+        if 0 < len(pool.host_ids) < pool.min_hosts:
+            yield model.Problem(
+                f"pools.{name}.min_hosts",
+                str(pool.min_hosts),
+                f"at most the pool's own {len(pool.host_ids)} hosts",
+            )
+
+
+def _service_problems(document: model.Document) -> Iterator[model.Problem]:
+    for name, service in document.services.items():
+        if not service.kinds:
+            yield model.Problem(
+                f"services.{name}.kinds", "", "at least one kind of request"
+            )
+        for kind_name, kind in service.kinds.items():
+            if kind.declared_run_ms > service.max_deadline_ms:
+                yield model.Problem(
+                    f"services.{name}.kinds.{kind_name}.declared_run_ms",
+                    str(kind.declared_run_ms),
+                    f"at most max_deadline_ms, {service.max_deadline_ms}; every "
+                    "request would be refused",
+                )
+        if service.slots_per_target > service.connections_per_target:
+            yield model.Problem(
+                f"services.{name}.connections_per_target",
+                str(service.connections_per_target),
+                f"at least slots_per_target, {service.slots_per_target}",
+            )
--- /dev/null
+++ b/clementinespar/documents/loading.py
@@ -0,0 +1,161 @@
+"""Reads an operator's document from TOML and reports every problem at once."""
+
+import pathlib
+import tomllib
+
+import pydantic
+import pydantic_core
+
+from clementinespar import codes, errors
+from clementinespar.documents import checks, model
+
+# A document is one record of the log; its JSON stays below the limit of a record.
+MAX_DOCUMENT_BYTES = 900_000
+
+
+class DocumentError(errors.ClementinesparError):
+    """One thing in a document that is not valid."""
+
+    location: str  # dotted path in the document, empty when the whole is meant
+    value: str  # value as written, empty when it is missing or not a plain value
+    expected: str  # what would be valid
+
+    def __init__(
+        self, code: codes.ResultCode, location: str, value: str, expected: str
+    ) -> None:
+        place = location or "document"
+        shown = f" = {value!r}" if value else ""
+        super().__init__(code, f"{place}{shown}: {expected}")
+        self.location = location
+        self.value = value
+        self.expected = expected
+
+
+_ADAPTER = pydantic.TypeAdapter(model.Document)
+
+
+def load_document(path: pathlib.Path) -> model.Document:
+    """Read and check a document.
+
+    Parameters
+    ----------
+    path : pathlib.Path
+        The TOML file.
+
+    Returns
+    -------
+    model.Document
+        The checked document.
+
+    Raises
+    ------
+    ExceptionGroup
+        One `DocumentError` for each problem.
+    """
+    try:
+        with path.open("rb") as file:
+            text = file.read(MAX_DOCUMENT_BYTES + 1)
+    except OSError as error:
+        raise _unreadable(path, str(error)) from error
+    if len(text) > MAX_DOCUMENT_BYTES:
+        raise ExceptionGroup(
+            f"document {path} is too large",
+            [_too_large(f"more than {MAX_DOCUMENT_BYTES}")],
+        )
+    try:
+        values = tomllib.loads(text.decode())
+    except (UnicodeDecodeError, tomllib.TOMLDecodeError, RecursionError) as error:
+        raise _unreadable(path, str(error)) from error
+    return parse_document(values, f"document {path}")
+
+
+def parse_document(values: object, name: str) -> model.Document:
+    """Check the values of a document that has been read.
+
+    Parameters
+    ----------
+    values : object
+        Plain values, as TOML or JSON give them.
+    name : str
+        Name for the message of the exception group.
+
+    Raises
+    ------
+    ExceptionGroup
+        One `DocumentError` for each problem.
+    """
+    try:
+        document = _ADAPTER.validate_python(values)
+    except pydantic.ValidationError as error:
+        problems = [
+            problem for detail in error.errors() for problem in _document_errors(detail)
+        ]
+        raise ExceptionGroup(f"{name} is not valid", problems) from error
+    problems = [
+        DocumentError(
+            codes.ResultCode.DOCUMENT_INVALID,
+            problem.location,
+            problem.value,
+            problem.expected,
+        )
+        for problem in checks.operator_problems(document)
+    ]
+    size = len(_ADAPTER.dump_json(document))
+    if size > MAX_DOCUMENT_BYTES:
+        problems.append(_too_large(f"{size}"))
+    if problems:
+        raise ExceptionGroup(f"{name} is not valid", problems)
+    return document
+
+
+def dump_document(document: model.Document) -> dict[str, object]:
+    """Return a document as plain JSON values."""
+    values: dict[str, object] = _ADAPTER.dump_python(document, mode="json")
+    return values
+
+
+def _too_large(size: str) -> DocumentError:
+    return DocumentError(
+        codes.ResultCode.DOCUMENT_TOO_LARGE,
+        "",
+        f"{size} bytes",
+        f"at most {MAX_DOCUMENT_BYTES} bytes",
+    )
+
+
+def _unreadable(path: pathlib.Path, reason: str) -> ExceptionGroup[DocumentError]:
+    return ExceptionGroup(
+        f"document {path} cannot be read",
+        [DocumentError(codes.ResultCode.DOCUMENT_UNREADABLE, "", "", reason)],
+    )
+
+
+def _document_errors(detail: pydantic_core.ErrorDetails) -> list[DocumentError]:
+    """Return the problems in one pydantic error, which may carry several."""
+    context = detail.get("ctx", {})
+    if detail["type"] == model.REFERENCE_ERROR:
+        return [
+            DocumentError(
+                codes.ResultCode.DOCUMENT_INVALID,
+                problem.location,
+                problem.value,
+                problem.expected,
+            )
+            for problem in context["problems"]
+        ]
+    value = detail["input"]
+    is_scalar = isinstance(value, str | int | float)
+    return [
+        DocumentError(
+            codes.ResultCode.DOCUMENT_INVALID,
+            ".".join(str(part) for part in detail["loc"]),
+            str(value) if is_scalar else "",
+            _EXPECTED_BY_ERROR_TYPE.get(detail["type"], detail["msg"]),
+        )
+    ]
+
+
+_EXPECTED_BY_ERROR_TYPE = {
+    "missing": "a value is required",
+    "unexpected_keyword_argument": "no such key; remove it or correct its name",
+}
--- a/clementinespar/documents/model.py
+++ b/clementinespar/documents/model.py
@@ -5,12 +5,32 @@
 """
 
 import dataclasses
+import re
+from collections.abc import Iterator
 from typing import Annotated, Literal
 
 import pydantic
 import pydantic.dataclasses
+import pydantic_core
 
 _MAX_DEADLINE_MS = 600_000
+# Names appear in paths of HTTP requests, in metrics and in tables.
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+_NAME_EXPECTED = "a name of at most 63 letters, digits, '.', '_' or '-'"
+
+REFERENCE_ERROR = "document_references"  # pydantic error type that carries problems
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Problem:
+    """One thing in a document that does not fit the rest of it."""
+
+    location: str  # dotted path in the document
+    value: str  # value as written
+    expected: str  # what would be valid
+
+    def __str__(self) -> str:
+        return f"{self.location} = {self.value!r}: {self.expected}"
 
 
 _CONFIG = pydantic.ConfigDict(extra="forbid")
@@ -111,34 +131,108 @@
 
     @pydantic.model_validator(mode="after")
     def _check_references(self) -> "Document":
-        problems = list(_reference_problems(self))
+        problems = [
+            *_name_problems(self),
+            *_host_problems(self),
+            *_pool_problems(self),
+            *_service_problems(self),
+        ]
         if problems:
-            raise ValueError("; ".join(problems))
+            raise pydantic_core.PydanticCustomError(
+                REFERENCE_ERROR,
+                "{message}",
+                {"message": "; ".join(map(str, problems)), "problems": problems},
+            )
         return self
 
 
-def _reference_problems(document: Document) -> list[str]:
-    """Return every broken reference, so that an operator sees all of them at once."""
-    problems: list[str] = []
+def _name_problems(document: Document) -> Iterator[Problem]:
+    """Yield names that paths, metrics or tables could not carry."""
+    for section, names in (
+        ("hosts", document.hosts),
+        ("pools", document.pools),
+        ("services", document.services),
+        ("teams", document.teams),
+    ):
+        for name in names:
+            if not _NAME.fullmatch(name):
+                yield Problem(section, name, _NAME_EXPECTED)
+    for host_id, host in document.hosts.items():
+        if not _NAME.fullmatch(host.data_centre):
+            yield Problem(
+                f"hosts.{host_id}.data_centre", host.data_centre, _NAME_EXPECTED
+            )
+        if not _NAME.fullmatch(host.rack):
+            yield Problem(f"hosts.{host_id}.rack", host.rack, _NAME_EXPECTED)
+    for service_name, service in document.services.items():
+        for kind in service.kinds:
+            if not _NAME.fullmatch(kind):
+                yield Problem(f"services.{service_name}.kinds", kind, _NAME_EXPECTED)
+
+
+def _host_problems(document: Document) -> Iterator[Problem]:
+    """Yield hosts that are not in exactly one pool."""
     pool_by_host: dict[str, str] = {}
     for pool_name, pool in document.pools.items():
         for host_id in pool.host_ids:
             if host_id not in document.hosts:
-                problems.append(f"pools.{pool_name}: host {host_id} is not in hosts")
+                yield Problem(
+                    f"pools.{pool_name}.host_ids", host_id, "a host named in hosts"
+                )
             other = pool_by_host.setdefault(host_id, pool_name)
             if other != pool_name:
-                problems.append(f"host {host_id} is in pools {other} and {pool_name}")
+                yield Problem(
+                    f"pools.{pool_name}.host_ids",
+                    host_id,
+                    f"a host of one pool only; it is also in {other}",
+                )
         if len(set(pool.host_ids)) != len(pool.host_ids):
-            problems.append(f"pools.{pool_name}: a host is listed twice")
-        if pool.budget.min_available > len(pool.host_ids):
-            problems.append(
-                f"pools.{pool_name}: min_available {pool.budget.min_available} exceeds "
-                f"its {len(pool.host_ids)} hosts"
+            twice = {i for i in pool.host_ids if pool.host_ids.count(i) > 1}
+            yield Problem(
+                f"pools.{pool_name}.host_ids",
+                ", ".join(sorted(twice)),
+                "every host listed once",
             )
     for host_id in document.hosts:
         if host_id not in pool_by_host:
-            problems.append(f"host {host_id} is in no pool")
-    for service_name, service in document.services.items():
-        if service.pool not in document.pools:
-            problems.append(f"services.{service_name}: no pool {service.pool}")
-    return problems
+            yield Problem(f"hosts.{host_id}", host_id, "a host that is in a pool")
+
+
+def _pool_problems(document: Document) -> Iterator[Problem]:
+    """Yield budgets and bounds that can never hold."""
+    spares = [name for name, pool in document.pools.items() if pool.spare]
+    for name in spares[1:]:
+        yield Problem(
+            f"pools.{name}.spare", "true", f"one spare pool only; {spares[0]} is one"
+        )
+    for name, pool in document.pools.items():
+        if pool.budget.min_available > len(pool.host_ids):
+            yield Problem(
+                f"pools.{name}.budget.min_available",
+                str(pool.budget.min_available),
+                f"at most the pool's {len(pool.host_ids)} hosts",
+            )
+        if pool.min_hosts > pool.max_hosts:
+            yield Problem(
+                f"pools.{name}.min_hosts",
+                str(pool.min_hosts),
+                f"at most max_hosts, {pool.max_hosts}",
+            )
+
+
+def _service_problems(document: Document) -> Iterator[Problem]:
+    """Yield services that no host could serve."""
+    for name, service in document.services.items():
+        pool = document.pools.get(service.pool)
+        if pool is None:
+            yield Problem(f"services.{name}.pool", service.pool, "the name of a pool")
+        elif not pool.host_ids:
+            yield Problem(
+                f"services.{name}.pool", service.pool, "a pool that has hosts"
+            )
+        if service.default_deadline_ms > service.max_deadline_ms:
+            yield Problem(
+                f"services.{name}.default_deadline_ms",
+                str(service.default_deadline_ms),
+                f"at most max_deadline_ms, {service.max_deadline_ms}",
+            )
--- a/clementinespar/options.py
+++ b/clementinespar/options.py
@@ -7,6 +7,8 @@
 import dataclasses
 import ipaddress
 import pathlib
+import urllib.parse
+from collections.abc import Iterator, Mapping
 from typing import Annotated, Literal
 
 import pydantic
@@ -41,8 +43,19 @@
     return text
 
 
-Url = Annotated[str, pydantic.Field(pattern=r"^https?://[^/]+$")]
+def check_url(text: str) -> str:
+    """Return ``http[s]://IP[:port]`` unchanged, or raise ValueError."""
+    parts = urllib.parse.urlsplit(text)
+    if parts.scheme not in ("http", "https") or parts.path or parts.query:
+        raise ValueError("expected http://IP:port")
+    check_ip(parts.hostname or "")
+    if parts.port == 0:  # reading the port raises ValueError above 65535
+        raise ValueError("expected a port from 1 to 65535")
+    return text
+
+
 IpNumber = Annotated[str, pydantic.AfterValidator(check_ip)]
+Url = Annotated[str, pydantic.AfterValidator(check_url)]
 Endpoint = Annotated[str, pydantic.AfterValidator(check_endpoint)]
 Port = Annotated[int, pydantic.Field(ge=0, le=65535)]  # 0: the system chooses
 Seconds = Annotated[float, pydantic.Field(gt=0, le=86_400)]
@@ -139,21 +152,6 @@
     platform: PlatformSettings
     telemetry: TelemetrySettings = dataclasses.field(default_factory=TelemetrySettings)
 
-    @pydantic.model_validator(mode="after")
-    def _check_combinations(self) -> "Settings":
-        tls = (
-            self.peers.tls_certificate,
-            self.peers.tls_key,
-            self.peers.tls_authority,
-        )
-        if any(tls) and not all(tls):
-            raise ValueError(
-                "peers: tls_certificate, tls_key and tls_authority go together"
-            )
-        if self.telemetry.trace_exporter == "otlp" and not self.telemetry.otlp_endpoint:
-            raise ValueError("telemetry: trace_exporter otlp needs otlp_endpoint")
-        return self
-
 
 class SettingError(errors.ClementinesparError):
     """One setting that is not valid."""
@@ -171,7 +169,9 @@
         value: str,
         expected: str,
     ) -> None:
-        super().__init__(code, f"[{section}] {key} = {value!r}: {expected}")
+        place = f"[{section}] {key}".strip() if section else "file"
+        shown = f" = {value!r}" if value else ""
+        super().__init__(code, f"{place}{shown}: {expected}")
         self.section = section
         self.key = key
         self.value = value
@@ -210,18 +210,83 @@
             ],
         ) from error
     values = {section: dict(parser[section]) for section in parser.sections()}
+    problems = list(_combination_problems(values))
     try:
-        return pydantic.TypeAdapter(Settings).validate_python(values)
+        settings = pydantic.TypeAdapter(Settings).validate_python(values)
     except pydantic.ValidationError as error:
-        problems = [_setting_error(detail) for detail in error.errors()]
-        raise ExceptionGroup(f"settings in {path} are not valid", problems) from error
+        problems = [_setting_error(detail) for detail in error.errors()] + problems
+    else:
+        if not problems:
+            return settings
+    raise ExceptionGroup(f"settings in {path} are not valid", problems)
+
+
+def _combination_problems(
+    values: Mapping[str, Mapping[str, str]],
+) -> Iterator[SettingError]:
+    """Yield settings that do not fit together.
+
+    Works on the values as written, so that these problems are reported together with
+    those of single values.
+    """
+    peers = values.get("peers", {})
+    uses_tls = any(key in peers for key in _TLS_KEYS)
+    for key in _TLS_KEYS:
+        value = peers.get(key, "")
+        if uses_tls and key not in peers:
+            yield SettingError(
+                codes.ResultCode.SETTING_MISSING,
+                "peers",
+                key,
+                "",
+                f"{', '.join(_TLS_KEYS)} are set together or not at all",
+            )
+        elif uses_tls and not pathlib.Path(value).is_file():
+            yield SettingError(
+                codes.ResultCode.SETTING_INVALID,
+                "peers",
+                key,
+                value,
+                "a file that can be read on this host",
+            )
+    telemetry = values.get("telemetry", {})
+    if telemetry.get("trace_exporter") == "otlp" and not telemetry.get("otlp_endpoint"):
+        yield SettingError(
+            codes.ResultCode.SETTING_MISSING,
+            "telemetry",
+            "otlp_endpoint",
+            "",
+            "required when trace_exporter is otlp",
+        )
+    section_by_place: dict[tuple[str, str], str] = {}
+    for section in ("callers", "admin", "peers"):
+        place = (
+            values.get(section, {}).get("address", ""),
+            values.get(section, {}).get("port", "0"),
+        )
+        other = section_by_place.setdefault(place, section)
+        if other != section and place[1] != "0":
+            yield SettingError(
+                codes.ResultCode.SETTING_INVALID,
+                section,
+                "port",
+                place[1],
+                f"a port of its own; [{other}] has the same",
+            )
+
 
+_TLS_KEYS = ("tls_certificate", "tls_key", "tls_authority")
 
 _CODES_BY_ERROR_TYPE = {
     "missing": codes.ResultCode.SETTING_MISSING,
     "unexpected_keyword_argument": codes.ResultCode.SETTING_UNKNOWN,
 }
 
+_EXPECTED_BY_ERROR_TYPE = {
+    "missing": "required",
+    "unexpected_keyword_argument": "no such name; remove it or correct it",
+}
+
 
 def _setting_error(detail: pydantic_core.ErrorDetails) -> SettingError:
     location = [str(part) for part in detail["loc"]]
@@ -233,5 +298,7 @@
         location[0] if location else "",
         location[1] if len(location) > 1 else "",
         str(value) if is_scalar else "",
-        detail["msg"],
+        _EXPECTED_BY_ERROR_TYPE.get(
+            detail["type"], detail["msg"].removeprefix("Value error, ")
+        ),
     )
