--- a/clementinespar/cli.py
+++ b/clementinespar/cli.py
@@ -3,7 +3,7 @@
 import click
 
 import clementinespar
-from clementinespar.commands import node
+from clementinespar.commands import documents, node, status
 
 
 @click.group()
@@ -14,3 +14,11 @@
 
 main.add_command(node.run_node)
 main.add_command(node.check_files)
+main.add_command(documents.publish_document)
+main.add_command(documents.promote_document)
+main.add_command(documents.show_difference)
+main.add_command(documents.show_history)
+main.add_command(documents.show_document)
+main.add_command(status.show_status)
+main.add_command(status.show_plan)
+main.add_command(status.explain_subject)
--- /dev/null
+++ b/clementinespar/commands/client.py
@@ -0,0 +1,212 @@
+"""Client of the admin port of a node.
+
+Several nodes may be given; they are tried in turn. A call that changes something is
+never sent twice by the client itself: the caller learns whether it may have arrived.
+"""
+
+import dataclasses
+import json
+import urllib.parse
+from collections.abc import Mapping, Sequence
+
+import pycurl
+from tornado import curl_httpclient, httpclient
+
+from clementinespar import codes
+from clementinespar.commands import exits
+
+Json = Mapping[str, object]
+
+_CONNECT_TIMEOUT_S = 2.0
+_MAX_REPLY_BYTES = 16 * 1024 * 1024
+# A timeout is not among them: the call may have arrived before it.
+_ERRORS_BEFORE_SENDING = frozenset(
+    {pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST, pycurl.E_URL_MALFORMAT}
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """A reply of a node."""
+
+    node: str  # IP:port that replied
+    status: int  # HTTP status
+    values: Json
+
+    @property
+    def code(self) -> codes.ResultCode | int:
+        """The numbered result code, or ``OK`` if the reply has none."""
+        return parse_code(self.values.get("code", 0))
+
+    @property
+    def is_done(self) -> bool:
+        """Whether the node did what was asked."""
+        return self.status < 300 and self.code == codes.ResultCode.OK
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoReply:
+    """A call without a reply."""
+
+    node: str  # IP:port that was called
+    reason: str
+    may_have_arrived: bool  # False: the node certainly did not receive the call
+
+
+def parse_code(value: object) -> codes.ResultCode | int:
+    """Return a result code from its number or name, 599 if it is neither."""
+    if isinstance(value, str) and value in codes.ResultCode.__members__:
+        return codes.ResultCode[value]
+    if isinstance(value, int):
+        try:
+            return codes.ResultCode(value)
+        except ValueError:
+            return value  # a code of a newer version
+    return codes.ResultCode.INTERNAL_ERROR
+
+
+def code_text(code: codes.ResultCode | int) -> str:
+    """Return a result code as operators see it."""
+    return f"{int(code)} {code.name if isinstance(code, codes.ResultCode) else ''}"
+
+
+class AdminClient:
+    """Calls the admin ports of nodes."""
+
+    nodes: Sequence[str]  # IP:port of each node, in the order in which they are tried
+    _timeout_s: float  # longest wait for one reply
+    _client: curl_httpclient.CurlAsyncHTTPClient
+
+    def __init__(self, nodes: Sequence[str], timeout_s: float) -> None:
+        self.nodes = nodes
+        self._timeout_s = timeout_s
+        self._client = curl_httpclient.CurlAsyncHTTPClient(force_instance=True)
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._client.close()
+
+    async def get(self, path: str, query: Mapping[str, str] | None = None) -> Reply:
+        """Return the first reply of a node.
+
+        Raises
+        ------
+        exits.UnreachableError
+            No node replied.
+        """
+        return (await self.get_all(path, query, limit=1))[0]
+
+    async def get_all(
+        self,
+        path: str,
+        query: Mapping[str, str] | None = None,
+        limit: int | None = None,
+    ) -> list[Reply]:
+        """Return the replies of the first ``limit`` nodes that reply (default: all).
+
+        Nodes that reply with an error of their own (5xx) count only if no other does.
+
+        Raises
+        ------
+        exits.UnreachableError
+            No node replied.
+        """
+        replies: list[Reply] = []
+        errors: list[Reply] = []
+        failures: list[NoReply] = []
+        for node in self.nodes:
+            result = await self.call(node, "GET", path, query)
+            if isinstance(result, NoReply):
+                failures.append(result)
+            elif result.status >= 500:
+                errors.append(result)
+            else:
+                replies.append(result)
+            if limit is not None and len(replies) >= limit:
+                break
+        if not replies and not errors:
+            raise unreachable(failures)
+        return replies or errors
+
+    async def call(
+        self,
+        node: str,
+        method: str,
+        path: str,
+        query: Mapping[str, str] | None = None,
+        body: Json | None = None,
+    ) -> Reply | NoReply:
+        """Call one node once, on a connection of its own."""
+        url = f"http://{node}{path}"
+        if query:
+            url = f"{url}?{urllib.parse.urlencode(query)}"
+        request = httpclient.HTTPRequest(
+            url,
+            method=method,
+            body=None if body is None else json.dumps(body),
+            headers={"Content-Type": "application/json"},
+            connect_timeout=_CONNECT_TIMEOUT_S,
+            request_timeout=self._timeout_s,
+            follow_redirects=False,
+            prepare_curl_callback=_prepare_curl,
+        )
+        try:
+            response = await self._client.fetch(request, raise_error=False)
+        except curl_httpclient.CurlError as error:
+            was_sent = error.errno not in _ERRORS_BEFORE_SENDING
+            return NoReply(node, error.message, was_sent)
+        try:
+            values = json.loads(response.body)
+        except ValueError:
+            values = None
+        if not isinstance(values, dict):
+            return NoReply(node, f"status {response.code} without JSON", True)
+        return Reply(node, response.code, values)
+
+
+def _prepare_curl(curl: pycurl.Curl) -> None:
+    """Use one new connection per call and bound the size of a reply.
+
+    libcurl sends a POST again by itself when a reused connection closes before the
+    reply.
+    """
+    curl.setopt(pycurl.FRESH_CONNECT, 1)
+    curl.setopt(pycurl.FORBID_REUSE, 1)
+    curl.setopt(pycurl.MAXFILESIZE, _MAX_REPLY_BYTES)
+    curl.setopt(pycurl.NOPROXY, "*")
+
+
+def unreachable(failures: Sequence[NoReply]) -> exits.UnreachableError:
+    """Return the error for calls that no node replied to."""
+    lines = [f"  {failure.node}: {failure.reason}" for failure in failures]
+    return exits.UnreachableError("\n".join(["no node replied:", *lines]))
+
+
+def refused(reply: Reply) -> exits.RefusedError:
+    """Return the error for a reply that refuses."""
+    message = reply.values.get("message") or reply.values.get("reason") or "refused"
+    return exits.RefusedError(f"{code_text(reply.code)}: {message} ({reply.node})")
+
+
+def check_done(reply: Reply) -> None:
+    """End the command unless a node did what was asked.
+
+    Raises
+    ------
+    exits.UnreachableError
+        The node could not answer, for example because it is not ready.
+    exits.RefusedError
+        The node refused.
+    """
+    if reply.status >= 500:
+        raise exits.UnreachableError(
+            f"{code_text(reply.code)}: "
+            f"{reply.values.get('message', 'no reason given')} ({reply.node})"
+        )
+    if not reply.is_done:
+        raise refused(reply)
+
+
+def quote(name: str) -> str:
+    """Return a name as one part of a path."""
+    return urllib.parse.quote(name, safe="")
--- /dev/null
+++ b/clementinespar/commands/status.py
@@ -0,0 +1,162 @@
+"""Commands that show what the system does: status, plan and explain."""
+
+from collections.abc import Mapping, Sequence
+
+import click
+
+from clementinespar.commands import client, replies, shared, tables
+
+_SECTIONS = ("peers", "pools", "waves", "services")
+_PATH_BY_SUBJECT = {
+    "host": "/v1/hosts",
+    "pool": "/v1/pools",
+    "wave": "/v1/waves",
+    "request": "/v1/requests",
+}
+
+
+@click.command("status")
+@shared.environment_option(default="production", show_default=True)
+@shared.client_options
+def show_status(
+    environment: str, nodes: tuple[str, ...], timeout_s: float, as_json: bool
+) -> None:
+    """Show nodes, pools, waves and services on one screen."""
+    reply = shared.with_client(
+        nodes,
+        timeout_s,
+        lambda admin: admin.get("/v1/status", {"environment": environment}),
+    )
+    client.check_done(reply)
+    if as_json:
+        shared.print_json(reply.values)
+        return
+    click.echo(f"{environment}, seen from {reply.node}")
+    for line in headlines(reply.values):
+        click.echo(line)
+    for section in _SECTIONS:
+        rows = replies.items(reply.values, section)
+        if rows:
+            click.echo(f"\n{section}")
+            click.echo(table_of(rows))
+
+
+@click.command("plan")
+@shared.environment_option(default="production", show_default=True)
+@shared.client_options
+def show_plan(
+    environment: str, nodes: tuple[str, ...], timeout_s: float, as_json: bool
+) -> None:
+    """Show what waves and capacity would do next, and why."""
+    reply = shared.with_client(
+        nodes,
+        timeout_s,
+        lambda admin: admin.get("/v1/plan", {"environment": environment}),
+    )
+    client.check_done(reply)
+    if as_json:
+        shared.print_json(reply.values)
+        return
+    click.echo(f"{environment}, seen from {reply.node}")
+    for line in headlines(reply.values):
+        click.echo(line)
+    for section, value in reply.values.items():
+        rows = replies.items(reply.values, section)
+        if rows:
+            click.echo(f"\n{section}")
+            click.echo(table_of(rows))
+        elif isinstance(value, Sequence) and not isinstance(value, str) and value:
+            click.echo(f"\n{section}")
+            for line in value:
+                click.echo(f"  {line}")
+
+
+@click.command("explain")
+@click.argument("subject", type=click.Choice(sorted(_PATH_BY_SUBJECT)))
+@click.argument("name")
+@shared.client_options
+def explain_subject(
+    subject: str,
+    name: str,
+    nodes: tuple[str, ...],
+    timeout_s: float,
+    as_json: bool,
+) -> None:
+    """Tell why a host, pool, wave or request is in its state.
+
+    A wave is named by its pool. What became of a request is known only to the node that
+    its caller asked, so all given nodes are asked for it.
+    """
+    # Names have no characters that a path could not carry; ids of requests may.
+    path = f"{_PATH_BY_SUBJECT[subject]}/{client.quote(name)}"
+
+    async def action(admin: client.AdminClient) -> client.Reply:
+        if subject != "request":
+            return await admin.get(path)
+        found = await admin.get_all(path)
+        return next((reply for reply in found if reply.status < 300), found[0])
+
+    reply = shared.with_client(nodes, timeout_s, action)
+    if reply.status >= 300:
+        client.check_done(reply)
+    if as_json:
+        shared.print_json(reply.values)
+        return
+    values = reply.values
+    click.echo(f"{replies.text(values, 'subject')}: {replies.text(values, 'state')}")
+    if waits_for := replies.text(values, "waits_for"):
+        click.echo(f"waits for: {waits_for}")
+    for sentence in replies.texts(values, "because"):
+        click.echo(f"  {sentence}")
+    if int(reply.code):
+        click.echo(f"code: {client.code_text(reply.code)}")
+
+
+def headlines(values: client.Json) -> list[str]:
+    """Return one line for each object of plain values and one for plain values."""
+    lines = []
+    plain = {k: v for k, v in values.items() if _is_plain(v)}
+    if plain:
+        lines.append(_pairs(plain))
+    for key, value in values.items():
+        if key in _SECTIONS or not isinstance(value, Mapping):
+            continue
+        if value and all(_is_plain(item) for item in value.values()):
+            lines.append(f"{key}: {_pairs(value)}")
+    return lines
+
+
+def table_of(rows: Sequence[Mapping[str, object]]) -> str:
+    """Return a table with one column for each value that any row has.
+
+    Columns come from the reply, so a newer node shows its new values.
+    """
+    columns = list(dict.fromkeys(key for row in rows for key in row))
+    columns.sort(key=lambda column: column != "name")
+    return tables.render(
+        [column.replace("_", " ").upper() for column in columns],
+        [[_shown(row.get(column)) for column in columns] for row in rows],
+    )
+
+
+def _is_plain(value: object) -> bool:
+    return value is None or isinstance(value, str | int | float)
+
+
+def _pairs(values: Mapping[str, object]) -> str:
+    return ", ".join(
+        f"{key.replace('_', ' ')} {tables.cell(values[key])}" for key in values
+    )
+
+
+def _shown(value: object) -> object:
+    if isinstance(value, Mapping):
+        return [f"{key}={tables.cell(item)}" for key, item in value.items()]
+    if isinstance(value, list):
+        return [
+            item.get("host_id", item.get("name", "?"))
+            if isinstance(item, Mapping)
+            else item
+            for item in value
+        ]
+    return value
--- /dev/null
+++ b/clementinespar/commands/submissions.py
@@ -0,0 +1,133 @@
+"""Sends a publication or promotion once and finds out what became of it.
+
+A reply may be lost after the record took effect, so the history is read back before
+anything is sent again. Sending again is then safe: the record names the revision that
+it replaces, so at most one of two can take effect.
+"""
+
+import asyncio
+import dataclasses
+
+from clementinespar import codes
+from clementinespar.commands import client, exits, replies
+
+_READ_BACK_INTERVAL_S = 0.5
+# A node may still be appending when its reply is lost; after this wait it has given up.
+READ_BACK_S = 6.0
+
+# The node's own reply says that the record may or may not have taken effect.
+_UNCERTAIN_CODES = frozenset(
+    {codes.ResultCode.LOG_REPLY_LOST, codes.ResultCode.INTERNAL_ERROR}
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Submission:
+    """A change of the document of an environment."""
+
+    environment: str  # environment that changes
+    path: str  # path of the POST
+    body: client.Json
+    replaces: int  # revision that the operator saw
+    author: str
+    document: object  # plain values that are in force if it took effect
+
+
+async def submit(admin: client.AdminClient, submission: Submission) -> client.Reply:
+    """Send a submission and return the reply that tells what became of it.
+
+    Raises
+    ------
+    exits.UnreachableError
+        No node replied, or the result is not known.
+    """
+    failures: list[client.NoReply] = []
+    is_uncertain = False
+    last_error: client.Reply | None = None
+    for node in admin.nodes:
+        result = await admin.call(node, "POST", submission.path, body=submission.body)
+        if isinstance(result, client.Reply) and result.code not in _UNCERTAIN_CODES:
+            if result.status < 500:
+                return await _settle(admin, submission, result, is_uncertain)
+            last_error = result  # not ready or no log: certainly without effect
+            continue
+        if isinstance(result, client.NoReply):
+            failures.append(result)
+            if not result.may_have_arrived:
+                continue
+        else:
+            last_error = result
+        is_uncertain = True
+        found = await _read_back(admin, submission)
+        if found is not None:
+            return found
+    if is_uncertain:
+        raise exits.UnreachableError(
+            "the reply was lost and the history does not show the change (yet); look "
+            "at the history before you repeat the command"
+        )
+    if last_error is not None:
+        raise exits.UnreachableError(
+            f"{client.code_text(last_error.code)}: "
+            f"{last_error.values.get('message', 'no reason given')} ({last_error.node})"
+        )
+    raise client.unreachable(failures)
+
+
+async def _settle(
+    admin: client.AdminClient,
+    submission: Submission,
+    reply: client.Reply,
+    is_uncertain: bool,
+) -> client.Reply:
+    """Return a reply, or the success of an earlier attempt whose reply was lost."""
+    if is_uncertain and reply.code == codes.ResultCode.DOCUMENT_CONFLICT:
+        return await _find(admin, submission) or reply
+    return reply
+
+
+async def _read_back(
+    admin: client.AdminClient, submission: Submission
+) -> client.Reply | None:
+    loop = asyncio.get_running_loop()
+    until = loop.time() + READ_BACK_S
+    while True:
+        found = await _find(admin, submission)
+        if found is not None or loop.time() >= until:
+            return found
+        await asyncio.sleep(_READ_BACK_INTERVAL_S)
+
+
+async def _find(
+    admin: client.AdminClient, submission: Submission
+) -> client.Reply | None:
+    """Return what the history says of a submission, or None if it says nothing.
+
+    Only one publication can have replaced a revision: this one or one that won.
+    """
+    path = f"/v1/documents/{submission.environment}"
+    try:
+        history = await admin.get(f"{path}/history")
+        in_force = await admin.get(path)
+    except exits.UnreachableError:
+        return None
+    for publication in replies.publications(history.values):
+        if publication.replaces == submission.replaces and publication.is_accepted:
+            break
+    else:
+        return None
+    is_own = publication.author == submission.author
+    if is_own and in_force.values.get("revision") == publication.revision:
+        # The same operator may have sent another document from another terminal.
+        is_own = in_force.values.get("document") == submission.document
+    code = codes.ResultCode.OK if is_own else codes.ResultCode.DOCUMENT_CONFLICT
+    values = {
+        "code": int(code),
+        "name": code.name,
+        "message": f"revision {publication.revision} by {publication.author} replaced "
+        f"revision {submission.replaces}",
+        "revision": publication.revision,
+        "winner": None if is_own else publication.author,
+        "is_read_back": True,
+    }
+    return client.Reply(history.node, 200 if is_own else 409, values)
--- /dev/null
+++ b/clementinespar/commands/tests/fake_admin.py
@@ -0,0 +1,73 @@
+"""A tiny admin port in a thread, with replies that a test gives."""
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import threading
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import tornado.httpserver
+import tornado.netutil
+import tornado.web
+
+Handle = Callable[[str, str, dict[str, Any] | None], tuple[int, dict[str, Any]] | None]
+
+
+@dataclasses.dataclass(slots=True)
+class FakeAdmin:
+    """What a test sees of the port."""
+
+    node: str = ""  # IP:port
+    calls: list[tuple[str, str]] = dataclasses.field(default_factory=list)
+
+
+@contextlib.contextmanager
+def serve(handle: Handle) -> Iterator[FakeAdmin]:
+    """Serve an admin port; ``handle`` returns None to break the connection."""
+    fake = FakeAdmin()
+    started = threading.Event()
+    stop: list[Callable[[], object]] = []
+
+    class Handler(tornado.web.RequestHandler):
+        def _reply(self) -> None:
+            method, path = str(self.request.method), self.request.path
+            fake.calls.append((method, path))
+            body = json.loads(self.request.body) if self.request.body else None
+            reply = handle(method, path, body)
+            if reply is None:
+                self.request.connection.stream.close()  # type: ignore[union-attr]
+                return
+            self.set_status(reply[0])
+            self.write(reply[1])
+
+        def get(self) -> None:
+            self._reply()
+
+        def post(self) -> None:
+            self._reply()
+
+    async def main() -> None:
+        sockets = tornado.netutil.bind_sockets(0, "127.0.0.1")
+        server = tornado.httpserver.HTTPServer(
+            tornado.web.Application([(".*", Handler)])
+        )
+        server.add_sockets(sockets)
+        fake.node = f"127.0.0.1:{sockets[0].getsockname()[1]}"
+        stopping = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        stop.append(lambda: loop.call_soon_threadsafe(stopping.set))
+        started.set()
+        await stopping.wait()
+        server.stop()
+        await server.close_all_connections()
+
+    thread = threading.Thread(target=lambda: asyncio.run(main()))
+    thread.start()
+    started.wait()
+    try:
+        yield fake
+    finally:
+        stop[0]()
+        thread.join()
--- /dev/null
+++ b/clementinespar/commands/tests/test_commands.py
@@ -0,0 +1,250 @@
+"""Tests of the command line against a fake admin port."""
+
+import contextlib
+import json
+import pathlib
+import socket
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+from click import testing
+
+from clementinespar import cli, codes
+from clementinespar.commands import exits, submissions
+from clementinespar.commands.tests import fake_admin
+from clementinespar.documents import loading
+
+_EXAMPLE = pathlib.Path(__file__).parents[3] / "examples" / "al-batinah.toml"
+_PLAIN = loading.dump_document(loading.load_document(_EXAMPLE))
+_CONFLICT = int(codes.ResultCode.DOCUMENT_CONFLICT)
+
+
+@pytest.fixture(autouse=True)
+def _read_back_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(submissions, "READ_BACK_S", 0.0)
+
+
+class _Documents:
+    """Documents of a fake node, with faults that a test asks for."""
+
+    in_force: dict[str, dict[str, Any]]
+    history: list[dict[str, Any]]
+    loses_replies: int  # replies to POST that get lost
+    loses_effects: int  # of these, how many take no effect
+    posts: list[dict[str, Any]]
+
+    def __init__(self) -> None:
+        self.in_force = {}
+        self.history = []
+        self.loses_replies = 0
+        self.loses_effects = 0
+        self.posts = []
+
+    def put(self, environment: str, replaces: int, author: str, document: Any) -> int:
+        """Publish as the fold does and return the result code."""
+        current = self.in_force.get(environment, {"revision": 0})["revision"]
+        code = 0 if current == replaces else _CONFLICT
+        revision = len(self.history) + 1
+        self.history.append(
+            {
+                "environment": environment,
+                "revision": revision,
+                "replaces": replaces,
+                "author": author,
+                "log_time_ms": 1_700_000_000_000,
+                "code": code,
+            }
+        )
+        if code == 0:
+            self.in_force[environment] = {
+                "revision": revision,
+                "author": author,
+                "document": document,
+            }
+        return code
+
+    def handle(
+        self, method: str, path: str, body: dict[str, Any] | None
+    ) -> tuple[int, dict[str, Any]] | None:
+        environment = path.split("/")[3] if path.count("/") >= 3 else "production"
+        if method == "GET":
+            if path.endswith("/history"):
+                return 200, {"code": 0, "history": self.history}
+            if environment not in self.in_force:
+                return 404, {"code": 530, "name": "x", "message": "none"}
+            return 200, {"code": 0, **self.in_force[environment]}
+        assert body is not None
+        self.posts.append(body)
+        if self.loses_effects:
+            self.loses_effects -= 1
+        else:
+            document = body.get("document") or self.in_force["trial"]["document"]
+            code = self.put(environment, body["replaces"], body["author"], document)
+            if code:
+                return 409, {"code": code, "message": "late", "winner": "other"}
+        if self.loses_replies:
+            self.loses_replies -= 1
+            return None
+        revision = self.in_force[environment]["revision"]
+        return 200, {"code": 0, "revision": revision, "in_force_on": ["n1"]}
+
+
+def _run(*arguments: str) -> testing.Result:
+    return testing.CliRunner().invoke(cli.main, arguments)
+
+
+@contextlib.contextmanager
+def _documents() -> Iterator[tuple[_Documents, str]]:
+    documents = _Documents()
+    with fake_admin.serve(documents.handle) as admin:
+        yield documents, admin.node
+
+
+def _publish(node: str, *more: str) -> testing.Result:
+    return _run(
+        *("publish", str(_EXAMPLE), "--environment", "trial", "--author", "ann"),
+        *("--node", node, *more),
+    )
+
+
+def _unused_node() -> str:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+def test_publish_and_promote_put_a_document_into_force() -> None:
+    """Guards against commands that do not fit together or hide the revision."""
+    with _documents() as (documents, node):
+        assert _publish(node).exit_code == exits.ExitStatus.DONE
+        again = _publish(node)
+        assert "nothing was sent" in again.output
+        promoted = _run("promote", "--author", "ann", "--node", node)
+        assert "revision 2 is in force in production" in promoted.output
+        assert documents.posts[1] == {
+            "trial_revision": 1,
+            "replaces": 0,
+            "author": "ann",
+        }
+        shown = json.loads(_run("show", "--json", "--node", node).output)
+        assert shown["document"] == _PLAIN
+        assert "no difference" in _run("diff", "--node", node).output
+        history = _run("history", "--node", node).output.splitlines()
+        assert history[1].split()[:2] == ["2", "0"]
+
+
+def test_conflict_is_refused_and_names_the_winner() -> None:
+    """Guards against a racing operator's document being overwritten unseen."""
+    with _documents() as (documents, node):
+        documents.put("trial", 0, "bob", {**_PLAIN, "user": "other"})
+        result = _publish(node, "--replaces", "0")
+        assert result.exit_code == exits.ExitStatus.REFUSED
+        assert "DOCUMENT_CONFLICT" in result.output
+
+
+@pytest.mark.parametrize("loses_effects", [0, 1])
+def test_lost_reply_is_read_back_before_anything_is_repeated(
+    loses_effects: int,
+) -> None:
+    """Guards against a second publication, or a wrong failure, after a lost reply."""
+    with _documents() as (documents, node):
+        documents.loses_replies = 1
+        documents.loses_effects = loses_effects
+        result = _publish(node, "--node", node)
+        assert result.exit_code == exits.ExitStatus.DONE, result.output
+        assert len(documents.posts) == 1 + loses_effects
+        assert [p["code"] for p in documents.history] == [0]
+
+
+def test_lost_reply_without_trace_is_unknown() -> None:
+    """Guards against reporting success or refusal of what nobody knows."""
+    with _documents() as (documents, node):
+        documents.loses_replies = documents.loses_effects = 1
+        result = _publish(node)
+        assert result.exit_code == exits.ExitStatus.UNREACHABLE
+        assert "history" in result.output
+
+
+def test_lost_reply_of_a_losing_publication_is_a_conflict() -> None:
+    """Guards against taking another operator's success for one's own."""
+    with _documents() as (documents, node):
+        documents.put("trial", 0, "bob", {**_PLAIN, "user": "other"})
+        documents.loses_replies = documents.loses_effects = 1
+        result = _publish(node, "--replaces", "0")
+        assert result.exit_code == exits.ExitStatus.REFUSED
+        assert "bob" in result.output
+
+
+def test_next_node_is_tried_when_one_is_down() -> None:
+    """Guards against one dead node keeping operators out."""
+    with _documents() as (_, node):
+        result = _publish(_unused_node(), "--node", node)
+        assert result.exit_code == exits.ExitStatus.DONE, result.output
+
+
+@pytest.mark.parametrize(
+    ("arguments", "status"),
+    [
+        (("status", "--node", "NODE"), exits.ExitStatus.UNREACHABLE),
+        (("status", "--node", "localhost:1"), exits.ExitStatus.BAD_INPUT),
+        (("status",), exits.ExitStatus.BAD_INPUT),
+        (("explain", "rack", "r1", "--node", "NODE"), exits.ExitStatus.BAD_INPUT),
+        (("publish", "x.toml", "--env", "trial", "--node", "NODE"), 2),
+        (("diff", "--env", "trial", "--node", "NODE"), exits.ExitStatus.BAD_INPUT),
+        (("check", "README.md"), exits.ExitStatus.BAD_INPUT),
+        (("check", str(_EXAMPLE)), exits.ExitStatus.DONE),
+        (("check", str(_EXAMPLE.with_name("node.ini"))), exits.ExitStatus.DONE),
+        (("node", "--settings", "nowhere.ini"), exits.ExitStatus.BAD_INPUT),
+    ],
+)
+def test_exit_statuses(arguments: tuple[str, ...], status: int) -> None:
+    """Guards against scripts that cannot tell refusal and bad input apart."""
+    node = _unused_node()
+    result = _run(*(node if a == "NODE" else a for a in arguments))
+    assert result.exit_code == status, result.output
+
+
+def test_check_reports_problems_of_all_files(tmp_path: pathlib.Path) -> None:
+    """Guards against the first bad file hiding the others."""
+    (tmp_path / "node.ini").write_text("[node]\nname = n\n")
+    (tmp_path / "d.toml").write_text("user = 1\n")
+    result = _run("check", str(tmp_path / "node.ini"), str(tmp_path / "d.toml"))
+    assert result.exit_code == exits.ExitStatus.BAD_INPUT
+    assert "101 SETTING_MISSING: [node] data_centre: required" in result.output
+    assert "111 DOCUMENT_INVALID: user = '1'" in result.output
+
+
+def test_node_starts_nothing_with_bad_settings(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a node that opens ports before its settings are checked."""
+    monkeypatch.setattr(
+        "clementinespar.commands.node.importlib.import_module",
+        lambda name: pytest.fail(f"{name} was imported"),
+    )
+    (tmp_path / "node.ini").write_text("[node]\nname = n\n")
+    result = _run("node", "--settings", str(tmp_path / "node.ini"))
+    assert result.exit_code == exits.ExitStatus.BAD_INPUT
+
+
+def test_explain_asks_every_node_about_a_request() -> None:
+    """Guards against a wrong "not known" from a node that the caller did not ask."""
+    explanation = {
+        "subject": "request 1-a",
+        "state": "refused",
+        "waits_for": None,
+        "because": ["the queue is full"],
+        "code": 303,
+    }
+    unknown = {"code": 301, "name": "REQUEST_INVALID", "message": "not known here"}
+    with (
+        fake_admin.serve(lambda *_: (404, unknown)) as first,
+        fake_admin.serve(lambda *_: (200, explanation)) as second,
+    ):
+        nodes = ("--node", first.node, "--node", second.node)
+        result = _run("explain", "request", "1-a", *nodes)
+        assert result.exit_code == exits.ExitStatus.DONE
+        assert "the queue is full" in result.output
+        assert "303 QUEUE_FULL" in result.output
+        assert first.calls == second.calls == [("GET", "/v1/requests/1-a")]
--- a/clementinespar/documents/loading.py
+++ b/clementinespar/documents/loading.py
@@ -108,6 +108,22 @@
     return document
 
 
+def parse_in_force(values: object) -> model.Document:
+    """Return a document that a node has in force, without the operator's checks.
+
+    Raises
+    ------
+    errors.ClementinesparError
+        With ``DOCUMENT_INVALID``: this version cannot read the document.
+    """
+    try:
+        return _ADAPTER.validate_python(values)
+    except pydantic.ValidationError as error:
+        raise errors.ClementinesparError(
+            codes.ResultCode.DOCUMENT_INVALID, str(error).splitlines()[0]
+        ) from error
+
+
 def dump_document(document: model.Document) -> dict[str, object]:
     """Return a document as plain JSON values."""
     values: dict[str, object] = _ADAPTER.dump_python(document, mode="json")
