--- /dev/null
+++ b/clementinespar/claims/claimer.py
@@ -0,0 +1,243 @@
+"""Claims requests that may not be repeated through the log."""
+
+import asyncio
+import collections
+import dataclasses
+from typing import Final
+
+import logbook
+
+from clementinespar import codes, errors, identifiers
+from clementinespar.claims import messages, state
+from clementinespar.fleet import source as fleet_source
+from clementinespar.fleet import state as fleet_state
+from clementinespar.log import appender as log_appender
+
+_log = logbook.Logger("claims.claimer")
+
+_BATCH_DELAY_S = 0.002  # claims that arrive together share one record
+_MAX_BATCH_CLAIMS: Final = 500
+_MAX_REQUEST_ID_LENGTH: Final = 120  # same as in messages.Claim
+# A release is tried for as long as its record would be accepted; after that the claim
+# stays until its request id is too old.
+_RELEASE_TIMEOUT_S = fleet_state.DEDUP_WINDOW_MS / 1000
+_SWEEP_INTERVAL_S = 1.0  # time between looks for abandoned claims that won late
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Waiting:
+    """A claim whose caller waits for the result."""
+
+    claim: messages.Claim
+    deadline: float  # loop time
+    result: "asyncio.Future[codes.ResultCode]"
+
+
+class Claimer:
+    """Implements `claims.service.ClaimService` on the log.
+
+    Every call of `claim` makes a claim id of its own, so the fold tells exactly which
+    call won. A claim whose caller has given up is released once the fold shows that it
+    won, because its request certainly did not run.
+
+    Parameters
+    ----------
+    appender : log_appender.Appender
+        Appends the batches.
+    source : fleet_source.FleetSource
+        Holder of the folded state, which tells who won.
+    author : str
+        Name of this node.
+    """
+
+    _appender: log_appender.Appender
+    _source: fleet_source.FleetSource
+    _author: str
+    _waiting: list[_Waiting]  # claims of the next batch
+    _releases: list[messages.Claim]  # releases of the next batch
+    _won_by_request_id: "collections.OrderedDict[str, messages.Claim]"
+    # Claims given up before their result was known, with the loop time after which
+    # their records can no longer take effect.
+    _abandoned_by_claim_id: dict[str, tuple[messages.Claim, float]]
+    _releasing_claim_ids: set[str]  # releases on their way into the log
+    _flush_task: "asyncio.Task[None] | None"
+    _sweep_task: "asyncio.Task[None] | None"
+    _append_tasks: "set[asyncio.Task[None]]"
+
+    def __init__(
+        self,
+        appender: log_appender.Appender,
+        source: fleet_source.FleetSource,
+        author: str,
+    ) -> None:
+        self._appender = appender
+        self._source = source
+        self._author = author
+        self._waiting = []
+        self._releases = []
+        self._won_by_request_id = collections.OrderedDict()
+        self._abandoned_by_claim_id = {}
+        self._releasing_claim_ids = set()
+        self._flush_task = None
+        self._sweep_task = None
+        self._append_tasks = set()
+
+    async def claim(self, request_id: str, timeout_s: float) -> codes.ResultCode:
+        """Claim a request id for this node; see `claims.service.ClaimService`."""
+        if (
+            len(request_id) > _MAX_REQUEST_ID_LENGTH
+            or identifiers.parse_issued_ms(request_id) is None
+        ):
+            return codes.ResultCode.REQUEST_INVALID
+        held = self._source.state.claims.claims_by_request_id.get(request_id)
+        if held is not None and held.claim_id not in self._releasing_claim_ids:
+            return codes.ResultCode.ALREADY_CLAIMED
+        loop = asyncio.get_running_loop()
+        claim = messages.Claim(
+            request_id=request_id, claim_id=identifiers.new_id(self._appender.now_ms())
+        )
+        waiting = _Waiting(claim, loop.time() + timeout_s, loop.create_future())
+        self._waiting.append(waiting)
+        self._start_flush()
+        code = codes.ResultCode.CLAIM_UNAVAILABLE
+        try:
+            async with asyncio.timeout_at(waiting.deadline):
+                code = await waiting.result
+        except TimeoutError:
+            pass
+        finally:
+            # Also runs when the caller is cancelled.
+            if code == codes.ResultCode.OK:
+                self._remember_won(claim)
+            elif code == codes.ResultCode.CLAIM_UNAVAILABLE:
+                self._abandon(waiting)
+        return code
+
+    async def release(self, request_id: str) -> None:
+        """Release a claim of this node whose request certainly did not run.
+
+        Returns at once; the release is appended in the background. Only claims that
+        this process won are released: those of an earlier process with the same node
+        name may have run.
+        """
+        claim = self._won_by_request_id.pop(request_id, None)
+        if claim is not None:
+            self._queue_release(claim)
+
+    def _remember_won(self, claim: messages.Claim) -> None:
+        self._won_by_request_id[claim.request_id] = claim
+        held = self._source.state.claims.claims_by_request_id
+        while self._won_by_request_id:
+            request_id, oldest = next(iter(self._won_by_request_id.items()))
+            if request_id in held and held[request_id].claim_id == oldest.claim_id:
+                return
+            del self._won_by_request_id[request_id]  # too old to be claimed again
+
+    def _abandon(self, waiting: _Waiting) -> None:
+        if waiting in self._waiting:
+            self._waiting.remove(waiting)
+            return
+        lasts_until = (
+            asyncio.get_running_loop().time() + fleet_state.DEDUP_WINDOW_MS / 1000
+        )
+        self._abandoned_by_claim_id[waiting.claim.claim_id] = (
+            waiting.claim,
+            lasts_until,
+        )
+        if self._sweep_task is None or self._sweep_task.done():
+            self._sweep_task = asyncio.create_task(self._sweep(), name="claim sweep")
+
+    async def _sweep(self) -> None:
+        """Release abandoned claims that won after their callers had given up."""
+        while self._abandoned_by_claim_id:
+            await asyncio.sleep(_SWEEP_INTERVAL_S)
+            now = asyncio.get_running_loop().time()
+            held_by_request_id = self._source.state.claims.claims_by_request_id
+            for claim_id, (claim, until) in list(self._abandoned_by_claim_id.items()):
+                held = held_by_request_id.get(claim.request_id)
+                if held is not None and held.claim_id == claim_id:
+                    del self._abandoned_by_claim_id[claim_id]
+                    self._queue_release(claim)
+                elif now > until:
+                    del self._abandoned_by_claim_id[claim_id]
+
+    def _queue_release(self, claim: messages.Claim) -> None:
+        self._releases.append(claim)
+        self._releasing_claim_ids.add(claim.claim_id)
+        self._start_flush()
+
+    def _start_flush(self) -> None:
+        if self._flush_task is None or self._flush_task.done():
+            self._flush_task = asyncio.create_task(self._flush(), name="claim flush")
+
+    async def _flush(self) -> None:
+        """Hand the batches to the appender, releases before claims.
+
+        A repeated request whose first claim is being released can then win.
+        """
+        await asyncio.sleep(_BATCH_DELAY_S)
+        while self._releases:
+            releases = self._releases[:_MAX_BATCH_CLAIMS]
+            del self._releases[:_MAX_BATCH_CLAIMS]
+            self._start(self._append_releases(releases))
+        while self._waiting:
+            batch = self._waiting[:_MAX_BATCH_CLAIMS]
+            del self._waiting[:_MAX_BATCH_CLAIMS]
+            self._start(self._append_claims(batch))
+
+    def _start(self, work: "collections.abc.Coroutine[object, object, None]") -> None:
+        task = asyncio.create_task(work)
+        self._append_tasks.add(task)
+        task.add_done_callback(self._append_tasks.discard)
+
+    async def _append_claims(self, batch: list[_Waiting]) -> None:
+        now = asyncio.get_running_loop().time()
+        issued_ms = self._appender.now_ms()
+        record = messages.RequestClaims(
+            record_id=identifiers.new_id(issued_ms),
+            issued_ms=issued_ms,
+            author=self._author,
+            claims=tuple(waiting.claim for waiting in batch),
+        )
+        timeout_s = max(waiting.deadline for waiting in batch) - now
+        try:
+            result = await self._appender.append(record, timeout_s)
+        except errors.ClementinesparError as error:
+            _log.info("{} claims got no result: {}", len(batch), error)
+            result = None
+        for waiting in batch:
+            if not waiting.result.done():
+                waiting.result.set_result(self._outcome(waiting.claim, result))
+
+    def _outcome(
+        self, claim: messages.Claim, result: fleet_state.RecordResult | None
+    ) -> codes.ResultCode:
+        """Tell from the fold what became of a claim."""
+        if result is None or result.code != codes.ResultCode.OK:
+            return codes.ResultCode.CLAIM_UNAVAILABLE
+        held = self._source.state.claims.claims_by_request_id.get(claim.request_id)
+        if held is None:
+            # Either the id was refused, or the claim that won has been released or
+            # has expired since; this node must not dispatch in any of these cases.
+            code = state.check_age(claim.request_id, result.timestamp_ms)
+            if code != codes.ResultCode.OK:
+                return code
+            return codes.ResultCode.CLAIM_UNAVAILABLE
+        if held.claim_id == claim.claim_id:
+            return codes.ResultCode.OK
+        return codes.ResultCode.ALREADY_CLAIMED
+
+    async def _append_releases(self, claims: list[messages.Claim]) -> None:
+        issued_ms = self._appender.now_ms()
+        record = messages.RequestReleases(
+            record_id=identifiers.new_id(issued_ms),
+            issued_ms=issued_ms,
+            author=self._author,
+            claims=tuple(claims),
+        )
+        try:
+            await self._appender.append(record, _RELEASE_TIMEOUT_S)
+        except errors.ClementinesparError as error:
+            _log.warning("{} claims stay until they expire: {}", len(claims), error)
+        finally:
+            self._releasing_claim_ids.difference_update(c.claim_id for c in claims)
--- a/clementinespar/fleet/messages.py
+++ b/clementinespar/fleet/messages.py
@@ -2,6 +2,8 @@
 
 from typing import Literal
 
+import pydantic
+
 from clementinespar.log import base
 
 
@@ -10,8 +12,8 @@
 
     kind: Literal["snapshot_chunk"] = "snapshot_chunk"
     snapshot_id: str
-    as_of_offset: int
-    index: int  # from 0
-    count: int
+    as_of_offset: int = pydantic.Field(ge=-1)
+    index: int = pydantic.Field(ge=0)  # from 0
+    count: int = pydantic.Field(ge=1, le=4096)
     data: str  # base85 text of a part of the compressed state
     digest: str  # hex SHA-256 of the whole compressed state
--- a/clementinespar/fleet/state.py
+++ b/clementinespar/fleet/state.py
@@ -23,9 +23,16 @@
 from clementinespar.waves import messages as wave_messages
 from clementinespar.waves import state as waves_state
 
-# Record ids are remembered for this long in log time. A record issued earlier is
-# refused, so a retry that arrives after its id was forgotten cannot apply twice.
+# A record issued earlier than this before its append is refused, so a retry that comes
+# after its id was forgotten cannot apply twice.
 DEDUP_WINDOW_MS = 120_000
+# Records of authors whose clocks are further ahead are refused. Without this bound, a
+# record issued in the future would outlive the memory of its id and apply twice.
+MAX_CLOCK_AHEAD_MS = 60_000
+# Record ids are remembered for this long in log time, which is as long as a record
+# issued at the allowed clock difference can still be accepted.
+_RESULT_RETENTION_MS = DEDUP_WINDOW_MS + MAX_CLOCK_AHEAD_MS
+_MAX_PENDING_SNAPSHOTS = 4  # snapshots whose chunks are counted at once
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -37,6 +44,19 @@
     timestamp_ms: int
 
 
+@dataclasses.dataclass(slots=True)
+class SnapshotsState:
+    """Which snapshots are in the log, so that nodes publish no needless ones."""
+
+    as_of_offset: int = -1  # of the newest whole snapshot
+    published_ms: int = 0  # log time of the last chunk of that snapshot
+    last_chunk_offset: int = -1  # offset of the last chunk of that snapshot
+    # Chunk indexes seen of snapshots that are not whole yet, oldest snapshot first.
+    pending_by_snapshot_id: dict[str, list[int]] = dataclasses.field(
+        default_factory=dict
+    )
+
+
 @dataclasses.dataclass(slots=True)
 class FleetState:
     """Everything that all nodes agree on."""
@@ -58,6 +78,7 @@
     duties: duties_state.DutiesState = dataclasses.field(
         default_factory=duties_state.DutiesState
     )
+    snapshots: SnapshotsState = dataclasses.field(default_factory=SnapshotsState)
     results_by_record_id: collections.OrderedDict[str, RecordResult] = (
         dataclasses.field(default_factory=collections.OrderedDict)
     )
@@ -87,6 +108,9 @@
         raise ValueError(f"entry {entry.offset} does not follow {state.offset}")
     state.offset = entry.offset
     state.log_time_ms = max(state.log_time_ms, entry.timestamp_ms)
+    if entry.timestamp_ms < state.log_time_ms:
+        # Slices see one log time that never decreases, even if the log breaks that.
+        entry = dataclasses.replace(entry, timestamp_ms=state.log_time_ms)
     _forget_old_results(state)
     claims_state.expire(state.claims, state.log_time_ms)
     try:
@@ -96,8 +120,11 @@
     if record.record_id in state.results_by_record_id:
         return codes.ResultCode.RECORD_DUPLICATE
     if record.issued_ms < state.log_time_ms - DEDUP_WINDOW_MS:
-        return codes.ResultCode.RECORD_TOO_OLD
-    code = _apply_record(state, record, entry)
+        code = codes.ResultCode.RECORD_TOO_OLD
+    elif record.issued_ms > state.log_time_ms + MAX_CLOCK_AHEAD_MS:
+        code = codes.ResultCode.RECORD_INVALID
+    else:
+        code = _apply_record(state, record, entry)
     state.results_by_record_id[record.record_id] = RecordResult(
         code, entry.offset, entry.timestamp_ms
     )
@@ -106,7 +133,7 @@
 
 def _forget_old_results(state: FleetState) -> None:
     results = state.results_by_record_id
-    oldest_ms = state.log_time_ms - DEDUP_WINDOW_MS
+    oldest_ms = state.log_time_ms - _RESULT_RETENTION_MS
     while results:
         record_id, result = next(iter(results.items()))
         if result.timestamp_ms >= oldest_ms:
@@ -160,6 +187,29 @@
         case wave_messages.WaveFinished():
             return waves_state.apply_finished(state.waves, record, entry)
         case fleet_messages.SnapshotChunk():
-            return codes.ResultCode.OK
+            return _count_chunk(state.snapshots, record, entry)
         case _:
             return codes.ResultCode.RECORD_INVALID
+
+
+def _count_chunk(
+    state: SnapshotsState,
+    record: fleet_messages.SnapshotChunk,
+    entry: log_service.LogEntry,
+) -> codes.ResultCode:
+    """Note a snapshot once all its chunks are in the log."""
+    if record.index >= record.count or record.as_of_offset >= entry.offset:
+        return codes.ResultCode.RECORD_INVALID
+    pending = state.pending_by_snapshot_id
+    indexes = pending.setdefault(record.snapshot_id, [])
+    if record.index not in indexes:
+        indexes.append(record.index)
+    if len(indexes) == record.count:
+        del pending[record.snapshot_id]
+        if record.as_of_offset > state.as_of_offset:
+            state.as_of_offset = record.as_of_offset
+            state.published_ms = entry.timestamp_ms
+            state.last_chunk_offset = entry.offset
+    while len(pending) > _MAX_PENDING_SNAPSHOTS:
+        del pending[next(iter(pending))]
+    return codes.ResultCode.OK
--- a/clementinespar/identifiers.py
+++ b/clementinespar/identifiers.py
@@ -4,6 +4,7 @@
 import time
 
 _RANDOM_BYTES = 10  # 80 bits: no collision within any retention window
+_MAX_DIGITS = 15  # int() raises on thousands of digits, which a caller could send
 
 
 def new_id(issued_ms: int | None = None) -> str:
@@ -22,6 +23,8 @@
 def parse_issued_ms(identifier: str) -> int | None:
     """Return the time of issue in an id, or None if it has none."""
     head, separator, tail = identifier.partition("-")
-    if not separator or not tail or not head.isascii() or not head.isdigit():
+    if not separator or not tail or len(head) > _MAX_DIGITS:
+        return None
+    if not head.isascii() or not head.isdigit():
         return None
     return int(head)
--- /dev/null
+++ b/clementinespar/log/appender.py
@@ -0,0 +1,242 @@
+"""Appends records to the log in batches and finds out what became of them."""
+
+import asyncio
+import collections
+import dataclasses
+import time
+from collections.abc import Callable
+
+import logbook
+
+from clementinespar import codes, errors
+from clementinespar.fleet import source as fleet_source
+from clementinespar.fleet import state as fleet_state
+from clementinespar.log import base, records, service
+
+_log = logbook.Logger("log.appender")
+
+_MAX_BATCH_RECORDS = 200
+_MAX_BATCH_BYTES = 4 * 1024 * 1024
+# The log takes several hundred appends a second from all nodes. After a refusal, the
+# batch delay doubles up to this bound, and shrinks again with each append that works.
+_MAX_BACKOFF_S = 0.5
+_FIRST_BACKOFF_S = 0.02
+_READ_BACK_S = 1.0  # longest read-back between two attempts
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Pending:
+    """A record on its way into the log."""
+
+    record_id: str
+    issued_ms: int
+    payload: bytes
+    deadline: float  # loop time until which append calls may start
+    result: "asyncio.Future[fleet_state.RecordResult]"
+    may_be_in_log: bool = False  # an append call with it was sent without a refusal
+
+
+class Appender:
+    """Appends records at most once each and returns their results.
+
+    Parameters
+    ----------
+    log : service.LogService
+        The platform's log.
+    source : fleet_source.FleetSource
+        Holder of the folded state, which tells the results.
+    author : str
+        Name of this node, for records that other modules make.
+    batch_delay_s : float
+        How long the first record of a batch waits for others, in seconds.
+    wall_ms : callable, optional
+        Wall clock in milliseconds; tests with a paused clock pass the fake log's.
+    """
+
+    author: str  # name of this node
+
+    _log_service: service.LogService
+    _source: fleet_source.FleetSource
+    _batch_delay_s: float
+    _wall_ms: Callable[[], int]
+    _queue: "collections.deque[_Pending]"  # records that wait for an append call
+    _flush_task: "asyncio.Task[None] | None"  # runs while records wait
+    _result_tasks: "set[asyncio.Task[None]]"  # wait until appended records are folded
+    _backoff_s: float  # extra delay after refusals
+
+    def __init__(
+        self,
+        log: service.LogService,
+        source: fleet_source.FleetSource,
+        author: str,
+        batch_delay_s: float,
+        wall_ms: Callable[[], int] | None = None,
+    ) -> None:
+        self.author = author
+        self._log_service = log
+        self._source = source
+        self._batch_delay_s = batch_delay_s
+        self._wall_ms = _read_wall_clock if wall_ms is None else wall_ms
+        self._queue = collections.deque()
+        self._flush_task = None
+        self._result_tasks = set()
+        self._backoff_s = 0.0
+
+    def now_ms(self) -> int:
+        """Return the time for ``issued_ms`` of a new record.
+
+        It is the wall time, or the log's time if the wall clock of this host is behind
+        it: a record that looks too old is refused.
+        """
+        return max(self._wall_ms(), self._source.state.log_time_ms)
+
+    async def append(
+        self, record: base.Record, timeout_s: float
+    ) -> fleet_state.RecordResult:
+        """Append a record and return what became of it.
+
+        Parameters
+        ----------
+        record : base.Record
+            The record; calling again with the same record never applies it twice.
+        timeout_s : float
+            Longest time until the result is known, in seconds.
+
+        Raises
+        ------
+        errors.LogUnavailableError
+            The record certainly did not and will not take effect.
+        errors.LogReplyLostError
+            The record may have taken effect or may still take effect.
+        errors.ClementinesparError
+            With ``RECORD_INVALID`` when the record is too large.
+        """
+        payload = records.encode_record(record)
+        if len(payload) > records.MAX_RECORD_BYTES:
+            raise errors.ClementinesparError(
+                codes.ResultCode.RECORD_INVALID,
+                f"record of {len(payload)} bytes exceeds {records.MAX_RECORD_BYTES}",
+            )
+        loop = asyncio.get_running_loop()
+        pending = _Pending(
+            record.record_id,
+            record.issued_ms,
+            payload,
+            loop.time() + timeout_s,
+            loop.create_future(),
+        )
+        self._queue.append(pending)
+        if self._flush_task is None or self._flush_task.done():
+            self._flush_task = asyncio.create_task(self._flush(), name="log appender")
+        try:
+            async with asyncio.timeout_at(pending.deadline):
+                return await pending.result
+        except TimeoutError:
+            raise _failure(pending, "no result before the deadline") from None
+        finally:
+            if pending in self._queue:
+                self._queue.remove(pending)
+
+    async def _flush(self) -> None:
+        """Append the waiting records in batches until none waits."""
+        while self._queue:
+            delay_s = self._batch_delay_s + self._backoff_s
+            if delay_s > 0 and len(self._queue) < _MAX_BATCH_RECORDS:
+                await asyncio.sleep(delay_s)
+            batch = self._take_batch()
+            if batch:
+                await self._append_batch(batch)
+
+    def _take_batch(self) -> list[_Pending]:
+        batch: list[_Pending] = []
+        size = 0
+        while self._queue and len(batch) < _MAX_BATCH_RECORDS:
+            pending = self._queue[0]
+            if batch and size + len(pending.payload) > _MAX_BATCH_BYTES:
+                break
+            self._queue.popleft()
+            if not self._is_finished(pending):
+                batch.append(pending)
+                size += len(pending.payload)
+        return batch
+
+    def _is_finished(self, pending: _Pending) -> bool:
+        """Whether no further append call is needed or allowed for a record."""
+        if pending.result.done():
+            return True
+        known = self._source.state.results_by_record_id.get(pending.record_id)
+        if known is not None:
+            pending.result.set_result(known)
+            return True
+        age_ms = self._source.state.log_time_ms - pending.issued_ms
+        if age_ms > fleet_state.DEDUP_WINDOW_MS:
+            pending.result.set_exception(
+                _failure(pending, "the record is older than the deduplication window")
+            )
+            return True
+        return False
+
+    async def _append_batch(self, batch: list[_Pending]) -> None:
+        was_sent_before = [pending.may_be_in_log for pending in batch]
+        for pending in batch:
+            # Set before the call: whoever gives up meanwhile must not rule it out.
+            pending.may_be_in_log = True
+        try:
+            first_offset = await self._log_service.append([p.payload for p in batch])
+        except errors.LogUnavailableError as error:
+            # Nothing of this call was appended; what earlier calls did stays unknown.
+            for pending, was_sent in zip(batch, was_sent_before, strict=True):
+                pending.may_be_in_log = was_sent
+            self._back_off()
+            self._retry(batch, error)
+        except Exception as error:
+            if not isinstance(error, errors.LogReplyLostError):
+                _log.exception("an append failed in an unexpected way")
+            self._back_off()
+            await self._source.refresh(_READ_BACK_S)
+            self._retry(batch, error)
+        else:
+            self._backoff_s = (
+                self._backoff_s / 2 if self._backoff_s > _FIRST_BACKOFF_S else 0.0
+            )
+            task = asyncio.create_task(self._give_results(first_offset, batch))
+            self._result_tasks.add(task)
+            task.add_done_callback(self._result_tasks.discard)
+
+    def _back_off(self) -> None:
+        self._backoff_s = min(
+            max(self._backoff_s * 2, _FIRST_BACKOFF_S), _MAX_BACKOFF_S
+        )
+
+    def _retry(self, batch: list[_Pending], error: Exception) -> None:
+        """Queue the records again whose result is not known after a read-back."""
+        _log.debug("an append of {} records is tried again: {}", len(batch), error)
+        for pending in reversed(batch):
+            if not self._is_finished(pending):
+                self._queue.appendleft(pending)
+
+    async def _give_results(self, first_offset: int, batch: list[_Pending]) -> None:
+        """Hand out the results once the fold has reached the appended records."""
+        for offset, pending in enumerate(batch, first_offset):
+            await self._source.wait_applied(offset)
+            if pending.result.done():
+                continue
+            known = self._source.state.results_by_record_id.get(pending.record_id)
+            if known is not None:
+                pending.result.set_result(known)
+            else:
+                pending.result.set_exception(
+                    errors.LogReplyLostError(
+                        f"the result of record {pending.record_id} is forgotten"
+                    )
+                )
+
+
+def _read_wall_clock() -> int:
+    return time.time_ns() // 1_000_000
+
+
+def _failure(pending: _Pending, reason: str) -> errors.ClementinesparError:
+    if pending.may_be_in_log:
+        return errors.LogReplyLostError(f"record {pending.record_id}: {reason}")
+    return errors.LogUnavailableError(f"record {pending.record_id}: {reason}")
--- /dev/null
+++ b/clementinespar/log/follower.py
@@ -0,0 +1,351 @@
+"""Reads the log, or peers during an outage, and keeps the newest folded state."""
+
+import asyncio
+import collections
+import contextlib
+import heapq
+import itertools
+from collections.abc import AsyncIterator, Callable, Iterable
+from typing import Final
+
+import logbook
+
+from clementinespar import codes, errors
+from clementinespar.fleet import messages as fleet_messages
+from clementinespar.fleet import snapshot as fleet_snapshot
+from clementinespar.fleet import state as fleet_state
+from clementinespar.log import records, service
+from clementinespar.log import relay as log_relay
+
+_log = logbook.Logger("log.follower")
+
+Listener = Callable[[service.LogEntry, codes.ResultCode], None]
+
+_PAGE_ENTRIES: Final = 200  # one page is folded in a few ms without yielding the loop
+_RING_BYTES = 8 * 1024 * 1024  # recent entries kept for peers, of 128 MB a node
+_ENTRY_OVERHEAD_BYTES = 200  # rough cost of an entry besides its payload
+# A start replays at most this many entries (about 1 s) before it looks for a snapshot.
+_MAX_REPLAY_ENTRIES = 20_000
+# Peers are asked when they are ahead and the log has not answered for this long. It is
+# well below the objective of 4 s until a document is in force everywhere.
+_RELAY_GRACE_S = 0.5
+_RETRY_DELAY_S = 0.2  # between attempts while the log does not answer
+_MAX_RETRY_DELAY_S = 1.0
+
+
+class Follower:
+    """Holder of the newest folded state; implements `fleet.source.FleetSource`.
+
+    Parameters
+    ----------
+    log : service.LogService
+        The platform's log.
+    relay : log_relay.PeerRelay or None
+        Peers that are asked while the log does not answer or is behind them.
+    poll_wait_s : float
+        Longest wait of one read for new entries, in seconds.
+    """
+
+    is_ready: bool  # the log or a peer has answered and all that it had is applied
+    is_log_answering: bool  # the last read of the log was answered
+    last_error: str  # why the log does not answer, empty while it does
+
+    _log_service: service.LogService
+    _relay: log_relay.PeerRelay | None
+    _poll_wait_s: float
+    _state: fleet_state.FleetState
+    _recent: collections.deque[service.LogEntry]  # newest entries, without gaps
+    _recent_bytes: int  # size of the entries in _recent
+    _listeners: list[Listener]
+    _waiters: list[tuple[int, int, asyncio.Future[None]]]  # heap by offset
+    _waiter_numbers: "itertools.count[int]"  # keeps equal offsets comparable
+    _encoded: tuple[int, bytes] | None  # newest encoded state, reused for peers
+
+    def __init__(
+        self,
+        log: service.LogService,
+        relay: log_relay.PeerRelay | None,
+        poll_wait_s: float,
+    ) -> None:
+        self.is_ready = False
+        self.is_log_answering = False
+        self.last_error = ""
+        self._log_service = log
+        self._relay = relay
+        self._poll_wait_s = poll_wait_s
+        self._state = fleet_state.FleetState()
+        self._recent = collections.deque()
+        self._recent_bytes = 0
+        self._listeners = []
+        self._waiters = []
+        self._waiter_numbers = itertools.count()
+        self._encoded = None
+
+    @property
+    def state(self) -> fleet_state.FleetState:
+        """The newest folded state; callers never change it."""
+        return self._state
+
+    @property
+    def oldest_kept_offset(self) -> int:
+        """Offset of the oldest entry that `recent_entries` can give."""
+        return self._recent[0].offset if self._recent else self._state.offset + 1
+
+    def add_listener(self, callback: Listener) -> None:
+        """Call back after each applied entry.
+
+        Entries that a loaded snapshot covers are not reported.
+        """
+        self._listeners.append(callback)
+
+    def recent_entries(
+        self, from_offset: int, limit: int
+    ) -> tuple[service.LogEntry, ...]:
+        """Return recent entries from an offset on; empty if it is no longer kept."""
+        start = from_offset - self.oldest_kept_offset
+        if start < 0:
+            return ()
+        return tuple(itertools.islice(self._recent, start, start + limit))
+
+    def snapshot(self) -> tuple[int, bytes]:
+        """Return an offset and the compressed state as of it, for a peer.
+
+        An earlier result is returned again while the entries after it are still kept,
+        because encoding costs far more than sending the entries.
+        """
+        if self._encoded is None or self._encoded[0] + 1 < self.oldest_kept_offset:
+            encoded = fleet_snapshot.encode_state(self._state)
+            self._encoded = (self._state.offset, encoded)
+        return self._encoded
+
+    async def wait_applied(self, offset: int) -> None:
+        """Wait until the entry at an offset has been applied."""
+        if self._state.offset >= offset:
+            return
+        future = asyncio.get_running_loop().create_future()
+        heapq.heappush(self._waiters, (offset, next(self._waiter_numbers), future))
+        await future
+
+    async def refresh(self, timeout_s: float) -> bool:
+        """Apply all that the log has now; False if the log did not answer in time."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                # The read starts after the call, so its end offset covers every append
+                # that was complete before the call.
+                page = await self._read_log(0.0)
+                end_offset = page.end_offset
+                while self._state.offset + 1 < end_offset:
+                    before = self._state.offset
+                    await self._read_log(0.0)
+                    if self._state.offset == before:
+                        return False
+                return True
+        except (TimeoutError, errors.ClementinesparError):
+            return False
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator[None]:
+        """Follow the log in a task while the context is open."""
+        task = asyncio.create_task(self._follow(), name="log follower")
+        try:
+            yield
+        finally:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+    async def _follow(self) -> None:
+        """Read the log for ever; take from peers what the log does not give."""
+        retry_delay_s = _RETRY_DELAY_S
+        while True:
+            try:
+                page = await self._read_log_or_relay()
+            except errors.ClementinesparError as error:
+                if self.is_log_answering or not self.last_error:
+                    _log.warning("the log does not answer: {}", error)
+                self.is_log_answering = False
+                self.last_error = str(error)
+                await self._take_from_relay(is_log_failing=True)
+                await asyncio.sleep(retry_delay_s)
+                retry_delay_s = min(retry_delay_s * 2, _MAX_RETRY_DELAY_S)
+                continue
+            except Exception:
+                # The task must outlive a fault in one round; without it the node would
+                # keep an old state for ever.
+                _log.exception("reading the log failed")
+                await asyncio.sleep(_MAX_RETRY_DELAY_S)
+                continue
+            if not self.is_log_answering and self.last_error:
+                _log.notice("the log answers again at offset {}", self._state.offset)
+            retry_delay_s = _RETRY_DELAY_S
+            if not page.entries and self._is_behind_peers():
+                # The log answers from a place behind what peers have seen.
+                await self._take_from_relay(is_log_failing=False)
+                await asyncio.sleep(_RETRY_DELAY_S)
+
+    async def _read_log_or_relay(self) -> service.LogPage:
+        """Read the log; while it does not answer, take entries from peers."""
+        is_caught_up = self.is_ready and self.is_log_answering
+        wait_s = self._poll_wait_s if is_caught_up else 0.0
+        read = asyncio.ensure_future(self._read_log(wait_s))
+        try:
+            while True:
+                done, _ = await asyncio.wait({read}, timeout=_RELAY_GRACE_S)
+                if done:
+                    return read.result()
+                if self._is_behind_peers():
+                    await self._take_from_relay(is_log_failing=not self.is_ready)
+        finally:
+            read.cancel()
+
+    def _is_behind_peers(self) -> bool:
+        if self._relay is None:
+            return False
+        return self._relay.highest_offset() > self._state.offset
+
+    async def _read_log(self, wait_s: float) -> service.LogPage:
+        """Read one page from the log and apply it."""
+        try:
+            page = await self._log_service.read(
+                self._state.offset + 1, _PAGE_ENTRIES, wait_s
+            )
+        except errors.LogRecordsExpiredError as error:
+            return await self._restart(error.first_offset)
+        if (
+            self._state.offset < 0
+            and page.end_offset - page.first_offset > _MAX_REPLAY_ENTRIES
+        ):
+            await self._load_from_log(page.first_offset, page.end_offset)
+        self._apply(page.entries)
+        self.is_log_answering = True
+        self.last_error = ""
+        if self._state.offset + 1 >= page.end_offset:
+            self.is_ready = True
+        return page
+
+    async def _restart(self, first_offset: int) -> service.LogPage:
+        """Load a state that the kept part of the log can continue.
+
+        Raises
+        ------
+        errors.LogRecordsExpiredError
+            Neither the log nor a peer has such a state.
+        """
+        page = await self._log_service.read(first_offset, 1, 0.0)
+        if not await self._load_from_log(page.first_offset, page.end_offset):
+            await self._load_from_peer()
+        if self._state.offset + 1 < page.first_offset:
+            raise errors.LogRecordsExpiredError(page.first_offset)
+        return page
+
+    async def _load_from_log(self, first_offset: int, end_offset: int) -> bool:
+        """Load the newest whole snapshot in the log that its entries can continue.
+
+        Reads backwards from the end, because the newest snapshot is close to it.
+        """
+        collector = fleet_snapshot.ChunkCollector()
+        stop = end_offset
+        while stop > first_offset:
+            start = max(first_offset, stop - _PAGE_ENTRIES)
+            entries: list[service.LogEntry] = []
+            while start + len(entries) < stop:
+                offset = start + len(entries)
+                page = await self._log_service.read(offset, stop - offset, 0.0)
+                if not page.entries:
+                    return False
+                entries.extend(page.entries)
+                first_offset = page.first_offset
+            for entry in reversed(entries):
+                loaded = _load_chunk(collector, entry)
+                if loaded is not None and loaded.offset + 1 >= first_offset:
+                    return self._load(loaded, "the log")
+            stop = start
+        return False
+
+    async def _load_from_peer(self) -> bool:
+        if self._relay is None:
+            return False
+        try:
+            fetched = await self._relay.fetch_snapshot()
+            if fetched is None:
+                return False
+            loaded = fleet_snapshot.decode_state(fetched[1])
+        except errors.ClementinesparError as error:
+            _log.warning("no snapshot from peers: {}", error)
+            return False
+        return self._load(loaded, "a peer")
+
+    def _load(self, loaded: fleet_state.FleetState, origin: str) -> bool:
+        """Replace the state by a newer one."""
+        if loaded.offset <= self._state.offset:
+            return False
+        self._state = loaded
+        self._recent.clear()
+        self._recent_bytes = 0
+        self._wake_waiters()
+        _log.notice("loaded a snapshot as of offset {} from {}", loaded.offset, origin)
+        return True
+
+    async def _take_from_relay(self, is_log_failing: bool) -> None:
+        """Take from peers what they have beyond this node's state."""
+        if self._relay is None:
+            return
+        target = self._relay.highest_offset()
+        if target < 0:
+            return
+        try:
+            while self._state.offset < target:
+                before = self._state.offset
+                entries = await self._relay.fetch_entries(before + 1, _PAGE_ENTRIES)
+                self._apply(entries)
+                if self._state.offset == before and not await self._load_from_peer():
+                    return
+        except errors.ClementinesparError as error:
+            _log.debug("no entries from peers: {}", error)
+            return
+        if is_log_failing:
+            self.is_ready = True
+
+    def _apply(self, entries: Iterable[service.LogEntry]) -> None:
+        """Apply the entries that come next; others are known already or leave a gap."""
+        for entry in entries:
+            if entry.offset <= self._state.offset:
+                continue
+            if entry.offset > self._state.offset + 1:
+                break
+            code = fleet_state.apply_entry(self._state, entry)
+            self._remember(entry)
+            for listener in self._listeners:
+                try:
+                    listener(entry, code)
+                except Exception:
+                    # A fault of a listener must not stop the fold.
+                    _log.exception("a listener failed at offset {}", entry.offset)
+        self._wake_waiters()
+
+    def _remember(self, entry: service.LogEntry) -> None:
+        self._recent.append(entry)
+        self._recent_bytes += len(entry.payload) + _ENTRY_OVERHEAD_BYTES
+        while self._recent_bytes > _RING_BYTES and len(self._recent) > 1:
+            dropped = self._recent.popleft()
+            self._recent_bytes -= len(dropped.payload) + _ENTRY_OVERHEAD_BYTES
+
+    def _wake_waiters(self) -> None:
+        while self._waiters and self._waiters[0][0] <= self._state.offset:
+            _, _, future = heapq.heappop(self._waiters)
+            if not future.done():
+                future.set_result(None)
+
+
+def _load_chunk(
+    collector: fleet_snapshot.ChunkCollector, entry: service.LogEntry
+) -> fleet_state.FleetState | None:
+    """Return the state of a snapshot whose last missing chunk an entry holds."""
+    if b'"snapshot_chunk"' not in entry.payload:
+        return None  # saves parsing every record on the way back
+    try:
+        record = records.parse_record(entry.payload)
+    except errors.ClementinesparError:
+        return None
+    if not isinstance(record, fleet_messages.SnapshotChunk):
+        return None
+    return collector.add(record)
--- /dev/null
+++ b/clementinespar/log/http.py
@@ -0,0 +1,144 @@
+"""Client of the log service over HTTP; the only module that knows its wire format."""
+
+import base64
+import json
+import urllib.parse
+from collections.abc import Sequence
+from typing import Any, Final
+
+import pycurl
+from tornado import curl_httpclient, httpclient
+
+from clementinespar import errors
+from clementinespar.log import service
+
+_MAX_CLIENTS: Final = 64  # a long poll, refreshes and appends run at the same time
+_CONNECT_TIMEOUT_S = 1.0
+# curl errors after which no byte of the request can have reached the log.
+_NOT_SENT_ERRORS: Final = frozenset(
+    (
+        pycurl.E_COULDNT_CONNECT,
+        pycurl.E_COULDNT_RESOLVE_HOST,
+        pycurl.E_URL_MALFORMAT,
+    )
+)
+# Answers by which the log states that nothing was appended. Others, such as a gateway's
+# 502 or 504, leave it open.
+_REFUSED_STATUSES: Final = frozenset((400, 404, 405, 413, 429, 503))
+
+
+def encode_payload(payload: bytes) -> str | dict[str, str]:
+    """Return the JSON form of a payload: text if it is UTF-8, base64 otherwise."""
+    try:
+        return payload.decode()
+    except UnicodeDecodeError:
+        return {"base64": base64.b64encode(payload).decode()}
+
+
+def decode_payload(value: object) -> bytes:
+    """Return the payload in its JSON form, or raise ValueError."""
+    if isinstance(value, str):
+        return value.encode()
+    if isinstance(value, dict) and isinstance(value.get("base64"), str):
+        return base64.b64decode(value["base64"], validate=True)
+    raise ValueError("payload is neither text nor base64")
+
+
+class HttpLogService:
+    """Implements `log.service.LogService` over HTTP.
+
+    Parameters
+    ----------
+    url : str
+        Scheme, IP number and port of the log service.
+    request_timeout_s : float
+        Longest time until an answer, besides the wait of a read, in seconds.
+    """
+
+    _url: str
+    _request_timeout_s: float
+    _client: curl_httpclient.CurlAsyncHTTPClient | None  # made in the running loop
+
+    def __init__(self, url: str, request_timeout_s: float) -> None:
+        self._url = url.rstrip("/")
+        self._request_timeout_s = request_timeout_s
+        self._client = None
+
+    def close(self) -> None:
+        """Close all connections."""
+        if self._client is not None:
+            self._client.close()
+            self._client = None
+
+    async def append(self, payloads: Sequence[bytes]) -> int:
+        """Append payloads in one call; see `log.service.LogService`."""
+        body = json.dumps([encode_payload(payload) for payload in payloads])
+        response = await self._fetch("/append", 0.0, method="POST", body=body)
+        if response.code == 200:
+            try:
+                return int(json.loads(response.body)["first_offset"])
+            except (ValueError, KeyError, TypeError) as error:
+                raise errors.LogReplyLostError("unreadable append reply") from error
+        if _is_not_sent(response) or response.code in _REFUSED_STATUSES:
+            raise errors.LogUnavailableError(f"append refused: {_reason(response)}")
+        raise errors.LogReplyLostError(f"append not answered: {_reason(response)}")
+
+    async def read(self, offset: int, limit: int, wait_s: float) -> service.LogPage:
+        """Return entries from ``offset`` on; see `log.service.LogService`."""
+        query = urllib.parse.urlencode(
+            {"offset": offset, "limit": limit, "wait_s": wait_s}
+        )
+        response = await self._fetch(f"/read?{query}", wait_s)
+        try:
+            if response.code == 410:
+                raise errors.LogRecordsExpiredError(
+                    int(json.loads(response.body)["first_offset"])
+                )
+            if response.code == 200:
+                return _parse_page(json.loads(response.body))
+        except (ValueError, KeyError, TypeError) as error:
+            raise errors.LogUnavailableError("unreadable read reply") from error
+        raise errors.LogUnavailableError(f"read failed: {_reason(response)}")
+
+    async def _fetch(
+        self, path: str, wait_s: float, method: str = "GET", body: str | None = None
+    ) -> httpclient.HTTPResponse:
+        if self._client is None:
+            self._client = curl_httpclient.CurlAsyncHTTPClient(
+                force_instance=True, max_clients=_MAX_CLIENTS
+            )
+        request = httpclient.HTTPRequest(
+            self._url + path,
+            method=method,
+            body=body,
+            follow_redirects=False,
+            connect_timeout=min(_CONNECT_TIMEOUT_S, self._request_timeout_s),
+            request_timeout=self._request_timeout_s + wait_s,
+        )
+        return await self._client.fetch(request, raise_error=False)
+
+
+def _is_not_sent(response: httpclient.HTTPResponse) -> bool:
+    error = response.error
+    return (
+        isinstance(error, curl_httpclient.CurlError) and error.errno in _NOT_SENT_ERRORS
+    )
+
+
+def _reason(response: httpclient.HTTPResponse) -> str:
+    return f"{response.code} {response.error}"
+
+
+def _parse_page(reply: Any) -> service.LogPage:
+    return service.LogPage(
+        tuple(
+            service.LogEntry(
+                int(entry["offset"]),
+                int(entry["timestamp_ms"]),
+                decode_payload(entry["payload"]),
+            )
+            for entry in reply["entries"]
+        ),
+        int(reply["first_offset"]),
+        int(reply["end_offset"]),
+    )
--- /dev/null
+++ b/standins/fake_log.py
@@ -0,0 +1,193 @@
+"""In-memory stand-in of the platform's append-only log, with fault switches.
+
+Tests and benches use `FakeLog` directly; `standins.log_service` serves it over HTTP.
+Its time is the event loop's, so tests with a paused clock control retention and
+timestamps.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import time
+from collections.abc import Sequence
+
+from clementinespar import errors
+from clementinespar.log import service
+
+ALL = -1  # value of `Faults.lose_replies` that loses every reply
+
+
+@dataclasses.dataclass(slots=True)
+class Faults:
+    """Fault switches; all are off by default."""
+
+    down: bool = False  # refuse appends and reads at once
+    silent: bool = False  # never answer appends and reads; appends take no effect
+    slow_ms: float = 0.0  # delay before an append or read is served
+    lose_replies: int = 0  # appends from now on that take effect without a reply
+    late_ms: float = 0.0  # delay until an append with a lost reply takes effect
+
+
+class FakeLog:
+    """Append-only log in memory that implements `log.service.LogService`.
+
+    Parameters
+    ----------
+    epoch_ms : int, optional
+        Wall time in milliseconds that the first use of the log stands for; the real
+        wall time by default.
+    retention_entries : int, optional
+        Number of newest entries kept; all by default.
+    retention_ms : int, optional
+        Age up to which entries are kept; unlimited by default.
+    max_appends_per_s : float, optional
+        Appends above this rate are refused; unlimited by default.
+    """
+
+    faults: Faults  # fault switches, changed by tests at any time
+    retention_entries: int | None  # newest entries kept, None for all
+    retention_ms: int | None  # age up to which entries are kept, None for any
+    max_appends_per_s: float | None  # rate limit, None for no limit
+    append_count: int  # appends that took effect, whatever became of the reply
+    read_count: int  # reads received
+
+    _entries: collections.deque[service.LogEntry]  # kept entries in offset order
+    _end_offset: int  # offset of the next append
+    _epoch_ms: int | None  # wall time at the first use
+    _epoch_loop_s: float | None  # loop time at the first use
+    _last_ms: int  # timestamp of the newest append
+    _allowance: float  # appends allowed now under the rate limit
+    _allowance_s: float  # loop time at which the allowance was computed
+    _appended: asyncio.Event  # set and replaced at every append
+
+    def __init__(
+        self,
+        *,
+        epoch_ms: int | None = None,
+        retention_entries: int | None = None,
+        retention_ms: int | None = None,
+        max_appends_per_s: float | None = None,
+    ) -> None:
+        self.faults = Faults()
+        self.retention_entries = retention_entries
+        self.retention_ms = retention_ms
+        self.max_appends_per_s = max_appends_per_s
+        self.append_count = 0
+        self.read_count = 0
+        self._entries = collections.deque()
+        self._end_offset = 0
+        self._epoch_ms = epoch_ms
+        self._epoch_loop_s = None
+        self._last_ms = 0
+        self._allowance = 0.0
+        self._allowance_s = float("-inf")
+        self._appended = asyncio.Event()
+
+    @property
+    def entries(self) -> tuple[service.LogEntry, ...]:
+        """The kept entries."""
+        return tuple(self._entries)
+
+    @property
+    def end_offset(self) -> int:
+        """Offset that the next append gets."""
+        return self._end_offset
+
+    def now_ms(self) -> int:
+        """Return the log's clock in milliseconds of wall time."""
+        now_s = asyncio.get_running_loop().time()
+        if self._epoch_ms is None:
+            self._epoch_ms = time.time_ns() // 1_000_000
+        if self._epoch_loop_s is None:
+            self._epoch_loop_s = now_s
+        return self._epoch_ms + int((now_s - self._epoch_loop_s) * 1000)
+
+    async def append(self, payloads: Sequence[bytes]) -> int:
+        """Append payloads in one call and return the offset of the first one."""
+        await self._meet_faults()
+        if not self._take_allowance():
+            raise errors.LogUnavailableError("the rate limit of appends is reached")
+        if self.faults.lose_replies:
+            if self.faults.lose_replies > 0:
+                self.faults.lose_replies -= 1
+            if self.faults.late_ms > 0:
+                asyncio.get_running_loop().call_later(
+                    self.faults.late_ms / 1000, self.append_now, list(payloads)
+                )
+            else:
+                self.append_now(payloads)
+            raise errors.LogReplyLostError("the reply to the append was lost")
+        return self.append_now(payloads)
+
+    def append_now(self, payloads: Sequence[bytes]) -> int:
+        """Append payloads without any fault and return the first offset."""
+        self._last_ms = max(self._last_ms, self.now_ms())
+        first_offset = self._end_offset
+        for payload in payloads:
+            self._entries.append(
+                service.LogEntry(self._end_offset, self._last_ms, bytes(payload))
+            )
+            self._end_offset += 1
+        self.append_count += 1
+        self._expire()
+        self._appended.set()
+        self._appended = asyncio.Event()
+        return first_offset
+
+    async def read(self, offset: int, limit: int, wait_s: float) -> service.LogPage:
+        """Return at most ``limit`` entries from ``offset`` on."""
+        self.read_count += 1
+        await self._meet_faults()
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + wait_s
+        while offset >= self._end_offset and loop.time() < deadline:
+            try:
+                async with asyncio.timeout_at(deadline):
+                    await self._appended.wait()
+            except TimeoutError:
+                break
+        if self.faults.down:
+            raise errors.LogUnavailableError("the log is down")
+        return self.read_now(offset, limit)
+
+    def read_now(self, offset: int, limit: int) -> service.LogPage:
+        """Return a page without any fault or wait."""
+        self._expire()
+        first_offset = self._end_offset - len(self._entries)
+        if offset < first_offset:
+            raise errors.LogRecordsExpiredError(first_offset)
+        start = offset - first_offset
+        stop = min(start + limit, len(self._entries))
+        entries = tuple(self._entries[i] for i in range(start, stop))
+        return service.LogPage(entries, first_offset, self._end_offset)
+
+    async def _meet_faults(self) -> None:
+        if self.faults.slow_ms > 0:
+            await asyncio.sleep(self.faults.slow_ms / 1000)
+        if self.faults.silent:
+            await asyncio.get_running_loop().create_future()
+        if self.faults.down:
+            raise errors.LogUnavailableError("the log is down")
+
+    def _take_allowance(self) -> bool:
+        """Token bucket of one second's worth of appends."""
+        rate = self.max_appends_per_s
+        if rate is None:
+            return True
+        now_s = asyncio.get_running_loop().time()
+        earned = (now_s - self._allowance_s) * rate
+        self._allowance = min(rate, self._allowance + earned)
+        self._allowance_s = now_s
+        if self._allowance < 1:
+            return False
+        self._allowance -= 1
+        return True
+
+    def _expire(self) -> None:
+        if self.retention_entries is not None:
+            while len(self._entries) > self.retention_entries:
+                self._entries.popleft()
+        if self.retention_ms is not None:
+            oldest_ms = self.now_ms() - self.retention_ms
+            while self._entries and self._entries[0].timestamp_ms < oldest_ms:
+                self._entries.popleft()
