Add the demo: processes, deployment, load, checks and table

Cause: the promises to operators must be seen kept by the shipped program, as separate processes, for both users.

It ends with status 1 when a promise was broken.

--- /dev/null
+++ b/demo/__main__.py
@@ -0,0 +1,83 @@
+"""Run the demo: ``python -m demo --program dist/clementinespar``."""
+
+import asyncio
+import pathlib
+import signal
+import sys
+import tempfile
+import time
+
+import click
+
+from demo import processes, scenario, table
+
+_USERS = ("teranga", "al-batinah")
+
+
+@click.command()
+@click.option(
+    "--program",
+    required=True,
+    type=click.Path(path_type=pathlib.Path, exists=True, dir_okay=False),
+    help="The shipped program.",
+)
+@click.option(
+    "--kill", "kills", is_flag=True, help="Also kill a node, a target and the log."
+)
+@click.option(
+    "--user",
+    "users",
+    multiple=True,
+    type=click.Choice(_USERS),
+    default=_USERS,
+    help="Only this user.",
+)
+def main(program: pathlib.Path, kills: bool, users: tuple[str, ...]) -> None:
+    """Run both example deployments as separate processes and check the promises."""
+    started = time.monotonic()
+    with tempfile.TemporaryDirectory(prefix="clementinespar-demo-") as directory:
+        reports = asyncio.run(
+            _run(program.absolute(), pathlib.Path(directory), kills, users)
+        )
+    for report in reports:
+        click.echo(f"\n{table.render(report)}")
+    click.echo(f"\n{time.monotonic() - started:.0f} s in all")
+    sys.exit(1 if any(report.broken for report in reports) else 0)
+
+
+async def _run(
+    program: pathlib.Path,
+    directory: pathlib.Path,
+    kills: bool,
+    users: tuple[str, ...],
+) -> list[scenario.Report]:
+    task = asyncio.current_task()
+    assert task is not None
+    # The processes are ended also when the demo itself is told to end.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    await _unpack(program, directory)
+    reports = []
+    for user in users:
+        click.echo(f"\n{user}")
+        reports.append(
+            await scenario.run(user, program, directory / user, kills, click.echo)
+        )
+    return reports
+
+
+async def _unpack(program: pathlib.Path, directory: pathlib.Path) -> None:
+    """Let the program unpack itself once, so that the nodes start at the same time."""
+    async with processes.group(
+        directory, {"SHIV_ROOT": str(directory / "shiv")}
+    ) as group:
+        unpacked = await group.start(
+            "unpack",
+            (sys.executable, str(program), "--version"),
+            prints_line=False,
+        )
+        if await unpacked.wait() != 0:
+            raise processes.StartError(unpacked.log_tail())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/demo/tests/test_demo.py
@@ -0,0 +1,94 @@
+"""Tests of the parts of the demo that judge a run."""
+
+import asyncio
+import pathlib
+import sys
+
+import pytest
+
+from clementinespar.documents import difference, loading
+from demo import checks, deployment, documents, load, processes
+
+
+@pytest.mark.parametrize("name", ["teranga", "al-batinah"])
+def test_small_documents_are_valid_as_written(
+    name: str, tmp_path: pathlib.Path
+) -> None:
+    """Guards against documents that the demo writes and the program refuses."""
+    small = documents.small_document(name)
+    moved, host_id, pool = documents.with_moved_host(small)
+    running = documents.with_waves(moved, is_running=True)
+    for document in (small, moved, running):
+        documents.write(document, tmp_path / "d.toml")
+        assert loading.load_document(tmp_path / "d.toml") == document
+    (change,) = difference.difference(small, moved)
+    assert isinstance(change, difference.HostRehomed)
+    assert (change.host_id, change.to_pool) == (host_id, pool)
+
+
+def _asked(
+    result: load.Result, *, repeatable: bool = False, killed: bool = False
+) -> load.Asked:
+    node = deployment.Node("n", "d", 1, 2, 3, was_killed=killed)
+    return load.Asked("1-a", "s", "k", repeatable, node, 0.0, result)
+
+
+@pytest.mark.parametrize(
+    ("asked", "runs", "column", "broken"),
+    [
+        (_asked(load.Result.ANSWERED), 1, "answered", 0),
+        (_asked(load.Result.ANSWERED), 2, "doubled", 1),
+        (_asked(load.Result.ANSWERED, repeatable=True), 2, "answered", 0),
+        (_asked(load.Result.REFUSED), 0, "refused", 0),
+        (_asked(load.Result.REFUSED), 1, "ran_although_refused", 1),
+        (_asked(load.Result.UNKNOWN), 1, "unknown", 0),
+        (_asked(load.Result.CUT), 0, "lost", 1),
+        (_asked(load.Result.CUT, killed=True), 0, "unknown", 0),
+        (_asked(load.Result.LOST, killed=True), 0, "lost", 1),
+        (_asked(load.Result.PENDING), 0, "lost", 1),
+    ],
+)
+def test_tally_counts_broken_promises(
+    asked: load.Asked, runs: int, column: str, broken: int
+) -> None:
+    """Guards against a demo that reports success when a promise was broken."""
+    (tally,) = checks.tally([asked], {asked.request_id: runs})
+    assert getattr(tally, column) == 1
+    assert tally.broken == broken
+
+
+def test_budget_is_broken_by_one_observation() -> None:
+    """Guards against a short breach hidden by later observations."""
+    watch = checks.BudgetWatch()
+    for available in (3, 1, 3):
+        pool = {"name": "p", "hosts": 4, "available": available, "min_available": 2}
+        watch.observe({"pools": [pool]})
+    assert not watch.pools_by_name["p"].is_held
+    assert watch.pools_by_name["p"].most_out == 3
+
+
+def test_processes_are_ended_after_a_failure(tmp_path: pathlib.Path) -> None:
+    """Guards against processes that outlive a demo that failed."""
+
+    async def main() -> processes.Process:
+        with pytest.raises(RuntimeError):
+            async with processes.group(tmp_path, {}) as group:
+                code = "import time; print('{\"port\": 1}', flush=True); time.sleep(60)"
+                child = await group.start(
+                    "sleeper", (sys.executable, "-c", code), prints_line=True
+                )
+                raise RuntimeError
+        return child
+
+    assert not asyncio.run(main()).is_running
+
+
+def test_process_that_says_nothing_is_a_start_error(tmp_path: pathlib.Path) -> None:
+    """Guards against a demo that goes on without one of its parts."""
+
+    async def main() -> None:
+        async with processes.group(tmp_path, {}) as group:
+            await group.start("mute", (sys.executable, "-c", ""), prints_line=True)
+
+    with pytest.raises(processes.StartError):
+        asyncio.run(main())
