Add membership, client, server and relay between entry nodes

Cause: nodes need to agree on queue owners and to pass requests and log entries on. Change: rendezvous order, heartbeats with incarnations, grpclib client with bounded silence, peer server, relay of entries; answers travel in parts before the outcome. Conclusion: thin but whole; ready to assemble into a node.

--- a/clementinespar/errors.py
+++ b/clementinespar/errors.py
@@ -55,3 +55,10 @@
 
     def __init__(self, message: str) -> None:
         super().__init__(codes.ResultCode.PLATFORM_UNAVAILABLE, message)
+
+
+class PeerUnavailableError(ClementinesparError):
+    """Another entry node gave no usable reply in time."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(codes.ResultCode.PEER_UNAVAILABLE, message)
--- /dev/null
+++ b/clementinespar/peers/directory.py
@@ -0,0 +1,173 @@
+"""The other entry nodes, as the parts of one node use them."""
+
+import contextlib
+import ssl
+from collections.abc import AsyncIterator, Callable, Sequence
+
+from clementinespar import options
+from clementinespar.capacity import demand
+from clementinespar.documents import messages as document_messages
+from clementinespar.peers import client, membership, relay, rendezvous, server
+from clementinespar.requests import model
+
+
+class Peers:
+    """Live nodes, queue owners and their demands.
+
+    Implements `requests.model.OwnerDirectory` and `capacity.demand.DemandSource`.
+
+    Parameters
+    ----------
+    settings : options.Settings
+        Name of the node, seeds, ports and keys.
+    local_report : callable
+        Returns what this node says about itself now; its demands may cover services
+        that other nodes own now, which are left out.
+    owner : model.RequestHandler
+        This node's own dispatcher.
+    on_change : callable
+        Called after the set of live nodes or a peer's report changed.
+    """
+
+    members: membership.Membership  # all known nodes
+    log_relay: relay.Relay  # entries and snapshots from other nodes
+    _settings: options.Settings
+    _local_report: Callable[[], membership.Report]
+    _owner: model.RequestHandler
+    _ssl_context: ssl.SSLContext | None
+    _clients_by_endpoint: dict[str, client.PeerClient]
+
+    def __init__(
+        self,
+        settings: options.Settings,
+        local_report: Callable[[], membership.Report],
+        owner: model.RequestHandler,
+        on_change: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._settings = settings
+        self._local_report = local_report
+        self._owner = owner
+        self._ssl_context = server.make_ssl_context(
+            settings.peers, ssl.Purpose.SERVER_AUTH
+        )
+        self._clients_by_endpoint = {}
+        self.members = membership.Membership(
+            settings.node, settings.peers, self._open_link, self._own_report, on_change
+        )
+        self.log_relay = relay.Relay(self.members, self._clients_by_endpoint.get)
+
+    @contextlib.asynccontextmanager
+    async def running(self, entries: server.EntrySource) -> AsyncIterator[int]:
+        """Serve the peer protocol and send heartbeats; yields the bound port."""
+        settings = self._settings.peers
+        listener = server.bind(settings.address, settings.port)
+        port = int(listener.getsockname()[1])
+        host = f"[{settings.address}]" if ":" in settings.address else settings.address
+        service = server.PeerService(
+            self.members, entries, self._owner, settings.max_message_bytes
+        )
+        async with (
+            server.serving(service, settings, listener),
+            self.members.running(f"{host}:{port}"),
+        ):
+            yield port
+
+    def _open_link(self, endpoint: str) -> membership.PeerLink:
+        peer_client = client.PeerClient(
+            endpoint, self._settings.peers, self._ssl_context
+        )
+        self._clients_by_endpoint[endpoint] = peer_client
+        return peer_client
+
+    def _own_report(self) -> membership.Report:
+        report = self._local_report()
+        name = self._settings.node.name
+        return membership.Report(
+            applied_offset=report.applied_offset,
+            oldest_kept_offset=report.oldest_kept_offset,
+            is_ready=report.is_ready,
+            is_draining=report.is_draining,
+            trial_revision=report.trial_revision,
+            production_revision=report.production_revision,
+            demands=tuple(
+                item
+                for item in report.demands
+                if self._owner_names(item.service)[:1] == [name]
+            ),
+            ejected_host_ids=report.ejected_host_ids,
+        )
+
+    # requests.model.OwnerDirectory
+
+    def _owner_names(self, service: str) -> list[str]:
+        names = [
+            peer.name
+            for peer in self.members.live_peers()
+            if peer.report.is_ready and not peer.report.is_draining
+        ]
+        own = self._local_report()
+        if own.is_ready and not own.is_draining and not self.members.is_superseded:
+            names.append(self._settings.node.name)
+        return rendezvous.order_nodes(service, names)
+
+    def candidates(self, service: str) -> Sequence[model.OwnerCandidate]:
+        """Return live nodes in rendezvous order; the first one owns the queue."""
+        peers_by_name = {peer.name: peer for peer in self.members.peers()}
+        candidates: list[model.OwnerCandidate] = []
+        for name in self._owner_names(service):
+            if name == self._settings.node.name:
+                candidates.append(model.OwnerCandidate(name, self._owner, True))
+                continue
+            endpoint = peers_by_name[name].member.endpoint
+            peer_client = self._clients_by_endpoint.get(endpoint)
+            if peer_client is not None:
+                handler = client.RemoteOwner(peer_client, self._settings.node.name)
+                candidates.append(model.OwnerCandidate(name, handler, False))
+        return candidates
+
+    # capacity.demand.DemandSource
+
+    def demand_by_service(self) -> dict[str, demand.ServiceDemand]:
+        """Return the demand of each service, as its owner reports it."""
+        demands_by_node = {
+            peer.name: peer.report.demands for peer in self.members.live_peers()
+        }
+        demands_by_node[self._settings.node.name] = self._own_report().demands
+        found: dict[str, tuple[int, demand.ServiceDemand]] = {}
+        for node, demands in demands_by_node.items():
+            for item in demands:
+                # Right after a change of owner two nodes may report a service.
+                rank = rendezvous.score(item.service, node)
+                if item.service not in found or rank > found[item.service][0]:
+                    found[item.service] = (rank, item)
+        return {service: item for service, (_, item) in found.items()}
+
+    def ejected_host_ids(self) -> frozenset[str]:
+        """Return hosts whose targets the queue owners have ejected."""
+        ejected = set(self._local_report().ejected_host_ids)
+        for peer in self.members.live_peers():
+            ejected |= peer.report.ejected_host_ids
+        return frozenset(ejected)
+
+    # Publication.
+
+    def nodes_by_revision(
+        self, environment: document_messages.Environment, revision: int
+    ) -> tuple[list[str], list[str]]:
+        """Return the live nodes that have applied a revision, and those that have not.
+
+        A later revision counts: revisions only grow, so the earlier one was in force.
+        """
+        applied: list[str] = []
+        missing: list[str] = []
+        own = self._local_report()
+        reports = {peer.name: peer.report for peer in self.members.live_peers()}
+        reports[self._settings.node.name] = own
+        for name, report in sorted(reports.items()):
+            node_revision = (
+                report.trial_revision
+                if environment == "trial"
+                else report.production_revision
+            )
+            (applied if node_revision >= revision else missing).append(name)
+        return applied, missing
--- /dev/null
+++ b/clementinespar/peers/rendezvous.py
@@ -0,0 +1,31 @@
+"""Rendezvous hashing: which node owns the queue of a service.
+
+Each (service, node) pair has a score that every node computes alike. The node with the
+highest score owns the service, so losing a node moves only that node's services.
+"""
+
+import hashlib
+from collections.abc import Iterable
+
+_SCORE_BYTES = 8  # 64 bits: ties among a few hundred nodes do not occur in practice
+
+
+def score(service: str, node: str) -> int:
+    """Return the score of a node for a service, the same in every process."""
+    digest = hashlib.blake2b(digest_size=_SCORE_BYTES)
+    # The length keeps ("ab", "c") and ("a", "bc") apart.
+    digest.update(f"{len(service)}:{service}{node}".encode())
+    return int.from_bytes(digest.digest(), "big")
+
+
+def order_nodes(service: str, nodes: Iterable[str]) -> list[str]:
+    """Return the nodes by descending score; the first one owns the service.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    nodes : iterable of str
+        Names of the nodes that may own queues.
+    """
+    return sorted(nodes, key=lambda node: (-score(service, node), node))
--- /dev/null
+++ b/clementinespar/peers/server.py
@@ -0,0 +1,269 @@
+"""Server side of the peer protocol."""
+
+import asyncio
+import contextlib
+import hashlib
+import socket
+import ssl
+from collections.abc import AsyncIterator, Sequence
+from typing import Any, Protocol
+
+import grpclib
+import grpclib.protocol
+import grpclib.server
+
+from clementinespar import options
+from clementinespar.log import service as log_service
+from clementinespar.peers import client, membership, peer_grpc, peer_pb2
+from clementinespar.requests import model
+
+# Parts of a snapshot or an answer: small enough for other calls on the same connection
+# to get their turn in between.
+PART_BYTES = 64 * 1024
+MAX_FETCHED_ENTRIES = 1_000  # entries of one FetchEntries call
+
+
+class EntrySource(Protocol):
+    """State that this node can give to others; `log.follower.Follower` in a node."""
+
+    def recent_entries(
+        self, from_offset: int, limit: int
+    ) -> Sequence[log_service.LogEntry]:
+        """Return entries still in memory, in order, from an offset on."""
+        ...
+
+    def snapshot(self) -> tuple[int, bytes]:
+        """Return the offset of the last applied entry and the compressed state."""
+        ...
+
+
+class PeerService(peer_grpc.PeerBase):
+    """Handlers of the peer protocol.
+
+    Parameters
+    ----------
+    members : membership.Membership
+        Takes in heartbeats.
+    entries : EntrySource
+        Gives entries and snapshots.
+    owner : model.RequestHandler
+        This node's own dispatcher.
+    max_message_bytes : int
+        Size of the largest message that is taken in.
+    """
+
+    _members: membership.Membership
+    _entries: EntrySource
+    _owner: model.RequestHandler
+    _max_message_bytes: int
+
+    def __init__(
+        self,
+        members: membership.Membership,
+        entries: EntrySource,
+        owner: model.RequestHandler,
+        max_message_bytes: int,
+    ) -> None:
+        self._members = members
+        self._entries = entries
+        self._owner = owner
+        self._max_message_bytes = max_message_bytes
+
+    async def _receive(self, stream: Any) -> Any:
+        client.check_message_size(stream, self._max_message_bytes, _too_large)
+        message = await stream.recv_message()
+        if message is None:
+            raise grpclib.GRPCError(
+                grpclib.Status.INVALID_ARGUMENT, "the call has no message"
+            )
+        return message
+
+    async def Heartbeat(
+        self,
+        stream: grpclib.server.Stream[
+            peer_pb2.HeartbeatMessage, peer_pb2.HeartbeatMessage
+        ],
+    ) -> None:
+        """Exchange heartbeats."""
+        message = await self._receive(stream)
+        await stream.send_message(self._members.on_heartbeat(message))
+
+    async def FetchEntries(
+        self,
+        stream: grpclib.server.Stream[
+            peer_pb2.FetchEntriesRequest, peer_pb2.EntryMessage
+        ],
+    ) -> None:
+        """Give entries that are still in memory."""
+        message = await self._receive(stream)
+        limit = min(message.limit, MAX_FETCHED_ENTRIES)
+        for entry in self._entries.recent_entries(message.from_offset, limit):
+            await stream.send_message(
+                peer_pb2.EntryMessage(
+                    offset=entry.offset,
+                    timestamp_ms=entry.timestamp_ms,
+                    payload=entry.payload,
+                )
+            )
+
+    async def FetchSnapshot(
+        self,
+        stream: grpclib.server.Stream[
+            peer_pb2.FetchSnapshotRequest, peer_pb2.SnapshotPart
+        ],
+    ) -> None:
+        """Give the whole folded state."""
+        await self._receive(stream)
+        offset, data = self._entries.snapshot()
+        if offset < 0:
+            return
+        digest = hashlib.sha256(data).hexdigest()
+        for start in range(0, max(1, len(data)), PART_BYTES):
+            is_last = start + PART_BYTES >= len(data)
+            await stream.send_message(
+                peer_pb2.SnapshotPart(
+                    as_of_offset=offset,
+                    data=data[start : start + PART_BYTES],
+                    digest=digest if is_last else "",
+                )
+            )
+
+    async def Dispatch(
+        self,
+        stream: grpclib.server.Stream[peer_pb2.DispatchRequest, peer_pb2.DispatchEvent],
+    ) -> None:
+        """Take a request of another node to its outcome."""
+        message = await self._receive(stream)
+        # Headers now: the sender learns that the connection works.
+        await stream.send_initial_metadata()
+        started = asyncio.Event()
+        request = _decode_request(message)
+        handling = asyncio.create_task(self._owner.handle(request, started.set))
+        announcing = asyncio.create_task(_announce_start(stream, started))
+        try:
+            outcome = await handling
+            if started.is_set():
+                await announcing
+            for start in range(0, len(outcome.body), PART_BYTES):
+                await stream.send_message(
+                    peer_pb2.DispatchEvent(
+                        body_part=outcome.body[start : start + PART_BYTES]
+                    )
+                )
+            await stream.send_message(
+                peer_pb2.DispatchEvent(outcome=_encode_outcome(outcome))
+            )
+        finally:
+            for task in (handling, announcing):
+                task.cancel()
+            await asyncio.gather(handling, announcing, return_exceptions=True)
+
+
+async def _announce_start(stream: Any, started: asyncio.Event) -> None:
+    await started.wait()
+    await stream.send_message(peer_pb2.DispatchEvent(started=peer_pb2.Started()))
+
+
+def _too_large(text: str) -> Exception:
+    return grpclib.GRPCError(grpclib.Status.RESOURCE_EXHAUSTED, text)
+
+
+def _decode_request(message: peer_pb2.DispatchRequest) -> model.Request:
+    return model.Request(
+        request_id=message.request_id,
+        service=message.service,
+        kind=message.kind,
+        body=message.body,
+        content_type=message.content_type,
+        deadline=asyncio.get_running_loop().time() + message.remaining_ms / 1000,
+        team=message.team or None,
+        is_urgent=message.is_urgent,
+        declared_run_ms=message.declared_run_ms or None,
+        traceparent=message.traceparent or None,
+    )
+
+
+def _encode_outcome(outcome: model.Outcome) -> peer_pb2.OutcomeMessage:
+    return peer_pb2.OutcomeMessage(
+        kind=outcome.kind.value,
+        code=int(outcome.code),
+        reason=outcome.reason,
+        status=outcome.status,
+        content_type=outcome.content_type,
+        host_id=outcome.host_id or "",
+        attempts=outcome.attempts,
+        waited_s=outcome.waited_s,
+    )
+
+
+def make_ssl_context(
+    settings: options.PeersSettings, purpose: ssl.Purpose
+) -> ssl.SSLContext | None:
+    """Return the context of one side, or None for plain TCP.
+
+    Both sides must present a certificate of ``tls_authority``, which signs nothing but
+    entry nodes. Host names are not checked: a node is replaced at any address, and
+    the heartbeat names it.
+    """
+    if settings.tls_certificate is None or settings.tls_key is None:
+        return None
+    protocol = (
+        ssl.PROTOCOL_TLS_SERVER
+        if purpose is ssl.Purpose.CLIENT_AUTH
+        else ssl.PROTOCOL_TLS_CLIENT
+    )
+    context = ssl.SSLContext(protocol)
+    context.minimum_version = ssl.TLSVersion.TLSv1_3
+    context.check_hostname = False
+    context.verify_mode = ssl.CERT_REQUIRED
+    context.load_cert_chain(settings.tls_certificate, settings.tls_key)
+    context.load_verify_locations(settings.tls_authority)
+    context.set_alpn_protocols(["h2"])
+    return context
+
+
+class _Server(grpclib.server.Server):
+    """Server whose connections have bounded silence."""
+
+    def _protocol_factory(self) -> grpclib.protocol.H2Protocol:
+        protocol = super()._protocol_factory()
+        connection_made = protocol.connection_made
+
+        def bounded_connection_made(transport: asyncio.BaseTransport) -> None:
+            client.bound_silence(transport)
+            connection_made(transport)
+
+        protocol.connection_made = bounded_connection_made  # type: ignore[method-assign]
+        return protocol
+
+
+@contextlib.asynccontextmanager
+async def serving(
+    service: PeerService, settings: options.PeersSettings, listener: socket.socket
+) -> AsyncIterator[None]:
+    """Serve the peer protocol on a bound socket while the context is entered."""
+    server = _Server(
+        [service], config=client.make_configuration(settings.max_message_bytes)
+    )
+    await server.start(
+        sock=listener, ssl=make_ssl_context(settings, ssl.Purpose.CLIENT_AUTH)
+    )
+    try:
+        yield
+    finally:
+        server.close()
+        await server.wait_closed()
+
+
+def bind(address: str, port: int) -> socket.socket:
+    """Return a socket bound to an IP number; port 0 lets the system choose."""
+    family = socket.AF_INET6 if ":" in address else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((address, port))
+        listener.setblocking(False)
+    except OSError:
+        listener.close()
+        raise
+    return listener
--- /dev/null
+++ b/clementinespar/peers/tests/test_membership.py
@@ -0,0 +1,207 @@
+"""Tests of membership on a paused clock with an in-memory network."""
+
+import asyncio
+import contextlib
+import dataclasses
+from collections.abc import AsyncIterator
+
+from clementinespar.peers import membership
+from clementinespar.peers.tests import memory_network
+from clementinespar.tests import paused_clock
+
+_A, _B, _C, _D = (f"10.0.0.{i}:1" for i in range(1, 5))
+_DEAD_S = 3.5 * 0.5  # missed heartbeats and a half, by the default interval
+
+
+@contextlib.asynccontextmanager
+async def _three(
+    network: memory_network.Network,
+) -> AsyncIterator[
+    tuple[memory_network.Node, memory_network.Node, memory_network.Node]
+]:
+    async with (
+        memory_network.running_node(network, "a", _A) as a,
+        memory_network.running_node(network, "b", _B) as b,
+        memory_network.running_node(network, "c", _C) as c,
+    ):
+        await asyncio.sleep(1.5)
+        yield a, b, c
+
+
+def test_nodes_learn_of_each_other_from_one_seed() -> None:
+    async def main() -> None:
+        async with _three(memory_network.Network()) as (a, b, c):
+            assert a.live() == ["b", "c"]
+            assert b.live() == ["a", "c"]
+            assert c.live() == ["a", "b"]
+
+    paused_clock.run(main())
+
+
+def test_cut_node_is_dead_after_the_missed_heartbeats_and_returns() -> None:
+    async def main() -> None:
+        network = memory_network.Network()
+        async with _three(network) as (a, b, c):
+            network.cut(_A, _B)
+            await asyncio.sleep(_DEAD_S - 0.55)
+            assert a.live() == ["b", "c"], "dead before three heartbeats were missed"
+            await asyncio.sleep(0.56)
+            assert a.live() == ["c"]
+            assert b.live() == ["c"]
+            assert c.live() == ["a", "b"]
+            network.heal()
+            await asyncio.sleep(2.5)
+            assert a.live() == ["b", "c"]
+            assert b.live() == ["a", "c"]
+
+    paused_clock.run(main())
+
+
+def test_node_that_is_heard_but_not_reached_is_not_alive() -> None:
+    # Guards against routing to an owner whose requests would never arrive.
+    async def main() -> None:
+        network = memory_network.Network()
+        async with _three(network) as (a, b, _):
+            network.cuts.add((_A, _B))
+            await asyncio.sleep(_DEAD_S + 0.01)
+            assert a.live() == ["c"]
+            assert b.live() == ["c"], "replies to b are lost as well"
+
+    paused_clock.run(main())
+
+
+def test_long_cut_heals_although_both_nodes_forgot_each_other() -> None:
+    async def main() -> None:
+        network = memory_network.Network()
+        async with _three(network) as (_, b, c):
+            network.cut(_B, _C)
+            await asyncio.sleep(600)
+            network.heal()
+            await asyncio.sleep(35)
+            assert b.live() == ["a", "c"]
+            assert c.live() == ["a", "b"]
+
+    paused_clock.run(main())
+
+
+def test_dead_node_is_forgotten_everywhere() -> None:
+    async def main() -> None:
+        network = memory_network.Network()
+        async with _three(network) as (a, b, _):
+            async with memory_network.running_node(network, "d", _D):
+                await asyncio.sleep(2)
+                assert a.live() == ["b", "c", "d"]
+            await asyncio.sleep(130)
+            assert [peer.name for peer in a.members.peers()] == ["b", "c"]
+            assert [peer.name for peer in b.members.peers()] == ["a", "c"]
+
+    paused_clock.run(main())
+
+
+def test_replacement_at_a_new_address_supersedes_its_predecessor() -> None:
+    async def main() -> None:
+        network = memory_network.Network()
+        async with _three(network) as (a, b, c):
+            network.frozen.add(_C)
+            await asyncio.sleep(3)
+            async with memory_network.running_node(
+                network, "c", _D, incarnation=2
+            ) as new:
+                await asyncio.sleep(2)
+                assert a.live() == b.live() or a.live() == ["b", "c"]
+                assert a.members.peers()[1].member.endpoint == _D
+                network.frozen.clear()
+                await asyncio.sleep(3)
+                assert c.members.is_superseded
+                assert not new.members.is_superseded
+                assert a.members.peers()[1].member.endpoint == _D
+                assert b.members.peers()[1].member.endpoint == _D
+
+    paused_clock.run(main())
+
+
+def test_replacement_whose_clock_is_behind_is_accepted() -> None:
+    async def main() -> None:
+        network = memory_network.Network()
+        async with memory_network.running_node(network, "a", _A) as a:
+            async with memory_network.running_node(network, "b", _B, incarnation=500):
+                await asyncio.sleep(2)
+            async with memory_network.running_node(
+                network, "b", _C, incarnation=100
+            ) as new:
+                await asyncio.sleep(2)
+                assert new.members.incarnation == 501
+                assert not new.members.is_superseded
+                assert a.live() == ["b"]
+                assert a.members.peers()[0].member.endpoint == _C
+
+    paused_clock.run(main())
+
+
+def test_other_node_at_the_address_of_a_dead_one() -> None:
+    async def main() -> None:
+        network = memory_network.Network()
+        async with memory_network.running_node(network, "a", _A) as a:
+            async with memory_network.running_node(network, "b", _B):
+                await asyncio.sleep(2)
+            async with memory_network.running_node(network, "x", _B):
+                await asyncio.sleep(3)
+                assert a.live() == ["x"]
+
+    paused_clock.run(main())
+
+
+def test_woken_node_gives_its_peers_time_to_answer() -> None:
+    # Guards against a node that wakes, finds all others dead and owns every queue.
+    async def main() -> None:
+        network = memory_network.Network()
+        async with _three(network) as (a, _, _c):
+            loop = asyncio.get_running_loop()
+            assert isinstance(loop, paused_clock.PausedClockLoop)
+            loop._jumping_selector.jumped_s += 3600
+            assert a.live() == ["b", "c"]
+            await asyncio.sleep(1)
+            assert a.live() == ["b", "c"]
+
+    paused_clock.run(main())
+
+
+def test_announce_tells_every_live_node_before_it_returns() -> None:
+    async def main() -> None:
+        network = memory_network.Network()
+        async with _three(network) as (a, b, c):
+            start = asyncio.get_running_loop().time()
+            a.report = dataclasses.replace(a.report, is_draining=True)
+            await a.members.announce()
+            assert asyncio.get_running_loop().time() - start < 0.1
+            for node in (b, c):
+                assert node.members.peers()[0].report.is_draining
+
+    paused_clock.run(main())
+
+
+def test_member_lists_are_sent_on_change_only() -> None:
+    async def main() -> None:
+        network = memory_network.Network()
+        async with _three(network):
+            await asyncio.sleep(3)
+            network.sent_lists.clear()
+            await asyncio.sleep(20)
+            assert network.sent_lists == []
+
+    paused_clock.run(main())
+
+
+def test_reports_keep_what_only_grows() -> None:
+    # A reply that crosses a later heartbeat must not bring back an older offset.
+    async def main() -> None:
+        network = memory_network.Network()
+        async with _three(network) as (a, b, _):
+            a.report = membership.Report(applied_offset=7, production_revision=3)
+            await asyncio.sleep(1)
+            a.report = membership.Report(applied_offset=5, production_revision=2)
+            await asyncio.sleep(1)
+            report = b.members.peers()[0].report
+            assert (report.applied_offset, report.production_revision) == (7, 3)
+
+    paused_clock.run(main())
