--- a/clementinespar/codes.py
+++ b/clementinespar/codes.py
@@ -36,6 +36,7 @@
     BUDGET_EXCEEDED = 226
     WAVE_CONFLICT = 230
     WAVE_UNKNOWN = 231
+    WAVE_PAUSED = 232
     DUTY_HELD = 240
     DUTY_NOT_HELD = 241
     CLAIM_HELD = 250
--- a/clementinespar/errors.py
+++ b/clementinespar/errors.py
@@ -55,3 +55,10 @@
 
     def __init__(self, message: str) -> None:
         super().__init__(codes.ResultCode.PLATFORM_UNAVAILABLE, message)
+
+
+class PlatformRefusedError(ClementinesparError):
+    """The platform refused a host action, which certainly has no effect."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(codes.ResultCode.PLATFORM_REFUSED, message)
