--- /dev/null
+++ b/clementinespar/platform/http.py
@@ -0,0 +1,137 @@
+"""Client of the platform's HTTP interface."""
+
+import json
+from typing import Any, Literal, NoReturn
+
+import pydantic
+from tornado import curl_httpclient, httpclient
+
+from clementinespar import errors
+from clementinespar.platform import service
+
+_MAX_CLIENTS = 32  # host actions and polls of one node at once
+_STATUS_REFUSED = 409  # the platform's answer to a stale fencing offset
+_MAX_ERROR_CHARACTERS = 200
+
+
+class _HostListReply(pydantic.BaseModel):
+    """Reply of ``GET /hosts``."""
+
+    observed_ms: int
+    hosts: list[service.ListedHost]
+
+
+class _StatusReply(pydantic.BaseModel):
+    """Reply of ``GET /operations/ID/STEP``."""
+
+    state: service.OperationState
+
+
+class HttpPlatformService:
+    """Implements `service.PlatformService` over HTTP.
+
+    Parameters
+    ----------
+    url : str
+        Base address without a trailing slash, for example ``http://10.0.0.1:8000``.
+    request_timeout_s : float
+        Longest duration of one request in seconds, connecting included.
+    """
+
+    _url: str  # base address
+    _request_timeout_s: float  # longest duration of one request
+    _client: curl_httpclient.CurlAsyncHTTPClient  # own instance, closed by `close`
+
+    def __init__(self, url: str, request_timeout_s: float) -> None:
+        self._url = url
+        self._request_timeout_s = request_timeout_s
+        self._client = curl_httpclient.CurlAsyncHTTPClient(
+            force_instance=True, max_clients=_MAX_CLIENTS
+        )
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._client.close()
+
+    async def list_hosts(self) -> service.HostList:
+        """Return the list of live and leaving hosts."""
+        body = await self._request("GET", "/hosts", None)
+        try:
+            reply = _HostListReply.model_validate_json(body)
+        except pydantic.ValidationError as error:
+            _raise_malformed("/hosts", error)
+        return service.HostList(
+            reply.observed_ms, {host.host_id: host for host in reply.hosts}
+        )
+
+    async def drain(self, host_id: str, operation: service.Operation) -> None:
+        """Start to drain a host."""
+        await self._request("POST", f"/hosts/{host_id}/drain", _fields(operation))
+
+    async def reboot(
+        self, host_id: str, operation: service.Operation, pool: str
+    ) -> None:
+        """Start to reboot a drained host into a pool."""
+        fields = _fields(operation) | {"pool": pool}
+        await self._request("POST", f"/hosts/{host_id}/reboot", fields)
+
+    async def operation_status(
+        self, operation_id: str, step: Literal["drain", "reboot"]
+    ) -> service.OperationState:
+        """Return how far a step of an operation is."""
+        path = f"/operations/{operation_id}/{step}"
+        body = await self._request("GET", path, None)
+        try:
+            return _StatusReply.model_validate_json(body).state
+        except pydantic.ValidationError as error:
+            _raise_malformed(path, error)
+
+    async def throttle(self, host_id: str, request_id: str) -> None:
+        """Give a straggling task on a host less of its processors."""
+        await self._request(
+            "POST", f"/hosts/{host_id}/throttle", {"request_id": request_id}
+        )
+
+    async def checkpoint(self, host_id: str, request_id: str) -> None:
+        """Checkpoint a task, so that it can go on elsewhere."""
+        await self._request(
+            "POST", f"/hosts/{host_id}/checkpoint", {"request_id": request_id}
+        )
+
+    async def _request(
+        self, method: str, path: str, fields: dict[str, Any] | None
+    ) -> bytes:
+        """Send one request; raise unless the platform answered with success."""
+        request = httpclient.HTTPRequest(
+            self._url + path,
+            method=method,
+            headers={"Content-Type": "application/json"},
+            body=None if fields is None else json.dumps(fields),
+            connect_timeout=self._request_timeout_s,
+            request_timeout=self._request_timeout_s,
+            follow_redirects=False,
+        )
+        try:
+            response = await self._client.fetch(request, raise_error=False)
+        except OSError as error:
+            raise errors.PlatformUnavailableError(f"{path}: {error}") from error
+        if response.code == _STATUS_REFUSED:
+            text = response.body.decode(errors="replace")[:_MAX_ERROR_CHARACTERS]
+            raise errors.PlatformRefusedError(f"{path}: {text}")
+        if response.code != 200:
+            raise errors.PlatformUnavailableError(
+                f"{path}: status {response.code}: {response.reason}"
+            )
+        return response.body
+
+
+def _fields(operation: service.Operation) -> dict[str, Any]:
+    return {
+        "operation_id": operation.operation_id,
+        "fencing_offset": operation.fencing_offset,
+    }
+
+
+def _raise_malformed(path: str, error: pydantic.ValidationError) -> NoReturn:
+    first_line = str(error).splitlines()[0]
+    raise errors.PlatformUnavailableError(f"{path}: reply is not valid: {first_line}")
