--- a/clementinespar/errors.py
+++ b/clementinespar/errors.py
@@ -62,3 +62,10 @@
 
     def __init__(self, message: str) -> None:
         super().__init__(codes.ResultCode.PEER_UNAVAILABLE, message)
+
+
+class PlatformRefusedError(ClementinesparError):
+    """The platform refused a host action, which certainly has no effect."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(codes.ResultCode.PLATFORM_REFUSED, message)
