--- /dev/null
+++ b/clementinespar/admin/views.py
@@ -0,0 +1,267 @@
+"""Status and explanations that the admin port shows."""
+
+import dataclasses
+from collections.abc import Callable, Mapping
+from typing import Any, Protocol
+
+from clementinespar import codes, errors, explanation
+from clementinespar.capacity import demand
+from clementinespar.documents import messages, model
+from clementinespar.documents import state as documents_state
+from clementinespar.fleet import source as fleet_source
+from clementinespar.peers import directory
+from clementinespar.platform import service as platform_service
+from clementinespar.pools import state as pools_state
+
+Json = dict[str, Any]
+
+
+class HostExplainer(Protocol):
+    """Explains hosts; `pools.operations.HostOperations` in a node."""
+
+    def explain(self, host_id: str) -> explanation.Explanation:
+        """Explain where a host is and what it waits for."""
+        ...
+
+
+class PoolPlanner(Protocol):
+    """Plans for pools; the runners of waves and capacity in a node."""
+
+    def plan(self, environment: messages.Environment) -> Any:
+        """Return what the next round would do."""
+        ...
+
+    def explain(self, pool: str) -> explanation.Explanation:
+        """Explain what happens in a pool."""
+        ...
+
+
+class RequestExplainer(Protocol):
+    """Explains recent requests; the router in a node."""
+
+    def explain(self, request_id: str) -> Mapping[str, Any] | None:
+        """Return what is known of a request, or None."""
+        ...
+
+
+class NodeView(Protocol):
+    """What the node says about itself."""
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the node accepts work."""
+        ...
+
+    @property
+    def not_ready_reasons(self) -> list[str]:
+        """Why it does not, as plain sentences."""
+        ...
+
+    def describe(self) -> Json:
+        """Return the ``node`` part of the status."""
+        ...
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Views:
+    """Builds the replies of the admin port from the parts of the node."""
+
+    node: NodeView
+    source: fleet_source.FleetSource
+    peers: directory.Peers
+    host_list: platform_service.HostListSource
+    hosts: HostExplainer
+    waves: PoolPlanner
+    capacity: PoolPlanner
+    requests: RequestExplainer
+    queue_by_service: Callable[[], Mapping[str, Json]]  # queues that this node owns
+
+    def status(self, environment: messages.Environment) -> Json:
+        """Return the reply of ``GET /v1/status``."""
+        in_force = self.source.state.documents.in_force_by_environment.get(environment)
+        document = None if in_force is None else in_force.document
+        return {
+            "environment": environment,
+            "document": None if in_force is None else _document_line(in_force),
+            "node": self.node.describe(),
+            "host_list": self._host_list(),
+            "peers": self._peers(),
+            "pools": [] if document is None else self._pools(document),
+            "waves": self._waves(),
+            "services": [] if document is None else self._services(document),
+        }
+
+    def plan(self, environment: messages.Environment) -> Json:
+        """Return the reply of ``GET /v1/plan``."""
+        return {
+            "environment": environment,
+            "waves": self.waves.plan(environment),
+            "capacity": self.capacity.plan(environment),
+        }
+
+    def document(self, environment: messages.Environment) -> Json:
+        """Return the reply of ``GET /v1/documents/ENV``."""
+        in_force = self.source.state.documents.in_force_by_environment.get(environment)
+        if in_force is None:
+            return {"environment": environment, "revision": 0, "document": None}
+        return _document_line(in_force) | {
+            "environment": environment,
+            "document": in_force.document,
+        }
+
+    def history(self, environment: messages.Environment) -> Json:
+        """Return the reply of ``GET /v1/documents/ENV/history``, oldest first."""
+        return {
+            "environment": environment,
+            "history": [
+                publication
+                for publication in self.source.state.documents.history
+                if publication.environment == environment
+            ],
+        }
+
+    def host(self, host_id: str) -> explanation.Explanation:
+        """Explain a host."""
+        return self.hosts.explain(host_id)
+
+    def pool(self, name: str) -> Json:
+        """Explain a pool: its budget, hosts that are out, and capacity."""
+        document = self.source.state.documents.production
+        if document is None or name not in document.pools:
+            raise errors.ClementinesparError(
+                codes.ResultCode.POOL_UNKNOWN, f"no pool {name} in production"
+            )
+        explained = self.capacity.explain(name)
+        facts = self._pool(name, document.pools[name])
+        because = [
+            f"{facts['available']} of {facts['hosts']} hosts are available; the budget "
+            f"keeps at least {facts['min_available']}"
+        ]
+        if facts["out"]:
+            because.append("out: " + ", ".join(facts["out"]))
+        if facts["failed"]:
+            because.append("failed: " + ", ".join(facts["failed"]))
+        if facts["ejected"]:
+            because.append("ejected: " + ", ".join(facts["ejected"]))
+        return {
+            "subject": explained.subject,
+            "state": explained.state,
+            "waits_for": explained.waits_for,
+            "because": [*because, *explained.because],
+            "code": explained.code,
+        }
+
+    def wave(self, pool: str) -> explanation.Explanation:
+        """Explain the wave of a pool."""
+        document = self.source.state.documents.production
+        if document is None or pool not in document.pools:
+            raise errors.ClementinesparError(
+                codes.ResultCode.POOL_UNKNOWN, f"no pool {pool} in production"
+            )
+        return self.waves.explain(pool)
+
+    def request(self, request_id: str) -> Mapping[str, Any]:
+        """Explain a recent request of a caller of this node."""
+        explained = self.requests.explain(request_id)
+        if explained is None:
+            raise errors.ClementinesparError(
+                codes.ResultCode.REQUEST_INVALID,
+                "this node knows no such recent request; ask the node that its "
+                "caller asked",
+            )
+        return explained
+
+    def _host_list(self) -> Json:
+        latest = self.host_list.latest
+        if latest is None:
+            return {"age_s": None, "hosts": 0}
+        return {
+            "age_s": round(self.host_list.age_s, 3),
+            "hosts": len(latest.hosts_by_id),
+            "leaving": sum(
+                host.condition == "leaving" for host in latest.hosts_by_id.values()
+            ),
+        }
+
+    def _peers(self) -> list[Json]:
+        members = self.peers.members
+        return [
+            {
+                "name": peer.name,
+                "endpoint": peer.member.endpoint,
+                "data_centre": peer.member.data_centre,
+                "is_alive": members.is_alive(peer),
+                "is_ready": peer.report.is_ready,
+                "is_draining": peer.report.is_draining,
+                "applied_offset": peer.report.applied_offset,
+                "trial_revision": peer.report.trial_revision,
+                "production_revision": peer.report.production_revision,
+            }
+            for peer in members.peers()
+        ]
+
+    def _pools(self, document: model.Document) -> list[Json]:
+        return [self._pool(name, pool) for name, pool in document.pools.items()]
+
+    def _pool(self, name: str, pool: model.Pool) -> Json:
+        hosts = self.source.state.pools.hosts_of(name)
+        ejected = self.peers.ejected_host_ids()
+        return {
+            "name": name,
+            "hosts": len(hosts),
+            "available": sum(
+                host.is_available and host.host_id not in ejected for host in hosts
+            ),
+            "min_available": pool.budget.min_available,
+            "spare": pool.spare,
+            "out": [_out_line(host) for host in hosts if host.out is not None],
+            "failed": [h.host_id for h in hosts if h.failed_since_ms is not None],
+            "ejected": [host.host_id for host in hosts if host.host_id in ejected],
+            "lent_in": [host.host_id for host in hosts if host.home != name],
+        }
+
+    def _waves(self) -> list[Json]:
+        return [
+            {
+                "pool": wave.pool,
+                "wave_id": wave.wave_id,
+                "hosts": list(wave.host_ids),
+                "started_ms": wave.started_ms,
+                "author": wave.author,
+            }
+            for wave in self.source.state.waves.waves_by_pool.values()
+        ]
+
+    def _services(self, document: model.Document) -> list[Json]:
+        demands: dict[str, demand.ServiceDemand] = self.peers.demand_by_service()
+        queues = self.queue_by_service()
+        services: list[Json] = []
+        for name, service in document.services.items():
+            owners = self.peers.candidates(name)
+            observed = demands.get(name)
+            line: Json = {
+                "name": name,
+                "pool": service.pool,
+                "owner": owners[0].node if owners else None,
+                "mean_slots": None if observed is None else observed.mean_slots,
+                "refused_per_s": None if observed is None else observed.refused_per_s,
+            }
+            if owners and owners[0].is_local:
+                line |= queues.get(name, {})
+            services.append(line)
+        return services
+
+
+def _document_line(in_force: documents_state.DocumentInForce) -> Json:
+    return {
+        "revision": in_force.revision,
+        "author": in_force.author,
+        "log_time_ms": in_force.log_time_ms,
+    }
+
+
+def _out_line(host: pools_state.HostState) -> str:
+    if host.out is None:
+        return host.host_id
+    target = "" if host.out.to_pool is None else f" to {host.out.to_pool}"
+    return f"{host.host_id} ({host.out.reason}{target})"
--- a/clementinespar/peers/directory.py
+++ b/clementinespar/peers/directory.py
@@ -171,3 +171,7 @@
             )
             (applied if node_revision >= revision else missing).append(name)
         return applied, missing
+
+    async def wait_changed(self) -> None:
+        """Wait until a peer's report or the set of live nodes changes."""
+        await self.members.wait_changed()
