--- a/clementinespar/fleet/state.py
+++ b/clementinespar/fleet/state.py
@@ -12,6 +12,7 @@
 from clementinespar.claims import messages as claim_messages
 from clementinespar.claims import state as claims_state
 from clementinespar.documents import messages as document_messages
+from clementinespar.documents import model as document_model
 from clementinespar.documents import state as documents_state
 from clementinespar.duties import messages as duty_messages
 from clementinespar.duties import state as duties_state
@@ -123,13 +124,13 @@
         case document_messages.DocumentPublished():
             code = documents_state.apply_published(state.documents, record, entry)
             if record.environment == "production" and code == codes.ResultCode.OK:
-                pools_state.apply_document(state.pools, record.document, entry.offset)
+                _apply_production(state, record.document, entry)
             return code
         case document_messages.DocumentPromoted():
             code = documents_state.apply_promoted(state.documents, record, entry)
             promoted = state.documents.production
             if code == codes.ResultCode.OK and promoted is not None:
-                pools_state.apply_document(state.pools, promoted, entry.offset)
+                _apply_production(state, promoted, entry)
             return code
         case claim_messages.RequestClaims():
             return claims_state.apply_claims(state.claims, record, entry)
@@ -141,9 +142,7 @@
             return duties_state.apply_released(state.duties, record, entry)
         case pool_messages.HostTakenOut():
             if record.reason == "maintenance":
-                code = waves_state.check_host(
-                    state.waves, record.wave_id, record.host_id
-                )
+                code = waves_state.check_maintenance(state.waves, document, record)
                 if code != codes.ResultCode.OK:
                     return code
             return pools_state.apply_taken_out(state.pools, document, record, entry)
@@ -156,10 +155,20 @@
         case pool_messages.HostRecovered():
             return pools_state.apply_recovered(state.pools, record, entry)
         case wave_messages.WaveStarted():
-            return waves_state.apply_started(state.waves, record, entry)
+            return waves_state.apply_started(
+                state.waves, state.pools, document, record, entry
+            )
         case wave_messages.WaveFinished():
             return waves_state.apply_finished(state.waves, record, entry)
         case fleet_messages.SnapshotChunk():
             return codes.ResultCode.OK
         case _:
             return codes.ResultCode.RECORD_INVALID
+
+
+def _apply_production(
+    state: FleetState, document: document_model.Document, entry: log_service.LogEntry
+) -> None:
+    """Bring hosts and waves in line with a document that came into force."""
+    pools_state.apply_document(state.pools, document, entry.offset)
+    waves_state.apply_document(state.waves, document, entry)
--- a/clementinespar/platform/http.py
+++ b/clementinespar/platform/http.py
@@ -1,7 +1,8 @@
 """Client of the platform's HTTP interface."""
 
 import json
-from typing import Any, Literal, NoReturn
+import urllib.parse
+from typing import Any, NoReturn
 
 import pydantic
 from tornado import curl_httpclient, httpclient
@@ -66,20 +67,22 @@
 
     async def drain(self, host_id: str, operation: service.Operation) -> None:
         """Start to drain a host."""
-        await self._request("POST", f"/hosts/{host_id}/drain", _fields(operation))
+        await self._request(
+            "POST", f"/hosts/{_quote(host_id)}/drain", _fields(operation)
+        )
 
     async def reboot(
         self, host_id: str, operation: service.Operation, pool: str
     ) -> None:
         """Start to reboot a drained host into a pool."""
         fields = _fields(operation) | {"pool": pool}
-        await self._request("POST", f"/hosts/{host_id}/reboot", fields)
+        await self._request("POST", f"/hosts/{_quote(host_id)}/reboot", fields)
 
     async def operation_status(
-        self, operation_id: str, step: Literal["drain", "reboot"]
+        self, operation_id: str, step: service.OperationStep
     ) -> service.OperationState:
         """Return how far a step of an operation is."""
-        path = f"/operations/{operation_id}/{step}"
+        path = f"/operations/{_quote(operation_id)}/{step}"
         body = await self._request("GET", path, None)
         try:
             return _StatusReply.model_validate_json(body).state
@@ -89,13 +92,13 @@
     async def throttle(self, host_id: str, request_id: str) -> None:
         """Give a straggling task on a host less of its processors."""
         await self._request(
-            "POST", f"/hosts/{host_id}/throttle", {"request_id": request_id}
+            "POST", f"/hosts/{_quote(host_id)}/throttle", {"request_id": request_id}
         )
 
     async def checkpoint(self, host_id: str, request_id: str) -> None:
         """Checkpoint a task, so that it can go on elsewhere."""
         await self._request(
-            "POST", f"/hosts/{host_id}/checkpoint", {"request_id": request_id}
+            "POST", f"/hosts/{_quote(host_id)}/checkpoint", {"request_id": request_id}
         )
 
     async def _request(
@@ -125,6 +128,11 @@
         return response.body
 
 
+def _quote(identifier: str) -> str:
+    """Return an identifier as one path segment."""
+    return urllib.parse.quote(identifier, safe="")
+
+
 def _fields(operation: service.Operation) -> dict[str, Any]:
     return {
         "operation_id": operation.operation_id,
--- a/clementinespar/platform/service.py
+++ b/clementinespar/platform/service.py
@@ -7,6 +7,7 @@
 from typing import Literal, Protocol
 
 HostCondition = Literal["live", "leaving"]
+OperationStep = Literal["drain", "reboot"]
 OperationState = Literal["unknown", "running", "done", "refused"]
 
 
@@ -34,15 +35,17 @@
 class Operation:
     """Identity of a host action; repeating it with the same id has no new effect."""
 
-    operation_id: str  # record id of the host_taken_out record
-    fencing_offset: int  # offset of that record; a lower one is stale
+    operation_id: str  # of `pools.state.HostOut`
+    fencing_offset: int  # offset of `pools.state.HostOut`; a lower one is stale
 
 
 class PlatformService(Protocol):
     """Host list and host actions of the platform.
 
     Every call raises `errors.PlatformUnavailableError` when no answer came; the action
-    may then have taken effect, and `operation_status` tells.
+    may then have taken effect, and `operation_status` tells. Host actions raise
+    `errors.PlatformRefusedError` when the platform refused them without effect, for
+    example because of a stale fencing offset.
     """
 
     async def list_hosts(self) -> HostList:
@@ -58,7 +61,7 @@
         ...
 
     async def operation_status(
-        self, operation_id: str, step: Literal["drain", "reboot"]
+        self, operation_id: str, step: OperationStep
     ) -> OperationState:
         """Return how far a step of an operation is."""
         ...
--- a/clementinespar/pools/messages.py
+++ b/clementinespar/pools/messages.py
@@ -40,14 +40,20 @@
 
 
 class HostFailed(base.Record):
-    """States that a host was seen as failed; it counts against the budget."""
+    """States that a host was seen as failed; it counts against the budget.
+
+    With ``host_revision``, the record takes effect only if no other record has changed
+    the host since, so that an observation made before a pause has no effect.
+    """
 
     kind: Literal["host_failed"] = "host_failed"
     host_id: str
+    host_revision: int | None = None
 
 
 class HostRecovered(base.Record):
-    """States that a failed host works again."""
+    """States that a failed host works again; conditional like `HostFailed`."""
 
     kind: Literal["host_recovered"] = "host_recovered"
     host_id: str
+    host_revision: int | None = None
--- a/clementinespar/pools/operations.py
+++ b/clementinespar/pools/operations.py
@@ -1,7 +1,42 @@
-"""Carries hosts that are out of service through their operations."""
+"""Carries hosts that are out of service through their operations.
 
-from clementinespar.fleet import appending, source
+Any node can carry on an operation that another node began, because each step first
+reads back how far the platform is. A step runs only after a fresh fold still shows the
+operation, and the platform refuses it if a newer operation has begun since.
+"""
+
+import asyncio
+import dataclasses
+from collections.abc import Mapping
+
+import logbook
+
+from clementinespar import codes, errors, explanation, identifiers
+from clementinespar.fleet import appending
+from clementinespar.fleet import source as fleet_source
+from clementinespar.log import base
 from clementinespar.platform import service as platform_service
+from clementinespar.pools import availability, budget, failures, messages, state
+
+_LOG = logbook.Logger(__name__)
+
+REFRESH_TIMEOUT_S = 2.0  # longest wait for the newest fold before a step
+APPEND_TIMEOUT_S = 5.0  # longest wait for the result of a record
+_MAX_CONCURRENT_HOSTS = 16  # bounds the platform calls of one node at a time
+# A data centre may fail at once; its records are spread over rounds to leave the log
+# room for claims.
+_MAX_FINDINGS_PER_ROUND = 50
+# A refused step, for example on a host that had failed, is started again.
+_TO_BE_STARTED = ("unknown", "refused")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Progress:
+    """How far this node saw an operation."""
+
+    operation_id: str
+    waits_for: str  # the next thing that must happen
+    code: codes.ResultCode  # OK, or why the last step did not succeed
 
 
 class HostOperations:
@@ -13,7 +48,7 @@
         Executes host actions.
     appender : appending.RecordAppender
         Appends the records of finished steps.
-    source : source.FleetSource
+    source : fleet_source.FleetSource
         The folded state.
     author : str
         Name of this node.
@@ -21,17 +56,239 @@
 
     _platform: platform_service.PlatformService  # executes host actions
     _appender: appending.RecordAppender  # appends the records of finished steps
-    _source: source.FleetSource  # the folded state
+    _source: fleet_source.FleetSource  # the folded state
     _author: str  # name of this node
+    _detector: failures.FailureDetector  # absences seen by this node
+    _progress_by_host_id: dict[str, Progress]  # what `explain` shows
 
     def __init__(
         self,
         platform: platform_service.PlatformService,
         appender: appending.RecordAppender,
-        source: source.FleetSource,
+        source: fleet_source.FleetSource,
         author: str,
     ) -> None:
         self._platform = platform
         self._appender = appender
         self._source = source
         self._author = author
+        self._detector = failures.FailureDetector()
+        self._progress_by_host_id = {}
+
+    @property
+    def progress_by_host_id(self) -> Mapping[str, Progress]:
+        """How far this node saw each operation that it carried."""
+        return self._progress_by_host_id
+
+    async def advance_all(self, reason: messages.OutReason) -> None:
+        """Carry every host that is out for a reason as far as it goes now."""
+        hosts = self._source.state.pools.hosts_by_id
+        for host_id in [i for i in self._progress_by_host_id if i not in hosts]:
+            del self._progress_by_host_id[host_id]
+        gate = asyncio.Semaphore(_MAX_CONCURRENT_HOSTS)
+
+        async def advance_gated(host_id: str) -> None:
+            async with gate:
+                await self.advance(host_id)
+
+        async with asyncio.TaskGroup() as group:
+            for host in list(hosts.values()):
+                if host.out is not None and host.out.reason == reason:
+                    group.create_task(advance_gated(host.host_id))
+
+    async def advance(self, host_id: str) -> codes.ResultCode:
+        """Carry one host that is out as far as it goes now.
+
+        Returns
+        -------
+        codes.ResultCode
+            ``OK``, or why the next step could not be done; the next call tries again.
+        """
+        host = self._source.state.pools.hosts_by_id.get(host_id)
+        if host is None or host.out is None:
+            return codes.ResultCode.HOST_NOT_OUT
+        out = host.out
+        try:
+            waits_for = await self._advance(host_id, out.operation_id)
+            progress = Progress(out.operation_id, waits_for, codes.ResultCode.OK)
+        except errors.ClementinesparError as error:
+            previous = self._progress_by_host_id.get(host_id)
+            progress = Progress(out.operation_id, error.message, error.code)
+            if previous is None or previous.code != error.code:
+                _LOG.warning("host {} is held up: {}", host_id, error)
+        self._progress_by_host_id[host_id] = progress
+        return progress.code
+
+    async def _advance(self, host_id: str, operation_id: str) -> str:
+        """Do the steps that are possible now; return what must happen next."""
+        host = await self._fresh_host(host_id, operation_id)
+        drain_state = await self._platform.operation_status(operation_id, "drain")
+        if drain_state in _TO_BE_STARTED:
+            host = await self._fresh_host(host_id, operation_id)
+            await self._platform.drain(host_id, _operation(host))
+        if drain_state != "done":
+            return "the platform to drain the host"
+        host = await self._fresh_host(host_id, operation_id)
+        if budget.is_leaving(host):
+            record_id = identifiers.new_id()
+            await self._append(
+                messages.HostMoved(
+                    record_id=record_id,
+                    issued_ms=_issued_ms(record_id),
+                    author=self._author,
+                    host_id=host_id,
+                    operation_id=operation_id,
+                )
+            )
+            host = await self._fresh_host(host_id, operation_id)
+        reboot_state = await self._platform.operation_status(operation_id, "reboot")
+        if reboot_state in _TO_BE_STARTED:
+            host = await self._fresh_host(host_id, operation_id)
+            if budget.is_leaving(host):
+                return "the record of the move"
+            await self._platform.reboot(host_id, _operation(host), host.pool)
+        if reboot_state != "done":
+            return "the platform to reboot the host"
+        await self._fresh_host(host_id, operation_id)
+        record_id = identifiers.new_id()
+        await self._append(
+            messages.HostReturned(
+                record_id=record_id,
+                issued_ms=_issued_ms(record_id),
+                author=self._author,
+                host_id=host_id,
+                operation_id=operation_id,
+            )
+        )
+        return "nothing; the host is back in service"
+
+    async def detect_failures(
+        self, host_list: platform_service.HostListSource
+    ) -> failures.Findings:
+        """Append records about hosts that failed or recovered; return the findings.
+
+        Nothing is concluded from a list older than the document allows.
+        """
+        document = self._source.state.documents.production
+        latest = host_list.latest
+        if document is None or latest is None:
+            return failures.Findings()
+        observation = availability.Observation(host_list.age_s, {})
+        code = availability.check_list_age(document.maintenance, observation)
+        if code != codes.ResultCode.OK:
+            return failures.Findings()
+        hosts_by_id = self._source.state.pools.hosts_by_id
+        findings = self._detector.examine(latest, hosts_by_id)
+        records: list[base.Record] = []
+        for host_id in findings.failed_ids:
+            record_id = identifiers.new_id()
+            records.append(
+                messages.HostFailed(
+                    record_id=record_id,
+                    issued_ms=_issued_ms(record_id),
+                    author=self._author,
+                    host_id=host_id,
+                    host_revision=hosts_by_id[host_id].revision,
+                )
+            )
+        for host_id in findings.recovered_ids:
+            record_id = identifiers.new_id()
+            records.append(
+                messages.HostRecovered(
+                    record_id=record_id,
+                    issued_ms=_issued_ms(record_id),
+                    author=self._author,
+                    host_id=host_id,
+                    host_revision=hosts_by_id[host_id].revision,
+                )
+            )
+        async with asyncio.TaskGroup() as group:
+            for record in records[:_MAX_FINDINGS_PER_ROUND]:
+                group.create_task(self._append_finding(record))
+        return findings
+
+    def explain(self, host_id: str) -> explanation.Explanation:
+        """Explain where a host is and what it waits for."""
+        subject = f"host {host_id}"
+        host = self._source.state.pools.hosts_by_id.get(host_id)
+        if host is None:
+            return explanation.Explanation(
+                subject,
+                "unknown",
+                None,
+                ("the production document names no such host",),
+                codes.ResultCode.HOST_UNKNOWN,
+            )
+        because = [_place(host)]
+        if host.failed_since_ms is not None:
+            because.append(f"recorded as failed since log time {host.failed_since_ms}")
+        if host.out is None:
+            failed = host.failed_since_ms is not None
+            return explanation.Explanation(
+                subject,
+                "failed" if failed else "in service",
+                "the host to be listed as live again" if failed else None,
+                tuple(because),
+                codes.ResultCode.OK,
+            )
+        because.insert(0, _out_reason(host.out))
+        progress = self._progress_by_host_id.get(host_id)
+        if progress is None or progress.operation_id != host.out.operation_id:
+            waits_for = "the node on duty to carry it on"
+            code = codes.ResultCode.OK
+        else:
+            waits_for = progress.waits_for
+            code = progress.code
+        return explanation.Explanation(
+            subject, f"out for {host.out.reason}", waits_for, tuple(because), code
+        )
+
+    async def _fresh_host(self, host_id: str, operation_id: str) -> state.HostState:
+        """Return the host if a fresh fold still shows the operation."""
+        if not await self._source.refresh(REFRESH_TIMEOUT_S):
+            raise errors.LogUnavailableError("the log did not confirm the operation")
+        host = self._source.state.pools.hosts_by_id.get(host_id)
+        if host is None or host.out is None or host.out.operation_id != operation_id:
+            raise errors.ClementinesparError(
+                codes.ResultCode.HOST_NOT_OUT, "the operation is over or was replaced"
+            )
+        return host
+
+    async def _append(self, record: base.Record) -> None:
+        """Append the record of a step; raise unless it took effect."""
+        result = await self._appender.append(record, APPEND_TIMEOUT_S)
+        if result.code != codes.ResultCode.OK:
+            raise errors.ClementinesparError(result.code, "the record took no effect")
+
+    async def _append_finding(self, record: base.Record) -> None:
+        try:
+            await self._append(record)
+        except errors.ClementinesparError as error:
+            # The detector reports the host again while the finding holds.
+            _LOG.info("record about a failure was not applied: {}", error)
+
+
+def _operation(host: state.HostState) -> platform_service.Operation:
+    if host.out is None:
+        raise errors.ClementinesparError(
+            codes.ResultCode.HOST_NOT_OUT, f"host {host.host_id} is not out"
+        )
+    return platform_service.Operation(host.out.operation_id, host.out.offset)
+
+
+def _issued_ms(record_id: str) -> int:
+    return identifiers.parse_issued_ms(record_id) or 0
+
+
+def _place(host: state.HostState) -> str:
+    lent = f", lent by its home pool {host.home}" if host.pool != host.home else ""
+    return f"in pool {host.pool}{lent}, rack {host.rack} of {host.data_centre}"
+
+
+def _out_reason(out: state.HostOut) -> str:
+    target = "" if out.to_pool is None else f" to pool {out.to_pool}"
+    wave = "" if out.wave_id is None else f" in wave {out.wave_id}"
+    return (
+        f"{out.author} took it out for {out.reason}{target}{wave} "
+        f"at log time {out.since_ms}"
+    )
--- a/clementinespar/waves/state.py
+++ b/clementinespar/waves/state.py
@@ -3,7 +3,10 @@
 import dataclasses
 
 from clementinespar import codes
+from clementinespar.documents import model
 from clementinespar.log import service as log_service
+from clementinespar.pools import messages as pool_messages
+from clementinespar.pools import state as pools_state
 from clementinespar.waves import messages
 
 _FINISHED_LENGTH = 50  # finished waves kept for the operators' status command
@@ -44,12 +47,33 @@
         return None
 
 
+def apply_document(
+    state: WavesState, document: model.Document, entry: log_service.LogEntry
+) -> None:
+    """End the waves of pools that a production document no longer names."""
+    for pool in [p for p in state.waves_by_pool if p not in document.pools]:
+        _finish(state, state.waves_by_pool[pool], entry, "a document removed the pool")
+
+
 def apply_started(
-    state: WavesState, record: messages.WaveStarted, entry: log_service.LogEntry
+    state: WavesState,
+    pools: pools_state.PoolsState,
+    document: model.Document | None,
+    record: messages.WaveStarted,
+    entry: log_service.LogEntry,
 ) -> codes.ResultCode:
-    """Start a wave if the pool has none."""
+    """Start a wave over hosts of one pool if the pool has none."""
+    if document is None or record.pool not in document.pools:
+        return codes.ResultCode.POOL_UNKNOWN
     if record.pool in state.waves_by_pool:
         return codes.ResultCode.WAVE_CONFLICT
+    if document.maintenance.paused:
+        return codes.ResultCode.WAVE_PAUSED
+    if not 0 < len(record.host_ids) <= document.maintenance.max_wave_hosts:
+        return codes.ResultCode.RECORD_INVALID
+    members = pools.host_ids_by_pool.get(record.pool, {})
+    if any(host_id not in members for host_id in record.host_ids):
+        return codes.ResultCode.HOST_NOT_IN_POOL
     state.waves_by_pool[record.pool] = Wave(
         record.record_id,
         record.pool,
@@ -67,17 +91,29 @@
     wave = state.find(record.wave_id)
     if wave is None:
         return codes.ResultCode.WAVE_UNKNOWN
+    _finish(state, wave, entry, record.reason)
+    return codes.ResultCode.OK
+
+
+def _finish(
+    state: WavesState, wave: Wave, entry: log_service.LogEntry, reason: str
+) -> None:
     del state.waves_by_pool[wave.pool]
-    state.finished.append(FinishedWave(wave, entry.timestamp_ms, record.reason))
+    state.finished.append(FinishedWave(wave, entry.timestamp_ms, reason))
     del state.finished[:-_FINISHED_LENGTH]
-    return codes.ResultCode.OK
 
 
-def check_host(
-    state: WavesState, wave_id: str | None, host_id: str
+def check_maintenance(
+    state: WavesState,
+    document: model.Document | None,
+    record: pool_messages.HostTakenOut,
 ) -> codes.ResultCode:
-    """Tell whether a running wave covers a host."""
-    wave = None if wave_id is None else state.find(wave_id)
-    if wave is None or host_id not in wave.host_ids:
+    """Tell whether a running wave of the host's pool covers a maintenance."""
+    wave = state.waves_by_pool.get(record.pool)
+    if wave is None or wave.wave_id != record.wave_id:
+        return codes.ResultCode.WAVE_UNKNOWN
+    if record.host_id not in wave.host_ids:
         return codes.ResultCode.WAVE_UNKNOWN
+    if document is not None and document.maintenance.paused:
+        return codes.ResultCode.WAVE_PAUSED
     return codes.ResultCode.OK
