--- a/clementinespar/fleet/appending.py
+++ b/clementinespar/fleet/appending.py
@@ -9,6 +9,10 @@
 class RecordAppender(Protocol):
     """Appends records and returns what the fold made of them."""
 
+    def now_ms(self) -> int:
+        """Return the time for ``issued_ms`` of a new record."""
+        ...
+
     async def append(self, record: base.Record, timeout_s: float) -> state.RecordResult:
         """Append a record and wait until this node has applied it.
 
