Plan maintenance waves and host moves

Waves start in the pools with the latest hosts, in a bounded share of pools at a time, and take hosts out while the budget and the loss of one failure domain allow it. Moves follow a shortage that has lasted, own hosts first, then the spare pool, then pools whose room has lasted. The weights of the document scale these durations, the utilisation and the share of pools. The trial document is planned against a copy.

--- a/clementinespar/capacity/runner.py
+++ b/clementinespar/capacity/runner.py
@@ -1,17 +1,55 @@
-"""Runs the capacity planner in rounds."""
+"""Moves hosts between pools in rounds, on the node that holds the duty."""
 
-from clementinespar import codes, explanation
+import asyncio
+
+import logbook
+
+from clementinespar import codes, errors, explanation, identifiers
 from clementinespar.capacity import demand as capacity_demand
 from clementinespar.capacity import planner
 from clementinespar.documents import messages as document_messages
 from clementinespar.fleet import appending
 from clementinespar.fleet import source as fleet_source
 from clementinespar.platform import service as platform_service
+from clementinespar.pools import availability
+from clementinespar.pools import messages as pool_messages
 from clementinespar.pools import operations as pool_operations
+from clementinespar.pools import state as pools_state
+
+_LOG = logbook.Logger(__name__)
+
+# After a longer gap between rounds, for example a pause of the process, how long
+# shortages have lasted is not known and is measured anew.
+_MAX_ROUND_GAP_S = 30.0
 
 
 class CapacityRunner:
-    """Runs one round at a time while this node holds the duty."""
+    """Decides on moves, takes their hosts out and carries them through.
+
+    Parameters
+    ----------
+    source : fleet_source.FleetSource
+        The folded state.
+    appender : appending.RecordAppender
+        Appends the decisions.
+    operations : pool_operations.HostOperations
+        Carries hosts that are out.
+    host_list : platform_service.HostListSource
+        Newest host list of this node.
+    demand : capacity_demand.DemandSource
+        Newest demand and ejected hosts.
+    author : str
+        Name of this node.
+    """
+
+    _source: fleet_source.FleetSource  # the folded state
+    _appender: appending.RecordAppender  # appends the decisions
+    _operations: pool_operations.HostOperations  # carries hosts that are out
+    _host_list: platform_service.HostListSource  # newest host list of this node
+    _demand: capacity_demand.DemandSource  # newest demand and ejected hosts
+    _author: str  # name of this node
+    _history_by_environment: dict[document_messages.Environment, planner.History]
+    _observed_at: float | None  # loop time of the last update of the histories
 
     def __init__(
         self,
@@ -28,16 +66,120 @@
         self._host_list = host_list
         self._demand = demand
         self._author = author
+        self._history_by_environment = {}
+        self._observed_at = None
+
+    async def run_round(self) -> codes.ResultCode:
+        """Carry on what is out, then do what the plan says.
 
-    async def run_round(self) -> None:
-        """Run one round."""
+        Returns
+        -------
+        codes.ResultCode
+            ``OK``, or why nothing could be decided in this round.
+        """
+        if not await self._source.refresh(pool_operations.REFRESH_TIMEOUT_S):
+            return codes.ResultCode.LOG_UNAVAILABLE
+        await self._operations.advance_all("move")
+        if not await self._source.refresh(pool_operations.REFRESH_TIMEOUT_S):
+            return codes.ResultCode.LOG_UNAVAILABLE
+        self._update_histories()
+        for move in self.plan("production").moves:
+            # Appends may have taken seconds, in which the plan may have become stale.
+            still_planned = {
+                m.host_id: m.to_pool for m in self.plan("production").moves
+            }
+            if still_planned.get(move.host_id) != move.to_pool:
+                continue
+            await self._take_out(move)
+        return codes.ResultCode.OK
 
     def plan(self, environment: document_messages.Environment) -> planner.CapacityPlan:
-        """Return what the next round would do under an environment's document."""
-        return planner.CapacityPlan()
+        """Return what the next round does under an environment's document.
+
+        The trial document is evaluated against a copy of the hosts, so its plan shows
+        what the document would do if it were promoted now.
+        """
+        situation = self._situation(environment)
+        if situation is None:
+            return planner.CapacityPlan()
+        needs = planner.compute_needs(situation)
+        history = self._history_by_environment.get(environment, planner.History())
+        return planner.plan(situation, needs, history)
 
     def explain(self, pool: str) -> explanation.Explanation:
-        """Explain what happens in a pool."""
+        """Explain what a pool has, needs and waits for."""
+        found = self.plan("production").explanations_by_pool.get(pool)
+        if found is not None:
+            return found
         return explanation.Explanation(
-            f"pool {pool}", "idle", None, (), codes.ResultCode.OK
+            f"pool {pool}",
+            "unknown",
+            None,
+            ("the production document names no such pool",),
+            codes.ResultCode.POOL_UNKNOWN,
+        )
+
+    def _situation(
+        self, environment: document_messages.Environment
+    ) -> planner.Situation | None:
+        fleet = self._source.state
+        in_force = fleet.documents.in_force_by_environment.get(environment)
+        if in_force is None:
+            return None
+        pools = fleet.pools
+        if environment == "trial":
+            pools = pools.copy()
+            pools_state.apply_document(pools, in_force.document, fleet.offset)
+        return planner.Situation(
+            in_force.document,
+            pools,
+            self._demand.demand_by_service(),
+            asyncio.get_running_loop().time(),
+            availability.observe(
+                pools, self._host_list, self._demand.ejected_host_ids()
+            ),
+        )
+
+    def _update_histories(self) -> None:
+        now = asyncio.get_running_loop().time()
+        if self._observed_at is None or now - self._observed_at > _MAX_ROUND_GAP_S:
+            self._history_by_environment.clear()
+        self._observed_at = now
+        environments: tuple[document_messages.Environment, ...] = (
+            "trial",
+            "production",
+        )
+        for environment in environments:
+            situation = self._situation(environment)
+            if situation is None:
+                continue
+            history = self._history_by_environment.get(environment, planner.History())
+            self._history_by_environment[environment] = planner.update_history(
+                history, planner.compute_needs(situation), now
+            )
+
+    async def _take_out(self, move: planner.Move) -> None:
+        """Append a decision; a later round decides again if it has no effect."""
+        issued_ms = self._appender.now_ms()
+        record = pool_messages.HostTakenOut(
+            record_id=identifiers.new_id(issued_ms),
+            issued_ms=issued_ms,
+            author=self._author,
+            host_id=move.host_id,
+            pool=move.from_pool,
+            host_revision=move.host_revision,
+            reason="move",
+            to_pool=move.to_pool,
         )
+        what = f"move of host {move.host_id} from {move.from_pool} to {move.to_pool}"
+        try:
+            result = await self._appender.append(
+                record, pool_operations.APPEND_TIMEOUT_S
+            )
+        except errors.ClementinesparError as error:
+            _LOG.warning("{}: not appended: {}", what, error)
+            return
+        if result.code == codes.ResultCode.OK:
+            _LOG.info("{}: {}", what, move.because)
+        else:
+            _LOG.notice("{}: no effect: {}", what, result.code.name)
--- a/clementinespar/documents/model.py
+++ b/clementinespar/documents/model.py
@@ -11,10 +11,13 @@
 import pydantic.dataclasses
 
 _MAX_DEADLINE_MS = 600_000
+_MAX_RATIO = 4.0  # keeps an extreme weight from switching a decision off
 
 
 _CONFIG = pydantic.ConfigDict(extra="forbid")
 
+Measure = Literal["short_wait", "buffer_cost", "moves", "roll_out"]
+
 
 @pydantic.dataclasses.dataclass(frozen=True, slots=True, config=_CONFIG)
 class Budget:
@@ -88,6 +91,14 @@
     moves: float = pydantic.Field(default=1.0, ge=0.0)
     roll_out: float = pydantic.Field(default=1.0, ge=0.0)
 
+    def ratio(self, measure: Measure, other: Measure) -> float:
+        """Return how much one measure counts relative to another, from 0.25 to 4."""
+        weight: float = getattr(self, measure)
+        other_weight: float = getattr(self, other)
+        if other_weight == 0:
+            return _MAX_RATIO if weight > 0 else 1.0
+        return min(max(weight / other_weight, 1 / _MAX_RATIO), _MAX_RATIO)
+
 
 @pydantic.dataclasses.dataclass(frozen=True, slots=True, config=_CONFIG)
 class Host:
--- a/clementinespar/pools/state.py
+++ b/clementinespar/pools/state.py
@@ -61,6 +61,14 @@
         default_factory=dict
     )
 
+    def copy(self) -> "PoolsState":
+        """Return a copy that can be changed without changing this state."""
+        return PoolsState(
+            {i: dataclasses.replace(host) for i, host in self.hosts_by_id.items()},
+            dict(self.removed_out_by_host_id),
+            {pool: dict(ids) for pool, ids in self.host_ids_by_pool.items()},
+        )
+
     def hosts_of(self, pool: str) -> list[HostState]:
         """Return the hosts that belong to a pool now."""
         return [self.hosts_by_id[i] for i in self.host_ids_by_pool.get(pool, {})]
--- a/clementinespar/waves/runner.py
+++ b/clementinespar/waves/runner.py
@@ -1,17 +1,48 @@
-"""Runs the waves planner in rounds."""
+"""Runs maintenance waves in rounds, on the node that holds the duty."""
 
-from clementinespar import codes, explanation
+import logbook
+
+from clementinespar import codes, errors, explanation, identifiers
 from clementinespar.capacity import demand as capacity_demand
 from clementinespar.documents import messages as document_messages
 from clementinespar.fleet import appending
 from clementinespar.fleet import source as fleet_source
+from clementinespar.log import base
 from clementinespar.platform import service as platform_service
+from clementinespar.pools import availability
+from clementinespar.pools import messages as pool_messages
 from clementinespar.pools import operations as pool_operations
-from clementinespar.waves import planner
+from clementinespar.pools import state as pools_state
+from clementinespar.waves import messages, planner
+
+_LOG = logbook.Logger(__name__)
 
 
 class WaveRunner:
-    """Runs one round at a time while this node holds the duty."""
+    """Starts waves, takes their hosts out, carries them through, and ends waves.
+
+    Parameters
+    ----------
+    source : fleet_source.FleetSource
+        The folded state.
+    appender : appending.RecordAppender
+        Appends the decisions.
+    operations : pool_operations.HostOperations
+        Carries hosts that are out.
+    host_list : platform_service.HostListSource
+        Newest host list of this node.
+    demand : capacity_demand.DemandSource
+        Tells which hosts are ejected.
+    author : str
+        Name of this node.
+    """
+
+    _source: fleet_source.FleetSource  # the folded state
+    _appender: appending.RecordAppender  # appends the decisions
+    _operations: pool_operations.HostOperations  # carries hosts that are out
+    _host_list: platform_service.HostListSource  # newest host list of this node
+    _demand: capacity_demand.DemandSource  # tells which hosts are ejected
+    _author: str  # name of this node
 
     def __init__(
         self,
@@ -29,15 +60,114 @@
         self._demand = demand
         self._author = author
 
-    async def run_round(self) -> None:
-        """Run one round."""
+    async def run_round(self) -> codes.ResultCode:
+        """Carry on what is out, then do what the plan says.
+
+        Returns
+        -------
+        codes.ResultCode
+            ``OK``, or why nothing could be decided in this round.
+        """
+        if not await self._source.refresh(pool_operations.REFRESH_TIMEOUT_S):
+            return codes.ResultCode.LOG_UNAVAILABLE
+        await self._operations.detect_failures(self._host_list)
+        await self._operations.advance_all("maintenance")
+        if not await self._source.refresh(pool_operations.REFRESH_TIMEOUT_S):
+            return codes.ResultCode.LOG_UNAVAILABLE
+        plan = self.plan("production")
+        for end in plan.ends:
+            issued_ms = self._appender.now_ms()
+            await self._append(
+                messages.WaveFinished(
+                    record_id=identifiers.new_id(issued_ms),
+                    issued_ms=issued_ms,
+                    author=self._author,
+                    wave_id=end.wave_id,
+                    reason=end.reason,
+                ),
+                f"end of the wave of pool {end.pool}: {end.reason}",
+            )
+        for start in plan.starts:
+            issued_ms = self._appender.now_ms()
+            await self._append(
+                messages.WaveStarted(
+                    record_id=identifiers.new_id(issued_ms),
+                    issued_ms=issued_ms,
+                    author=self._author,
+                    pool=start.pool,
+                    host_ids=start.host_ids,
+                ),
+                f"wave of pool {start.pool} over {', '.join(start.host_ids)}",
+            )
+        for take_out in plan.take_outs:
+            # Appends may have taken seconds, in which the plan may have become stale.
+            if take_out not in self.plan("production").take_outs:
+                continue
+            issued_ms = self._appender.now_ms()
+            await self._append(
+                pool_messages.HostTakenOut(
+                    record_id=identifiers.new_id(issued_ms),
+                    issued_ms=issued_ms,
+                    author=self._author,
+                    host_id=take_out.host_id,
+                    pool=take_out.pool,
+                    host_revision=take_out.host_revision,
+                    reason="maintenance",
+                    wave_id=take_out.wave_id,
+                ),
+                f"maintenance of host {take_out.host_id} of pool {take_out.pool}",
+            )
+        return codes.ResultCode.OK
 
     def plan(self, environment: document_messages.Environment) -> planner.WavePlan:
-        """Return what the next round would do under an environment's document."""
-        return planner.WavePlan()
+        """Return what the next round does under an environment's document.
+
+        The trial document is evaluated against a copy of the hosts, so its plan shows
+        what the document would do if it were promoted now.
+        """
+        fleet = self._source.state
+        in_force = fleet.documents.in_force_by_environment.get(environment)
+        if in_force is None:
+            return planner.WavePlan()
+        pools = fleet.pools
+        if environment == "trial":
+            pools = pools.copy()
+            pools_state.apply_document(pools, in_force.document, fleet.offset)
+        return planner.plan(
+            planner.Situation(
+                in_force.document,
+                pools,
+                fleet.waves,
+                fleet.log_time_ms,
+                availability.observe(
+                    pools, self._host_list, self._demand.ejected_host_ids()
+                ),
+            )
+        )
 
     def explain(self, pool: str) -> explanation.Explanation:
-        """Explain what happens in a pool."""
+        """Explain what happens in the wave of a pool, or why it has none."""
+        found = self.plan("production").explanations_by_pool.get(pool)
+        if found is not None:
+            return found
         return explanation.Explanation(
-            f"pool {pool}", "idle", None, (), codes.ResultCode.OK
+            f"wave of pool {pool}",
+            "unknown",
+            None,
+            ("the production document names no such pool",),
+            codes.ResultCode.POOL_UNKNOWN,
         )
+
+    async def _append(self, record: base.Record, what: str) -> None:
+        """Append a decision; a later round decides again if it has no effect."""
+        try:
+            result = await self._appender.append(
+                record, pool_operations.APPEND_TIMEOUT_S
+            )
+        except errors.ClementinesparError as error:
+            _LOG.warning("{}: not appended: {}", what, error)
+            return
+        if result.code == codes.ResultCode.OK:
+            _LOG.info("{}", what)
+        else:
+            _LOG.notice("{}: no effect: {}", what, result.code.name)
