--- a/clementinespar/platform/http.py
+++ b/clementinespar/platform/http.py
@@ -31,6 +31,9 @@
 class HttpPlatformService:
     """Implements `service.PlatformService` over HTTP.
 
+    libcurl may send a request twice when a reused connection closes; host actions are
+    idempotent by operation id, so that does no harm.
+
     Parameters
     ----------
     url : str
@@ -41,18 +44,18 @@
 
     _url: str  # base address
     _request_timeout_s: float  # longest duration of one request
-    _client: curl_httpclient.CurlAsyncHTTPClient  # own instance, closed by `close`
+    _client: curl_httpclient.CurlAsyncHTTPClient | None  # made in the running loop
 
     def __init__(self, url: str, request_timeout_s: float) -> None:
         self._url = url
         self._request_timeout_s = request_timeout_s
-        self._client = curl_httpclient.CurlAsyncHTTPClient(
-            force_instance=True, max_clients=_MAX_CLIENTS
-        )
+        self._client = None
 
     def close(self) -> None:
         """Close all connections."""
-        self._client.close()
+        if self._client is not None:
+            self._client.close()
+            self._client = None
 
     async def list_hosts(self) -> service.HostList:
         """Return the list of live and leaving hosts."""
@@ -105,6 +108,10 @@
         self, method: str, path: str, fields: dict[str, Any] | None
     ) -> bytes:
         """Send one request; raise unless the platform answered with success."""
+        if self._client is None:
+            self._client = curl_httpclient.CurlAsyncHTTPClient(
+                force_instance=True, max_clients=_MAX_CLIENTS
+            )
         request = httpclient.HTTPRequest(
             self._url + path,
             method=method,
