--- a/clementinespar/documents/model.py
+++ b/clementinespar/documents/model.py
@@ -14,6 +14,7 @@
 import pydantic_core
 
 _MAX_DEADLINE_MS = 600_000
+_MAX_RATIO = 4.0  # keeps an extreme weight from switching a decision off
 # Names appear in paths of HTTP requests, in metrics and in tables.
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 _NAME_EXPECTED = "a name of at most 63 letters, digits, '.', '_' or '-'"
@@ -35,6 +36,8 @@
 
 _CONFIG = pydantic.ConfigDict(extra="forbid")
 
+Measure = Literal["short_wait", "buffer_cost", "moves", "roll_out"]
+
 
 @pydantic.dataclasses.dataclass(frozen=True, slots=True, config=_CONFIG)
 class Budget:
@@ -108,6 +111,14 @@
     moves: float = pydantic.Field(default=1.0, ge=0.0)
     roll_out: float = pydantic.Field(default=1.0, ge=0.0)
 
+    def ratio(self, measure: Measure, other: Measure) -> float:
+        """Return how much one measure counts relative to another, from 0.25 to 4."""
+        weight: float = getattr(self, measure)
+        other_weight: float = getattr(self, other)
+        if other_weight == 0:
+            return _MAX_RATIO if weight > 0 else 1.0
+        return min(max(weight / other_weight, 1 / _MAX_RATIO), _MAX_RATIO)
+
 
 @pydantic.dataclasses.dataclass(frozen=True, slots=True, config=_CONFIG)
 class Host:
--- a/clementinespar/pools/operations.py
+++ b/clementinespar/pools/operations.py
@@ -130,11 +130,11 @@
             return "the platform to drain the host"
         host = await self._fresh_host(host_id, operation_id)
         if budget.is_leaving(host):
-            record_id = identifiers.new_id()
+            issued_ms = self._appender.now_ms()
             await self._append(
                 messages.HostMoved(
-                    record_id=record_id,
-                    issued_ms=_issued_ms(record_id),
+                    record_id=identifiers.new_id(issued_ms),
+                    issued_ms=issued_ms,
                     author=self._author,
                     host_id=host_id,
                     operation_id=operation_id,
@@ -150,11 +150,11 @@
         if reboot_state != "done":
             return "the platform to reboot the host"
         await self._fresh_host(host_id, operation_id)
-        record_id = identifiers.new_id()
+        issued_ms = self._appender.now_ms()
         await self._append(
             messages.HostReturned(
-                record_id=record_id,
-                issued_ms=_issued_ms(record_id),
+                record_id=identifiers.new_id(issued_ms),
+                issued_ms=issued_ms,
                 author=self._author,
                 host_id=host_id,
                 operation_id=operation_id,
@@ -181,22 +181,22 @@
         findings = self._detector.examine(latest, hosts_by_id)
         records: list[base.Record] = []
         for host_id in findings.failed_ids:
-            record_id = identifiers.new_id()
+            issued_ms = self._appender.now_ms()
             records.append(
                 messages.HostFailed(
-                    record_id=record_id,
-                    issued_ms=_issued_ms(record_id),
+                    record_id=identifiers.new_id(issued_ms),
+                    issued_ms=issued_ms,
                     author=self._author,
                     host_id=host_id,
                     host_revision=hosts_by_id[host_id].revision,
                 )
             )
         for host_id in findings.recovered_ids:
-            record_id = identifiers.new_id()
+            issued_ms = self._appender.now_ms()
             records.append(
                 messages.HostRecovered(
-                    record_id=record_id,
-                    issued_ms=_issued_ms(record_id),
+                    record_id=identifiers.new_id(issued_ms),
+                    issued_ms=issued_ms,
                     author=self._author,
                     host_id=host_id,
                     host_revision=hosts_by_id[host_id].revision,
@@ -276,10 +276,6 @@
     return platform_service.Operation(host.out.operation_id, host.out.offset)
 
 
-def _issued_ms(record_id: str) -> int:
-    return identifiers.parse_issued_ms(record_id) or 0
-
-
 def _place(host: state.HostState) -> str:
     lent = f", lent by its home pool {host.home}" if host.pool != host.home else ""
     return f"in pool {host.pool}{lent}, rack {host.rack} of {host.data_centre}"
