--- a/demo/deployment.py
+++ b/demo/deployment.py
@@ -10,13 +10,18 @@
 import sys
 from collections.abc import AsyncIterator
 
+from tornado import httpclient
+
 from clementinespar.commands import client
 from clementinespar.documents import model
+from clementinespar.documents import state as documents_state
 from demo import processes
 
 _ADDRESS = "127.0.0.1"
 _READY_LIMIT_S = 30.0
 _POLL_S = 0.1
+# Drains and reboots take minutes on real hosts; here the demo would wait for them.
+_PLATFORM_TIMES = ("--drain-s", "1", "--reboot-s", "1.5", "--list-lag-s", "0.5")
 
 
 class CommandFailedError(Exception):
@@ -61,6 +66,7 @@
         default_factory=dict
     )
     log_service: processes.Process | None = None
+    platform: processes.Process | None = None
 
     @property
     def live_nodes(self) -> list[Node]:
@@ -103,6 +109,13 @@
         reply = await self.admin.call(node.admin, "GET", path)
         return reply if isinstance(reply, client.Reply) else None
 
+    async def fail_host(self, host_id: str) -> None:
+        """Let the platform's host list lose a host."""
+        assert self.platform is not None
+        url = f"http://{_ADDRESS}:{self.platform.first_line['port']}/faults"
+        body = json.dumps({"fail": {"hosts": [host_id]}})
+        await httpclient.AsyncHTTPClient().fetch(url, method="POST", body=body)
+
     async def watch_readiness(self) -> None:
         """Follow the readiness of all nodes, as the platform's balancer does."""
         while True:
@@ -179,25 +192,31 @@
             for host_id in document.hosts
         }
     deployment.log_service = log_task.result()
+    home_by_host = documents_state.home_pool_by_host(document)
     hosts = []
     for host_id, task in target_tasks.items():
         deployment.targets_by_host[host_id] = task.result()
         host = document.hosts[host_id]
+        port = task.result().first_line["port"]
         hosts.append(
             {
                 "host_id": host_id,
                 "data_centre": host.data_centre,
                 "rack": host.rack,
+                "pool": home_by_host[host_id],
                 "address": _ADDRESS,
-                "port": task.result().first_line["port"],
+                "port": port,
+                "faults_port": port,
             }
         )
     hosts_path = deployment.directory / "hosts.json"
-    hosts_path.write_text(json.dumps({"hosts": hosts}))
-    platform = await group.start_module(
-        "platform", "standins.platform", *listen, "--hosts", str(hosts_path)
+    hosts_path.write_text(json.dumps(hosts))
+    deployment.platform = await group.start_module(
+        "platform",
+        "standins.platform",
+        *(*listen, "--hosts", str(hosts_path), *_PLATFORM_TIMES),
     )
-    await _write_settings(deployment, document, platform)
+    await _write_settings(deployment, document, deployment.platform)
 
 
 async def _write_settings(
--- a/demo/scenario.py
+++ b/demo/scenario.py
@@ -276,6 +276,7 @@
     target = scenario.deployed.targets_by_host[host_id]
     target.send(signal.SIGKILL)
     await target.wait()
+    await scenario.deployed.fail_host(host_id)
     scenario.note(f"target on {host_id} killed")
     await asyncio.sleep(2 * _STEADY_S)
 
