--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,20 @@
+"""Processor time and memory of processes, read from the kernel."""
+
+import os
+import pathlib
+
+_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+
+
+def resident_bytes(pid: int | str = "self") -> int:
+    """Return the resident memory of a process, in bytes."""
+    pages = pathlib.Path(f"/proc/{pid}/statm").read_text(encoding="ascii").split()[1]
+    return int(pages) * os.sysconf("SC_PAGE_SIZE")
+
+
+def processor_s(pid: int | str) -> float:
+    """Return the user and system time that a process has used, in seconds."""
+    text = pathlib.Path(f"/proc/{pid}/stat").read_text(encoding="ascii")
+    # The command name in parentheses may hold spaces; fields count from behind it.
+    fields = text.rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
