--- /dev/null
+++ b/bench/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the policy with the product's own decision code."""
