Close connections with the peer server; test the wire

Cause: grpclib's server cancels calls at close but leaves connections open; a caller waited for its whole deadline (31 s in the test). Change: the server closes its connections; tests over loopback sockets. Conclusion: a lost owner is noticed at once.

--- a/clementinespar/peers/server.py
+++ b/clementinespar/peers/server.py
@@ -5,6 +5,7 @@
 import hashlib
 import socket
 import ssl
+import weakref
 from collections.abc import AsyncIterator, Sequence
 from typing import Any, Protocol
 
@@ -222,11 +223,18 @@
     return context
 
 
-class _Server(grpclib.server.Server):
-    """Server whose connections have bounded silence."""
+class Server(grpclib.server.Server):
+    """Server whose connections have bounded silence and end with it."""
+
+    _protocols: "weakref.WeakSet[grpclib.protocol.H2Protocol]"
+
+    def __init__(self, service: PeerService, max_message_bytes: int) -> None:
+        super().__init__([service], config=client.make_configuration(max_message_bytes))
+        self._protocols = weakref.WeakSet()
 
     def _protocol_factory(self) -> grpclib.protocol.H2Protocol:
         protocol = super()._protocol_factory()
+        self._protocols.add(protocol)
         connection_made = protocol.connection_made
 
         def bounded_connection_made(transport: asyncio.BaseTransport) -> None:
@@ -236,20 +244,29 @@
         protocol.connection_made = bounded_connection_made  # type: ignore[method-assign]
         return protocol
 
+    def close(self) -> None:
+        """Stop serving and close all connections.
+
+        grpclib cancels the calls but leaves their connections open, so the other side
+        would wait until its deadlines.
+        """
+        super().close()
+        for protocol in list(self._protocols):
+            if hasattr(protocol, "processor"):
+                protocol.processor.close("the node stops")
+
 
 @contextlib.asynccontextmanager
 async def serving(
     service: PeerService, settings: options.PeersSettings, listener: socket.socket
-) -> AsyncIterator[None]:
+) -> AsyncIterator[Server]:
     """Serve the peer protocol on a bound socket while the context is entered."""
-    server = _Server(
-        [service], config=client.make_configuration(settings.max_message_bytes)
-    )
+    server = Server(service, settings.max_message_bytes)
     await server.start(
         sock=listener, ssl=make_ssl_context(settings, ssl.Purpose.CLIENT_AUTH)
     )
     try:
-        yield
+        yield server
     finally:
         server.close()
         await server.wait_closed()
--- /dev/null
+++ b/clementinespar/peers/tests/test_wire.py
@@ -0,0 +1,270 @@
+"""Tests of the peer protocol over loopback sockets."""
+
+import asyncio
+import contextlib
+import dataclasses
+from collections.abc import AsyncIterator, Callable
+
+import pytest
+
+from clementinespar import codes, errors, options
+from clementinespar.log import service as log_service
+from clementinespar.peers import client, membership, peer_pb2, server
+from clementinespar.requests import model
+
+_SETTINGS = options.PeersSettings(address="127.0.0.1", port=0)
+
+
+class FakeOwner:
+    """A dispatcher that waits at the steps that a test asks for."""
+
+    before_start: asyncio.Event
+    before_end: asyncio.Event
+    arrived: asyncio.Event
+    was_cancelled: asyncio.Event
+    body: bytes
+
+    def __init__(self) -> None:
+        self.before_start = asyncio.Event()
+        self.before_end = asyncio.Event()
+        self.arrived = asyncio.Event()
+        self.was_cancelled = asyncio.Event()
+        self.body = b"answer"
+
+    async def handle(
+        self, request: model.Request, on_started: Callable[[], None]
+    ) -> model.Outcome:
+        self.arrived.set()
+        try:
+            await self.before_start.wait()
+            on_started()
+            await self.before_end.wait()
+        except asyncio.CancelledError:
+            self.was_cancelled.set()
+            raise
+        return model.Outcome(
+            model.OutcomeKind.ANSWERED,
+            codes.ResultCode.OK,
+            body=self.body,
+            host_id="host-1",
+            attempts=1,
+        )
+
+
+class FakeEntries:
+    """Ten entries and a snapshot of several parts."""
+
+    state = bytes(range(256)) * 1024
+
+    def recent_entries(
+        self, from_offset: int, limit: int
+    ) -> list[log_service.LogEntry]:
+        entries = [log_service.LogEntry(i, i * 10, b"x") for i in range(10)]
+        return entries[from_offset:][:limit]
+
+    def snapshot(self) -> tuple[int, bytes]:
+        return 9, self.state
+
+
+@dataclasses.dataclass
+class Wire:
+    """One serving node and a client of it."""
+
+    owner: FakeOwner
+    client: client.PeerClient
+    stop: Callable[[], None]  # ends the server and its connections
+
+
+@contextlib.asynccontextmanager
+async def wire(settings: options.PeersSettings = _SETTINGS) -> AsyncIterator[Wire]:
+    owner = FakeOwner()
+    members = membership.Membership(
+        options.NodeSettings(name="owner", data_centre="dc"),
+        settings,
+        lambda address: client.PeerClient(address, settings),
+        membership.Report,
+    )
+    service = server.PeerService(
+        members, FakeEntries(), owner, settings.max_message_bytes
+    )
+    listener = server.bind("127.0.0.1", 0)
+    endpoint = f"127.0.0.1:{listener.getsockname()[1]}"
+    async with contextlib.AsyncExitStack() as stack:
+        grpc_server = await stack.enter_async_context(
+            server.serving(service, settings, listener)
+        )
+        await stack.enter_async_context(members.running(endpoint))
+        peer_client = client.PeerClient(endpoint, _SETTINGS)
+        stack.callback(peer_client.close)
+        yield Wire(owner, peer_client, grpc_server.close)
+
+
+def _request(body: bytes = b"{}", timeout_s: float = 30.0) -> model.Request:
+    deadline = asyncio.get_running_loop().time() + timeout_s
+    return model.Request("1-a", "orders", "cut", body, "text/plain", deadline)
+
+
+async def _handle(
+    peer_client: client.PeerClient, request: model.Request, started: asyncio.Event
+) -> model.Outcome:
+    owner = client.RemoteOwner(peer_client, "ingress")
+    return await owner.handle(request, started.set)
+
+
+def test_answer_larger_than_a_message_arrives_whole() -> None:
+    async def main() -> None:
+        async with wire() as w:
+            started = asyncio.Event()
+            w.owner.body = bytes(range(256)) * 4096 * 6
+            w.owner.before_start.set()
+            w.owner.before_end.set()
+            outcome = await _handle(w.client, _request(), started)
+            assert outcome.kind is model.OutcomeKind.ANSWERED
+            assert outcome.body == w.owner.body
+            assert outcome.host_id == "host-1"
+            assert started.is_set()
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("is_started", [False, True])
+def test_owner_that_dies_with_the_request_leaves_it_unknown(is_started: bool) -> None:
+    # The request may have run even if no start was seen: the event may be lost.
+    async def main() -> None:
+        async with wire() as w:
+            started = asyncio.Event()
+            task = asyncio.create_task(_handle(w.client, _request(), started))
+            await w.owner.arrived.wait()
+            if is_started:
+                w.owner.before_start.set()
+                await started.wait()
+            w.stop()
+            outcome = await task
+            assert outcome.kind is model.OutcomeKind.UNKNOWN
+            assert outcome.code == codes.ResultCode.OWNER_LOST
+            assert started.is_set() == is_started
+
+    asyncio.run(main())
+
+
+def test_owner_that_cannot_be_reached_did_not_run_the_request() -> None:
+    async def main() -> None:
+        listener = server.bind("127.0.0.1", 0)
+        endpoint = f"127.0.0.1:{listener.getsockname()[1]}"
+        listener.close()
+        peer_client = client.PeerClient(endpoint, _SETTINGS)
+        outcome = await _handle(peer_client, _request(), asyncio.Event())
+        assert outcome.kind is model.OutcomeKind.NOT_RUN
+        assert outcome.code == codes.ResultCode.OWNER_UNREACHABLE
+        peer_client.close()
+
+    asyncio.run(main())
+
+
+def test_caller_that_leaves_cancels_the_request_at_the_owner() -> None:
+    async def main() -> None:
+        async with wire() as w:
+            task = asyncio.create_task(_handle(w.client, _request(), asyncio.Event()))
+            await w.owner.arrived.wait()
+            task.cancel()
+            await w.owner.was_cancelled.wait()
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+
+    asyncio.run(main())
+
+
+def test_request_over_the_limit_is_refused_on_both_sides() -> None:
+    async def main() -> None:
+        async with wire() as w:
+            body = bytes(_SETTINGS.max_message_bytes)
+            outcome = await _handle(w.client, _request(body), asyncio.Event())
+            assert outcome.code == codes.ResultCode.REQUEST_TOO_LARGE
+        small = options.PeersSettings(
+            address="127.0.0.1", port=0, max_message_bytes=4096
+        )
+        async with wire(small) as w:
+            outcome = await _handle(w.client, _request(bytes(9000)), asyncio.Event())
+            assert outcome.kind is model.OutcomeKind.NOT_RUN
+            assert outcome.code == codes.ResultCode.OWNER_UNREACHABLE
+            assert not w.owner.arrived.is_set()
+
+    asyncio.run(main())
+
+
+def test_entries_and_snapshot_arrive_whole() -> None:
+    async def main() -> None:
+        async with wire() as w:
+            entries = await w.client.fetch_entries(3, 4)
+            assert [entry.offset for entry in entries] == [3, 4, 5, 6]
+            assert await w.client.fetch_snapshot() == (9, FakeEntries.state)
+
+    asyncio.run(main())
+
+
+@contextlib.asynccontextmanager
+async def _silent_listener() -> AsyncIterator[str]:
+    """Accept connections and never answer on them."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(OSError):
+            while await reader.read(65536):
+                pass
+        writer.close()
+
+    silent = await asyncio.start_server(serve, "127.0.0.1", 0)
+    async with silent:
+        yield f"127.0.0.1:{silent.sockets[0].getsockname()[1]}"
+
+
+def test_silent_connection_bounds_every_call() -> None:
+    # Without the bounds, these calls would end at their deadlines or never.
+    async def main() -> None:
+        async with _silent_listener() as endpoint, asyncio.timeout(20):
+            peer_client = client.PeerClient(endpoint, _SETTINGS)
+            outcome = await _handle(
+                peer_client, _request(timeout_s=3600), asyncio.Event()
+            )
+            assert outcome.kind is model.OutcomeKind.UNKNOWN
+            assert outcome.code == codes.ResultCode.OWNER_LOST
+            with pytest.raises(errors.PeerUnavailableError):
+                await peer_client.fetch_entries(0, 1)
+            peer_client.close()
+
+    asyncio.run(main())
+
+
+def test_fresh_connection_is_used_after_silence() -> None:
+    async def main() -> None:
+        async with wire() as w, _silent_listener() as endpoint:
+            forwarded = w.client.endpoint
+            w.client.endpoint = endpoint
+            with pytest.raises(errors.PeerUnavailableError):
+                await w.client.heartbeat(_heartbeat(), 0.05)
+            w.client.renew()
+            w.client.endpoint = forwarded
+            reply = await w.client.heartbeat(_heartbeat(), 5.0)
+            assert reply.sender.name == "owner"
+
+    asyncio.run(main())
+
+
+def test_renewal_does_not_cut_off_requests_in_flight() -> None:
+    # A heartbeat that timed out must not turn other requests into unknown ones.
+    async def main() -> None:
+        async with wire() as w:
+            task = asyncio.create_task(_handle(w.client, _request(), asyncio.Event()))
+            await w.owner.arrived.wait()
+            w.client.renew()
+            assert (await w.client.heartbeat(_heartbeat(), 5.0)).sender.name == "owner"
+            w.owner.before_start.set()
+            w.owner.before_end.set()
+            assert (await task).kind is model.OutcomeKind.ANSWERED
+
+    asyncio.run(main())
+
+
+def _heartbeat() -> peer_pb2.HeartbeatMessage:
+    return peer_pb2.HeartbeatMessage(
+        sender=peer_pb2.Member(name="ingress", endpoint="127.0.0.1:1", incarnation=1)
+    )
