--- a/clementinespar/fleet/state.py
+++ b/clementinespar/fleet/state.py
@@ -193,6 +193,14 @@
             return codes.ResultCode.RECORD_INVALID
 
 
+def _apply_production(
+    state: FleetState, document: document_model.Document, entry: log_service.LogEntry
+) -> None:
+    """Bring hosts and waves in line with a document that came into force."""
+    pools_state.apply_document(state.pools, document, entry.offset)
+    waves_state.apply_document(state.waves, document, entry)
+
+
 def _count_chunk(
     state: SnapshotsState,
     record: fleet_messages.SnapshotChunk,
