Show plans and times in tables; relate the size of a wave to the pool

Cause: a wave takes its hosts out one after the other within the budget, so a wave larger than what may be out at once is normal. The check compared the two and would have refused sensible documents.

Change: max_wave_hosts is compared with the largest pool; status and plan show times, yes and no, and the next actions.

--- a/clementinespar/commands/status.py
+++ b/clementinespar/commands/status.py
@@ -7,6 +7,7 @@
 from clementinespar.commands import client, replies, shared, tables
 
 _SECTIONS = ("peers", "pools", "waves", "services")
+_LEAST_TIME_MS = 10**12  # values above are times of this century, not durations
 _PATH_BY_SUBJECT = {
     "host": "/v1/hosts",
     "pool": "/v1/pools",
@@ -58,17 +59,10 @@
         shared.print_json(reply.values)
         return
     click.echo(f"{environment}, seen from {reply.node}")
-    for line in headlines(reply.values):
-        click.echo(line)
-    for section, value in reply.values.items():
-        rows = replies.items(reply.values, section)
-        if rows:
-            click.echo(f"\n{section}")
-            click.echo(table_of(rows))
-        elif isinstance(value, Sequence) and not isinstance(value, str) and value:
-            click.echo(f"\n{section}")
-            for line in value:
-                click.echo(f"  {line}")
+    for part in ("waves", "capacity"):
+        click.echo(f"\n{part}")
+        for line in plan_lines(replies.mapping(reply.values, part)):
+            click.echo(f"  {line}")
 
 
 @click.command("explain")
@@ -112,6 +106,27 @@
         click.echo(f"code: {client.code_text(reply.code)}")
 
 
+def plan_lines(plan: client.Json) -> list[str]:
+    """Return the next actions of a plan, then why each pool is as it is."""
+    lines = []
+    for action, values in plan.items():
+        if action.endswith("_by_pool"):
+            continue
+        for item in replies.items(plan, action):
+            shown = {key: value for key, value in item.items() if key != "name"}
+            lines.append(
+                f"next: {action.rstrip('s').replace('_', ' ')}: {_pairs(shown)}"
+            )
+        if isinstance(values, str):
+            lines.append(f"{action}: {values}")
+    if not lines:
+        lines.append("nothing to do now")
+    for item in replies.items(plan, "explanations_by_pool"):
+        because = "; ".join(replies.texts(item, "because"))
+        lines.append(f"{replies.text(item, 'subject')}: {item.get('state')}: {because}")
+    return lines
+
+
 def headlines(values: client.Json) -> list[str]:
     """Return one line for each object of plain values and one for plain values."""
     lines = []
@@ -134,8 +149,8 @@
     columns = list(dict.fromkeys(key for row in rows for key in row))
     columns.sort(key=lambda column: column != "name")
     return tables.render(
-        [column.replace("_", " ").upper() for column in columns],
-        [[_shown(row.get(column)) for column in columns] for row in rows],
+        [_title(column).upper() for column in columns],
+        [[_shown(column, row.get(column)) for column in columns] for row in rows],
     )
 
 
@@ -145,11 +160,18 @@
 
 def _pairs(values: Mapping[str, object]) -> str:
     return ", ".join(
-        f"{key.replace('_', ' ')} {tables.cell(values[key])}" for key in values
+        f"{_title(key)} {tables.cell(_shown(key, value))}"
+        for key, value in values.items()
     )
 
 
-def _shown(value: object) -> object:
+def _title(key: str) -> str:
+    return key.removesuffix("_ms").replace("_", " ")
+
+
+def _shown(key: str, value: object) -> object:
+    if key.endswith("_ms") and isinstance(value, int) and value > _LEAST_TIME_MS:
+        return replies.time_text(value)
     if isinstance(value, Mapping):
         return [f"{key}={tables.cell(item)}" for key, item in value.items()]
     if isinstance(value, list):
--- a/clementinespar/commands/tables.py
+++ b/clementinespar/commands/tables.py
@@ -19,6 +19,8 @@
     """Return a value as one cell, ``-`` if there is none."""
     if value is None or value == "" or value == []:
         return "-"
+    if isinstance(value, bool):
+        return "yes" if value else "no"
     if isinstance(value, float):
         return f"{value:.1f}"
     if isinstance(value, list | tuple):
--- a/clementinespar/commands/tests/test_commands.py
+++ b/clementinespar/commands/tests/test_commands.py
@@ -248,3 +248,68 @@
         assert "the queue is full" in result.output
         assert "303 QUEUE_FULL" in result.output
         assert first.calls == second.calls == [("GET", "/v1/requests/1-a")]
+
+
+_STATUS = {
+    "environment": "production",
+    "document": {"revision": 7, "author": "ann", "log_time_ms": 1_700_000_000_000},
+    "node": {"name": "entry-1", "is_ready": True},
+    "peers": [{"name": "entry-2", "applied_offset": 41, "is_alive": False}],
+    "pools": [
+        {"name": "dispatch", "available": 5, "min_available": 3, "out": ["c1 (move)"]}
+    ],
+    "waves": [],
+    "services": [{"name": "delivery", "owner": None}, {"name": "desk", "queued": 3}],
+}
+_PLAN = {
+    "environment": "trial",
+    "waves": {
+        "starts": [{"pool": "dispatch", "host_ids": ["c1", "c2"]}],
+        "take_outs": [],
+        "explanations_by_pool": {
+            "dispatch": {
+                "subject": "wave of pool dispatch",
+                "state": "starting",
+                "because": ["2 hosts are due"],
+            }
+        },
+    },
+    "capacity": {"moves": []},
+}
+
+
+@pytest.mark.parametrize(
+    ("command", "reply", "lines"),
+    [
+        (
+            "status",
+            _STATUS,
+            [
+                "document: revision 7, author ann, log time 2023-11-14 22:13:20",
+                "node: name entry-1, is ready yes",
+                "entry-2  41              no",
+                "dispatch  5          3              c1 (move)",
+                "delivery  -      -",
+                "desk      -      3",
+            ],
+        ),
+        (
+            "plan",
+            _PLAN,
+            [
+                "  next: start: pool dispatch, host ids c1,c2",
+                "  wave of pool dispatch: starting: 2 hosts are due",
+                "  nothing to do now",
+            ],
+        ),
+    ],
+)
+def test_tables_show_what_a_node_replies(
+    command: str, reply: dict[str, Any], lines: list[str]
+) -> None:
+    """Guards against parts of a reply that a person does not get to see."""
+    with fake_admin.serve(lambda *_: (200, reply)) as admin:
+        shown = _run(command, "--node", admin.node)
+        as_json = _run(command, "--node", admin.node, "--json")
+    assert set(lines) <= set(shown.output.splitlines()), shown.output
+    assert json.loads(as_json.output) == reply
--- a/clementinespar/documents/checks.py
+++ b/clementinespar/documents/checks.py
@@ -42,25 +42,22 @@
 def _maintenance_problems(document: model.Document) -> Iterator[model.Problem]:
     if document.maintenance.paused:
         return
-    out_by_pool = {
-        name: most_hosts_out(document, name)
-        for name, pool in document.pools.items()
-        if pool.host_ids
-    }
-    for name, out in out_by_pool.items():
-        if out == 0:
+    for name, pool in document.pools.items():
+        if pool.host_ids and most_hosts_out(document, name) == 0:
             yield model.Problem(
                 f"pools.{name}.budget.min_available",
-                str(document.pools[name].budget.min_available),
-                f"fewer than the pool's {len(document.pools[name].host_ids)} hosts; "
-                "none could ever be maintained (or set maintenance.paused)",
+                str(pool.budget.min_available),
+                f"fewer than the pool's {len(pool.host_ids)} hosts; none could ever be "
+                "maintained (or set maintenance.paused)",
             )
-    largest = max(out_by_pool.values(), default=0)
+    # A wave takes its hosts out one after the other within the budget, so it may have
+    # more hosts than may be out at once.
+    largest = max((len(pool.host_ids) for pool in document.pools.values()), default=0)
     if 0 < largest < document.maintenance.max_wave_hosts:
         yield model.Problem(
             "maintenance.max_wave_hosts",
             str(document.maintenance.max_wave_hosts),
-            f"at most {largest}, the most hosts that any pool's budget lets out",
+            f"at most {largest}, the hosts of the largest pool",
         )
 
 
--- a/demo/documents.py
+++ b/demo/documents.py
@@ -34,7 +34,7 @@
         hosts={i: host for i, host in full.hosts.items() if i in kept},
         pools=pools,
         maintenance=dataclasses.replace(
-            full.maintenance, max_wave_hosts=1, survive="rack", paused=True
+            full.maintenance, max_wave_hosts=2, survive="rack", paused=True
         ),
     )
 
