--- a/clementinespar/documents/model.py
+++ b/clementinespar/documents/model.py
@@ -14,6 +14,7 @@
 import pydantic_core
 
 _MAX_DEADLINE_MS = 600_000
+_MAX_RATIO = 4.0  # keeps an extreme weight from switching a decision off
 # Names appear in paths of HTTP requests, in metrics and in tables.
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 _NAME_EXPECTED = "a name of at most 63 letters, digits, '.', '_' or '-'"
@@ -33,9 +34,6 @@
         return f"{self.location} = {self.value!r}: {self.expected}"
 
 
-_MAX_RATIO = 4.0  # keeps an extreme weight from switching a decision off
-
-
 _CONFIG = pydantic.ConfigDict(extra="forbid")
 
 Measure = Literal["short_wait", "buffer_cost", "moves", "roll_out"]
--- a/clementinespar/fleet/state.py
+++ b/clementinespar/fleet/state.py
@@ -222,11 +222,3 @@
     while len(pending) > _MAX_PENDING_SNAPSHOTS:
         del pending[next(iter(pending))]
     return codes.ResultCode.OK
-
-
-def _apply_production(
-    state: FleetState, document: document_model.Document, entry: log_service.LogEntry
-) -> None:
-    """Bring hosts and waves in line with a document that came into force."""
-    pools_state.apply_document(state.pools, document, entry.offset)
-    waves_state.apply_document(state.waves, document, entry)
