--- a/clementinespar/admin/views.py
+++ b/clementinespar/admin/views.py
@@ -15,6 +15,9 @@
 
 Json = dict[str, Any]
 
+# What the status shows of a queue that this node owns.
+_QUEUE_KEYS = ("queued_short", "queued_long", "in_flight", "free_slots")
+
 
 class HostExplainer(Protocol):
     """Explains hosts; `pools.operations.HostOperations` in a node."""
@@ -74,7 +77,7 @@
     waves: PoolPlanner
     capacity: PoolPlanner
     requests: RequestExplainer
-    queue_by_service: Callable[[], Mapping[str, Json]]  # queues that this node owns
+    explain_queue: Callable[[str], Mapping[str, Any]]  # the queue of a service here
 
     def status(self, environment: messages.Environment) -> Json:
         """Return the reply of ``GET /v1/status``."""
@@ -234,7 +237,6 @@
 
     def _services(self, document: model.Document) -> list[Json]:
         demands: dict[str, demand.ServiceDemand] = self.peers.demand_by_service()
-        queues = self.queue_by_service()
         services: list[Json] = []
         for name, service in document.services.items():
             owners = self.peers.candidates(name)
@@ -247,7 +249,8 @@
                 "refused_per_s": None if observed is None else observed.refused_per_s,
             }
             if owners and owners[0].is_local:
-                line |= queues.get(name, {})
+                queue = self.explain_queue(name)
+                line |= {key: queue[key] for key in _QUEUE_KEYS if key in queue}
             services.append(line)
         return services
 
--- a/clementinespar/peers/directory.py
+++ b/clementinespar/peers/directory.py
@@ -23,8 +23,8 @@
     local_report : callable
         Returns what this node says about itself now; its demands may cover services
         that other nodes own now, which are left out.
-    owner : model.RequestHandler
-        This node's own dispatcher.
+    can_own : callable
+        Whether this node may own queues now; the same as in its report, but cheap.
     on_change : callable
         Called after the set of live nodes or a peer's report changed.
     """
@@ -33,7 +33,9 @@
     log_relay: relay.Relay  # entries and snapshots from other nodes
     _settings: options.Settings
     _local_report: Callable[[], membership.Report]
-    _owner: model.RequestHandler
+    _can_own: Callable[[], bool]
+    _owner: model.RequestHandler | None  # this node's dispatcher, set while running
+    _service: server.PeerService | None  # set while running
     _ssl_context: ssl.SSLContext | None
     _clients_by_endpoint: dict[str, client.PeerClient]
 
@@ -41,12 +43,14 @@
         self,
         settings: options.Settings,
         local_report: Callable[[], membership.Report],
-        owner: model.RequestHandler,
+        can_own: Callable[[], bool],
         on_change: Callable[[], None] = lambda: None,
     ) -> None:
         self._settings = settings
         self._local_report = local_report
-        self._owner = owner
+        self._can_own = can_own
+        self._owner = None
+        self._service = None
         self._ssl_context = server.make_ssl_context(
             settings.peers, ssl.Purpose.SERVER_AUTH
         )
@@ -57,21 +61,36 @@
         self.log_relay = relay.Relay(self.members, self._clients_by_endpoint.get)
 
     @contextlib.asynccontextmanager
-    async def running(self, entries: server.EntrySource) -> AsyncIterator[int]:
-        """Serve the peer protocol and send heartbeats; yields the bound port."""
+    async def running(
+        self, entries: server.EntrySource, owner: model.RequestHandler
+    ) -> AsyncIterator[int]:
+        """Serve the peer protocol and send heartbeats; yields the bound port.
+
+        Parameters
+        ----------
+        entries : server.EntrySource
+            Gives log entries and snapshots to other nodes.
+        owner : model.RequestHandler
+            This node's own dispatcher.
+        """
         settings = self._settings.peers
         listener = server.bind(settings.address, settings.port)
         port = int(listener.getsockname()[1])
         host = f"[{settings.address}]" if ":" in settings.address else settings.address
-        service = server.PeerService(
-            self.members, entries, self._owner, settings.max_message_bytes
+        self._owner = owner
+        self._service = server.PeerService(
+            self.members, entries, owner, settings.max_message_bytes
         )
         async with (
-            server.serving(service, settings, listener),
+            server.serving(self._service, settings, listener),
             self.members.running(f"{host}:{port}"),
         ):
             yield port
 
+    async def wait_idle(self, timeout_s: float) -> list[str]:
+        """Wait for requests of other nodes; return the ids of those that remain."""
+        return [] if self._service is None else await self._service.wait_idle(timeout_s)
+
     def _open_link(self, endpoint: str) -> membership.PeerLink:
         peer_client = client.PeerClient(
             endpoint, self._settings.peers, self._ssl_context
@@ -105,8 +124,7 @@
             for peer in self.members.live_peers()
             if peer.report.is_ready and not peer.report.is_draining
         ]
-        own = self._local_report()
-        if own.is_ready and not own.is_draining and not self.members.is_superseded:
+        if self._can_own() and not self.members.is_superseded:
             names.append(self._settings.node.name)
         return rendezvous.order_nodes(service, names)
 
@@ -116,7 +134,8 @@
         candidates: list[model.OwnerCandidate] = []
         for name in self._owner_names(service):
             if name == self._settings.node.name:
-                candidates.append(model.OwnerCandidate(name, self._owner, True))
+                if self._owner is not None:
+                    candidates.append(model.OwnerCandidate(name, self._owner, True))
                 continue
             endpoint = peers_by_name[name].member.endpoint
             peer_client = self._clients_by_endpoint.get(endpoint)
@@ -125,6 +144,10 @@
                 candidates.append(model.OwnerCandidate(name, handler, False))
         return candidates
 
+    def has_owner(self) -> bool:
+        """Whether any live node may own queues."""
+        return bool(self._owner_names(""))
+
     # capacity.demand.DemandSource
 
     def demand_by_service(self) -> dict[str, demand.ServiceDemand]:
--- a/clementinespar/peers/server.py
+++ b/clementinespar/peers/server.py
@@ -17,6 +17,7 @@
 from clementinespar.log import service as log_service
 from clementinespar.peers import client, membership, peer_grpc, peer_pb2
 from clementinespar.requests import model
+from clementinespar.telemetry import metrics, traces
 
 # Parts of a snapshot or an answer: small enough for other calls on the same connection
 # to get their turn in between.
@@ -57,6 +58,8 @@
     _entries: EntrySource
     _owner: model.RequestHandler
     _max_message_bytes: int
+    _request_ids: dict[object, str]  # request id of each Dispatch call in flight
+    _idle: asyncio.Event  # no Dispatch call is in flight
 
     def __init__(
         self,
@@ -69,6 +72,15 @@
         self._entries = entries
         self._owner = owner
         self._max_message_bytes = max_message_bytes
+        self._request_ids = {}
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    async def wait_idle(self, timeout_s: float) -> list[str]:
+        """Wait for requests of other nodes; return the ids of those that remain."""
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._idle.wait(), timeout_s)
+        return sorted(self._request_ids.values())
 
     async def _receive(self, stream: Any) -> Any:
         client.check_message_size(stream, self._max_message_bytes, _too_large)
@@ -137,8 +149,27 @@
         message = await self._receive(stream)
         # Headers now: the sender learns that the connection works.
         await stream.send_initial_metadata()
+        self._request_ids[stream] = message.request_id
+        self._idle.clear()
+        try:
+            with traces.hop_span(
+                "forwarded request",
+                message.traceparent,
+                request_id=message.request_id,
+                ingress=message.ingress,
+            ) as span:
+                request = _decode_request(message, span.traceparent)
+                outcome = await self._handle(stream, request)
+                span.set("outcome", outcome.kind.value)
+            metrics.FORWARDED.labels(request.service, outcome.kind.value).inc()
+        finally:
+            del self._request_ids[stream]
+            if not self._request_ids:
+                self._idle.set()
+
+    async def _handle(self, stream: Any, request: model.Request) -> model.Outcome:
+        """Pass events and the outcome of a request to the sender."""
         started = asyncio.Event()
-        request = _decode_request(message)
         handling = asyncio.create_task(self._owner.handle(request, started.set))
         announcing = asyncio.create_task(_announce_start(stream, started))
         try:
@@ -154,6 +185,7 @@
             await stream.send_message(
                 peer_pb2.DispatchEvent(outcome=_encode_outcome(outcome))
             )
+            return outcome
         finally:
             for task in (handling, announcing):
                 task.cancel()
@@ -169,7 +201,9 @@
     return grpclib.GRPCError(grpclib.Status.RESOURCE_EXHAUSTED, text)
 
 
-def _decode_request(message: peer_pb2.DispatchRequest) -> model.Request:
+def _decode_request(
+    message: peer_pb2.DispatchRequest, traceparent: str | None
+) -> model.Request:
     return model.Request(
         request_id=message.request_id,
         service=message.service,
@@ -180,7 +214,7 @@
         team=message.team or None,
         is_urgent=message.is_urgent,
         declared_run_ms=message.declared_run_ms or None,
-        traceparent=message.traceparent or None,
+        traceparent=traceparent,
     )
 
 
--- /dev/null
+++ b/clementinespar/tests/fleet.py
@@ -0,0 +1,181 @@
+"""A small fleet in one process: stand-ins and nodes over loopback sockets."""
+
+import asyncio
+import contextlib
+import json
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+
+from tornado import httpclient
+
+from clementinespar import node as entry_node
+from clementinespar import options
+from standins import fake_log, fake_platform, log_service, platform, target
+
+DOCUMENT: dict[str, Any] = {
+    "user": "test",
+    "hosts": {
+        "h1": {"data_centre": "dc1", "rack": "r1"},
+        "h2": {"data_centre": "dc2", "rack": "r2"},
+    },
+    "pools": {
+        "p": {
+            "host_ids": ["h1", "h2"],
+            "budget": {
+                "min_available": 1,
+                "max_out_per_rack": 1,
+                "max_out_per_data_centre": 1,
+            },
+        }
+    },
+    "services": {
+        f"service-{i}": {
+            "pool": "p",
+            "kinds": {"read": {"repeatable": True}, "order": {"repeatable": False}},
+        }
+        for i in range(6)
+    },
+    "maintenance": {"survive": "none", "paused": True},
+}
+
+
+class Fleet:
+    """Stand-ins of the log, the platform and two targets, and the nodes on them."""
+
+    log: fake_log.FakeLog
+    targets: list[target.TargetState]
+    _log_port: int
+    _platform_port: int
+    _client: httpclient.AsyncHTTPClient
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator["Fleet"]:
+        """Run the stand-ins."""
+        self._client = httpclient.AsyncHTTPClient(force_instance=True, max_clients=100)
+        async with contextlib.AsyncExitStack() as stack:
+            self.log = fake_log.FakeLog()
+            self._log_port = stack.enter_context(
+                log_service.serving(self.log, "127.0.0.1", 0)
+            )
+            self.targets = [target.TargetState(host_id) for host_id in ("h1", "h2")]
+            seeds = [
+                fake_platform.HostSeed(
+                    state.host_id,
+                    f"dc{state.host_id[1]}",
+                    f"r{state.host_id[1]}",
+                    "p",
+                    port=await stack.enter_async_context(target.serve(state)),
+                )
+                for state in self.targets
+            ]
+            hosts = fake_platform.FakePlatform(seeds)
+            hosts.faults.list_lag_s = 0.0
+            self._platform_port = stack.enter_context(
+                platform.serving(hosts, "127.0.0.1", 0)
+            )
+            yield self
+            self._client.close()
+
+    def settings(
+        self, name: str, seeds: tuple[str, ...] = (), stop_limit_s: float = 30.0
+    ) -> options.Settings:
+        """Return the settings of a node; the system chooses its ports."""
+        return options.Settings(
+            node=options.NodeSettings(name, "dc1", stop_limit_s=stop_limit_s),
+            callers=options.CallersSettings("127.0.0.1", 0),
+            admin=options.AdminSettings("127.0.0.1", 0),
+            peers=options.PeersSettings(
+                "127.0.0.1", 0, seeds=seeds, heartbeat_interval_s=0.1
+            ),
+            log=options.LogSettings(f"http://127.0.0.1:{self._log_port}"),
+            platform=options.PlatformSettings(
+                f"http://127.0.0.1:{self._platform_port}", poll_interval_s=0.2
+            ),
+        )
+
+    @contextlib.asynccontextmanager
+    async def node(
+        self, name: str, *seeds: entry_node.Node, stop_limit_s: float = 30.0
+    ) -> AsyncIterator[entry_node.Node]:
+        """Run a node that knows other nodes; it need not be ready yet."""
+        endpoints = tuple(f"127.0.0.1:{seed.ports['peers']}" for seed in seeds)
+        node = entry_node.Node(self.settings(name, endpoints, stop_limit_s))
+        async with node.running():
+            yield node
+            node.request_stop()
+
+    @contextlib.asynccontextmanager
+    async def nodes(self, count: int) -> AsyncIterator[list[entry_node.Node]]:
+        """Run nodes that are ready, know each other and have the document."""
+        async with contextlib.AsyncExitStack() as stack:
+            nodes: list[entry_node.Node] = []
+            for i in range(count):
+                nodes.append(
+                    await stack.enter_async_context(self.node(f"n{i}", *nodes[:1]))
+                )
+            for node in nodes:
+                assert await node.wait_ready()
+            await self.until(
+                lambda: all(
+                    len(node.peers.members.live_peers()) == count - 1 for node in nodes
+                )
+            )
+            reply = await self.publish(nodes[0], "production", 0)
+            assert reply["code"] == 0, reply
+            await self.until(
+                lambda: all(
+                    [c.node for c in node.peers.candidates("service-0")]
+                    == [c.node for c in nodes[0].peers.candidates("service-0")]
+                    and len(node.peers.candidates("service-0")) == count
+                    for node in nodes
+                )
+            )
+            yield nodes
+
+    async def until(self, condition: Callable[[], bool]) -> None:
+        """Wait for a condition; the limit only keeps a broken test from hanging."""
+        async with asyncio.timeout(30):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    async def admin(
+        self, node: entry_node.Node, path: str, body: object = None
+    ) -> tuple[int, dict[str, Any]]:
+        """Call the admin port; a body makes it a POST."""
+        response = await self._client.fetch(
+            f"http://127.0.0.1:{node.ports['admin']}{path}",
+            method="GET" if body is None else "POST",
+            body=None if body is None else json.dumps(body),
+            raise_error=False,
+        )
+        return response.code, json.loads(response.body)
+
+    async def publish(
+        self,
+        node: entry_node.Node,
+        environment: str,
+        replaces: int,
+        author: str = "op",
+    ) -> dict[str, Any]:
+        """Publish the document."""
+        body = {"replaces": replaces, "author": author, "document": DOCUMENT}
+        return (await self.admin(node, f"/v1/documents/{environment}", body))[1]
+
+    async def request(
+        self,
+        node: entry_node.Node,
+        service: str,
+        kind: str = "read",
+        run_ms: float = 5,
+        request_id: str | None = None,
+    ) -> httpclient.HTTPResponse:
+        """Send a caller's request."""
+        headers = {} if request_id is None else {"X-Request-Id": request_id}
+        return await self._client.fetch(
+            f"http://127.0.0.1:{node.ports['callers']}/v1/{service}/{kind}",
+            method="POST",
+            body=json.dumps({"run_ms": run_ms}),
+            headers=headers,
+            raise_error=False,
+            request_timeout=60,
+        )
