--- a/clementinespar/commands/node.py
+++ b/clementinespar/commands/node.py
@@ -1,6 +1,5 @@
 """Commands that run a node and check files: ``node`` and ``check``."""
 
-import importlib
 import pathlib
 import sys
 
@@ -30,7 +29,8 @@
     except ExceptionGroup as group:
         exits.fail_on_problems([group])
     # Imported here because the client commands need neither gRPC nor the node's parts.
-    node = importlib.import_module("clementinespar.node")
+    from clementinespar import node
+
     sys.exit(node.run(settings))
 
 
--- a/clementinespar/commands/tests/test_commands.py
+++ b/clementinespar/commands/tests/test_commands.py
@@ -220,8 +220,7 @@
 ) -> None:
     """Guards against a node that opens ports before its settings are checked."""
     monkeypatch.setattr(
-        "clementinespar.commands.node.importlib.import_module",
-        lambda name: pytest.fail(f"{name} was imported"),
+        "clementinespar.node.run", lambda _: pytest.fail("the node was started")
     )
     (tmp_path / "node.ini").write_text("[node]\nname = n\n")
     result = _run("node", "--settings", str(tmp_path / "node.ini"))
