--- a/clementinespar/errors.py
+++ b/clementinespar/errors.py
@@ -55,3 +55,17 @@
 
     def __init__(self, message: str) -> None:
         super().__init__(codes.ResultCode.PLATFORM_UNAVAILABLE, message)
+
+
+class PeerUnavailableError(ClementinesparError):
+    """Another entry node gave no usable reply in time."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(codes.ResultCode.PEER_UNAVAILABLE, message)
+
+
+class PlatformRefusedError(ClementinesparError):
+    """The platform refused a host action, which certainly has no effect."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(codes.ResultCode.PLATFORM_REFUSED, message)
