Test the fold of hosts, pools and waves

A state machine runs three planners with stale views, failures of hosts, racks and data centres, documents that replace one another, and records that are appended again after a lost reply. It counts I1 and I2 by itself after every record, replays the log on a second state, and brings every host back into service at the end.

Accepting a record id twice is not noticed here, because the host's revision and operation id already refuse the second one.

--- /dev/null
+++ b/clementinespar/pools/tests/test_invariants.py
@@ -0,0 +1,341 @@
+"""Random histories of racing planners, failures and documents against the fold.
+
+After every record: no accepted host_taken_out leaves a pool below its budget (I1), and
+every host belongs to exactly one pool (I2). Both are counted here without the code
+under test.
+"""
+
+import collections
+import math
+
+from hypothesis import settings, stateful
+from hypothesis import strategies as st
+
+from clementinespar import codes
+from clementinespar.capacity import demand as capacity_demand
+from clementinespar.capacity import planner as capacity_planner
+from clementinespar.documents import messages as document_messages
+from clementinespar.documents import model
+from clementinespar.fleet import state as fleet_state
+from clementinespar.log import base, records
+from clementinespar.pools import availability, messages
+from clementinespar.pools import state as pools_state
+from clementinespar.tests import fleets
+from clementinespar.waves import messages as wave_messages
+from clementinespar.waves import planner as wave_planner
+
+_A = fleets.host_ids("a", 6)
+_B = fleets.host_ids("b", 4)
+_C = fleets.host_ids("c", 4)
+_SERVICES = {"sa": "a", "sb": "b"}
+_DOCUMENTS = [
+    fleets.make_document(
+        {"a": _A, "b": _B, "c": _C},
+        min_available={"a": 4, "b": 2, "c": 0},
+        spare="c",
+        services=_SERVICES,
+        survive="rack",
+    ),
+    fleets.make_document(  # pool c is gone and its hosts have a new home
+        {"a": _A, "b": [*_B, *_C]}, min_available=3, services=_SERVICES
+    ),
+    fleets.make_document(  # hosts are gone, and others have a new home
+        {"a": _A[:5], "b": [*_B[:2], *_C[:2]], "c": [*_B[2:], *_C[2:]]},
+        min_available={"a": 4, "b": 2, "c": 1},
+        max_out_per_rack=2,
+        services=_SERVICES,
+        survive="data_centre",
+        max_wave_hosts=2,
+    ),
+    fleets.make_document(  # no host can be spared
+        {"a": _A, "b": _B, "c": _C},
+        min_available={"a": 6, "b": 4, "c": 4},
+        services=_SERVICES,
+        paused=True,
+    ),
+]
+_HOSTS = st.sampled_from([*_A, *_B, *_C])
+_POOLS = st.sampled_from(["a", "b", "c"])
+_NODES = st.integers(0, 2)
+# "slept": decides on a fresh state, but pauses before it appends.
+_VIEWS = st.sampled_from(["fresh", "fresh", "slept", "stale"])
+
+
+class _Node:
+    """A planner whose fold lags behind and whose records wait while it is paused."""
+
+    def __init__(self) -> None:
+        self.state = fleet_state.FleetState()
+        self.waiting: list[bytes] = []
+        self.is_paused = False
+
+
+class RacingPlanners(stateful.RuleBasedStateMachine):
+    def __init__(self) -> None:
+        super().__init__()
+        self.fold = fleets.Fold()
+        self.codes: list[codes.ResultCode] = []
+        self.nodes = [_Node() for _ in range(3)]
+        self._append(
+            self.fold.make(
+                document_messages.DocumentPublished,
+                environment="production",
+                replaces=0,
+                document=_DOCUMENTS[0],
+            )
+        )
+
+    @stateful.rule(node=_NODES, view=_VIEWS, missing=st.sets(_HOSTS, max_size=2))
+    def plan_waves(self, node: int, view: str, missing: set[str]) -> None:
+        planner = self._wake(node, view)
+        document = planner.state.documents.production
+        if document is None:
+            return
+        plan = wave_planner.plan(
+            wave_planner.Situation(
+                document,
+                planner.state.pools,
+                planner.state.waves,
+                planner.state.log_time_ms,
+                availability.Observation(0.0, dict.fromkeys(missing, "missing")),
+            )
+        )
+        for end in plan.ends:
+            self._wait(
+                planner,
+                wave_messages.WaveFinished,
+                wave_id=end.wave_id,
+                reason=end.reason,
+            )
+        for start in plan.starts:
+            self._wait(
+                planner,
+                wave_messages.WaveStarted,
+                pool=start.pool,
+                host_ids=start.host_ids,
+            )
+        for out in plan.take_outs:
+            self._wait(
+                planner,
+                messages.HostTakenOut,
+                host_id=out.host_id,
+                pool=out.pool,
+                host_revision=out.host_revision,
+                reason="maintenance",
+                wave_id=out.wave_id,
+            )
+
+    @stateful.rule(
+        node=_NODES,
+        view=_VIEWS,
+        slots_a=st.sampled_from([0.0, 20.0, 60.0]),
+        slots_b=st.sampled_from([0.0, 20.0, 60.0]),
+    )
+    def plan_capacity(
+        self, node: int, view: str, slots_a: float, slots_b: float
+    ) -> None:
+        planner = self._wake(node, view)
+        document = planner.state.documents.production
+        if document is None:
+            return
+        demand = {
+            name: capacity_demand.ServiceDemand(name, slots, 0.0, 0.0)
+            for name, slots in (("sa", slots_a), ("sb", slots_b))
+        }
+        situation = capacity_planner.Situation(
+            document,
+            planner.state.pools,
+            demand,
+            0.0,
+            availability.Observation(0.0, {}),
+        )
+        always = collections.defaultdict(lambda: -math.inf, dict.fromkeys("abc", -1e9))
+        plan = capacity_planner.plan(
+            situation,
+            capacity_planner.compute_needs(situation),
+            capacity_planner.History(always, always),
+        )
+        for move in plan.moves:
+            self._wait(
+                planner,
+                messages.HostTakenOut,
+                host_id=move.host_id,
+                pool=move.from_pool,
+                host_revision=move.host_revision,
+                reason="move",
+                to_pool=move.to_pool,
+            )
+
+    @stateful.rule(node=_NODES, view=_VIEWS, host_id=_HOSTS, to_pool=_POOLS)
+    def propose_any_move(
+        self, node: int, view: str, host_id: str, to_pool: str
+    ) -> None:
+        planner = self._wake(node, view)
+        host = planner.state.pools.hosts_by_id.get(host_id)
+        if host is not None:
+            self._wait(
+                planner,
+                messages.HostTakenOut,
+                host_id=host_id,
+                pool=host.pool,
+                host_revision=host.revision,
+                reason="move",
+                to_pool=to_pool,
+            )
+
+    @stateful.rule(
+        node=_NODES,
+        view=_VIEWS,
+        steps=st.sampled_from(
+            [
+                (messages.HostMoved,),
+                (messages.HostReturned,),
+                (messages.HostMoved, messages.HostReturned),
+            ]
+        ),
+    )
+    def finish_steps(
+        self, node: int, view: str, steps: tuple[type[base.Record], ...]
+    ) -> None:
+        planner = self._wake(node, view)
+        for host in planner.state.pools.hosts_by_id.values():
+            if host.out is not None:
+                for step in steps:
+                    self._wait(
+                        planner,
+                        step,
+                        host_id=host.host_id,
+                        operation_id=host.out.operation_id,
+                    )
+
+    @stateful.rule(node=_NODES, count=st.integers(1, 8), is_reply_lost=st.booleans())
+    def append_waiting(self, node: int, count: int, is_reply_lost: bool) -> None:
+        planner = self.nodes[node]
+        for payload in planner.waiting[:count]:
+            self._append_payload(payload)
+        if not is_reply_lost:  # otherwise the same records are appended again later
+            del planner.waiting[:count]
+
+    @stateful.rule(seed=_HOSTS, length=st.sampled_from([None, 4, 2]))
+    def fail(self, seed: str, length: int | None) -> None:
+        # The first two characters are the data centre, the first four the rack.
+        for host_id in list(self.fold.state.pools.hosts_by_id):
+            if host_id[:length] == seed[:length]:
+                self._append(self.fold.make(messages.HostFailed, host_id=host_id))
+
+    @stateful.rule(but=st.sets(_HOSTS, max_size=2))
+    def recover(self, but: set[str]) -> None:
+        for host in list(self.fold.state.pools.hosts_by_id.values()):
+            if host.failed_since_ms is not None and host.host_id not in but:
+                self._append(
+                    self.fold.make(messages.HostRecovered, host_id=host.host_id)
+                )
+
+    @stateful.rule(document=st.sampled_from(_DOCUMENTS))
+    def publish(self, document: model.Document) -> None:
+        self._append(
+            self.fold.make(
+                document_messages.DocumentPublished,
+                environment="production",
+                replaces=self.fold.state.documents.revision_of("production"),
+                document=document,
+            )
+        )
+
+    @stateful.rule(seconds=st.sampled_from([1, 60, 86_400]))
+    def pass_time(self, seconds: int) -> None:
+        self.fold.now_ms += seconds * 1000
+
+    def teardown(self) -> None:
+        again = fleet_state.FleetState()
+        assert [
+            fleet_state.apply_entry(again, entry) for entry in self.fold.entries
+        ] == self.codes
+        assert again == self.fold.state
+        # Whatever happened, every host can come back into service.
+        for host in list(self.fold.state.pools.hosts_by_id.values()):
+            if host.out is None:
+                continue
+            for step in (messages.HostMoved, messages.HostReturned):
+                self._append(
+                    self.fold.make(
+                        step,
+                        host_id=host.host_id,
+                        operation_id=host.out.operation_id,
+                    )
+                )
+            assert host.out is None
+
+    def _wake(self, node: int, view: str) -> _Node:
+        """Return a node whose records go into the log at once if its view is fresh."""
+        planner = self.nodes[node]
+        planner.is_paused = view != "fresh"
+        if view != "stale":
+            for entry in self.fold.entries[planner.state.offset + 1 :]:
+                fleet_state.apply_entry(planner.state, entry)
+        return planner
+
+    def _wait(
+        self, node: _Node, record_type: type[base.Record], **fields: object
+    ) -> None:
+        record = self.fold.make(record_type, **fields)
+        if node.is_paused:
+            node.waiting.append(records.encode_record(record))
+        else:
+            self._append(record)
+
+    def _append(self, record: base.Record) -> None:
+        self._append_payload(records.encode_record(record))
+
+    def _append_payload(self, payload: bytes) -> None:
+        record = records.parse_record(payload)
+        pools = self.fold.state.pools
+        host = None
+        if isinstance(record, messages.HostTakenOut):
+            host = pools.hosts_by_id.get(record.host_id)
+        was_available = host is not None and host.is_available
+        code = self.fold.apply_payload(payload)
+        self.codes.append(code)
+        if code == codes.ResultCode.OK and host is not None and was_available:
+            self._check_budget(host)
+        self._check_membership()
+
+    def _check_budget(self, taken: pools_state.HostState) -> None:
+        document = self.fold.state.documents.production
+        assert document is not None
+        limits = document.pools[taken.pool].budget
+        members = [
+            host
+            for host in self.fold.state.pools.hosts_by_id.values()
+            if host.pool == taken.pool
+        ]
+        serving = [h for h in members if h.out is None and h.failed_since_ms is None]
+        assert len(serving) >= limits.min_available
+        out = [
+            h
+            for h in members
+            if h not in serving and (h.out is None or not h.out.is_moved)
+        ]
+        in_data_centre = [h for h in out if h.data_centre == taken.data_centre]
+        in_rack = [h for h in in_data_centre if h.rack == taken.rack]
+        assert len(in_data_centre) <= limits.max_out_per_data_centre
+        assert len(in_rack) <= limits.max_out_per_rack
+
+    def _check_membership(self) -> None:
+        document = self.fold.state.documents.production
+        assert document is not None
+        pools = self.fold.state.pools
+        assert pools.hosts_by_id.keys() == document.hosts.keys()
+        pools_of = collections.Counter(
+            host_id for ids in pools.host_ids_by_pool.values() for host_id in ids
+        )
+        assert pools_of == collections.Counter(document.hosts.keys())
+        for host in pools.hosts_by_id.values():
+            assert host.pool in document.pools
+            assert host.host_id in pools.host_ids_by_pool[host.pool]
+
+
+RacingPlanners.TestCase.settings = settings(
+    derandomize=True, max_examples=300, stateful_step_count=50, deadline=None
+)
+TestRacingPlanners = RacingPlanners.TestCase
--- /dev/null
+++ b/clementinespar/tests/fleets.py
@@ -0,0 +1,154 @@
+"""Small fleets and folds, shared by the tests of pools, waves and capacity."""
+
+import dataclasses
+from collections.abc import Sequence
+from typing import Any
+
+from clementinespar import codes
+from clementinespar.documents import messages as document_messages
+from clementinespar.documents import model
+from clementinespar.fleet import state as fleet_state
+from clementinespar.log import base, records
+from clementinespar.log import service as log_service
+from clementinespar.platform import service as platform_service
+from standins import fake_platform
+
+EPOCH_MS = 1_700_000_000_000  # a wall time, so that hosts never maintained are late
+
+
+def make_document(
+    pools: dict[str, Sequence[str]],
+    *,
+    min_available: int | dict[str, int] = 2,
+    spare: str | None = None,
+    max_out_per_rack: int = 1,
+    max_out_per_data_centre: int = 2,
+    services: dict[str, str] | None = None,
+    weights: model.Weights | None = None,
+    **maintenance: Any,
+) -> model.Document:
+    """Return a document; the place of host ``c1r2-x`` is rack r2 of data centre c1."""
+    hosts = {
+        host_id: model.Host(data_centre=host_id[:2], rack=host_id[2:4])
+        for host_ids in pools.values()
+        for host_id in host_ids
+    }
+    return model.Document(
+        user="test",
+        hosts=hosts,
+        pools={
+            name: model.Pool(
+                host_ids=tuple(host_ids),
+                budget=model.Budget(
+                    min_available[name]
+                    if isinstance(min_available, dict)
+                    else min_available,
+                    max_out_per_rack,
+                    max_out_per_data_centre,
+                ),
+                spare=name == spare,
+            )
+            for name, host_ids in pools.items()
+        },
+        services={
+            name: model.Service(pool=pool) for name, pool in (services or {}).items()
+        },
+        weights=weights or model.Weights(),
+        maintenance=model.Maintenance(**{"survive": "none"} | maintenance),
+    )
+
+
+def host_ids(name: str, count: int, data_centres: int = 2, racks: int = 2) -> list[str]:
+    """Return host ids spread over data centres and racks in turn."""
+    return [
+        f"c{i % data_centres}r{i // data_centres % racks}-{name}{i}"
+        for i in range(count)
+    ]
+
+
+class Fold:
+    """A folded state to which records are applied one by one."""
+
+    def __init__(self) -> None:
+        self.state = fleet_state.FleetState()
+        self.entries: list[log_service.LogEntry] = []
+        self.now_ms = EPOCH_MS
+        self.made_count = 0  # keeps record ids unique
+
+    def apply(self, record: base.Record) -> codes.ResultCode:
+        return self.apply_payload(records.encode_record(record))
+
+    def apply_payload(self, payload: bytes) -> codes.ResultCode:
+        offset = self.state.offset + 1
+        entry = log_service.LogEntry(offset, self.now_ms, payload)
+        self.entries.append(entry)
+        return fleet_state.apply_entry(self.state, entry)
+
+    def make(self, record_type: type[base.Record], **fields: Any) -> base.Record:
+        self.made_count += 1
+        return record_type(
+            record_id=f"{self.now_ms}-{self.made_count}",
+            issued_ms=self.now_ms,
+            author="test",
+            **fields,
+        )
+
+    def add(self, record_type: type[base.Record], **fields: Any) -> codes.ResultCode:
+        """Make a record, with the newest host revision by default, and apply it."""
+        if "host_revision" in record_type.model_fields:
+            host = self.state.pools.hosts_by_id.get(fields["host_id"])
+            fields.setdefault("host_revision", -1 if host is None else host.revision)
+        return self.apply(self.make(record_type, **fields))
+
+    def publish(self, document: model.Document) -> codes.ResultCode:
+        return self.add(
+            document_messages.DocumentPublished,
+            environment="production",
+            replaces=self.state.documents.revision_of("production"),
+            document=document,
+        )
+
+
+def seeds_of(document: model.Document) -> list[fake_platform.HostSeed]:
+    """Return the platform's hosts for a document."""
+    return [
+        fake_platform.HostSeed(i, place.data_centre, place.rack, name)
+        for name, pool in document.pools.items()
+        for i in pool.host_ids
+        for place in [document.hosts[i]]
+    ]
+
+
+def full_list(document: model.Document, observed_ms: int) -> platform_service.HostList:
+    """Return a list in which all hosts of a document are live."""
+    return platform_service.HostList(
+        observed_ms,
+        {
+            i: platform_service.ListedHost(
+                i, place.data_centre, place.rack, "127.0.0.1", 1, "live"
+            )
+            for i, place in document.hosts.items()
+        },
+    )
+
+
+@dataclasses.dataclass
+class FixedHostList:
+    """Host list that tests set."""
+
+    latest: platform_service.HostList | None
+    age_s: float = 0.0
+
+
+@dataclasses.dataclass
+class FixedDemand:
+    """Demand that tests set."""
+
+    demand: dict[str, Any] = dataclasses.field(default_factory=dict)
+    ejected: frozenset[str] = frozenset()
+
+    def demand_by_service(self) -> dict[str, Any]:
+        return self.demand
+
+    def ejected_host_ids(self) -> frozenset[str]:
+        return self.ejected
