Test whole nodes; fix stops during a log outage and late curl timers

Cause: a stop released its duties one after the other, 2 s each while the log was down; closing a curl client left a timer that failed on the closed client and wrote a traceback; bodies over the admin limit got no reply. Change: duties are released together; close_client removes the timer function first; the admin port reads and drops bodies over its limit. Tested: 22 tests of whole nodes pass, one of them with a process and SIGTERM. Conclusion: graceful stop, relay, publication and admin errors hold on loopback.

--- a/clementinespar/admin/server.py
+++ b/clementinespar/admin/server.py
@@ -10,7 +10,6 @@
 import logbook
 import pydantic_core
 import tornado.httpserver
-import tornado.httputil
 import tornado.web
 
 from clementinespar import codes, errors, options
@@ -23,6 +22,9 @@
 _MAX_HEADER_BYTES = 16 * 1024
 _IDLE_TIMEOUT_S = 60.0
 _BODY_TIMEOUT_S = 10.0
+# A body over the limit is read and dropped up to this many bytes, so that the client,
+# which still sends, receives the refusal; a larger one ends the connection.
+_DROPPED_BODY_BYTES = 16 * 1024 * 1024
 _MAX_PROBLEMS = 50  # problems of a document in one reply
 
 # The HTTP status of a refusal; other codes are the caller's error.
@@ -86,6 +88,8 @@
         """Reply to an exception that a handler raised."""
         error = kwargs.get("exc_info", (None, None, None))[1]
         match error:
+            case views.UnknownSubjectError():
+                self.fail(error.code, error.message, 404)
             case errors.ClementinesparError():
                 self.fail(error.code, error.message, status_of(error.code))
             case BaseExceptionGroup():
@@ -214,7 +218,29 @@
         self.reply(self.admin.admin_views.history(self.environment(environment)))
 
 
+@tornado.web.stream_request_body
 class _Document(_Handler):
+    def prepare(self) -> None:
+        """Refuse a body over the limit before it is read."""
+        self.chunks: list[bytes] = []
+        self.size = 0
+        self._check_size(int(self.request.headers.get("Content-Length", "0")))
+
+    def data_received(self, chunk: bytes) -> None:
+        """Keep a part of the body within the limit."""
+        if self._finished:
+            return
+        self.size += len(chunk)
+        self._check_size(self.size)
+        self.chunks.append(chunk)
+
+    def _check_size(self, size: int) -> None:
+        limit = self.admin.max_body_bytes
+        if size > limit:
+            raise errors.ClementinesparError(
+                codes.ResultCode.REQUEST_TOO_LARGE, f"the body exceeds {limit} bytes"
+            )
+
     def get(self, environment: str) -> None:
         self.reply(self.admin.admin_views.document(self.environment(environment)))
 
@@ -227,7 +253,7 @@
         action: Callable[[Mapping[str, object]], Awaitable[publishing.Publication]],
     ) -> None:
         """Run a publication and reply with what became of it."""
-        body = parse_body(self.request)
+        body = parse_body(b"".join(self.chunks))
         publication = await action(body)
         self.reply(publication, status_of(publication.code))
 
@@ -240,10 +266,10 @@
         await self.submit(self.admin.publisher.promote)
 
 
-def parse_body(request: tornado.httputil.HTTPServerRequest) -> Mapping[str, object]:
-    """Return the JSON object in a request's body."""
+def parse_body(text: bytes) -> Mapping[str, object]:
+    """Return the JSON object in a body."""
     try:
-        body = json.loads(request.body)
+        body = json.loads(text)
     except (ValueError, RecursionError) as error:
         raise errors.ClementinesparError(
             codes.ResultCode.REQUEST_INVALID, f"the body is not JSON: {error}"
@@ -273,7 +299,7 @@
     admin_views: views.Views
     publisher: publishing.Publisher
     refresh_metrics: Callable[[], None]
-    _settings: options.AdminSettings
+    max_body_bytes: int  # larger bodies are refused
 
     def __init__(
         self,
@@ -282,7 +308,7 @@
         publisher: publishing.Publisher,
         refresh_metrics: Callable[[], None] = lambda: None,
     ) -> None:
-        self._settings = settings
+        self.max_body_bytes = settings.max_body_bytes
         self.admin_views = admin_views
         self.publisher = publisher
         self.refresh_metrics = refresh_metrics
@@ -309,7 +335,7 @@
         )
         server = tornado.httpserver.HTTPServer(
             application,
-            max_body_size=self._settings.max_body_bytes,
+            max_body_size=self.max_body_bytes + _DROPPED_BODY_BYTES,
             max_header_size=_MAX_HEADER_BYTES,
             idle_connection_timeout=_IDLE_TIMEOUT_S,
             body_timeout=_BODY_TIMEOUT_S,
--- a/clementinespar/admin/views.py
+++ b/clementinespar/admin/views.py
@@ -19,6 +19,10 @@
 _QUEUE_KEYS = ("queued_short", "queued_long", "in_flight", "free_slots")
 
 
+class UnknownSubjectError(errors.ClementinesparError):
+    """There is nothing by the name that was asked for."""
+
+
 class HostExplainer(Protocol):
     """Explains hosts; `pools.operations.HostOperations` in a node."""
 
@@ -131,7 +135,7 @@
         """Explain a pool: its budget, hosts that are out, and capacity."""
         document = self.source.state.documents.production
         if document is None or name not in document.pools:
-            raise errors.ClementinesparError(
+            raise UnknownSubjectError(
                 codes.ResultCode.POOL_UNKNOWN, f"no pool {name} in production"
             )
         explained = self.capacity.explain(name)
@@ -158,7 +162,7 @@
         """Explain the wave of a pool."""
         document = self.source.state.documents.production
         if document is None or pool not in document.pools:
-            raise errors.ClementinesparError(
+            raise UnknownSubjectError(
                 codes.ResultCode.POOL_UNKNOWN, f"no pool {pool} in production"
             )
         return self.waves.explain(pool)
@@ -167,7 +171,7 @@
         """Explain a recent request of a caller of this node."""
         explained = self.requests.explain(request_id)
         if explained is None:
-            raise errors.ClementinesparError(
+            raise UnknownSubjectError(
                 codes.ResultCode.REQUEST_INVALID,
                 "this node knows no such recent request; ask the node that its "
                 "caller asked",
--- a/clementinespar/log/http.py
+++ b/clementinespar/log/http.py
@@ -9,7 +9,7 @@
 import pycurl
 from tornado import curl_httpclient, httpclient
 
-from clementinespar import errors
+from clementinespar import curl_clients, errors
 from clementinespar.log import service
 
 _MAX_CLIENTS: Final = 64  # a long poll, refreshes and appends run at the same time
@@ -68,7 +68,7 @@
     def close(self) -> None:
         """Close all connections."""
         if self._client is not None:
-            self._client.close()
+            curl_clients.close_client(self._client)
             self._client = None
 
     async def append(self, payloads: Sequence[bytes]) -> int:
--- a/clementinespar/node.py
+++ b/clementinespar/node.py
@@ -2,11 +2,19 @@
 
 import asyncio
 import contextlib
+import functools
 import json
 import signal
 import sys
 import time
-from collections.abc import AsyncIterator, Awaitable, Callable, Iterator, Mapping
+from collections.abc import (
+    AsyncIterator,
+    Awaitable,
+    Callable,
+    Coroutine,
+    Iterator,
+    Mapping,
+)
 from typing import Any, Protocol
 
 import logbook
@@ -43,8 +51,6 @@
 DUTY_LEASE_MS = 10_000
 # Entries between snapshots. A start replays at most this many, which takes seconds.
 SNAPSHOT_MAX_ENTRIES = 10_000
-# What is not closed by then at a stop, after requests were waited for, is dropped.
-CLOSE_TIMEOUT_S = 5.0
 _READY_CHECK_S = 0.05
 
 EXIT_DONE = 0
@@ -60,7 +66,21 @@
 
 
 class _ObservedRouter(request_router.Router):
-    """Router that counts outcomes."""
+    """Router that counts outcomes, and refuses until the state is whole.
+
+    Parameters
+    ----------
+    peers : directory.Peers
+        Owners of queues.
+    follower : log_follower.Follower
+        Tells when the state is whole; before that, its document may be an old one.
+    """
+
+    _follower: log_follower.Follower
+
+    def __init__(self, peers: directory.Peers, follower: log_follower.Follower) -> None:
+        super().__init__(peers, follower)
+        self._follower = follower
 
     async def handle(
         self, request: model.Request, on_started: Callable[[], None] = lambda: None
@@ -69,7 +89,14 @@
         loop = asyncio.get_running_loop()
         began = loop.time()
         with metrics.IN_FLIGHT.track_inprogress():
-            outcome = await super().handle(request, on_started)
+            if self._follower.is_ready:
+                outcome = await super().handle(request, on_started)
+            else:
+                outcome = model.Outcome(
+                    model.OutcomeKind.NOT_RUN,
+                    codes.ResultCode.NOT_READY,
+                    "this node has not read the newest state yet",
+                )
         metrics.count_outcome(request.service, outcome, loop.time() - began)
         return outcome
 
@@ -287,39 +314,46 @@
     @contextlib.asynccontextmanager
     async def _on_duty(self, planners: Mapping[str, _Planner]) -> AsyncIterator[None]:
         """Take duties until a stop begins, so that others take them over early."""
-        async with contextlib.AsyncExitStack() as stack:
-            for duty in (*planners, "snapshots"):
-                self.holders[duty] = duty_holder.DutyHolder(
-                    duty, self.appender, self.follower, self.name, DUTY_LEASE_MS
-                )
-            publisher = snapshot.SnapshotPublisher(
-                self.follower,
-                self.appender,
-                self.settings.log.snapshot_interval_s,
-                SNAPSHOT_MAX_ENTRIES,
-                lambda: self.holders["snapshots"].is_held,
-            )
-            task = asyncio.create_task(
-                self._run_duties(planners, publisher), name="duties"
+        publisher = snapshot.SnapshotPublisher(
+            self.follower,
+            self.appender,
+            self.settings.log.snapshot_interval_s,
+            SNAPSHOT_MAX_ENTRIES,
+            lambda: self.holders["snapshots"].is_held,
+        )
+        works: dict[str, Callable[[], Coroutine[Any, Any, None]]] = {
+            duty: functools.partial(self._run_rounds, duty, planner)
+            for duty, planner in planners.items()
+        }
+        works["snapshots"] = publisher.run
+        for duty in works:
+            self.holders[duty] = duty_holder.DutyHolder(
+                duty, self.appender, self.follower, self.name, DUTY_LEASE_MS
             )
-            stack.push_async_callback(_finish, task)
+        tasks = [
+            asyncio.create_task(self._run_duty(duty, work), name=f"duty {duty}")
+            for duty, work in works.items()
+        ]
+        try:
             yield
-
-    async def _run_duties(
-        self, planners: Mapping[str, _Planner], publisher: snapshot.SnapshotPublisher
+        finally:
+            # The leases are released at the same time: each release waits for the log.
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _run_duty(
+        self, duty: str, work: Callable[[], Coroutine[Any, Any, None]]
     ) -> None:
         while not self.follower.is_ready:
             await asyncio.sleep(_READY_CHECK_S)
-        async with contextlib.AsyncExitStack() as stack:
-            for holder in self.holders.values():
-                await stack.enter_async_context(holder.running())
-            await stack.enter_async_context(publisher.running())
-            for duty, planner in planners.items():
-                task = asyncio.create_task(
-                    self._run_rounds(duty, planner), name=f"rounds of {duty}"
-                )
-                stack.push_async_callback(_finish, task)
-            await self._stop.wait()
+        async with self.holders[duty].running():
+            task = asyncio.create_task(work(), name=f"work of duty {duty}")
+            try:
+                await self._stop.wait()
+            finally:
+                task.cancel()
+                await asyncio.gather(task, return_exceptions=True)
 
     async def _run_rounds(self, duty: str, planner: _Planner) -> None:
         """Run rounds while this node holds the duty."""
@@ -447,12 +481,6 @@
                 await manager.__aexit__(None, None, None)
 
 
-async def _finish(task: "asyncio.Task[None]") -> None:
-    """Cancel a task and wait until it has cleaned up."""
-    task.cancel()
-    await asyncio.gather(task, return_exceptions=True)
-
-
 @contextlib.contextmanager
 def _handling_signals(node: Node) -> Iterator[None]:
     loop = asyncio.get_running_loop()
--- a/clementinespar/platform/http.py
+++ b/clementinespar/platform/http.py
@@ -7,7 +7,7 @@
 import pydantic
 from tornado import curl_httpclient, httpclient
 
-from clementinespar import errors
+from clementinespar import curl_clients, errors
 from clementinespar.platform import service
 
 _MAX_CLIENTS = 32  # host actions and polls of one node at once
@@ -54,7 +54,7 @@
     def close(self) -> None:
         """Close all connections."""
         if self._client is not None:
-            self._client.close()
+            curl_clients.close_client(self._client)
             self._client = None
 
     async def list_hosts(self) -> service.HostList:
--- a/clementinespar/requests/transport.py
+++ b/clementinespar/requests/transport.py
@@ -19,7 +19,7 @@
 from opentelemetry.trace.propagation import tracecontext
 from tornado import curl_httpclient, httpclient, httputil
 
-from clementinespar import codes
+from clementinespar import codes, curl_clients
 from clementinespar.requests import model
 
 # tornado's default of 10 would queue requests behind each other inside the client.
@@ -73,7 +73,7 @@
 
     def close(self) -> None:
         """Close all connections."""
-        self._client.close()
+        curl_clients.close_client(self._client)
 
     async def send(
         self,
--- a/clementinespar/tests/test_node.py
+++ b/clementinespar/tests/test_node.py
@@ -1,22 +1,291 @@
 """Tests of whole nodes with the stand-ins."""
 
 import asyncio
+import json
+import pathlib
+import signal
+import sys
 
-from clementinespar.tests import fleet
+import pytest
+
+from clementinespar import codes, errors, identifiers
+from clementinespar import node as entry_node
+from clementinespar.tests import node_fleet
+
+
+def _owned_by(nodes: list[entry_node.Node], index: int) -> str:
+    """Return a service whose queue a node owns."""
+    for i in range(6):
+        service = f"service-{i}"
+        if nodes[0].peers.candidates(service)[0].node == nodes[index].name:
+            return service
+    raise AssertionError(f"{nodes[index].name} owns no service")
+
+
+async def _until_running(f: node_fleet.Fleet, count: int = 1) -> None:
+    await f.until(lambda: sum(state.busy_slots for state in f.targets) == count)
 
 
 def test_requests_reach_targets_through_any_node() -> None:
     # Guards against requests that only work when their ingress owns the queue.
     async def main() -> None:
-        async with fleet.Fleet().running() as f, f.nodes(3) as nodes:
-            owners = set()
+        async with node_fleet.Fleet().running() as f, f.nodes(3) as nodes:
             for i in range(6):
-                owners.add(nodes[0].peers.candidates(f"service-{i}")[0].node)
                 for node in nodes:
                     for kind in ("read", "order"):
                         response = await f.request(node, f"service-{i}", kind)
                         assert response.code == 200, response.body
                         assert response.headers["X-Outcome"] == "answered"
-            assert len(owners) > 1, "one node owns all; nothing was forwarded"
+            owners = {nodes[0].peers.candidates(f"service-{i}")[0] for i in range(6)}
+            assert len({owner.node for owner in owners}) > 1, "nothing was forwarded"
+
+    asyncio.run(main())
+
+
+def test_stopping_owner_finishes_work_and_hands_its_queues_over() -> None:
+    # Guards against a planned stop that cuts off or refuses requests.
+    async def main() -> None:
+        async with node_fleet.Fleet().running() as f, f.nodes(3) as nodes:
+            ingress, owner = nodes[0], nodes[2]
+            service = _owned_by(nodes, 2)
+            running = [
+                asyncio.create_task(f.request(node, service, "order", run_ms=600))
+                for node in (ingress, owner)
+            ]
+            await _until_running(f, 2)
+            owner.request_stop()
+            stopping = asyncio.create_task(owner.stop())
+            await asyncio.sleep(0)
+            assert (await f.admin(owner, "/readyz"))[0] == 503
+            while not stopping.done():
+                response = await f.request(ingress, service, "read")
+                assert response.code == 200, response.body
+            await stopping
+            assert owner.cut_request_ids == []
+            assert [(await task).code for task in running] == [200, 200]
+            assert ingress.peers.candidates(service)[0].node != owner.name
+
+    asyncio.run(main())
+
+
+def test_stop_at_its_limit_reports_what_it_cuts() -> None:
+    async def main() -> None:
+        async with (
+            node_fleet.Fleet().running() as f,
+            f.nodes(2) as nodes,
+            f.node("short", nodes[0], stop_limit_s=0.3) as short,
+        ):
+            await short.wait_ready()
+            service = _owned_by(nodes, 1)
+            request_id = identifiers.new_id()
+            task = asyncio.create_task(
+                f.request(short, service, "order", 5_000, request_id)
+            )
+            await _until_running(f)
+            short.request_stop()
+            await short.stop()
+            assert short.cut_request_ids == [request_id]
+            task.cancel()
+
+    asyncio.run(main())
+
+
+def test_node_started_in_a_log_outage_takes_its_state_from_a_peer() -> None:
+    # Guards against a node that serves with less than the others have.
+    async def main() -> None:
+        async with node_fleet.Fleet().running() as f, f.nodes(2) as nodes:
+            f.log.faults.down = True
+            async with f.node("late", nodes[0]) as late:
+                offset = nodes[0].follower.state.offset
+                while (await f.request(late, "service-0")).code != 200:
+                    await asyncio.sleep(0.01)
+                assert late.follower.state.offset >= offset
+                assert not late.follower.is_log_answering
+
+    asyncio.run(main())
+
+
+def test_node_without_log_and_peers_never_serves() -> None:
+    async def main() -> None:
+        async with node_fleet.Fleet().running() as f:
+            f.log.faults.down = True
+            async with f.node("alone") as alone:
+                await f.until(lambda: bool(alone.follower.last_error))
+                status, reply = await f.admin(alone, "/readyz")
+                assert status == 503
+                assert reply["name"] == "NOT_READY"
+                response = await f.request(alone, "service-0")
+                assert response.headers["X-Outcome"] == "not-run"
+
+    asyncio.run(main())
+
+
+def test_document_reaches_a_node_that_cannot_read_the_log(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def main() -> None:
+        async with node_fleet.Fleet().running() as f, f.nodes(3) as nodes:
+            cut_off = nodes[2]
+
+            async def read(*_: object) -> None:
+                raise errors.LogUnavailableError("no route to the log")
+
+            monkeypatch.setattr(cut_off.follower._log_service, "read", read)
+            revision = cut_off.follower.state.documents.revision_of("production")
+            reply = await f.publish(nodes[0], "production", revision)
+            assert reply["code"] == 0
+            assert sorted(reply["in_force_on"]) == ["n0", "n1", "n2"]
+            assert reply["not_in_force_on"] == []
+            state = cut_off.follower.state
+            assert state.documents.revision_of("production") == reply["revision"]
+
+    asyncio.run(main())
+
+
+def test_process_prints_its_ports_and_stops_on_sigterm(tmp_path: pathlib.Path) -> None:
+    async def main() -> None:
+        async with node_fleet.Fleet().running() as f, f.nodes(1) as nodes:
+            settings = f.settings("proc")
+            ini = tmp_path / "node.ini"
+            ini.write_text(
+                "[node]\nname = proc\ndata_centre = dc1\n"
+                "[callers]\naddress = 127.0.0.1\nport = 0\n"
+                "[admin]\naddress = 127.0.0.1\nport = 0\n"
+                "[peers]\naddress = 127.0.0.1\nport = 0\n"
+                f"seeds = 127.0.0.1:{nodes[0].ports['peers']}\n"
+                f"[log]\nurl = {settings.log.url}\n"
+                f"[platform]\nurl = {settings.platform.url}\n"
+            )
+            process = await asyncio.create_subprocess_exec(
+                *(sys.executable, "-m", "clementinespar", "node", "--settings"),
+                str(ini),
+                stdout=asyncio.subprocess.PIPE,
+                stderr=asyncio.subprocess.PIPE,
+            )
+            assert process.stdout is not None
+            line = json.loads(await process.stdout.readline())
+            assert line["name"] == "proc"
+            assert line["callers_port"] > 0
+            assert line["admin_port"] > 0
+            await f.until(
+                lambda: (
+                    [p.name for p in nodes[0].peers.members.live_peers()] == ["proc"]
+                )
+            )
+            process.send_signal(signal.SIGTERM)
+            out, err = await process.communicate()
+            assert process.returncode == 0, err
+            assert out == b"", "only one line belongs on standard output"
+            for text in err.splitlines():
+                assert json.loads(text)["node"] == "proc"
+
+    asyncio.run(main())
+
+
+def test_conflict_names_the_winner() -> None:
+    async def main() -> None:
+        async with node_fleet.Fleet().running() as f, f.nodes(2) as nodes:
+            replies = await asyncio.gather(
+                f.publish(nodes[0], "trial", 0, "ada"),
+                f.publish(nodes[1], "trial", 0, "bob"),
+            )
+            won, lost = sorted(replies, key=lambda reply: int(reply["code"]))
+            assert won["code"] == codes.ResultCode.OK
+            assert lost["name"] == "DOCUMENT_CONFLICT"
+            assert lost["winner"] in ("ada", "bob")
+            assert lost["winner_revision"] == won["revision"]
+            trial_revision = won["revision"]
+            production = nodes[0].follower.state.documents.revision_of("production")
+            body = {"replaces": production, "author": "ada"}
+            status, reply = await f.admin(
+                nodes[1],
+                "/v1/promotions",
+                body | {"trial_revision": trial_revision + 1},
+            )
+            assert (status, reply["name"]) == (409, "DOCUMENT_NOT_ON_TRIAL")
+            status, reply = await f.admin(
+                nodes[1], "/v1/promotions", body | {"trial_revision": trial_revision}
+            )
+            assert status == 200
+            assert sorted(reply["in_force_on"]) == ["n0", "n1"]
+
+    asyncio.run(main())
+
+
+def test_reads_of_the_admin_port() -> None:
+    async def main() -> None:
+        async with node_fleet.Fleet().running() as f, f.nodes(2) as nodes:
+            request_id = identifiers.new_id()
+            await f.request(nodes[0], "service-0", "read", request_id=request_id)
+            status, reply = await f.admin(nodes[0], "/v1/status")
+            assert status == 200
+            assert [peer["name"] for peer in reply["peers"]] == ["n1"]
+            assert [pool["available"] for pool in reply["pools"]] == [2]
+            assert {service["owner"] for service in reply["services"]} <= {"n0", "n1"}
+            for path, subject in (
+                ("/v1/hosts/h1", "host h1"),
+                ("/v1/pools/p", "pool p"),
+                (f"/v1/requests/{request_id}", f"request {request_id}"),
+            ):
+                status, reply = await f.admin(nodes[0], path)
+                assert status == 200, reply
+                assert reply["subject"].startswith(subject)
+                assert {"state", "waits_for", "because", "code"} <= set(reply)
+            for path in (
+                "/v1/waves/p",
+                "/v1/plan?environment=trial",
+                "/v1/documents/trial",
+                "/v1/documents/production/history",
+                "/livez",
+                "/readyz",
+            ):
+                assert (await f.admin(nodes[0], path))[0] == 200
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ("path", "body", "status", "name"),
+    [
+        ("/v1/nothing", None, 404, "REQUEST_INVALID"),
+        ("/v1/hosts/h9", None, 404, "HOST_UNKNOWN"),
+        ("/v1/pools/none", None, 404, "POOL_UNKNOWN"),
+        ("/v1/waves/none", None, 404, "POOL_UNKNOWN"),
+        ("/v1/requests/1-x", None, 404, "REQUEST_INVALID"),
+        ("/v1/status?environment=x", None, 400, "REQUEST_INVALID"),
+        ("/v1/documents/x", None, 400, "REQUEST_INVALID"),
+        ("/v1/status", {}, 405, "REQUEST_INVALID"),
+        ("/v1/documents/trial", [], 400, "REQUEST_INVALID"),
+        ("/v1/documents/trial", {"author": "a"}, 400, "REQUEST_INVALID"),
+        (
+            "/v1/documents/trial",
+            {"author": "a", "replaces": -1, "document": {}},
+            400,
+            "REQUEST_INVALID",
+        ),
+        (
+            "/v1/documents/trial",
+            {"author": "a", "replaces": 0, "document": {"user": 1}},
+            400,
+            "DOCUMENT_INVALID",
+        ),
+        (
+            "/v1/documents/trial",
+            {"author": "a", "replaces": 0, "document": "x" * 5_000_000},
+            413,
+            "REQUEST_TOO_LARGE",
+        ),
+    ],
+)
+def test_errors_of_the_admin_port(
+    path: str, body: object, status: int, name: str
+) -> None:
+    async def main() -> None:
+        async with node_fleet.Fleet().running() as f, f.node("n0") as node:
+            assert await node.wait_ready()
+            got, reply = await f.admin(node, path, body)
+            assert (got, reply["name"]) == (status, name)
+            assert reply["code"] == codes.ResultCode[name]
+            assert reply["message"]
 
     asyncio.run(main())
