--- a/clementinespar/peers/client.py
+++ b/clementinespar/peers/client.py
@@ -25,7 +25,10 @@
 from clementinespar.peers import peer_grpc, peer_pb2
 from clementinespar.requests import model
 
-PING_INTERVAL_S = 1.0  # between pings on a connection with open streams
+# Heartbeats find a silent connection first. Pings bound the silence of connections that
+# are no longer used for new calls, and of the other side's.
+PING_INTERVAL_S = 2.0
+SERVER_PING_INTERVAL_S = 10.0
 PING_TIMEOUT_S = 1.5  # a connection whose ping is not answered by then is closed
 CONNECT_TIMEOUT_S = 1.0  # TCP and TLS, within one data centre or between near ones
 # The owner answers with headers as soon as it has read a request, so a connection that
@@ -97,15 +100,17 @@
         super().connection_made(transport)
 
 
-def make_configuration(max_message_bytes: int) -> grpclib.config.Configuration:
-    """Return the HTTP/2 configuration of both sides."""
+def make_configuration(
+    max_message_bytes: int, ping_interval_s: float = PING_INTERVAL_S
+) -> grpclib.config.Configuration:
+    """Return the HTTP/2 configuration of one side."""
     window = min(max(max_message_bytes, 65_535), 2**31 - 1)
     return grpclib.config.Configuration(
-        _keepalive_time=PING_INTERVAL_S,
+        _keepalive_time=ping_interval_s,
         _keepalive_timeout=PING_TIMEOUT_S,
         _keepalive_permit_without_calls=False,
         _http2_max_pings_without_data=0,  # no limit
-        _http2_min_sent_ping_interval_without_data=PING_INTERVAL_S / 2,
+        _http2_min_sent_ping_interval_without_data=ping_interval_s / 2,
         http2_connection_window_size=window,
         http2_stream_window_size=window,
     )
@@ -134,6 +139,7 @@
     _channel: _Channel | None  # for new calls
     _retired: list[_Channel]  # closed once the calls on them have ended
     _calls_by_channel: dict[_Channel, int]
+    _heartbeats: Any  # grpclib stream of the heartbeats, None while there is none
     _is_closed: bool
 
     def __init__(
@@ -148,6 +154,7 @@
         self._channel = None
         self._retired = []
         self._calls_by_channel = {}
+        self._heartbeats = None
         self._is_closed = False
 
     @contextlib.contextmanager
@@ -178,6 +185,7 @@
     def renew(self) -> None:
         """Use a fresh connection for the next call."""
         channel, self._channel = self._channel, None
+        self._heartbeats = None
         if channel is None:
             return
         if self._calls_by_channel.get(channel):
@@ -198,22 +206,40 @@
     async def heartbeat(
         self, message: peer_pb2.HeartbeatMessage, timeout_s: float
     ) -> peer_pb2.HeartbeatMessage:
-        """Exchange heartbeats; see `membership.PeerLink`."""
+        """Exchange heartbeats on one long stream; see `membership.PeerLink`."""
         try:
-            with self.calling() as (_, stub):
-                async with (
-                    asyncio.timeout(timeout_s),
-                    stub.Heartbeat.open(timeout=timeout_s) as stream,
-                ):
-                    await stream.send_message(message, end=True)
-                    check_message_size(stream, self.max_message_bytes)
-                    reply = await stream.recv_message()
-        except _CALL_ERRORS as error:
-            raise errors.PeerUnavailableError(describe(error)) from error
-        if not isinstance(reply, peer_pb2.HeartbeatMessage):
-            raise errors.PeerUnavailableError("heartbeat without a reply")
+            async with asyncio.timeout(timeout_s):
+                if self._heartbeats is None:
+                    await self._open_heartbeats()
+                stream = self._heartbeats
+                await stream.send_message(message)
+                reply = await stream.recv_message()
+                if reply is None:
+                    raise errors.PeerUnavailableError("the peer ended the heartbeats")
+        except BaseException as error:
+            # A late reply must not be taken for that of a later heartbeat.
+            await self._end_heartbeats(error)
+            if isinstance(error, _CALL_ERRORS):
+                raise errors.PeerUnavailableError(describe(error)) from error
+            raise
+        assert isinstance(reply, peer_pb2.HeartbeatMessage)
         return reply
 
+    async def _open_heartbeats(self) -> None:
+        # The stream does not count as a call, so no retired connection waits for it.
+        with self.calling() as (_, stub):
+            self._heartbeats = stub.Heartbeat.open()
+            await self._heartbeats.__aenter__()
+            await self._heartbeats.send_request()
+            check_message_size(self._heartbeats, self.max_message_bytes)
+
+    async def _end_heartbeats(self, error: BaseException) -> None:
+        stream, self._heartbeats = self._heartbeats, None
+        if stream is not None:
+            # With an error, the stream is reset at once instead of being finished.
+            with contextlib.suppress(*_CALL_ERRORS):
+                await stream.__aexit__(type(error), error, None)
+
     async def fetch_entries(
         self, from_offset: int, limit: int
     ) -> list[log_service.LogEntry]:
--- a/clementinespar/peers/peer_grpc.py
+++ b/clementinespar/peers/peer_grpc.py
@@ -34,7 +34,7 @@
         return {
             '/clementinespar.peers.Peer/Heartbeat': grpclib.const.Handler(
                 self.Heartbeat,
-                grpclib.const.Cardinality.UNARY_UNARY,
+                grpclib.const.Cardinality.STREAM_STREAM,
                 clementinespar.peers.peer_pb2.HeartbeatMessage,
                 clementinespar.peers.peer_pb2.HeartbeatMessage,
             ),
@@ -62,7 +62,7 @@
 class PeerStub:
 
     def __init__(self, channel: grpclib.client.Channel) -> None:
-        self.Heartbeat = grpclib.client.UnaryUnaryMethod(
+        self.Heartbeat = grpclib.client.StreamStreamMethod(
             channel,
             '/clementinespar.peers.Peer/Heartbeat',
             clementinespar.peers.peer_pb2.HeartbeatMessage,
--- a/clementinespar/peers/server.py
+++ b/clementinespar/peers/server.py
@@ -97,9 +97,10 @@
             peer_pb2.HeartbeatMessage, peer_pb2.HeartbeatMessage
         ],
     ) -> None:
-        """Exchange heartbeats."""
-        message = await self._receive(stream)
-        await stream.send_message(self._members.on_heartbeat(message))
+        """Answer each heartbeat."""
+        client.check_message_size(stream, self._max_message_bytes, _too_large)
+        async for message in stream:
+            await stream.send_message(self._members.on_heartbeat(message))
 
     async def FetchEntries(
         self,
