--- a/clementinespar/tests/fleets.py
+++ b/clementinespar/tests/fleets.py
@@ -1,23 +1,31 @@
 """Small fleets and folds, shared by the tests of pools, waves and capacity."""
 
+import asyncio
+import contextlib
 import dataclasses
-from collections.abc import Sequence
+from collections.abc import AsyncIterator, Mapping, Sequence
 from typing import Any
 
-from clementinespar import codes
+from clementinespar import codes, identifiers
+from clementinespar.capacity import runner as capacity_runner
 from clementinespar.documents import messages as document_messages
 from clementinespar.documents import model
+from clementinespar.fleet import appending
 from clementinespar.fleet import state as fleet_state
 from clementinespar.log import base, records
 from clementinespar.log import service as log_service
 from clementinespar.platform import service as platform_service
-from standins import fake_platform
+from clementinespar.platform import watcher as platform_watcher
+from clementinespar.pools import operations as pool_operations
+from clementinespar.tests import log_nodes
+from clementinespar.waves import runner as wave_runner
+from standins import fake_log, fake_platform
 
 EPOCH_MS = 1_700_000_000_000  # a wall time, so that hosts never maintained are late
 
 
 def make_document(
-    pools: dict[str, Sequence[str]],
+    pools: Mapping[str, Sequence[str]],
     *,
     min_available: int | dict[str, int] = 2,
     spare: str | None = None,
@@ -152,3 +160,64 @@
 
     def ejected_host_ids(self) -> frozenset[str]:
         return self.ejected
+
+
+@dataclasses.dataclass
+class FleetNode:
+    """One node with all that plans and carries hosts."""
+
+    log_node: log_nodes.LogNode
+    watcher: platform_watcher.HostListWatcher
+    operations: pool_operations.HostOperations
+    waves: wave_runner.WaveRunner
+    capacity: capacity_runner.CapacityRunner
+    demand: FixedDemand
+
+    @property
+    def state(self) -> fleet_state.FleetState:
+        return self.log_node.follower.state
+
+    async def run_rounds(self, duration_s: float) -> None:
+        """Run both runners once a second."""
+        for _ in range(int(duration_s)):
+            await self.waves.run_round()
+            await self.capacity.run_round()
+            await asyncio.sleep(1)
+
+    async def publish(self, document: model.Document) -> None:
+        issued_ms = self.log_node.appender.now_ms()
+        record = document_messages.DocumentPublished(
+            record_id=identifiers.new_id(issued_ms),
+            issued_ms=issued_ms,
+            author="operator",
+            environment="production",
+            replaces=self.state.documents.revision_of("production"),
+            document=document,
+        )
+        result = await self.log_node.appender.append(record, 5.0)
+        assert result.code == codes.ResultCode.OK
+
+
+@contextlib.asynccontextmanager
+async def running_fleet_node(
+    log: fake_log.FakeLog,
+    platform: platform_service.PlatformService,
+    name: str = "node-a",
+    appender: appending.RecordAppender | None = None,
+) -> AsyncIterator[FleetNode]:
+    """Run a node on a fake log and platform."""
+    watcher = platform_watcher.HostListWatcher(platform, 1.0)
+    demand = FixedDemand()
+    async with log_nodes.running_node(log, name) as log_node, watcher.running():
+        used = appender or log_node.appender
+        follower = log_node.follower
+        operations = pool_operations.HostOperations(platform, used, follower, name)
+        arguments = (follower, used, operations, watcher, demand, name)
+        yield FleetNode(
+            log_node,
+            watcher,
+            operations,
+            wave_runner.WaveRunner(*arguments),
+            capacity_runner.CapacityRunner(*arguments),
+            demand,
+        )
--- /dev/null
+++ b/clementinespar/waves/tests/test_runner.py
@@ -0,0 +1,231 @@
+"""Tests of whole waves on a fake log and platform with a paused clock."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Callable, Coroutine
+from typing import Any
+
+import pytest
+
+from clementinespar import codes, errors
+from clementinespar.documents import model
+from clementinespar.log import base
+from clementinespar.pools import messages
+from clementinespar.tests import fleets, paused_clock
+from standins import fake_log, fake_platform
+
+_POOLS = {"a": fleets.host_ids("a", 8), "b": fleets.host_ids("b", 4)}
+_DOCUMENT = fleets.make_document(
+    _POOLS, min_available={"a": 5, "b": 2}, max_wave_hosts=4
+)
+
+
+class _Fleet:
+    """A node, the platform, and the lowest availability seen in each pool."""
+
+    def __init__(self, node: fleets.FleetNode, platform: fake_platform.FakePlatform):
+        self.node = node
+        self.platform = platform
+
+    def maintained(self) -> list[str]:
+        hosts = self.node.state.pools.hosts_by_id.values()
+        return [h.host_id for h in hosts if h.maintained_ms and h.out is None]
+
+    def out(self) -> list[str]:
+        hosts = self.node.state.pools.hosts_by_id.values()
+        return [host.host_id for host in hosts if host.out is not None]
+
+    def started(self, step: str) -> list[str]:
+        return [
+            action.host_id
+            for action in self.platform.actions
+            if (action.step, action.result) == (step, "started")
+        ]
+
+    async def run_until(self, condition: Callable[[], bool], limit_s: int) -> None:
+        for _ in range(limit_s):
+            if condition():
+                return
+            await self.node.run_rounds(1)
+        raise AssertionError(f"not reached within {limit_s} s of loop time")
+
+
+@contextlib.asynccontextmanager
+async def _fleet(document: model.Document = _DOCUMENT) -> AsyncIterator[_Fleet]:
+    log = fake_log.FakeLog()
+    platform = fake_platform.FakePlatform(fleets.seeds_of(document))
+    async with fleets.running_fleet_node(log, platform) as node:
+        await node.publish(document)
+        yield _Fleet(node, platform)
+
+
+def _run(
+    scenario: Callable[[_Fleet], Coroutine[Any, Any, None]],
+    document: model.Document = _DOCUMENT,
+) -> None:
+    async def main() -> None:
+        async with _fleet(document) as fleet:
+            await scenario(fleet)
+
+    paused_clock.run(main())
+
+
+def test_waves_maintain_every_host_once() -> None:
+    async def scenario(fleet: _Fleet) -> None:
+        await fleet.run_until(lambda: len(fleet.maintained()) == 12, 1000)
+        await fleet.node.run_rounds(60)
+        # Guards against repeated actions and against waves that never end.
+        assert sorted(fleet.started("reboot")) == sorted(_DOCUMENT.hosts)
+        assert fleet.node.state.waves.waves_by_pool == {}
+        reasons = [wave.reason for wave in fleet.node.state.waves.finished]
+        assert reasons == ["all hosts done"] * 3
+        assert fleet.node.waves.explain("a").state == "idle"
+
+    _run(scenario)
+
+
+def test_a_rack_fails_in_the_middle_of_a_wave() -> None:
+    async def scenario(fleet: _Fleet) -> None:
+        await fleet.run_until(lambda: len(fleet.maintained()) == 1, 200)
+        rack = fleet.platform.host_ids_in("c0", "r0")
+        fleet.platform.fail(rack)
+        await fleet.node.run_rounds(60)
+        pools = fleet.node.state.pools
+        assert all(pools.hosts_by_id[i].failed_since_ms is not None for i in rack)
+        # Guards against hosts taken out on top of a failure that uses up the budget.
+        count = len(fleet.started("drain"))
+        await fleet.node.run_rounds(60)
+        assert len([h for h in pools.hosts_of("a") if h.is_available]) >= 5
+        fleet.platform.recover(rack)
+        await fleet.run_until(lambda: len(fleet.maintained()) == 12, 2000)
+        assert len(fleet.started("drain")) > count
+
+    _run(scenario)
+
+
+def test_platform_down_and_replies_lost() -> None:
+    async def scenario(fleet: _Fleet) -> None:
+        await fleet.run_until(lambda: bool(fleet.out()), 60)
+        for _ in range(12):
+            fleet.platform.faults.lose_replies = 3
+            fleet.node.log_node.log.faults.lose_replies = 1
+            await fleet.node.run_rounds(5)
+            fleet.platform.faults.down = True
+            await fleet.node.run_rounds(5)
+            fleet.platform.faults.down = False
+        fleet.platform.faults.lose_replies = 0
+        await fleet.run_until(lambda: len(fleet.maintained()) == 12, 1500)
+        # Guards against a second drain or reboot after a lost reply.
+        assert sorted(fleet.started("drain")) == sorted(_DOCUMENT.hosts)
+        assert sorted(fleet.started("reboot")) == sorted(_DOCUMENT.hosts)
+
+    _run(scenario)
+
+
+def test_no_host_leaves_on_an_old_list() -> None:
+    async def scenario(fleet: _Fleet) -> None:
+        await asyncio.sleep(10)
+        fleet.platform.faults.down = True
+        await asyncio.sleep(60)
+        await fleet.node.run_rounds(60)
+        assert fleet.out() == []
+        explained = fleet.node.waves.explain("a")
+        assert explained.code == codes.ResultCode.HOST_LIST_STALE
+        assert "host list" in explained.because[0]
+
+    _run(scenario)
+
+
+def test_a_paused_document_stops_waves_but_returns_hosts() -> None:
+    async def scenario(fleet: _Fleet) -> None:
+        await fleet.run_until(lambda: len(fleet.out()) >= 1, 60)
+        paused = fleets.make_document(
+            _POOLS, min_available={"a": 5, "b": 2}, paused=True
+        )
+        await fleet.node.publish(paused)
+        started = len(fleet.started("drain"))
+        await fleet.node.run_rounds(120)
+        assert fleet.out() == []
+        assert len(fleet.started("drain")) <= started + 1
+        assert fleet.node.waves.explain("a").code == codes.ResultCode.WAVE_PAUSED
+
+    _run(scenario)
+
+
+def test_host_that_fails_in_a_wave_stops_it() -> None:
+    # Guards against one bad maintenance that is repeated on host after host.
+    async def scenario(fleet: _Fleet) -> None:
+        await fleet.run_until(lambda: len(fleet.maintained()) == 1, 200)
+        [host_id] = fleet.maintained()
+        fleet.platform.fail([host_id])
+        await fleet.node.run_rounds(120)
+        assert fleet.out() == []
+        pool = fleet.node.state.pools.hosts_by_id[host_id].pool
+        explained = fleet.node.waves.explain(pool)
+        assert explained.state == "stopped"
+        assert host_id in explained.because[0]
+        fleet.platform.recover([host_id])
+        await fleet.run_until(lambda: len(fleet.maintained()) == 12, 1000)
+
+    _run(scenario)
+
+
+class _SleepyAppender:
+    """Holds back records that take hosts out, like a process that is paused."""
+
+    def __init__(self) -> None:
+        self.inner: Any = None
+        self.is_asleep = True
+        self.awake = asyncio.Event()
+        self.codes: list[codes.ResultCode] = []
+
+    def now_ms(self) -> int:
+        return int(self.inner.now_ms())
+
+    async def append(self, record: base.Record, timeout_s: float) -> Any:
+        if isinstance(record, messages.HostTakenOut) and self.is_asleep:
+            await self.awake.wait()
+        try:
+            result = await self.inner.append(record, timeout_s)
+        except errors.ClementinesparError as error:
+            self.codes.append(error.code)
+            raise
+        if isinstance(record, messages.HostTakenOut):
+            self.codes.append(result.code)
+        return result
+
+
+@pytest.mark.parametrize(
+    ("maintained", "expected"),
+    [
+        (1, codes.ResultCode.HOST_REVISION_CONFLICT),
+        (12, codes.ResultCode.LOG_UNAVAILABLE),  # too old to be appended at all
+    ],
+)
+def test_planner_that_slept_through_a_change_of_leader(
+    maintained: int, expected: codes.ResultCode
+) -> None:
+    async def main() -> None:
+        log = fake_log.FakeLog()
+        platform = fake_platform.FakePlatform(fleets.seeds_of(_DOCUMENT))
+        sleepy = _SleepyAppender()
+        async with (
+            fleets.running_fleet_node(log, platform, "node-a", sleepy) as old,
+            fleets.running_fleet_node(log, platform, "node-b") as new,
+        ):
+            sleepy.inner = old.log_node.appender
+            await old.publish(_DOCUMENT)
+            asleep = asyncio.create_task(old.run_rounds(5))
+            await asyncio.sleep(10)  # the old leader is about to take a host out
+            fleet = _Fleet(new, platform)
+            await fleet.run_until(lambda: len(fleet.maintained()) >= maintained, 1000)
+            sleepy.is_asleep = False
+            sleepy.awake.set()
+            # Guards against a host that is taken out by a decision from before.
+            await asyncio.sleep(0.5)
+            assert sleepy.codes == [expected]
+            await asleep
+            await fleet.run_until(lambda: len(fleet.maintained()) == 12, 1000)
+            assert sorted(fleet.started("drain")) == sorted(_DOCUMENT.hosts)
+
+    paused_clock.run(main())
