--- a/clementinespar/claims/state.py
+++ b/clementinespar/claims/state.py
@@ -86,7 +86,8 @@
     """Drop claims whose request ids are too old to be claimed again.
 
     Stops at the first claim in log order that must stay, so the cost is bounded by what
-    is dropped; a claim behind it waits at most for the allowed clock difference.
+    is dropped. A claim whose id was already old waits behind younger ones, but goes at
+    the latest ``CLAIM_RETENTION_MS + MAX_CLOCK_AHEAD_MS`` after its append.
     """
     claims = state.claims_by_request_id
     while claims:
--- a/clementinespar/fleet/state.py
+++ b/clementinespar/fleet/state.py
@@ -8,6 +8,8 @@
 import collections
 import dataclasses
 
+import logbook
+
 from clementinespar import codes, errors
 from clementinespar.claims import messages as claim_messages
 from clementinespar.claims import state as claims_state
@@ -24,6 +26,8 @@
 from clementinespar.waves import messages as wave_messages
 from clementinespar.waves import state as waves_state
 
+_log = logbook.Logger("fleet.state")
+
 # A record issued earlier than this before its append is refused, so a retry that comes
 # after its id was forgotten cannot apply twice.
 DEDUP_WINDOW_MS = 120_000
@@ -125,7 +129,15 @@
     elif record.issued_ms > state.log_time_ms + MAX_CLOCK_AHEAD_MS:
         code = codes.ResultCode.RECORD_INVALID
     else:
-        code = _apply_record(state, record, entry)
+        try:
+            code = _apply_record(state, record, entry)
+        except (MemoryError, RecursionError):
+            raise  # depends on this process, so other nodes may have applied the record
+        except Exception:
+            # The same fault happens on every node. Raising would stop all of them at
+            # this entry for as long as it is in the log.
+            _log.exception("the fold failed at offset {}", entry.offset)
+            code = codes.ResultCode.INTERNAL_ERROR
     state.results_by_record_id[record.record_id] = RecordResult(
         code, entry.offset, entry.timestamp_ms
     )
--- a/clementinespar/log/tests/test_appender.py
+++ b/clementinespar/log/tests/test_appender.py
@@ -7,6 +7,8 @@
 from clementinespar import codes, errors, identifiers
 from clementinespar.duties import messages as duty_messages
 from clementinespar.fleet import state as fleet_state
+from clementinespar.log import appender as log_appender
+from clementinespar.log import follower as log_follower
 from clementinespar.tests import log_nodes, paused_clock
 from standins import fake_log
 
@@ -48,6 +50,24 @@
     paused_clock.run(main())
 
 
+def test_lost_reply_is_read_back_before_the_record_is_sent_again() -> None:
+    # Guards against a second append of what the log already has. The follower's task
+    # does not run, so that only the appender's own read shows the record.
+    async def main() -> None:
+        log = fake_log.FakeLog()
+        follower = log_follower.Follower(log, None, 1.0)
+        appender = log_appender.Appender(
+            log, follower, "node-a", 0.005, wall_ms=log.now_ms
+        )
+        node = log_nodes.LogNode("node-a", fake_log.LogAccess(log), follower, appender)
+        log.faults.lose_replies = 1
+        result = await appender.append(node.duty_record("waves"), 5.0)
+        assert result.code == codes.ResultCode.OK
+        assert log.end_offset == 1
+
+    paused_clock.run(main())
+
+
 @pytest.mark.parametrize(
     ("faults", "expected"),
     [
--- a/clementinespar/log/tests/test_follower.py
+++ b/clementinespar/log/tests/test_follower.py
@@ -63,9 +63,12 @@
         pytest.param(fake_log.Faults(slow_ms=60_000.0), id="very slow"),
     ],
 )
-@pytest.mark.parametrize("ring_bytes", [10**6, 1500])
+@pytest.mark.parametrize(("ring_bytes", "poll_wait_s"), [(10**6, 1.0), (1500, 0.1)])
 def test_peer_relays_what_the_log_does_not_give(
-    faults: fake_log.Faults, ring_bytes: int, monkeypatch: pytest.MonkeyPatch
+    faults: fake_log.Faults,
+    ring_bytes: int,
+    poll_wait_s: float,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     # Guards against a node that keeps an old document while its peers have a newer
     # one. A ring of 1500 bytes keeps fewer entries than are missing, so that the node
@@ -77,7 +80,7 @@
         relay = log_nodes.NodeRelay()
         async with (
             log_nodes.running_node(log, "node-a") as node_a,
-            log_nodes.running_node(log, "node-b", relay) as node_b,
+            log_nodes.running_node(log, "node-b", relay, poll_wait_s) as node_b,
         ):
             relay.peer = node_a
             await append_duties(node_a, 3)
@@ -126,7 +129,12 @@
     paused_clock.run(main())
 
 
-def test_ready_after_part_of_the_log_and_a_peer_at_the_same_offset() -> None:
+@pytest.mark.parametrize(
+    "faults", [fake_log.Faults(down=True), fake_log.Faults(slow_ms=60_000.0)]
+)
+def test_ready_after_part_of_the_log_and_a_peer_at_the_same_offset(
+    faults: fake_log.Faults,
+) -> None:
     # Guards against a node that is never ready because no peer is ahead of it.
     async def main() -> None:
         log = fake_log.FakeLog()
@@ -134,7 +142,7 @@
         async with log_nodes.running_node(log, "node-a") as node_a:
             await append_duties(node_a, 3)
             async with log_nodes.running_node(log, "node-b", relay) as node_b:
-                node_b.access.faults.down = True
+                node_b.access.faults = faults
                 for entry in log.entries:
                     node_b.follower._apply([entry])
                 await asyncio.sleep(3.0)
@@ -220,6 +228,32 @@
     paused_clock.run(main())
 
 
+def test_state_moves_only_to_a_higher_offset() -> None:
+    # Guards against a peer with an old state that makes a document revert.
+    class OldRelay(log_nodes.NodeRelay):
+        old: tuple[int, bytes] | None = None
+
+        def highest_offset(self) -> int:
+            return 1_000
+
+        async def fetch_snapshot(self) -> tuple[int, bytes] | None:
+            return self.old
+
+    async def main() -> None:
+        log = fake_log.FakeLog()
+        relay = OldRelay()
+        async with log_nodes.running_node(log, "node-a", relay) as node:
+            relay.peer = node
+            await append_duties(node, 5)
+            relay.old = node.follower.snapshot()
+            await append_duties(node, 5, "more-")
+            log.faults.down = True
+            await asyncio.sleep(5.0)
+            assert node.follower.state.offset == 9
+
+    paused_clock.run(main())
+
+
 def test_long_log_is_started_from_a_snapshot(monkeypatch: pytest.MonkeyPatch) -> None:
     # Guards against a replay of a long log although a snapshot is at hand.
     monkeypatch.setattr(log_follower, "_MAX_REPLAY_ENTRIES", 20)
--- a/clementinespar/tests/log_nodes.py
+++ b/clementinespar/tests/log_nodes.py
@@ -39,10 +39,11 @@
     log: fake_log.FakeLog,
     name: str = "node-a",
     relay: log_relay.PeerRelay | None = None,
+    poll_wait_s: float = 1.0,
 ) -> AsyncIterator[LogNode]:
     """Run a follower and give it with an appender of the same node."""
     access = fake_log.LogAccess(log)
-    follower = log_follower.Follower(access, relay, poll_wait_s=1.0)
+    follower = log_follower.Follower(access, relay, poll_wait_s)
     appender = log_appender.Appender(access, follower, name, 0.005, wall_ms=log.now_ms)
     node = LogNode(name, access, follower, appender)
     async with follower.running():
