Measure waiting, over-admission and retries of the request path

Cause: the policy needs figures beside baselines and a bound in the same run. Change: the product's dispatcher and router run over fake targets on a paused clock.

--- /dev/null
+++ b/bench/policy/cluster.py
@@ -0,0 +1,311 @@
+"""The product's request path over fake targets, on a paused clock.
+
+Every entry node has its own dispatcher and router; the targets are shared. Messages
+between nodes and to targets take the link delay of the user.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import math
+import random
+from collections.abc import Callable, Iterable, Sequence
+
+from bench.policy import workload
+from clementinespar import codes, identifiers
+from clementinespar.documents import model as document_model
+from clementinespar.documents import state as documents_state
+from clementinespar.fleet import state as fleet_state
+from clementinespar.peers import rendezvous
+from clementinespar.platform import service as platform_service
+from clementinespar.pools import state as pools_state
+from clementinespar.requests import dispatcher, model, router, targets
+from standins import fake_target
+from standins import target as target_standin
+
+# A claim waits for one batch and one append to the log and its read.
+CLAIM_S = 0.01
+
+
+def make_document(
+    user: workload.User, shape: workload.Shape
+) -> document_model.Document:
+    """Return the document of a user at its size of today."""
+    hosts: dict[str, document_model.Host] = {}
+    pools: dict[str, document_model.Pool] = {}
+    services: dict[str, document_model.Service] = {}
+    for turn, service in enumerate(user.services):
+        host_ids = []
+        for index in range(user.targets_per_service):
+            host_id = f"{service}-{index}"
+            rack = index * user.racks_per_pool // user.targets_per_service
+            data_centre = (turn + rack) % user.data_centres
+            hosts[host_id] = document_model.Host(
+                data_centre=f"dc-{data_centre}", rack=f"{service}-rack-{rack}"
+            )
+            host_ids.append(host_id)
+        pools[service] = document_model.Pool(
+            host_ids=tuple(host_ids),
+            budget=document_model.Budget(min_available=user.targets_per_service - 2),
+            spare=service == user.spare,
+        )
+        services[service] = document_model.Service(
+            pool=service,
+            slots_per_target=workload.SLOTS_PER_TARGET,
+            default_deadline_ms=round(shape.deadline_s * 1000),
+            max_queue=100_000,
+            kinds={
+                "quote": document_model.Kind(declared_run_ms=60),
+                "plan": document_model.Kind(declared_run_ms=1500),
+                "order": document_model.Kind(repeatable=False, declared_run_ms=60),
+            },
+        )
+    return document_model.Document(
+        user=user.name, hosts=hosts, pools=pools, services=services
+    )
+
+
+class StaticSource:
+    """`FleetSource` of a document that never changes."""
+
+    state: fleet_state.FleetState
+
+    def __init__(self, document: document_model.Document) -> None:
+        self.state = fleet_state.FleetState()
+        in_force = documents_state.DocumentInForce(1, "bench", 0, document)
+        self.state.documents.in_force_by_environment["production"] = in_force
+        pools_state.apply_document(self.state.pools, document, 0)
+
+    async def wait_applied(self, offset: int) -> None:
+        """Return at once: nothing is applied later."""
+
+    async def refresh(self, timeout_s: float) -> bool:
+        """Return at once: nothing is applied later."""
+        return True
+
+
+class StaticHostList:
+    """`HostListSource` with all hosts of a document live."""
+
+    latest: platform_service.HostList | None
+    age_s: float = 0.0
+
+    def __init__(self, document: document_model.Document) -> None:
+        self.latest = platform_service.HostList(
+            0,
+            {
+                host_id: platform_service.ListedHost(
+                    host_id, host.data_centre, host.rack, "127.0.0.1", 1, "live"
+                )
+                for host_id, host in document.hosts.items()
+            },
+        )
+
+
+class SharedClaims:
+    """`ClaimService` of all nodes: the first claim of an id wins after a delay."""
+
+    _claimed: set[str]
+
+    def __init__(self) -> None:
+        self._claimed = set()
+
+    async def claim(self, request_id: str, timeout_s: float) -> codes.ResultCode:
+        """Claim an id."""
+        await asyncio.sleep(CLAIM_S)
+        if request_id in self._claimed:
+            return codes.ResultCode.ALREADY_CLAIMED
+        self._claimed.add(request_id)
+        return codes.ResultCode.OK
+
+    async def release(self, request_id: str) -> None:
+        """Release an id."""
+        self._claimed.discard(request_id)
+
+
+@dataclasses.dataclass(slots=True)
+class _RemoteHandler:
+    """Owner on another node, one link delay away in each direction."""
+
+    owner: model.RequestHandler
+    link_s: float
+
+    async def handle(
+        self, request: model.Request, on_started: Callable[[], None]
+    ) -> model.Outcome:
+        await asyncio.sleep(self.link_s)
+        outcome = await self.owner.handle(request, on_started)
+        await asyncio.sleep(self.link_s)
+        return outcome
+
+
+@dataclasses.dataclass(slots=True)
+class _Directory:
+    """`OwnerDirectory` by rendezvous hashing, or every node on its own."""
+
+    node: str
+    dispatchers_by_node: dict[str, dispatcher.Dispatcher]
+    link_s: float
+    has_owners: bool
+
+    def candidates(self, service: str) -> Sequence[model.OwnerCandidate]:
+        """Return the nodes that may own a service, the owner first."""
+        if not self.has_owners:
+            local = self.dispatchers_by_node[self.node]
+            return [model.OwnerCandidate(self.node, local, is_local=True)]
+        return [self._candidate(n) for n in self._order(service)]
+
+    def _order(self, service: str) -> Iterable[str]:
+        return rendezvous.order_nodes(service, list(self.dispatchers_by_node))
+
+    def _candidate(self, node: str) -> model.OwnerCandidate:
+        handler: model.RequestHandler = self.dispatchers_by_node[node]
+        if node != self.node:
+            handler = _RemoteHandler(handler, self.link_s)
+        return model.OwnerCandidate(node, handler, is_local=node == self.node)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Result:
+    """What became of one request."""
+
+    arrival: workload.Arrival
+    kind: model.OutcomeKind
+    code: codes.ResultCode
+    delay_s: float  # latency beyond the true run time
+    runs: int  # how often targets started it
+
+
+@dataclasses.dataclass(slots=True)
+class Run:
+    """Results of one run."""
+
+    results: list[Result]
+    refused_full: int  # attempts that reached a target whose slots were all busy
+    attempts: int  # requests that targets started
+    lost: int  # requests without an outcome
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Scheme:
+    """How the entry nodes share the targets."""
+
+    nodes: int = 3
+    has_owners: bool = True  # False: each node admits on its own
+    killed_share: float = 0.0  # targets killed in the middle of the run
+    killed_at_s: float = math.inf
+
+
+class Cluster:
+    """Entry nodes and targets of one user."""
+
+    routers: list[router.Router]
+    targets_by_host_id: dict[str, fake_target.FakeTarget]
+
+    def __init__(
+        self, user: workload.User, shape: workload.Shape, scheme: Scheme
+    ) -> None:
+        document = make_document(user, shape)
+        source = StaticSource(document)
+        self.targets_by_host_id = {
+            host_id: fake_target.FakeTarget(
+                target_standin.TargetState(host_id, workload.SLOTS_PER_TARGET)
+            )
+            for host_id in document.hosts
+        }
+        transport = fake_target.FakeTargetTransport(
+            self.targets_by_host_id, user.link_s
+        )
+        claims = SharedClaims()
+        dispatchers_by_node = {
+            f"node-{index}": dispatcher.Dispatcher(
+                source,
+                targets.FleetTargetDirectory(source, StaticHostList(document)),
+                transport,
+                claims,
+            )
+            for index in range(scheme.nodes)
+        }
+        self.routers = [
+            router.Router(
+                _Directory(node, dispatchers_by_node, user.link_s, scheme.has_owners),
+                source,
+            )
+            for node in dispatchers_by_node
+        ]
+
+
+async def run(
+    user: workload.User,
+    shape: workload.Shape,
+    scheme: Scheme,
+    arrivals: Sequence[workload.Arrival],
+    seed: int,
+) -> Run:
+    """Send all arrivals through random nodes and collect what became of them."""
+    loop = asyncio.get_running_loop()
+    generator = random.Random(seed)
+    cluster = Cluster(user, shape, scheme)
+    await asyncio.sleep(1.0)
+    start = loop.time()
+    if scheme.killed_share:
+        loop.call_at(start + scheme.killed_at_s, _kill, cluster, scheme.killed_share)
+    results: list[Result] = []
+
+    async def send(arrival: workload.Arrival, entry: router.Router) -> None:
+        began = loop.time()
+        request = model.Request(
+            request_id=identifiers.new_id(),
+            service=arrival.service,
+            kind=arrival.kind,
+            body=b'{"run_ms": %f}' % (arrival.run_s * 1000),
+            content_type="application/json",
+            deadline=began + shape.deadline_s,
+            declared_run_ms=arrival.declared_run_ms,
+        )
+        outcome = await entry.handle(request)
+        results.append(
+            Result(
+                arrival,
+                outcome.kind,
+                outcome.code,
+                loop.time() - began - arrival.run_s,
+                runs=sum(
+                    fake.state.runs_by_request_id[request.request_id]
+                    for fake in cluster.targets_by_host_id.values()
+                    if request.request_id in fake.state.runs_by_request_id
+                ),
+            )
+        )
+
+    tasks = []
+    for arrival in arrivals:
+        delay_s = start + arrival.at_s - loop.time()
+        if delay_s > 0:
+            await asyncio.sleep(delay_s)
+        entry = generator.choice(cluster.routers)
+        tasks.append(loop.create_task(send(arrival, entry)))
+    await asyncio.wait(tasks, timeout=shape.deadline_s * 3)
+    lost = sum(not task.done() for task in tasks)
+    for task in tasks:
+        if task.done():
+            task.result()
+        task.cancel()
+    states = [fake.state for fake in cluster.targets_by_host_id.values()]
+    runs: collections.Counter[str] = collections.Counter()
+    for state in states:
+        runs.update(state.runs_by_request_id)
+    return Run(
+        results=results,
+        refused_full=sum(state.refused_full for state in states),
+        attempts=runs.total(),
+        lost=lost,
+    )
+
+
+def _kill(cluster: Cluster, share: float) -> None:
+    """Kill every n-th target, so that all pools lose the same share."""
+    host_ids = sorted(cluster.targets_by_host_id)
+    step = round(1 / share)
+    for host_id in host_ids[::step]:
+        cluster.targets_by_host_id[host_id].kill()
--- /dev/null
+++ b/bench/policy/waiting.py
@@ -0,0 +1,273 @@
+"""Waiting of short work, over-admission, and load from retries."""
+
+import dataclasses
+import statistics
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import contextmanager
+
+from bench import tables
+from bench.policy import baselines, cluster, workload
+from clementinespar.requests import model, retries
+from clementinespar.tests import paused_clock
+
+SEEDS = (1, 2, 3, 4, 5)
+SHAPE = workload.Shape(cycles=1)
+SHARES = (0.5, 0.99, 0.999)
+KILLED_SHARE = 0.2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Spread:
+    """A figure over several seeds."""
+
+    values: tuple[float, ...]
+
+    def text(self, digits: int = 3) -> str:
+        """Return the median with the smallest and largest value."""
+        middle = statistics.median(self.values)
+        return (
+            f"{middle:.{digits}f} "
+            f"({min(self.values):.{digits}f} to {max(self.values):.{digits}f})"
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WaitingRow:
+    """Waiting under one policy for one user, in seconds."""
+
+    user: str
+    policy: str
+    short_by_share: dict[float, Spread]  # waiting of short work that came at a peak
+    long_by_share: dict[float, Spread]
+    refused: Spread  # requests refused as not run
+    unknown: Spread
+    refused_full: Spread  # attempts that met a target with all slots busy
+
+
+Sample = tuple[workload.Arrival, float | None]  # waiting, None if refused
+
+
+def _waiting_row(
+    user: workload.User,
+    policy: str,
+    runs: Sequence[tuple[Sequence[Sample], int, int]],
+) -> WaitingRow:
+    def spread(is_short: bool, share: float) -> Spread:
+        return Spread(
+            tuple(
+                baselines.percentile(
+                    [
+                        waited_s
+                        for arrival, waited_s in samples
+                        if waited_s is not None
+                        and arrival.is_short == is_short
+                        and arrival.is_peak
+                    ],
+                    share,
+                )
+                for samples, _, _ in runs
+            )
+        )
+
+    refused = [sum(w is None for _, w in samples) for samples, _, _ in runs]
+    return WaitingRow(
+        user=user.name,
+        policy=policy,
+        short_by_share={share: spread(True, share) for share in SHARES},
+        long_by_share={share: spread(False, share) for share in SHARES},
+        refused=Spread(
+            tuple(
+                count - unknown
+                for count, (_, _, unknown) in zip(refused, runs, strict=True)
+            )
+        ),
+        unknown=Spread(tuple(unknown for _, _, unknown in runs)),
+        refused_full=Spread(tuple(full for _, full, _ in runs)),
+    )
+
+
+def _simulated(
+    waits: Sequence[baselines.Wait],
+) -> tuple[list[Sample], int, int]:
+    return [(wait.arrival, wait.waited_s) for wait in waits], 0, 0
+
+
+def _product(run: cluster.Run) -> tuple[list[Sample], int, int]:
+    samples: list[Sample] = [
+        (
+            result.arrival,
+            result.delay_s if result.kind is model.OutcomeKind.ANSWERED else None,
+        )
+        for result in run.results
+    ]
+    unknown = sum(result.kind is model.OutcomeKind.UNKNOWN for result in run.results)
+    return samples, run.refused_full, unknown
+
+
+def run_product(
+    user: workload.User, scheme: cluster.Scheme, seed: int, shape: workload.Shape
+) -> cluster.Run:
+    """Run the product's request path once on a paused clock."""
+    arrivals = workload.arrivals(user, shape, seed)
+    return paused_clock.run(cluster.run(user, shape, scheme, arrivals, seed))
+
+
+def measure_waiting(user: workload.User) -> list[WaitingRow]:
+    """Compare the product with the baselines and the clairvoyant bound."""
+
+    def simulated(
+        name: str, policy: Callable[[list[workload.Arrival], int], list[baselines.Wait]]
+    ) -> WaitingRow:
+        runs = []
+        for seed in SEEDS:
+            arrivals = workload.arrivals(user, SHAPE, seed)
+            runs.append(_simulated(policy(arrivals, seed)))
+        return _waiting_row(user, name, runs)
+
+    def product(name: str, scheme: cluster.Scheme) -> WaitingRow:
+        runs = [_product(run_product(user, scheme, seed, SHAPE)) for seed in SEEDS]
+        return _waiting_row(user, name, runs)
+
+    deadline_s = SHAPE.deadline_s
+    return [
+        simulated(
+            "first come first served",
+            lambda arrivals, seed: baselines.simulate_services(
+                user, arrivals, deadline_s, baselines.by_arrival
+            ),
+        ),
+        simulated(
+            "slots divided between 9 nodes",
+            lambda arrivals, seed: baselines.simulate_divided(
+                user, arrivals, deadline_s, 9, seed
+            ),
+        ),
+        simulated(
+            "bound: shortest first, sizes known",
+            lambda arrivals, seed: baselines.simulate_services(
+                user, arrivals, deadline_s, baselines.by_true_size
+            ),
+        ),
+        product("no owner, 9 nodes", cluster.Scheme(nodes=9, has_owners=False)),
+        product("product, 1 node", cluster.Scheme(nodes=1)),
+        product("product, 3 nodes", cluster.Scheme(nodes=3)),
+        product("product, 9 nodes", cluster.Scheme(nodes=9)),
+    ]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryRow:
+    """Extra load while a fifth of the targets is dead."""
+
+    user: str
+    policy: str
+    extra_share: Spread  # starts beyond one for each request, over requests
+    refused: Spread
+    unknown: Spread
+    lost: Spread
+    doubled_orders: Spread  # orders that targets started more than once
+
+
+@contextmanager
+def _without_retry_budget() -> Iterator[None]:
+    kept = retries.RETRY_SHARE
+    retries.RETRY_SHARE = 1e9
+    try:
+        yield
+    finally:
+        retries.RETRY_SHARE = kept
+
+
+def measure_retries(user: workload.User) -> list[RetryRow]:
+    """Kill a fifth of the targets in the middle of the first peak."""
+    scheme = cluster.Scheme(
+        nodes=3, killed_share=KILLED_SHARE, killed_at_s=SHAPE.peak_s / 2
+    )
+
+    def measure(policy: str) -> RetryRow:
+        runs = [run_product(user, scheme, seed, SHAPE) for seed in SEEDS]
+        return RetryRow(
+            user=user.name,
+            policy=policy,
+            extra_share=Spread(tuple(_extra_share(run) for run in runs)),
+            refused=Spread(
+                tuple(_count(run, model.OutcomeKind.NOT_RUN) for run in runs)
+            ),
+            unknown=Spread(
+                tuple(_count(run, model.OutcomeKind.UNKNOWN) for run in runs)
+            ),
+            lost=Spread(tuple(run.lost for run in runs)),
+            doubled_orders=Spread(
+                tuple(
+                    sum(r.runs > 1 and r.arrival.kind == "order" for r in run.results)
+                    for run in runs
+                )
+            ),
+        )
+
+    with _without_retry_budget():
+        baseline = measure("no retry budget")
+    return [baseline, measure("product")]
+
+
+def _count(run: cluster.Run, kind: model.OutcomeKind) -> int:
+    return sum(result.kind is kind for result in run.results)
+
+
+def _extra_share(run: cluster.Run) -> float:
+    extra = sum(max(0, result.runs - 1) for result in run.results)
+    return extra / len(run.results)
+
+
+def waiting_table(rows: Sequence[WaitingRow]) -> str:
+    """Return the Markdown table of waiting times."""
+    return tables.markdown(
+        (
+            "user",
+            "policy",
+            "short p50 s",
+            "short p99 s",
+            "short p99.9 s",
+            "long p99 s",
+            "refused",
+            "over-admission",
+        ),
+        [
+            (
+                row.user,
+                row.policy,
+                *(row.short_by_share[share].text() for share in SHARES),
+                row.long_by_share[0.99].text(),
+                row.refused.text(0),
+                row.refused_full.text(0),
+            )
+            for row in rows
+        ],
+    )
+
+
+def retry_table(rows: Sequence[RetryRow]) -> str:
+    """Return the Markdown table of retries."""
+    return tables.markdown(
+        (
+            "user",
+            "policy",
+            "extra load",
+            "refused",
+            "unknown",
+            "lost",
+            "doubled orders",
+        ),
+        [
+            (
+                row.user,
+                row.policy,
+                row.extra_share.text(),
+                row.refused.text(0),
+                row.unknown.text(0),
+                row.lost.text(0),
+                row.doubled_orders.text(0),
+            )
+            for row in rows
+        ],
+    )
