--- a/clementinespar/pools/tests/test_operations.py
+++ b/clementinespar/pools/tests/test_operations.py
@@ -204,12 +204,12 @@
     async def main() -> None:
         async with _two() as two:
             await two.move(_A[0], "a", "b")
-            two.a.log_node.log.faults.down = True
+            two.a.log_node.access.log.faults.down = True
             await two.carry(two.a, _A[0], 20)
             assert list(two.platform.actions) == []
             explained = two.a.operations.explain(_A[0])
             assert explained.code == codes.ResultCode.LOG_UNAVAILABLE
-            two.a.log_node.log.faults.down = False
+            two.a.log_node.access.log.faults.down = False
             await two.carry(two.a, _A[0], 60)
             assert two.pool_of(_A[0]) == ("b", True)
 
--- a/clementinespar/waves/tests/test_runner.py
+++ b/clementinespar/waves/tests/test_runner.py
@@ -108,7 +108,7 @@
         await fleet.run_until(lambda: bool(fleet.out()), 60)
         for _ in range(12):
             fleet.platform.faults.lose_replies = 3
-            fleet.node.log_node.log.faults.lose_replies = 1
+            fleet.node.log_node.access.log.faults.lose_replies = 1
             await fleet.node.run_rounds(5)
             fleet.platform.faults.down = True
             await fleet.node.run_rounds(5)
