Measure processor time, memory and bytes of whole entry nodes at rest

Cause: the limits for control (1.7% of a core, 128 MB, 8 KB/s) hold for whole processes. Change: a bench starts nodes and stand-ins as processes, reads processor time and memory from /proc and bytes from ss, and times publications until they are in force everywhere.

--- /dev/null
+++ b/bench/capacity/nodes.py
@@ -0,0 +1,100 @@
+"""Cost of control of whole entry nodes, as separate processes.
+
+``python -m bench.capacity.nodes idle HOSTS POOLS TEAMS NODES SECONDS`` prints, as JSON,
+what one node spends at rest. ``... publish HOSTS POOLS TEAMS NODES COUNT`` prints the
+time until a document is in force on all nodes.
+"""
+
+import asyncio
+import json
+import statistics
+import sys
+import time
+
+from bench import deployment as bench_deployment
+from bench import fleets, processes, sockets
+
+_SETTLE_S = 5.0  # first host list, leases and planning rounds are over by then
+
+Figures = dict[str, float]
+
+
+async def measure_idle(
+    size: fleets.FleetSize, node_count: int, seconds: float
+) -> Figures:
+    """Processor time, memory and bytes of a node that serves no requests."""
+    document = fleets.make_document(size)
+    async with bench_deployment.running(document, node_count) as deployment:
+        await bench_deployment.put_in_force(deployment, document)
+        await asyncio.sleep(_SETTLE_S)
+        pids = [node.pid for node in deployment.nodes]
+        before = sockets.ByteCounter()
+        before.sample(pids)
+        counter = sockets.ByteCounter()
+        counter.sample(pids)
+        processor_before = [processes.processor_s(pid) for pid in pids]
+        began = time.monotonic()
+        while time.monotonic() - began < seconds:
+            await asyncio.sleep(1.0)
+            counter.sample(pids)
+        elapsed_s = time.monotonic() - began
+        used = [
+            (processes.processor_s(pid) - start) / elapsed_s
+            for pid, start in zip(pids, processor_before, strict=True)
+        ]
+        memory = [processes.resident_bytes(pid) / 1e6 for pid in pids]
+        uses = deployment.use_by_port
+        totals, totals_before = counter.totals(uses), before.totals(uses)
+        figures = {
+            f"{use}_bytes_per_s": (
+                (totals.get(use, 0) - totals_before.get(use, 0))
+                / elapsed_s
+                / node_count
+            )
+            for use in ("log", "platform", "peers")
+        }
+        return figures | {
+            "core_share_mean": statistics.mean(used),
+            "core_share_max": max(used),
+            "memory_mb_max": max(memory),
+        }
+
+
+async def measure_publish(
+    size: fleets.FleetSize, node_count: int, count: int
+) -> Figures:
+    """Time from the operator's call until the document is in force on all nodes."""
+    document = fleets.make_document(size)
+    async with bench_deployment.running(document, node_count) as deployment:
+        await bench_deployment.put_in_force(deployment, document)
+        await asyncio.sleep(_SETTLE_S)
+        shown = await deployment.admin.get("/v1/documents/trial")
+        revision = shown.values["revision"]
+        assert isinstance(revision, int)
+        times_s = []
+        for _ in range(count):
+            began = time.monotonic()
+            reply = await deployment.publish("trial", document, revision)
+            times_s.append(time.monotonic() - began)
+            if reply.get("not_in_force_on"):
+                raise RuntimeError(f"not in force everywhere: {reply}")
+            new_revision = reply["revision"]
+            assert isinstance(new_revision, int)
+            revision = new_revision
+            await asyncio.sleep(0.2)
+        return {
+            "publish_median_s": statistics.median(times_s),
+            "publish_max_s": max(times_s),
+        }
+
+
+def main() -> None:
+    """Run one measurement named on the command line."""
+    name, hosts, pools, teams, node_count, amount = sys.argv[1:7]
+    size = fleets.FleetSize(int(hosts), int(pools), int(teams))
+    measure = {"idle": measure_idle, "publish": measure_publish}[name]
+    print(json.dumps(asyncio.run(measure(size, int(node_count), int(amount)))))
+
+
+if __name__ == "__main__":
+    main()
--- a/demo/deployment.py
+++ b/demo/deployment.py
@@ -225,7 +225,7 @@
     """Write the settings of three nodes in the first two data centres."""
     assert deployment.log_service is not None
     data_centres = sorted({host.data_centre for host in document.hosts.values()})
-    ports = _free_ports(9)
+    ports = free_ports(9)
     for i in range(3):
         callers, admin, peers = ports[3 * i : 3 * i + 3]
         deployment.nodes.append(
@@ -275,7 +275,7 @@
     return deployment.directory / f"{node.name}.ini"
 
 
-def _free_ports(count: int) -> list[int]:
+def free_ports(count: int) -> list[int]:
     """Reserve free ports by binding all of them before any is closed."""
     with contextlib.ExitStack() as stack:
         ports = []
