Test host moves; do not take the end of a reboot for a failure

Cause: the first whole move on the fake platform showed a host recorded as failed right after its return. It had been missing from the list for the reboot, and the list lags behind, so its absence had already lasted longer than the bound for hosts in service. The record then caused one more host to be lent.

Change: an absence is counted from the start of the operation that it belongs to. While the spare pool has a host on its way and another to lend, no other pool lends. Lent hosts return only while the borrower still has room.

--- a/clementinespar/capacity/planner.py
+++ b/clementinespar/capacity/planner.py
@@ -262,6 +262,10 @@
             if host.home == need.pool and self._try_move(host, need.pool, because):
                 return
         for donor in self._donor_pools(need.pool):
+            is_spare = self.situation.document.pools[donor].spare
+            if is_spare and (donor, need.pool) in self._leaving_pairs:
+                # Its next host follows soon and disturbs no pool that serves.
+                return
             for host in self._candidates(donor, need.pool):
                 if self._try_move(host, need.pool, because):
                     return
@@ -270,7 +274,7 @@
         """Return lent hosts that the borrowing pool has not needed for long enough."""
         bound_s = room_s(self.situation.document.weights)
         for host in self._hosts_away():
-            if not host.is_lent:
+            if not host.is_lent or not self.needs_by_pool[host.pool].room:
                 continue
             if self._has_lasted(self.history.room_since_by_pool, host.pool, bound_s):
                 because = f"pool {host.pool} needs it no longer"
--- a/clementinespar/pools/failures.py
+++ b/clementinespar/pools/failures.py
@@ -32,7 +32,9 @@
     """
 
     _observed_ms: int | None  # time of the last list that was examined
-    _missing_since_ms: dict[str, int]  # by host id, list time of the first absence
+    # By host id and operation, list time of the first absence: an absence during a
+    # reboot says nothing about the time after it.
+    _missing_since_ms: dict[tuple[str, str], int]
     _present_since_ms: dict[str, int]  # by host id, of failed hosts seen live again
 
     def __init__(self) -> None:
@@ -58,34 +60,25 @@
         if not host_list.hosts_by_id:
             # An empty list is a fault of the list rather than of every host.
             return Findings()
-        for since_ms in (self._missing_since_ms, self._present_since_ms):
-            for host_id in [i for i in since_ms if i not in hosts_by_id]:
-                del since_ms[host_id]
         failed_ids: list[str] = []
         recovered_ids: list[str] = []
+        missing_since_ms: dict[tuple[str, str], int] = {}
+        present_since_ms: dict[str, int] = {}
         for host in hosts_by_id.values():
             listed = host_list.hosts_by_id.get(host.host_id)
             if listed is None:
-                self._present_since_ms.pop(host.host_id, None)
-                bound_s = (
-                    MISSING_BOUND_S if host.out is None else MISSING_WHILE_OUT_BOUND_S
-                )
-                if host.failed_since_ms is None and _has_lasted(
-                    self._missing_since_ms, host.host_id, observed_ms, bound_s
-                ):
+                key = (host.host_id, host.out.operation_id if host.out else "")
+                since_ms = self._missing_since_ms.get(key, observed_ms)
+                missing_since_ms[key] = since_ms
+                bound_s = MISSING_WHILE_OUT_BOUND_S if host.out else MISSING_BOUND_S
+                has_lasted = observed_ms - since_ms >= bound_s * 1000
+                if has_lasted and host.failed_since_ms is None:
                     failed_ids.append(host.host_id)
-                continue
-            self._missing_since_ms.pop(host.host_id, None)
-            if host.failed_since_ms is None or listed.condition != "live":
-                self._present_since_ms.pop(host.host_id, None)
-            elif _has_lasted(
-                self._present_since_ms, host.host_id, observed_ms, PRESENT_BOUND_S
-            ):
-                recovered_ids.append(host.host_id)
+            elif listed.condition == "live" and host.failed_since_ms is not None:
+                since_ms = self._present_since_ms.get(host.host_id, observed_ms)
+                present_since_ms[host.host_id] = since_ms
+                if observed_ms - since_ms >= PRESENT_BOUND_S * 1000:
+                    recovered_ids.append(host.host_id)
+        self._missing_since_ms = missing_since_ms
+        self._present_since_ms = present_since_ms
         return Findings(tuple(failed_ids), tuple(recovered_ids))
-
-
-def _has_lasted(
-    since_ms: dict[str, int], host_id: str, now_ms: int, bound_s: float
-) -> bool:
-    return now_ms - since_ms.setdefault(host_id, now_ms) >= bound_s * 1000
