--- a/clementinespar/platform/http.py
+++ b/clementinespar/platform/http.py
@@ -123,7 +123,7 @@
         )
         try:
             response = await self._client.fetch(request, raise_error=False)
-        except OSError as error:
+        except (OSError, httpclient.HTTPError) as error:
             raise errors.PlatformUnavailableError(f"{path}: {error}") from error
         if response.code == _STATUS_REFUSED:
             text = response.body.decode(errors="replace")[:_MAX_ERROR_CHARACTERS]
--- /dev/null
+++ b/clementinespar/platform/tests/test_http.py
@@ -0,0 +1,201 @@
+"""Tests of the platform's client against the HTTP stand-in."""
+
+import asyncio
+import contextlib
+import json
+from collections.abc import AsyncIterator, Callable, Coroutine
+from typing import Any
+
+import pytest
+from tornado import httpclient, httpserver, netutil, web
+
+from clementinespar import codes, errors
+from clementinespar.platform import http, service
+from standins import fake_platform
+from standins import platform as platform_standin
+
+_SEEDS = [
+    fake_platform.HostSeed("h 1/x", "c0", "r0", "a"),  # an id that must be quoted
+    fake_platform.HostSeed("h2", "c0", "r1", "a"),
+    fake_platform.HostSeed("h3", "c1", "r0", "a"),
+]
+_FIRST = service.Operation("10-a@5", 5)
+
+
+@contextlib.asynccontextmanager
+async def _client(
+    platform: fake_platform.FakePlatform, timeout_s: float = 5.0
+) -> AsyncIterator[http.HttpPlatformService]:
+    with platform_standin.serving(platform, "127.0.0.1", 0) as port:
+        client = http.HttpPlatformService(f"http://127.0.0.1:{port}", timeout_s)
+        try:
+            yield client
+        finally:
+            client.close()
+
+
+def _run(
+    scenario: Callable[
+        [http.HttpPlatformService, fake_platform.FakePlatform],
+        Coroutine[Any, Any, None],
+    ],
+    timeout_s: float = 5.0,
+) -> None:
+    async def main() -> None:
+        platform = fake_platform.FakePlatform(_SEEDS, drain_s=0, reboot_s=0)
+        platform.faults.list_lag_s = 0
+        async with _client(platform, timeout_s) as client:
+            await scenario(client, platform)
+
+    asyncio.run(main())
+
+
+async def _wait(client: http.HttpPlatformService, step: service.OperationStep) -> None:
+    while await client.operation_status(_FIRST.operation_id, step) != "done":
+        await asyncio.sleep(0)
+
+
+def test_host_is_drained_and_rebooted_into_a_pool() -> None:
+    async def scenario(
+        client: http.HttpPlatformService, platform: fake_platform.FakePlatform
+    ) -> None:
+        host_id = _SEEDS[0].host_id
+        assert await client.operation_status(_FIRST.operation_id, "drain") == "unknown"
+        await client.drain(host_id, _FIRST)
+        await _wait(client, "drain")
+        listed = await client.list_hosts()
+        assert listed.hosts_by_id[host_id].condition == "leaving"
+        assert listed.hosts_by_id["h2"].condition == "live"
+        await client.reboot(host_id, _FIRST, "b")
+        await _wait(client, "reboot")
+        await client.reboot(host_id, _FIRST, "b")  # repeated, without effect
+        assert platform.pool_by_host_id[host_id] == "b"
+        await client.throttle("h2", "task")
+        await client.checkpoint("h2", "task")
+        steps = [(a.step, a.result) for a in platform.actions]
+        assert steps == [
+            ("drain", "started"),
+            ("drain", "done"),
+            ("reboot", "started"),
+            ("reboot", "done"),
+            ("reboot", "repeated"),
+            ("throttle", "done"),
+            ("checkpoint", "done"),
+        ]
+
+    _run(scenario)
+
+
+@pytest.mark.parametrize(
+    ("fault", "code", "has_effect"),
+    [
+        ("stale", codes.ResultCode.PLATFORM_REFUSED, False),
+        ("failed", codes.ResultCode.PLATFORM_REFUSED, False),
+        ("down", codes.ResultCode.PLATFORM_UNAVAILABLE, False),
+        ("lost", codes.ResultCode.PLATFORM_UNAVAILABLE, True),
+        ("silent", codes.ResultCode.PLATFORM_UNAVAILABLE, False),
+    ],
+)
+def test_faults(fault: str, code: codes.ResultCode, has_effect: bool) -> None:
+    # Guards against a lost reply that is taken for a refusal, and the reverse.
+    async def scenario(
+        client: http.HttpPlatformService, platform: fake_platform.FakePlatform
+    ) -> None:
+        if fault == "stale":
+            await platform.drain("h2", service.Operation("later", 6))
+        platform.faults.down = fault == "down"
+        platform.faults.silent = fault == "silent"
+        platform.faults.lose_replies = 1 if fault == "lost" else 0
+        platform.fail(["h2"] if fault == "failed" else [])
+        with pytest.raises(errors.ClementinesparError) as raised:
+            await client.drain("h2", _FIRST)
+        assert raised.value.code == code
+        platform.faults = fake_platform.Faults()
+        state = await client.operation_status(_FIRST.operation_id, "drain")
+        assert (state != "unknown") == has_effect
+
+    _run(scenario, timeout_s=0.5 if fault == "silent" else 5.0)
+
+
+@pytest.mark.parametrize(
+    ("status", "body"),
+    [(200, b"[]"), (200, b'{"observed_ms": "x"}'), (302, b""), (500, b"")],
+)
+def test_bad_replies_are_no_lists(status: int, body: bytes) -> None:
+    class Handler(web.RequestHandler):
+        def get(self) -> None:
+            self.set_status(status)
+            self.set_header("Location", "/hosts2")
+            self.finish(body)
+
+    async def main() -> None:
+        sockets = netutil.bind_sockets(0, "127.0.0.1")
+        server = httpserver.HTTPServer(
+            web.Application([("/hosts", Handler)], log_function=lambda handler: None)
+        )
+        server.add_sockets(sockets)
+        port = sockets[0].getsockname()[1]
+        client = http.HttpPlatformService(f"http://127.0.0.1:{port}", 5.0)
+        with pytest.raises(errors.PlatformUnavailableError):
+            await client.list_hosts()
+        client.close()
+        server.stop()
+
+    asyncio.run(main())
+
+
+def test_standin_switches_and_target_notices() -> None:
+    async def main() -> None:
+        notices: asyncio.Queue[dict[str, bool]] = asyncio.Queue()
+
+        class Target(web.RequestHandler):
+            def post(self) -> None:
+                notices.put_nowait(json.loads(self.request.body))
+
+        sockets = netutil.bind_sockets(0, "127.0.0.1")
+        target = httpserver.HTTPServer(
+            web.Application([("/faults", Target)], log_function=lambda handler: None)
+        )
+        target.add_sockets(sockets)
+        seed = fake_platform.HostSeed(
+            "h4", "c1", "r0", "a", faults_port=sockets[0].getsockname()[1]
+        )
+        platform = fake_platform.FakePlatform(
+            [*_SEEDS, seed],
+            drain_s=0,
+            reboot_s=0,
+            on_leaving=platform_standin.TargetNotices().send,
+        )
+        with platform_standin.serving(platform, "127.0.0.1", 0) as port:
+            post = httpclient.AsyncHTTPClient()
+            url = f"http://127.0.0.1:{port}"
+            switches = {"fail": {"data_centre": "c1", "rack": "r0"}, "slow_ms": 0}
+            reply = await post.fetch(
+                f"{url}/faults", method="POST", body=json.dumps(switches)
+            )
+            assert json.loads(reply.body)["failed"] == ["h3", "h4"]
+            body = json.dumps({"recover": {"hosts": ["h4"]}})
+            await post.fetch(f"{url}/faults", method="POST", body=body)
+            bad = await post.fetch(
+                f"{url}/faults", method="POST", body='{"x": 1}', raise_error=False
+            )
+            assert bad.code == 400
+            task = json.dumps({"task_id": "t", "host_id": "h4", "lease_s": 60})
+            await post.fetch(f"{url}/tasks", method="POST", body=task)
+            await platform.drain("h4", _FIRST)
+            assert await notices.get() == {"leaving": True}
+            while await platform.operation_status("10-a@5", "drain") != "done":
+                await asyncio.sleep(0)
+            tasks = await post.fetch(f"{url}/tasks")
+            assert json.loads(tasks.body) == {"tasks": []}  # a drain ends leases
+            await platform.reboot("h4", _FIRST, "b")
+            assert await notices.get() == {"leaving": False}
+            history = json.loads((await post.fetch(f"{url}/actions")).body)
+            assert history["pools"]["h4"] == "b"
+            assert [a["step"] for a in history["actions"]["h4"]][:2] == [
+                "lease",
+                "drain",
+            ]
+        target.stop()
+
+    asyncio.run(main())
