--- a/clementinespar/waves/planner.py
+++ b/clementinespar/waves/planner.py
@@ -6,7 +6,9 @@
 
 import collections
 import dataclasses
+import itertools
 import math
+from collections.abc import Iterator
 
 from clementinespar import codes, explanation
 from clementinespar.documents import model
@@ -254,27 +256,38 @@
 
 def _in_order(
     situation: Situation, candidates: list[pools_state.HostState]
-) -> list[pools_state.HostState]:
-    """Order hosts: late ones first by lateness, then by the spread over domains."""
+) -> Iterator[pools_state.HostState]:
+    """Yield hosts: late ones first by days, then spread over failure domains.
+
+    Each host counts for the spread as soon as it is yielded.
+    """
     unavailable = situation.observation.unavailable_by_host_id
     out_by_domain: collections.Counter[tuple[str, ...]] = collections.Counter()
-    for pool in {host.pool for host in candidates}:
-        for host in situation.pools.hosts_of(pool):
-            if not budget.is_serving(host, unavailable):
-                out_by_domain[(host.data_centre,)] += 1
-                out_by_domain[(host.data_centre, host.rack)] += 1
+
+    def count(host: pools_state.HostState) -> None:
+        out_by_domain[(host.data_centre,)] += 1
+        out_by_domain[(host.data_centre, host.rack)] += 1
 
     def key(host: pools_state.HostState) -> tuple[int, int, int, int, str]:
         slack_ms = due_in_ms(situation.document, host, situation.log_time_ms)
         return (
-            min(slack_ms, 0),
+            min(slack_ms // _DAY_MS, 0),
             out_by_domain[(host.data_centre,)],
             out_by_domain[(host.data_centre, host.rack)],
             slack_ms,
             host.host_id,
         )
 
-    return sorted(candidates, key=key)
+    for pool in {host.pool for host in candidates}:
+        for host in situation.pools.hosts_of(pool):
+            if not budget.is_serving(host, unavailable):
+                count(host)
+    remaining = list(candidates)
+    while remaining:
+        chosen = min(remaining, key=key)
+        remaining.remove(chosen)
+        count(chosen)
+        yield chosen
 
 
 def _next_wave(
@@ -314,7 +327,7 @@
             *facts,
         )
     count = situation.document.maintenance.max_wave_hosts
-    chosen = _in_order(situation, ready)[:count]
+    chosen = itertools.islice(_in_order(situation, ready), count)
     return WaveStart(pool, tuple(host.host_id for host in chosen)), _explain(
         pool, "starting", None, codes.ResultCode.OK, *facts
     )
