--- a/bench/capacity/probe.py
+++ b/bench/capacity/probe.py
@@ -8,19 +8,28 @@
 import json
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from bench import fleets, processes
 from clementinespar import codes, identifiers
+from clementinespar.capacity import demand
+from clementinespar.capacity import planner as capacity_planner
 from clementinespar.claims import messages as claim_messages
+from clementinespar.claims import state as claims_state
+from clementinespar.documents import model
 from clementinespar.duties import messages as duty_messages
+from clementinespar.fleet import snapshot
 from clementinespar.fleet import state as fleet_state
 from clementinespar.log import base
+from clementinespar.platform import service as platform_service
+from clementinespar.pools import availability
 from clementinespar.pools import messages as pool_messages
 from clementinespar.waves import messages as wave_messages
+from clementinespar.waves import planner as wave_planner
 
 _CLAIMS = 20_000  # claims held when their memory is measured
 _CLAIMS_PER_RECORD = 10  # typical batch of one node
+_SNAPSHOT_CLAIMS = 5_000  # claims held in the measured snapshot
 _REPEATS = 20  # publications whose mean processor time is taken
 
 Figures = dict[str, float]
@@ -82,33 +91,43 @@
     """Fold of one maintenance of each host: wave, out, returned."""
     state = fleets.make_state(size)
     meter = _Meter(state)
-    for pool in list(state.pools.host_ids_by_pool):
-        host_ids = tuple(state.pools.host_ids_by_pool[pool])
-        wave = wave_messages.WaveStarted.model_validate(
-            {**_header(), "pool": pool, "host_ids": host_ids}
+    for pool, host_ids in list(state.pools.host_ids_by_pool.items()):
+        for batch in _batches(tuple(host_ids), model.Maintenance().max_wave_hosts):
+            _run_wave(meter, pool, batch)
+    return meter.figures("host_record")
+
+
+def _batches(host_ids: tuple[str, ...], length: int) -> Iterator[tuple[str, ...]]:
+    for start in range(0, len(host_ids), length):
+        yield host_ids[start : start + length]
+
+
+def _run_wave(meter: _Meter, pool: str, host_ids: tuple[str, ...]) -> None:
+    hosts_by_id = meter.state.pools.hosts_by_id
+    wave = wave_messages.WaveStarted.model_validate(
+        {**_header(), "pool": pool, "host_ids": host_ids}
+    )
+    meter.apply(wave)
+    for host_id in host_ids:
+        out = pool_messages.HostTakenOut.model_validate(
+            {
+                **_header(),
+                "host_id": host_id,
+                "pool": pool,
+                "host_revision": hosts_by_id[host_id].revision,
+                "reason": "maintenance",
+                "wave_id": wave.record_id,
+            }
         )
-        meter.apply(wave)
-        for host_id in host_ids:
-            out = pool_messages.HostTakenOut.model_validate(
-                {
-                    **_header(),
-                    "host_id": host_id,
-                    "pool": pool,
-                    "host_revision": state.pools.hosts_by_id[host_id].revision,
-                    "reason": "maintenance",
-                    "wave_id": wave.record_id,
-                }
-            )
-            meter.apply(out)
-            returned = pool_messages.HostReturned.model_validate(
-                {**_header(), "host_id": host_id, "operation_id": out.record_id}
-            )
-            meter.apply(returned)
-        finished = wave_messages.WaveFinished.model_validate(
-            {**_header(), "wave_id": wave.record_id, "reason": "complete"}
+        meter.apply(out)
+        returned = pool_messages.HostReturned.model_validate(
+            {**_header(), "host_id": host_id, "operation_id": out.record_id}
         )
-        meter.apply(finished)
-    return meter.figures("host_record")
+        meter.apply(returned)
+    finished = wave_messages.WaveFinished.model_validate(
+        {**_header(), "wave_id": wave.record_id, "reason": "complete"}
+    )
+    meter.apply(finished)
 
 
 def measure_claims(size: fleets.FleetSize) -> Figures:
@@ -159,12 +178,88 @@
     }
 
 
+def measure_snapshot(size: fleets.FleetSize) -> Figures:
+    """Size of a snapshot with claims held, and time to encode it and to rebuild."""
+    state = fleets.make_state(size)
+    now_ms = state.log_time_ms
+    for _ in range(_SNAPSHOT_CLAIMS):
+        request_id = identifiers.new_id(now_ms)
+        state.claims.claims_by_request_id[request_id] = claims_state.HeldClaim(
+            identifiers.new_id(now_ms), "bench", now_ms
+        )
+    began = time.process_time()
+    encoded = snapshot.encode_state(state)
+    encoded_at = time.process_time()
+    snapshot.decode_state(encoded)
+    rebuilt_at = time.process_time()
+    return {
+        "snapshot_bytes": float(len(encoded)),
+        "snapshot_encode_ms": (encoded_at - began) * 1e3,
+        "snapshot_rebuild_ms": (rebuilt_at - encoded_at) * 1e3,
+    }
+
+
+class _HostList:
+    """`HostListSource` with every host live."""
+
+    latest: platform_service.HostList | None
+    age_s: float = 0.0
+
+    def __init__(self, state: fleet_state.FleetState) -> None:
+        self.latest = platform_service.HostList(
+            0,
+            {
+                host.host_id: platform_service.ListedHost(
+                    host.host_id, host.data_centre, host.rack, "127.0.0.1", 1, "live"
+                )
+                for host in state.pools.hosts_by_id.values()
+            },
+        )
+
+
+def measure_planning(size: fleets.FleetSize) -> Figures:
+    """Processor time of one round of waves and one of capacity, all hosts due."""
+    state = fleets.make_state(size)
+    document = state.documents.production
+    assert document is not None
+    # Leases move log time on without a change of the fleet.
+    state.log_time_ms += 40 * 24 * 3_600_000
+    demands = {
+        name: demand.ServiceDemand(name, 8.0, 0.0, 100.0) for name in document.services
+    }
+    host_list = _HostList(state)
+    repeats = 10
+    began = time.process_time()
+    for _ in range(repeats):
+        observation = availability.observe(state.pools, host_list, frozenset())
+        wave_planner.plan(
+            wave_planner.Situation(
+                document, state.pools, state.waves, state.log_time_ms, observation
+            )
+        )
+    waves_at = time.process_time()
+    for _ in range(repeats):
+        observation = availability.observe(state.pools, host_list, frozenset())
+        situation = capacity_planner.Situation(
+            document, state.pools, demands, 100.0, observation
+        )
+        needs = capacity_planner.compute_needs(situation)
+        capacity_planner.plan(situation, needs, capacity_planner.History())
+    capacity_at = time.process_time()
+    return {
+        "wave_round_ms": (waves_at - began) / repeats * 1e3,
+        "capacity_round_ms": (capacity_at - waves_at) / repeats * 1e3,
+    }
+
+
 PROBES: dict[str, Callable[[fleets.FleetSize], Figures]] = {
     "publication": measure_publication,
     "host_operations": measure_host_operations,
     "claims": measure_claims,
     "lease": measure_lease,
     "state_memory": measure_state_memory,
+    "snapshot": measure_snapshot,
+    "planning": measure_planning,
 }
 
 
