Compute queue owners once per heartbeat

Cause: half of the remaining cost of heartbeats was hashing for the demands. Change: scores are cached and the possible owners are computed once per report.

--- a/clementinespar/peers/directory.py
+++ b/clementinespar/peers/directory.py
@@ -101,6 +101,7 @@
     def _own_report(self) -> membership.Report:
         report = self._local_report()
         name = self._settings.node.name
+        owners = self._possible_owners()
         return membership.Report(
             applied_offset=report.applied_offset,
             oldest_kept_offset=report.oldest_kept_offset,
@@ -111,14 +112,14 @@
             demands=tuple(
                 item
                 for item in report.demands
-                if self._owner_names(item.service)[:1] == [name]
+                if rendezvous.order_nodes(item.service, owners)[:1] == [name]
             ),
             ejected_host_ids=report.ejected_host_ids,
         )
 
     # requests.model.OwnerDirectory
 
-    def _owner_names(self, service: str) -> list[str]:
+    def _possible_owners(self) -> list[str]:
         names = [
             peer.name
             for peer in self.members.live_peers()
@@ -126,13 +127,13 @@
         ]
         if self._can_own() and not self.members.is_superseded:
             names.append(self._settings.node.name)
-        return rendezvous.order_nodes(service, names)
+        return names
 
     def candidates(self, service: str) -> Sequence[model.OwnerCandidate]:
         """Return live nodes in rendezvous order; the first one owns the queue."""
         peers_by_name = {peer.name: peer for peer in self.members.peers()}
         candidates: list[model.OwnerCandidate] = []
-        for name in self._owner_names(service):
+        for name in rendezvous.order_nodes(service, self._possible_owners()):
             if name == self._settings.node.name:
                 if self._owner is not None:
                     candidates.append(model.OwnerCandidate(name, self._owner, True))
@@ -146,7 +147,7 @@
 
     def has_owner(self) -> bool:
         """Whether any live node may own queues."""
-        return bool(self._owner_names(""))
+        return bool(self._possible_owners())
 
     # capacity.demand.DemandSource
 
--- a/clementinespar/peers/membership.py
+++ b/clementinespar/peers/membership.py
@@ -209,18 +209,19 @@
 
     def is_alive(self, peer: PeerState) -> bool:
         """Whether a node answered one of the last heartbeats."""
-        self._note_clock()
-        if peer.answered_at is None:
-            return False
+        return self._is_alive_at(peer, self._note_clock())
+
+    def _is_alive_at(self, peer: PeerState, now: float) -> bool:
         # The half interval lets the last of the heartbeats be answered.
         limit_s = self._settings.heartbeat_interval_s * (
             self._settings.missed_heartbeats + 0.5
         )
-        return asyncio.get_running_loop().time() - peer.answered_at < limit_s
+        return peer.answered_at is not None and now - peer.answered_at < limit_s
 
     def live_peers(self) -> Sequence[PeerState]:
         """Return the other live nodes by name."""
-        return [peer for peer in self.peers() if self.is_alive(peer)]
+        now = self._note_clock()
+        return [peer for peer in self.peers() if self._is_alive_at(peer, now)]
 
     async def wait_changed(self) -> None:
         """Wait until a peer's report or the set of live nodes changes."""
@@ -539,8 +540,8 @@
             if self._refresh_version() or forgotten:
                 self._on_change()
 
-    def _note_clock(self) -> None:
-        """Discount time during which this process did not run.
+    def _note_clock(self) -> float:
+        """Return the loop time, and discount time in which this process did not run.
 
         A node that wakes after a pause has not missed replies: it sent nothing. Nodes
         that were alive get the usual number of heartbeats to answer.
@@ -554,6 +555,7 @@
                     if peer.answered_at is not None:
                         peer.answered_at += pause_s
         self._checked_at = now
+        return now
 
     def _refresh_version(self) -> int:
         """Return the version of the member list, a new one if it has changed."""
--- a/clementinespar/peers/rendezvous.py
+++ b/clementinespar/peers/rendezvous.py
@@ -4,12 +4,18 @@
 highest score owns the service, so losing a node moves only that node's services.
 """
 
+import functools
 import hashlib
 from collections.abc import Iterable
 
 _SCORE_BYTES = 8  # 64 bits: ties among a few hundred nodes do not occur in practice
 
 
+# Scores of a few hundred services on tens of nodes, asked for with every request.
+_CACHED_SCORES = 16_384
+
+
+@functools.lru_cache(maxsize=_CACHED_SCORES)
 def score(service: str, node: str) -> int:
     """Return the score of a node for a service, the same in every process."""
     digest = hashlib.blake2b(digest_size=_SCORE_BYTES)
