Test mutual TLS between nodes

Cause: nothing showed that a process without a key of the authority is refused. Change: test keys and five combinations of keys. Conclusion: both sides check the authority; a strange key never reaches a handler.

--- a/clementinespar/peers/tests/test_wire.py
+++ b/clementinespar/peers/tests/test_wire.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import dataclasses
+import pathlib
+import ssl
 from collections.abc import AsyncIterator, Callable
 
 import pytest
@@ -76,7 +78,10 @@
 
 
 @contextlib.asynccontextmanager
-async def wire(settings: options.PeersSettings = _SETTINGS) -> AsyncIterator[Wire]:
+async def wire(
+    settings: options.PeersSettings = _SETTINGS,
+    client_settings: options.PeersSettings = _SETTINGS,
+) -> AsyncIterator[Wire]:
     owner = FakeOwner()
     members = membership.Membership(
         options.NodeSettings(name="owner", data_centre="dc"),
@@ -94,7 +99,11 @@
             server.serving(service, settings, listener)
         )
         await stack.enter_async_context(members.running(endpoint))
-        peer_client = client.PeerClient(endpoint, _SETTINGS)
+        peer_client = client.PeerClient(
+            endpoint,
+            client_settings,
+            server.make_ssl_context(client_settings, ssl.Purpose.SERVER_AUTH),
+        )
         stack.callback(peer_client.close)
         yield Wire(owner, peer_client, grpc_server.close)
 
@@ -268,3 +277,49 @@
     return peer_pb2.HeartbeatMessage(
         sender=peer_pb2.Member(name="ingress", endpoint="127.0.0.1:1", incarnation=1)
     )
+
+
+def _tls(owner: str, authority: str) -> options.PeersSettings:
+    keys = pathlib.Path(__file__).parent / "keys"
+    return options.PeersSettings(
+        address="127.0.0.1",
+        port=0,
+        tls_certificate=keys / f"{owner}.pem",
+        tls_key=keys / f"{owner}-key.pem",
+        tls_authority=keys / f"{authority}-authority.pem",
+    )
+
+
+@pytest.mark.parametrize(
+    ("server_settings", "client_settings", "is_accepted"),
+    [
+        (_tls("fleet", "fleet"), _tls("fleet", "fleet"), True),
+        (_tls("fleet", "fleet"), _tls("stranger", "fleet"), False),
+        (_tls("stranger", "fleet"), _tls("fleet", "fleet"), False),
+        (_tls("fleet", "fleet"), _SETTINGS, False),
+        (_SETTINGS, _tls("fleet", "fleet"), False),
+    ],
+    ids=["same authority", "strange client", "strange server", "no key", "no TLS"],
+)
+def test_only_keys_of_the_authority_are_accepted(
+    server_settings: options.PeersSettings,
+    client_settings: options.PeersSettings,
+    is_accepted: bool,
+) -> None:
+    # Guards against a process on the network that joins without a key.
+    async def main() -> None:
+        async with wire(server_settings, client_settings) as w:
+            w.owner.before_start.set()
+            w.owner.before_end.set()
+            outcome = await _handle(w.client, _request(), asyncio.Event())
+            assert w.owner.arrived.is_set() == is_accepted
+            if is_accepted:
+                assert outcome.kind is model.OutcomeKind.ANSWERED
+                reply = await w.client.heartbeat(_heartbeat(), 5.0)
+                assert reply.sender.name == "owner"
+                return
+            assert outcome.kind is not model.OutcomeKind.ANSWERED
+            with pytest.raises(errors.PeerUnavailableError):
+                await w.client.heartbeat(_heartbeat(), 5.0)
+
+    asyncio.run(main())
