Let thousands of requests wait at an owner; remember nodes for two hours

Cause: h2 allows 100 streams per connection by default, so the 101st waiting request timed out at its sender, which took the owner for unreachable and used another node. Nodes that lost contact forgot each other after two minutes, but regions are apart for up to an hour. Change: 100000 streams; dead nodes are kept for 7200 s with rarer heartbeats; requests of other nodes are refused as not ready until the targets are known.

--- a/clementinespar/node.py
+++ b/clementinespar/node.py
@@ -146,11 +146,10 @@
     @property
     def can_own(self) -> bool:
         """Whether this node may own queues: it knows the fold and the targets."""
-        return (
-            self.follower.is_ready
-            and self.host_list.latest is not None
-            and not self.is_stopping
-        )
+        return self._knows_targets() and not self.is_stopping
+
+    def _knows_targets(self) -> bool:
+        return self.follower.is_ready and self.host_list.latest is not None
 
     @property
     def not_ready_reasons(self) -> list[str]:
@@ -250,7 +249,7 @@
             )
             self.router = _ObservedRouter(self.peers, self.follower)
             self.ports["peers"] = await stack.enter_async_context(
-                self.peers.running(self.follower, self.dispatcher)
+                self.peers.running(self.follower, self.dispatcher, self._knows_targets)
             )
             await stack.enter_async_context(self.follower.running())
             await stack.enter_async_context(self.host_list.running())
--- a/clementinespar/peers/client.py
+++ b/clementinespar/peers/client.py
@@ -140,7 +140,7 @@
     _retired: list[_Channel]  # closed once the calls on them have ended
     _calls_by_channel: dict[_Channel, int]
     _heartbeats: Any  # grpclib stream of the heartbeats, None while there is none
-    _is_closed: bool
+    is_closed: bool  # takes no new calls
 
     def __init__(
         self,
@@ -155,12 +155,12 @@
         self._retired = []
         self._calls_by_channel = {}
         self._heartbeats = None
-        self._is_closed = False
+        self.is_closed = False
 
     @contextlib.contextmanager
     def calling(self) -> Iterator[tuple[_Channel, peer_grpc.PeerStub]]:
         """Yield the channel for a new call; a retired one stays open meanwhile."""
-        if self._is_closed:
+        if self.is_closed:
             raise NotSentError(f"peer {self.endpoint} is no longer a member")
         if self._channel is None:
             host, _, port = self.endpoint.rpartition(":")
@@ -200,7 +200,7 @@
 
     def close(self) -> None:
         """Take no new calls and close connections once the calls on them end."""
-        self._is_closed = True
+        self.is_closed = True
         self.renew()
 
     async def heartbeat(
--- a/clementinespar/peers/directory.py
+++ b/clementinespar/peers/directory.py
@@ -62,7 +62,10 @@
 
     @contextlib.asynccontextmanager
     async def running(
-        self, entries: server.EntrySource, owner: model.RequestHandler
+        self,
+        entries: server.EntrySource,
+        owner: model.RequestHandler,
+        knows_targets: Callable[[], bool] = lambda: True,
     ) -> AsyncIterator[int]:
         """Serve the peer protocol and send heartbeats; yields the bound port.
 
@@ -72,6 +75,9 @@
             Gives log entries and snapshots to other nodes.
         owner : model.RequestHandler
             This node's own dispatcher.
+        knows_targets : callable
+            Whether the dispatcher knows the fold and the targets. Until then,
+            requests of other nodes are refused, so that they go elsewhere.
         """
         settings = self._settings.peers
         listener = server.bind(settings.address, settings.port)
@@ -79,7 +85,7 @@
         host = f"[{settings.address}]" if ":" in settings.address else settings.address
         self._owner = owner
         self._service = server.PeerService(
-            self.members, entries, owner, settings.max_message_bytes
+            self.members, entries, owner, settings.max_message_bytes, knows_targets
         )
         async with (
             server.serving(self._service, settings, listener),
@@ -92,6 +98,8 @@
         return [] if self._service is None else await self._service.wait_idle(timeout_s)
 
     def _open_link(self, endpoint: str) -> membership.PeerLink:
+        for known in [e for e, c in self._clients_by_endpoint.items() if c.is_closed]:
+            del self._clients_by_endpoint[known]
         peer_client = client.PeerClient(
             endpoint, self._settings.peers, self._ssl_context
         )
--- a/clementinespar/peers/membership.py
+++ b/clementinespar/peers/membership.py
@@ -14,19 +14,26 @@
 from collections.abc import AsyncIterator, Callable, Iterable, Sequence
 from typing import Protocol
 
+import logbook
+
 from clementinespar import errors, options
 from clementinespar.capacity import demand
 from clementinespar.peers import peer_pb2
 
-# Heartbeats to a dead endpoint are this many intervals apart, which bounds the cost of
-# endpoints that never return and the time until a healed one is noticed.
+_log = logbook.Logger("peers.membership")
+
+# Heartbeats to a dead endpoint are this many intervals apart, first and after many
+# failures. It bounds the cost of endpoints that never return and the time until a
+# healed one is noticed.
 _DEAD_ENDPOINT_INTERVALS = 4
+_LONG_DEAD_ENDPOINT_INTERVALS = 20
+_LONG_DEAD_FAILURES = 30
 # Member lists are sent on change and, rarely, without one: two nodes that forgot each
 # other while they were apart learn of each other again from a third one.
 _LIST_REFRESH_INTERVALS = 60
-# A dead node is kept for this many intervals: longer than a member list refresh, so
-# that a node that others still see is never forgotten.
-_FORGET_INTERVALS = 240
+# Regions lose contact for an hour now and then, and the seeds may be replaced
+# meanwhile. Nodes that forgot each other by then would stay apart.
+FORGET_AFTER_S = 7_200.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -469,7 +476,11 @@
             self._notify()
             pause_s = interval_s
             if endpoint.failures > self._settings.missed_heartbeats:
-                pause_s *= _DEAD_ENDPOINT_INTERVALS
+                pause_s *= (
+                    _LONG_DEAD_ENDPOINT_INTERVALS
+                    if endpoint.failures > _LONG_DEAD_FAILURES
+                    else _DEAD_ENDPOINT_INTERVALS
+                )
             pause_s = max(0.0, started_at + pause_s - loop.time())
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(pause_s):
@@ -521,13 +532,10 @@
         return True
 
     async def _keep_up(self) -> None:
-        """Forget nodes that have been dead for long."""
-        loop = asyncio.get_running_loop()
-        interval_s = self._settings.heartbeat_interval_s
+        """Notice dead nodes, and forget those that have been dead for long."""
         while True:
-            await asyncio.sleep(interval_s)
-            self._note_clock()
-            oldest = loop.time() - interval_s * _FORGET_INTERVALS
+            await asyncio.sleep(self._settings.heartbeat_interval_s)
+            oldest = self._note_clock() - FORGET_AFTER_S
             forgotten = [
                 peer.name
                 for peer in self._peers_by_name.values()
@@ -537,8 +545,7 @@
                 del self._peers_by_name[name]
             if forgotten:
                 self._adjust_tasks()
-            if self._refresh_version() or forgotten:
-                self._on_change()
+            self._refresh_version()
 
     def _note_clock(self) -> float:
         """Return the loop time, and discount time in which this process did not run.
@@ -561,6 +568,10 @@
         """Return the version of the member list, a new one if it has changed."""
         members = tuple(peer.member for peer in self.live_peers())
         if members != self._live_members:
+            for member in set(members) - set(self._live_members):
+                _log.info("node {} at {} is alive", member.name, member.endpoint)
+            for member in set(self._live_members) - set(members):
+                _log.notice("node {} at {} is gone", member.name, member.endpoint)
             self._live_members = members
             self._version += 1
             self._notify()
--- a/clementinespar/peers/server.py
+++ b/clementinespar/peers/server.py
@@ -6,14 +6,15 @@
 import socket
 import ssl
 import weakref
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
 from typing import Any, Protocol
 
 import grpclib
 import grpclib.protocol
 import grpclib.server
+import h2.settings
 
-from clementinespar import options
+from clementinespar import codes, options
 from clementinespar.log import service as log_service
 from clementinespar.peers import client, membership, peer_grpc, peer_pb2
 from clementinespar.requests import model
@@ -23,6 +24,10 @@
 # to get their turn in between.
 PART_BYTES = 64 * 1024
 MAX_FETCHED_ENTRIES = 1_000  # entries of one FetchEntries call
+# Each request that waits in a queue holds a stream; a queue has thousands of places.
+# The default of 100 would make senders wait and take the owner for lost.
+MAX_CONCURRENT_STREAMS = 100_000
+_MAX_STREAMS_SETTING = h2.settings.SettingCodes.MAX_CONCURRENT_STREAMS
 
 
 class EntrySource(Protocol):
@@ -52,12 +57,15 @@
         This node's own dispatcher.
     max_message_bytes : int
         Size of the largest message that is taken in.
+    knows_targets : callable
+        Whether the dispatcher can decide on requests yet.
     """
 
     _members: membership.Membership
     _entries: EntrySource
     _owner: model.RequestHandler
     _max_message_bytes: int
+    _knows_targets: Callable[[], bool]
     _request_ids: dict[object, str]  # request id of each Dispatch call in flight
     _idle: asyncio.Event  # no Dispatch call is in flight
 
@@ -67,11 +75,13 @@
         entries: EntrySource,
         owner: model.RequestHandler,
         max_message_bytes: int,
+        knows_targets: Callable[[], bool] = lambda: True,
     ) -> None:
         self._members = members
         self._entries = entries
         self._owner = owner
         self._max_message_bytes = max_message_bytes
+        self._knows_targets = knows_targets
         self._request_ids = {}
         self._idle = asyncio.Event()
         self._idle.set()
@@ -170,6 +180,16 @@
 
     async def _handle(self, stream: Any, request: model.Request) -> model.Outcome:
         """Pass events and the outcome of a request to the sender."""
+        if not self._knows_targets():
+            outcome = model.Outcome(
+                model.OutcomeKind.NOT_RUN,
+                codes.ResultCode.NOT_READY,
+                "the owner node does not know the targets yet",
+            )
+            await stream.send_message(
+                peer_pb2.DispatchEvent(outcome=_encode_outcome(outcome))
+            )
+            return outcome
         started = asyncio.Event()
         handling = asyncio.create_task(self._owner.handle(request, started.set))
         announcing = asyncio.create_task(_announce_start(stream, started))
@@ -275,6 +295,9 @@
         def bounded_connection_made(transport: asyncio.BaseTransport) -> None:
             client.bound_silence(transport)
             connection_made(transport)
+            http2 = protocol.connection._connection
+            http2.update_settings({_MAX_STREAMS_SETTING: MAX_CONCURRENT_STREAMS})
+            protocol.connection.flush()
 
         protocol.connection_made = bounded_connection_made  # type: ignore[method-assign]
         return protocol
--- a/clementinespar/peers/tests/test_membership.py
+++ b/clementinespar/peers/tests/test_membership.py
@@ -5,6 +5,8 @@
 import dataclasses
 from collections.abc import AsyncIterator
 
+import pytest
+
 from clementinespar.peers import membership
 from clementinespar.peers.tests import memory_network
 from clementinespar.tests import paused_clock
@@ -70,7 +72,11 @@
     paused_clock.run(main())
 
 
-def test_long_cut_heals_although_both_nodes_forgot_each_other() -> None:
+def test_long_cut_heals_although_both_nodes_forgot_each_other(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(membership, "FORGET_AFTER_S", 60.0)
+
     async def main() -> None:
         network = memory_network.Network()
         async with _three(network) as (_, b, c):
@@ -84,14 +90,17 @@
     paused_clock.run(main())
 
 
-def test_dead_node_is_forgotten_everywhere() -> None:
+def test_dead_node_is_forgotten_everywhere(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against nodes that tell each other of a dead one for ever.
+    monkeypatch.setattr(membership, "FORGET_AFTER_S", 60.0)
+
     async def main() -> None:
         network = memory_network.Network()
         async with _three(network) as (a, b, _):
             async with memory_network.running_node(network, "d", _D):
                 await asyncio.sleep(2)
                 assert a.live() == ["b", "c", "d"]
-            await asyncio.sleep(130)
+            await asyncio.sleep(70)
             assert [peer.name for peer in a.members.peers()] == ["b", "c"]
             assert [peer.name for peer in b.members.peers()] == ["a", "c"]
 
--- a/clementinespar/peers/tests/test_wire.py
+++ b/clementinespar/peers/tests/test_wire.py
@@ -25,6 +25,7 @@
     arrived: asyncio.Event
     was_cancelled: asyncio.Event
     body: bytes
+    arrivals: int
 
     def __init__(self) -> None:
         self.before_start = asyncio.Event()
@@ -32,11 +33,13 @@
         self.arrived = asyncio.Event()
         self.was_cancelled = asyncio.Event()
         self.body = b"answer"
+        self.arrivals = 0
 
     async def handle(
         self, request: model.Request, on_started: Callable[[], None]
     ) -> model.Outcome:
         self.arrived.set()
+        self.arrivals += 1
         try:
             await self.before_start.wait()
             on_started()
@@ -136,6 +139,25 @@
     asyncio.run(main())
 
 
+def test_more_requests_than_http2_allows_by_default_wait_at_the_owner() -> None:
+    # Guards against senders that take a busy owner for lost and go to another node.
+    async def main() -> None:
+        async with wire() as w:
+            tasks = [
+                asyncio.create_task(_handle(w.client, _request(), asyncio.Event()))
+                for _ in range(300)
+            ]
+            async with asyncio.timeout(30):
+                while w.owner.arrivals < len(tasks):
+                    await asyncio.sleep(0.01)
+            w.owner.before_start.set()
+            w.owner.before_end.set()
+            outcomes = await asyncio.gather(*tasks)
+            assert {o.kind for o in outcomes} == {model.OutcomeKind.ANSWERED}
+
+    asyncio.run(main())
+
+
 @pytest.mark.parametrize("is_started", [False, True])
 def test_owner_that_dies_with_the_request_leaves_it_unknown(is_started: bool) -> None:
     # The request may have run even if no start was seen: the event may be lost.
