--- a/clementinespar/fleet/snapshot.py
+++ b/clementinespar/fleet/snapshot.py
@@ -245,11 +245,12 @@
         """Whether the newest snapshot in the log is too old or too far back."""
         fleet = self._source.state
         newest = fleet.snapshots
-        # Chunks themselves are entries: a log with nothing else needs no snapshot.
-        if fleet.offset <= newest.last_chunk_offset or fleet.offset < 0:
+        if fleet.offset < 0:
             return False
+        # Chunks do not count as entries, or a large state would be published for ever.
+        # The interval also holds in a log at rest, where the snapshot itself expires.
         return (
-            fleet.offset - newest.as_of_offset >= self._max_entries
+            fleet.offset - newest.last_chunk_offset >= self._max_entries
             or self._appender.now_ms() - newest.published_ms >= self._interval_s * 1000
         )
 
