--- a/clementinespar/telemetry/traces.py
+++ b/clementinespar/telemetry/traces.py
@@ -16,7 +16,7 @@
 from clementinespar import options
 
 if TYPE_CHECKING:
-    from opentelemetry.sdk.trace import export
+    from opentelemetry.sdk.trace import export as sdk_export
 
 _log = logbook.Logger("traces")
 _PROPAGATOR = tracecontext.TraceContextTextMapPropagator()
@@ -89,7 +89,7 @@
         return
     from opentelemetry.sdk import resources
     from opentelemetry.sdk import trace as sdk_trace
-    from opentelemetry.sdk.trace import export
+    from opentelemetry.sdk.trace import export as sdk_export
 
     resource = resources.Resource(
         {"service.name": "clementinespar", "service.instance.id": node}
@@ -97,14 +97,14 @@
     # No atexit hook: the context flushes the spans.
     provider = sdk_trace.TracerProvider(resource=resource, shutdown_on_exit=False)
     if settings.trace_exporter == "log":
-        provider.add_span_processor(export.SimpleSpanProcessor(make_log_exporter()))
+        provider.add_span_processor(sdk_export.SimpleSpanProcessor(make_log_exporter()))
     else:
         from opentelemetry.exporter.otlp.proto.http import trace_exporter
 
         exporter = trace_exporter.OTLPSpanExporter(
             endpoint=settings.otlp_endpoint, timeout=_EXPORT_TIMEOUT_S
         )
-        provider.add_span_processor(export.BatchSpanProcessor(exporter))
+        provider.add_span_processor(sdk_export.BatchSpanProcessor(exporter))
     trace.set_tracer_provider(provider)
     try:
         yield
@@ -113,20 +113,20 @@
         provider.shutdown()
 
 
-def make_log_exporter() -> "export.SpanExporter":
+def make_log_exporter() -> "sdk_export.SpanExporter":
     """Return an exporter that writes each span as one log line."""
     from opentelemetry.sdk import trace as sdk_trace
-    from opentelemetry.sdk.trace import export
+    from opentelemetry.sdk.trace import export as sdk_export
 
-    class LogExporter(export.SpanExporter):
+    class LogExporter(sdk_export.SpanExporter):
         """Writes each span as one log line."""
 
         def export(
             self, spans: Sequence[sdk_trace.ReadableSpan]
-        ) -> export.SpanExportResult:
+        ) -> sdk_export.SpanExportResult:
             for span in spans:
                 _log.info("span {}", span.name, extra=_describe_span(span))
-            return export.SpanExportResult.SUCCESS
+            return sdk_export.SpanExportResult.SUCCESS
 
     return LogExporter()
 
--- a/clementinespar/waves/tests/test_runner.py
+++ b/clementinespar/waves/tests/test_runner.py
@@ -81,7 +81,7 @@
         assert reasons == ["all hosts done"] * 3
         assert fleet.node.waves.explain("a").state == "idle"
         # Guards against hosts recorded as failed because they rebooted.
-        log = fleet.node.log_node.log
+        log = fleet.node.log_node.access.log
         assert not [e for e in log.entries if b"host_failed" in e.payload]
 
     _run(scenario)
