--- /dev/null
+++ b/clementinespar/peers/server.py
@@ -0,0 +1,344 @@
+"""Server side of the peer protocol."""
+
+import asyncio
+import contextlib
+import hashlib
+import socket
+import ssl
+import weakref
+from collections.abc import AsyncIterator, Callable, Sequence
+from typing import Any, Protocol
+
+import grpclib
+import grpclib.protocol
+import grpclib.server
+import h2.settings
+
+from clementinespar import codes, options
+from clementinespar.log import service as log_service
+from clementinespar.peers import client, membership, peer_grpc, peer_pb2
+from clementinespar.requests import model
+from clementinespar.telemetry import metrics, traces
+
+# Parts of a snapshot or an answer: small enough for other calls on the same connection
+# to get their turn in between.
+PART_BYTES = 64 * 1024
+MAX_FETCHED_ENTRIES = 1_000  # entries of one FetchEntries call
+# Each request that waits in a queue holds a stream; a queue has thousands of places.
+# The default of 100 would make senders wait and take the owner for lost.
+MAX_CONCURRENT_STREAMS = 100_000
+_MAX_STREAMS_SETTING = h2.settings.SettingCodes.MAX_CONCURRENT_STREAMS
+
+
+class EntrySource(Protocol):
+    """State that this node can give to others; `log.follower.Follower` in a node."""
+
+    def recent_entries(
+        self, from_offset: int, limit: int
+    ) -> Sequence[log_service.LogEntry]:
+        """Return entries still in memory, in order, from an offset on."""
+        ...
+
+    def snapshot(self) -> tuple[int, bytes]:
+        """Return the offset of the last applied entry and the compressed state."""
+        ...
+
+
+class PeerService(peer_grpc.PeerBase):
+    """Handlers of the peer protocol.
+
+    Parameters
+    ----------
+    members : membership.Membership
+        Takes in heartbeats.
+    entries : EntrySource
+        Gives entries and snapshots.
+    owner : model.RequestHandler
+        This node's own dispatcher.
+    max_message_bytes : int
+        Size of the largest message that is taken in.
+    knows_targets : callable
+        Whether the dispatcher can decide on requests yet.
+    """
+
+    _members: membership.Membership
+    _entries: EntrySource
+    _owner: model.RequestHandler
+    _max_message_bytes: int
+    _knows_targets: Callable[[], bool]
+    _request_ids: dict[object, str]  # request id of each Dispatch call in flight
+    _idle: asyncio.Event  # no Dispatch call is in flight
+
+    def __init__(
+        self,
+        members: membership.Membership,
+        entries: EntrySource,
+        owner: model.RequestHandler,
+        max_message_bytes: int,
+        knows_targets: Callable[[], bool] = lambda: True,
+    ) -> None:
+        self._members = members
+        self._entries = entries
+        self._owner = owner
+        self._max_message_bytes = max_message_bytes
+        self._knows_targets = knows_targets
+        self._request_ids = {}
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    async def wait_idle(self, timeout_s: float) -> list[str]:
+        """Wait for requests of other nodes; return the ids of those that remain."""
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._idle.wait(), timeout_s)
+        return sorted(self._request_ids.values())
+
+    async def _receive(self, stream: Any) -> Any:
+        client.check_message_size(stream, self._max_message_bytes, _too_large)
+        message = await stream.recv_message()
+        if message is None:
+            raise grpclib.GRPCError(
+                grpclib.Status.INVALID_ARGUMENT, "the call has no message"
+            )
+        return message
+
+    async def Heartbeat(
+        self,
+        stream: grpclib.server.Stream[
+            peer_pb2.HeartbeatMessage, peer_pb2.HeartbeatMessage
+        ],
+    ) -> None:
+        """Answer each heartbeat."""
+        client.check_message_size(stream, self._max_message_bytes, _too_large)
+        async for message in stream:
+            await stream.send_message(self._members.on_heartbeat(message))
+
+    async def FetchEntries(
+        self,
+        stream: grpclib.server.Stream[
+            peer_pb2.FetchEntriesRequest, peer_pb2.EntryMessage
+        ],
+    ) -> None:
+        """Give entries that are still in memory."""
+        message = await self._receive(stream)
+        limit = min(message.limit, MAX_FETCHED_ENTRIES)
+        for entry in self._entries.recent_entries(message.from_offset, limit):
+            await stream.send_message(
+                peer_pb2.EntryMessage(
+                    offset=entry.offset,
+                    timestamp_ms=entry.timestamp_ms,
+                    payload=entry.payload,
+                )
+            )
+
+    async def FetchSnapshot(
+        self,
+        stream: grpclib.server.Stream[
+            peer_pb2.FetchSnapshotRequest, peer_pb2.SnapshotPart
+        ],
+    ) -> None:
+        """Give the whole folded state."""
+        await self._receive(stream)
+        offset, data = self._entries.snapshot()
+        if offset < 0:
+            return
+        digest = hashlib.sha256(data).hexdigest()
+        for start in range(0, max(1, len(data)), PART_BYTES):
+            is_last = start + PART_BYTES >= len(data)
+            await stream.send_message(
+                peer_pb2.SnapshotPart(
+                    as_of_offset=offset,
+                    data=data[start : start + PART_BYTES],
+                    digest=digest if is_last else "",
+                )
+            )
+
+    async def Dispatch(
+        self,
+        stream: grpclib.server.Stream[peer_pb2.DispatchRequest, peer_pb2.DispatchEvent],
+    ) -> None:
+        """Take a request of another node to its outcome."""
+        message = await self._receive(stream)
+        # Headers now: the sender learns that the connection works.
+        await stream.send_initial_metadata()
+        self._request_ids[stream] = message.request_id
+        self._idle.clear()
+        try:
+            with traces.hop_span(
+                "forwarded request",
+                message.traceparent,
+                request_id=message.request_id,
+                ingress=message.ingress,
+            ) as span:
+                request = _decode_request(message, span.traceparent)
+                outcome = await self._handle(stream, request)
+                span.set("outcome", outcome.kind.value)
+            metrics.FORWARDED.labels(request.service, outcome.kind.value).inc()
+        finally:
+            del self._request_ids[stream]
+            if not self._request_ids:
+                self._idle.set()
+
+    async def _handle(self, stream: Any, request: model.Request) -> model.Outcome:
+        """Pass events and the outcome of a request to the sender."""
+        if not self._knows_targets():
+            outcome = model.Outcome(
+                model.OutcomeKind.NOT_RUN,
+                codes.ResultCode.NOT_READY,
+                "the owner node does not know the targets yet",
+            )
+            await stream.send_message(
+                peer_pb2.DispatchEvent(outcome=_encode_outcome(outcome))
+            )
+            return outcome
+        started = asyncio.Event()
+        handling = asyncio.create_task(self._owner.handle(request, started.set))
+        announcing = asyncio.create_task(_announce_start(stream, started))
+        try:
+            outcome = await handling
+            if started.is_set():
+                await announcing
+            for start in range(0, len(outcome.body), PART_BYTES):
+                await stream.send_message(
+                    peer_pb2.DispatchEvent(
+                        body_part=outcome.body[start : start + PART_BYTES]
+                    )
+                )
+            await stream.send_message(
+                peer_pb2.DispatchEvent(outcome=_encode_outcome(outcome))
+            )
+            return outcome
+        finally:
+            for task in (handling, announcing):
+                task.cancel()
+            await asyncio.gather(handling, announcing, return_exceptions=True)
+
+
+async def _announce_start(stream: Any, started: asyncio.Event) -> None:
+    await started.wait()
+    await stream.send_message(peer_pb2.DispatchEvent(started=peer_pb2.Started()))
+
+
+def _too_large(text: str) -> Exception:
+    return grpclib.GRPCError(grpclib.Status.RESOURCE_EXHAUSTED, text)
+
+
+def _decode_request(
+    message: peer_pb2.DispatchRequest, traceparent: str | None
+) -> model.Request:
+    return model.Request(
+        request_id=message.request_id,
+        service=message.service,
+        kind=message.kind,
+        body=message.body,
+        content_type=message.content_type,
+        deadline=asyncio.get_running_loop().time() + message.remaining_ms / 1000,
+        team=message.team or None,
+        is_urgent=message.is_urgent,
+        declared_run_ms=message.declared_run_ms or None,
+        traceparent=traceparent,
+    )
+
+
+def _encode_outcome(outcome: model.Outcome) -> peer_pb2.OutcomeMessage:
+    return peer_pb2.OutcomeMessage(
+        kind=outcome.kind.value,
+        code=int(outcome.code),
+        reason=outcome.reason,
+        status=outcome.status,
+        content_type=outcome.content_type,
+        host_id=outcome.host_id or "",
+        attempts=outcome.attempts,
+        waited_s=outcome.waited_s,
+    )
+
+
+def make_ssl_context(
+    settings: options.PeersSettings, purpose: ssl.Purpose
+) -> ssl.SSLContext | None:
+    """Return the context of one side, or None for plain TCP.
+
+    Both sides must present a certificate of ``tls_authority``, which signs nothing but
+    entry nodes. Host names are not checked: a node is replaced at any address, and
+    the heartbeat names it.
+    """
+    if settings.tls_certificate is None or settings.tls_key is None:
+        return None
+    protocol = (
+        ssl.PROTOCOL_TLS_SERVER
+        if purpose is ssl.Purpose.CLIENT_AUTH
+        else ssl.PROTOCOL_TLS_CLIENT
+    )
+    context = ssl.SSLContext(protocol)
+    context.minimum_version = ssl.TLSVersion.TLSv1_3
+    context.check_hostname = False
+    context.verify_mode = ssl.CERT_REQUIRED
+    context.load_cert_chain(settings.tls_certificate, settings.tls_key)
+    context.load_verify_locations(settings.tls_authority)
+    context.set_alpn_protocols(["h2"])
+    return context
+
+
+class Server(grpclib.server.Server):
+    """Server whose connections have bounded silence and end with it."""
+
+    _protocols: "weakref.WeakSet[grpclib.protocol.H2Protocol]"
+
+    def __init__(self, service: PeerService, max_message_bytes: int) -> None:
+        super().__init__([service], config=client.make_configuration(max_message_bytes))
+        self._protocols = weakref.WeakSet()
+
+    def _protocol_factory(self) -> grpclib.protocol.H2Protocol:
+        protocol = super()._protocol_factory()
+        self._protocols.add(protocol)
+        connection_made = protocol.connection_made
+
+        def bounded_connection_made(transport: asyncio.BaseTransport) -> None:
+            client.bound_silence(transport)
+            connection_made(transport)
+            http2 = protocol.connection._connection
+            http2.update_settings({_MAX_STREAMS_SETTING: MAX_CONCURRENT_STREAMS})
+            protocol.connection.flush()
+
+        protocol.connection_made = bounded_connection_made  # type: ignore[method-assign]
+        return protocol
+
+    def close(self) -> None:
+        """Stop serving and close all connections.
+
+        grpclib cancels the calls but leaves their connections open, so the other side
+        would wait until its deadlines.
+        """
+        super().close()
+        for protocol in list(self._protocols):
+            if hasattr(protocol, "processor"):
+                protocol.processor.close("the node stops")
+
+
+@contextlib.asynccontextmanager
+async def serving(
+    service: PeerService, settings: options.PeersSettings, listener: socket.socket
+) -> AsyncIterator[Server]:
+    """Serve the peer protocol on a bound socket while the context is entered."""
+    server = Server(service, settings.max_message_bytes)
+    await server.start(
+        sock=listener, ssl=make_ssl_context(settings, ssl.Purpose.CLIENT_AUTH)
+    )
+    try:
+        yield server
+    finally:
+        server.close()
+        await server.wait_closed()
+
+
+def bind(address: str, port: int) -> socket.socket:
+    """Return a socket bound to an IP number; port 0 lets the system choose."""
+    family = socket.AF_INET6 if ":" in address else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((address, port))
+        listener.setblocking(False)
+    except OSError:
+        listener.close()
+        raise
+    return listener
