--- a/clementinespar/requests/tests/test_dispatcher_policy.py
+++ b/clementinespar/requests/tests/test_dispatcher_policy.py
@@ -213,6 +213,43 @@
     run(main)
 
 
+def test_a_failing_worker_gets_little_work_where_none_may_be_ejected() -> None:
+    """Guards against a fast failing worker being always the least loaded one."""
+
+    async def main() -> None:
+        setup = Setup(host_count=2)
+        bad = setup.fakes["h0"].state
+        bad.faults.fail_all = True
+        for _ in range(100):
+            await setup.submit_many(2, run_ms=50)
+        assert bad.runs_by_request_id.total() < 40  # of 200; a third is its fair share
+
+    run(main)
+
+
+def test_caller_that_leaves_between_choice_and_sending() -> None:
+    """Guards against work for nobody, and against a slot that is never given back."""
+
+    async def main() -> None:
+        setup = Setup(host_count=1, slots=1)
+        blocker = setup.submit(run_ms=100)
+        await asyncio.sleep(0.05)
+        waiting = setup.submit(request_id="1-left")
+        await asyncio.sleep(0.01)
+        listed = setup.directory.targets_of("scale")
+
+        def leave_during_choice(service: str) -> object:
+            waiting.cancel()
+            return listed
+
+        setup.directory.targets_of = leave_during_choice  # type: ignore
+        await blocker
+        assert (await setup.submit()).kind is model.OutcomeKind.ANSWERED
+        assert setup.runs("1-left") == 0
+
+    run(main)
+
+
 def test_failures_before_ejection_make_a_target_look_loaded() -> None:
     """Guards against a fast failing worker being the least loaded one."""
     tracker = ejection.EjectionTracker()
--- a/clementinespar/requests/tests/test_server.py
+++ b/clementinespar/requests/tests/test_server.py
@@ -6,9 +6,10 @@
 from collections.abc import AsyncIterator
 from typing import Any
 
-from tornado import httpclient
+import pytest
+from tornado import httpclient, iostream, tcpclient
 
-from clementinespar import identifiers, options
+from clementinespar import codes, identifiers, options
 from clementinespar.requests import dispatcher, model, router, server, transport
 from clementinespar.requests.tests import helpers
 from standins import target as target_standin
@@ -27,9 +28,11 @@
 class _Node:
     """One entry node with one target."""
 
-    def __init__(self) -> None:
-        self.target = target_standin.TargetState("h0")
-        self.source = helpers.FakeSource(helpers.make_document(1))
+    def __init__(self, slots: int = 8, has_document: bool = True) -> None:
+        self.target = target_standin.TargetState("h0", slots)
+        self.source = helpers.FakeSource(
+            helpers.make_document(1) if has_document else None
+        )
         self.directory = helpers.FakeTargetDirectory(["h0"])
         self.claims = helpers.FakeClaimService(self.source)
 
@@ -113,3 +116,118 @@
         assert node.target.runs_by_request_id[request_id] == 1
 
     asyncio.run(main())
+
+
+async def _read_status(stream: iostream.IOStream) -> tuple[int, bytes]:
+    """Read the head of an answer and as much body as it announces."""
+    head = (await stream.read_until(b"\r\n\r\n")).decode().split("\r\n")
+    lengths = [line[15:] for line in head if line.lower().startswith("content-length")]
+    return int(head[0].split()[1]), await stream.read_bytes(int(lengths[0]))
+
+
+@pytest.mark.parametrize(
+    "request_bytes",
+    [
+        b"Content-Length: 2000\r\n\r\n" + b"x" * 2000,
+        b"Transfer-Encoding: chunked\r\n\r\n" + b"3e8\r\n" + b"x" * 1000 + b"\r\n3e8",
+    ],
+)
+def test_large_body_is_refused_as_json(request_bytes: bytes) -> None:
+    """Guards against unbounded memory, and against a cut connection as refusal."""
+
+    async def main() -> None:
+        node = _Node()
+        async with node.serve(max_body_bytes=1000):
+            stream = await tcpclient.TCPClient().connect("127.0.0.1", node.port)
+            head = b"POST /v1/scale/plan HTTP/1.1\r\nHost: x\r\n"
+            await stream.write(head + request_bytes)
+            if b"chunked" in request_bytes:
+                await stream.write(b"\r\n" + b"x" * 1000 + b"\r\n0\r\n\r\n")
+            status, body = await _read_status(stream)
+            stream.close()
+        assert status == 413
+        assert json.loads(body)["code"] == codes.ResultCode.REQUEST_TOO_LARGE
+        assert not node.target.runs_by_request_id
+
+    asyncio.run(main())
+
+
+def test_not_ready_and_stopping_refuse_as_not_run() -> None:
+    """Guards against requests that a node accepts and cannot finish."""
+
+    async def main() -> None:
+        node = _Node(has_document=False)
+        async with node.serve() as callers:
+            not_ready = await node.post("/v1/scale/plan")
+            callers.begin_drain()
+            stopping = await node.post("/v1/scale/plan")
+        for response, code in (
+            (not_ready, codes.ResultCode.NOT_READY),
+            (stopping, codes.ResultCode.NODE_STOPPING),
+        ):
+            assert response.code == 503
+            assert response.headers["X-Outcome"] == "not-run"
+            assert json.loads(response.body)["code"] == code
+
+    asyncio.run(main())
+
+
+def test_stop_lets_answers_in_flight_finish() -> None:
+    """Guards against a planned stop that cuts off a request."""
+
+    async def main() -> None:
+        node = _Node()
+        async with node.serve():
+            answer = asyncio.create_task(
+                node.post("/v1/scale/plan", body=b'{"run_ms": 300}')
+            )
+            while not node.target.busy_slots:
+                await asyncio.sleep(0.005)
+        assert (await answer).code == 200
+
+    asyncio.run(main())
+
+
+def test_caller_that_disconnects_while_queued_is_dropped() -> None:
+    """Guards against work for callers that are gone."""
+
+    async def main() -> None:
+        node = _Node(slots=1)
+        async with node.serve() as callers:
+            running = asyncio.create_task(
+                node.post("/v1/scale/plan", body=b'{"run_ms": 300}')
+            )
+            while not node.target.busy_slots:
+                await asyncio.sleep(0.005)
+            stream = await tcpclient.TCPClient().connect("127.0.0.1", node.port)
+            await stream.write(
+                b"POST /v1/scale/plan HTTP/1.1\r\nHost: x\r\nX-Request-Id: gone-1"
+                b"\r\nContent-Length: 2\r\n\r\n{}"
+            )
+            while node.dispatcher.explain("scale")["queued_short"] == 0:
+                await asyncio.sleep(0.005)
+            stream.close()
+            assert (await running).code == 200
+            assert not await callers.wait_idle(5.0)
+            assert not await node.dispatcher.wait_idle(5.0)
+        assert "gone-1" not in node.target.runs_by_request_id
+
+    asyncio.run(main())
+
+
+def test_connections_over_the_limit_are_closed() -> None:
+    """Guards against callers that take all file descriptors."""
+
+    async def main() -> None:
+        node = _Node()
+        async with node.serve(max_connections=1):
+            first = await tcpclient.TCPClient().connect("127.0.0.1", node.port)
+            await first.write(b"POST /v1/none/plan HTTP/1.1\r\nHost: x\r\n")
+            second = await tcpclient.TCPClient().connect("127.0.0.1", node.port)
+            with pytest.raises(iostream.StreamClosedError):
+                await second.read_bytes(1)
+            await first.write(b"Content-Length: 0\r\n\r\n")
+            assert (await _read_status(first))[0] == 404
+            first.close()
+
+    asyncio.run(main())
