Split target slots and claims out of the dispatcher

Change: target_pool.py counts slots and reads the status of targets, claiming.py turns claims into outcomes, failures are kept apart from other results. The curl client keeps as many idle connections as it may use, dead idle connections are closed after three probes, and a request whose callers left is not doubled. Conclusion: no change of behaviour beyond the points above.

--- /dev/null
+++ b/clementinespar/requests/claiming.py
@@ -0,0 +1,118 @@
+"""Claims of requests that may not be repeated, turned into outcomes."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+import logbook
+
+from clementinespar import codes
+from clementinespar.claims import service as claim_service
+from clementinespar.claims import state as claims_state
+from clementinespar.fleet import source as fleet_source
+from clementinespar.requests import model
+
+CLAIM_GRACE_S = 0.5  # a claim service that exceeds its timeout is given up after this
+RELEASE_WAIT_S = 0.5  # longest time that a refusal waits for its claim's release
+
+_log = logbook.Logger(__name__)
+
+
+class Claiming:
+    """Claims and releases requests before they are sent.
+
+    Parameters
+    ----------
+    source : fleet_source.FleetSource
+        Log time and folded claims.
+    claims : claim_service.ClaimService
+        Appends claims to the log.
+    """
+
+    _source: fleet_source.FleetSource
+    _claims: claim_service.ClaimService
+    _tasks: set[asyncio.Task[Any]]  # background tasks, kept so that they run on
+
+    def __init__(
+        self, source: fleet_source.FleetSource, claims: claim_service.ClaimService
+    ) -> None:
+        self._source = source
+        self._claims = claims
+        self._tasks = set()
+
+    def is_claimed(self, request_id: str) -> bool:
+        """Whether the fold knows a claim of a request id."""
+        return request_id in self._source.state.claims.claims_by_request_id
+
+    async def claim(
+        self, request: model.Request, timeout_s: float
+    ) -> model.Outcome | None:
+        """Claim a request; returns why it must not be sent, or None."""
+        request_id = request.request_id
+        timeout_s = max(0.001, timeout_s)
+        task = self._spawn(self._claims.claim(request_id, timeout_s))
+        await asyncio.wait({task}, timeout=timeout_s + CLAIM_GRACE_S)
+        if not task.done():
+            # The claim may still be won; nobody will use it.
+            self._spawn(self._release_when_won(task, request_id))
+            code = codes.ResultCode.CLAIM_UNAVAILABLE
+        elif task.exception() is not None:
+            _log.warning("claim of {} failed: {}", request_id, task.exception())
+            code = codes.ResultCode.CLAIM_UNAVAILABLE
+        else:
+            code = task.result()
+        if code == codes.ResultCode.OK:
+            return None
+        if code == codes.ResultCode.ALREADY_CLAIMED:
+            return model.unknown(
+                code, "another claim of this id came first; it may have run"
+            )
+        if code == codes.ResultCode.CLAIM_TOO_OLD:
+            return self._refuse_age(request_id)
+        if code == codes.ResultCode.REQUEST_INVALID:
+            return model.not_run(
+                code,
+                "a request that may not be repeated needs an id of the form "
+                "<issued_ms>-<random>",
+            )
+        return model.not_run(
+            codes.ResultCode.CLAIM_UNAVAILABLE,
+            "the log did not confirm in time that this request is the only one",
+        )
+
+    async def release(self, request: model.Request) -> None:
+        """Release a claim; a refusal waits for it for a short time only."""
+        task = self._spawn(self._release_quietly(request.request_id))
+        remaining_s = request.deadline - asyncio.get_running_loop().time()
+        await asyncio.wait({task}, timeout=max(0.0, min(RELEASE_WAIT_S, remaining_s)))
+
+    def _refuse_age(self, request_id: str) -> model.Outcome:
+        code = codes.ResultCode.REQUEST_ID_TOO_OLD
+        log_time_ms = self._source.state.log_time_ms
+        if (
+            claims_state.check_age(request_id, log_time_ms)
+            == codes.ResultCode.CLAIM_TOO_OLD
+            and int(request_id.partition("-")[0]) > log_time_ms
+        ):
+            return model.not_run(code, "the id was issued by a clock that is ahead")
+        # Claims of older ids are forgotten, so an earlier copy may have run.
+        return model.unknown(code, "the id is too old to tell whether it ran before")
+
+    async def _release_quietly(self, request_id: str) -> None:
+        try:
+            await self._claims.release(request_id)
+        except Exception as error:
+            _log.warning("release of the claim of {} failed: {}", request_id, error)
+
+    async def _release_when_won(
+        self, task: "asyncio.Task[codes.ResultCode]", request_id: str
+    ) -> None:
+        await asyncio.wait({task})
+        if task.exception() is None and task.result() == codes.ResultCode.OK:
+            await self._release_quietly(request_id)
+
+    def _spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
--- a/clementinespar/requests/dispatcher.py
+++ b/clementinespar/requests/dispatcher.py
@@ -18,10 +18,10 @@
 from clementinespar import codes
 from clementinespar.capacity import demand
 from clementinespar.claims import service as claim_service
-from clementinespar.claims import state as claims_state
 from clementinespar.documents import model as document_model
 from clementinespar.fleet import source as fleet_source
 from clementinespar.requests import (
+    claiming,
     demand_meter,
     ejection,
     model,
@@ -29,11 +29,9 @@
     retries,
     runtimes,
     slots,
+    target_pool,
 )
 
-STATUS_TIMEOUT_S = 1.0
-# Time between two status reads of a target whose slots are in doubt or that is silent.
-STATUS_INTERVAL_S = 0.5
 # The fold and the host list change without notice, so waiting requests are tried again.
 PUMP_INTERVAL_S = 0.1
 # After this time without work another node may have owned the queue, so the targets'
@@ -49,9 +47,6 @@
 # A probe puts a request at risk. One that must not repeat is used only if no other one
 # came for this long.
 PROBE_OVERDUE_S = 10.0
-LEAVING_WATCH_INTERVAL_S = 2.0
-LEAVING_WATCH_S = 1800.0
-RELEASE_WAIT_S = 0.5  # longest time that a refusal waits for its claim's release
 REFUSED_IDS = 1024  # requests refused for good that are remembered
 
 _CAPACITY_CODES = frozenset(
@@ -165,13 +160,12 @@
     _source: fleet_source.FleetSource
     _targets: model.TargetDirectory
     _transport: model.TargetTransport
-    _claims: claim_service.ClaimService
+    _claiming: claiming.Claiming
     _services_by_name: dict[str, _Service]
-    _slots_by_host_id: dict[str, slots.TargetSlots]
+    _pool: target_pool.TargetPool  # slots of the targets
     _flights_by_request_id: dict[str, _Flight]
     # Outcomes of requests that failed on several targets, oldest first.
     _refused_by_request_id: collections.OrderedDict[str, model.Outcome]
-    _leaving_host_ids: set[str]  # targets whose statement to leave is being watched
     _tasks: set[asyncio.Task[Any]]  # background tasks, kept so that they run on
     _is_draining: bool
     _idle: asyncio.Event  # no request is queued or in flight
@@ -186,12 +180,11 @@
         self._source = source
         self._targets = targets
         self._transport = transport
-        self._claims = claims
+        self._claiming = claiming.Claiming(source, claims)
         self._services_by_name = {}
-        self._slots_by_host_id = {}
+        self._pool = target_pool.TargetPool(targets, transport, self._pump_by_name)
         self._flights_by_request_id = {}
         self._refused_by_request_id = collections.OrderedDict()
-        self._leaving_host_ids = set()
         self._tasks = set()
         self._is_draining = False
         self._idle = asyncio.Event()
@@ -211,7 +204,7 @@
                 return admitted
             flight = admitted
         elif not _is_same(flight.request, request):
-            return _unknown(
+            return model.unknown(
                 codes.ResultCode.ALREADY_CLAIMED,
                 "another request with this id is in flight",
             )
@@ -231,7 +224,7 @@
             if flight.waiters == 0:
                 self._drop_if_queued(flight)
         if not flight.task.done():
-            return _unknown(
+            return model.unknown(
                 codes.ResultCode.OUTCOME_UNKNOWN,
                 "the request was still in flight at its deadline",
             )
@@ -337,26 +330,25 @@
             return refused
         document = self._source.state.documents.production
         if document is None:
-            return _not_run(codes.ResultCode.NOT_READY, "no document is in force")
+            return model.not_run(codes.ResultCode.NOT_READY, "no document is in force")
         declared = document.services.get(request.service)
         if declared is None:
-            return _not_run(
+            return model.not_run(
                 codes.ResultCode.SERVICE_UNKNOWN, f"no service {request.service}"
             )
         kind = declared.kinds.get(request.kind)
         if kind is None:
-            return _not_run(
+            return model.not_run(
                 codes.ResultCode.REQUEST_INVALID,
                 f"service {request.service} has no kind {request.kind}",
             )
-        claims = self._source.state.claims.claims_by_request_id
-        if not kind.repeatable and request.request_id in claims:
-            return _unknown(
+        if not kind.repeatable and self._claiming.is_claimed(request.request_id):
+            return model.unknown(
                 codes.ResultCode.ALREADY_CLAIMED,
                 "a request with this id was claimed before; it may have run",
             )
         if self._is_draining:
-            return _not_run(
+            return model.not_run(
                 codes.ResultCode.NODE_STOPPING, "the owner node is stopping"
             )
         service = self._service(request.service, now)
@@ -417,14 +409,16 @@
         """Refuse early what cannot start before its deadline."""
         service, entry = flight.service, flight.entry
         if entry.deadline <= now:
-            return _not_run(codes.ResultCode.DEADLINE_PASSED, "the deadline has passed")
+            return model.not_run(
+                codes.ResultCode.DEADLINE_PASSED, "the deadline has passed"
+            )
         if not self._targets.targets_of(service.name):
-            return _not_run(
+            return model.not_run(
                 codes.ResultCode.NO_TARGET, f"no target serves {service.name} now"
             )
         least_s = service.run_times.least_s(entry.kind, now)
         if now + least_s > entry.deadline:
-            return _not_run(
+            return model.not_run(
                 codes.ResultCode.DEADLINE_TOO_SHORT,
                 f"such a request takes at least {least_s:.3f} s",
             )
@@ -436,13 +430,13 @@
         long_room = max(1, int(declared.max_queue * (1.0 - declared.short_reserve)))
         is_full = waiting >= declared.max_queue and (waiting > 0 or not has_free)
         if is_full or (entry.is_long and service.queue.count(True) >= long_room):
-            return _not_run(
+            return model.not_run(
                 codes.ResultCode.QUEUE_FULL, f"{waiting} requests wait already"
             )
         shares = self._shares(service, usable, document, declared)
         wait_s, is_quota = service.queue.expected_wait_s(entry, shares, now)
         if shares.total and now + wait_s + least_s > entry.deadline:
-            return _not_run(
+            return model.not_run(
                 codes.ResultCode.TEAM_QUOTA_EXCEEDED
                 if is_quota
                 else codes.ResultCode.DEADLINE_TOO_SHORT,
@@ -457,8 +451,7 @@
             service = self._services_by_name[name] = _Service(name, now)
         is_idle = not service.uses and not len(service.queue)
         if is_idle and now - service.last_active_at > OWNERSHIP_IDLE_S:
-            for host_id in service.host_ids:
-                self._slots_by_host_id[host_id].is_read = False
+            self._pool.forget_slots(service.host_ids)
         service.last_active_at = now
         return service
 
@@ -470,10 +463,10 @@
             outcome = await self._claim_and_send(flight)
         except Exception:
             _log.exception("request {} failed", flight.request.request_id)
-            make = _unknown if flight.has_started else _not_run
+            make = model.unknown if flight.has_started else model.not_run
             outcome = make(codes.ResultCode.INTERNAL_ERROR, "internal error")
         if flight.is_claimed and outcome.kind is model.OutcomeKind.NOT_RUN:
-            await self._release(flight)
+            await self._claiming.release(flight.request)
         loop = asyncio.get_running_loop()
         if outcome.code in _CAPACITY_CODES:
             flight.service.meter.note_refusal(loop.time())
@@ -514,71 +507,13 @@
 
     async def _claim(self, flight: _Flight) -> model.Outcome | None:
         """Claim a request; returns why it must not be sent, or None."""
-        loop = asyncio.get_running_loop()
-        request_id = flight.request.request_id
-        least_s = flight.service.run_times.least_s(flight.request.kind, loop.time())
-        timeout_s = max(0.001, flight.request.deadline - loop.time() - least_s)
-        task = loop.create_task(self._claims.claim(request_id, timeout_s))
-        await asyncio.wait({task}, timeout=timeout_s + STATUS_INTERVAL_S)
-        if not task.done():
-            # The claim may still be won; nobody will use it.
-            self._spawn(self._release_when_won(task, request_id))
-            code = codes.ResultCode.CLAIM_UNAVAILABLE
-        elif task.exception() is not None:
-            _log.warning("claim of {} failed: {}", request_id, task.exception())
-            code = codes.ResultCode.CLAIM_UNAVAILABLE
-        else:
-            code = task.result()
-        if code == codes.ResultCode.OK:
-            flight.is_claimed = True
-            return None
-        if code == codes.ResultCode.ALREADY_CLAIMED:
-            return _unknown(
-                code, "another claim of this id came first; it may have run"
-            )
-        if code == codes.ResultCode.CLAIM_TOO_OLD:
-            return self._refuse_id_age(request_id)
-        if code == codes.ResultCode.REQUEST_INVALID:
-            return _not_run(
-                code,
-                "a request that may not be repeated needs an id of the form "
-                "<issued_ms>-<random>",
-            )
-        return _not_run(
-            codes.ResultCode.CLAIM_UNAVAILABLE,
-            "the log did not confirm in time that this request is the only one",
+        now = asyncio.get_running_loop().time()
+        least_s = flight.service.run_times.least_s(flight.request.kind, now)
+        refusal = await self._claiming.claim(
+            flight.request, flight.request.deadline - now - least_s
         )
-
-    def _refuse_id_age(self, request_id: str) -> model.Outcome:
-        code = codes.ResultCode.REQUEST_ID_TOO_OLD
-        log_time_ms = self._source.state.log_time_ms
-        if (
-            claims_state.check_age(request_id, log_time_ms)
-            == codes.ResultCode.CLAIM_TOO_OLD
-            and int(request_id.partition("-")[0]) > log_time_ms
-        ):
-            return _not_run(code, "the id was issued by a clock that is ahead")
-        # Claims of older ids are forgotten, so an earlier copy may have run.
-        return _unknown(code, "the id is too old to tell whether it ran before")
-
-    async def _release(self, flight: _Flight) -> None:
-        """Release a claim; a refusal waits for it for a short time only."""
-        task = self._spawn(self._release_quietly(flight.request.request_id))
-        remaining_s = flight.request.deadline - asyncio.get_running_loop().time()
-        await asyncio.wait({task}, timeout=max(0.0, min(RELEASE_WAIT_S, remaining_s)))
-
-    async def _release_quietly(self, request_id: str) -> None:
-        try:
-            await self._claims.release(request_id)
-        except Exception as error:
-            _log.warning("release of the claim of {} failed: {}", request_id, error)
-
-    async def _release_when_won(
-        self, task: "asyncio.Task[codes.ResultCode]", request_id: str
-    ) -> None:
-        await asyncio.wait({task})
-        if task.exception() is None and task.result() == codes.ResultCode.OK:
-            await self._release_quietly(request_id)
+        flight.is_claimed = refusal is None
+        return refusal
 
     async def _wait_for_slot(self, flight: _Flight) -> _Assignment | model.Outcome:
         """Wait in the queue; returns a target with a slot, or why none was given."""
@@ -599,7 +534,9 @@
             self._give_back(flight, assigned)
             if flight.waiters == 0:
                 return _cancelled()
-            return _not_run(codes.ResultCode.DEADLINE_PASSED, "the deadline has passed")
+            return model.not_run(
+                codes.ResultCode.DEADLINE_PASSED, "the deadline has passed"
+            )
         return assigned
 
     def _enqueue(self, flight: _Flight) -> None:
@@ -672,7 +609,7 @@
         service.uses.pop(assigned.use, None)
         service.last_active_at = now
         if attempt.is_leaving:
-            self._note_leaving(assigned.target, service)
+            self._pool.note_leaving(assigned.target, service.name)
         if is_answer:
             service.run_times.observe(flight.request.kind, run_s, now)
             self._learn_class(service, flight.request.kind)
@@ -750,11 +687,11 @@
             target.host_id: target for target in self._targets.targets_of(service.name)
         }
         for host_id in flight.tried_host_ids & targets_by_host_id.keys():
-            old_uses = self._slots_by_host_id[host_id].uses_before(
+            old_uses = self._pool.slots_by_host_id[host_id].uses_before(
                 loop.time() - SILENCE_S / 2
             )
             status = await self._transport.status(
-                targets_by_host_id[host_id], STATUS_TIMEOUT_S
+                targets_by_host_id[host_id], target_pool.STATUS_TIMEOUT_S
             )
             still_in_use = sum(not use.is_released for use in old_uses)
             if status is not None and status.busy_slots >= still_in_use:
@@ -764,6 +701,7 @@
             )
         if (
             not flight.running
+            or flight.waiters == 0
             or not flight.is_repeatable
             or flight.attempts >= retries.MAX_ATTEMPTS
             or len(service.queue)
@@ -785,21 +723,23 @@
             attempt.kind is model.AttemptKind.UNKNOWN for _, attempt in flight.failures
         )
         if has_run and not flight.is_repeatable:
-            return _not_run(codes.ResultCode.TARGETS_REFUSED, "it may have run")
+            return model.not_run(codes.ResultCode.TARGETS_REFUSED, "it may have run")
         if flight.waiters == 0:
             return _cancelled()
         if now >= flight.request.deadline:
-            return _not_run(codes.ResultCode.DEADLINE_PASSED, "the deadline has passed")
+            return model.not_run(
+                codes.ResultCode.DEADLINE_PASSED, "the deadline has passed"
+            )
         if flight.attempts >= retries.MAX_ATTEMPTS or not any(
             target.host_id not in flight.tried_host_ids
             for target in self._targets.targets_of(service.name)
         ):
-            return _not_run(
+            return model.not_run(
                 codes.ResultCode.TARGETS_REFUSED,
                 f"{flight.attempts} targets did not take the request",
             )
         if not service.budget.take(now):
-            return _not_run(
+            return model.not_run(
                 codes.ResultCode.RETRY_BUDGET_EMPTY,
                 "a target did not take the request and the retry budget is empty",
             )
@@ -820,7 +760,7 @@
         host_ids = {host_id for host_id, _ in may_have_run if host_id}
         if len(host_ids) > 1:
             flight.service.ejections.forgive(flight.request.request_id, host_ids)
-            outcome = _unknown(
+            outcome = model.unknown(
                 codes.ResultCode.REQUEST_FAILED_REPEATEDLY,
                 f"the request failed on {len(host_ids)} targets",
             )
@@ -829,10 +769,14 @@
                 self._refused_by_request_id.popitem(last=False)
             return outcome
         if not may_have_run:
-            return _unknown(codes.ResultCode.TARGET_SILENT, "a target did not answer")
+            return model.unknown(
+                codes.ResultCode.TARGET_SILENT, "a target did not answer"
+            )
         host_id, attempt = may_have_run[-1]
         return dataclasses.replace(
-            _unknown(attempt.code, attempt.reason or "the target's answer was lost"),
+            model.unknown(
+                attempt.code, attempt.reason or "the target's answer was lost"
+            ),
             host_id=host_id or None,
         )
 
@@ -860,7 +804,7 @@
             if max_slots is not None:
                 code = codes.ResultCode.TEAM_QUOTA_EXCEEDED
                 reason = f"team {entry.team} used its {max_slots} slots"
-        self._take_from_queue(flight, _not_run(code, reason))
+        self._take_from_queue(flight, model.not_run(code, reason))
 
     def _quota_in_use(
         self, service: _Service, entry: queueing.QueueEntry
@@ -913,7 +857,7 @@
     def _has_room(
         self,
         service: _Service,
-        usable: Sequence[tuple[model.Target, slots.TargetSlots]],
+        usable: Sequence[target_pool.PoolMember],
         now: float,
     ) -> bool:
         return any(
@@ -928,10 +872,10 @@
     def _next_start(
         self,
         service: _Service,
-        usable: Sequence[tuple[model.Target, slots.TargetSlots]],
+        usable: Sequence[target_pool.PoolMember],
         shares: queueing.SlotShares,
         now: float,
-    ) -> tuple[_Flight, tuple[model.Target, slots.TargetSlots]] | None:
+    ) -> tuple[_Flight, target_pool.PoolMember] | None:
         for entry in service.queue.candidates(shares, now):
             flight = service.flights_by_entry[entry]
             chosen = self._choose(service, usable, flight, now)
@@ -942,12 +886,12 @@
     def _choose(
         self,
         service: _Service,
-        usable: Sequence[tuple[model.Target, slots.TargetSlots]],
+        usable: Sequence[target_pool.PoolMember],
         flight: _Flight,
         now: float,
-    ) -> tuple[model.Target, slots.TargetSlots] | None:
+    ) -> target_pool.PoolMember | None:
         """Return the least loaded target, or an ejected one that is due for a probe."""
-        best: tuple[model.Target, slots.TargetSlots] | None = None
+        best: target_pool.PoolMember | None = None
         best_key = (math.inf, math.inf)
         for target, target_slots in usable:
             host_id = target.host_id
@@ -968,7 +912,7 @@
     def _assign(
         self,
         flight: _Flight,
-        chosen: tuple[model.Target, slots.TargetSlots],
+        chosen: target_pool.PoolMember,
         now: float,
     ) -> _Assignment:
         target, target_slots = chosen
@@ -990,7 +934,7 @@
     def _shares(
         self,
         service: _Service,
-        usable: Sequence[tuple[model.Target, slots.TargetSlots]],
+        usable: Sequence[target_pool.PoolMember],
         document: document_model.Document,
         declared: document_model.Service,
     ) -> queueing.SlotShares:
@@ -1014,94 +958,23 @@
 
     def _usable_targets(
         self, service: _Service, now: float
-    ) -> list[tuple[model.Target, slots.TargetSlots]]:
-        """Return the targets in the directory; reads their status where needed."""
+    ) -> list[target_pool.PoolMember]:
+        """Return the targets that may receive work of a service, with their slots."""
         document = self._source.state.documents.production
         declared = None if document is None else document.services.get(service.name)
         if declared is None:
             return []
-        targets = self._targets.targets_of(service.name)
-        host_ids = {target.host_id for target in targets}
+        members = self._pool.members(service.name, declared, now)
+        host_ids = {target.host_id for target, _ in members}
         if host_ids != service.host_ids:
-            for host_id in service.host_ids - host_ids:
-                # Its slots are read again when it returns: it may have rebooted.
-                self._slots_by_host_id[host_id].is_read = False
             service.host_ids = host_ids
             service.ejections.keep_only(host_ids)
-        usable = []
-        for target in targets:
-            target_slots = self._slots_by_host_id.get(target.host_id)
-            if target_slots is None:
-                target_slots = slots.TargetSlots(
-                    target.host_id, declared.slots_per_target
-                )
-                self._slots_by_host_id[target.host_id] = target_slots
-            target_slots.slots = min(
-                declared.slots_per_target,
-                declared.connections_per_target,
-                target_slots.reported_slots,
-            )
-            if (
-                (target_slots.doubtful or not target_slots.is_read)
-                and not target_slots.is_reading
-                and now >= target_slots.next_read_at
-            ):
-                target_slots.begin_read(now)
-                self._spawn(self._read_status(service, target, target_slots))
-            usable.append((target, target_slots))
-        return usable
-
-    async def _read_status(
-        self, service: _Service, target: model.Target, target_slots: slots.TargetSlots
-    ) -> None:
-        """Read a target's busy slots and bring the doubt in line with them."""
-        loop = asyncio.get_running_loop()
-        before = target_slots.uses_before(loop.time() - slots.SETTLE_S)
-        is_first = not target_slots.is_read
-        try:
-            status = await self._transport.status(target, STATUS_TIMEOUT_S)
-            if status is not None and before:
-                await asyncio.sleep(slots.SETTLE_S)
-        finally:
-            target_slots.is_reading = False
-            target_slots.next_read_at = loop.time() + STATUS_INTERVAL_S
-        if status is None:
-            return
-        if status.is_leaving:
-            self._note_leaving(target, service)
-        certain = sum(not use.is_released for use in before)
-        target_slots.reported_slots = max(1, status.slots)
-        target_slots.finish_read(status.busy_slots, certain, loop.time(), is_first)
-        target_slots.is_read = True
-        self._pump(service)
-
-    def _note_leaving(self, target: model.Target, service: _Service) -> None:
-        """Send nothing more to a target that leaves, until it says otherwise."""
-        self._targets.mark_leaving(target)
-        if target.host_id not in self._leaving_host_ids:
-            self._leaving_host_ids.add(target.host_id)
-            self._spawn(self._watch_leaving(target, service.name))
-
-    async def _watch_leaving(self, target: model.Target, service_name: str) -> None:
-        """Ask a leaving target until it has rebooted.
+        return members
 
-        The directory learns of reboots from the fold and the host list; this covers
-        a reboot that is faster than the host list.
-        """
-        loop = asyncio.get_running_loop()
-        ends_at = loop.time() + LEAVING_WATCH_S
-        try:
-            while loop.time() < ends_at:
-                await asyncio.sleep(LEAVING_WATCH_INTERVAL_S)
-                listed = self._targets.targets_of(service_name)
-                if any(other.host_id == target.host_id for other in listed):
-                    return
-                status = await self._transport.status(target, STATUS_TIMEOUT_S)
-                if status is not None and not status.is_leaving:
-                    self._targets.clear_leaving(target)
-                    return
-        finally:
-            self._leaving_host_ids.discard(target.host_id)
+    def _pump_by_name(self, name: str) -> None:
+        service = self._services_by_name.get(name)
+        if service is not None:
+            self._pump(service)
 
     # Learned classes.
 
@@ -1142,13 +1015,5 @@
     )
 
 
-def _not_run(code: codes.ResultCode, reason: str) -> model.Outcome:
-    return model.Outcome(model.OutcomeKind.NOT_RUN, code, reason)
-
-
-def _unknown(code: codes.ResultCode, reason: str) -> model.Outcome:
-    return model.Outcome(model.OutcomeKind.UNKNOWN, code, reason)
-
-
 def _cancelled() -> model.Outcome:
-    return _not_run(codes.ResultCode.REQUEST_CANCELLED, "the caller left")
+    return model.not_run(codes.ResultCode.REQUEST_CANCELLED, "the caller left")
--- a/clementinespar/requests/ejection.py
+++ b/clementinespar/requests/ejection.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import itertools
 from collections.abc import Iterable
 
 WINDOW_S = 10.0
@@ -29,6 +30,9 @@
     results: collections.deque[_AttemptResult] = dataclasses.field(
         default_factory=collections.deque
     )
+    failures: collections.deque[_AttemptResult] = dataclasses.field(
+        default_factory=collections.deque
+    )  # the failures among the results
     ejected_until: float | None = None  # None: in use; else loop time of the next probe
     ejection_s: float = FIRST_EJECTION_S  # doubles with each failed probe
     is_probing: bool = False  # one probe is in flight
@@ -50,6 +54,7 @@
             record.ejected_until = None
             record.ejection_s = FIRST_EJECTION_S
             record.results.clear()
+            record.failures.clear()
         record.results.append(_AttemptResult(now, False, request_id))
         self._forget(record, now)
 
@@ -59,8 +64,10 @@
         """Count a failed attempt; may eject the target."""
         record = self._records_by_host_id[host_id]
         # A silent attempt is noted when it is noticed and again when it ends.
-        if not any(r.is_failure and r.request_id == request_id for r in record.results):
-            record.results.append(_AttemptResult(now, True, request_id))
+        if not any(r.request_id == request_id for r in record.failures):
+            result = _AttemptResult(now, True, request_id)
+            record.results.append(result)
+            record.failures.append(result)
         self._forget(record, now)
         if record.ejected_until is not None:
             if record.is_probing:
@@ -81,8 +88,10 @@
             record = self._records_by_host_id.get(host_id)
             if record is None:
                 continue
-            kept = [r for r in record.results if r.request_id != request_id]
-            record.results = collections.deque(kept)
+            for results in (record.results, record.failures):
+                kept = [r for r in results if r.request_id != request_id]
+                results.clear()
+                results.extend(kept)
             if (
                 record.ejected_until is not None
                 and not record.is_probing
@@ -114,12 +123,7 @@
         record = self._records_by_host_id.get(host_id)
         if record is None:
             return 0
-        count = 0
-        for result in reversed(record.results):
-            if result.at < now - PENALTY_S:
-                break
-            count += result.is_failure
-        return count
+        return sum(result.at >= now - PENALTY_S for result in record.failures)
 
     def ejected_host_ids(self) -> frozenset[str]:
         """Return the ejected targets' hosts."""
@@ -135,21 +139,19 @@
             del self._records_by_host_id[host_id]
 
     def _is_bad(self, record: _TargetRecord) -> bool:
-        newest = list(record.results)[-MIN_FAILURES:]
-        if len(newest) < MIN_FAILURES:
+        failures = len(record.failures)
+        if failures < MIN_FAILURES:
             return False
         # Failures in a row show a new fault before the good answers of the window fade.
+        newest = itertools.islice(reversed(record.results), MIN_FAILURES)
         if all(result.is_failure for result in newest):
             return True
-        failures = sum(result.is_failure for result in record.results)
-        return (
-            failures >= MIN_FAILURES
-            and failures >= len(record.results) * MIN_FAILURE_SHARE
-        )
+        return failures >= len(record.results) * MIN_FAILURE_SHARE
 
     def _may_eject(self, pool_size: int) -> bool:
         return len(self.ejected_host_ids()) + 1 <= pool_size * MAX_EJECTED_SHARE
 
     def _forget(self, record: _TargetRecord, now: float) -> None:
-        while record.results and record.results[0].at < now - WINDOW_S:
-            record.results.popleft()
+        for results in (record.results, record.failures):
+            while results and results[0].at < now - WINDOW_S:
+                results.popleft()
--- a/clementinespar/requests/model.py
+++ b/clementinespar/requests/model.py
@@ -47,6 +47,16 @@
     waited_s: float = 0.0  # time in the owner's queue
 
 
+def not_run(code: codes.ResultCode, reason: str) -> Outcome:
+    """Return the outcome of a request that certainly did not run."""
+    return Outcome(OutcomeKind.NOT_RUN, code, reason)
+
+
+def unknown(code: codes.ResultCode, reason: str) -> Outcome:
+    """Return the outcome of a request that may have run."""
+    return Outcome(OutcomeKind.UNKNOWN, code, reason)
+
+
 class RequestHandler(Protocol):
     """Takes a request to its one outcome: the owner's dispatcher or a remote owner."""
 
--- /dev/null
+++ b/clementinespar/requests/target_pool.py
@@ -0,0 +1,150 @@
+"""Targets of the owned services, with the exact count of their slots."""
+
+import asyncio
+from collections.abc import Callable, Coroutine, Iterable
+from typing import Any
+
+from clementinespar.documents import model as document_model
+from clementinespar.requests import model, slots
+
+STATUS_TIMEOUT_S = 1.0
+# Time between two status reads of a target whose slots are in doubt or that is silent.
+STATUS_INTERVAL_S = 0.5
+LEAVING_WATCH_INTERVAL_S = 2.0
+LEAVING_WATCH_S = 1800.0  # a host that is gone for longer starts as a new one
+
+PoolMember = tuple[model.Target, slots.TargetSlots]
+
+
+class TargetPool:
+    """Slots of targets by host, shared by all services that this node owns.
+
+    Parameters
+    ----------
+    directory : model.TargetDirectory
+        Targets that may receive new work.
+    transport : model.TargetTransport
+        Reads the targets' own status.
+    on_slots : callable
+        Called with the name of a service whose targets may have free slots.
+    """
+
+    slots_by_host_id: dict[str, slots.TargetSlots]
+    _directory: model.TargetDirectory
+    _transport: model.TargetTransport
+    _on_slots: Callable[[str], None]
+    _host_ids_by_service: dict[str, set[str]]  # members at the last look
+    _leaving_host_ids: set[str]  # targets whose statement to leave is being watched
+    _tasks: set[asyncio.Task[Any]]  # background tasks, kept so that they run on
+
+    def __init__(
+        self,
+        directory: model.TargetDirectory,
+        transport: model.TargetTransport,
+        on_slots: Callable[[str], None],
+    ) -> None:
+        self.slots_by_host_id = {}
+        self._directory = directory
+        self._transport = transport
+        self._on_slots = on_slots
+        self._host_ids_by_service = {}
+        self._leaving_host_ids = set()
+        self._tasks = set()
+
+    def members(
+        self, service: str, declared: document_model.Service, now: float
+    ) -> list[PoolMember]:
+        """Return the targets in the directory; reads their status where needed.
+
+        A target has no free slot until its status was read once.
+        """
+        targets = self._directory.targets_of(service)
+        host_ids = {target.host_id for target in targets}
+        # Slots are read again when a target returns: it may have rebooted.
+        self.forget_slots(self._host_ids_by_service.get(service, set()) - host_ids)
+        self._host_ids_by_service[service] = host_ids
+        members = []
+        for target in targets:
+            target_slots = self.slots_by_host_id.get(target.host_id)
+            if target_slots is None:
+                target_slots = slots.TargetSlots(
+                    target.host_id, declared.slots_per_target
+                )
+                self.slots_by_host_id[target.host_id] = target_slots
+            target_slots.slots = min(
+                declared.slots_per_target,
+                declared.connections_per_target,
+                target_slots.reported_slots,
+            )
+            if (
+                (target_slots.doubtful or not target_slots.is_read)
+                and not target_slots.is_reading
+                and now >= target_slots.next_read_at
+            ):
+                target_slots.begin_read(now)
+                self._spawn(self._read_status(service, target, target_slots))
+            members.append((target, target_slots))
+        return members
+
+    def forget_slots(self, host_ids: Iterable[str]) -> None:
+        """Use targets again only after their busy slots were read."""
+        for host_id in host_ids:
+            self.slots_by_host_id[host_id].is_read = False
+
+    def note_leaving(self, target: model.Target, service: str) -> None:
+        """Send nothing more to a target that leaves, until it says otherwise."""
+        self._directory.mark_leaving(target)
+        if target.host_id not in self._leaving_host_ids:
+            self._leaving_host_ids.add(target.host_id)
+            self._spawn(self._watch_leaving(target, service))
+
+    async def _read_status(
+        self, service: str, target: model.Target, target_slots: slots.TargetSlots
+    ) -> None:
+        """Read a target's busy slots and bring the doubt in line with them."""
+        loop = asyncio.get_running_loop()
+        before = target_slots.uses_before(loop.time() - slots.SETTLE_S)
+        is_first = not target_slots.is_read
+        try:
+            status = await self._transport.status(target, STATUS_TIMEOUT_S)
+            if status is not None and before:
+                await asyncio.sleep(slots.SETTLE_S)
+        finally:
+            target_slots.is_reading = False
+            target_slots.next_read_at = loop.time() + STATUS_INTERVAL_S
+        if status is None:
+            return
+        if status.is_leaving:
+            self.note_leaving(target, service)
+        certain = sum(not use.is_released for use in before)
+        target_slots.reported_slots = max(1, status.slots)
+        target_slots.finish_read(status.busy_slots, certain, loop.time(), is_first)
+        target_slots.is_read = True
+        self._on_slots(service)
+
+    async def _watch_leaving(self, target: model.Target, service: str) -> None:
+        """Ask a leaving target until it has rebooted.
+
+        The directory learns of reboots from the fold and the host list; this covers
+        a reboot that is faster than the host list.
+        """
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + LEAVING_WATCH_S
+        try:
+            while loop.time() < ends_at:
+                await asyncio.sleep(LEAVING_WATCH_INTERVAL_S)
+                listed = self._directory.targets_of(service)
+                if any(other.host_id == target.host_id for other in listed):
+                    return
+                status = await self._transport.status(target, STATUS_TIMEOUT_S)
+                if status is not None and not status.is_leaving:
+                    self._directory.clear_leaving(target)
+                    return
+        finally:
+            self._leaving_host_ids.discard(target.host_id)
+
+    def _spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
--- a/clementinespar/requests/tests/test_dispatcher_policy.py
+++ b/clementinespar/requests/tests/test_dispatcher_policy.py
@@ -7,7 +7,14 @@
 import pytest
 
 from clementinespar import codes
-from clementinespar.requests import dispatcher, ejection, model, queueing, retries
+from clementinespar.requests import (
+    dispatcher,
+    ejection,
+    model,
+    queueing,
+    retries,
+    target_pool,
+)
 from clementinespar.requests.tests import helpers
 from clementinespar.tests import paused_clock
 from standins import fake_target
@@ -95,9 +102,10 @@
     async def main() -> None:
         setup = Setup(short_run_ms=60)
         await setup.submit_many(4, kind="plan", run_ms=20)
-        # All slots are taken by work that was declared short.
-        misdeclared = [setup.submit("order", run_ms=3000) for _ in range(24)]
-        await asyncio.sleep(3.5)  # the first eight have ended, the rest is known
+        misdeclared = [setup.submit("order", run_ms=3000) for _ in range(4)]
+        await asyncio.sleep(0.2)  # none has ended, but all outlived the short class
+        misdeclared += [setup.submit("order", run_ms=3000) for _ in range(20)]
+        await asyncio.sleep(0.1)
         waits = [(await setup.submit(run_ms=20)).waited_s for _ in range(10)]
         assert max(waits) < 0.1
         await asyncio.gather(*misdeclared)
@@ -342,7 +350,7 @@
         caught = setup.submit(request_id="1-caught")
         await asyncio.sleep(0.1)
         for name, fake in setup.fakes.items():  # the other target works again
-            in_use = setup.dispatcher._slots_by_host_id[name].uses
+            in_use = setup.dispatcher._pool.slots_by_host_id[name].uses
             fake.state.faults.silent = bool(in_use)
         outcome = await caught
         assert outcome.kind is model.OutcomeKind.ANSWERED
@@ -401,7 +409,7 @@
         await setup.submit_many(8)
         assert setup.directory.leaving == {"h0"}
         setup.fakes["h0"].restart()
-        await asyncio.sleep(dispatcher.LEAVING_WATCH_INTERVAL_S * 2)
+        await asyncio.sleep(target_pool.LEAVING_WATCH_INTERVAL_S * 2)
         assert not setup.directory.leaving
 
     run(main)
--- a/clementinespar/requests/tests/test_transport.py
+++ b/clementinespar/requests/tests/test_transport.py
@@ -27,17 +27,20 @@
     return model.Target("h0", "127.0.0.1", port, "d1", "r1")
 
 
-async def _send_with_faults(**faults: object) -> tuple[model.Attempt, int]:
+async def _send_with_faults(
+    repeatable: bool, **faults: object
+) -> tuple[model.Attempt, int]:
     """Send one request over a reused connection; also return how often it ran."""
     state = target_standin.TargetState("h0")
     async with target_standin.serve(state) as port, transport.open_transport() as curl:
         warm_up = await curl.send(_target(port), _request("warm-up"), 2.0, True)
         assert warm_up.kind is model.AttemptKind.ANSWERED
         state.faults.update(faults)
-        attempt = await curl.send(_target(port), _request("r1"), 0.3, False)
+        attempt = await curl.send(_target(port), _request("r1"), 0.3, repeatable)
         return attempt, state.runs_by_request_id["r1"]
 
 
+@pytest.mark.parametrize("repeatable", [False, True])
 @pytest.mark.parametrize(
     ("faults", "kind", "code", "runs"),
     [
@@ -51,10 +54,14 @@
     ],
 )
 def test_each_fault_has_its_outcome(
-    faults: dict[str, object], kind: str, code: codes.ResultCode, runs: int
+    faults: dict[str, object],
+    kind: str,
+    code: codes.ResultCode,
+    runs: int,
+    repeatable: bool,
 ) -> None:
     """Guards against calling work not started that a target may have run."""
-    attempt, ran = asyncio.run(_send_with_faults(**faults))
+    attempt, ran = asyncio.run(_send_with_faults(repeatable, **faults))
     assert (attempt.kind.value, attempt.code, ran) == (kind, code, runs)
     assert attempt.is_leaving == bool(faults.get("leaving"))
     assert not attempt.body or kind == "answered"
--- a/clementinespar/requests/transport.py
+++ b/clementinespar/requests/transport.py
@@ -27,6 +27,7 @@
 CONNECT_TIMEOUT_S = 1.0  # data centres are 1 ms apart; three SYNs fit
 KEEPALIVE_IDLE_S = 5
 KEEPALIVE_INTERVAL_S = 2
+KEEPALIVE_PROBES = 3  # a dead idle connection is closed after 11 s
 # Unacknowledged bytes close the connection after this time, long before the 15 minutes
 # of the kernel's default.
 USER_TIMEOUT_MS = 10_000
@@ -69,6 +70,9 @@
         self._client._multi.setopt(
             pycurl.M_MAX_HOST_CONNECTIONS, connections_per_target
         )
+        # libcurl's default is four for each running transfer, which closes most of the
+        # pooled connections whenever few requests run.
+        self._client._multi.setopt(pycurl.M_MAXCONNECTS, MAX_CLIENTS)
         self._fresh_until_by_endpoint = {}
 
     def close(self) -> None:
@@ -227,6 +231,7 @@
             (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
             (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
             (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+            (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
             (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
         )
         for level, option, value in options:
