Do not format debug records of libraries below the log level

Cause: a profile of a node under load showed a fifth of the time in the standard logging module: redirection to logbook set the root logger to debug, so tornado's curl client logged each line of each transfer, to be dropped by the handler. Change: the root logger takes the level of the settings.

--- a/clementinespar/options.py
+++ b/clementinespar/options.py
@@ -57,6 +57,7 @@
 IpNumber = Annotated[str, pydantic.AfterValidator(check_ip)]
 Url = Annotated[str, pydantic.AfterValidator(check_url)]
 Endpoint = Annotated[str, pydantic.AfterValidator(check_endpoint)]
+LogLevel = Literal["debug", "info", "notice", "warning", "error"]
 Port = Annotated[int, pydantic.Field(ge=0, le=65535)]  # 0: the system chooses
 Seconds = Annotated[float, pydantic.Field(gt=0, le=86_400)]
 Name = Annotated[str, pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
@@ -135,7 +136,7 @@
 class TelemetrySettings:
     """Logs and traces."""
 
-    log_level: Literal["debug", "info", "notice", "warning", "error"] = "info"
+    log_level: LogLevel = "info"
     trace_exporter: Literal["none", "log", "otlp"] = "none"
     otlp_endpoint: str | None = None
 
--- a/clementinespar/telemetry/logs.py
+++ b/clementinespar/telemetry/logs.py
@@ -3,6 +3,7 @@
 import contextlib
 import datetime
 import json
+import logging
 import sys
 from collections.abc import Iterator
 from typing import Any, TextIO
@@ -25,6 +26,14 @@
     "token",
 )
 _REDACTED = "[redacted]"
+# The standard logging module has no notice level.
+_LIBRARY_LEVELS: dict[options.LogLevel, int] = {
+    "debug": logging.DEBUG,
+    "info": logging.INFO,
+    "notice": logging.WARNING,
+    "warning": logging.WARNING,
+    "error": logging.ERROR,
+}
 
 
 class JsonFormatter:
@@ -86,6 +95,22 @@
         level=settings.log_level.upper(),
     )
     handler.formatter = JsonFormatter(node)
-    # Libraries use the standard logging module.
-    with handler.applicationbound(), logbook.compat.redirected_logging():
+    with handler.applicationbound(), _redirecting_libraries(settings.log_level):
         yield
+
+
+@contextlib.contextmanager
+def _redirecting_libraries(level: options.LogLevel) -> Iterator[None]:
+    """Send records of the standard logging module to logbook from a level on.
+
+    The level is set on the root logger as well: redirection alone leaves it at debug,
+    and tornado's curl client then formats a record for each line of its transfers.
+    """
+    root = logging.getLogger()
+    kept = root.level
+    with logbook.compat.redirected_logging(set_root_logger_level=False):
+        root.setLevel(_LIBRARY_LEVELS[level])
+        try:
+            yield
+        finally:
+            root.setLevel(kept)
