Bound the values of documents that planners compute with

Cause: every_days = inf passed the model; the planner's int(inf) would have failed in every round on every node, and JSON turns infinity into null, so that the record would have been invalid after publication.

Change: bounds on intervals, weights, queue lengths and run times; check refuses odd file names before it checks the others.

--- a/clementinespar/commands/node.py
+++ b/clementinespar/commands/node.py
@@ -40,18 +40,18 @@
 )
 def check_files(paths: tuple[pathlib.Path, ...]) -> None:
     """Check settings (.ini) and documents (.toml) without a node."""
+    odd = [str(path) for path in paths if path.suffix not in (".ini", ".toml")]
+    if odd:
+        raise exits.BadInputError(
+            f"{', '.join(odd)}: expected names that end in .ini or .toml"
+        )
     groups: list[ExceptionGroup[Exception]] = []
     for path in paths:
         try:
-            match path.suffix:
-                case ".ini":
-                    options.load_settings(path)
-                case ".toml":
-                    loading.load_document(path)
-                case _:
-                    raise exits.BadInputError(
-                        f"{path}: expected a name that ends in .ini or .toml",
-                    )
+            if path.suffix == ".ini":
+                options.load_settings(path)
+            else:
+                loading.load_document(path)
         except ExceptionGroup as group:
             groups.append(group)
         else:
--- a/clementinespar/documents/model.py
+++ b/clementinespar/documents/model.py
@@ -14,6 +14,7 @@
 import pydantic_core
 
 _MAX_DEADLINE_MS = 600_000
+_MAX_INTERVAL_DAYS = 3_650.0  # planners compute with the interval in milliseconds
 _MAX_RATIO = 4.0  # keeps an extreme weight from switching a decision off
 # Names appear in paths of HTTP requests, in metrics and in tables.
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
@@ -36,6 +37,9 @@
 
 _CONFIG = pydantic.ConfigDict(extra="forbid")
 
+# Infinity has no place in JSON, and the quotient of two would not be a number.
+Weight = Annotated[float, pydantic.Field(ge=0.0, le=1_000.0)]
+
 Measure = Literal["short_wait", "buffer_cost", "moves", "roll_out"]
 
 
@@ -66,7 +70,7 @@
     """A kind of request of a service."""
 
     repeatable: bool = True
-    declared_run_ms: int = pydantic.Field(default=100, ge=1)
+    declared_run_ms: int = pydantic.Field(default=100, ge=1, le=_MAX_DEADLINE_MS)
 
 
 @pydantic.dataclasses.dataclass(frozen=True, slots=True, config=_CONFIG)
@@ -78,8 +82,10 @@
     connections_per_target: int = pydantic.Field(default=64, ge=1, le=4096)
     default_deadline_ms: int = pydantic.Field(default=10_000, ge=1, le=_MAX_DEADLINE_MS)
     max_deadline_ms: int = pydantic.Field(default=60_000, ge=1, le=_MAX_DEADLINE_MS)
-    max_queue: int = pydantic.Field(default=2_000, ge=0)
-    short_run_ms: int = pydantic.Field(default=250, ge=1)  # longer work is long
+    max_queue: int = pydantic.Field(default=2_000, ge=0, le=100_000)
+    short_run_ms: int = pydantic.Field(
+        default=250, ge=1, le=_MAX_DEADLINE_MS
+    )  # longer work is long
     short_reserve: float = pydantic.Field(default=0.5, ge=0.0, lt=1.0)
     kinds: dict[str, Kind] = dataclasses.field(default_factory=dict)
 
@@ -95,10 +101,10 @@
 class Maintenance:
     """When and how waves run."""
 
-    every_days: float = pydantic.Field(default=28.0, gt=0.0)
+    every_days: float = pydantic.Field(default=28.0, gt=0.0, le=_MAX_INTERVAL_DAYS)
     max_wave_hosts: int = pydantic.Field(default=4, ge=1)
     survive: Literal["none", "rack", "data_centre"] = "rack"
-    host_list_max_age_s: float = pydantic.Field(default=30.0, gt=0.0)
+    host_list_max_age_s: float = pydantic.Field(default=30.0, gt=0.0, le=3_600.0)
     paused: bool = False
 
 
@@ -106,10 +112,10 @@
 class Weights:
     """How much the user's measures count in capacity decisions."""
 
-    short_wait: float = pydantic.Field(default=1.0, ge=0.0)
-    buffer_cost: float = pydantic.Field(default=1.0, ge=0.0)
-    moves: float = pydantic.Field(default=1.0, ge=0.0)
-    roll_out: float = pydantic.Field(default=1.0, ge=0.0)
+    short_wait: Weight = 1.0
+    buffer_cost: Weight = 1.0
+    moves: Weight = 1.0
+    roll_out: Weight = 1.0
 
     def ratio(self, measure: Measure, other: Measure) -> float:
         """Return how much one measure counts relative to another, from 0.25 to 4."""
--- a/clementinespar/documents/tests/test_loading.py
+++ b/clementinespar/documents/tests/test_loading.py
@@ -1,10 +1,13 @@
 """Tests of reading and checking documents."""
 
 import copy
+import math
 import pathlib
 from typing import Any
 
+import hypothesis
 import pytest
+from hypothesis import strategies as st
 
 from clementinespar import codes
 from clementinespar.documents import loading
@@ -97,6 +100,11 @@
         ({"pools.p.min_hosts": 3}, "pools.p.min_hosts"),
         ({"maintenance.max_wave_hosts": 3}, "maintenance.max_wave_hosts"),
         ({"maintenance.survive": "region"}, "maintenance.survive"),
+        ({"maintenance.every_days": math.inf}, "maintenance.every_days"),
+        ({"maintenance.every_days": math.nan}, "maintenance.every_days"),
+        ({"weights.moves": math.inf}, "weights.moves"),
+        ({"weights.moves": math.nan}, "weights.moves"),
+        ({"services.s.max_queue": 10**9}, "services.s.max_queue"),
     ],
 )
 def test_each_problem_is_named_with_its_place(
@@ -134,6 +142,47 @@
     ]
 
 
+_PLAIN_VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text(max_size=5)
+    | st.dates(),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=3), inner, max_size=3)
+    ),
+    max_leaves=6,
+)
+_PLACES = ["user", "hosts", "hosts.h0", "hosts.h0.rack", "pools.p.host_ids"] + [
+    *("pools.p.budget", "pools.q.min_hosts", "services.s.kinds", "services.s.pool"),
+    *("services.s", "teams", "maintenance", "weights.moves", "weights"),
+]
+
+
+@hypothesis.given(st.dictionaries(st.sampled_from(_PLACES), _PLAIN_VALUES, max_size=3))
+@hypothesis.settings(derandomize=True, deadline=None)
+def test_odd_values_give_problems_and_nothing_else(changes: dict[str, Any]) -> None:
+    """Guards against a traceback, or a document that JSON cannot carry."""
+    values = _values()
+    for path, value in changes.items():
+        *parents, last = path.split(".")
+        place = values
+        for parent in parents:
+            inner = place.get(parent)
+            place = inner if isinstance(inner, dict) else {}
+        place[last] = value
+    try:
+        document = loading.parse_document(values, "document")
+    except ExceptionGroup as group:
+        for error in group.exceptions:
+            assert isinstance(error, loading.DocumentError)
+    else:
+        again = loading.parse_in_force(loading.dump_document(document))
+        assert again == document
+
+
 @pytest.mark.parametrize(
     ("content", "code"),
     [
