--- a/demo/checks.py
+++ b/demo/checks.py
@@ -35,7 +35,9 @@
 class BudgetWatch:
     """Watches the pools of all nodes' statuses."""
 
+    host_count: int  # hosts of the document; each is in exactly one pool
     pools_by_name: dict[str, PoolRecord] = dataclasses.field(default_factory=dict)
+    miscounted: int = 0  # statuses whose pools together had another number of hosts
 
     async def run(self, deployed: deployment.Deployment) -> None:
         """Watch until cancelled."""
@@ -48,17 +50,20 @@
 
     def observe(self, status: Mapping[str, object]) -> None:
         """Take one status into account."""
+        counted = 0
         for pool in replies.items(status, "pools"):
             record = self.pools_by_name.setdefault(
                 replies.text(pool, "name"), PoolRecord()
             )
             available = replies.integer(pool, "available")
+            counted += replies.integer(pool, "hosts")
             record.observations += 1
             record.min_available = replies.integer(pool, "min_available")
             record.least_available = min(record.least_available, available)
             record.most_out = max(
                 record.most_out, replies.integer(pool, "hosts") - available
             )
+        self.miscounted += counted != self.host_count
 
 
 @dataclasses.dataclass(slots=True)
@@ -66,16 +71,20 @@
     """How often each request ran at each target, as the targets say."""
 
     runs_by_host: dict[str, dict[str, int]] = dataclasses.field(default_factory=dict)
+    over_admitted: int = 0  # requests that found no free slot, when last read
 
     async def read(self, deployed: deployment.Deployment) -> None:
         """Read the counts of all targets that run."""
         client = httpclient.AsyncHTTPClient()
+        self.over_admitted = 0
         for host_id, target in deployed.targets_by_host.items():
             if not target.is_running:
                 continue
             url = f"http://127.0.0.1:{target.first_line['port']}/runs"
             response = await client.fetch(url, request_timeout=5.0)
-            self.runs_by_host[host_id] = json.loads(response.body)["runs"]
+            values = json.loads(response.body)
+            self.runs_by_host[host_id] = values["runs"]
+            self.over_admitted += values["refused_full"]
 
     def total(self) -> collections.Counter[str]:
         """Return how often each request ran anywhere."""
--- a/demo/scenario.py
+++ b/demo/scenario.py
@@ -48,6 +48,13 @@
         self.report.events.append(f"{at:5.1f} s  {text}")
         self.say(self.report.events[-1])
 
+    def check(self, is_kept: bool, text: str) -> None:
+        """Report a promise as kept or broken."""
+        if is_kept:
+            self.note(text)
+        else:
+            self.break_promise(text)
+
     def break_promise(self, text: str) -> None:
         """Report a broken promise."""
         self.report.broken.append(text)
@@ -92,7 +99,7 @@
         )
         await _publish(scenario, document, "trial")
         await _promote(scenario)
-        watch = checks.BudgetWatch()
+        watch = checks.BudgetWatch(len(document.hosts))
         runs = checks.Runs()
         callers = load.Load(deployed, seed=len(name))
         async with _background(deployed.watch_readiness(), watch.run(deployed)):
@@ -103,6 +110,15 @@
                 document = await _move_host(scenario, document)
                 document = await _run_wave(scenario, document)
                 await _stop_node(scenario, callers)
+                await runs.read(deployed)
+                scenario.check(
+                    runs.over_admitted == 0,
+                    f"{runs.over_admitted} requests found their target's slots taken",
+                )
+                unknown = _count_unknown(callers)
+                scenario.check(
+                    unknown == 0, f"{unknown} outcomes unknown while nothing failed"
+                )
                 if kills:
                     await _kill_node(scenario)
                     await _kill_target(scenario, document, runs)
@@ -116,6 +132,10 @@
         report.tallies = checks.tally(callers.asked, runs.total())
         report.pools = watch.pools_by_name
         _judge(scenario, callers)
+        scenario.check(
+            watch.miscounted == 0,
+            f"{watch.miscounted} statuses had a host in no pool or in two",
+        )
     return report
 
 
@@ -157,10 +177,7 @@
 async def _check_in_force(scenario: _Scenario, environment: str, revision: int) -> None:
     seconds = await checks.time_in_force(scenario.deployed, environment, revision)
     text = f"revision {revision} in force in {environment} after {seconds:.2f} s"
-    if seconds > checks.IN_FORCE_LIMIT_S:
-        scenario.break_promise(text)
-    else:
-        scenario.note(text)
+    scenario.check(seconds <= checks.IN_FORCE_LIMIT_S, text)
 
 
 async def _run_peaks(
@@ -249,6 +266,11 @@
     """Stop the last node in a planned way; nothing in flight may be cut."""
     node = scenario.deployed.nodes[-1]
     assert node.process is not None
+    in_flight = [
+        asked
+        for asked in callers.asked
+        if asked.node is node and asked.result == load.Result.PENDING
+    ]
     node.process.send(signal.SIGTERM)
     try:
         async with asyncio.timeout(_STOP_LIMIT_S):
@@ -261,14 +283,18 @@
         for asked in callers.asked
         if asked.node is node and asked.result == load.Result.CUT
     ]
-    text = f"{node.name} stopped with status {status}, {len(cut)} in flight cut"
-    if cut or status != 0:
-        scenario.break_promise(text)
-    else:
-        scenario.note(text)
+    text = (
+        f"{node.name} stopped with status {status}; {len(in_flight)} requests were in "
+        f"flight, {len(cut)} were cut"
+    )
+    scenario.check(not cut and status == 0, text)
     await asyncio.sleep(_STEADY_S)
 
 
+def _count_unknown(callers: load.Load) -> int:
+    return sum(asked.result == load.Result.UNKNOWN for asked in callers.asked)
+
+
 async def _kill_node(scenario: _Scenario) -> None:
     node = scenario.deployed.nodes[1]
     assert node.process is not None
@@ -317,10 +343,8 @@
         f"without the log: {answered} of {len(repeatable)} repeatable requests "
         f"answered, {refused} of {len(others)} others refused as not run"
     )
-    if (repeatable and answered == 0) or refused < len(others):
-        scenario.break_promise(text)
-    else:
-        scenario.note(text)
+    is_kept = (answered > 0 or not repeatable) and refused == len(others)
+    scenario.check(is_kept, text)
 
 
 def _judge(scenario: _Scenario, callers: load.Load) -> None:
--- a/demo/tests/test_demo.py
+++ b/demo/tests/test_demo.py
@@ -59,12 +59,15 @@
 
 def test_budget_is_broken_by_one_observation() -> None:
     """Guards against a short breach hidden by later observations."""
-    watch = checks.BudgetWatch()
+    watch = checks.BudgetWatch(host_count=4)
     for available in (3, 1, 3):
         pool = {"name": "p", "hosts": 4, "available": available, "min_available": 2}
         watch.observe({"pools": [pool]})
     assert not watch.pools_by_name["p"].is_held
     assert watch.pools_by_name["p"].most_out == 3
+    assert watch.miscounted == 0
+    watch.observe({"pools": [{"name": "p", "hosts": 5}]})
+    assert watch.miscounted == 1
 
 
 def test_processes_are_ended_after_a_failure(tmp_path: pathlib.Path) -> None:
