Settle who keeps a node's name under random faults

Cause: a random test of starts, kills, cuts and freezes found two nodes of one name that both raised their incarnation for ever when no third node was there, and ties of equal incarnations that never ended. A node whose clock was behind was refused for as long as its dead predecessor was remembered. Change: a node that has run for 10 intervals is no newcomer; equal incarnations are decided by endpoint; a dead later incarnation gives way to one that speaks.

--- a/clementinespar/peers/membership.py
+++ b/clementinespar/peers/membership.py
@@ -34,6 +34,9 @@
 # Regions lose contact for an hour now and then, and the seeds may be replaced
 # meanwhile. Nodes that forgot each other by then would stay apart.
 FORGET_AFTER_S = 7_200.0
+# A node that has run for this many intervals is no newcomer, even if no other node has
+# accepted it yet: of two nodes with one name and no third one, the older gives way.
+_NEWCOMER_INTERVALS = 10
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -138,7 +141,8 @@
     _tasks_by_address: dict[str, asyncio.Task[None]]
     _member: Member | None  # this node, once its endpoint is known
     _incarnation: int
-    _is_established: bool  # another node has accepted this incarnation
+    _is_accepted: bool  # another node has accepted this incarnation
+    _started_at: float  # loop time
     _version: int  # changes with every change of the member list
     _live_members: tuple[Member, ...]  # members of the last computed list
     _checked_at: float | None  # loop time of the last look at the clock
@@ -166,7 +170,8 @@
         if incarnation is None:
             incarnation = time.time_ns() // 1_000_000
         self._incarnation = incarnation
-        self._is_established = False
+        self._is_accepted = False
+        self._started_at = float("inf")
         self._version = 0
         self._live_members = ()
         self._checked_at = None
@@ -184,6 +189,7 @@
         self._member = Member(
             self._node.name, endpoint, self._node.data_centre, self._incarnation
         )
+        self._started_at = asyncio.get_running_loop().time()
         self._adjust_tasks()
         upkeep = asyncio.create_task(self._keep_up(), name="peers-upkeep")
         try:
@@ -328,12 +334,16 @@
         ever. The list also has nodes that were heard but did not answer yet, so that a
         newcomer under a name in use learns of the incarnation in use.
         """
-        now = asyncio.get_running_loop().time()
-        limit_s = self._settings.heartbeat_interval_s * _DEAD_ENDPOINT_INTERVALS
         for peer in self.peers():
-            if self.is_alive(peer) or now - peer.mentioned_at < limit_s:
+            if self._is_recent(peer):
                 yield peer.member
 
+    def _is_recent(self, peer: PeerState) -> bool:
+        """Whether a node answers, or was heard or mentioned a moment ago."""
+        now = self._note_clock()
+        limit_s = self._settings.heartbeat_interval_s * _DEAD_ENDPOINT_INTERVALS
+        return self._is_alive_at(peer, now) or now - peer.mentioned_at < limit_s
+
     def _take_in(self, message: peer_pb2.HeartbeatMessage) -> bool:
         """Update the members from a message; False if its sender is superseded."""
         for listed in message.members:
@@ -356,9 +366,13 @@
             return False
         now = asyncio.get_running_loop().time()
         known = self._peers_by_name.get(member.name)
-        if known is not None and member.incarnation < known.member.incarnation:
-            return False
-        if known is None or member.incarnation > known.member.incarnation:
+        if known is not None and _is_later(known.member, member):
+            if not is_direct or self._is_recent(known):
+                return False
+            # Nothing is left of the later incarnation, but this one speaks: its clock
+            # was behind, or the later one is cut off and will supersede it again.
+            known = None
+        if known is None or _is_later(member, known.member):
             if not member.endpoint:
                 # The full identity follows: the sender sees that this node does not
                 # know it by the member list in the reply.
@@ -367,10 +381,6 @@
             self._adjust_tasks()
             self._notify()
             return True
-        if is_direct and member.endpoint and member != known.member:
-            known.member = member
-            self._adjust_tasks()
-            self._notify()
         if is_direct or self._is_listing_fresh(known):
             known.mentioned_at = now
         return True
@@ -381,21 +391,26 @@
     def _hear_own_name(self, member: Member) -> None:
         """React to a member under this node's own name.
 
-        A node that no other node has accepted yet is the newcomer, whatever the wall
-        clocks say, and takes a higher incarnation. One that has been accepted was
-        replaced while it was paused or cut off.
+        A newcomer takes a higher incarnation, whatever the wall clocks say. Any other
+        node was replaced while it was paused or cut off.
         """
         if self._member is None or not self._is_rival(member):
             return
-        if not self._is_established:
+        if self._is_newcomer():
             self._incarnation = member.incarnation + 1
             self._member = dataclasses.replace(
                 self._member, incarnation=self._incarnation
             )
-        elif member.incarnation > self._incarnation and not self.is_superseded:
+        elif _is_later(member, self._member) and not self.is_superseded:
             self.is_superseded = True
             self._notify()
 
+    def _is_newcomer(self) -> bool:
+        """Whether no other node has accepted this one, which has just started."""
+        interval_s = self._settings.heartbeat_interval_s
+        age_s = asyncio.get_running_loop().time() - self._started_at
+        return not self._is_accepted and age_s < _NEWCOMER_INTERVALS * interval_s
+
     def _is_rival(self, member: Member) -> bool:
         """Whether a member under this node's name is another process, as new or newer.
 
@@ -524,7 +539,7 @@
         if peer is None or peer.member.incarnation != sender.incarnation:
             return True
         if not is_refused and message.sender.incarnation == self._incarnation:
-            self._is_established = True
+            self._is_accepted = True
         was_alive = self.is_alive(peer)
         peer.answered_at = asyncio.get_running_loop().time()
         if not was_alive:
@@ -583,6 +598,17 @@
         self._on_change()
 
 
+def _is_later(member: Member, other: Member) -> bool:
+    """Whether a member supersedes another one of its name.
+
+    Equal incarnations are rare; the endpoint then decides, alike on every node. A
+    message without an endpoint is from the member whose incarnation it has.
+    """
+    if member.incarnation != other.incarnation:
+        return member.incarnation > other.incarnation
+    return bool(other.endpoint) and member.endpoint > other.endpoint
+
+
 def _member_from(message: peer_pb2.Member) -> Member:
     return Member(
         message.name, message.endpoint, message.data_centre, message.incarnation
--- a/clementinespar/tests/node_fleet.py
+++ b/clementinespar/tests/node_fleet.py
@@ -2,7 +2,11 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import json
+import pathlib
+import sys
+import tempfile
 from collections.abc import AsyncIterator, Callable
 from typing import Any
 
@@ -39,6 +43,14 @@
 }
 
 
+@dataclasses.dataclass
+class NodeProcess:
+    """A node in a process of its own."""
+
+    child: asyncio.subprocess.Process
+    line: dict[str, Any]  # what it printed when it was ready
+
+
 class Fleet:
     """Stand-ins of the log, the platform and two targets, and the nodes on them."""
 
@@ -104,6 +116,41 @@
             yield node
             node.request_stop()
 
+    @contextlib.asynccontextmanager
+    async def process(
+        self, name: str, *seeds: entry_node.Node, stop_limit_s: float = 30.0
+    ) -> AsyncIterator[NodeProcess]:
+        """Run a node as a process of its own and wait until it is ready."""
+        endpoints = ", ".join(f"127.0.0.1:{seed.ports['peers']}" for seed in seeds)
+        settings = self.settings(name)
+        with tempfile.TemporaryDirectory() as directory:
+            ini = pathlib.Path(directory) / "node.ini"
+            ini.write_text(
+                f"[node]\nname = {name}\ndata_centre = dc1\n"
+                f"stop_limit_s = {stop_limit_s}\n"
+                "[callers]\naddress = 127.0.0.1\nport = 0\n"
+                "[admin]\naddress = 127.0.0.1\nport = 0\n"
+                "[peers]\naddress = 127.0.0.1\nport = 0\nheartbeat_interval_s = 0.1\n"
+                f"seeds = {endpoints}\n"
+                f"[log]\nurl = {settings.log.url}\n"
+                f"[platform]\nurl = {settings.platform.url}\n"
+            )
+            child = await asyncio.create_subprocess_exec(
+                *(sys.executable, "-m", "clementinespar", "node", "--settings"),
+                str(ini),
+                stdout=asyncio.subprocess.PIPE,
+                stderr=asyncio.subprocess.PIPE,
+            )
+            assert child.stdout is not None
+            try:
+                line = json.loads(await child.stdout.readline())
+                await self.until(lambda: all(_sees(seed, name) for seed in seeds))
+                yield NodeProcess(child, line)
+            finally:
+                if child.returncode is None:
+                    child.kill()
+                    await child.wait()
+
     @contextlib.asynccontextmanager
     async def nodes(self, count: int) -> AsyncIterator[list[entry_node.Node]]:
         """Run nodes that are ready, know each other and have the document."""
@@ -168,14 +215,24 @@
         kind: str = "read",
         run_ms: float = 5,
         request_id: str | None = None,
+        port: int | None = None,
     ) -> httpclient.HTTPResponse:
-        """Send a caller's request."""
+        """Send a caller's request; ``port`` is that of a node in a process."""
         headers = {} if request_id is None else {"X-Request-Id": request_id}
+        port = node.ports["callers"] if port is None else port
         return await self._client.fetch(
-            f"http://127.0.0.1:{node.ports['callers']}/v1/{service}/{kind}",
+            f"http://127.0.0.1:{port}/v1/{service}/{kind}",
             method="POST",
             body=json.dumps({"run_ms": run_ms}),
             headers=headers,
             raise_error=False,
             request_timeout=60,
         )
+
+
+def _sees(node: entry_node.Node, name: str) -> bool:
+    """Whether a node counts another one among the possible owners."""
+    return any(
+        peer.name == name and peer.report.is_ready
+        for peer in node.peers.members.live_peers()
+    )
--- a/clementinespar/tests/test_node.py
+++ b/clementinespar/tests/test_node.py
@@ -1,25 +1,29 @@
 """Tests of whole nodes with the stand-ins."""
 
 import asyncio
+import collections
 import json
-import pathlib
 import signal
-import sys
 
 import pytest
+from tornado import simple_httpclient
 
 from clementinespar import codes, errors, identifiers
 from clementinespar import node as entry_node
 from clementinespar.tests import node_fleet
 
 
-def _owned_by(nodes: list[entry_node.Node], index: int) -> str:
+def _owns(node: entry_node.Node, name: str, service: str) -> bool:
+    """Whether a node sees another one as the owner of a service's queue."""
+    return node.peers.candidates(service)[0].node == name
+
+
+def _owned_by(nodes: list[entry_node.Node], name: str) -> str:
     """Return a service whose queue a node owns."""
     for i in range(6):
-        service = f"service-{i}"
-        if nodes[0].peers.candidates(service)[0].node == nodes[index].name:
-            return service
-    raise AssertionError(f"{nodes[index].name} owns no service")
+        if _owns(nodes[0], name, f"service-{i}"):
+            return f"service-{i}"
+    raise AssertionError(f"{name} owns no service")
 
 
 async def _until_running(f: node_fleet.Fleet, count: int = 1) -> None:
@@ -47,7 +51,7 @@
     async def main() -> None:
         async with node_fleet.Fleet().running() as f, f.nodes(3) as nodes:
             ingress, owner = nodes[0], nodes[2]
-            service = _owned_by(nodes, 2)
+            service = _owned_by(nodes, "n2")
             running = [
                 asyncio.create_task(f.request(node, service, "order", run_ms=600))
                 for node in (ingress, owner)
@@ -76,7 +80,7 @@
             f.node("short", nodes[0], stop_limit_s=0.3) as short,
         ):
             await short.wait_ready()
-            service = _owned_by(nodes, 1)
+            service = _owned_by(nodes, "n1")
             request_id = identifiers.new_id()
             task = asyncio.create_task(
                 f.request(short, service, "order", 5_000, request_id)
@@ -142,39 +146,19 @@
     asyncio.run(main())
 
 
-def test_process_prints_its_ports_and_stops_on_sigterm(tmp_path: pathlib.Path) -> None:
+def test_process_prints_its_ports_and_stops_on_sigterm() -> None:
     async def main() -> None:
-        async with node_fleet.Fleet().running() as f, f.nodes(1) as nodes:
-            settings = f.settings("proc")
-            ini = tmp_path / "node.ini"
-            ini.write_text(
-                "[node]\nname = proc\ndata_centre = dc1\n"
-                "[callers]\naddress = 127.0.0.1\nport = 0\n"
-                "[admin]\naddress = 127.0.0.1\nport = 0\n"
-                "[peers]\naddress = 127.0.0.1\nport = 0\n"
-                f"seeds = 127.0.0.1:{nodes[0].ports['peers']}\n"
-                f"[log]\nurl = {settings.log.url}\n"
-                f"[platform]\nurl = {settings.platform.url}\n"
-            )
-            process = await asyncio.create_subprocess_exec(
-                *(sys.executable, "-m", "clementinespar", "node", "--settings"),
-                str(ini),
-                stdout=asyncio.subprocess.PIPE,
-                stderr=asyncio.subprocess.PIPE,
-            )
-            assert process.stdout is not None
-            line = json.loads(await process.stdout.readline())
-            assert line["name"] == "proc"
-            assert line["callers_port"] > 0
-            assert line["admin_port"] > 0
-            await f.until(
-                lambda: (
-                    [p.name for p in nodes[0].peers.members.live_peers()] == ["proc"]
-                )
-            )
-            process.send_signal(signal.SIGTERM)
-            out, err = await process.communicate()
-            assert process.returncode == 0, err
+        async with (
+            node_fleet.Fleet().running() as f,
+            f.nodes(1) as nodes,
+            f.process("proc", *nodes) as process,
+        ):
+            assert process.line["name"] == "proc"
+            for use in ("callers", "admin", "peers"):
+                assert process.line[f"{use}_port"] > 0
+            process.child.send_signal(signal.SIGTERM)
+            out, err = await process.child.communicate()
+            assert process.child.returncode == 0, err
             assert out == b"", "only one line belongs on standard output"
             for text in err.splitlines():
                 assert json.loads(text)["node"] == "proc"
@@ -182,6 +166,95 @@
     asyncio.run(main())
 
 
+def test_second_signal_reports_what_it_cuts() -> None:
+    async def main() -> None:
+        async with (
+            node_fleet.Fleet().running() as f,
+            f.nodes(1) as nodes,
+            f.process("proc", *nodes) as process,
+        ):
+            request_id = identifiers.new_id()
+            port = process.line["callers_port"]
+            service = _owned_by(nodes, "proc")
+            task = asyncio.create_task(
+                f.request(nodes[0], service, "order", 20_000, request_id, port)
+            )
+            await _until_running(f)
+            process.child.send_signal(signal.SIGTERM)
+            await f.until(lambda: not _owns(nodes[0], "proc", service))
+            process.child.send_signal(signal.SIGTERM)
+            _, err = await process.child.communicate()
+            assert process.child.returncode == 1
+            lines = [json.loads(text) for text in err.splitlines()]
+            assert any(
+                line["level"] == "error" and request_id in line["message"]
+                for line in lines
+            )
+            with pytest.raises(simple_httpclient.HTTPStreamClosedError):
+                await task
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("is_killed", [True, False], ids=["killed", "frozen"])
+def test_owner_that_dies_leaves_each_outcome_exact(is_killed: bool) -> None:
+    # A request that must not repeat is unknown; a started one is not sent again; what
+    # comes later goes to the new owner.
+    async def main() -> None:
+        async with (
+            node_fleet.Fleet().running() as f,
+            f.nodes(2) as nodes,
+            f.process("proc", nodes[0], nodes[1]) as process,
+        ):
+            service = _owned_by(nodes, "proc")
+            started_id = identifiers.new_id()
+            started = asyncio.create_task(
+                f.request(nodes[0], service, "order", 1_500, started_id)
+            )
+            await _until_running(f)
+            process.child.send_signal(signal.SIGKILL if is_killed else signal.SIGSTOP)
+            late_id = identifiers.new_id()
+            late = await f.request(nodes[1], service, "order", 5, late_id)
+            assert (await started).headers["X-Outcome"] == "unknown"
+            await f.until(lambda: not _owns(nodes[1], "proc", service))
+            for kind in ("read", "order"):
+                response = await f.request(nodes[1], service, kind)
+                assert response.headers["X-Outcome"] == "answered", response.body
+            if not is_killed:
+                process.child.send_signal(signal.SIGCONT)
+                await f.until(lambda: _owns(nodes[1], "proc", service))
+                response = await f.request(nodes[1], service, "order")
+                assert response.headers["X-Outcome"] == "answered", response.body
+            runs: collections.Counter[str] = collections.Counter()
+            for state in f.targets:
+                runs += state.runs_by_request_id
+            assert runs[started_id] == 1
+            assert runs[late_id] <= (0 if late.headers["X-Outcome"] == "not-run" else 1)
+
+    asyncio.run(main())
+
+
+def test_superseded_node_stops_by_itself() -> None:
+    # Guards against two nodes that write records under one name.
+    async def main() -> None:
+        async with node_fleet.Fleet().running() as f, f.nodes(2) as nodes:
+            predecessor = nodes[1]
+            async with f.node(predecessor.name, nodes[0]) as successor:
+                assert await successor.wait_ready()
+                await predecessor.wait_stop()
+                await predecessor.stop()
+                endpoint = f"127.0.0.1:{successor.ports['peers']}"
+                await f.until(
+                    lambda: (
+                        [p.member.endpoint for p in nodes[0].peers.members.peers()]
+                        == [endpoint]
+                    )
+                )
+                assert (await f.request(nodes[0], "service-0")).code == 200
+
+    asyncio.run(main())
+
+
 def test_conflict_names_the_winner() -> None:
     async def main() -> None:
         async with node_fleet.Fleet().running() as f, f.nodes(2) as nodes:
