--- a/clementinespar/peers/tests/test_wire.py
+++ b/clementinespar/peers/tests/test_wire.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import dataclasses
+import pathlib
+import ssl
 from collections.abc import AsyncIterator, Callable
 
 import pytest
@@ -23,6 +25,7 @@
     arrived: asyncio.Event
     was_cancelled: asyncio.Event
     body: bytes
+    arrivals: int
 
     def __init__(self) -> None:
         self.before_start = asyncio.Event()
@@ -30,11 +33,13 @@
         self.arrived = asyncio.Event()
         self.was_cancelled = asyncio.Event()
         self.body = b"answer"
+        self.arrivals = 0
 
     async def handle(
         self, request: model.Request, on_started: Callable[[], None]
     ) -> model.Outcome:
         self.arrived.set()
+        self.arrivals += 1
         try:
             await self.before_start.wait()
             on_started()
@@ -76,7 +81,10 @@
 
 
 @contextlib.asynccontextmanager
-async def wire(settings: options.PeersSettings = _SETTINGS) -> AsyncIterator[Wire]:
+async def wire(
+    settings: options.PeersSettings = _SETTINGS,
+    client_settings: options.PeersSettings = _SETTINGS,
+) -> AsyncIterator[Wire]:
     owner = FakeOwner()
     members = membership.Membership(
         options.NodeSettings(name="owner", data_centre="dc"),
@@ -94,7 +102,11 @@
             server.serving(service, settings, listener)
         )
         await stack.enter_async_context(members.running(endpoint))
-        peer_client = client.PeerClient(endpoint, _SETTINGS)
+        peer_client = client.PeerClient(
+            endpoint,
+            client_settings,
+            server.make_ssl_context(client_settings, ssl.Purpose.SERVER_AUTH),
+        )
         stack.callback(peer_client.close)
         yield Wire(owner, peer_client, grpc_server.close)
 
@@ -127,6 +139,25 @@
     asyncio.run(main())
 
 
+def test_more_requests_than_http2_allows_by_default_wait_at_the_owner() -> None:
+    # Guards against senders that take a busy owner for lost and go to another node.
+    async def main() -> None:
+        async with wire() as w:
+            tasks = [
+                asyncio.create_task(_handle(w.client, _request(), asyncio.Event()))
+                for _ in range(300)
+            ]
+            async with asyncio.timeout(30):
+                while w.owner.arrivals < len(tasks):
+                    await asyncio.sleep(0.01)
+            w.owner.before_start.set()
+            w.owner.before_end.set()
+            outcomes = await asyncio.gather(*tasks)
+            assert {o.kind for o in outcomes} == {model.OutcomeKind.ANSWERED}
+
+    asyncio.run(main())
+
+
 @pytest.mark.parametrize("is_started", [False, True])
 def test_owner_that_dies_with_the_request_leaves_it_unknown(is_started: bool) -> None:
     # The request may have run even if no start was seen: the event may be lost.
@@ -268,3 +299,49 @@
     return peer_pb2.HeartbeatMessage(
         sender=peer_pb2.Member(name="ingress", endpoint="127.0.0.1:1", incarnation=1)
     )
+
+
+def _tls(owner: str, authority: str) -> options.PeersSettings:
+    keys = pathlib.Path(__file__).parent / "keys"
+    return options.PeersSettings(
+        address="127.0.0.1",
+        port=0,
+        tls_certificate=keys / f"{owner}.pem",
+        tls_key=keys / f"{owner}-key.pem",
+        tls_authority=keys / f"{authority}-authority.pem",
+    )
+
+
+@pytest.mark.parametrize(
+    ("server_settings", "client_settings", "is_accepted"),
+    [
+        (_tls("fleet", "fleet"), _tls("fleet", "fleet"), True),
+        (_tls("fleet", "fleet"), _tls("stranger", "fleet"), False),
+        (_tls("stranger", "fleet"), _tls("fleet", "fleet"), False),
+        (_tls("fleet", "fleet"), _SETTINGS, False),
+        (_SETTINGS, _tls("fleet", "fleet"), False),
+    ],
+    ids=["same authority", "strange client", "strange server", "no key", "no TLS"],
+)
+def test_only_keys_of_the_authority_are_accepted(
+    server_settings: options.PeersSettings,
+    client_settings: options.PeersSettings,
+    is_accepted: bool,
+) -> None:
+    # Guards against a process on the network that joins without a key.
+    async def main() -> None:
+        async with wire(server_settings, client_settings) as w:
+            w.owner.before_start.set()
+            w.owner.before_end.set()
+            outcome = await _handle(w.client, _request(), asyncio.Event())
+            assert w.owner.arrived.is_set() == is_accepted
+            if is_accepted:
+                assert outcome.kind is model.OutcomeKind.ANSWERED
+                reply = await w.client.heartbeat(_heartbeat(), 5.0)
+                assert reply.sender.name == "owner"
+                return
+            assert outcome.kind is not model.OutcomeKind.ANSWERED
+            with pytest.raises(errors.PeerUnavailableError):
+                await w.client.heartbeat(_heartbeat(), 5.0)
+
+    asyncio.run(main())
