Count only admitted requests for the retry budget

Cause: refused requests earned retries, so under overload retries could exceed a tenth of the load that targets saw. Two tests did not fail when their mechanism was broken: long work was never really kept from its slots, and the caller left before the choice of a target instead of after it. Change: the budget counts admitted requests; both tests are tightened. Conclusion: extra load from retries is bounded by what was admitted.

--- a/clementinespar/requests/dispatcher.py
+++ b/clementinespar/requests/dispatcher.py
@@ -353,12 +353,13 @@
             )
         service = self._service(request.service, now)
         flight = self._new_flight(request, service, declared, kind, on_started, now)
-        service.budget.note_request(now)
         refusal = self._check_capacity(flight, document, declared, now)
         if refusal is not None:
             if refusal.code in _CAPACITY_CODES:
                 service.meter.note_refusal(now)
             return refusal
+        # Refused requests are no load, so they earn no retries.
+        service.budget.note_request(now)
         self._flights_by_request_id[request.request_id] = flight
         self._idle.clear()
         flight.task = asyncio.get_running_loop().create_task(self._run(flight))
--- a/clementinespar/requests/tests/test_dispatcher_policy.py
+++ b/clementinespar/requests/tests/test_dispatcher_policy.py
@@ -119,7 +119,7 @@
     async def main() -> None:
         setup = Setup(host_count=2, slots=2)
         await setup.submit_many(4, run_ms=100)
-        long_task = setup.submit("report", run_ms=1000, deadline_s=10.0)
+        long_task = setup.submit("report", run_ms=1000, deadline_s=4.0)
         short = []
         for _ in range(60):
             short += [setup.submit(run_ms=100, deadline_s=5.0) for _ in range(6)]
@@ -240,8 +240,9 @@
 
     async def main() -> None:
         setup = Setup(host_count=1, slots=1)
-        blocker = setup.submit(run_ms=100)
-        await asyncio.sleep(0.05)
+        blocker = setup.submit(run_ms=150)
+        # The next look at the targets is then the one when the blocker ends.
+        await asyncio.sleep(dispatcher.PUMP_INTERVAL_S + 0.01)
         waiting = setup.submit(request_id="1-left")
         await asyncio.sleep(0.01)
         listed = setup.directory.targets_of("scale")
