Keep doubt about slots exact; move codes of unknown outcomes to 4xx

Change: doubt ends only by the exact bound; a target in doubt for 5 s is held free of new work for 0.2 s before a read, so that its work can be told apart. REQUEST_FAILED_REPEATEDLY is 406 now, and ids older than claims are kept get REQUEST_ID_EXPIRED 407; 312 is left for clocks that are ahead. The check of refused ids in the state machine compares at the time of the outcome and, for the last submission of an id, for ever, because a refused id may be sent again. Conclusion: no over-admission is known while one node owns the queue.

--- a/clementinespar/codes.py
+++ b/clementinespar/codes.py
@@ -59,7 +59,6 @@
     REQUEST_ID_TOO_OLD = 312
     REQUEST_CANCELLED = 313
     OWNER_UNREACHABLE = 314
-    REQUEST_FAILED_REPEATEDLY = 315
 
     # 4xx: requests whose outcome is unknown.
     OUTCOME_UNKNOWN = 400
@@ -68,6 +67,8 @@
     ANSWER_MISMATCH = 403
     OWNER_LOST = 404
     ALREADY_CLAIMED = 405
+    REQUEST_FAILED_REPEATEDLY = 406  # 315 until its outcome was found to be unknown
+    REQUEST_ID_EXPIRED = 407
 
     # 5xx: the platform and peers.
     LOG_UNAVAILABLE = 500
--- a/clementinespar/requests/claiming.py
+++ b/clementinespar/requests/claiming.py
@@ -87,16 +87,21 @@
         await asyncio.wait({task}, timeout=max(0.0, min(RELEASE_WAIT_S, remaining_s)))
 
     def _refuse_age(self, request_id: str) -> model.Outcome:
-        code = codes.ResultCode.REQUEST_ID_TOO_OLD
         log_time_ms = self._source.state.log_time_ms
         if (
             claims_state.check_age(request_id, log_time_ms)
             == codes.ResultCode.CLAIM_TOO_OLD
             and int(request_id.partition("-")[0]) > log_time_ms
         ):
-            return model.not_run(code, "the id was issued by a clock that is ahead")
+            return model.not_run(
+                codes.ResultCode.REQUEST_ID_TOO_OLD,
+                "the id was issued by a clock that is ahead",
+            )
         # Claims of older ids are forgotten, so an earlier copy may have run.
-        return model.unknown(code, "the id is too old to tell whether it ran before")
+        return model.unknown(
+            codes.ResultCode.REQUEST_ID_EXPIRED,
+            "the id is too old to tell whether it ran before",
+        )
 
     async def _release_quietly(self, request_id: str) -> None:
         try:
--- a/clementinespar/requests/router.py
+++ b/clementinespar/requests/router.py
@@ -87,7 +87,7 @@
             except asyncio.CancelledError:
                 trace.outcome = model.Outcome(
                     model.OutcomeKind.UNKNOWN,
-                    codes.ResultCode.REQUEST_CANCELLED,
+                    codes.ResultCode.OUTCOME_UNKNOWN,
                     "the caller left before the outcome",
                 )
                 raise
--- a/clementinespar/requests/slots.py
+++ b/clementinespar/requests/slots.py
@@ -10,9 +10,11 @@
 # Attempts sent or answered within this time of a status read may or may not be part of
 # it; the longest one-way latency between data centres of a region is far below.
 SETTLE_S = 0.05
-# Under constant short work no attempt spans a status read by SETTLE_S on both sides, so
-# after this time the busy slots beyond all own attempts are taken as the doubt.
-MAX_DOUBT_S = 10.0
+# Under constant short work no attempt spans a status read by SETTLE_S on both sides.
+# When doubt has lasted for HOLD_AFTER_S, the target gets no new work for HOLD_S before
+# a read, so that most attempts end and what it still runs can be told apart.
+HOLD_AFTER_S = 5.0
+HOLD_S = 0.2
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -41,8 +43,8 @@
     next_read_at: float = 0.0  # event-loop time before which no status is read
     last_used_at: float = 0.0  # event-loop time of the newest attempt
     read_began_at: float = 0.0  # event-loop time of the newest status read
-    # Own attempts that were in flight at any moment since the status read began.
-    seen_during_read: int = 0
+    is_held: bool = False  # gets no new work until the status read ends
+    held_at: float = 0.0  # event-loop time of the newest hold
 
     @property
     def in_use(self) -> int:
@@ -52,7 +54,9 @@
     @property
     def free(self) -> int:
         """Slots that new work may use."""
-        return max(0, self.slots - self.in_use) if self.is_read else 0
+        if self.is_held or not self.is_read:
+            return 0
+        return max(0, self.slots - self.in_use)
 
     def acquire(
         self, request_id: str, is_long: bool, team: str | None, now: float
@@ -61,7 +65,6 @@
         use = SlotUse(request_id, now, is_long, team)
         self.uses[id(use)] = use
         self.last_used_at = now
-        self.seen_during_read += 1
         return use
 
     def release(self, use: SlotUse, is_certain: bool, now: float) -> None:
@@ -78,11 +81,13 @@
         self.doubtful = min(self.slots, self.doubtful + count)
         self.doubtful_since = now
 
-    def begin_read(self, now: float) -> None:
-        """Note that a status read starts."""
-        self.is_reading = True
-        self.read_began_at = now
-        self.seen_during_read = len(self.uses)
+    def needs_hold(self, now: float) -> bool:
+        """Whether ordinary reads have not ended the doubt for some time."""
+        return (
+            self.is_read
+            and self.doubtful > 0
+            and now - max(self.doubtful_since, self.held_at) > HOLD_AFTER_S
+        )
 
     def uses_before(self, at: float) -> list[SlotUse]:
         """Return the attempts in flight that were sent before a time."""
@@ -105,16 +110,12 @@
             The first read since ownership began: work of others may be running.
         """
         upper = max(0, busy_slots - certain_uses)
+        # The target may have given its count before an attempt reached it that has been
+        # in doubt since; the next read tells.
+        has_new_doubt = self.doubtful_since >= self.read_began_at
         if is_first:
-            self.doubtful = min(self.slots, upper)
+            known = self.doubtful if has_new_doubt else 0
+            self.doubtful = min(self.slots, max(upper, known))
             self.doubtful_since = now
-        elif self.doubtful_since >= self.read_began_at:
-            # The target may have given its count before the newest doubt's attempt
-            # reached it; the next read tells.
-            return
-        elif now - self.doubtful_since > MAX_DOUBT_S:
-            self.doubtful = min(
-                self.doubtful, max(0, busy_slots - self.seen_during_read)
-            )
-        else:
+        elif not has_new_doubt:
             self.doubtful = min(self.doubtful, upper)
--- a/clementinespar/requests/target_pool.py
+++ b/clementinespar/requests/target_pool.py
@@ -81,7 +81,7 @@
                 and not target_slots.is_reading
                 and now >= target_slots.next_read_at
             ):
-                target_slots.begin_read(now)
+                target_slots.is_reading = True
                 self._spawn(self._read_status(service, target, target_slots))
             members.append((target, target_slots))
         return members
@@ -103,16 +103,24 @@
     ) -> None:
         """Read a target's busy slots and bring the doubt in line with them."""
         loop = asyncio.get_running_loop()
-        before = target_slots.uses_before(loop.time() - slots.SETTLE_S)
         is_first = not target_slots.is_read
+        target_slots.is_held = target_slots.needs_hold(loop.time())
         try:
+            if target_slots.is_held:
+                await asyncio.sleep(slots.HOLD_S)
+            target_slots.read_began_at = loop.time()
+            before = target_slots.uses_before(loop.time() - slots.SETTLE_S)
             status = await self._transport.status(target, STATUS_TIMEOUT_S)
             if status is not None and before:
                 await asyncio.sleep(slots.SETTLE_S)
         finally:
+            if target_slots.is_held:
+                target_slots.is_held = False
+                target_slots.held_at = loop.time()
             target_slots.is_reading = False
             target_slots.next_read_at = loop.time() + STATUS_INTERVAL_S
         if status is None:
+            self._on_slots(service)
             return
         if status.is_leaving:
             self.note_leaving(target, service)
--- a/clementinespar/requests/tests/test_dispatcher_faults.py
+++ b/clementinespar/requests/tests/test_dispatcher_faults.py
@@ -78,6 +78,8 @@
         self.requests: list[model.Request] = []
         self.tasks: list[tuple[model.Request, asyncio.Task[model.Outcome]]] = []
         self.started_ids: set[str] = set()
+        self.runs_when_refused: list[int] = []
+        self.last_tasks_by_id: dict[str, asyncio.Task[model.Outcome]] = {}
         self.left: set[asyncio.Task[model.Outcome]] = set()  # the caller left
         self.advance(0.0)  # the dispatcher needs a running loop
         self.dispatcher = self.loop.run_until_complete(self._make())
@@ -91,8 +93,16 @@
         def note_started() -> None:
             self.started_ids.add(request.request_id)
 
-        handled = self.dispatcher.handle(request, note_started)
-        self.tasks.append((request, self.loop.create_task(handled)))
+        def note_outcome(done: asyncio.Task[model.Outcome]) -> None:
+            if done.cancelled():
+                return
+            if done.result().kind is model.OutcomeKind.NOT_RUN:
+                self.runs_when_refused.append(self._runs(request.request_id))
+
+        task = self.loop.create_task(self.dispatcher.handle(request, note_started))
+        task.add_done_callback(note_outcome)
+        self.tasks.append((request, task))
+        self.last_tasks_by_id[request.request_id] = task
 
     @hypothesis.stateful.rule(
         kind=strategies.sampled_from(["plan", "plan", "report", "order", "order"]),
@@ -191,7 +201,10 @@
     def outcomes_are_exact(self) -> None:
         for request, task in self.tasks:
             if task.done() and task not in self.left:
-                self._check_outcome(request, task.result())
+                # An id that was refused may run when it is submitted again.
+                is_last = self.last_tasks_by_id[request.request_id] is task
+                self._check_outcome(request, task.result(), is_last)
+        assert not any(self.runs_when_refused), "ran and was refused as not run"
         assert not self.transport.violations
         for fake in self.fakes.values():
             assert fake.state.refused_full == 0, "work beyond the free slots was sent"
@@ -199,13 +212,17 @@
             assert sent <= 3
             assert request_id in self.started_ids
 
-    def _check_outcome(self, request: model.Request, outcome: model.Outcome) -> None:
+    def _check_outcome(
+        self, request: model.Request, outcome: model.Outcome, is_last: bool
+    ) -> None:
         request_id = request.request_id
         runs = self._runs(request_id)
+        # Callers conclude from the hundreds of the code.
+        assert (outcome.code // 100 == 3) == (outcome.kind is model.OutcomeKind.NOT_RUN)
         if outcome.kind is model.OutcomeKind.ANSWERED:
             assert f'"request_id": "{request_id}"'.encode() in outcome.body
             assert runs >= 1
-        elif outcome.kind is model.OutcomeKind.NOT_RUN:
+        elif outcome.kind is model.OutcomeKind.NOT_RUN and is_last:
             assert runs == 0, (outcome, "ran although it was refused as not run")
         if request.kind == "order":
             assert runs <= 1, "a request that must not repeat ran again"
--- a/clementinespar/requests/tests/test_dispatcher_policy.py
+++ b/clementinespar/requests/tests/test_dispatcher_policy.py
@@ -119,12 +119,13 @@
     async def main() -> None:
         setup = Setup(host_count=2, slots=2)
         await setup.submit_many(4, run_ms=100)
-        long_task = setup.submit("report", run_ms=1000, deadline_s=4.0)
-        short = []
-        for _ in range(60):
+        short, long_tasks = [], []
+        for turn in range(60):
             short += [setup.submit(run_ms=100, deadline_s=5.0) for _ in range(6)]
             await asyncio.sleep(0.1)
-        assert (await long_task).kind is model.OutcomeKind.ANSWERED
+            if turn == 10:  # short work waits by now
+                long_tasks.append(setup.submit("report", run_ms=1000, deadline_s=4.0))
+        assert (await long_tasks[0]).kind is model.OutcomeKind.ANSWERED
         await asyncio.gather(*short)
 
     run(main)
--- a/clementinespar/requests/tests/test_transport.py
+++ b/clementinespar/requests/tests/test_transport.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import os
 import socket
 from collections.abc import Awaitable, Callable
 
@@ -190,3 +191,49 @@
         assert status == model.TargetStatus(busy_slots=1, slots=3, is_leaving=False)
 
     asyncio.run(main())
+
+
+def test_silence_is_bounded_and_the_next_connection_is_fresh(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against pooled connections that stay silent, and against proxies."""
+    monkeypatch.setenv("http_proxy", "http://127.0.0.1:1")
+    monkeypatch.setenv("no_proxy", "")
+
+    async def main() -> None:
+        state = target_standin.TargetState("h0")
+        connections: list[socket.socket] = []
+        kept = transport._set_socket_options
+
+        def note_connection(descriptor: int, purpose: int) -> int:
+            connections.append(socket.socket(fileno=os.dup(descriptor)))
+            return kept(descriptor, purpose)
+
+        monkeypatch.setattr(transport, "_set_socket_options", note_connection)
+        async with (
+            target_standin.serve(state) as port,
+            transport.open_transport() as curl,
+        ):
+            await asyncio.gather(
+                *(
+                    curl.send(_target(port), _request(f"r{number}", 50), 2.0, True)
+                    for number in range(2)
+                )
+            )
+            await curl.send(_target(port), _request("reused"), 2.0, True)
+            assert len(connections) == 2
+            state.faults.silent = True
+            await curl.send(_target(port), _request("silent"), 0.1, True)
+            state.faults.silent = False
+            await curl.send(_target(port), _request("fresh"), 2.0, True)
+            assert len(connections) == 3
+            assert state.runs_by_request_id["fresh"] == 1
+            for level, option in (
+                (socket.SOL_SOCKET, socket.SO_KEEPALIVE),
+                (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT),
+            ):
+                assert connections[-1].getsockopt(level, option) > 0
+        for connection in connections:
+            connection.close()
+
+    asyncio.run(main())
--- a/clementinespar/requests/transport.py
+++ b/clementinespar/requests/transport.py
@@ -124,7 +124,14 @@
                 slots=int(told["slots"]),
                 is_leaving=bool(told["is_leaving"]),
             )
-        except (httpclient.HTTPError, OSError, ValueError, KeyError, TypeError):
+        except (
+            httpclient.HTTPError,
+            OSError,
+            ValueError,
+            KeyError,
+            TypeError,
+            RuntimeError,  # the client was closed
+        ):
             return None
 
     async def _send(
@@ -173,7 +180,7 @@
                 ),
                 raise_error=False,
             )
-        except (httpclient.HTTPError, OSError, ValueError) as error:
+        except (httpclient.HTTPError, OSError, ValueError, RuntimeError) as error:
             attempt = _failed_attempt(error, progress)
         else:
             if response.error is not None and response.code == 599:
