Bound the bytes of bodies and answers that a node holds

Cause: limits counted requests and connections only, and the ring of recent outcomes kept whole answers: 4096 answers of 1 MiB exceed the 128 MB of a node by far. Change: the ring drops answer bodies; the server holds at most 32 MiB and the dispatcher at most 48 MiB of request bodies and refuse more with QUEUE_FULL. Conclusion: memory of the request path is bounded by bytes.

--- a/clementinespar/requests/dispatcher.py
+++ b/clementinespar/requests/dispatcher.py
@@ -47,6 +47,9 @@
 # A probe puts a request at risk. One that must not repeat is used only if no other one
 # came for this long.
 PROBE_OVERDUE_S = 10.0
+# Bodies that may wait or be in flight at once. The limits of the queues count requests
+# only, and a node has 128 MB for everything.
+MAX_HELD_BYTES = 48 * 1024 * 1024
 REFUSED_IDS = 1024  # requests refused for good that are remembered
 
 _CAPACITY_CODES = frozenset(
@@ -167,6 +170,7 @@
     # Outcomes of requests that failed on several targets, oldest first.
     _refused_by_request_id: collections.OrderedDict[str, model.Outcome]
     _tasks: set[asyncio.Task[Any]]  # background tasks, kept so that they run on
+    _held_bytes: int  # bodies of all requests that wait or are in flight
     _is_draining: bool
     _idle: asyncio.Event  # no request is queued or in flight
 
@@ -186,6 +190,7 @@
         self._flights_by_request_id = {}
         self._refused_by_request_id = collections.OrderedDict()
         self._tasks = set()
+        self._held_bytes = 0
         self._is_draining = False
         self._idle = asyncio.Event()
         self._idle.set()
@@ -361,6 +366,7 @@
         # Refused requests are no load, so they earn no retries.
         service.budget.note_request(now)
         self._flights_by_request_id[request.request_id] = flight
+        self._held_bytes += len(request.body)
         self._idle.clear()
         flight.task = asyncio.get_running_loop().create_task(self._run(flight))
         # Counted now, not when the task runs: requests that arrive in the same round
@@ -434,6 +440,10 @@
             return model.not_run(
                 codes.ResultCode.QUEUE_FULL, f"{waiting} requests wait already"
             )
+        if self._held_bytes + len(flight.request.body) > MAX_HELD_BYTES:
+            return model.not_run(
+                codes.ResultCode.QUEUE_FULL, "the waiting requests are too large"
+            )
         shares = self._shares(service, usable, document, declared)
         wait_s, is_quota = service.queue.expected_wait_s(entry, shares, now)
         if shares.total and now + wait_s + least_s > entry.deadline:
@@ -471,6 +481,7 @@
         loop = asyncio.get_running_loop()
         if outcome.code in _CAPACITY_CODES:
             flight.service.meter.note_refusal(loop.time())
+        self._held_bytes -= len(flight.request.body)
         del self._flights_by_request_id[flight.request.request_id]
         if not self._flights_by_request_id:
             self._idle.set()
--- a/clementinespar/requests/router.py
+++ b/clementinespar/requests/router.py
@@ -95,7 +95,8 @@
                 break
             if loop.time() >= request.deadline:
                 break
-        trace.outcome = outcome
+        # The ring keeps thousands of outcomes; their answers would fill the memory.
+        trace.outcome = dataclasses.replace(outcome, body=b"")
         return outcome
 
     def explain(self, request_id: str) -> dict[str, Any] | None:
--- a/clementinespar/requests/server.py
+++ b/clementinespar/requests/server.py
@@ -29,6 +29,9 @@
 MAX_ID_LENGTH = 120  # as in the claims' records
 MAX_TEAM_LENGTH = 80
 _ID_CHARACTERS = frozenset(string.ascii_letters + string.digits + "-_.:")
+# Bodies that may be held at once. Connections are limited in number only, and a node
+# has 128 MB for everything.
+MAX_HELD_BYTES = 32 * 1024 * 1024
 _MAX_RUN_MS = 86_400_000  # a day; services set a lower limit for deadlines
 # A refused body is read and dropped up to this size, so that the caller can read the
 # refusal; closing at once would reset the connection before that.
@@ -67,6 +70,8 @@
     settings: options.CallersSettings
     is_draining: bool
     _request_ids: dict[object, str]  # request id of each handler in flight
+    _bytes_by_handler: dict[object, int]  # size of the body as far as it was read
+    _held_bytes: int  # sum of them
     _idle: asyncio.Event  # no answer is in flight
 
     def __init__(
@@ -81,6 +86,8 @@
         self.settings = settings
         self.is_draining = False
         self._request_ids = {}
+        self._bytes_by_handler = {}
+        self._held_bytes = 0
         self._idle = asyncio.Event()
         self._idle.set()
 
@@ -99,9 +106,18 @@
         self._request_ids[handler] = request_id
         self._idle.clear()
 
+    def hold(self, handler: object, size: int) -> bool:
+        """Count bytes of a body; False if the node holds too many."""
+        if self._held_bytes + size > MAX_HELD_BYTES:
+            return False
+        self._bytes_by_handler[handler] = self._bytes_by_handler.get(handler, 0) + size
+        self._held_bytes += size
+        return True
+
     def leave(self, handler: object) -> None:
         """Note that a handler's answer was written or its caller left."""
         self._request_ids.pop(handler, None)
+        self._held_bytes -= self._bytes_by_handler.pop(handler, 0)
         if not self._request_ids:
             self._idle.set()
 
@@ -290,6 +306,10 @@
         self.chunks.append(chunk)
         try:
             self._check_size(self.size)
+            if not self.server.hold(self, len(chunk)):
+                raise _RefusedError(
+                    codes.ResultCode.QUEUE_FULL, "this node holds too many requests"
+                )
         except _RefusedError as error:
             self.chunks.clear()
             self.write_outcome(self.request_id, error.outcome)
--- a/clementinespar/requests/tests/test_dispatcher_policy.py
+++ b/clementinespar/requests/tests/test_dispatcher_policy.py
@@ -185,6 +185,21 @@
     run(main)
 
 
+def test_bytes_in_the_queue_are_limited(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a queue of few but large requests that fills the memory."""
+    monkeypatch.setattr(dispatcher, "MAX_HELD_BYTES", 100)
+
+    async def main() -> None:
+        setup = Setup()
+        outcomes = await setup.submit_many(20)
+        answered = sum(o.kind is model.OutcomeKind.ANSWERED for o in outcomes)
+        assert answered == 100 // len(b'{"run_ms": 20}')
+        assert outcomes[-1].code == codes.ResultCode.QUEUE_FULL
+        assert (await setup.submit()).kind is model.OutcomeKind.ANSWERED
+
+    run(main)
+
+
 def test_work_that_can_never_run_is_refused_at_once() -> None:
     """Guards against work without a target that waits for its whole deadline."""
 
--- a/clementinespar/requests/tests/test_router.py
+++ b/clementinespar/requests/tests/test_router.py
@@ -67,7 +67,7 @@
 
     async def main() -> None:
         first = _Owner(model.Outcome(first_kind, first_code), starts)
-        second = _Owner(model.Outcome(_ANSWERED, codes.ResultCode.OK), True)
+        second = _Owner(model.Outcome(_ANSWERED, codes.ResultCode.OK, body=b"x"), True)
         ingress = router.Router(
             _Directory([first, second]), helpers.FakeSource(helpers.make_document())
         )
@@ -78,6 +78,7 @@
         explanation = ingress.explain("1-a")
         assert explanation is not None
         assert explanation["state"] == outcome.kind.value
+        assert not ingress._traces_by_request_id["1-a"].outcome.body  # type: ignore
         assert explanation["because"][0] == "handed to " + (
             "n0 then n1" if is_handed_on else "n0"
         )
--- a/clementinespar/requests/tests/test_server.py
+++ b/clementinespar/requests/tests/test_server.py
@@ -152,6 +152,26 @@
     asyncio.run(main())
 
 
+def test_bodies_held_at_once_are_limited(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against many callers whose bodies together fill the memory."""
+    monkeypatch.setattr(server, "MAX_HELD_BYTES", 1000)
+
+    async def main() -> None:
+        node = _Node()
+        async with node.serve():
+            body = b'{"run_ms": 300, "filler": "' + b"x" * 600 + b'"}'
+            first = asyncio.create_task(node.post("/v1/scale/plan", body=body))
+            while not node.target.busy_slots:
+                await asyncio.sleep(0.005)
+            refused = await node.post("/v1/scale/plan", body=body)
+            assert refused.code == 429
+            assert refused.headers["X-Outcome"] == "not-run"
+            assert (await first).code == 200
+            assert (await node.post("/v1/scale/plan", body=body)).code == 200
+
+    asyncio.run(main())
+
+
 def test_not_ready_and_stopping_refuse_as_not_run() -> None:
     """Guards against requests that a node accepts and cannot finish."""
 
