Try silent nodes last and stop when the shared log does not reply

Cause: with a paused node first in the list, publish took 40 s, because each call waited for that node; with a log that takes appends without a reply it took 33 s, because every node was tried.

Change: a node without a reply is tried last for the rest of a command; after a read-back that follows LOG_REPLY_LOST nothing is sent through other nodes. Status shows what is not the case, such as a log that does not answer.

--- a/clementinespar/commands/client.py
+++ b/clementinespar/commands/client.py
@@ -75,19 +75,31 @@
 class AdminClient:
     """Calls the admin ports of nodes."""
 
-    nodes: Sequence[str]  # IP:port of each node, in the order in which they are tried
+    _nodes: list[str]  # IP:port of each node, in the order in which they are tried
     _timeout_s: float  # longest wait for one reply
     _client: curl_httpclient.CurlAsyncHTTPClient
 
     def __init__(self, nodes: Sequence[str], timeout_s: float) -> None:
-        self.nodes = nodes
+        self._nodes = list(nodes)
         self._timeout_s = timeout_s
         self._client = curl_httpclient.CurlAsyncHTTPClient(force_instance=True)
 
+    @property
+    def nodes(self) -> Sequence[str]:
+        """Nodes in the order in which they are tried: silent ones last."""
+        return tuple(self._nodes)
+
     def close(self) -> None:
         """Close all connections."""
         self._client.close()
 
+    def try_last(self, node: str) -> None:
+        """Try a node that gave no reply after the others from now on.
+
+        A command makes several calls, and each would wait for a silent node again.
+        """
+        self._nodes.sort(key=lambda known: known == node)
+
     async def get(self, path: str, query: Mapping[str, str] | None = None) -> Reply:
         """Return the first reply of a node.
 
@@ -120,6 +132,7 @@
             result = await self.call(node, "GET", path, query)
             if isinstance(result, NoReply):
                 failures.append(result)
+                self.try_last(node)
             elif result.status >= 500:
                 errors.append(result)
             else:
--- a/clementinespar/commands/documents.py
+++ b/clementinespar/commands/documents.py
@@ -291,6 +291,6 @@
     if values.get("is_read_back"):
         click.echo("the reply was lost; the history shows that the change took effect")
     if in_force_on := replies.texts(values, "in_force_on"):
-        click.echo(f"on {len(in_force_on)} nodes: {', '.join(in_force_on)}")
+        click.echo(f"on these nodes ({len(in_force_on)}): {', '.join(in_force_on)}")
     if missing := replies.texts(values, "not_in_force_on"):
-        click.echo(f"not yet on {len(missing)} nodes: {', '.join(missing)}")
+        click.echo(f"not yet on these ({len(missing)}): {', '.join(missing)}")
--- a/clementinespar/commands/status.py
+++ b/clementinespar/commands/status.py
@@ -8,6 +8,7 @@
 
 _SECTIONS = ("peers", "pools", "waves", "services")
 _LEAST_TIME_MS = 10**12  # values above are times of this century, not durations
+_NOT_SHOWN = frozenset({"incarnation"})  # of no use to a person; in --json
 _PATH_BY_SUBJECT = {
     "host": "/v1/hosts",
     "pool": "/v1/pools",
@@ -133,9 +134,11 @@
     for key, value in values.items():
         if key in _SECTIONS or not isinstance(value, Mapping):
             continue
-        # What is false, empty or missing is the normal case and would fill the screen.
-        shown = {k: v for k, v in value.items() if v not in (None, False, "", [])}
-        shown.pop("incarnation", None)
+        shown = {
+            k: v
+            for k, v in value.items()
+            if v not in (None, "", []) and k not in _NOT_SHOWN
+        }
         lines.append(f"{_title(key)}: {_pairs(shown)}")
     return lines
 
--- a/clementinespar/commands/submissions.py
+++ b/clementinespar/commands/submissions.py
@@ -53,6 +53,7 @@
             continue
         if isinstance(result, client.NoReply):
             failures.append(result)
+            admin.try_last(node)
             if not result.may_have_arrived:
                 continue
         else:
@@ -61,6 +62,8 @@
         found = await _read_back(admin, submission)
         if found is not None:
             return found
+        if isinstance(result, client.Reply):
+            break  # the node lives and its log does not reply; others share that log
     if is_uncertain:
         raise exits.UnreachableError(
             "the reply was lost and the history does not show the change (yet); look "
--- a/clementinespar/commands/tests/test_commands.py
+++ b/clementinespar/commands/tests/test_commands.py
@@ -11,7 +11,7 @@
 from click import testing
 
 from clementinespar import cli, codes
-from clementinespar.commands import exits, submissions
+from clementinespar.commands import client, exits, submissions
 from clementinespar.commands.tests import fake_admin
 from clementinespar.documents import loading
 
@@ -176,13 +176,40 @@
         assert "bob" in result.output
 
 
+def test_log_that_does_not_reply_ends_the_command() -> None:
+    """Guards against sending through every node what the shared log may have taken."""
+    reply = {"code": 501, "name": "LOG_REPLY_LOST", "message": "no reply"}
+    posts: list[str] = []
+
+    def handle(method: str, path: str, _: Any) -> tuple[int, dict[str, Any]]:
+        if method == "POST":
+            posts.append(path)
+            return 504, reply
+        if path.endswith("/history"):
+            return 200, {"history": []}
+        return 200, {"revision": 0, "document": None}
+
+    with fake_admin.serve(handle) as first, fake_admin.serve(handle) as second:
+        result = _publish(first.node, "--node", second.node)
+    assert result.exit_code == exits.ExitStatus.UNREACHABLE
+    assert len(posts) == 1
+
+
 def test_next_node_is_tried_when_one_is_down() -> None:
     """Guards against one dead node keeping operators out."""
     with _documents() as (_, node):
-        result = _publish(_unused_node(), "--node", node)
+        dead = _unused_node()
+        result = _publish(dead, "--node", node)
         assert result.exit_code == exits.ExitStatus.DONE, result.output
 
 
+def test_silent_node_is_tried_last_from_then_on() -> None:
+    """Guards against every call of a command waiting for the same silent node."""
+    admin = client.AdminClient(["10.0.0.1:1", "10.0.0.2:2", "10.0.0.3:3"], 1.0)
+    admin.try_last("10.0.0.1:1")
+    assert admin.nodes == ("10.0.0.2:2", "10.0.0.3:3", "10.0.0.1:1")
+
+
 @pytest.mark.parametrize(
     ("arguments", "status"),
     [
