--- a/clementinespar/peers/directory.py
+++ b/clementinespar/peers/directory.py
@@ -62,7 +62,10 @@
 
     @contextlib.asynccontextmanager
     async def running(
-        self, entries: server.EntrySource, owner: model.RequestHandler
+        self,
+        entries: server.EntrySource,
+        owner: model.RequestHandler,
+        knows_targets: Callable[[], bool] = lambda: True,
     ) -> AsyncIterator[int]:
         """Serve the peer protocol and send heartbeats; yields the bound port.
 
@@ -72,6 +75,9 @@
             Gives log entries and snapshots to other nodes.
         owner : model.RequestHandler
             This node's own dispatcher.
+        knows_targets : callable
+            Whether the dispatcher knows the fold and the targets. Until then,
+            requests of other nodes are refused, so that they go elsewhere.
         """
         settings = self._settings.peers
         listener = server.bind(settings.address, settings.port)
@@ -79,7 +85,7 @@
         host = f"[{settings.address}]" if ":" in settings.address else settings.address
         self._owner = owner
         self._service = server.PeerService(
-            self.members, entries, owner, settings.max_message_bytes
+            self.members, entries, owner, settings.max_message_bytes, knows_targets
         )
         async with (
             server.serving(self._service, settings, listener),
@@ -92,6 +98,8 @@
         return [] if self._service is None else await self._service.wait_idle(timeout_s)
 
     def _open_link(self, endpoint: str) -> membership.PeerLink:
+        for known in [e for e, c in self._clients_by_endpoint.items() if c.is_closed]:
+            del self._clients_by_endpoint[known]
         peer_client = client.PeerClient(
             endpoint, self._settings.peers, self._ssl_context
         )
@@ -101,6 +109,7 @@
     def _own_report(self) -> membership.Report:
         report = self._local_report()
         name = self._settings.node.name
+        owners = self._possible_owners()
         return membership.Report(
             applied_offset=report.applied_offset,
             oldest_kept_offset=report.oldest_kept_offset,
@@ -111,14 +120,14 @@
             demands=tuple(
                 item
                 for item in report.demands
-                if self._owner_names(item.service)[:1] == [name]
+                if rendezvous.order_nodes(item.service, owners)[:1] == [name]
             ),
             ejected_host_ids=report.ejected_host_ids,
         )
 
     # requests.model.OwnerDirectory
 
-    def _owner_names(self, service: str) -> list[str]:
+    def _possible_owners(self) -> list[str]:
         names = [
             peer.name
             for peer in self.members.live_peers()
@@ -126,13 +135,13 @@
         ]
         if self._can_own() and not self.members.is_superseded:
             names.append(self._settings.node.name)
-        return rendezvous.order_nodes(service, names)
+        return names
 
     def candidates(self, service: str) -> Sequence[model.OwnerCandidate]:
         """Return live nodes in rendezvous order; the first one owns the queue."""
         peers_by_name = {peer.name: peer for peer in self.members.peers()}
         candidates: list[model.OwnerCandidate] = []
-        for name in self._owner_names(service):
+        for name in rendezvous.order_nodes(service, self._possible_owners()):
             if name == self._settings.node.name:
                 if self._owner is not None:
                     candidates.append(model.OwnerCandidate(name, self._owner, True))
@@ -146,7 +155,7 @@
 
     def has_owner(self) -> bool:
         """Whether any live node may own queues."""
-        return bool(self._owner_names(""))
+        return bool(self._possible_owners())
 
     # capacity.demand.DemandSource
 
