--- a/clementinespar/pools/tests/test_invariants.py
+++ b/clementinespar/pools/tests/test_invariants.py
@@ -1,8 +1,8 @@
 """Random histories of racing planners, failures and documents against the fold.
 
 After every record: no accepted host_taken_out leaves a pool below its budget (I1), and
-every host belongs to exactly one pool (I2). Both are counted here without the code
-under test.
+every host belongs to exactly one pool (I2). Both are counted without the code under
+test.
 """
 
 import collections
@@ -19,7 +19,6 @@
 from clementinespar.fleet import state as fleet_state
 from clementinespar.log import base, records
 from clementinespar.pools import availability, messages
-from clementinespar.pools import state as pools_state
 from clementinespar.tests import fleets
 from clementinespar.waves import messages as wave_messages
 from clementinespar.waves import planner as wave_planner
@@ -297,42 +296,8 @@
         code = self.fold.apply_payload(payload)
         self.codes.append(code)
         if code == codes.ResultCode.OK and host is not None and was_available:
-            self._check_budget(host)
-        self._check_membership()
-
-    def _check_budget(self, taken: pools_state.HostState) -> None:
-        document = self.fold.state.documents.production
-        assert document is not None
-        limits = document.pools[taken.pool].budget
-        members = [
-            host
-            for host in self.fold.state.pools.hosts_by_id.values()
-            if host.pool == taken.pool
-        ]
-        serving = [h for h in members if h.out is None and h.failed_since_ms is None]
-        assert len(serving) >= limits.min_available
-        out = [
-            h
-            for h in members
-            if h not in serving and (h.out is None or not h.out.is_moved)
-        ]
-        in_data_centre = [h for h in out if h.data_centre == taken.data_centre]
-        in_rack = [h for h in in_data_centre if h.rack == taken.rack]
-        assert len(in_data_centre) <= limits.max_out_per_data_centre
-        assert len(in_rack) <= limits.max_out_per_rack
-
-    def _check_membership(self) -> None:
-        document = self.fold.state.documents.production
-        assert document is not None
-        pools = self.fold.state.pools
-        assert pools.hosts_by_id.keys() == document.hosts.keys()
-        pools_of = collections.Counter(
-            host_id for ids in pools.host_ids_by_pool.values() for host_id in ids
-        )
-        assert pools_of == collections.Counter(document.hosts.keys())
-        for host in pools.hosts_by_id.values():
-            assert host.pool in document.pools
-            assert host.host_id in pools.host_ids_by_pool[host.pool]
+            fleets.check_budget(self.fold.state, host)
+        fleets.check_membership(self.fold.state)
 
 
 RacingPlanners.TestCase.settings = settings(
--- a/clementinespar/tests/fleets.py
+++ b/clementinespar/tests/fleets.py
@@ -1,6 +1,7 @@
 """Small fleets and folds, shared by the tests of pools, waves and capacity."""
 
 import asyncio
+import collections
 import contextlib
 import dataclasses
 from collections.abc import AsyncIterator, Mapping, Sequence
@@ -18,6 +19,7 @@
 from clementinespar.platform import service as platform_service
 from clementinespar.platform import watcher as platform_watcher
 from clementinespar.pools import operations as pool_operations
+from clementinespar.pools import state as pools_state
 from clementinespar.tests import log_nodes
 from clementinespar.waves import runner as wave_runner
 from standins import fake_log, fake_platform
@@ -118,6 +120,35 @@
         )
 
 
+def check_budget(state: fleet_state.FleetState, taken: pools_state.HostState) -> None:
+    """Check I1 after an accepted host_taken_out of a host that was in service."""
+    document = state.documents.production
+    assert document is not None
+    limits = document.pools[taken.pool].budget
+    members = [h for h in state.pools.hosts_by_id.values() if h.pool == taken.pool]
+    serving = [h for h in members if h.out is None and h.failed_since_ms is None]
+    assert len(serving) >= limits.min_available
+    out = [h for h in members if h not in serving and not (h.out and h.out.is_moved)]
+    in_data_centre = [h for h in out if h.data_centre == taken.data_centre]
+    assert len(in_data_centre) <= limits.max_out_per_data_centre
+    in_rack = [h for h in in_data_centre if h.rack == taken.rack]
+    assert len(in_rack) <= limits.max_out_per_rack
+
+
+def check_membership(state: fleet_state.FleetState) -> None:
+    """Check I2: every host of the document belongs to exactly one of its pools."""
+    document = state.documents.production
+    assert document is not None
+    assert state.pools.hosts_by_id.keys() == document.hosts.keys()
+    counts = collections.Counter(
+        host_id for ids in state.pools.host_ids_by_pool.values() for host_id in ids
+    )
+    assert counts == collections.Counter(document.hosts.keys())
+    for host in state.pools.hosts_by_id.values():
+        assert host.pool in document.pools
+        assert host.host_id in state.pools.host_ids_by_pool[host.pool]
+
+
 def seeds_of(document: model.Document) -> list[fake_platform.HostSeed]:
     """Return the platform's hosts for a document."""
     return [
