--- a/clementinespar/log/tests/test_follower.py
+++ b/clementinespar/log/tests/test_follower.py
@@ -1,7 +1,7 @@
 """Tests of the follower: outages, peers, lagging copies, snapshots and retention."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import pytest
 
@@ -254,6 +254,29 @@
     paused_clock.run(main())
 
 
+def test_entries_after_a_gap_are_not_applied() -> None:
+    # Guards against a state that leaves out an entry which a peer did not send.
+    class GapRelay(log_nodes.NodeRelay):
+        async def fetch_entries(
+            self, from_offset: int, limit: int
+        ) -> Sequence[service.LogEntry]:
+            entries = await super().fetch_entries(from_offset, limit)
+            return [*entries[:2], *entries[3:]] if len(entries) > 3 else entries
+
+    async def main() -> None:
+        log = fake_log.FakeLog()
+        async with log_nodes.running_node(log, "node-a") as node_a:
+            await append_duties(node_a, 10)
+            log.faults.down = True
+            relay = GapRelay(node_a)
+            async with log_nodes.running_node(log, "node-b", relay) as node_b:
+                await node_b.follower.wait_applied(9)
+                assert node_b.follower.state == node_a.follower.state
+                assert node_b.follower.recent_entries(0, 99) == log.entries
+
+    paused_clock.run(main())
+
+
 def test_long_log_is_started_from_a_snapshot(monkeypatch: pytest.MonkeyPatch) -> None:
     # Guards against a replay of a long log although a snapshot is at hand.
     monkeypatch.setattr(log_follower, "_MAX_REPLAY_ENTRIES", 20)
