--- a/clementinespar/options.py
+++ b/clementinespar/options.py
@@ -259,6 +259,14 @@
             "",
             "required when trace_exporter is otlp",
         )
+    if peers.get("address") in ("0.0.0.0", "::"):
+        yield SettingError(
+            codes.ResultCode.SETTING_INVALID,
+            "peers",
+            "address",
+            peers["address"],
+            "the IP number by which the other nodes reach this one",
+        )
     section_by_place: dict[tuple[str, str], str] = {}
     for section in ("callers", "admin", "peers"):
         place = (
--- a/clementinespar/tests/test_options.py
+++ b/clementinespar/tests/test_options.py
@@ -57,6 +57,7 @@
         ("callers", "port", "65536", _C.SETTING_INVALID),
         ("callers", "port", "", _C.SETTING_INVALID),
         ("admin", "port", "8000", _C.SETTING_INVALID),  # same as the callers' port
+        ("peers", "address", "0.0.0.0", _C.SETTING_INVALID),
         ("peers", "seeds", "10.0.0.1", _C.SETTING_INVALID),
         ("peers", "seeds", "peer:80", _C.SETTING_INVALID),
         ("log", "url", "http://log:80", _C.SETTING_INVALID),
