Count the lag of the host list in its age

Cause: the age of the list began with its reading, so a list that the platform had made minutes before looked young, and waves went on with it.

Change: the age is at least the time between the list and the newest record of the log, which are both the platform's times. An unexpected error no longer ends the watcher's task without a trace.

Tested: a wave does not start on a list that lags by 120 s; without the change that test fails.

--- a/clementinespar/capacity/runner.py
+++ b/clementinespar/capacity/runner.py
@@ -145,7 +145,10 @@
             self._demand.demand_by_service(),
             asyncio.get_running_loop().time(),
             availability.observe(
-                pools, self._host_list, self._demand.ejected_host_ids()
+                pools,
+                self._host_list,
+                self._demand.ejected_host_ids(),
+                fleet.log_time_ms,
             ),
         )
 
--- a/clementinespar/platform/watcher.py
+++ b/clementinespar/platform/watcher.py
@@ -84,4 +84,7 @@
                 if is_available:
                     _LOG.warning("host list is not available: {}", error)
                 is_available = False
+            except Exception:
+                # The task must go on: nobody else would notice that it ended.
+                _LOG.exception("the host list could not be read")
             await asyncio.sleep(self._poll_interval_s)
--- a/clementinespar/pools/availability.py
+++ b/clementinespar/pools/availability.py
@@ -13,7 +13,7 @@
 class Observation:
     """Hosts that a node sees as unavailable, and how old its view is."""
 
-    list_age_s: float  # infinite before the first list
+    list_age_s: float  # least age that it can have, infinite before the first list
     unavailable_by_host_id: Mapping[str, str]  # why, in one word
 
 
@@ -21,8 +21,21 @@
     pools: state.PoolsState,
     host_list: platform_service.HostListSource,
     ejected_ids: Collection[str],
+    log_time_ms: int = 0,
 ) -> Observation:
-    """Combine the host list and the ejections into one observation."""
+    """Combine the host list and the ejections into one observation.
+
+    Parameters
+    ----------
+    pools : state.PoolsState
+        The hosts to observe.
+    host_list : platform_service.HostListSource
+        Newest host list.
+    ejected_ids : collection of str
+        Hosts whose targets are ejected.
+    log_time_ms : int, optional
+        Time of the newest record, 0 if there is none.
+    """
     latest = host_list.latest
     if latest is None:
         return Observation(float("inf"), {})
@@ -35,7 +48,20 @@
             unavailable[host_id] = "leaving"
         elif host_id in ejected_ids:
             unavailable[host_id] = "ejected"
-    return Observation(host_list.age_s, unavailable)
+    return Observation(list_age_s(host_list, log_time_ms), unavailable)
+
+
+def list_age_s(host_list: platform_service.HostListSource, log_time_ms: int) -> float:
+    """Return the least age that the newest host list can have, in seconds.
+
+    A list may be old although it was read just now, because it lags. The newest record
+    of the log was appended before now, so the list is at least as much older than now
+    as it is older than that record; both times are the platform's.
+    """
+    latest = host_list.latest
+    if latest is None:
+        return float("inf")
+    return max(host_list.age_s, (log_time_ms - latest.observed_ms) / 1000)
 
 
 def check_list_age(
--- a/clementinespar/pools/operations.py
+++ b/clementinespar/pools/operations.py
@@ -215,7 +215,8 @@
         latest = host_list.latest
         if document is None or latest is None:
             return failures.Findings()
-        observation = availability.Observation(host_list.age_s, {})
+        age_s = availability.list_age_s(host_list, self._source.state.log_time_ms)
+        observation = availability.Observation(age_s, {})
         code = availability.check_list_age(document.maintenance, observation)
         if code != codes.ResultCode.OK:
             return failures.Findings()
--- a/clementinespar/pools/tests/test_failures.py
+++ b/clementinespar/pools/tests/test_failures.py
@@ -107,13 +107,26 @@
         assert found == failures.Findings()
 
 
+@pytest.mark.parametrize(
+    ("age_s", "behind_s", "expected"), [(5.0, 40, 40.0), (50.0, 40, 50.0)]
+)
+def test_list_that_lags_behind_the_log_is_old(
+    age_s: float, behind_s: int, expected: float
+) -> None:
+    # Guards against a list that was read just now but made long before.
+    made = fleets.full_list(_DOCUMENT, fleets.EPOCH_MS)
+    source = fleets.FixedHostList(made, age_s)
+    log_time_ms = fleets.EPOCH_MS + behind_s * 1000
+    assert availability.list_age_s(source, log_time_ms) == expected
+
+
 def test_observation_combines_list_and_ejections() -> None:
     fold = fleets.Fold()
     fold.publish(_DOCUMENT)
     made = fleets.full_list(_DOCUMENT, fleets.EPOCH_MS)
     del made.hosts_by_id[_A[0]]
     observed = availability.observe(
-        fold.state.pools, fleets.FixedHostList(made, 40.0), {_A[1]}
+        fold.state.pools, fleets.FixedHostList(made, 40.0), {_A[1]}, 0
     )
     assert observed.unavailable_by_host_id == {_A[0]: "missing", _A[1]: "ejected"}
     limits = model.Maintenance(host_list_max_age_s=30)
--- a/clementinespar/pools/tests/test_invariants.py
+++ b/clementinespar/pools/tests/test_invariants.py
@@ -16,6 +16,7 @@
 from clementinespar.capacity import planner as capacity_planner
 from clementinespar.documents import messages as document_messages
 from clementinespar.documents import model
+from clementinespar.fleet import snapshot as fleet_snapshot
 from clementinespar.fleet import state as fleet_state
 from clementinespar.log import base, records
 from clementinespar.pools import availability, messages
@@ -251,6 +252,8 @@
             fleet_state.apply_entry(again, entry) for entry in self.fold.entries
         ] == self.codes
         assert again == self.fold.state
+        encoded = fleet_snapshot.encode_state(self.fold.state)
+        assert fleet_snapshot.decode_state(encoded) == self.fold.state
         # Whatever happened, every host can come back into service.
         for host in list(self.fold.state.pools.hosts_by_id.values()):
             if host.out is None:
--- a/clementinespar/pools/tests/test_racing_nodes.py
+++ b/clementinespar/pools/tests/test_racing_nodes.py
@@ -120,7 +120,7 @@
         faults.down = not faults.down
 
     async def lag_list(self) -> None:
-        self.platform.faults.list_lag_s = self.chance.choice([1.0, 5.0, 30.0])
+        self.platform.faults.list_lag_s = self.chance.choice([1.0, 5.0, 40.0])
 
     async def publish(self) -> None:
         document = self.chance.choice(_DOCUMENTS)
@@ -168,7 +168,9 @@
 def test_racing_nodes_keep_the_invariants_and_recover(seed: int) -> None:
     async def main() -> None:
         log = fake_log.FakeLog(epoch_ms=fleets.EPOCH_MS)
-        platform = fake_platform.FakePlatform(fleets.seeds_of(_FULL))
+        platform = fake_platform.FakePlatform(
+            fleets.seeds_of(_FULL), epoch_ms=fleets.EPOCH_MS
+        )
         async with contextlib.AsyncExitStack() as stack:
             nodes = [
                 await stack.enter_async_context(
--- a/clementinespar/waves/runner.py
+++ b/clementinespar/waves/runner.py
@@ -156,7 +156,10 @@
                 fleet.waves,
                 fleet.log_time_ms,
                 availability.observe(
-                    pools, self._host_list, self._demand.ejected_host_ids()
+                    pools,
+                    self._host_list,
+                    self._demand.ejected_host_ids(),
+                    fleet.log_time_ms,
                 ),
             )
         )
--- a/clementinespar/waves/tests/test_runner.py
+++ b/clementinespar/waves/tests/test_runner.py
@@ -125,11 +125,17 @@
     _run(scenario)
 
 
-def test_no_host_leaves_on_an_old_list() -> None:
+@pytest.mark.parametrize("fault", ["down", "lag"])
+def test_no_host_leaves_on_an_old_list(fault: str) -> None:
     async def scenario(fleet: _Fleet) -> None:
-        await asyncio.sleep(10)
-        fleet.platform.faults.down = True
-        await asyncio.sleep(60)
+        if fault == "down":
+            await asyncio.sleep(10)
+            fleet.platform.faults.down = True
+            await asyncio.sleep(60)
+        else:
+            fleet.platform.faults.list_lag_s = 120.0
+            await asyncio.sleep(60)
+            await fleet.node.publish(_DOCUMENT)  # the log goes on
         await fleet.node.run_rounds(60)
         assert fleet.out() == []
         explained = fleet.node.waves.explain("a")
