--- a/bench/policy/cluster.py
+++ b/bench/policy/cluster.py
@@ -61,7 +61,11 @@
             },
         )
     return document_model.Document(
-        user=user.name, hosts=hosts, pools=pools, services=services
+        user=user.name,
+        hosts=hosts,
+        pools=pools,
+        services=services,
+        weights=user.weights,
     )
 
 
--- a/bench/policy/workload.py
+++ b/bench/policy/workload.py
@@ -8,6 +8,8 @@
 import random
 from collections.abc import Iterator
 
+from clementinespar.documents import model
+
 PEAK_FACTOR = 5.0  # demand at the peak over the mean
 QUIET_FACTOR = 0.05  # demand between peaks over the mean
 SLOTS_PER_TARGET = 8
@@ -24,6 +26,7 @@
     data_centres: int
     spare: str  # service whose pool is the spare
     link_s: float  # one-way delay between data centres, in seconds
+    weights: model.Weights  # as in the user's example document
 
     @property
     def slots(self) -> int:
@@ -45,6 +48,7 @@
     data_centres=4,
     spare="accounts-admin",
     link_s=0.0005,
+    weights=model.Weights(short_wait=4.0, buffer_cost=3.0, moves=1.0, roll_out=0.5),
 )
 AL_BATINAH = User(
     name="al-batinah",
@@ -54,6 +58,7 @@
     data_centres=3,
     spare="delivery-slots",
     link_s=0.001,
+    weights=model.Weights(short_wait=1.0, buffer_cost=1.0, moves=4.0, roll_out=3.0),
 )
 USERS = (TERANGA, AL_BATINAH)
 
