Run waves in a fifth of the pools instead of a sixteenth

Cause: with 5 pools a sixteenth, also times the weight of roll-out time, rounds up to one pool at a time, so a complete maintenance took as long as one host at a time. Change: a fifth, scaled by the weights as before. Rounding errors no longer add a pool.

--- a/clementinespar/waves/planner.py
+++ b/clementinespar/waves/planner.py
@@ -20,9 +20,10 @@
 # Hosts are due after this share of the interval. The rest is the time in which the
 # waves of all pools take their turns, so that no host exceeds the interval.
 DUE_SHARE = 0.75
-# Waves run in this share of the pools at a time. Failures are correlated within a wave,
-# so few pools are exposed at once; 358 pools still take only 16 turns each interval.
-POOLS_SHARE = 1 / 16
+# Waves run in this share of the pools at a time, scaled by the weight of roll-out time
+# against waiting. Failures are correlated within a wave, so most pools stay unexposed.
+# A sixteenth left users with 5 pools one pool at a time whatever their weights said.
+POOLS_SHARE = 1 / 5
 # A wave that makes no end is given up, so that other pools get their turn.
 WAVE_LIMIT_MS = 12 * 3_600_000
 
@@ -112,7 +113,8 @@
 def max_running_waves(document: model.Document) -> int:
     """Return in how many pools a wave may run at a time."""
     share = POOLS_SHARE * document.weights.ratio("roll_out", "short_wait")
-    return max(1, math.ceil(len(document.pools) * share))
+    # Rounded first: 5 * (1 / 5 * 3.0) is slightly more than 3.
+    return max(1, math.ceil(round(len(document.pools) * share, 6)))
 
 
 def due_in_ms(document: model.Document, host: pools_state.HostState, now: int) -> int:
--- a/clementinespar/waves/tests/test_planner.py
+++ b/clementinespar/waves/tests/test_planner.py
@@ -211,3 +211,19 @@
         ]
         assert all(18 * _DAY_MS <= gap <= 28 * _DAY_MS for gap in gaps)
         assert began_ms + 56 * _DAY_MS - times[-1] <= 28 * _DAY_MS
+
+
+@pytest.mark.parametrize(
+    ("pool_count", "roll_out", "short_wait", "expected"),
+    [(5, 0.5, 4.0, 1), (5, 1.0, 1.0, 1), (5, 3.0, 1.0, 3), (358, 1.0, 1.0, 72)],
+)
+def test_weights_decide_how_many_pools_run_waves(
+    pool_count: int, roll_out: float, short_wait: float, expected: int
+) -> None:
+    """Guards against a small fleet that ignores the weight of roll-out time."""
+    document = fleets.make_document(
+        {f"p{i}": [f"c1r1-p{i}"] for i in range(pool_count)},
+        min_available=0,
+        weights=model.Weights(roll_out=roll_out, short_wait=short_wait),
+    )
+    assert planner.max_running_waves(document) == expected
