Let services borrow idle slots of the spare pool during their peaks

Cause: queues peak by turns for a few seconds, which is shorter than a drain and a reboot, so a host cannot move in time; each pool needed a buffer for its own peak. Two services of one pool could also have two owners that counted the same slots. Change: a service may name a pool whose idle slots serve its peaks (borrows_from), up to the pool's lend_share of each target and only while the pool's own queue is empty. The services that may use the same targets form a queue group with one owner, so slots stay counted by one node. Ruled out: leases of slots between two owner nodes, which need an expiry while work is in flight and can over-admit when a holder is paused. Conclusion: exact counts without a protocol; the cost is that a group's queues share one node.

--- a/bench/policy/cluster.py
+++ b/bench/policy/cluster.py
@@ -9,7 +9,7 @@
 import dataclasses
 import math
 import random
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from bench.policy import workload
 from clementinespar import codes, identifiers
@@ -28,17 +28,25 @@
 
 
 def make_document(
-    user: workload.User, shape: workload.Shape
+    user: workload.User,
+    shape: workload.Shape,
+    targets_by_service: Mapping[str, int] | None = None,
+    lends: bool = False,
 ) -> document_model.Document:
-    """Return the document of a user at its size of today."""
+    """Return the document of a user, at its size of today by default.
+
+    With ``lends``, all services may borrow idle slots of the spare pool.
+    """
+    counts = targets_by_service or {}
     hosts: dict[str, document_model.Host] = {}
     pools: dict[str, document_model.Pool] = {}
     services: dict[str, document_model.Service] = {}
     for turn, service in enumerate(user.services):
         host_ids = []
-        for index in range(user.targets_per_service):
+        count = counts.get(service, user.targets_per_service)
+        for index in range(count):
             host_id = f"{service}-{index}"
-            rack = index * user.racks_per_pool // user.targets_per_service
+            rack = index * user.racks_per_pool // count
             data_centre = (turn + rack) % user.data_centres
             hosts[host_id] = document_model.Host(
                 data_centre=f"dc-{data_centre}", rack=f"{service}-rack-{rack}"
@@ -46,11 +54,12 @@
             host_ids.append(host_id)
         pools[service] = document_model.Pool(
             host_ids=tuple(host_ids),
-            budget=document_model.Budget(min_available=user.targets_per_service - 2),
+            budget=document_model.Budget(min_available=max(0, count - 2)),
             spare=service == user.spare,
         )
         services[service] = document_model.Service(
             pool=service,
+            borrows_from=user.spare if lends and service != user.spare else None,
             slots_per_target=workload.SLOTS_PER_TARGET,
             default_deadline_ms=round(shape.deadline_s * 1000),
             max_queue=100_000,
@@ -151,6 +160,7 @@
     dispatchers_by_node: dict[str, dispatcher.Dispatcher]
     link_s: float
     has_owners: bool
+    document: document_model.Document
 
     def candidates(self, service: str) -> Sequence[model.OwnerCandidate]:
         """Return the nodes that may own a service, the owner first."""
@@ -160,7 +170,8 @@
         return [self._candidate(n) for n in self._order(service)]
 
     def _order(self, service: str) -> Iterable[str]:
-        return rendezvous.order_nodes(service, list(self.dispatchers_by_node))
+        group = self.document.queue_group(service)
+        return rendezvous.order_nodes(group, list(self.dispatchers_by_node))
 
     def _candidate(self, node: str) -> model.OwnerCandidate:
         handler: model.RequestHandler = self.dispatchers_by_node[node]
@@ -198,6 +209,8 @@
     has_owners: bool = True  # False: each node admits on its own
     killed_share: float = 0.0  # targets killed in the middle of the run
     killed_at_s: float = math.inf
+    targets_by_service: Mapping[str, int] | None = None
+    lends: bool = False  # services borrow idle slots of the spare pool
 
 
 class Cluster:
@@ -209,7 +222,7 @@
     def __init__(
         self, user: workload.User, shape: workload.Shape, scheme: Scheme
     ) -> None:
-        document = make_document(user, shape)
+        document = make_document(user, shape, scheme.targets_by_service, scheme.lends)
         source = StaticSource(document)
         self.targets_by_host_id = {
             host_id: fake_target.FakeTarget(
@@ -232,7 +245,13 @@
         }
         self.routers = [
             router.Router(
-                _Directory(node, dispatchers_by_node, user.link_s, scheme.has_owners),
+                _Directory(
+                    node,
+                    dispatchers_by_node,
+                    user.link_s,
+                    scheme.has_owners,
+                    document,
+                ),
                 source,
             )
             for node in dispatchers_by_node
--- a/clementinespar/documents/model.py
+++ b/clementinespar/documents/model.py
@@ -61,6 +61,8 @@
     host_ids: tuple[str, ...]
     budget: Budget
     spare: bool = False  # hosts of the spare pool are lent first
+    # Share of each target's slots that services which borrow from this pool may use.
+    lend_share: float = pydantic.Field(default=0.75, ge=0.0, le=1.0)
     min_hosts: int = pydantic.Field(default=1, ge=0)  # capacity never goes below
     max_hosts: int = pydantic.Field(default=10_000, ge=1)
 
@@ -78,6 +80,7 @@
     """A service that runs on the hosts of one pool."""
 
     pool: str
+    borrows_from: str | None = None  # pool whose idle slots serve the peaks as well
     slots_per_target: int = pydantic.Field(default=8, ge=1, le=1024)
     connections_per_target: int = pydantic.Field(default=64, ge=1, le=4096)
     default_deadline_ms: int = pydantic.Field(default=10_000, ge=1, le=_MAX_DEADLINE_MS)
@@ -146,6 +149,22 @@
     maintenance: Maintenance = dataclasses.field(default_factory=Maintenance)
     weights: Weights = dataclasses.field(default_factory=Weights)
 
+    def queue_group(self, service: str) -> str:
+        """Return the key of the services whose queues one node owns together.
+
+        Slots are counted by one node only, so services that may use the same targets
+        have the same owner: those of one pool, and those that borrow from it.
+        """
+        declared = self.services.get(service)
+        if declared is None:
+            return service
+        return declared.borrows_from or declared.pool
+
+    def lent_pool(self, service: str) -> str | None:
+        """Return the pool that a service borrows from, if any."""
+        declared = self.services.get(service)
+        return None if declared is None else declared.borrows_from
+
     @pydantic.model_validator(mode="after")
     def _check_references(self) -> "Document":
         problems = [
@@ -253,3 +272,32 @@
                 str(service.default_deadline_ms),
                 f"at most max_deadline_ms, {service.max_deadline_ms}",
             )
+        lender = service.borrows_from
+        if lender is not None and (
+            lender not in document.pools or lender == service.pool
+        ):
+            yield Problem(
+                f"services.{name}.borrows_from", lender, "the name of another pool"
+            )
+        if lender is not None and any(
+            other.pool == lender and other.borrows_from is not None
+            for other in document.services.values()
+        ):
+            # One node owns the queues of a lender and its borrowers; a chain would join
+            # them all.
+            yield Problem(
+                f"services.{name}.borrows_from",
+                lender,
+                "a pool whose own services do not borrow",
+            )
+        pools_of_lender = {
+            other.borrows_from
+            for other in document.services.values()
+            if other.pool == service.pool
+        }
+        if len(pools_of_lender) > 1:
+            yield Problem(
+                f"services.{name}.borrows_from",
+                str(lender),
+                "the same for all services of a pool",
+            )
--- a/clementinespar/node.py
+++ b/clementinespar/node.py
@@ -148,6 +148,10 @@
         """Whether this node may own queues: it knows the fold and the targets."""
         return self._knows_targets() and not self.is_stopping
 
+    def _queue_group(self, service: str) -> str:
+        document = self.follower.state.documents.production
+        return service if document is None else document.queue_group(service)
+
     def _knows_targets(self) -> bool:
         return self.follower.is_ready and self.host_list.latest is not None
 
@@ -229,7 +233,11 @@
                 transport.open_transport()
             )
             self.peers = directory.Peers(
-                settings, self._report, lambda: self.can_own, self._on_peers_change
+                settings,
+                self._report,
+                lambda: self.can_own,
+                self._queue_group,
+                self._on_peers_change,
             )
             self.follower = log_follower.Follower(
                 log, self.peers.log_relay, settings.log.poll_wait_s
--- a/clementinespar/peers/directory.py
+++ b/clementinespar/peers/directory.py
@@ -25,6 +25,8 @@
         that other nodes own now, which are left out.
     can_own : callable
         Whether this node may own queues now; the same as in its report, but cheap.
+    group_of : callable
+        Returns the queue group of a service, whose services have the same owner.
     on_change : callable
         Called after the set of live nodes or a peer's report changed.
     """
@@ -34,6 +36,7 @@
     _settings: options.Settings
     _local_report: Callable[[], membership.Report]
     _can_own: Callable[[], bool]
+    _group_of: Callable[[str], str]
     _owner: model.RequestHandler | None  # this node's dispatcher, set while running
     _service: server.PeerService | None  # set while running
     _ssl_context: ssl.SSLContext | None
@@ -44,11 +47,13 @@
         settings: options.Settings,
         local_report: Callable[[], membership.Report],
         can_own: Callable[[], bool],
+        group_of: Callable[[str], str] = lambda service: service,
         on_change: Callable[[], None] = lambda: None,
     ) -> None:
         self._settings = settings
         self._local_report = local_report
         self._can_own = can_own
+        self._group_of = group_of
         self._owner = None
         self._service = None
         self._ssl_context = server.make_ssl_context(
@@ -120,7 +125,7 @@
             demands=tuple(
                 item
                 for item in report.demands
-                if rendezvous.order_nodes(item.service, owners)[:1] == [name]
+                if self._order(item.service, owners)[:1] == [name]
             ),
             ejected_host_ids=report.ejected_host_ids,
         )
@@ -137,11 +142,14 @@
             names.append(self._settings.node.name)
         return names
 
+    def _order(self, service: str, nodes: Sequence[str]) -> list[str]:
+        return rendezvous.order_nodes(self._group_of(service), nodes)
+
     def candidates(self, service: str) -> Sequence[model.OwnerCandidate]:
         """Return live nodes in rendezvous order; the first one owns the queue."""
         peers_by_name = {peer.name: peer for peer in self.members.peers()}
         candidates: list[model.OwnerCandidate] = []
-        for name in rendezvous.order_nodes(service, self._possible_owners()):
+        for name in self._order(service, self._possible_owners()):
             if name == self._settings.node.name:
                 if self._owner is not None:
                     candidates.append(model.OwnerCandidate(name, self._owner, True))
--- a/clementinespar/requests/dispatcher.py
+++ b/clementinespar/requests/dispatcher.py
@@ -182,7 +182,7 @@
         self._transport = transport
         self._claiming = claiming.Claiming(source, claims)
         self._services_by_name = {}
-        self._pool = target_pool.TargetPool(targets, transport, self._pump_by_name)
+        self._pool = target_pool.TargetPool(targets, transport, self._pump_all)
         self._flights_by_request_id = {}
         self._refused_by_request_id = collections.OrderedDict()
         self._tasks = set()
@@ -273,7 +273,7 @@
                 "code": int(codes.ResultCode.OK),
             }
         usable = self._usable_targets(known, now)
-        free = sum(target_slots.free for _, target_slots in usable)
+        free = sum(member.free for member in usable)
         waits_for = ""
         if len(known.queue):
             waits_for = "a free slot" if usable else "a target that may receive work"
@@ -289,10 +289,10 @@
             for host_id in sorted(known.ejections.ejected_host_ids())
         ]
         because += [
-            f"host {target.host_id}: {target_slots.doubtful} slots may still run work "
-            "that this node does not follow"
-            for target, target_slots in usable
-            if target_slots.doubtful
+            f"host {member.target.host_id}: {member.slots.doubtful} slots may still "
+            "run work that this node does not follow"
+            for member in usable
+            if member.slots.doubtful
         ]
         return {
             "subject": f"service {service}",
@@ -413,7 +413,7 @@
             return model.not_run(
                 codes.ResultCode.DEADLINE_PASSED, "the deadline has passed"
             )
-        if not self._targets.targets_of(service.name):
+        if not self._targets_of(service.name):
             return model.not_run(
                 codes.ResultCode.NO_TARGET, f"no target serves {service.name} now"
             )
@@ -425,7 +425,7 @@
             )
         usable = self._usable_targets(service, now)
         waiting = len(service.queue) + service.claiming
-        has_free = any(target_slots.free for _, target_slots in usable)
+        has_free = any(member.free for member in usable)
         # Long work may fill its share of the queue only, so it cannot crowd out short
         # work before either of them starts.
         long_room = max(1, int(declared.max_queue * (1.0 - declared.short_reserve)))
@@ -626,7 +626,7 @@
                 host_id, request_id, now, len(service.host_ids)
             )
         service.update_demand(now)
-        self._pump(service)
+        self._pump_after_release(service)
 
     async def _wait_for_answer(
         self, flight: _Flight
@@ -685,7 +685,7 @@
         loop = asyncio.get_running_loop()
         service, request_id = flight.service, flight.request.request_id
         targets_by_host_id = {
-            target.host_id: target for target in self._targets.targets_of(service.name)
+            target.host_id: target for target in self._targets_of(service.name)
         }
         for host_id in flight.tried_host_ids & targets_by_host_id.keys():
             old_uses = self._pool.slots_by_host_id[host_id].uses_before(
@@ -733,7 +733,7 @@
             )
         if flight.attempts >= retries.MAX_ATTEMPTS or not any(
             target.host_id not in flight.tried_host_ids
-            for target in self._targets.targets_of(service.name)
+            for target in self._targets_of(service.name)
         ):
             return model.not_run(
                 codes.ResultCode.TARGETS_REFUSED,
@@ -862,12 +862,12 @@
         now: float,
     ) -> bool:
         return any(
-            target_slots.free
+            member.free
             and (
-                not service.ejections.is_ejected(target.host_id)
-                or service.ejections.is_probe_due(target.host_id, now)
+                not service.ejections.is_ejected(member.target.host_id)
+                or service.ejections.is_probe_due(member.target.host_id, now)
             )
-            for target, target_slots in usable
+            for member in usable
         )
 
     def _next_start(
@@ -891,23 +891,27 @@
         flight: _Flight,
         now: float,
     ) -> target_pool.PoolMember | None:
-        """Return the least loaded target, or an ejected one that is due for a probe."""
+        """Return the least loaded target, or an ejected one that is due for a probe.
+
+        Targets of another pool are used only when no own target can be.
+        """
         best: target_pool.PoolMember | None = None
-        best_key = (math.inf, math.inf)
-        for target, target_slots in usable:
-            host_id = target.host_id
-            if not target_slots.free or host_id in flight.tried_host_ids:
+        best_key = (True, math.inf, math.inf)
+        for member in usable:
+            host_id = member.target.host_id
+            if not member.free or host_id in flight.tried_host_ids:
                 continue
             if service.ejections.is_ejected(host_id):
                 # Requests that must not repeat probe only when nothing else does.
                 probe_at = now if flight.is_repeatable else now - PROBE_OVERDUE_S
                 if service.ejections.is_probe_due(host_id, probe_at):
-                    return target, target_slots
+                    return member
                 continue
-            seeming = target_slots.in_use + service.ejections.penalty(host_id, now)
-            key = (seeming / target_slots.slots, target_slots.last_used_at)
-            if key < best_key:
-                best, best_key = (target, target_slots), key
+            seeming = member.slots.in_use + service.ejections.penalty(host_id, now)
+            load = seeming / member.slots.slots
+            key = (member.is_lent, load, member.slots.last_used_at)
+            if best is None or key < best_key:
+                best, best_key = member, key
         return best
 
     def _assign(
@@ -916,13 +920,15 @@
         chosen: target_pool.PoolMember,
         now: float,
     ) -> _Assignment:
-        target, target_slots = chosen
         service, entry = flight.service, flight.entry
-        if service.ejections.is_ejected(target.host_id):
-            service.ejections.start_probe(target.host_id)
-        use = target_slots.acquire(entry.request_id, entry.is_long, entry.team, now)
+        host_id = chosen.target.host_id
+        if service.ejections.is_ejected(host_id):
+            service.ejections.start_probe(host_id)
+        use = chosen.slots.acquire(
+            entry.request_id, entry.is_long, entry.team, now, chosen.is_lent
+        )
         service.uses[use] = entry.kind
-        return _Assignment(target, target_slots, use)
+        return _Assignment(chosen.target, chosen.slots, use)
 
     def _give_back(self, flight: _Flight, assigned: _Assignment) -> None:
         """Give back a slot that was never used."""
@@ -930,7 +936,7 @@
         assigned.target_slots.release(assigned.use, True, now)
         flight.service.uses.pop(assigned.use, None)
         flight.service.ejections.note_neutral(assigned.target.host_id)
-        self._pump(flight.service)
+        self._pump_after_release(flight.service)
 
     def _shares(
         self,
@@ -943,11 +949,12 @@
             use.team for use in service.uses if use.team is not None
         )
         return queueing.SlotShares(
-            total=sum(
-                target_slots.slots
-                for target, target_slots in usable
-                if target_slots.is_read
-                and not service.ejections.is_ejected(target.host_id)
+            total=sum(use.is_borrowed for use in service.uses)
+            + sum(
+                member.free if member.is_lent else member.slots.slots
+                for member in usable
+                if member.slots.is_read
+                and not service.ejections.is_ejected(member.target.host_id)
             ),
             short_reserve=declared.short_reserve,
             in_use_long=sum(use.is_long for use in service.uses),
@@ -965,17 +972,43 @@
         declared = None if document is None else document.services.get(service.name)
         if declared is None:
             return []
+        assert document is not None
         members = self._pool.members(service.name, declared, now)
-        host_ids = {target.host_id for target, _ in members}
+        if not self._has_queue_in(document, document.lent_pool(service.name)):
+            members += self._pool.lent_members(service.name, document, now)
+        host_ids = {member.target.host_id for member in members}
         if host_ids != service.host_ids:
             service.host_ids = host_ids
             service.ejections.keep_only(host_ids)
         return members
 
-    def _pump_by_name(self, name: str) -> None:
-        service = self._services_by_name.get(name)
-        if service is not None:
-            self._pump(service)
+    def _has_queue_in(
+        self, document: document_model.Document, pool: str | None
+    ) -> bool:
+        """Whether requests of a pool's own services wait, so that it lends nothing."""
+        return any(
+            len(service.queue) > 0
+            for name, service in self._services_by_name.items()
+            if name in document.services and document.services[name].pool == pool
+        )
+
+    def _pump_after_release(self, service: _Service) -> None:
+        """Give a released slot to its service, else to one that borrows or lends."""
+        self._pump(service)
+        self._pump_all(skipped=service)
+
+    def _pump_all(self, skipped: _Service | None = None) -> None:
+        """Give free slots to the waiting requests of all services."""
+        for service in list(self._services_by_name.values()):
+            if len(service.queue) and service is not skipped:
+                self._pump(service)
+
+    def _targets_of(self, service: str) -> list[model.Target]:
+        """Return own and lent targets of a service."""
+        return [
+            *self._targets.targets_of(service),
+            *self._targets.lent_targets_of(service),
+        ]
 
     # Learned classes.
 
--- a/clementinespar/requests/model.py
+++ b/clementinespar/requests/model.py
@@ -145,6 +145,10 @@
 class TargetDirectory(Protocol):
     """Targets that may receive new work."""
 
+    def lent_targets_of(self, service: str) -> Sequence[Target]:
+        """Return targets of the pool that the service borrows from, as `targets_of`."""
+        ...
+
     def targets_of(self, service: str) -> Sequence[Target]:
         """Return the service's targets that are neither out nor leaving."""
         ...
--- a/clementinespar/requests/slots.py
+++ b/clementinespar/requests/slots.py
@@ -24,6 +24,7 @@
     is_long: bool = False  # of the long class, or has outlived the short one
     team: str | None = None
     is_released: bool = False
+    is_borrowed: bool = False  # by a service of another pool
 
 
 @dataclasses.dataclass(slots=True)
@@ -54,11 +55,21 @@
         """Slots that new work may use."""
         return max(0, self.slots - self.in_use) if self.is_read else 0
 
+    @property
+    def borrowed(self) -> int:
+        """Slots in use by services of other pools."""
+        return sum(use.is_borrowed for use in self.uses.values())
+
     def acquire(
-        self, request_id: str, is_long: bool, team: str | None, now: float
+        self,
+        request_id: str,
+        is_long: bool,
+        team: str | None,
+        now: float,
+        is_borrowed: bool = False,
     ) -> SlotUse:
         """Take a slot for an attempt."""
-        use = SlotUse(request_id, now, is_long, team)
+        use = SlotUse(request_id, now, is_long, team, is_borrowed=is_borrowed)
         self.uses[id(use)] = use
         self.last_used_at = now
         self.seen_during_read += 1
--- a/clementinespar/requests/target_pool.py
+++ b/clementinespar/requests/target_pool.py
@@ -1,7 +1,8 @@
 """Targets of the owned services, with the exact count of their slots."""
 
 import asyncio
-from collections.abc import Callable, Coroutine, Iterable
+import dataclasses
+from collections.abc import Callable, Coroutine, Iterable, Sequence
 from typing import Any
 
 from clementinespar.documents import model as document_model
@@ -13,7 +14,28 @@
 LEAVING_WATCH_INTERVAL_S = 2.0
 LEAVING_WATCH_S = 1800.0  # a host that is gone for longer starts as a new one
 
-PoolMember = tuple[model.Target, slots.TargetSlots]
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolMember:
+    """A target that may receive work of a service."""
+
+    target: model.Target
+    slots: slots.TargetSlots  # shared by all services that may use the target
+    lend_limit: int | None = (
+        None  # most borrowed slots; None for the service's own pool
+    )
+
+    @property
+    def is_lent(self) -> bool:
+        """Whether the target belongs to the pool that the service borrows from."""
+        return self.lend_limit is not None
+
+    @property
+    def free(self) -> int:
+        """Slots that the service may take now."""
+        if self.lend_limit is None:
+            return self.slots.free
+        return max(0, min(self.slots.free, self.lend_limit - self.slots.borrowed))
 
 
 class TargetPool:
@@ -26,14 +48,14 @@
     transport : model.TargetTransport
         Reads the targets' own status.
     on_slots : callable
-        Called with the name of a service whose targets may have free slots.
+        Called when targets may have free slots.
     """
 
     slots_by_host_id: dict[str, slots.TargetSlots]
     _directory: model.TargetDirectory
     _transport: model.TargetTransport
-    _on_slots: Callable[[str], None]
-    _host_ids_by_service: dict[str, set[str]]  # members at the last look
+    _on_slots: Callable[[], None]
+    _host_ids_by_use: dict[str, set[str]]  # targets of a service at the last look
     _leaving_host_ids: set[str]  # targets whose statement to leave is being watched
     _tasks: set[asyncio.Task[Any]]  # background tasks, kept so that they run on
 
@@ -41,13 +63,13 @@
         self,
         directory: model.TargetDirectory,
         transport: model.TargetTransport,
-        on_slots: Callable[[str], None],
+        on_slots: Callable[[], None],
     ) -> None:
         self.slots_by_host_id = {}
         self._directory = directory
         self._transport = transport
         self._on_slots = on_slots
-        self._host_ids_by_service = {}
+        self._host_ids_by_use = {}
         self._leaving_host_ids = set()
         self._tasks = set()
 
@@ -59,11 +81,48 @@
         A target has no free slot until its status was read once.
         """
         targets = self._directory.targets_of(service)
+        return [
+            PoolMember(target, target_slots)
+            for target, target_slots in self._known(
+                service, service, targets, declared, now
+            )
+        ]
+
+    def lent_members(
+        self, service: str, document: document_model.Document, now: float
+    ) -> list[PoolMember]:
+        """Return the targets of the pool that a service borrows from."""
+        pool = document.lent_pool(service)
+        if pool is None:
+            return []
+        # The lender's own declaration counts for its targets.
+        declared = next(
+            (other for other in document.services.values() if other.pool == pool),
+            document.services[service],
+        )
+        targets = self._directory.lent_targets_of(service)
+        lend_share = document.pools[pool].lend_share
+        return [
+            PoolMember(target, target_slots, int(target_slots.slots * lend_share))
+            for target, target_slots in self._known(
+                service, f"{service} borrows", targets, declared, now
+            )
+        ]
+
+    def _known(
+        self,
+        service: str,
+        use: str,
+        targets: Sequence[model.Target],
+        declared: document_model.Service,
+        now: float,
+    ) -> list[tuple[model.Target, slots.TargetSlots]]:
+        """Return the slots of targets; reads their status where needed."""
         host_ids = {target.host_id for target in targets}
         # Slots are read again when a target returns: it may have rebooted.
-        self.forget_slots(self._host_ids_by_service.get(service, set()) - host_ids)
-        self._host_ids_by_service[service] = host_ids
-        members = []
+        self.forget_slots(self._host_ids_by_use.get(use, set()) - host_ids)
+        self._host_ids_by_use[use] = host_ids
+        known = []
         for target in targets:
             target_slots = self.slots_by_host_id.get(target.host_id)
             if target_slots is None:
@@ -83,8 +142,8 @@
             ):
                 target_slots.begin_read(now)
                 self._spawn(self._read_status(service, target, target_slots))
-            members.append((target, target_slots))
-        return members
+            known.append((target, target_slots))
+        return known
 
     def forget_slots(self, host_ids: Iterable[str]) -> None:
         """Use targets again only after their busy slots were read."""
@@ -120,7 +179,7 @@
         target_slots.reported_slots = max(1, status.slots)
         target_slots.finish_read(status.busy_slots, certain, loop.time(), is_first)
         target_slots.is_read = True
-        self._on_slots(service)
+        self._on_slots()
 
     async def _watch_leaving(self, target: model.Target, service: str) -> None:
         """Ask a leaving target until it has rebooted.
@@ -133,7 +192,10 @@
         try:
             while loop.time() < ends_at:
                 await asyncio.sleep(LEAVING_WATCH_INTERVAL_S)
-                listed = self._directory.targets_of(service)
+                listed = {
+                    *self._directory.targets_of(service),
+                    *self._directory.lent_targets_of(service),
+                }
                 if any(other.host_id == target.host_id for other in listed):
                     return
                 status = await self._transport.status(target, STATUS_TIMEOUT_S)
--- a/clementinespar/requests/targets.py
+++ b/clementinespar/requests/targets.py
@@ -48,13 +48,24 @@
 
     def targets_of(self, service: str) -> Sequence[model.Target]:
         """Return the service's targets that are neither out nor leaving."""
+        document = self._source.state.documents.production
+        if document is None or service not in document.services:
+            return ()
+        return self._targets_in(document.services[service].pool)
+
+    def lent_targets_of(self, service: str) -> Sequence[model.Target]:
+        """Return targets of the pool that the service borrows from."""
+        document = self._source.state.documents.production
+        pool = None if document is None else document.lent_pool(service)
+        return () if pool is None else self._targets_in(pool)
+
+    def _targets_in(self, pool: str) -> Sequence[model.Target]:
         state = self._source.state
-        document = state.documents.production
         host_list = self._host_list.latest
-        if document is None or host_list is None or service not in document.services:
+        if host_list is None:
             return ()
         targets = []
-        for host in state.pools.hosts_of(document.services[service].pool):
+        for host in state.pools.hosts_of(pool):
             listed = host_list.hosts_by_id.get(host.host_id)
             mark = self._marks_by_host_id.get(host.host_id)
             if not host.is_available or listed is None or listed.condition != "live":
--- a/clementinespar/requests/tests/helpers.py
+++ b/clementinespar/requests/tests/helpers.py
@@ -78,6 +78,10 @@
             if host_id not in self.leaving
         ]
 
+    def lent_targets_of(self, service: str) -> Sequence[model.Target]:
+        """Return nothing: the pool borrows from no other."""
+        return []
+
     def mark_leaving(self, target: model.Target) -> None:
         """Exclude a target."""
         self.leaving.add(target.host_id)
--- a/clementinespar/tests/node_fleet.py
+++ b/clementinespar/tests/node_fleet.py
@@ -19,22 +19,25 @@
 DOCUMENT: dict[str, Any] = {
     "user": "test",
     "hosts": {
-        "h1": {"data_centre": "dc1", "rack": "r1"},
-        "h2": {"data_centre": "dc2", "rack": "r2"},
+        f"h{i}{side}": {"data_centre": f"dc{side}", "rack": f"r{side}"}
+        for i in range(6)
+        for side in (1, 2)
     },
+    # A pool for each service: services of one pool have the same owner.
     "pools": {
-        "p": {
-            "host_ids": ["h1", "h2"],
+        f"p{i}": {
+            "host_ids": [f"h{i}1", f"h{i}2"],
             "budget": {
                 "min_available": 1,
                 "max_out_per_rack": 1,
                 "max_out_per_data_centre": 1,
             },
         }
+        for i in range(6)
     },
     "services": {
         f"service-{i}": {
-            "pool": "p",
+            "pool": f"p{i}",
             "kinds": {"read": {"repeatable": True}, "order": {"repeatable": False}},
         }
         for i in range(6)
@@ -52,7 +55,7 @@
 
 
 class Fleet:
-    """Stand-ins of the log, the platform and two targets, and the nodes on them."""
+    """Stand-ins of the log, the platform and targets, and the nodes on them."""
 
     log: fake_log.FakeLog
     targets: list[target.TargetState]
@@ -69,13 +72,15 @@
             self._log_port = stack.enter_context(
                 log_service.serving(self.log, "127.0.0.1", 0)
             )
-            self.targets = [target.TargetState(host_id) for host_id in ("h1", "h2")]
+            self.targets = [
+                target.TargetState(host_id) for host_id in DOCUMENT["hosts"]
+            ]
             seeds = [
                 fake_platform.HostSeed(
                     state.host_id,
-                    f"dc{state.host_id[1]}",
-                    f"r{state.host_id[1]}",
-                    "p",
+                    f"dc{state.host_id[2]}",
+                    f"r{state.host_id[2]}",
+                    f"p{state.host_id[1]}",
                     port=await stack.enter_async_context(target.serve(state)),
                 )
                 for state in self.targets
--- a/clementinespar/tests/test_node.py
+++ b/clementinespar/tests/test_node.py
@@ -293,11 +293,11 @@
             status, reply = await f.admin(nodes[0], "/v1/status")
             assert status == 200
             assert [peer["name"] for peer in reply["peers"]] == ["n1"]
-            assert [pool["available"] for pool in reply["pools"]] == [2]
+            assert [pool["available"] for pool in reply["pools"]] == [2] * 6
             assert {service["owner"] for service in reply["services"]} <= {"n0", "n1"}
             for path, subject in (
-                ("/v1/hosts/h1", "host h1"),
-                ("/v1/pools/p", "pool p"),
+                ("/v1/hosts/h01", "host h01"),
+                ("/v1/pools/p0", "pool p0"),
                 (f"/v1/requests/{request_id}", f"request {request_id}"),
             ):
                 status, reply = await f.admin(nodes[0], path)
@@ -305,7 +305,7 @@
                 assert reply["subject"].startswith(subject)
                 assert {"state", "waits_for", "because", "code"} <= set(reply)
             for path in (
-                "/v1/waves/p",
+                "/v1/waves/p0",
                 "/v1/plan?environment=trial",
                 "/v1/documents/trial",
                 "/v1/documents/production/history",
