--- a/clementinespar/requests/target_pool.py
+++ b/clementinespar/requests/target_pool.py
@@ -179,7 +179,7 @@
             target_slots.is_reading = False
             target_slots.next_read_at = loop.time() + STATUS_INTERVAL_S
         if status is None:
-            self._on_slots(service)
+            self._on_slots()
             return
         if status.is_leaving:
             self.note_leaving(target, service)
--- a/demo/documents.py
+++ b/demo/documents.py
@@ -95,7 +95,7 @@
     for key, value in values.items():
         if isinstance(value, dict):
             tables[key] = value
-        else:
+        elif value is not None:  # TOML has no null; a key without a value is left out
             # JSON texts, numbers, booleans and lists of these are valid TOML.
             lines.append(f"{json.dumps(key)} = {json.dumps(value)}")
     for key, table in tables.items():
