--- a/clementinespar/claims/tests/test_claimer.py
+++ b/clementinespar/claims/tests/test_claimer.py
@@ -11,38 +11,34 @@
 from clementinespar.tests import log_nodes, paused_clock
 from standins import fake_log
 
+Node = log_nodes.LogNode
+
 OK = codes.ResultCode.OK
 ALREADY_CLAIMED = codes.ResultCode.ALREADY_CLAIMED
 CLAIM_UNAVAILABLE = codes.ResultCode.CLAIM_UNAVAILABLE
 
 
-def make_claimer(node: log_nodes.LogNode) -> claims_claimer.Claimer:
+def make_claimer(node: Node) -> claims_claimer.Claimer:
     return claims_claimer.Claimer(node.appender, node.follower, node.name)
 
 
-def holders(node: log_nodes.LogNode) -> list[str]:
+def holders(node: Node) -> list[str]:
     return list(node.follower.state.claims.claims_by_request_id)
 
 
-def test_one_of_many_concurrent_claims_wins() -> None:
+@log_nodes.with_nodes("node-a", "node-b")
+async def test_one_of_many_concurrent_claims_wins(node_a: Node, node_b: Node) -> None:
     # Guards against a request that runs on two nodes, or twice on one.
-    async def main() -> None:
-        log = fake_log.FakeLog()
-        async with (
-            log_nodes.running_node(log, "node-a") as node_a,
-            log_nodes.running_node(log, "node-b") as node_b,
-        ):
-            claimers = [make_claimer(node_a), make_claimer(node_b)]
-            ids = [identifiers.new_id(log.now_ms()) for _ in range(100)]
-            results = await asyncio.gather(
-                *(c.claim(i, 5.0) for i in ids for c in (*claimers, *claimers))
-            )
-            for start in range(0, 400, 4):
-                assert results[start : start + 4].count(OK) == 1
-                assert results[start : start + 4].count(ALREADY_CLAIMED) == 3
-            assert log.append_count <= 4, "claims share appends"
-
-    paused_clock.run(main())
+    log = node_a.log
+    claimers = [make_claimer(node_a), make_claimer(node_b)]
+    ids = [identifiers.new_id(log.now_ms()) for _ in range(100)]
+    results = await asyncio.gather(
+        *(c.claim(i, 5.0) for i in ids for c in (*claimers, *claimers))
+    )
+    for start in range(0, 400, 4):
+        assert results[start : start + 4].count(OK) == 1
+        assert results[start : start + 4].count(ALREADY_CLAIMED) == 3
+    assert log.append_count <= 4, "claims share appends"
 
 
 @pytest.mark.parametrize(
@@ -57,22 +53,19 @@
         ("-" + "x" * 200, 0, codes.ResultCode.REQUEST_INVALID),
     ],
 )
-def test_ids_that_cannot_be_claimed(
-    request_id: str, age_ms: int | None, code: codes.ResultCode
+@log_nodes.with_nodes("node-a")
+async def test_ids_that_cannot_be_claimed(
+    node: Node, request_id: str, age_ms: int | None, code: codes.ResultCode
 ) -> None:
     # Guards against a bad id that fails the whole batch or runs without a claim.
-    async def main() -> None:
-        log = fake_log.FakeLog()
-        async with log_nodes.running_node(log) as node:
-            claimer = make_claimer(node)
-            head = "" if age_ms is None else str(log.now_ms() - age_ms)
-            results = await asyncio.gather(
-                claimer.claim(head + request_id, 5.0),
-                claimer.claim(identifiers.new_id(log.now_ms()), 5.0),
-            )
-            assert list(results) == [code, OK]
-
-    paused_clock.run(main())
+    log = node.log
+    claimer = make_claimer(node)
+    head = "" if age_ms is None else str(log.now_ms() - age_ms)
+    results = await asyncio.gather(
+        claimer.claim(head + request_id, 5.0),
+        claimer.claim(identifiers.new_id(log.now_ms()), 5.0),
+    )
+    assert list(results) == [code, OK]
 
 
 @pytest.mark.parametrize(
@@ -89,30 +82,24 @@
         (fake_log.Faults(lose_replies=1, late_ms=20_000.0, down=False), None),
     ],
 )
-def test_claim_under_faults(
-    faults: fake_log.Faults, code: codes.ResultCode | None
+@log_nodes.with_nodes("node-a", "node-b")
+async def test_claim_under_faults(
+    node_a: Node, node_b: Node, faults: fake_log.Faults, code: codes.ResultCode | None
 ) -> None:
     # Guards against a claim that counts as won without the fold, and against one that
     # wins late and blocks its request although the request did not run.
-    async def main() -> None:
-        log = fake_log.FakeLog()
-        async with (
-            log_nodes.running_node(log, "node-a") as node_a,
-            log_nodes.running_node(log, "node-b") as node_b,
-        ):
-            claimer_a, claimer_b = make_claimer(node_a), make_claimer(node_b)
-            await claimer_a.claim(identifiers.new_id(log.now_ms()), 5.0)
-            request_id = identifiers.new_id(log.now_ms())
-            log.faults = faults
-            result = await claimer_a.claim(request_id, 5.0)
-            assert result == code or code is None
-            log.faults = fake_log.Faults()
-            await asyncio.sleep(60.0)
-            # Node A gave up, so node B gets the request; or A has it for ever.
-            expected = ALREADY_CLAIMED if result == OK else OK
-            assert await claimer_b.claim(request_id, 5.0) == expected
-
-    paused_clock.run(main())
+    log = node_a.log
+    claimer_a, claimer_b = make_claimer(node_a), make_claimer(node_b)
+    await claimer_a.claim(identifiers.new_id(log.now_ms()), 5.0)
+    request_id = identifiers.new_id(log.now_ms())
+    log.faults = faults
+    result = await claimer_a.claim(request_id, 5.0)
+    assert result == code or code is None
+    log.faults = fake_log.Faults()
+    await asyncio.sleep(60.0)
+    # Node A gave up, so node B gets the request; or A has it for ever.
+    expected = ALREADY_CLAIMED if result == OK else OK
+    assert await claimer_b.claim(request_id, 5.0) == expected
 
 
 def test_cancelled_and_late_claims_are_released() -> None:
@@ -167,74 +154,65 @@
     paused_clock.run(main())
 
 
-def test_released_request_can_be_claimed_again() -> None:
+@log_nodes.with_nodes("node-a", "node-b")
+async def test_released_request_can_be_claimed_again(
+    node_a: Node, node_b: Node
+) -> None:
     # Guards against a retry of a request that certainly did not run and that is
     # answered as unknown.
-    async def main() -> None:
-        log = fake_log.FakeLog()
-        async with (
-            log_nodes.running_node(log, "node-a") as node_a,
-            log_nodes.running_node(log, "node-b") as node_b,
-        ):
-            claimer_a, claimer_b = make_claimer(node_a), make_claimer(node_b)
-            request_id = identifiers.new_id(log.now_ms())
-            assert await claimer_a.claim(request_id, 5.0) == OK
-            await claimer_b.release(request_id)  # not its own: no effect
-            await claimer_b.finish(5.0)
-            assert await claimer_b.claim(request_id, 5.0) == ALREADY_CLAIMED
-            await claimer_a.release(request_id)
-            assert await claimer_a.claim(request_id, 5.0) == OK
-            await claimer_a.release(request_id)
-            await claimer_a.release(request_id)
-            await claimer_a.finish(5.0)
-            assert await claimer_b.claim(request_id, 5.0) == OK
-
-    paused_clock.run(main())
-
-
-def test_restarted_node_does_not_release_claims_of_its_predecessor() -> None:
+    log = node_a.log
+    claimer_a, claimer_b = make_claimer(node_a), make_claimer(node_b)
+    request_id = identifiers.new_id(log.now_ms())
+    assert await claimer_a.claim(request_id, 5.0) == OK
+    await claimer_b.release(request_id)  # not its own: no effect
+    await claimer_b.finish(5.0)
+    assert await claimer_b.claim(request_id, 5.0) == ALREADY_CLAIMED
+    await claimer_a.release(request_id)
+    assert await claimer_a.claim(request_id, 5.0) == OK
+    await claimer_a.release(request_id)
+    await claimer_a.release(request_id)
+    await claimer_a.finish(5.0)
+    assert await claimer_b.claim(request_id, 5.0) == OK
+
+
+@log_nodes.with_nodes("node-a")
+async def test_restarted_node_does_not_release_claims_of_its_predecessor(
+    node: Node,
+) -> None:
     # Guards against a second run of a request that a killed process had dispatched.
-    async def main() -> None:
-        log = fake_log.FakeLog()
-        async with log_nodes.running_node(log, "node-a") as node:
-            request_id = identifiers.new_id(log.now_ms())
-            assert await make_claimer(node).claim(request_id, 5.0) == OK
-            successor = make_claimer(node)
-            assert await successor.claim(request_id, 5.0) == ALREADY_CLAIMED
-            await successor.release(request_id)
-            await successor.finish(5.0)
-            assert holders(node) == [request_id]
-
-    paused_clock.run(main())
+    log = node.log
+    request_id = identifiers.new_id(log.now_ms())
+    assert await make_claimer(node).claim(request_id, 5.0) == OK
+    successor = make_claimer(node)
+    assert await successor.claim(request_id, 5.0) == ALREADY_CLAIMED
+    await successor.release(request_id)
+    await successor.finish(5.0)
+    assert holders(node) == [request_id]
 
 
 @pytest.mark.parametrize("pause_s", [1.0, 100.0, 700.0, 2_000.0])
-def test_claim_of_a_node_that_sees_its_result_late(pause_s: float) -> None:
+@log_nodes.with_nodes("node-a", "node-b")
+async def test_claim_of_a_node_that_sees_its_result_late(
+    node_a: Node, node_b: Node, pause_s: float
+) -> None:
     # Guards against a second winner while the first has not yet seen that it won. The
     # first may still win however late, because its claim is never given to another.
-    async def main() -> None:
-        log = fake_log.FakeLog()
-        async with (
-            log_nodes.running_node(log, "node-a") as node_a,
-            log_nodes.running_node(log, "node-b") as node_b,
-        ):
-            claimer_a, claimer_b = make_claimer(node_a), make_claimer(node_b)
-            request_id = identifiers.new_id(log.now_ms())
-            await node_a.appender.append(node_a.duty_record("first"), 5.0)
-            log.faults = fake_log.Faults(lose_replies=1, late_ms=100.0)
-            claim = asyncio.create_task(claimer_a.claim(request_id, 5_000.0))
-            while log.faults.lose_replies:
-                await asyncio.sleep(0.001)
-            node_a.access.faults.down = True
-            await asyncio.sleep(pause_s)
-            await node_b.appender.append(node_b.duty_record("log moves on"), 5.0)
-            assert await claimer_b.claim(request_id, 5.0) != OK
-            node_a.access.faults.down = False
-            # Claim and result are forgotten once the log has moved on by 660 s.
-            expected = CLAIM_UNAVAILABLE if pause_s > 660.0 else OK
-            assert await claim == expected
-
-    paused_clock.run(main())
+    log = node_a.log
+    claimer_a, claimer_b = make_claimer(node_a), make_claimer(node_b)
+    request_id = identifiers.new_id(log.now_ms())
+    await node_a.appender.append(node_a.duty_record("first"), 5.0)
+    log.faults = fake_log.Faults(lose_replies=1, late_ms=100.0)
+    claim = asyncio.create_task(claimer_a.claim(request_id, 5_000.0))
+    while log.faults.lose_replies:
+        await asyncio.sleep(0.001)
+    node_a.access.faults.down = True
+    await asyncio.sleep(pause_s)
+    await node_b.appender.append(node_b.duty_record("log moves on"), 5.0)
+    assert await claimer_b.claim(request_id, 5.0) != OK
+    node_a.access.faults.down = False
+    # Claim and result are forgotten once the log has moved on by 660 s.
+    expected = CLAIM_UNAVAILABLE if pause_s > 660.0 else OK
+    assert await claim == expected
 
 
 def test_nodes_share_a_log_that_refuses_appends() -> None:
@@ -274,15 +252,12 @@
     paused_clock.run(main())
 
 
-def test_memory_of_won_claims_is_bounded() -> None:
+@log_nodes.with_nodes("node-a")
+async def test_memory_of_won_claims_is_bounded(node: Node) -> None:
     # Guards against a node that remembers every claim it ever won.
-    async def main() -> None:
-        log = fake_log.FakeLog()
-        async with log_nodes.running_node(log) as node:
-            claimer = make_claimer(node)
-            for _ in range(20):
-                assert await claimer.claim(identifiers.new_id(log.now_ms()), 5.0) == OK
-                await asyncio.sleep(100.0)
-            assert len(claimer._won_by_request_id) <= 8
-
-    paused_clock.run(main())
+    log = node.log
+    claimer = make_claimer(node)
+    for _ in range(20):
+        assert await claimer.claim(identifiers.new_id(log.now_ms()), 5.0) == OK
+        await asyncio.sleep(100.0)
+    assert len(claimer._won_by_request_id) <= 8
--- a/clementinespar/duties/tests/test_holder.py
+++ b/clementinespar/duties/tests/test_holder.py
@@ -8,40 +8,38 @@
 from clementinespar.tests import log_nodes, paused_clock
 from standins import fake_log
 
+Node = log_nodes.LogNode
+
 _LEASE_MS = 10_000
 
 
-def make_holder(node: log_nodes.LogNode) -> duties_holder.DutyHolder:
+def make_holder(node: Node) -> duties_holder.DutyHolder:
     return duties_holder.DutyHolder(
         "waves", node.appender, node.follower, node.name, _LEASE_MS
     )
 
 
-def test_one_node_holds_and_another_follows_after_release() -> None:
+@log_nodes.with_nodes("node-a", "node-b")
+async def test_one_node_holds_and_another_follows_after_release(
+    node_a: Node, node_b: Node
+) -> None:
     # Guards against two planners at once, and against a duty that stays blocked for a
     # whole lease after a planned stop.
-    async def main() -> None:
-        log = fake_log.FakeLog()
-        async with (
-            log_nodes.running_node(log, "node-a") as node_a,
-            log_nodes.running_node(log, "node-b") as node_b,
-        ):
-            holder_a, holder_b = make_holder(node_a), make_holder(node_b)
-            assert not holder_a.is_held
-            async with holder_b.running():
-                async with holder_a.running():
-                    for _ in range(1_000):
-                        await asyncio.sleep(0.1)
-                        assert holder_a.is_held != holder_b.is_held
-                    first = holder_a if holder_a.is_held else holder_b
-                    assert first.fencing_offset == 0, "renewals keep the token"
-                    # 100 s of renewals at half the lease, and claims of the other.
-                    assert log.append_count <= 45
-                assert not holder_a.is_held
-                await asyncio.sleep(_LEASE_MS / 1000 * 1.2)
-                assert holder_b.is_held
-
-    paused_clock.run(main())
+    log = node_a.log
+    holder_a, holder_b = make_holder(node_a), make_holder(node_b)
+    assert not holder_a.is_held
+    async with holder_b.running():
+        async with holder_a.running():
+            for _ in range(1_000):
+                await asyncio.sleep(0.1)
+                assert holder_a.is_held != holder_b.is_held
+            first = holder_a if holder_a.is_held else holder_b
+            assert first.fencing_offset == 0, "renewals keep the token"
+            # 100 s of renewals at half the lease, and claims of the other.
+            assert log.append_count <= 45
+        assert not holder_a.is_held
+        await asyncio.sleep(_LEASE_MS / 1000 * 1.2)
+        assert holder_b.is_held
 
 
 @pytest.mark.parametrize(
@@ -56,76 +54,62 @@
         ),
     ],
 )
-def test_holder_that_is_cut_off_stops_before_another_starts(
-    faults: fake_log.Faults,
+@log_nodes.with_nodes("node-a", "node-b")
+async def test_holder_that_is_cut_off_stops_before_another_starts(
+    node_a: Node, node_b: Node, faults: fake_log.Faults
 ) -> None:
     # Guards against a holder that goes on after its lease because it sees no records.
-    async def main() -> None:
-        log = fake_log.FakeLog()
-        async with (
-            log_nodes.running_node(log, "node-a") as node_a,
-            log_nodes.running_node(log, "node-b") as node_b,
-        ):
-            holder_a, holder_b = make_holder(node_a), make_holder(node_b)
-            async with holder_a.running():
-                await asyncio.sleep(1.0)
-                assert holder_a.is_held
-                async with holder_b.running():
-                    await asyncio.sleep(1.0)
-                    node_a.access.faults = faults
-                    was_taken_over = False
-                    for _ in range(1_000):
-                        await asyncio.sleep(0.1)
-                        assert not (holder_a.is_held and holder_b.is_held)
-                        was_taken_over = was_taken_over or holder_b.is_held
-                    assert was_taken_over
-                    node_a.access.faults = fake_log.Faults()
-                    await asyncio.sleep(60.0)
-                    assert holder_a.is_held != holder_b.is_held
-
-    paused_clock.run(main())
-
-
-def test_holder_that_sleeps_over_its_lease() -> None:
+    holder_a, holder_b = make_holder(node_a), make_holder(node_b)
+    async with holder_a.running():
+        await asyncio.sleep(1.0)
+        assert holder_a.is_held
+        async with holder_b.running():
+            await asyncio.sleep(1.0)
+            node_a.access.faults = faults
+            was_taken_over = False
+            for _ in range(1_000):
+                await asyncio.sleep(0.1)
+                assert not (holder_a.is_held and holder_b.is_held)
+                was_taken_over = was_taken_over or holder_b.is_held
+            assert was_taken_over
+            node_a.access.faults = fake_log.Faults()
+            await asyncio.sleep(60.0)
+            assert holder_a.is_held != holder_b.is_held
+
+
+@log_nodes.with_nodes("node-a")
+async def test_holder_that_sleeps_over_its_lease(node: Node) -> None:
     # Guards against a process that was paused and acts before it has read anything.
-    async def main() -> None:
-        log = fake_log.FakeLog()
-        async with log_nodes.running_node(log, "node-a") as node:
-            holder = make_holder(node)
-            async with holder.running():
-                await asyncio.sleep(1.0)
-                assert holder.is_held
-                loop = asyncio.get_running_loop()
-                assert isinstance(loop, paused_clock.PausedClockLoop)
-                # No callback runs between the jump of the clock and the check.
-                loop._jumping_selector.jumped_s += _LEASE_MS / 1000
-                assert not holder.is_held
-
-    paused_clock.run(main())
-
-
-def test_lease_is_counted_from_before_the_claim_was_sent() -> None:
+    holder = make_holder(node)
+    async with holder.running():
+        await asyncio.sleep(1.0)
+        assert holder.is_held
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, paused_clock.PausedClockLoop)
+        # No callback runs between the jump of the clock and the check.
+        loop._jumping_selector.jumped_s += _LEASE_MS / 1000
+        assert not holder.is_held
+
+
+@log_nodes.with_nodes("node-a")
+async def test_lease_is_counted_from_before_the_claim_was_sent(node: Node) -> None:
     # Guards against a holder whose lease lasts longer because it saw its claim late.
-    async def main() -> None:
-        log = fake_log.FakeLog()
-        async with log_nodes.running_node(log, "node-a") as node:
-            await node.appender.append(node.duty_record("first"), 5.0)
-            holder = make_holder(node)
-            node.access.faults.visible_end = 1  # the claim takes effect unseen
-            loop = asyncio.get_running_loop()
-            async with holder.running():
-                start = loop.time()
-                await asyncio.sleep(4.0)
-                assert log.end_offset == 2
-                node.access.faults = fake_log.Faults()
-                while not holder.is_held:
-                    await asyncio.sleep(0.01)
-                node.access.faults = fake_log.Faults(down=True)
-                while holder.is_held:
-                    await asyncio.sleep(0.01)
-                assert loop.time() <= start + _LEASE_MS / 1000 + 0.02
-
-    paused_clock.run(main())
+    log = node.log
+    await node.appender.append(node.duty_record("first"), 5.0)
+    holder = make_holder(node)
+    node.access.faults.visible_end = 1  # the claim takes effect unseen
+    loop = asyncio.get_running_loop()
+    async with holder.running():
+        start = loop.time()
+        await asyncio.sleep(4.0)
+        assert log.end_offset == 2
+        node.access.faults = fake_log.Faults()
+        while not holder.is_held:
+            await asyncio.sleep(0.01)
+        node.access.faults = fake_log.Faults(down=True)
+        while holder.is_held:
+            await asyncio.sleep(0.01)
+        assert loop.time() <= start + _LEASE_MS / 1000 + 0.02
 
 
 @pytest.mark.parametrize(
@@ -155,17 +139,14 @@
     paused_clock.run(main())
 
 
-def test_stop_during_an_outage_ends() -> None:
+@log_nodes.with_nodes("node-a")
+async def test_stop_during_an_outage_ends(node: Node) -> None:
     # Guards against a planned stop that waits for the log for ever.
-    async def main() -> None:
-        log = fake_log.FakeLog()
-        async with log_nodes.running_node(log, "node-a") as node:
-            holder = make_holder(node)
-            async with holder.running():
-                await asyncio.sleep(1.0)
-                log.faults.silent = True
-                stopped = asyncio.get_running_loop().time()
-            assert not holder.is_held
-            assert asyncio.get_running_loop().time() - stopped <= 2.1
-
-    paused_clock.run(main())
+    log = node.log
+    holder = make_holder(node)
+    async with holder.running():
+        await asyncio.sleep(1.0)
+        log.faults.silent = True
+        stopped = asyncio.get_running_loop().time()
+    assert not holder.is_held
+    assert asyncio.get_running_loop().time() - stopped <= 2.1
--- a/clementinespar/fleet/tests/test_snapshot.py
+++ b/clementinespar/fleet/tests/test_snapshot.py
@@ -11,6 +11,8 @@
 from clementinespar.tests import log_nodes, paused_clock
 from standins import fake_log
 
+Node = log_nodes.LogNode
+
 _START_MS = 1_700_000_000_000
 
 
@@ -150,22 +152,17 @@
     paused_clock.run(main())
 
 
-def test_publisher_goes_on_after_an_outage() -> None:
+@log_nodes.with_nodes("node-a")
+async def test_publisher_goes_on_after_an_outage(node: Node) -> None:
     # Guards against a publisher that ends at its first failure.
-    async def main() -> None:
-        log = fake_log.FakeLog()
-        async with log_nodes.running_node(log) as node:
-            await node.appender.append(node.duty_record("waves"), 5.0)
-            publisher = snapshot.SnapshotPublisher(
-                node.follower, node.appender, 300.0, 30
-            )
-            log.faults.down = True
-            with pytest.raises(errors.LogUnavailableError):
-                await publisher.publish()
-            async with publisher.running():
-                await asyncio.sleep(100.0)
-                log.faults.down = False
-                await asyncio.sleep(60.0)
-                assert node.follower.state.snapshots.as_of_offset == 0
-
-    paused_clock.run(main())
+    log = node.log
+    await node.appender.append(node.duty_record("waves"), 5.0)
+    publisher = snapshot.SnapshotPublisher(node.follower, node.appender, 300.0, 30)
+    log.faults.down = True
+    with pytest.raises(errors.LogUnavailableError):
+        await publisher.publish()
+    async with publisher.running():
+        await asyncio.sleep(100.0)
+        log.faults.down = False
+        await asyncio.sleep(60.0)
+        assert node.follower.state.snapshots.as_of_offset == 0
--- a/clementinespar/log/tests/test_appender.py
+++ b/clementinespar/log/tests/test_appender.py
@@ -12,8 +12,10 @@
 from clementinespar.tests import log_nodes, paused_clock
 from standins import fake_log
 
+Node = log_nodes.LogNode
 
-def count_applied(node: log_nodes.LogNode, applied: list[codes.ResultCode]) -> None:
+
+def count_applied(node: Node, applied: list[codes.ResultCode]) -> None:
     node.follower.add_listener(lambda entry, code: applied.append(code))
 
 
@@ -32,22 +34,21 @@
         ),
     ],
 )
-def test_record_applies_once(faults: fake_log.Faults, entries: int) -> None:
+@log_nodes.with_nodes("node-a")
+async def test_record_applies_once(
+    node: Node, faults: fake_log.Faults, entries: int
+) -> None:
     # Guards against a record that applies twice, or never, after a lost reply.
-    async def main() -> None:
-        log = fake_log.FakeLog()
-        async with log_nodes.running_node(log) as node:
-            applied: list[codes.ResultCode] = []
-            count_applied(node, applied)
-            node.access.faults = faults
-            result = await node.appender.append(node.duty_record("waves"), 10.0)
-            await asyncio.sleep(10.0)
-            assert result.code == codes.ResultCode.OK
-            assert log.end_offset == entries
-            assert applied.count(codes.ResultCode.OK) == 1
-            assert applied.count(codes.ResultCode.RECORD_DUPLICATE) == entries - 1
-
-    paused_clock.run(main())
+    log = node.log
+    applied: list[codes.ResultCode] = []
+    count_applied(node, applied)
+    node.access.faults = faults
+    result = await node.appender.append(node.duty_record("waves"), 10.0)
+    await asyncio.sleep(10.0)
+    assert result.code == codes.ResultCode.OK
+    assert log.end_offset == entries
+    assert applied.count(codes.ResultCode.OK) == 1
+    assert applied.count(codes.ResultCode.RECORD_DUPLICATE) == entries - 1
 
 
 def test_lost_reply_is_read_back_before_the_record_is_sent_again() -> None:
@@ -59,7 +60,7 @@
         appender = log_appender.Appender(
             log, follower, "node-a", 0.005, wall_ms=log.now_ms
         )
-        node = log_nodes.LogNode("node-a", fake_log.LogAccess(log), follower, appender)
+        node = Node("node-a", fake_log.LogAccess(log), follower, appender)
         log.faults.lose_replies = 1
         result = await appender.append(node.duty_record("waves"), 5.0)
         assert result.code == codes.ResultCode.OK
@@ -83,114 +84,89 @@
         ),
     ],
 )
-def test_failure_says_whether_the_record_may_apply(
-    faults: fake_log.Faults, expected: type[errors.ClementinesparError]
+@log_nodes.with_nodes("node-a")
+async def test_failure_says_whether_the_record_may_apply(
+    node: Node, faults: fake_log.Faults, expected: type[errors.ClementinesparError]
 ) -> None:
     # Guards against a record that is reported as not applied and applies later.
-    async def main() -> None:
-        log = fake_log.FakeLog()
-        async with log_nodes.running_node(log) as node:
-            node.access.faults = faults
-            with pytest.raises(expected):
-                await node.appender.append(node.duty_record("waves"), 3.0)
-            node.access.faults = fake_log.Faults()
-            await asyncio.sleep(100.0)
-            is_applied = log.end_offset > 0
-            assert not (is_applied and expected is errors.LogUnavailableError)
-
-    paused_clock.run(main())
-
-
-def test_refusal_after_a_lost_reply_leaves_the_outcome_open() -> None:
+    log = node.log
+    node.access.faults = faults
+    with pytest.raises(expected):
+        await node.appender.append(node.duty_record("waves"), 3.0)
+    node.access.faults = fake_log.Faults()
+    await asyncio.sleep(100.0)
+    is_applied = log.end_offset > 0
+    assert not (is_applied and expected is errors.LogUnavailableError)
+
+
+@log_nodes.with_nodes("node-a")
+async def test_refusal_after_a_lost_reply_leaves_the_outcome_open(node: Node) -> None:
     # Guards against a later certain refusal that hides an earlier uncertain append.
-    async def main() -> None:
-        log = fake_log.FakeLog()
-        async with log_nodes.running_node(log) as node:
-            node.access.faults = fake_log.Faults(lose_replies=1, late_ms=8_000.0)
-            append = asyncio.create_task(
-                node.appender.append(node.duty_record("waves"), 5.0)
-            )
-            await asyncio.sleep(0.01)
-            node.access.faults = fake_log.Faults(down=True)
-            with pytest.raises(errors.LogReplyLostError):
-                await append
-
-    paused_clock.run(main())
+    node.access.faults = fake_log.Faults(lose_replies=1, late_ms=8_000.0)
+    append = asyncio.create_task(node.appender.append(node.duty_record("waves"), 5.0))
+    await asyncio.sleep(0.01)
+    node.access.faults = fake_log.Faults(down=True)
+    with pytest.raises(errors.LogReplyLostError):
+        await append
 
 
-def test_append_survives_a_short_outage() -> None:
+@log_nodes.with_nodes("node-a")
+async def test_append_survives_a_short_outage(node: Node) -> None:
     # Guards against giving up while the deadline still allows another attempt.
-    async def main() -> None:
-        log = fake_log.FakeLog()
-        async with log_nodes.running_node(log) as node:
-            log.faults.down = True
-            append = asyncio.create_task(
-                node.appender.append(node.duty_record("waves"), 10.0)
-            )
-            await asyncio.sleep(5.0)
-            log.faults.down = False
-            assert (await append).code == codes.ResultCode.OK
-
-    paused_clock.run(main())
+    log = node.log
+    log.faults.down = True
+    append = asyncio.create_task(node.appender.append(node.duty_record("waves"), 10.0))
+    await asyncio.sleep(5.0)
+    log.faults.down = False
+    assert (await append).code == codes.ResultCode.OK
 
 
-def test_concurrent_records_share_appends() -> None:
+@log_nodes.with_nodes("node-a")
+async def test_concurrent_records_share_appends(node: Node) -> None:
     # Guards against one append per record, which the log's rate limit refuses.
-    async def main() -> None:
-        log = fake_log.FakeLog(max_appends_per_s=3)
-        async with log_nodes.running_node(log) as node:
-            results = await asyncio.gather(
-                *(
-                    node.appender.append(node.duty_record(f"duty-{i}"), 20.0)
-                    for i in range(1000)
-                )
-            )
-            assert {result.code for result in results} == {codes.ResultCode.OK}
-            assert log.append_count == 5
-            assert log.end_offset == 1000
-
-    paused_clock.run(main())
+    log = node.log
+    log.max_appends_per_s = 3
+    results = await asyncio.gather(
+        *(
+            node.appender.append(node.duty_record(f"duty-{i}"), 20.0)
+            for i in range(1000)
+        )
+    )
+    assert {result.code for result in results} == {codes.ResultCode.OK}
+    assert log.append_count == 5
+    assert log.end_offset == 1000
 
 
-def test_silent_call_does_not_hold_up_other_records() -> None:
+@log_nodes.with_nodes("node-a")
+async def test_silent_call_does_not_hold_up_other_records(node: Node) -> None:
     # Guards against a connection that went silent and blocks every claim of the node.
-    async def main() -> None:
-        log = fake_log.FakeLog()
-        async with log_nodes.running_node(log) as node:
-            await node.appender.append(node.duty_record("first"), 1.0)
-            node.access.faults.silent = True
-            stuck = asyncio.create_task(
-                node.appender.append(node.duty_record("stuck"), 60.0)
-            )
-            await asyncio.sleep(0.01)
-            node.access.faults.silent = False
-            result = await node.appender.append(node.duty_record("free"), 1.0)
-            assert result.code == codes.ResultCode.OK
-            assert not stuck.done()
-            stuck.cancel()
-
-    paused_clock.run(main())
-
-
-def test_record_past_the_window_is_not_sent_again() -> None:
+    await node.appender.append(node.duty_record("first"), 1.0)
+    node.access.faults.silent = True
+    stuck = asyncio.create_task(node.appender.append(node.duty_record("stuck"), 60.0))
+    await asyncio.sleep(0.01)
+    node.access.faults.silent = False
+    result = await node.appender.append(node.duty_record("free"), 1.0)
+    assert result.code == codes.ResultCode.OK
+    assert not stuck.done()
+    stuck.cancel()
+
+
+@log_nodes.with_nodes("node-a")
+async def test_record_past_the_window_is_not_sent_again(node: Node) -> None:
     # Guards against a retry whose record id the fold may have forgotten.
-    async def main() -> None:
-        log = fake_log.FakeLog()
-        async with log_nodes.running_node(log) as node:
-            await node.appender.append(node.duty_record("waves"), 5.0)
-            issued_ms = node.appender.now_ms() - fleet_state.DEDUP_WINDOW_MS - 1
-            record = duty_messages.DutyClaimed(
-                record_id=identifiers.new_id(issued_ms),
-                issued_ms=issued_ms,
-                author=node.name,
-                duty="old",
-                lease_ms=1000,
-            )
-            with pytest.raises(errors.LogUnavailableError):
-                await node.appender.append(record, 5.0)
-            assert log.end_offset == 1
-
-    paused_clock.run(main())
+    log = node.log
+    await node.appender.append(node.duty_record("waves"), 5.0)
+    issued_ms = node.appender.now_ms() - fleet_state.DEDUP_WINDOW_MS - 1
+    record = duty_messages.DutyClaimed(
+        record_id=identifiers.new_id(issued_ms),
+        issued_ms=issued_ms,
+        author=node.name,
+        duty="old",
+        lease_ms=1000,
+    )
+    with pytest.raises(errors.LogUnavailableError):
+        await node.appender.append(record, 5.0)
+    assert log.end_offset == 1
 
 
 @pytest.mark.parametrize(
@@ -202,17 +178,13 @@
         (61_000, codes.ResultCode.RECORD_ISSUED_AHEAD),
     ],
 )
-def test_node_with_a_wrong_clock(skew_ms: int, code: codes.ResultCode) -> None:
+@log_nodes.with_nodes("node-a", "node-b")
+async def test_node_with_a_wrong_clock(
+    node_a: Node, node_b: Node, skew_ms: int, code: codes.ResultCode
+) -> None:
     # Guards against a node that is cut off from the log because its clock is behind.
-    async def main() -> None:
-        log = fake_log.FakeLog()
-        async with (
-            log_nodes.running_node(log, "node-a") as node_a,
-            log_nodes.running_node(log, "node-b") as node_b,
-        ):
-            await node_a.appender.append(node_a.duty_record("first"), 5.0)
-            node_b.appender._wall_ms = lambda: log.now_ms() + skew_ms
-            result = await node_b.appender.append(node_b.duty_record("second"), 5.0)
-            assert result.code == code
-
-    paused_clock.run(main())
+    log = node_a.log
+    await node_a.appender.append(node_a.duty_record("first"), 5.0)
+    node_b.appender._wall_ms = lambda: log.now_ms() + skew_ms
+    result = await node_b.appender.append(node_b.duty_record("second"), 5.0)
+    assert result.code == code
--- a/clementinespar/log/tests/test_follower.py
+++ b/clementinespar/log/tests/test_follower.py
@@ -13,14 +13,16 @@
 from clementinespar.tests import log_nodes, paused_clock
 from standins import fake_log
 
+Node = log_nodes.LogNode
 
-async def append_duties(node: log_nodes.LogNode, count: int, prefix: str = "") -> None:
+
+async def append_duties(node: Node, count: int, prefix: str = "") -> None:
     """Append records one by one, so that each has an offset and time of its own."""
     for i in range(count):
         await node.appender.append(node.duty_record(f"{prefix}{i}"), 5.0)
 
 
-async def publish_snapshot(node: log_nodes.LogNode) -> int:
+async def publish_snapshot(node: Node) -> int:
     publisher = fleet_snapshot.SnapshotPublisher(
         node.follower, node.appender, interval_s=300.0, max_entries=1000
     )
@@ -31,27 +33,22 @@
     raise RuntimeError("fault of a listener")
 
 
-def test_listeners_and_waiters_see_entries_in_order() -> None:
+@log_nodes.with_nodes("node-a")
+async def test_listeners_and_waiters_see_entries_in_order(node: Node) -> None:
     # Guards against waiters that are left waiting and listeners that miss entries.
-    async def main() -> None:
-        log = fake_log.FakeLog()
-        async with log_nodes.running_node(log) as node:
-            seen: list[tuple[int, codes.ResultCode]] = []
-            node.follower.add_listener(lambda e, code: seen.append((e.offset, code)))
-            node.follower.add_listener(raise_error)  # must not stop the fold
-            waits = [
-                asyncio.create_task(node.follower.wait_applied(i)) for i in (2, 0, 1)
-            ]
-            log.append_now([b"not a record"])
-            await append_duties(node, 2)
-            await asyncio.gather(*waits)
-            assert seen == [
-                (0, codes.ResultCode.RECORD_INVALID),
-                (1, codes.ResultCode.OK),
-                (2, codes.ResultCode.OK),
-            ]
-
-    paused_clock.run(main())
+    log = node.log
+    seen: list[tuple[int, codes.ResultCode]] = []
+    node.follower.add_listener(lambda e, code: seen.append((e.offset, code)))
+    node.follower.add_listener(raise_error)  # must not stop the fold
+    waits = [asyncio.create_task(node.follower.wait_applied(i)) for i in (2, 0, 1)]
+    log.append_now([b"not a record"])
+    await append_duties(node, 2)
+    await asyncio.gather(*waits)
+    assert seen == [
+        (0, codes.ResultCode.RECORD_INVALID),
+        (1, codes.ResultCode.OK),
+        (2, codes.ResultCode.OK),
+    ]
 
 
 @pytest.mark.parametrize(
@@ -100,93 +97,84 @@
     paused_clock.run(main())
 
 
-def test_node_is_ready_only_after_an_answer() -> None:
+@log_nodes.with_nodes("node-a")
+async def test_node_is_ready_only_after_an_answer(node_a: Node) -> None:
     # Guards against a node that serves from empty memory while others have state.
-    async def main() -> None:
-        log = fake_log.FakeLog()
-        relay = log_nodes.NodeRelay()
-        async with log_nodes.running_node(log, "node-a") as node_a:
-            await append_duties(node_a, 300)
-            log.faults.down = True
-            async with log_nodes.running_node(log, "node-b", relay) as node_b:
-                await asyncio.sleep(10.0)
-                assert not node_b.follower.is_ready
-                assert node_b.follower.state.offset == -1
-                relay.peer = node_a
-                await asyncio.sleep(2.0)
-                assert node_b.follower.is_ready
-                assert node_b.follower.state == node_a.follower.state
-            log.faults.down = False
-            async with log_nodes.running_node(log, "node-c") as node_c:
-                was_ready: list[bool] = []
-                node_c.follower.add_listener(
-                    lambda e, code: was_ready.append(node_c.follower.is_ready)
-                )
-                await node_c.follower.wait_applied(299)
-                assert not any(was_ready)
-                assert node_c.follower.is_ready
-
-    paused_clock.run(main())
+    log = node_a.log
+    relay = log_nodes.NodeRelay()
+    await append_duties(node_a, 300)
+    log.faults.down = True
+    async with log_nodes.running_node(log, "node-b", relay) as node_b:
+        await asyncio.sleep(10.0)
+        assert not node_b.follower.is_ready
+        assert node_b.follower.state.offset == -1
+        relay.peer = node_a
+        await asyncio.sleep(2.0)
+        assert node_b.follower.is_ready
+        assert node_b.follower.state == node_a.follower.state
+    log.faults.down = False
+    async with log_nodes.running_node(log, "node-c") as node_c:
+        was_ready: list[bool] = []
+        node_c.follower.add_listener(
+            lambda e, code: was_ready.append(node_c.follower.is_ready)
+        )
+        await node_c.follower.wait_applied(299)
+        assert not any(was_ready)
+        assert node_c.follower.is_ready
 
 
 @pytest.mark.parametrize(
     "faults", [fake_log.Faults(down=True), fake_log.Faults(slow_ms=60_000.0)]
 )
-def test_ready_after_part_of_the_log_and_a_peer_at_the_same_offset(
-    faults: fake_log.Faults,
+@log_nodes.with_nodes("node-a")
+async def test_ready_after_part_of_the_log_and_a_peer_at_the_same_offset(
+    node_a: Node, faults: fake_log.Faults
 ) -> None:
     # Guards against a node that is never ready because no peer is ahead of it.
-    async def main() -> None:
-        log = fake_log.FakeLog()
-        relay = log_nodes.NodeRelay()
-        async with log_nodes.running_node(log, "node-a") as node_a:
-            await append_duties(node_a, 3)
-            async with log_nodes.running_node(log, "node-b", relay) as node_b:
-                node_b.access.faults = faults
-                for entry in log.entries:
-                    node_b.follower._apply([entry])
-                await asyncio.sleep(3.0)
-                assert not node_b.follower.is_ready
-                relay.peer = node_a
-                await asyncio.sleep(3.0)
-                assert node_b.follower.is_ready
-
-    paused_clock.run(main())
+    log = node_a.log
+    relay = log_nodes.NodeRelay()
+    await append_duties(node_a, 3)
+    async with log_nodes.running_node(log, "node-b", relay) as node_b:
+        node_b.access.faults = faults
+        for entry in log.entries:
+            node_b.follower._apply([entry])
+        await asyncio.sleep(3.0)
+        assert not node_b.follower.is_ready
+        relay.peer = node_a
+        await asyncio.sleep(3.0)
+        assert node_b.follower.is_ready
 
 
 @pytest.mark.parametrize("damage", ["none", "newest damaged", "newest incomplete"])
-def test_start_from_the_newest_sound_snapshot(
-    damage: str, monkeypatch: pytest.MonkeyPatch
+@log_nodes.with_nodes("node-a")
+async def test_start_from_the_newest_sound_snapshot(
+    node_a: Node, damage: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     # Guards against a node that cannot start once the first entries have expired, or
     # that starts from a damaged or incomplete snapshot.
+    log = node_a.log
     monkeypatch.setattr(fleet_snapshot, "_CHUNK_BYTES", 400)
 
-    async def main() -> None:
-        log = fake_log.FakeLog()
-        async with log_nodes.running_node(log, "node-a") as node_a:
-            await append_duties(node_a, 30)
-            as_of_older = await publish_snapshot(node_a)
-            await append_duties(node_a, 30, "more-")
-            before_newest = log.end_offset
-            as_of_newest = await publish_snapshot(node_a)
-            await append_duties(node_a, 5, "last-")
-            log.retention_entries = log.end_offset - as_of_older - 1
-            expected = as_of_newest if damage == "none" else as_of_older
-            if damage == "newest damaged":
-                replace_payload(log, before_newest + 1, damage_chunk)
-            elif damage == "newest incomplete":
-                replace_payload(log, before_newest + 1, lambda payload: b"{}")
-            async with log_nodes.running_node(log, "node-b") as node_b:
-                loaded: list[int] = []
-                node_b.follower.add_listener(lambda e, code: loaded.append(e.offset))
-                await node_b.follower.wait_applied(log.end_offset - 1)
-                assert loaded[0] == expected + 1
-                assert node_b.follower.is_ready
-                if damage == "none":
-                    assert node_b.follower.state == node_a.follower.state
-
-    paused_clock.run(main())
+    await append_duties(node_a, 30)
+    as_of_older = await publish_snapshot(node_a)
+    await append_duties(node_a, 30, "more-")
+    before_newest = log.end_offset
+    as_of_newest = await publish_snapshot(node_a)
+    await append_duties(node_a, 5, "last-")
+    log.retention_entries = log.end_offset - as_of_older - 1
+    expected = as_of_newest if damage == "none" else as_of_older
+    if damage == "newest damaged":
+        replace_payload(log, before_newest + 1, damage_chunk)
+    elif damage == "newest incomplete":
+        replace_payload(log, before_newest + 1, lambda payload: b"{}")
+    async with log_nodes.running_node(log, "node-b") as node_b:
+        loaded: list[int] = []
+        node_b.follower.add_listener(lambda e, code: loaded.append(e.offset))
+        await node_b.follower.wait_applied(log.end_offset - 1)
+        assert loaded[0] == expected + 1
+        assert node_b.follower.is_ready
+        if damage == "none":
+            assert node_b.follower.state == node_a.follower.state
 
 
 def replace_payload(
@@ -208,24 +196,21 @@
     )
 
 
-def test_start_without_any_snapshot_waits_for_a_peer() -> None:
+@log_nodes.with_nodes("node-a")
+async def test_start_without_any_snapshot_waits_for_a_peer(node_a: Node) -> None:
     # Guards against a state that leaves out expired records.
-    async def main() -> None:
-        log = fake_log.FakeLog()
-        relay = log_nodes.NodeRelay()
-        async with log_nodes.running_node(log, "node-a") as node_a:
-            await append_duties(node_a, 30)
-            log.retention_entries = 10
-            async with log_nodes.running_node(log, "node-b", relay) as node_b:
-                await asyncio.sleep(5.0)
-                assert not node_b.follower.is_ready
-                assert node_b.follower.state.offset == -1
-                relay.peer = node_a
-                await append_duties(node_a, 1, "new-")
-                await node_b.follower.wait_applied(30)
-                assert node_b.follower.state == node_a.follower.state
-
-    paused_clock.run(main())
+    log = node_a.log
+    relay = log_nodes.NodeRelay()
+    await append_duties(node_a, 30)
+    log.retention_entries = 10
+    async with log_nodes.running_node(log, "node-b", relay) as node_b:
+        await asyncio.sleep(5.0)
+        assert not node_b.follower.is_ready
+        assert node_b.follower.state.offset == -1
+        relay.peer = node_a
+        await append_duties(node_a, 1, "new-")
+        await node_b.follower.wait_applied(30)
+        assert node_b.follower.state == node_a.follower.state
 
 
 def test_state_moves_only_to_a_higher_offset() -> None:
@@ -254,7 +239,8 @@
     paused_clock.run(main())
 
 
-def test_entries_after_a_gap_are_not_applied() -> None:
+@log_nodes.with_nodes("node-a")
+async def test_entries_after_a_gap_are_not_applied(node_a: Node) -> None:
     # Guards against a state that leaves out an entry which a peer did not send.
     class GapRelay(log_nodes.NodeRelay):
         async def fetch_entries(
@@ -263,71 +249,62 @@
             entries = await super().fetch_entries(from_offset, limit)
             return [*entries[:2], *entries[3:]] if len(entries) > 3 else entries
 
-    async def main() -> None:
-        log = fake_log.FakeLog()
-        async with log_nodes.running_node(log, "node-a") as node_a:
-            await append_duties(node_a, 10)
-            log.faults.down = True
-            relay = GapRelay(node_a)
-            async with log_nodes.running_node(log, "node-b", relay) as node_b:
-                await node_b.follower.wait_applied(9)
-                assert node_b.follower.state == node_a.follower.state
-                assert node_b.follower.recent_entries(0, 99) == log.entries
-
-    paused_clock.run(main())
+    log = node_a.log
+    await append_duties(node_a, 10)
+    log.faults.down = True
+    relay = GapRelay(node_a)
+    async with log_nodes.running_node(log, "node-b", relay) as node_b:
+        await node_b.follower.wait_applied(9)
+        assert node_b.follower.state == node_a.follower.state
+        assert node_b.follower.recent_entries(0, 99) == log.entries
 
 
-def test_long_log_is_started_from_a_snapshot(monkeypatch: pytest.MonkeyPatch) -> None:
+@log_nodes.with_nodes("node-a")
+async def test_long_log_is_started_from_a_snapshot(
+    node_a: Node, monkeypatch: pytest.MonkeyPatch
+) -> None:
     # Guards against a replay of a long log although a snapshot is at hand.
+    log = node_a.log
     monkeypatch.setattr(log_follower, "_MAX_REPLAY_ENTRIES", 20)
 
-    async def main() -> None:
-        log = fake_log.FakeLog()
-        async with log_nodes.running_node(log, "node-a") as node_a:
-            await append_duties(node_a, 30)
-            as_of_offset = await publish_snapshot(node_a)
-            async with log_nodes.running_node(log, "node-b") as node_b:
-                loaded: list[int] = []
-                node_b.follower.add_listener(lambda e, code: loaded.append(e.offset))
-                await node_b.follower.wait_applied(log.end_offset - 1)
-                assert loaded[0] == as_of_offset + 1
-                assert node_b.follower.state == node_a.follower.state
-
-    paused_clock.run(main())
+    await append_duties(node_a, 30)
+    as_of_offset = await publish_snapshot(node_a)
+    async with log_nodes.running_node(log, "node-b") as node_b:
+        loaded: list[int] = []
+        node_b.follower.add_listener(lambda e, code: loaded.append(e.offset))
+        await node_b.follower.wait_applied(log.end_offset - 1)
+        assert loaded[0] == as_of_offset + 1
+        assert node_b.follower.state == node_a.follower.state
 
 
-def test_refresh_covers_appends_that_were_complete_before() -> None:
+@log_nodes.with_nodes("node-a")
+async def test_refresh_covers_appends_that_were_complete_before(node: Node) -> None:
     # Guards against a read-back that misses a record, after which it applies twice.
-    async def main() -> None:
-        log = fake_log.FakeLog()
-        async with log_nodes.running_node(log) as node:
-            await node.follower.wait_applied(-1)
-            payloads = [
-                records.encode_record(node.duty_record(f"duty-{i}")) for i in range(700)
-            ]
-            log.append_now(payloads)
-            assert await node.follower.refresh(1.0)
-            assert node.follower.state.offset == 699
-            node.access.faults = fake_log.Faults(slow_ms=5_000.0)
-            assert not await node.follower.refresh(1.0)
-            node.access.faults = fake_log.Faults(down=True)
-            assert not await node.follower.refresh(1.0)
-
-    paused_clock.run(main())
-
-
-def test_recent_entries_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    log = node.log
+    await node.follower.wait_applied(-1)
+    payloads = [
+        records.encode_record(node.duty_record(f"duty-{i}")) for i in range(700)
+    ]
+    log.append_now(payloads)
+    assert await node.follower.refresh(1.0)
+    assert node.follower.state.offset == 699
+    node.access.faults = fake_log.Faults(slow_ms=5_000.0)
+    assert not await node.follower.refresh(1.0)
+    node.access.faults = fake_log.Faults(down=True)
+    assert not await node.follower.refresh(1.0)
+
+
+@log_nodes.with_nodes("node-a")
+async def test_recent_entries_are_bounded(
+    node: Node, monkeypatch: pytest.MonkeyPatch
+) -> None:
     # Guards against memory that grows with the log.
+    log = node.log
     monkeypatch.setattr(log_follower, "_RING_BYTES", 2_000)
 
-    async def main() -> None:
-        log = fake_log.FakeLog()
-        async with log_nodes.running_node(log) as node:
-            await append_duties(node, 50)
-            oldest = node.follower.oldest_kept_offset
-            assert 40 <= oldest < 50
-            assert node.follower.recent_entries(oldest - 1, 5) == ()
-            assert node.follower.recent_entries(oldest, 100) == log.entries[oldest:]
-            assert node.follower.recent_entries(50, 5) == ()
-
-    paused_clock.run(main())
+    await append_duties(node, 50)
+    oldest = node.follower.oldest_kept_offset
+    assert 40 <= oldest < 50
+    assert node.follower.recent_entries(oldest - 1, 5) == ()
+    assert node.follower.recent_entries(oldest, 100) == log.entries[oldest:]
+    assert node.follower.recent_entries(50, 5) == ()
--- a/clementinespar/tests/log_nodes.py
+++ b/clementinespar/tests/log_nodes.py
@@ -2,7 +2,10 @@
 
 import contextlib
 import dataclasses
-from collections.abc import AsyncIterator, Sequence
+import functools
+import inspect
+from collections.abc import AsyncIterator, Callable, Coroutine, Sequence
+from typing import Any
 
 from clementinespar import codes, errors, identifiers
 from clementinespar.duties import messages as duty_messages
@@ -10,6 +13,7 @@
 from clementinespar.log import follower as log_follower
 from clementinespar.log import relay as log_relay
 from clementinespar.log import service as log_service
+from clementinespar.tests import paused_clock
 from standins import fake_log
 
 
@@ -22,6 +26,11 @@
     follower: log_follower.Follower
     appender: log_appender.Appender
 
+    @property
+    def log(self) -> fake_log.FakeLog:
+        """The log that all nodes share."""
+        return self.access.log
+
     def duty_record(self, duty: str, lease_ms: int = 1000) -> duty_messages.DutyClaimed:
         """Return a small valid record of this node."""
         issued_ms = self.appender.now_ms()
@@ -50,6 +59,40 @@
         yield node
 
 
+def with_nodes(
+    *names: str,
+) -> Callable[[Callable[..., Coroutine[Any, Any, None]]], Callable[..., None]]:
+    """Run a test on a paused clock with a fake log and nodes of these names.
+
+    The test takes the nodes as its first arguments.
+    """
+
+    def decorate(
+        test: Callable[..., Coroutine[Any, Any, None]],
+    ) -> Callable[..., None]:
+        async def main(arguments: dict[str, Any]) -> None:
+            log = fake_log.FakeLog()
+            async with contextlib.AsyncExitStack() as stack:
+                nodes = [
+                    await stack.enter_async_context(running_node(log, name))
+                    for name in names
+                ]
+                await test(*nodes, **arguments)
+
+        @functools.wraps(test)
+        def run(**arguments: Any) -> None:
+            paused_clock.run(main(arguments))
+
+        # pytest passes the arguments that the signature shows.
+        parameters = list(inspect.signature(test).parameters.values())
+        run.__signature__ = inspect.Signature(  # type: ignore[attr-defined]
+            parameters[len(names) :]
+        )
+        return run
+
+    return decorate
+
+
 class NodeRelay:
     """Serves one node's followers from another, as the peer protocol does."""
 
