Close connections of non-repeatable requests and status reads after use

Requests that must not repeat and status reads open a connection of their own, and libcurl kept it in the pool, up to 64 for each target and node. A target closes connections beyond its 64, so requests of the next owner of the queue were cut off after their bytes had left. Ruled out: the planned stop (0 requests cut), lending (0 slots over-admitted). Change: such connections are closed after use. Conclusion: idle connections no longer grow with the number of requests.

--- a/clementinespar/requests/tests/test_transport.py
+++ b/clementinespar/requests/tests/test_transport.py
@@ -237,3 +237,28 @@
             connection.close()
 
     asyncio.run(main())
+
+
+def test_connections_of_their_own_are_closed_after_use() -> None:
+    """Guards against idle connections that fill the limit of a target.
+
+    A target closes connections over its limit at once; a request of another entry node
+    on such a connection has an unknown outcome.
+    """
+
+    async def main() -> None:
+        state = target_standin.TargetState("h0")
+        async with (
+            target_standin.serve(state, max_connections=8) as port,
+            transport.open_transport() as first,
+            transport.open_transport() as second,
+        ):
+            for number in range(20):
+                request = _request(f"first-{number}")
+                attempt = await first.send(_target(port), request, 2.0, False)
+                assert attempt.kind is model.AttemptKind.ANSWERED
+                assert await first.status(_target(port), 1.0) is not None
+            attempt = await second.send(_target(port), _request("second"), 2.0, False)
+            assert attempt.kind is model.AttemptKind.ANSWERED
+
+    asyncio.run(main())
--- a/clementinespar/requests/transport.py
+++ b/clementinespar/requests/transport.py
@@ -226,6 +226,8 @@
     curl.setopt(pycurl.SOCKOPTFUNCTION, _set_socket_options)
     curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
     curl.setopt(pycurl.FRESH_CONNECT, 1 if is_fresh else 0)
+    # Kept open, such connections would fill the connection limit of the target.
+    curl.setopt(pycurl.FORBID_REUSE, 1 if is_fresh else 0)
     curl.setopt(pycurl.MAXAGE_CONN, MAX_IDLE_S)
     # Environment variables must not send work to a proxy.
     curl.setopt(pycurl.PROXY, "")
