Refuse a refresh that was answered from an old copy of the log

Cause: refresh returned True when the log answered with fewer entries than this node or a peer already had, so a host action could be checked against an old state as if fresh. Change: such an answer counts as no answer.

--- a/clementinespar/log/follower.py
+++ b/clementinespar/log/follower.py
@@ -127,13 +127,22 @@
         await future
 
     async def refresh(self, timeout_s: float) -> bool:
-        """Apply all that the log has now; False if the log did not answer in time."""
+        """Apply all that the log has now; False if the log did not answer in time.
+
+        An answer from an old copy of the log, which lacks entries that this node or a
+        live peer had before the call, also counts as no answer.
+        """
+        known_offset = self._state.offset
+        if self._relay is not None:
+            known_offset = max(known_offset, self._relay.highest_offset())
         try:
             async with asyncio.timeout(timeout_s):
                 # The read starts after the call, so its end offset covers every append
                 # that was complete before the call.
                 page = await self._read_log(0.0)
                 end_offset = page.end_offset
+                if end_offset <= known_offset:
+                    return False
                 while self._state.offset + 1 < end_offset:
                     before = self._state.offset
                     await self._read_log(0.0)
--- a/clementinespar/log/tests/test_follower.py
+++ b/clementinespar/log/tests/test_follower.py
@@ -294,6 +294,22 @@
     assert not await node.follower.refresh(1.0)
 
 
+@log_nodes.with_nodes("node-a")
+async def test_refresh_from_an_old_copy_of_the_log_is_refused(node_a: Node) -> None:
+    # Guards against a host action that is checked against an old state as if fresh.
+    relay = log_nodes.NodeRelay(node_a)
+    async with log_nodes.running_node(node_a.log, "node-b", relay) as node_b:
+        await append_duties(node_a, 3)
+        await node_b.follower.wait_applied(2)
+        node_b.access.faults.visible_end = 2  # less than this node has
+        assert not await node_b.follower.refresh(1.0)
+        node_b.access.faults.visible_end = 3  # less than its peer has
+        await append_duties(node_a, 3, "more-")
+        assert not await node_b.follower.refresh(1.0)
+        node_b.access.faults.visible_end = None
+        assert await node_b.follower.refresh(1.0)
+
+
 @log_nodes.with_nodes("node-a")
 async def test_recent_entries_are_bounded(
     node: Node, monkeypatch: pytest.MonkeyPatch
