--- a/clementinespar/pools/tests/test_invariants.py
+++ b/clementinespar/pools/tests/test_invariants.py
@@ -1,8 +1,8 @@
 """Random histories of racing planners, failures and documents against the fold.
 
 After every record: no accepted host_taken_out leaves a pool below its budget (I1), and
-every host belongs to exactly one pool (I2). Both are counted here without the code
-under test.
+every host belongs to exactly one pool (I2). Both are counted without the code under
+test.
 """
 
 import collections
@@ -16,12 +16,11 @@
 from clementinespar.capacity import planner as capacity_planner
 from clementinespar.documents import messages as document_messages
 from clementinespar.documents import model
+from clementinespar.fleet import snapshot as fleet_snapshot
 from clementinespar.fleet import state as fleet_state
 from clementinespar.log import base, records
 from clementinespar.pools import availability, messages
-from clementinespar.pools import state as pools_state
 from clementinespar.tests import fleets
-from clementinespar.waves import messages as wave_messages
 from clementinespar.waves import planner as wave_planner
 
 _A = fleets.host_ids("a", 6)
@@ -100,30 +99,8 @@
                 availability.Observation(0.0, dict.fromkeys(missing, "missing")),
             )
         )
-        for end in plan.ends:
-            self._wait(
-                planner,
-                wave_messages.WaveFinished,
-                wave_id=end.wave_id,
-                reason=end.reason,
-            )
-        for start in plan.starts:
-            self._wait(
-                planner,
-                wave_messages.WaveStarted,
-                pool=start.pool,
-                host_ids=start.host_ids,
-            )
-        for out in plan.take_outs:
-            self._wait(
-                planner,
-                messages.HostTakenOut,
-                host_id=out.host_id,
-                pool=out.pool,
-                host_revision=out.host_revision,
-                reason="maintenance",
-                wave_id=out.wave_id,
-            )
+        for decision in plan.decisions:
+            self._send(planner, decision.to_record("test", self.fold.now_ms))
 
     @stateful.rule(
         node=_NODES,
@@ -156,15 +133,7 @@
             capacity_planner.History(always, always),
         )
         for move in plan.moves:
-            self._wait(
-                planner,
-                messages.HostTakenOut,
-                host_id=move.host_id,
-                pool=move.from_pool,
-                host_revision=move.host_revision,
-                reason="move",
-                to_pool=move.to_pool,
-            )
+            self._send(planner, move.to_record("test", self.fold.now_ms))
 
     @stateful.rule(node=_NODES, view=_VIEWS, host_id=_HOSTS, to_pool=_POOLS)
     def propose_any_move(
@@ -173,14 +142,16 @@
         planner = self._wake(node, view)
         host = planner.state.pools.hosts_by_id.get(host_id)
         if host is not None:
-            self._wait(
+            self._send(
                 planner,
-                messages.HostTakenOut,
-                host_id=host_id,
-                pool=host.pool,
-                host_revision=host.revision,
-                reason="move",
-                to_pool=to_pool,
+                self.fold.make(
+                    messages.HostTakenOut,
+                    host_id=host_id,
+                    pool=host.pool,
+                    host_revision=host.revision,
+                    reason="move",
+                    to_pool=to_pool,
+                ),
             )
 
     @stateful.rule(
@@ -201,11 +172,13 @@
         for host in planner.state.pools.hosts_by_id.values():
             if host.out is not None:
                 for step in steps:
-                    self._wait(
+                    self._send(
                         planner,
-                        step,
-                        host_id=host.host_id,
-                        operation_id=host.out.operation_id,
+                        self.fold.make(
+                            step,
+                            host_id=host.host_id,
+                            operation_id=host.out.operation_id,
+                        ),
                     )
 
     @stateful.rule(node=_NODES, count=st.integers(1, 8), is_reply_lost=st.booleans())
@@ -252,6 +225,8 @@
             fleet_state.apply_entry(again, entry) for entry in self.fold.entries
         ] == self.codes
         assert again == self.fold.state
+        encoded = fleet_snapshot.encode_state(self.fold.state)
+        assert fleet_snapshot.decode_state(encoded) == self.fold.state
         # Whatever happened, every host can come back into service.
         for host in list(self.fold.state.pools.hosts_by_id.values()):
             if host.out is None:
@@ -275,10 +250,7 @@
                 fleet_state.apply_entry(planner.state, entry)
         return planner
 
-    def _wait(
-        self, node: _Node, record_type: type[base.Record], **fields: object
-    ) -> None:
-        record = self.fold.make(record_type, **fields)
+    def _send(self, node: _Node, record: base.Record) -> None:
         if node.is_paused:
             node.waiting.append(records.encode_record(record))
         else:
@@ -297,42 +269,8 @@
         code = self.fold.apply_payload(payload)
         self.codes.append(code)
         if code == codes.ResultCode.OK and host is not None and was_available:
-            self._check_budget(host)
-        self._check_membership()
-
-    def _check_budget(self, taken: pools_state.HostState) -> None:
-        document = self.fold.state.documents.production
-        assert document is not None
-        limits = document.pools[taken.pool].budget
-        members = [
-            host
-            for host in self.fold.state.pools.hosts_by_id.values()
-            if host.pool == taken.pool
-        ]
-        serving = [h for h in members if h.out is None and h.failed_since_ms is None]
-        assert len(serving) >= limits.min_available
-        out = [
-            h
-            for h in members
-            if h not in serving and (h.out is None or not h.out.is_moved)
-        ]
-        in_data_centre = [h for h in out if h.data_centre == taken.data_centre]
-        in_rack = [h for h in in_data_centre if h.rack == taken.rack]
-        assert len(in_data_centre) <= limits.max_out_per_data_centre
-        assert len(in_rack) <= limits.max_out_per_rack
-
-    def _check_membership(self) -> None:
-        document = self.fold.state.documents.production
-        assert document is not None
-        pools = self.fold.state.pools
-        assert pools.hosts_by_id.keys() == document.hosts.keys()
-        pools_of = collections.Counter(
-            host_id for ids in pools.host_ids_by_pool.values() for host_id in ids
-        )
-        assert pools_of == collections.Counter(document.hosts.keys())
-        for host in pools.hosts_by_id.values():
-            assert host.pool in document.pools
-            assert host.host_id in pools.host_ids_by_pool[host.pool]
+            fleets.check_budget(self.fold.state, host)
+        fleets.check_membership(self.fold.state)
 
 
 RacingPlanners.TestCase.settings = settings(
--- a/clementinespar/requests/dispatcher.py
+++ b/clementinespar/requests/dispatcher.py
@@ -18,10 +18,10 @@
 from clementinespar import codes
 from clementinespar.capacity import demand
 from clementinespar.claims import service as claim_service
-from clementinespar.claims import state as claims_state
 from clementinespar.documents import model as document_model
 from clementinespar.fleet import source as fleet_source
 from clementinespar.requests import (
+    claiming,
     demand_meter,
     ejection,
     model,
@@ -29,11 +29,9 @@
     retries,
     runtimes,
     slots,
+    target_pool,
 )
 
-STATUS_TIMEOUT_S = 1.0
-# Time between two status reads of a target whose slots are in doubt or that is silent.
-STATUS_INTERVAL_S = 0.5
 # The fold and the host list change without notice, so waiting requests are tried again.
 PUMP_INTERVAL_S = 0.1
 # After this time without work another node may have owned the queue, so the targets'
@@ -49,9 +47,9 @@
 # A probe puts a request at risk. One that must not repeat is used only if no other one
 # came for this long.
 PROBE_OVERDUE_S = 10.0
-LEAVING_WATCH_INTERVAL_S = 2.0
-LEAVING_WATCH_S = 1800.0
-RELEASE_WAIT_S = 0.5  # longest time that a refusal waits for its claim's release
+# Bodies that may wait or be in flight at once. The limits of the queues count requests
+# only, and a node has 128 MB for everything.
+MAX_HELD_BYTES = 48 * 1024 * 1024
 REFUSED_IDS = 1024  # requests refused for good that are remembered
 
 _CAPACITY_CODES = frozenset(
@@ -165,14 +163,14 @@
     _source: fleet_source.FleetSource
     _targets: model.TargetDirectory
     _transport: model.TargetTransport
-    _claims: claim_service.ClaimService
+    _claiming: claiming.Claiming
     _services_by_name: dict[str, _Service]
-    _slots_by_host_id: dict[str, slots.TargetSlots]
+    _pool: target_pool.TargetPool  # slots of the targets
     _flights_by_request_id: dict[str, _Flight]
     # Outcomes of requests that failed on several targets, oldest first.
     _refused_by_request_id: collections.OrderedDict[str, model.Outcome]
-    _leaving_host_ids: set[str]  # targets whose statement to leave is being watched
     _tasks: set[asyncio.Task[Any]]  # background tasks, kept so that they run on
+    _held_bytes: int  # bodies of all requests that wait or are in flight
     _is_draining: bool
     _idle: asyncio.Event  # no request is queued or in flight
 
@@ -186,13 +184,13 @@
         self._source = source
         self._targets = targets
         self._transport = transport
-        self._claims = claims
+        self._claiming = claiming.Claiming(source, claims)
         self._services_by_name = {}
-        self._slots_by_host_id = {}
+        self._pool = target_pool.TargetPool(targets, transport, self._pump_all)
         self._flights_by_request_id = {}
         self._refused_by_request_id = collections.OrderedDict()
-        self._leaving_host_ids = set()
         self._tasks = set()
+        self._held_bytes = 0
         self._is_draining = False
         self._idle = asyncio.Event()
         self._idle.set()
@@ -211,7 +209,7 @@
                 return admitted
             flight = admitted
         elif not _is_same(flight.request, request):
-            return _unknown(
+            return model.unknown(
                 codes.ResultCode.ALREADY_CLAIMED,
                 "another request with this id is in flight",
             )
@@ -231,7 +229,7 @@
             if flight.waiters == 0:
                 self._drop_if_queued(flight)
         if not flight.task.done():
-            return _unknown(
+            return model.unknown(
                 codes.ResultCode.OUTCOME_UNKNOWN,
                 "the request was still in flight at its deadline",
             )
@@ -280,7 +278,7 @@
                 "code": int(codes.ResultCode.OK),
             }
         usable = self._usable_targets(known, now)
-        free = sum(target_slots.free for _, target_slots in usable)
+        free = sum(member.free for member in usable)
         waits_for = ""
         if len(known.queue):
             waits_for = "a free slot" if usable else "a target that may receive work"
@@ -296,10 +294,10 @@
             for host_id in sorted(known.ejections.ejected_host_ids())
         ]
         because += [
-            f"host {target.host_id}: {target_slots.doubtful} slots may still run work "
-            "that this node does not follow"
-            for target, target_slots in usable
-            if target_slots.doubtful
+            f"host {member.target.host_id}: {member.slots.doubtful} slots may still "
+            "run work that this node does not follow"
+            for member in usable
+            if member.slots.doubtful
         ]
         return {
             "subject": f"service {service}",
@@ -337,37 +335,38 @@
             return refused
         document = self._source.state.documents.production
         if document is None:
-            return _not_run(codes.ResultCode.NOT_READY, "no document is in force")
+            return model.not_run(codes.ResultCode.NOT_READY, "no document is in force")
         declared = document.services.get(request.service)
         if declared is None:
-            return _not_run(
+            return model.not_run(
                 codes.ResultCode.SERVICE_UNKNOWN, f"no service {request.service}"
             )
         kind = declared.kinds.get(request.kind)
         if kind is None:
-            return _not_run(
+            return model.not_run(
                 codes.ResultCode.REQUEST_INVALID,
                 f"service {request.service} has no kind {request.kind}",
             )
-        claims = self._source.state.claims.claims_by_request_id
-        if not kind.repeatable and request.request_id in claims:
-            return _unknown(
+        if not kind.repeatable and self._claiming.is_claimed(request.request_id):
+            return model.unknown(
                 codes.ResultCode.ALREADY_CLAIMED,
                 "a request with this id was claimed before; it may have run",
             )
         if self._is_draining:
-            return _not_run(
+            return model.not_run(
                 codes.ResultCode.NODE_STOPPING, "the owner node is stopping"
             )
         service = self._service(request.service, now)
         flight = self._new_flight(request, service, declared, kind, on_started, now)
-        service.budget.note_request(now)
         refusal = self._check_capacity(flight, document, declared, now)
         if refusal is not None:
             if refusal.code in _CAPACITY_CODES:
                 service.meter.note_refusal(now)
             return refusal
+        # Refused requests are no load, so they earn no retries.
+        service.budget.note_request(now)
         self._flights_by_request_id[request.request_id] = flight
+        self._held_bytes += len(request.body)
         self._idle.clear()
         flight.task = asyncio.get_running_loop().create_task(self._run(flight))
         # Counted now, not when the task runs: requests that arrive in the same round
@@ -417,32 +416,38 @@
         """Refuse early what cannot start before its deadline."""
         service, entry = flight.service, flight.entry
         if entry.deadline <= now:
-            return _not_run(codes.ResultCode.DEADLINE_PASSED, "the deadline has passed")
-        if not self._targets.targets_of(service.name):
-            return _not_run(
+            return model.not_run(
+                codes.ResultCode.DEADLINE_PASSED, "the deadline has passed"
+            )
+        if not self._targets_of(service.name):
+            return model.not_run(
                 codes.ResultCode.NO_TARGET, f"no target serves {service.name} now"
             )
         least_s = service.run_times.least_s(entry.kind, now)
         if now + least_s > entry.deadline:
-            return _not_run(
+            return model.not_run(
                 codes.ResultCode.DEADLINE_TOO_SHORT,
                 f"such a request takes at least {least_s:.3f} s",
             )
         usable = self._usable_targets(service, now)
         waiting = len(service.queue) + service.claiming
-        has_free = any(target_slots.free for _, target_slots in usable)
+        has_free = any(member.free for member in usable)
         # Long work may fill its share of the queue only, so it cannot crowd out short
         # work before either of them starts.
         long_room = max(1, int(declared.max_queue * (1.0 - declared.short_reserve)))
         is_full = waiting >= declared.max_queue and (waiting > 0 or not has_free)
         if is_full or (entry.is_long and service.queue.count(True) >= long_room):
-            return _not_run(
+            return model.not_run(
                 codes.ResultCode.QUEUE_FULL, f"{waiting} requests wait already"
             )
+        if self._held_bytes + len(flight.request.body) > MAX_HELD_BYTES:
+            return model.not_run(
+                codes.ResultCode.QUEUE_FULL, "the waiting requests are too large"
+            )
         shares = self._shares(service, usable, document, declared)
         wait_s, is_quota = service.queue.expected_wait_s(entry, shares, now)
         if shares.total and now + wait_s + least_s > entry.deadline:
-            return _not_run(
+            return model.not_run(
                 codes.ResultCode.TEAM_QUOTA_EXCEEDED
                 if is_quota
                 else codes.ResultCode.DEADLINE_TOO_SHORT,
@@ -457,8 +462,7 @@
             service = self._services_by_name[name] = _Service(name, now)
         is_idle = not service.uses and not len(service.queue)
         if is_idle and now - service.last_active_at > OWNERSHIP_IDLE_S:
-            for host_id in service.host_ids:
-                self._slots_by_host_id[host_id].is_read = False
+            self._pool.forget_slots(service.host_ids)
         service.last_active_at = now
         return service
 
@@ -470,13 +474,14 @@
             outcome = await self._claim_and_send(flight)
         except Exception:
             _log.exception("request {} failed", flight.request.request_id)
-            make = _unknown if flight.has_started else _not_run
+            make = model.unknown if flight.has_started else model.not_run
             outcome = make(codes.ResultCode.INTERNAL_ERROR, "internal error")
         if flight.is_claimed and outcome.kind is model.OutcomeKind.NOT_RUN:
-            await self._release(flight)
+            await self._claiming.release(flight.request)
         loop = asyncio.get_running_loop()
         if outcome.code in _CAPACITY_CODES:
             flight.service.meter.note_refusal(loop.time())
+        self._held_bytes -= len(flight.request.body)
         del self._flights_by_request_id[flight.request.request_id]
         if not self._flights_by_request_id:
             self._idle.set()
@@ -514,71 +519,13 @@
 
     async def _claim(self, flight: _Flight) -> model.Outcome | None:
         """Claim a request; returns why it must not be sent, or None."""
-        loop = asyncio.get_running_loop()
-        request_id = flight.request.request_id
-        least_s = flight.service.run_times.least_s(flight.request.kind, loop.time())
-        timeout_s = max(0.001, flight.request.deadline - loop.time() - least_s)
-        task = loop.create_task(self._claims.claim(request_id, timeout_s))
-        await asyncio.wait({task}, timeout=timeout_s + STATUS_INTERVAL_S)
-        if not task.done():
-            # The claim may still be won; nobody will use it.
-            self._spawn(self._release_when_won(task, request_id))
-            code = codes.ResultCode.CLAIM_UNAVAILABLE
-        elif task.exception() is not None:
-            _log.warning("claim of {} failed: {}", request_id, task.exception())
-            code = codes.ResultCode.CLAIM_UNAVAILABLE
-        else:
-            code = task.result()
-        if code == codes.ResultCode.OK:
-            flight.is_claimed = True
-            return None
-        if code == codes.ResultCode.ALREADY_CLAIMED:
-            return _unknown(
-                code, "another claim of this id came first; it may have run"
-            )
-        if code == codes.ResultCode.CLAIM_TOO_OLD:
-            return self._refuse_id_age(request_id)
-        if code == codes.ResultCode.REQUEST_INVALID:
-            return _not_run(
-                code,
-                "a request that may not be repeated needs an id of the form "
-                "<issued_ms>-<random>",
-            )
-        return _not_run(
-            codes.ResultCode.CLAIM_UNAVAILABLE,
-            "the log did not confirm in time that this request is the only one",
+        now = asyncio.get_running_loop().time()
+        least_s = flight.service.run_times.least_s(flight.request.kind, now)
+        refusal = await self._claiming.claim(
+            flight.request, flight.request.deadline - now - least_s
         )
-
-    def _refuse_id_age(self, request_id: str) -> model.Outcome:
-        code = codes.ResultCode.REQUEST_ID_TOO_OLD
-        log_time_ms = self._source.state.log_time_ms
-        if (
-            claims_state.check_age(request_id, log_time_ms)
-            == codes.ResultCode.CLAIM_TOO_OLD
-            and int(request_id.partition("-")[0]) > log_time_ms
-        ):
-            return _not_run(code, "the id was issued by a clock that is ahead")
-        # Claims of older ids are forgotten, so an earlier copy may have run.
-        return _unknown(code, "the id is too old to tell whether it ran before")
-
-    async def _release(self, flight: _Flight) -> None:
-        """Release a claim; a refusal waits for it for a short time only."""
-        task = self._spawn(self._release_quietly(flight.request.request_id))
-        remaining_s = flight.request.deadline - asyncio.get_running_loop().time()
-        await asyncio.wait({task}, timeout=max(0.0, min(RELEASE_WAIT_S, remaining_s)))
-
-    async def _release_quietly(self, request_id: str) -> None:
-        try:
-            await self._claims.release(request_id)
-        except Exception as error:
-            _log.warning("release of the claim of {} failed: {}", request_id, error)
-
-    async def _release_when_won(
-        self, task: "asyncio.Task[codes.ResultCode]", request_id: str
-    ) -> None:
-        await asyncio.wait({task})
-        if task.exception() is None and task.result() == codes.ResultCode.OK:
-            await self._release_quietly(request_id)
+        flight.is_claimed = refusal is None
+        return refusal
 
     async def _wait_for_slot(self, flight: _Flight) -> _Assignment | model.Outcome:
         """Wait in the queue; returns a target with a slot, or why none was given."""
@@ -599,7 +546,9 @@
             self._give_back(flight, assigned)
             if flight.waiters == 0:
                 return _cancelled()
-            return _not_run(codes.ResultCode.DEADLINE_PASSED, "the deadline has passed")
+            return model.not_run(
+                codes.ResultCode.DEADLINE_PASSED, "the deadline has passed"
+            )
         return assigned
 
     def _enqueue(self, flight: _Flight) -> None:
@@ -672,7 +621,7 @@
         service.uses.pop(assigned.use, None)
         service.last_active_at = now
         if attempt.is_leaving:
-            self._note_leaving(assigned.target, service)
+            self._pool.note_leaving(assigned.target, service.name)
         if is_answer:
             service.run_times.observe(flight.request.kind, run_s, now)
             self._learn_class(service, flight.request.kind)
@@ -688,7 +637,7 @@
                 host_id, request_id, now, len(service.host_ids)
             )
         service.update_demand(now)
-        self._pump(service)
+        self._pump_after_release(service)
 
     async def _wait_for_answer(
         self, flight: _Flight
@@ -747,14 +696,14 @@
         loop = asyncio.get_running_loop()
         service, request_id = flight.service, flight.request.request_id
         targets_by_host_id = {
-            target.host_id: target for target in self._targets.targets_of(service.name)
+            target.host_id: target for target in self._targets_of(service.name)
         }
         for host_id in flight.tried_host_ids & targets_by_host_id.keys():
-            old_uses = self._slots_by_host_id[host_id].uses_before(
+            old_uses = self._pool.slots_by_host_id[host_id].uses_before(
                 loop.time() - SILENCE_S / 2
             )
             status = await self._transport.status(
-                targets_by_host_id[host_id], STATUS_TIMEOUT_S
+                targets_by_host_id[host_id], target_pool.STATUS_TIMEOUT_S
             )
             still_in_use = sum(not use.is_released for use in old_uses)
             if status is not None and status.busy_slots >= still_in_use:
@@ -764,6 +713,7 @@
             )
         if (
             not flight.running
+            or flight.waiters == 0
             or not flight.is_repeatable
             or flight.attempts >= retries.MAX_ATTEMPTS
             or len(service.queue)
@@ -785,21 +735,23 @@
             attempt.kind is model.AttemptKind.UNKNOWN for _, attempt in flight.failures
         )
         if has_run and not flight.is_repeatable:
-            return _not_run(codes.ResultCode.TARGETS_REFUSED, "it may have run")
+            return model.not_run(codes.ResultCode.TARGETS_REFUSED, "it may have run")
         if flight.waiters == 0:
             return _cancelled()
         if now >= flight.request.deadline:
-            return _not_run(codes.ResultCode.DEADLINE_PASSED, "the deadline has passed")
+            return model.not_run(
+                codes.ResultCode.DEADLINE_PASSED, "the deadline has passed"
+            )
         if flight.attempts >= retries.MAX_ATTEMPTS or not any(
             target.host_id not in flight.tried_host_ids
-            for target in self._targets.targets_of(service.name)
+            for target in self._targets_of(service.name)
         ):
-            return _not_run(
+            return model.not_run(
                 codes.ResultCode.TARGETS_REFUSED,
                 f"{flight.attempts} targets did not take the request",
             )
         if not service.budget.take(now):
-            return _not_run(
+            return model.not_run(
                 codes.ResultCode.RETRY_BUDGET_EMPTY,
                 "a target did not take the request and the retry budget is empty",
             )
@@ -820,7 +772,7 @@
         host_ids = {host_id for host_id, _ in may_have_run if host_id}
         if len(host_ids) > 1:
             flight.service.ejections.forgive(flight.request.request_id, host_ids)
-            outcome = _unknown(
+            outcome = model.unknown(
                 codes.ResultCode.REQUEST_FAILED_REPEATEDLY,
                 f"the request failed on {len(host_ids)} targets",
             )
@@ -829,10 +781,14 @@
                 self._refused_by_request_id.popitem(last=False)
             return outcome
         if not may_have_run:
-            return _unknown(codes.ResultCode.TARGET_SILENT, "a target did not answer")
+            return model.unknown(
+                codes.ResultCode.TARGET_SILENT, "a target did not answer"
+            )
         host_id, attempt = may_have_run[-1]
         return dataclasses.replace(
-            _unknown(attempt.code, attempt.reason or "the target's answer was lost"),
+            model.unknown(
+                attempt.code, attempt.reason or "the target's answer was lost"
+            ),
             host_id=host_id or None,
         )
 
@@ -860,7 +816,7 @@
             if max_slots is not None:
                 code = codes.ResultCode.TEAM_QUOTA_EXCEEDED
                 reason = f"team {entry.team} used its {max_slots} slots"
-        self._take_from_queue(flight, _not_run(code, reason))
+        self._take_from_queue(flight, model.not_run(code, reason))
 
     def _quota_in_use(
         self, service: _Service, entry: queueing.QueueEntry
@@ -913,25 +869,25 @@
     def _has_room(
         self,
         service: _Service,
-        usable: Sequence[tuple[model.Target, slots.TargetSlots]],
+        usable: Sequence[target_pool.PoolMember],
         now: float,
     ) -> bool:
         return any(
-            target_slots.free
+            member.free
             and (
-                not service.ejections.is_ejected(target.host_id)
-                or service.ejections.is_probe_due(target.host_id, now)
+                not service.ejections.is_ejected(member.target.host_id)
+                or service.ejections.is_probe_due(member.target.host_id, now)
             )
-            for target, target_slots in usable
+            for member in usable
         )
 
     def _next_start(
         self,
         service: _Service,
-        usable: Sequence[tuple[model.Target, slots.TargetSlots]],
+        usable: Sequence[target_pool.PoolMember],
         shares: queueing.SlotShares,
         now: float,
-    ) -> tuple[_Flight, tuple[model.Target, slots.TargetSlots]] | None:
+    ) -> tuple[_Flight, target_pool.PoolMember] | None:
         for entry in service.queue.candidates(shares, now):
             flight = service.flights_by_entry[entry]
             chosen = self._choose(service, usable, flight, now)
@@ -942,42 +898,48 @@
     def _choose(
         self,
         service: _Service,
-        usable: Sequence[tuple[model.Target, slots.TargetSlots]],
+        usable: Sequence[target_pool.PoolMember],
         flight: _Flight,
         now: float,
-    ) -> tuple[model.Target, slots.TargetSlots] | None:
-        """Return the least loaded target, or an ejected one that is due for a probe."""
-        best: tuple[model.Target, slots.TargetSlots] | None = None
-        best_key = (math.inf, math.inf)
-        for target, target_slots in usable:
-            host_id = target.host_id
-            if not target_slots.free or host_id in flight.tried_host_ids:
+    ) -> target_pool.PoolMember | None:
+        """Return the least loaded target, or an ejected one that is due for a probe.
+
+        Targets of another pool are used only when no own target can be.
+        """
+        best: target_pool.PoolMember | None = None
+        best_key = (True, math.inf, math.inf)
+        for member in usable:
+            host_id = member.target.host_id
+            if not member.free or host_id in flight.tried_host_ids:
                 continue
             if service.ejections.is_ejected(host_id):
                 # Requests that must not repeat probe only when nothing else does.
                 probe_at = now if flight.is_repeatable else now - PROBE_OVERDUE_S
                 if service.ejections.is_probe_due(host_id, probe_at):
-                    return target, target_slots
+                    return member
                 continue
-            seeming = target_slots.in_use + service.ejections.penalty(host_id, now)
-            key = (seeming / target_slots.slots, target_slots.last_used_at)
-            if key < best_key:
-                best, best_key = (target, target_slots), key
+            seeming = member.slots.in_use + service.ejections.penalty(host_id, now)
+            load = seeming / member.slots.slots
+            key = (member.is_lent, load, member.slots.last_used_at)
+            if best is None or key < best_key:
+                best, best_key = member, key
         return best
 
     def _assign(
         self,
         flight: _Flight,
-        chosen: tuple[model.Target, slots.TargetSlots],
+        chosen: target_pool.PoolMember,
         now: float,
     ) -> _Assignment:
-        target, target_slots = chosen
         service, entry = flight.service, flight.entry
-        if service.ejections.is_ejected(target.host_id):
-            service.ejections.start_probe(target.host_id)
-        use = target_slots.acquire(entry.request_id, entry.is_long, entry.team, now)
+        host_id = chosen.target.host_id
+        if service.ejections.is_ejected(host_id):
+            service.ejections.start_probe(host_id)
+        use = chosen.slots.acquire(
+            entry.request_id, entry.is_long, entry.team, now, chosen.is_lent
+        )
         service.uses[use] = entry.kind
-        return _Assignment(target, target_slots, use)
+        return _Assignment(chosen.target, chosen.slots, use)
 
     def _give_back(self, flight: _Flight, assigned: _Assignment) -> None:
         """Give back a slot that was never used."""
@@ -985,12 +947,12 @@
         assigned.target_slots.release(assigned.use, True, now)
         flight.service.uses.pop(assigned.use, None)
         flight.service.ejections.note_neutral(assigned.target.host_id)
-        self._pump(flight.service)
+        self._pump_after_release(flight.service)
 
     def _shares(
         self,
         service: _Service,
-        usable: Sequence[tuple[model.Target, slots.TargetSlots]],
+        usable: Sequence[target_pool.PoolMember],
         document: document_model.Document,
         declared: document_model.Service,
     ) -> queueing.SlotShares:
@@ -998,11 +960,12 @@
             use.team for use in service.uses if use.team is not None
         )
         return queueing.SlotShares(
-            total=sum(
-                target_slots.slots
-                for target, target_slots in usable
-                if target_slots.is_read
-                and not service.ejections.is_ejected(target.host_id)
+            total=sum(use.is_borrowed for use in service.uses)
+            + sum(
+                member.free if member.is_lent else member.slots.slots
+                for member in usable
+                if member.slots.is_read
+                and not service.ejections.is_ejected(member.target.host_id)
             ),
             short_reserve=declared.short_reserve,
             in_use_long=sum(use.is_long for use in service.uses),
@@ -1014,94 +977,49 @@
 
     def _usable_targets(
         self, service: _Service, now: float
-    ) -> list[tuple[model.Target, slots.TargetSlots]]:
-        """Return the targets in the directory; reads their status where needed."""
+    ) -> list[target_pool.PoolMember]:
+        """Return the targets that may receive work of a service, with their slots."""
         document = self._source.state.documents.production
         declared = None if document is None else document.services.get(service.name)
         if declared is None:
             return []
-        targets = self._targets.targets_of(service.name)
-        host_ids = {target.host_id for target in targets}
+        assert document is not None
+        members = self._pool.members(service.name, declared, now)
+        if not self._has_queue_in(document, document.lent_pool(service.name)):
+            members += self._pool.lent_members(service.name, document, now)
+        host_ids = {member.target.host_id for member in members}
         if host_ids != service.host_ids:
-            for host_id in service.host_ids - host_ids:
-                # Its slots are read again when it returns: it may have rebooted.
-                self._slots_by_host_id[host_id].is_read = False
             service.host_ids = host_ids
             service.ejections.keep_only(host_ids)
-        usable = []
-        for target in targets:
-            target_slots = self._slots_by_host_id.get(target.host_id)
-            if target_slots is None:
-                target_slots = slots.TargetSlots(
-                    target.host_id, declared.slots_per_target
-                )
-                self._slots_by_host_id[target.host_id] = target_slots
-            target_slots.slots = min(
-                declared.slots_per_target,
-                declared.connections_per_target,
-                target_slots.reported_slots,
-            )
-            if (
-                (target_slots.doubtful or not target_slots.is_read)
-                and not target_slots.is_reading
-                and now >= target_slots.next_read_at
-            ):
-                target_slots.begin_read(now)
-                self._spawn(self._read_status(service, target, target_slots))
-            usable.append((target, target_slots))
-        return usable
-
-    async def _read_status(
-        self, service: _Service, target: model.Target, target_slots: slots.TargetSlots
-    ) -> None:
-        """Read a target's busy slots and bring the doubt in line with them."""
-        loop = asyncio.get_running_loop()
-        before = target_slots.uses_before(loop.time() - slots.SETTLE_S)
-        is_first = not target_slots.is_read
-        try:
-            status = await self._transport.status(target, STATUS_TIMEOUT_S)
-            if status is not None and before:
-                await asyncio.sleep(slots.SETTLE_S)
-        finally:
-            target_slots.is_reading = False
-            target_slots.next_read_at = loop.time() + STATUS_INTERVAL_S
-        if status is None:
-            return
-        if status.is_leaving:
-            self._note_leaving(target, service)
-        certain = sum(not use.is_released for use in before)
-        target_slots.reported_slots = max(1, status.slots)
-        target_slots.finish_read(status.busy_slots, certain, loop.time(), is_first)
-        target_slots.is_read = True
-        self._pump(service)
-
-    def _note_leaving(self, target: model.Target, service: _Service) -> None:
-        """Send nothing more to a target that leaves, until it says otherwise."""
-        self._targets.mark_leaving(target)
-        if target.host_id not in self._leaving_host_ids:
-            self._leaving_host_ids.add(target.host_id)
-            self._spawn(self._watch_leaving(target, service.name))
+        return members
 
-    async def _watch_leaving(self, target: model.Target, service_name: str) -> None:
-        """Ask a leaving target until it has rebooted.
+    def _has_queue_in(
+        self, document: document_model.Document, pool: str | None
+    ) -> bool:
+        """Whether requests of a pool's own services wait, so that it lends nothing."""
+        return any(
+            len(service.queue) > 0
+            for name, service in self._services_by_name.items()
+            if name in document.services and document.services[name].pool == pool
+        )
 
-        The directory learns of reboots from the fold and the host list; this covers
-        a reboot that is faster than the host list.
-        """
-        loop = asyncio.get_running_loop()
-        ends_at = loop.time() + LEAVING_WATCH_S
-        try:
-            while loop.time() < ends_at:
-                await asyncio.sleep(LEAVING_WATCH_INTERVAL_S)
-                listed = self._targets.targets_of(service_name)
-                if any(other.host_id == target.host_id for other in listed):
-                    return
-                status = await self._transport.status(target, STATUS_TIMEOUT_S)
-                if status is not None and not status.is_leaving:
-                    self._targets.clear_leaving(target)
-                    return
-        finally:
-            self._leaving_host_ids.discard(target.host_id)
+    def _pump_after_release(self, service: _Service) -> None:
+        """Give a released slot to its service, else to one that borrows or lends."""
+        self._pump(service)
+        self._pump_all(skipped=service)
+
+    def _pump_all(self, skipped: _Service | None = None) -> None:
+        """Give free slots to the waiting requests of all services."""
+        for service in list(self._services_by_name.values()):
+            if len(service.queue) and service is not skipped:
+                self._pump(service)
+
+    def _targets_of(self, service: str) -> list[model.Target]:
+        """Return own and lent targets of a service."""
+        return [
+            *self._targets.targets_of(service),
+            *self._targets.lent_targets_of(service),
+        ]
 
     # Learned classes.
 
@@ -1142,13 +1060,5 @@
     )
 
 
-def _not_run(code: codes.ResultCode, reason: str) -> model.Outcome:
-    return model.Outcome(model.OutcomeKind.NOT_RUN, code, reason)
-
-
-def _unknown(code: codes.ResultCode, reason: str) -> model.Outcome:
-    return model.Outcome(model.OutcomeKind.UNKNOWN, code, reason)
-
-
 def _cancelled() -> model.Outcome:
-    return _not_run(codes.ResultCode.REQUEST_CANCELLED, "the caller left")
+    return model.not_run(codes.ResultCode.REQUEST_CANCELLED, "the caller left")
--- a/clementinespar/waves/tests/test_planner.py
+++ b/clementinespar/waves/tests/test_planner.py
@@ -9,7 +9,6 @@
 from clementinespar.documents import model
 from clementinespar.pools import availability, messages
 from clementinespar.tests import fleets
-from clementinespar.waves import messages as wave_messages
 from clementinespar.waves import planner
 
 _A = fleets.host_ids("a", 8)
@@ -45,24 +44,8 @@
 
 def _apply(fold: fleets.Fold, plan: planner.WavePlan) -> None:
     """Apply a plan; every record of it must take effect."""
-    for end in plan.ends:
-        code = fold.add(
-            wave_messages.WaveFinished, wave_id=end.wave_id, reason=end.reason
-        )
-        assert code == codes.ResultCode.OK
-    for start in plan.starts:
-        code = fold.add(
-            wave_messages.WaveStarted, pool=start.pool, host_ids=start.host_ids
-        )
-        assert code == codes.ResultCode.OK
-    for out in plan.take_outs:
-        code = fold.add(
-            messages.HostTakenOut,
-            host_id=out.host_id,
-            pool=out.pool,
-            reason="maintenance",
-            wave_id=out.wave_id,
-        )
+    for decision in plan.decisions:
+        code = fold.apply(decision.to_record("test", fold.now_ms))
         assert code == codes.ResultCode.OK
 
 
@@ -211,3 +194,19 @@
         ]
         assert all(18 * _DAY_MS <= gap <= 28 * _DAY_MS for gap in gaps)
         assert began_ms + 56 * _DAY_MS - times[-1] <= 28 * _DAY_MS
+
+
+@pytest.mark.parametrize(
+    ("pool_count", "roll_out", "short_wait", "expected"),
+    [(5, 0.5, 4.0, 1), (5, 1.0, 1.0, 1), (5, 3.0, 1.0, 3), (358, 1.0, 1.0, 72)],
+)
+def test_weights_decide_how_many_pools_run_waves(
+    pool_count: int, roll_out: float, short_wait: float, expected: int
+) -> None:
+    """Guards against a small fleet that ignores the weight of roll-out time."""
+    document = fleets.make_document(
+        {f"p{i}": [f"c1r1-p{i}"] for i in range(pool_count)},
+        min_available=0,
+        weights=model.Weights(roll_out=roll_out, short_wait=short_wait),
+    )
+    assert planner.max_running_waves(document) == expected
