--- a/clementinespar/capacity/runner.py
+++ b/clementinespar/capacity/runner.py
@@ -4,7 +4,7 @@
 
 import logbook
 
-from clementinespar import codes, errors, explanation, identifiers
+from clementinespar import codes, errors, explanation
 from clementinespar.capacity import demand as capacity_demand
 from clementinespar.capacity import planner
 from clementinespar.documents import messages as document_messages
@@ -12,7 +12,6 @@
 from clementinespar.fleet import source as fleet_source
 from clementinespar.platform import service as platform_service
 from clementinespar.pools import availability
-from clementinespar.pools import messages as pool_messages
 from clementinespar.pools import operations as pool_operations
 from clementinespar.pools import state as pools_state
 
@@ -80,15 +79,24 @@
         if not await self._source.refresh(pool_operations.REFRESH_TIMEOUT_S):
             return codes.ResultCode.LOG_UNAVAILABLE
         await self._operations.advance_all("move")
+        host_count = len(self._source.state.pools.hosts_by_id)
+        interval_s = pool_operations.planning_interval_s(host_count)
+        now = asyncio.get_running_loop().time()
+        if self._observed_at is not None and now - self._observed_at < interval_s:
+            return codes.ResultCode.OK
         if not await self._source.refresh(pool_operations.REFRESH_TIMEOUT_S):
             return codes.ResultCode.LOG_UNAVAILABLE
         self._update_histories()
-        for move in self.plan("production").moves:
-            # Appends may have taken seconds, in which the plan may have become stale.
-            still_planned = {
-                m.host_id: m.to_pool for m in self.plan("production").moves
-            }
-            if still_planned.get(move.host_id) != move.to_pool:
+        planned_at = asyncio.get_running_loop().time()
+        plan = self.plan("production")
+        still_planned = {(move.host_id, move.to_pool) for move in plan.moves}
+        for move in plan.moves:
+            now = asyncio.get_running_loop().time()
+            if now - planned_at > pool_operations.MAX_PLAN_AGE_S:
+                planned_at = now
+                newer = self.plan("production")
+                still_planned = {(m.host_id, m.to_pool) for m in newer.moves}
+            if (move.host_id, move.to_pool) not in still_planned:
                 continue
             await self._take_out(move)
         return codes.ResultCode.OK
@@ -136,7 +144,10 @@
             self._demand.demand_by_service(),
             asyncio.get_running_loop().time(),
             availability.observe(
-                pools, self._host_list, self._demand.ejected_host_ids()
+                pools,
+                self._host_list,
+                self._demand.ejected_host_ids(),
+                fleet.log_time_ms,
             ),
         )
 
@@ -160,21 +171,11 @@
 
     async def _take_out(self, move: planner.Move) -> None:
         """Append a decision; a later round decides again if it has no effect."""
-        issued_ms = self._appender.now_ms()
-        record = pool_messages.HostTakenOut(
-            record_id=identifiers.new_id(issued_ms),
-            issued_ms=issued_ms,
-            author=self._author,
-            host_id=move.host_id,
-            pool=move.from_pool,
-            host_revision=move.host_revision,
-            reason="move",
-            to_pool=move.to_pool,
-        )
         what = f"move of host {move.host_id} from {move.from_pool} to {move.to_pool}"
         try:
             result = await self._appender.append(
-                record, pool_operations.APPEND_TIMEOUT_S
+                move.to_record(self._author, self._appender.now_ms()),
+                pool_operations.APPEND_TIMEOUT_S,
             )
         except errors.ClementinesparError as error:
             _LOG.warning("{}: not appended: {}", what, error)
--- a/clementinespar/duties/holder.py
+++ b/clementinespar/duties/holder.py
@@ -46,6 +46,7 @@
     _since_offset: int | None  # offset of the first claim of this process, if it holds
     _held_until: float  # loop time at which the lease ends, counted from before sending
     _loop: asyncio.AbstractEventLoop | None  # loop whose clock ends the lease
+    _random: random.Random  # differs between nodes, and repeats in tests
 
     def __init__(
         self,
@@ -63,6 +64,7 @@
         self._since_offset = None
         self._held_until = float("-inf")
         self._loop = None
+        self._random = random.Random(f"{author} {duty}")
 
     @property
     def is_held(self) -> bool:
@@ -72,7 +74,7 @@
         lease = self._lease()
         return (
             lease is not None
-            and lease.holder == self._author
+            # The offset tells this tenure from all others, also of the same node name.
             and lease.since_offset == self._since_offset
             and self._source.state.log_time_ms < lease.until_ms
         )
@@ -104,7 +106,7 @@
                 if remaining_ms > 0:
                     # Log time stands still without appends, so the wait is by the
                     # loop's clock. The jitter keeps all nodes from claiming at once.
-                    jitter = random.uniform(0.0, self._lease_ms / 10_000)
+                    jitter = self._random.uniform(0.0, self._lease_ms / 10_000)
                     await asyncio.sleep(remaining_ms / 1000 + jitter)
                     if self._lease() != lease:
                         continue  # renewed or passed on meanwhile
@@ -125,8 +127,13 @@
         )
         try:
             result = await self._appender.append(record, self._lease_ms / 2000)
-        except errors.ClementinesparError as error:
+        except errors.LogReplyLostError as error:
+            # The claim may be in the log. A node that can append but not read would
+            # block the duty if it went on renewing, so it lets the lease run out.
             _log.info("claim of duty {} got no result: {}", self.duty, error)
+            return self._lease_ms / 1000 + _RETRY_DELAY_S
+        except errors.ClementinesparError as error:
+            _log.info("duty {} cannot be claimed: {}", self.duty, error)
             return _RETRY_DELAY_S
         lease = self._lease()
         if result.code != codes.ResultCode.OK:
--- a/clementinespar/requests/model.py
+++ b/clementinespar/requests/model.py
@@ -47,6 +47,16 @@
     waited_s: float = 0.0  # time in the owner's queue
 
 
+def not_run(code: codes.ResultCode, reason: str) -> Outcome:
+    """Return the outcome of a request that certainly did not run."""
+    return Outcome(OutcomeKind.NOT_RUN, code, reason)
+
+
+def unknown(code: codes.ResultCode, reason: str) -> Outcome:
+    """Return the outcome of a request that may have run."""
+    return Outcome(OutcomeKind.UNKNOWN, code, reason)
+
+
 class RequestHandler(Protocol):
     """Takes a request to its one outcome: the owner's dispatcher or a remote owner."""
 
@@ -135,6 +145,10 @@
 class TargetDirectory(Protocol):
     """Targets that may receive new work."""
 
+    def lent_targets_of(self, service: str) -> Sequence[Target]:
+        """Return targets of the pool that the service borrows from, as `targets_of`."""
+        ...
+
     def targets_of(self, service: str) -> Sequence[Target]:
         """Return the service's targets that are neither out nor leaving."""
         ...
--- a/clementinespar/requests/transport.py
+++ b/clementinespar/requests/transport.py
@@ -27,6 +27,7 @@
 CONNECT_TIMEOUT_S = 1.0  # data centres are 1 ms apart; three SYNs fit
 KEEPALIVE_IDLE_S = 5
 KEEPALIVE_INTERVAL_S = 2
+KEEPALIVE_PROBES = 3  # a dead idle connection is closed after 11 s
 # Unacknowledged bytes close the connection after this time, long before the 15 minutes
 # of the kernel's default.
 USER_TIMEOUT_MS = 10_000
@@ -69,6 +70,9 @@
         self._client._multi.setopt(
             pycurl.M_MAX_HOST_CONNECTIONS, connections_per_target
         )
+        # libcurl's default is four for each running transfer, which closes most of the
+        # pooled connections whenever few requests run.
+        self._client._multi.setopt(pycurl.M_MAXCONNECTS, MAX_CLIENTS)
         self._fresh_until_by_endpoint = {}
 
     def close(self) -> None:
@@ -120,7 +124,14 @@
                 slots=int(told["slots"]),
                 is_leaving=bool(told["is_leaving"]),
             )
-        except (httpclient.HTTPError, OSError, ValueError, KeyError, TypeError):
+        except (
+            httpclient.HTTPError,
+            OSError,
+            ValueError,
+            KeyError,
+            TypeError,
+            RuntimeError,  # the client was closed
+        ):
             return None
 
     async def _send(
@@ -169,7 +180,7 @@
                 ),
                 raise_error=False,
             )
-        except (httpclient.HTTPError, OSError, ValueError) as error:
+        except (httpclient.HTTPError, OSError, ValueError, RuntimeError) as error:
             attempt = _failed_attempt(error, progress)
         else:
             if response.error is not None and response.code == 599:
@@ -215,6 +226,8 @@
     curl.setopt(pycurl.SOCKOPTFUNCTION, _set_socket_options)
     curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
     curl.setopt(pycurl.FRESH_CONNECT, 1 if is_fresh else 0)
+    # Kept open, such connections would fill the connection limit of the target.
+    curl.setopt(pycurl.FORBID_REUSE, 1 if is_fresh else 0)
     curl.setopt(pycurl.MAXAGE_CONN, MAX_IDLE_S)
     # Environment variables must not send work to a proxy.
     curl.setopt(pycurl.PROXY, "")
@@ -227,6 +240,7 @@
             (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
             (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
             (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+            (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
             (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
         )
         for level, option, value in options:
--- a/clementinespar/waves/planner.py
+++ b/clementinespar/waves/planner.py
@@ -10,19 +10,23 @@
 import math
 from collections.abc import Iterator
 
-from clementinespar import codes, explanation
+from clementinespar import codes, explanation, identifiers
 from clementinespar.documents import model
+from clementinespar.log import base
 from clementinespar.pools import availability, budget
+from clementinespar.pools import messages as pool_messages
 from clementinespar.pools import state as pools_state
+from clementinespar.waves import messages
 from clementinespar.waves import state as waves_state
 
 _DAY_MS = 86_400_000
 # Hosts are due after this share of the interval. The rest is the time in which the
 # waves of all pools take their turns, so that no host exceeds the interval.
 DUE_SHARE = 0.75
-# Waves run in this share of the pools at a time. Failures are correlated within a wave,
-# so few pools are exposed at once; 358 pools still take only 16 turns each interval.
-POOLS_SHARE = 1 / 16
+# Waves run in this share of the pools at a time, scaled by the weight of roll-out time
+# against waiting. Failures are correlated within a wave, so most pools stay unexposed.
+# A sixteenth left users with 5 pools one pool at a time whatever their weights said.
+POOLS_SHARE = 1 / 5
 # A wave that makes no end is given up, so that other pools get their turn.
 WAVE_LIMIT_MS = 12 * 3_600_000
 
@@ -45,6 +49,16 @@
     pool: str
     host_ids: tuple[str, ...]  # in the order of their lateness
 
+    def to_record(self, author: str, issued_ms: int) -> base.Record:
+        """Return the record that starts the wave."""
+        return messages.WaveStarted(
+            record_id=identifiers.new_id(issued_ms),
+            issued_ms=issued_ms,
+            author=author,
+            pool=self.pool,
+            host_ids=self.host_ids,
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TakeOut:
@@ -55,6 +69,19 @@
     host_revision: int
     wave_id: str
 
+    def to_record(self, author: str, issued_ms: int) -> base.Record:
+        """Return the record that takes the host out."""
+        return pool_messages.HostTakenOut(
+            record_id=identifiers.new_id(issued_ms),
+            issued_ms=issued_ms,
+            author=author,
+            host_id=self.host_id,
+            pool=self.pool,
+            host_revision=self.host_revision,
+            reason="maintenance",
+            wave_id=self.wave_id,
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WaveEnd:
@@ -64,6 +91,16 @@
     pool: str
     reason: str
 
+    def to_record(self, author: str, issued_ms: int) -> base.Record:
+        """Return the record that ends the wave."""
+        return messages.WaveFinished(
+            record_id=identifiers.new_id(issued_ms),
+            issued_ms=issued_ms,
+            author=author,
+            wave_id=self.wave_id,
+            reason=self.reason,
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WavePlan:
@@ -76,6 +113,11 @@
         default_factory=dict
     )
 
+    @property
+    def decisions(self) -> tuple[WaveEnd | WaveStart | TakeOut, ...]:
+        """All decisions, in the order in which they take effect."""
+        return (*self.ends, *self.starts, *self.take_outs)
+
 
 def plan(situation: Situation) -> WavePlan:
     """Return what the next round does."""
@@ -112,7 +154,8 @@
 def max_running_waves(document: model.Document) -> int:
     """Return in how many pools a wave may run at a time."""
     share = POOLS_SHARE * document.weights.ratio("roll_out", "short_wait")
-    return max(1, math.ceil(len(document.pools) * share))
+    # Rounded first: 5 * (1 / 5 * 3.0) is slightly more than 3.
+    return max(1, math.ceil(round(len(document.pools) * share, 6)))
 
 
 def due_in_ms(document: model.Document, host: pools_state.HostState, now: int) -> int:
--- a/clementinespar/waves/runner.py
+++ b/clementinespar/waves/runner.py
@@ -1,19 +1,20 @@
 """Runs maintenance waves in rounds, on the node that holds the duty."""
 
+import asyncio
+import math
+
 import logbook
 
-from clementinespar import codes, errors, explanation, identifiers
+from clementinespar import codes, errors, explanation
 from clementinespar.capacity import demand as capacity_demand
 from clementinespar.documents import messages as document_messages
 from clementinespar.fleet import appending
 from clementinespar.fleet import source as fleet_source
-from clementinespar.log import base
 from clementinespar.platform import service as platform_service
 from clementinespar.pools import availability
-from clementinespar.pools import messages as pool_messages
 from clementinespar.pools import operations as pool_operations
 from clementinespar.pools import state as pools_state
-from clementinespar.waves import messages, planner
+from clementinespar.waves import planner
 
 _LOG = logbook.Logger(__name__)
 
@@ -43,6 +44,7 @@
     _host_list: platform_service.HostListSource  # newest host list of this node
     _demand: capacity_demand.DemandSource  # tells which hosts are ejected
     _author: str  # name of this node
+    _planned_at: float  # loop time of the last decision
 
     def __init__(
         self,
@@ -59,6 +61,7 @@
         self._host_list = host_list
         self._demand = demand
         self._author = author
+        self._planned_at = -math.inf
 
     async def run_round(self) -> codes.ResultCode:
         """Carry on what is out, then do what the plan says.
@@ -72,51 +75,24 @@
             return codes.ResultCode.LOG_UNAVAILABLE
         await self._operations.detect_failures(self._host_list)
         await self._operations.advance_all("maintenance")
+        now = asyncio.get_running_loop().time()
+        host_count = len(self._source.state.pools.hosts_by_id)
+        interval_s = pool_operations.planning_interval_s(host_count)
+        if now - self._planned_at < interval_s:
+            return codes.ResultCode.OK
+        self._planned_at = now
         if not await self._source.refresh(pool_operations.REFRESH_TIMEOUT_S):
             return codes.ResultCode.LOG_UNAVAILABLE
+        planned_at = asyncio.get_running_loop().time()
         plan = self.plan("production")
-        for end in plan.ends:
-            issued_ms = self._appender.now_ms()
-            await self._append(
-                messages.WaveFinished(
-                    record_id=identifiers.new_id(issued_ms),
-                    issued_ms=issued_ms,
-                    author=self._author,
-                    wave_id=end.wave_id,
-                    reason=end.reason,
-                ),
-                f"end of the wave of pool {end.pool}: {end.reason}",
-            )
-        for start in plan.starts:
-            issued_ms = self._appender.now_ms()
-            await self._append(
-                messages.WaveStarted(
-                    record_id=identifiers.new_id(issued_ms),
-                    issued_ms=issued_ms,
-                    author=self._author,
-                    pool=start.pool,
-                    host_ids=start.host_ids,
-                ),
-                f"wave of pool {start.pool} over {', '.join(start.host_ids)}",
-            )
-        for take_out in plan.take_outs:
-            # Appends may have taken seconds, in which the plan may have become stale.
-            if take_out not in self.plan("production").take_outs:
-                continue
-            issued_ms = self._appender.now_ms()
-            await self._append(
-                pool_messages.HostTakenOut(
-                    record_id=identifiers.new_id(issued_ms),
-                    issued_ms=issued_ms,
-                    author=self._author,
-                    host_id=take_out.host_id,
-                    pool=take_out.pool,
-                    host_revision=take_out.host_revision,
-                    reason="maintenance",
-                    wave_id=take_out.wave_id,
-                ),
-                f"maintenance of host {take_out.host_id} of pool {take_out.pool}",
-            )
+        still_planned = plan.decisions
+        for decision in plan.decisions:
+            now = asyncio.get_running_loop().time()
+            if now - planned_at > pool_operations.MAX_PLAN_AGE_S:
+                planned_at = now
+                still_planned = self.plan("production").decisions
+            if decision in still_planned:
+                await self._append(decision)
         return codes.ResultCode.OK
 
     def plan(self, environment: document_messages.Environment) -> planner.WavePlan:
@@ -140,7 +116,10 @@
                 fleet.waves,
                 fleet.log_time_ms,
                 availability.observe(
-                    pools, self._host_list, self._demand.ejected_host_ids()
+                    pools,
+                    self._host_list,
+                    self._demand.ejected_host_ids(),
+                    fleet.log_time_ms,
                 ),
             )
         )
@@ -158,16 +137,19 @@
             codes.ResultCode.POOL_UNKNOWN,
         )
 
-    async def _append(self, record: base.Record, what: str) -> None:
+    async def _append(
+        self, decision: planner.WaveEnd | planner.WaveStart | planner.TakeOut
+    ) -> None:
         """Append a decision; a later round decides again if it has no effect."""
         try:
             result = await self._appender.append(
-                record, pool_operations.APPEND_TIMEOUT_S
+                decision.to_record(self._author, self._appender.now_ms()),
+                pool_operations.APPEND_TIMEOUT_S,
             )
         except errors.ClementinesparError as error:
-            _LOG.warning("{}: not appended: {}", what, error)
+            _LOG.warning("{}: not appended: {}", decision, error)
             return
         if result.code == codes.ResultCode.OK:
-            _LOG.info("{}", what)
+            _LOG.info("{}", decision)
         else:
-            _LOG.notice("{}: no effect: {}", what, result.code.name)
+            _LOG.notice("{}: no effect: {}", decision, result.code.name)
