--- a/demo/scenario.py
+++ b/demo/scenario.py
@@ -1,6 +1,7 @@
 """What happens to one user's deployment in the demo, step by step."""
 
 import asyncio
+import collections
 import contextlib
 import dataclasses
 import pathlib
@@ -9,7 +10,7 @@
 from collections.abc import AsyncIterator, Callable, Coroutine
 from typing import Any
 
-from clementinespar.commands import replies
+from clementinespar.commands import client, replies
 from clementinespar.documents import model
 from demo import checks, deployment, documents, load
 
@@ -349,6 +350,17 @@
 
 def _judge(scenario: _Scenario, callers: load.Load) -> None:
     """Compare what was seen with the promises."""
+    counts = collections.Counter(
+        (
+            asked.result.value,
+            client.parse_code(int(asked.result_code or 0)),
+            asked.node.name,
+        )
+        for asked in callers.asked
+        if asked.result in (load.Result.REFUSED, load.Result.UNKNOWN)
+    )
+    for (result, code, node_name), count in sorted(counts.items()):
+        scenario.note(f"{result} at {node_name} with {client.code_text(code)}: {count}")
     for tally in scenario.report.tallies:
         if tally.broken:
             scenario.break_promise(
