Flush queued claim releases at a planned stop

Cause: the claimer queues releases and the node never waited for them, so a claim could stay held until it expired and refuse the caller's next try of a request that did not run. Change: the stop waits for them, 2 s at most. Tested: the suite; Claimer.finish has its own tests. No test shows the node's call.

--- a/clementinespar/node.py
+++ b/clementinespar/node.py
@@ -51,6 +51,7 @@
 DUTY_LEASE_MS = 10_000
 # Entries between snapshots. A start replays at most this many, which takes seconds.
 SNAPSHOT_MAX_ENTRIES = 10_000
+_RELEASE_LIMIT_S = 2.0  # longest wait at a stop for releases of claims
 _READY_CHECK_S = 0.05
 
 EXIT_DONE = 0
@@ -116,6 +117,7 @@
     appender: log_appender.Appender
     peers: directory.Peers
     host_list: platform_watcher.HostListWatcher
+    claimer: request_claimer.Claimer
     dispatcher: request_dispatcher.Dispatcher
     router: request_router.Router
     callers: callers_server.CallersServer
@@ -249,11 +251,14 @@
             self.host_list = platform_watcher.HostListWatcher(
                 platform, settings.platform.poll_interval_s
             )
+            self.claimer = request_claimer.Claimer(
+                self.appender, self.follower, self.name
+            )
             self.dispatcher = request_dispatcher.Dispatcher(
                 self.follower,
                 request_targets.FleetTargetDirectory(self.follower, self.host_list),
                 target_transport,
-                request_claimer.Claimer(self.appender, self.follower, self.name),
+                self.claimer,
             )
             self.router = _ObservedRouter(self.peers, self.follower)
             self.ports["peers"] = await stack.enter_async_context(
@@ -418,6 +423,8 @@
             )
         ]
         await self._unless_cut(asyncio.wait(waits))
+        # A claim that stays held refuses the caller's next try until it expires.
+        await self._unless_cut(self.claimer.finish(_RELEASE_LIMIT_S))
         for task in waits:
             task.cancel()
         await asyncio.gather(*waits, return_exceptions=True)
