--- a/clementinespar/pools/tests/test_operations.py
+++ b/clementinespar/pools/tests/test_operations.py
@@ -7,6 +7,7 @@
 import pytest
 
 from clementinespar import codes, identifiers
+from clementinespar.duties import holder as duties_holder
 from clementinespar.log import base
 from clementinespar.platform import service as platform_service
 from clementinespar.pools import messages
@@ -64,8 +65,13 @@
         self.b = b
         self.platform = platform
 
-    async def append(self, record_type: type[base.Record], **fields: object) -> None:
-        appender = self.a.log_node.appender
+    async def append(
+        self,
+        record_type: type[base.Record],
+        by: fleets.FleetNode | None = None,
+        **fields: object,
+    ) -> None:
+        appender = (by or self.a).log_node.appender
         issued_ms = appender.now_ms()
         record = record_type(
             record_id=identifiers.new_id(issued_ms),
@@ -77,12 +83,19 @@
         assert result.code == codes.ResultCode.OK
         await self.b.log_node.follower.refresh(1.0)
 
-    async def move(self, host_id: str, pool: str, to_pool: str) -> None:
+    async def move(
+        self,
+        host_id: str,
+        pool: str,
+        to_pool: str,
+        by: fleets.FleetNode | None = None,
+    ) -> None:
         await self.append(
             messages.HostTakenOut,
+            by,
             host_id=host_id,
             pool=pool,
-            host_revision=self.a.state.pools.hosts_by_id[host_id].revision,
+            host_revision=(by or self.a).state.pools.hosts_by_id[host_id].revision,
             reason="move",
             to_pool=to_pool,
         )
@@ -178,6 +191,86 @@
         assert len(two.platform.actions) == count
 
 
+async def _run_rounds(node: fleets.FleetNode, holder: duties_holder.DutyHolder) -> None:
+    """Carry moves while the node holds the duty, as an entry node does."""
+    while True:
+        if holder.is_held:
+            await node.operations.advance_all("move")
+        await asyncio.sleep(1)
+
+
+@pytest.mark.parametrize("held_step", ["drain", "reboot"])
+@pytest.mark.parametrize("progress", ["carried on", "done", "out again"])
+@paused_clock.test
+async def test_node_that_slept_through_a_change_of_the_duty_lease(
+    held_step: str, progress: str
+) -> None:
+    # Guards against a former holder of the duty that wakes just before a host action.
+    async with _two() as two, contextlib.AsyncExitStack() as stack:
+        holders = []
+        for node in (two.a, two.b):
+            log_node = node.log_node
+            holder = duties_holder.DutyHolder(
+                "capacity", log_node.appender, log_node.follower, log_node.name, 10_000
+            )
+            await stack.enter_async_context(holder.running())
+            await asyncio.sleep(1)
+            holders.append(holder)
+        old, new = holders
+        assert old.is_held
+        await two.move(_A[0], "a", "b")
+        out = two.b.state.pools.hosts_by_id[_A[0]].out
+        assert out is not None
+        two.platform.held_step = f"status of {held_step}"
+        rounds = [
+            asyncio.create_task(_run_rounds(node, holder))
+            for node, holder in ((two.a, old), (two.b, new))
+        ]
+        async with asyncio.timeout(60):
+            while not two.platform.held_count:
+                await asyncio.sleep(0.1)
+        two.a.log_node.access.faults.silent = True  # nothing of the node goes on
+        async with asyncio.timeout(60):
+            while (held_step, out.operation_id) not in [
+                (action.step, action.operation_id) for action in two.platform.actions
+            ]:
+                await asyncio.sleep(0.1)
+        assert new.is_held
+        assert not old.is_held
+        if progress != "carried on":
+            async with asyncio.timeout(120):
+                while not two.b.state.pools.hosts_by_id[_A[0]].is_available:
+                    await asyncio.sleep(0.1)
+        if progress == "out again":
+            await two.move(_A[0], "b", "a", two.b)
+        started = two.started()
+        calls = [a for a in two.platform.actions if a.operation_id == out.operation_id]
+        two.a.log_node.access.faults.silent = False
+        two.platform.awake.set()
+        await asyncio.sleep(0.5)
+        assert not old.is_held
+        later = [
+            a
+            for a in two.platform.actions
+            if a.operation_id == out.operation_id and a not in calls
+        ]
+        if progress == "carried on":
+            # The operation stands, so the call may be sent; the platform repeats none.
+            assert {action.result for action in later} <= {"repeated"}
+        else:
+            assert later == []
+        if progress != "out again":
+            assert two.started() == started
+        await asyncio.sleep(60)
+        pool = "a" if progress == "out again" else "b"
+        assert two.pool_of(_A[0]) == (pool, True)
+        assert two.platform.pool_by_host_id[_A[0]] == pool
+        assert len(two.started()) == (4 if progress == "out again" else 2)
+        for task in rounds:
+            assert not task.done()
+            task.cancel()
+
+
 @paused_clock.test
 async def test_document_that_removes_the_destination_returns_the_host() -> None:
     async with _two() as two:
