--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,5 +1,7 @@
 """All measurements of the policy and of whole processes: ``make bench``.
 
+``--policy-only`` leaves out whole processes.
+
 Fills the generated parts of ``docs/measurements.md`` and its plots. Policy measurements
 run on a paused clock with fixed seeds, so their figures repeat exactly.
 """
@@ -8,6 +10,7 @@
 import concurrent.futures
 import pathlib
 import statistics
+import sys
 from collections.abc import Callable
 from typing import TypeVar
 
@@ -67,8 +70,9 @@
             "buffers": buffers.table(_rows(buffer_rows)),
         }
         _plot_waiting(_rows(waiting_rows))
-    # Alone, so that nothing else loads the machine.
-    parts["throughput"] = asyncio.run(throughput.run(_THROUGHPUT_S))
+    if "--policy-only" not in sys.argv:
+        # Alone, so that nothing else loads the machine.
+        parts["throughput"] = asyncio.run(throughput.run(_THROUGHPUT_S))
     for name, text in parts.items():
         print(f"\n{name}\n\n{text}")
         tables.replace_part(_PAGE, name, text)
--- /dev/null
+++ b/bench/capacity/__main__.py
@@ -0,0 +1,191 @@
+"""All measurements behind ``docs/CAPACITY.md``: ``make bench-capacity``.
+
+Fills the generated parts of the page: the measured slopes with their fits, and the
+planned size worked out from them.
+"""
+
+import dataclasses
+import json
+import pathlib
+import subprocess
+import sys
+
+from bench import fits, fleets, tables
+from bench.capacity import planned
+
+_PAGE = pathlib.Path("docs/CAPACITY.md")
+_RESULTS = pathlib.Path("bench/results/capacity.json")
+_IDLE_S = 20
+_PUBLICATIONS = 10
+_NODE_COUNTS = (3, 6, 9, 18)
+_FLEET_PROBES = (
+    "publication",
+    "host_operations",
+    "claims",
+    "lease",
+    "state_memory",
+    "snapshot",
+    "planning",
+)
+
+Figures = dict[str, float]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Slope:
+    """One figure against one size."""
+
+    figure: str  # name of the figure, with its unit
+    against: str  # what grows
+    xs: tuple[float, ...]
+    ys: tuple[float, ...]
+
+    @property
+    def fit(self) -> fits.Fit:
+        """The straight line through the measurements."""
+        return fits.fit_line(self.xs, self.ys)
+
+
+def _run(*arguments: str) -> Figures:
+    """Run one measurement in a fresh process."""
+    done = subprocess.run(
+        [sys.executable, "-m", *arguments], check=True, capture_output=True, text=True
+    )
+    figures: Figures = json.loads(done.stdout.splitlines()[-1])
+    print(" ".join(arguments), figures, flush=True)
+    return figures
+
+
+def _size_arguments(size: fleets.FleetSize) -> tuple[str, str, str]:
+    return str(size.hosts), str(size.pools), str(size.teams)
+
+
+def _slopes(against: str, measured: list[tuple[float, Figures]]) -> list[Slope]:
+    return [
+        Slope(
+            figure,
+            against,
+            tuple(x for x, _ in measured),
+            tuple(figures[figure] for _, figures in measured),
+        )
+        for figure in measured[0][1]
+    ]
+
+
+def measure() -> list[Slope]:
+    """Measure all slopes."""
+    sizes = (fleets.TODAY, *fleets.SIZES)
+    slopes: list[Slope] = []
+    for probe in _FLEET_PROBES:
+        measured = [
+            (
+                float(size.hosts),
+                _run("bench.capacity.probe", probe, *_size_arguments(size)),
+            )
+            for size in sizes
+        ]
+        slopes += _slopes("hosts", measured)
+    idle = [
+        (
+            float(size.hosts),
+            _run(
+                "bench.capacity.nodes",
+                "idle",
+                *_size_arguments(size),
+                "3",
+                str(_IDLE_S),
+            ),
+        )
+        for size in sizes
+    ]
+    slopes += _slopes("hosts, 3 nodes", idle)
+    nodes = [
+        (
+            float(count),
+            _run(
+                "bench.capacity.nodes",
+                "idle",
+                *_size_arguments(fleets.TODAY),
+                str(count),
+                str(_IDLE_S),
+            ),
+        )
+        for count in _NODE_COUNTS
+    ]
+    slopes += _slopes("nodes, 40 hosts", nodes)
+    published = [
+        (
+            float(size.hosts),
+            _run(
+                "bench.capacity.nodes",
+                "publish",
+                *_size_arguments(size),
+                "3",
+                str(_PUBLICATIONS),
+            ),
+        )
+        for size in sizes
+    ]
+    slopes += _slopes("hosts, 3 nodes", published)
+    full = _run(
+        "bench.capacity.nodes",
+        "publish",
+        *_size_arguments(fleets.SIZES[-1]),
+        "9",
+        str(_PUBLICATIONS),
+    )
+    slopes += [
+        Slope(f"{name} at 9 nodes", "1,100 hosts", (1100.0,), (value,))
+        for name, value in full.items()
+    ]
+    return slopes
+
+
+def slope_table(slopes: list[Slope]) -> str:
+    """Return the Markdown table of slopes."""
+    rows = []
+    for slope in slopes:
+        if len(slope.xs) < 2:
+            rows.append((slope.figure, slope.against, f"{slope.ys[0]:.4g}", "", "", ""))
+            continue
+        fit = slope.fit
+        rows.append(
+            (
+                slope.figure,
+                slope.against,
+                ", ".join(
+                    f"{x:.0f}: {y:.4g}" for x, y in zip(slope.xs, slope.ys, strict=True)
+                ),
+                f"{fit.intercept:.4g} + {fit.slope:.4g} n",
+                f"{fit.residual_share:.0%}",
+                f"{fit.exponent:.2f}",
+            )
+        )
+    return tables.markdown(
+        ("figure", "against", "measured", "fit", "residual", "exponent"), rows
+    )
+
+
+def main() -> None:
+    """Measure, keep the results, and fill the page."""
+    if "--page-only" in sys.argv:
+        values = json.loads(_RESULTS.read_text(encoding="utf-8"))
+        slopes = [
+            Slope(v["figure"], v["against"], tuple(v["xs"]), tuple(v["ys"]))
+            for v in values
+        ]
+    else:
+        slopes = measure()
+        _RESULTS.parent.mkdir(exist_ok=True)
+        text = json.dumps([dataclasses.asdict(slope) for slope in slopes], indent=1)
+        _RESULTS.write_text(text + "\n", encoding="utf-8")
+    by_key = {
+        (slope.figure, slope.against): slope.fit for slope in slopes if slope.xs[1:]
+    }
+    tables.replace_part(_PAGE, "slopes", slope_table(slopes))
+    tables.replace_part(_PAGE, "planned", planned.table(by_key))
+    print(planned.table(by_key))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/capacity/planned.py
@@ -0,0 +1,236 @@
+"""The planned size worked out from measured slopes.
+
+Rates per day that no measurement can give are estimates and marked as such.
+"""
+
+import dataclasses
+from collections.abc import Mapping
+
+from bench import fits, fleets, tables
+
+DAY_S = 86_400.0
+CHANGES_PER_DAY = 1_900
+HOSTS_FAILED_PER_DAY = 15
+HOSTS_REPLACED_PER_DAY = 110
+INTERVAL_DAYS = 28
+# Appends of duty leases: three duties, renewed at half of ten seconds.
+LEASES_PER_DAY = 3 * DAY_S / 5
+SNAPSHOTS_PER_DAY = DAY_S / 300
+# Estimates: what the 1,100 hosts serve, and the share that must not repeat.
+ORDERS_PER_S = 50.0
+CLAIM_RETENTION_S = 600.0
+ENTRY_NODES = 18
+
+LIMIT_CORE = 0.017
+LIMIT_MB = 128.0
+LIMIT_BYTES_PER_S = 8_000.0  # 8 KB
+LIMIT_IN_FORCE_S = 4.0
+
+Fits = Mapping[tuple[str, str], fits.Fit]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Line:
+    """One computed figure beside its limit."""
+
+    role: str
+    figure: str
+    value: float
+    unit: str
+    limit: float | None
+    basis: str  # measured slopes, or which estimate it rests on
+    mechanism: str
+
+    def cells(self) -> tuple[str, ...]:
+        """Return the cells of the table row."""
+        margin = "" if self.limit is None else f"{self.limit / self.value:.1f} x"
+        limit = "" if self.limit is None else f"{self.limit:g}"
+        return (
+            self.role,
+            self.figure,
+            f"{self.value:.3g} {self.unit}",
+            limit,
+            margin,
+            self.basis,
+            self.mechanism,
+        )
+
+
+def lines(measured: Fits) -> list[Line]:
+    """Return all lines of the planned size."""
+    hosts = fleets.PLANNED_HOSTS
+
+    def at(figure: str, against: str = "hosts", size: float = hosts) -> float:
+        return measured[figure, against].at(size)
+
+    maintenance_per_day = hosts / INTERVAL_DAYS
+    # A maintenance is out and returned; a wave of about three hosts adds its two.
+    host_records_per_day = (
+        maintenance_per_day * (2 + 2 / 3)
+        + (HOSTS_FAILED_PER_DAY + HOSTS_REPLACED_PER_DAY) * 2
+    )
+    claim_records_per_s = ORDERS_PER_S / 10
+    log_bytes_per_s = (
+        CHANGES_PER_DAY * at("publication_bytes")
+        + host_records_per_day * at("host_record_bytes")
+        + LEASES_PER_DAY * at("lease_record_bytes")
+        # Claims held shrink or grow the snapshot; the probe holds 5,000.
+        + SNAPSHOTS_PER_DAY * at("snapshot_bytes") * 1.25
+    ) / DAY_S + claim_records_per_s * at("claims_record_bytes")
+    fold_core = (
+        CHANGES_PER_DAY * at("publication_us")
+        + host_records_per_day * at("host_record_us")
+        + LEASES_PER_DAY * at("lease_record_us")
+    ) / 1e6 / DAY_S + claim_records_per_s * at("claims_record_us") / 1e6
+    claims_held = ORDERS_PER_S * CLAIM_RETENTION_S
+    claims_mb = claims_held * at("claim_memory_bytes") / 1e6
+    node_slope = measured["peers_bytes_per_s", "nodes, 40 hosts"].slope
+    core_slope = measured["core_share_mean", "nodes, 40 hosts"].slope
+    peers_bytes = at("peers_bytes_per_s", "nodes, 40 hosts", ENTRY_NODES)
+    core_at_size = at("core_share_mean", "hosts, 3 nodes")
+    core_max_at_size = at("core_share_max", "hosts, 3 nodes")
+    more_nodes = ENTRY_NODES - 3
+    list_changes_per_day = (
+        HOSTS_FAILED_PER_DAY + HOSTS_REPLACED_PER_DAY
+    ) * 2 + maintenance_per_day * 3
+    list_bytes = hosts * 130.0
+    list_bytes_per_s = list_changes_per_day * list_bytes / DAY_S + 770.0
+    appends_per_s = (
+        CHANGES_PER_DAY + host_records_per_day + LEASES_PER_DAY
+    ) / DAY_S + claim_records_per_s
+    memory_mb = at("memory_mb_max", "hosts, 3 nodes") + claims_mb
+    return [
+        Line(
+            "every node",
+            "processor time at rest",
+            core_at_size + core_slope * more_nodes + fold_core,
+            "of a core",
+            LIMIT_CORE,
+            f"measured; {ENTRY_NODES} nodes and {ORDERS_PER_S:.0f} orders/s estimated",
+            "fold, long polls, paired heartbeats",
+        ),
+        Line(
+            "node on duty",
+            "processor time at rest",
+            core_max_at_size + core_slope * more_nodes + fold_core,
+            "of a core",
+            LIMIT_CORE,
+            "measured, as above",
+            "duty leases; planning interval hosts/250 s",
+        ),
+        Line(
+            "every node",
+            "memory",
+            memory_mb,
+            "MB",
+            LIMIT_MB,
+            f"measured; {claims_held:.0f} claims held estimated",
+            "fold in memory, claims expire after 600 s",
+        ),
+        Line(
+            "every node",
+            "log, read",
+            log_bytes_per_s,
+            "B/s",
+            LIMIT_BYTES_PER_S,
+            "record sizes measured, rates given or estimated",
+            "fold of the log",
+        ),
+        Line(
+            "every node",
+            "host list",
+            list_bytes_per_s,
+            "B/s",
+            LIMIT_BYTES_PER_S,
+            f"{list_changes_per_day:.0f} changes a day from the given failures",
+            "ETag, whole list on a change",
+        ),
+        Line(
+            "every node",
+            f"heartbeats of {ENTRY_NODES} nodes",
+            peers_bytes,
+            "B/s",
+            LIMIT_BYTES_PER_S,
+            f"measured slope {node_slope:.0f} B/s for each node",
+            "full mesh, paired",
+        ),
+        Line(
+            "every node",
+            "bytes for control, all together",
+            log_bytes_per_s + list_bytes_per_s + peers_bytes,
+            "B/s",
+            LIMIT_BYTES_PER_S,
+            "sum of the three",
+            "",
+        ),
+        Line(
+            "log",
+            "appends",
+            appends_per_s,
+            "1/s",
+            300.0,
+            "given rates, claims in batches of ten estimated",
+            "batching",
+        ),
+        Line(
+            "log",
+            "snapshot",
+            at("snapshot_bytes") / 1e6,
+            "MB",
+            None,
+            "measured with 5,000 claims",
+            "one every 300 s, in chunks",
+        ),
+        Line(
+            "new node",
+            "rebuild from a snapshot",
+            at("snapshot_rebuild_ms"),
+            "ms",
+            None,
+            "measured with 5,000 claims",
+            "newest whole snapshot or a peer",
+        ),
+        Line(
+            "documents",
+            "in force on all nodes",
+            at("publish_max_s", "hosts, 3 nodes"),
+            "s",
+            LIMIT_IN_FORCE_S,
+            "measured, slowest of ten, 3 nodes",
+            "long polls of the log, peers relay",
+        ),
+        Line(
+            "waves",
+            "planning round",
+            at("wave_round_ms"),
+            "ms",
+            None,
+            "measured, all hosts due",
+            "one node on duty",
+        ),
+        Line(
+            "capacity",
+            "planning round",
+            at("capacity_round_ms"),
+            "ms",
+            None,
+            "measured",
+            "one node on duty",
+        ),
+    ]
+
+
+def table(measured: Fits) -> str:
+    """Return the Markdown table of the planned size."""
+    return tables.markdown(
+        (
+            "role",
+            "figure",
+            "at the planned size",
+            "limit",
+            "margin",
+            "basis",
+            "carries",
+        ),
+        [line.cells() for line in lines(measured)],
+    )
--- a/bench/policy/cluster.py
+++ b/bench/policy/cluster.py
@@ -10,6 +10,7 @@
 import math
 import random
 from collections.abc import Callable, Iterable, Mapping, Sequence
+from typing import Literal
 
 from bench.policy import workload
 from clementinespar import codes, identifiers
@@ -23,6 +24,8 @@
 from standins import fake_target
 from standins import target as target_standin
 
+Failure = Literal["killed", "fails all", "silent"]
+
 # A claim waits for one batch and one append to the log and its read.
 CLAIM_S = 0.01
 
@@ -207,8 +210,9 @@
 
     nodes: int = 3
     has_owners: bool = True  # False: each node admits on its own
-    killed_share: float = 0.0  # targets killed in the middle of the run
-    killed_at_s: float = math.inf
+    failed_share: float = 0.0  # targets that fail in the middle of the run
+    failed_at_s: float = math.inf
+    failure: Failure = "killed"
     targets_by_service: Mapping[str, int] | None = None
     lends: bool = False  # services borrow idle slots of the spare pool
 
@@ -271,8 +275,8 @@
     cluster = Cluster(user, shape, scheme)
     await asyncio.sleep(1.0)
     start = loop.time()
-    if scheme.killed_share:
-        loop.call_at(start + scheme.killed_at_s, _kill, cluster, scheme.killed_share)
+    if scheme.failed_share:
+        loop.call_at(start + scheme.failed_at_s, _fail_targets, cluster, scheme)
     results: list[Result] = []
 
     async def send(arrival: workload.Arrival, entry: router.Router) -> None:
@@ -326,9 +330,15 @@
     )
 
 
-def _kill(cluster: Cluster, share: float) -> None:
-    """Kill every n-th target, so that all pools lose the same share."""
+def _fail_targets(cluster: Cluster, scheme: Scheme) -> None:
+    """Let every n-th target fail, so that all pools lose the same share."""
     host_ids = sorted(cluster.targets_by_host_id)
-    step = round(1 / share)
-    for host_id in host_ids[::step]:
-        cluster.targets_by_host_id[host_id].kill()
+    for host_id in host_ids[:: round(1 / scheme.failed_share)]:
+        fake = cluster.targets_by_host_id[host_id]
+        match scheme.failure:
+            case "killed":
+                fake.kill()
+            case "fails all":
+                fake.state.faults.fail_all = True
+            case "silent":
+                fake.state.faults.freeze = True
--- a/bench/policy/waiting.py
+++ b/bench/policy/waiting.py
@@ -13,7 +13,8 @@
 SEEDS = (1, 2, 3, 4, 5)
 SHAPE = workload.Shape(cycles=1)
 SHARES = (0.5, 0.99, 0.999)
-KILLED_SHARE = 0.2
+FAILED_SHARE = 0.2
+FAILURES: tuple[cluster.Failure, ...] = ("killed", "fails all", "silent")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -157,9 +158,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RetryRow:
-    """Extra load while a fifth of the targets is dead."""
+    """Extra load while a fifth of the targets fails."""
 
     user: str
+    failure: str
     policy: str
     extra_share: Spread  # starts beyond one for each request, over requests
     refused: Spread
@@ -179,35 +181,40 @@
 
 
 def measure_retries(user: workload.User) -> list[RetryRow]:
-    """Kill a fifth of the targets in the middle of the first peak."""
+    """Let a fifth of the targets fail in the middle of the first peak."""
+    rows = []
+    for failure in FAILURES:
+        with _without_retry_budget():
+            rows.append(_measure_failure(user, failure, "no retry budget"))
+        rows.append(_measure_failure(user, failure, "product"))
+    return rows
+
+
+def _measure_failure(
+    user: workload.User, failure: cluster.Failure, policy: str
+) -> RetryRow:
     scheme = cluster.Scheme(
-        nodes=3, killed_share=KILLED_SHARE, killed_at_s=SHAPE.peak_s / 2
+        nodes=3,
+        failed_share=FAILED_SHARE,
+        failed_at_s=SHAPE.peak_s / 2,
+        failure=failure,
+    )
+    runs = [run_product(user, scheme, seed, SHAPE) for seed in SEEDS]
+    return RetryRow(
+        user=user.name,
+        failure=failure,
+        policy=policy,
+        extra_share=Spread(tuple(_extra_share(run) for run in runs)),
+        refused=Spread(tuple(_count(run, model.OutcomeKind.NOT_RUN) for run in runs)),
+        unknown=Spread(tuple(_count(run, model.OutcomeKind.UNKNOWN) for run in runs)),
+        lost=Spread(tuple(run.lost for run in runs)),
+        doubled_orders=Spread(
+            tuple(
+                sum(r.runs > 1 and r.arrival.kind == "order" for r in run.results)
+                for run in runs
+            )
+        ),
     )
-
-    def measure(policy: str) -> RetryRow:
-        runs = [run_product(user, scheme, seed, SHAPE) for seed in SEEDS]
-        return RetryRow(
-            user=user.name,
-            policy=policy,
-            extra_share=Spread(tuple(_extra_share(run) for run in runs)),
-            refused=Spread(
-                tuple(_count(run, model.OutcomeKind.NOT_RUN) for run in runs)
-            ),
-            unknown=Spread(
-                tuple(_count(run, model.OutcomeKind.UNKNOWN) for run in runs)
-            ),
-            lost=Spread(tuple(run.lost for run in runs)),
-            doubled_orders=Spread(
-                tuple(
-                    sum(r.runs > 1 and r.arrival.kind == "order" for r in run.results)
-                    for run in runs
-                )
-            ),
-        )
-
-    with _without_retry_budget():
-        baseline = measure("no retry budget")
-    return [baseline, measure("product")]
 
 
 def _count(run: cluster.Run, kind: model.OutcomeKind) -> int:
@@ -261,6 +268,7 @@
         [
             (
                 row.user,
+                row.failure,
                 row.policy,
                 row.extra_share.text(),
                 row.refused.text(0),
