Split state, admission, selection and explanation out of the dispatcher

Change: flights.py holds the state of requests and services, admission.py the checks before the queue, selection.py the choice of request and target, and service_explanation.py what operators see. Behaviour is unchanged. Tested: all tests of the request path; one patches the limit of held bytes where it now stands.

--- a/clementinespar/requests/dispatcher.py
+++ b/clementinespar/requests/dispatcher.py
@@ -10,7 +10,7 @@
 import collections
 import dataclasses
 import math
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 import logbook
@@ -21,13 +21,14 @@
 from clementinespar.documents import model as document_model
 from clementinespar.fleet import source as fleet_source
 from clementinespar.requests import (
+    admission,
     claiming,
-    demand_meter,
-    ejection,
+    flights,
     model,
     queueing,
     retries,
-    runtimes,
+    selection,
+    service_explanation,
     slots,
     target_pool,
 )
@@ -44,12 +45,6 @@
 # elsewhere if its target turns out to be silent and the budget allows it.
 SILENCE_S = 1.0
 SILENCE_RUN_TIMES = 8.0
-# A probe puts a request at risk. One that must not repeat is used only if no other one
-# came for this long.
-PROBE_OVERDUE_S = 10.0
-# Bodies that may wait or be in flight at once. The limits of the queues count requests
-# only, and a node has 128 MB for everything.
-MAX_HELD_BYTES = 48 * 1024 * 1024
 REFUSED_IDS = 1024  # requests refused for good that are remembered
 
 _CAPACITY_CODES = frozenset(
@@ -63,88 +58,6 @@
 _log = logbook.Logger(__name__)
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class _Assignment:
-    """A target with a slot taken for one attempt."""
-
-    target: model.Target
-    target_slots: slots.TargetSlots
-    use: slots.SlotUse
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class _Flight:
-    """One request from its admission to its outcome."""
-
-    request: model.Request
-    service: "_Service"
-    entry: queueing.QueueEntry
-    is_repeatable: bool
-    declared_s: float  # run time as the caller or the document declares it
-    started_callbacks: list[Callable[[], None]]
-    waiters: int = 0  # callers that still wait; 0 means all of them left
-    has_started: bool = False  # a byte may have left for a target
-    is_claimed: bool = False
-    queued_at: float = 0.0  # event-loop time
-    expiry: asyncio.TimerHandle | None = None  # refuses it while it is queued
-    waited_s: float = 0.0
-    attempts: int = 0
-    tried_host_ids: set[str] = dataclasses.field(default_factory=set)
-    failures: list[tuple[str, model.Attempt]] = dataclasses.field(default_factory=list)
-    running: set["asyncio.Task[tuple[str, model.Attempt]]"] = dataclasses.field(
-        default_factory=set
-    )
-    # Set while the request waits in the queue.
-    assigned: "asyncio.Future[_Assignment | model.Outcome] | None" = None
-    task: "asyncio.Task[model.Outcome] | None" = None
-
-    def note_started(self) -> None:
-        """Tell the callers that a byte may leave from now on."""
-        if not self.has_started:
-            self.has_started = True
-            for callback in self.started_callbacks:
-                callback()
-
-
-class _Service:
-    """Queue and memory of one service."""
-
-    name: str
-    queue: queueing.ServiceQueue
-    run_times: runtimes.RunTimes
-    budget: retries.RetryBudget
-    ejections: ejection.EjectionTracker
-    meter: demand_meter.DemandMeter
-    flights_by_entry: dict[queueing.QueueEntry, _Flight]  # those that wait
-    uses: dict[slots.SlotUse, str]  # attempts in flight, with their kind
-    is_long_by_kind: dict[str, bool]
-    host_ids: set[str]  # targets seen at the last look
-    claiming: int  # requests that wait for their claim
-    last_active_at: float  # event-loop time of the newest request or answer
-    pump_timer: asyncio.TimerHandle | None
-
-    def __init__(self, name: str, now: float) -> None:
-        self.name = name
-        self.queue = queueing.ServiceQueue()
-        self.run_times = runtimes.RunTimes()
-        self.budget = retries.RetryBudget()
-        self.ejections = ejection.EjectionTracker()
-        self.meter = demand_meter.DemandMeter(now)
-        self.flights_by_entry = {}
-        self.uses = {}
-        self.is_long_by_kind = {}
-        self.host_ids = set()
-        self.claiming = 0
-        self.last_active_at = -math.inf
-        self.pump_timer = None
-
-    def update_demand(self, now: float) -> None:
-        """Measure the demand after a change."""
-        # Queued work counts as the slots that would run it within a second.
-        queued = min(float(len(self.queue)), self.queue.queued_work_s())
-        self.meter.set_level(len(self.uses) + queued, now)
-
-
 class Dispatcher:
     """`RequestHandler` at the owner node for all services that it owns.
 
@@ -164,9 +77,9 @@
     _targets: model.TargetDirectory
     _transport: model.TargetTransport
     _claiming: claiming.Claiming
-    _services_by_name: dict[str, _Service]
+    _services_by_name: dict[str, flights.ServiceState]
     _pool: target_pool.TargetPool  # slots of the targets
-    _flights_by_request_id: dict[str, _Flight]
+    _flights_by_request_id: dict[str, flights.Flight]
     # Outcomes of requests that failed on several targets, oldest first.
     _refused_by_request_id: collections.OrderedDict[str, model.Outcome]
     _tasks: set[asyncio.Task[Any]]  # background tasks, kept so that they run on
@@ -269,48 +182,9 @@
         """Return why the requests of a service wait, for operators."""
         now = asyncio.get_running_loop().time()
         known = self._services_by_name.get(service)
-        if known is None:
-            return {
-                "subject": f"service {service}",
-                "state": "idle",
-                "waits_for": "",
-                "because": ["no request for it came to this node"],
-                "code": int(codes.ResultCode.OK),
-            }
-        usable = self._usable_targets(known, now)
-        free = sum(member.free for member in usable)
-        waits_for = ""
-        if len(known.queue):
-            waits_for = "a free slot" if usable else "a target that may receive work"
-        because = [
-            f"{known.queue.count(False)} short and {known.queue.count(True)} long "
-            "requests wait",
-            f"{len(known.uses)} attempts in flight, {free} slots free on "
-            f"{len(usable)} targets",
-            f"{known.budget.remaining(now)} retries left in the budget",
-        ]
-        because += [
-            f"host {host_id} is ejected for failing requests"
-            for host_id in sorted(known.ejections.ejected_host_ids())
-        ]
-        because += [
-            f"host {member.target.host_id}: {member.slots.doubtful} slots may still "
-            "run work that this node does not follow"
-            for member in usable
-            if member.slots.doubtful
-        ]
-        return {
-            "subject": f"service {service}",
-            "state": "draining" if self._is_draining else "serving",
-            "waits_for": waits_for,
-            "because": because,
-            "code": int(codes.ResultCode.OK if usable else codes.ResultCode.NO_TARGET),
-            "queued_short": known.queue.count(False),
-            "queued_long": known.queue.count(True),
-            "in_flight": len(known.uses),
-            "free_slots": free,
-            "run_s_by_kind": known.run_times.medians_by_kind(),
-        }
+        usable = [] if known is None else self._usable_targets(known, now)
+        state = "draining" if self._is_draining else "serving"
+        return service_explanation.explain(service, known, usable, state, now)
 
     def begin_drain(self) -> None:
         """Take no new requests; queued ones and those in flight are finished."""
@@ -328,7 +202,7 @@
 
     def _admit(
         self, request: model.Request, on_started: Callable[[], None], now: float
-    ) -> _Flight | model.Outcome:
+    ) -> flights.Flight | model.Outcome:
         """Return a flight with its task started, or why the request is refused."""
         refused = self._refused_by_request_id.get(request.request_id)
         if refused is not None:
@@ -358,7 +232,15 @@
             )
         service = self._service(request.service, now)
         flight = self._new_flight(request, service, declared, kind, on_started, now)
-        refusal = self._check_capacity(flight, document, declared, now)
+        refusal = admission.check_capacity(
+            flight,
+            self._usable_targets(service, now),
+            document,
+            declared,
+            has_targets=bool(self._targets_of(service.name)),
+            held_bytes=self._held_bytes,
+            now=now,
+        )
         if refusal is not None:
             if refusal.code in _CAPACITY_CODES:
                 service.meter.note_refusal(now)
@@ -380,12 +262,12 @@
     def _new_flight(
         self,
         request: model.Request,
-        service: _Service,
+        service: flights.ServiceState,
         declared: document_model.Service,
         kind: document_model.Kind,
         on_started: Callable[[], None],
         now: float,
-    ) -> _Flight:
+    ) -> flights.Flight:
         declared_ms = request.declared_run_ms or kind.declared_run_ms
         is_long = service.is_long_by_kind.get(
             request.kind, declared_ms > declared.short_run_ms
@@ -402,64 +284,15 @@
             is_long=is_long,
         )
         service.queue.note_arrival(is_long, now)
-        return _Flight(
+        return flights.Flight(
             request, service, entry, kind.repeatable, declared_ms / 1000, [on_started]
         )
 
-    def _check_capacity(
-        self,
-        flight: _Flight,
-        document: document_model.Document,
-        declared: document_model.Service,
-        now: float,
-    ) -> model.Outcome | None:
-        """Refuse early what cannot start before its deadline."""
-        service, entry = flight.service, flight.entry
-        if entry.deadline <= now:
-            return model.not_run(
-                codes.ResultCode.DEADLINE_PASSED, "the deadline has passed"
-            )
-        if not self._targets_of(service.name):
-            return model.not_run(
-                codes.ResultCode.NO_TARGET, f"no target serves {service.name} now"
-            )
-        least_s = service.run_times.least_s(entry.kind, now)
-        if now + least_s > entry.deadline:
-            return model.not_run(
-                codes.ResultCode.DEADLINE_TOO_SHORT,
-                f"such a request takes at least {least_s:.3f} s",
-            )
-        usable = self._usable_targets(service, now)
-        waiting = len(service.queue) + service.claiming
-        has_free = any(member.free for member in usable)
-        # Long work may fill its share of the queue only, so it cannot crowd out short
-        # work before either of them starts.
-        long_room = max(1, int(declared.max_queue * (1.0 - declared.short_reserve)))
-        is_full = waiting >= declared.max_queue and (waiting > 0 or not has_free)
-        if is_full or (entry.is_long and service.queue.count(True) >= long_room):
-            return model.not_run(
-                codes.ResultCode.QUEUE_FULL, f"{waiting} requests wait already"
-            )
-        if self._held_bytes + len(flight.request.body) > MAX_HELD_BYTES:
-            return model.not_run(
-                codes.ResultCode.QUEUE_FULL, "the waiting requests are too large"
-            )
-        shares = self._shares(service, usable, document, declared)
-        wait_s, is_quota = service.queue.expected_wait_s(entry, shares, now)
-        if shares.total and now + wait_s + least_s > entry.deadline:
-            return model.not_run(
-                codes.ResultCode.TEAM_QUOTA_EXCEEDED
-                if is_quota
-                else codes.ResultCode.DEADLINE_TOO_SHORT,
-                f"it would wait {wait_s:.3f} s for a slot",
-            )
-        return None
-
-    def _service(self, name: str, now: float) -> _Service:
+    def _service(self, name: str, now: float) -> flights.ServiceState:
         """Return a service's memory; forgets slots that another owner may have used."""
         service = self._services_by_name.get(name)
         if service is None:
-            service = self._services_by_name[name] = _Service(name, now)
+            service = self._services_by_name[name] = flights.ServiceState(name, now)
         is_idle = not service.uses and not len(service.queue)
         if is_idle and now - service.last_active_at > OWNERSHIP_IDLE_S:
             self._pool.forget_slots(service.host_ids)
@@ -468,7 +301,7 @@
 
     # The life of one request.
 
-    async def _run(self, flight: _Flight) -> model.Outcome:
+    async def _run(self, flight: flights.Flight) -> model.Outcome:
         """Take a request to its outcome; never raises."""
         try:
             outcome = await self._claim_and_send(flight)
@@ -489,7 +322,7 @@
             outcome, attempts=flight.attempts, waited_s=flight.waited_s
         )
 
-    async def _claim_and_send(self, flight: _Flight) -> model.Outcome:
+    async def _claim_and_send(self, flight: flights.Flight) -> model.Outcome:
         if not flight.is_repeatable:
             try:
                 refusal = await self._claim(flight)
@@ -517,7 +350,7 @@
             if refusal is not None:
                 return self._outcome_of_failures(flight, refusal)
 
-    async def _claim(self, flight: _Flight) -> model.Outcome | None:
+    async def _claim(self, flight: flights.Flight) -> model.Outcome | None:
         """Claim a request; returns why it must not be sent, or None."""
         now = asyncio.get_running_loop().time()
         least_s = flight.service.run_times.least_s(flight.request.kind, now)
@@ -527,7 +360,9 @@
         flight.is_claimed = refusal is None
         return refusal
 
-    async def _wait_for_slot(self, flight: _Flight) -> _Assignment | model.Outcome:
+    async def _wait_for_slot(
+        self, flight: flights.Flight
+    ) -> flights.Assignment | model.Outcome:
         """Wait in the queue; returns a target with a slot, or why none was given."""
         loop = asyncio.get_running_loop()
         entry = flight.entry
@@ -539,7 +374,7 @@
         assigned = await flight.assigned
         flight.assigned = None
         flight.waited_s += loop.time() - flight.queued_at
-        if isinstance(assigned, _Assignment) and (
+        if isinstance(assigned, flights.Assignment) and (
             flight.waiters == 0 or loop.time() >= entry.deadline
         ):
             # The caller left or the loop was late between the choice and now.
@@ -551,7 +386,7 @@
             )
         return assigned
 
-    def _enqueue(self, flight: _Flight) -> None:
+    def _enqueue(self, flight: flights.Flight) -> None:
         """Put a request into the queue; `_take_from_queue` takes it out."""
         loop = asyncio.get_running_loop()
         service, entry = flight.service, flight.entry
@@ -565,7 +400,9 @@
         service.update_demand(loop.time())
         self._pump(service)
 
-    def _start_attempt(self, flight: _Flight, assigned: _Assignment) -> None:
+    def _start_attempt(
+        self, flight: flights.Flight, assigned: flights.Assignment
+    ) -> None:
         flight.attempts += 1
         flight.tried_host_ids.add(assigned.target.host_id)
         flight.note_started()
@@ -573,7 +410,7 @@
         flight.running.add(task)
 
     async def _attempt(
-        self, flight: _Flight, assigned: _Assignment
+        self, flight: flights.Flight, assigned: flights.Assignment
     ) -> tuple[str, model.Attempt]:
         """Make one attempt and account for it; goes on if nobody waits any more."""
         loop = asyncio.get_running_loop()
@@ -605,8 +442,8 @@
 
     def _settle(
         self,
-        flight: _Flight,
-        assigned: _Assignment,
+        flight: flights.Flight,
+        assigned: flights.Assignment,
         attempt: model.Attempt,
         run_s: float,
     ) -> None:
@@ -640,7 +477,7 @@
         self._pump_after_release(service)
 
     async def _wait_for_answer(
-        self, flight: _Flight
+        self, flight: flights.Flight
     ) -> tuple[str, model.Attempt] | None:
         """Wait for the attempts in flight; None if all of them failed."""
         loop = asyncio.get_running_loop()
@@ -680,14 +517,14 @@
                 flight.failures.append((host_id, attempt))
         return None
 
-    def _silence_s(self, flight: _Flight) -> float:
+    def _silence_s(self, flight: flights.Flight) -> float:
         """Return after what time an attempt without an answer is suspicious."""
         expected_s = flight.service.run_times.expected_s(
             flight.request.kind, flight.declared_s
         )
         return max(SILENCE_S, SILENCE_RUN_TIMES * expected_s)
 
-    async def _double_on_silence(self, flight: _Flight) -> None:
+    async def _double_on_silence(self, flight: flights.Flight) -> None:
         """Send a repeatable request to a second target if the first is silent.
 
         A straggler shows in the busy slots of its target and is left alone. The first
@@ -721,13 +558,15 @@
         ):
             return
         now = loop.time()
-        chosen = self._choose(service, self._usable_targets(service, now), flight, now)
+        chosen = selection.choose(
+            service, self._usable_targets(service, now), flight, now
+        )
         if self._quota_in_use(service, flight.entry) is not None:
             return
         if chosen is not None and service.budget.take(now):
             self._start_attempt(flight, self._assign(flight, chosen, now))
 
-    def _check_retry(self, flight: _Flight) -> model.Outcome | None:
+    def _check_retry(self, flight: flights.Flight) -> model.Outcome | None:
         """Return why a failed request must not be sent again, or None."""
         now = asyncio.get_running_loop().time()
         service = flight.service
@@ -758,7 +597,7 @@
         return None
 
     def _outcome_of_failures(
-        self, flight: _Flight, refusal: model.Outcome
+        self, flight: flights.Flight, refusal: model.Outcome
     ) -> model.Outcome:
         """Return the outcome of a request of which no attempt was answered."""
         may_have_run = [
@@ -794,12 +633,12 @@
 
     # The queue and the choice of targets.
 
-    def _drop_if_queued(self, flight: _Flight) -> None:
+    def _drop_if_queued(self, flight: flights.Flight) -> None:
         """Drop a queued request whose callers have all left."""
         if flight.assigned is not None and not flight.assigned.done():
             self._take_from_queue(flight, _cancelled())
 
-    def _expire(self, flight: _Flight) -> None:
+    def _expire(self, flight: flights.Flight) -> None:
         """Refuse a queued request that can no longer finish before its deadline."""
         if flight.assigned is None or flight.assigned.done():
             return
@@ -819,7 +658,7 @@
         self._take_from_queue(flight, model.not_run(code, reason))
 
     def _quota_in_use(
-        self, service: _Service, entry: queueing.QueueEntry
+        self, service: flights.ServiceState, entry: queueing.QueueEntry
     ) -> int | None:
         """Return the quota of a request's team if all of it is in use."""
         document = self._source.state.documents.production
@@ -832,7 +671,7 @@
         return team.max_slots
 
     def _take_from_queue(
-        self, flight: _Flight, result: _Assignment | model.Outcome
+        self, flight: flights.Flight, result: flights.Assignment | model.Outcome
     ) -> None:
         assert flight.assigned is not None and flight.expiry is not None
         flight.expiry.cancel()
@@ -841,7 +680,7 @@
         flight.assigned.set_result(result)
         flight.service.update_demand(asyncio.get_running_loop().time())
 
-    def _pump(self, service: _Service) -> None:
+    def _pump(self, service: flights.ServiceState) -> None:
         """Give free slots to waiting requests."""
         loop = asyncio.get_running_loop()
         now = loop.time()
@@ -849,10 +688,10 @@
         declared = None if document is None else document.services.get(service.name)
         while document is not None and declared is not None and len(service.queue):
             usable = self._usable_targets(service, now)
-            if not self._has_room(service, usable, now):
+            if not selection.has_room(service, usable, now):
                 break
-            shares = self._shares(service, usable, document, declared)
-            found = self._next_start(service, usable, shares, now)
+            shares = selection.compute_shares(service, usable, document, declared)
+            found = selection.next_start(service, usable, shares, now)
             if found is None:
                 break
             flight, chosen = found
@@ -862,75 +701,16 @@
                 PUMP_INTERVAL_S, self._pump_later, service
             )
 
-    def _pump_later(self, service: _Service) -> None:
+    def _pump_later(self, service: flights.ServiceState) -> None:
         service.pump_timer = None
         self._pump(service)
 
-    def _has_room(
-        self,
-        service: _Service,
-        usable: Sequence[target_pool.PoolMember],
-        now: float,
-    ) -> bool:
-        return any(
-            member.free
-            and (
-                not service.ejections.is_ejected(member.target.host_id)
-                or service.ejections.is_probe_due(member.target.host_id, now)
-            )
-            for member in usable
-        )
-
-    def _next_start(
-        self,
-        service: _Service,
-        usable: Sequence[target_pool.PoolMember],
-        shares: queueing.SlotShares,
-        now: float,
-    ) -> tuple[_Flight, target_pool.PoolMember] | None:
-        for entry in service.queue.candidates(shares, now):
-            flight = service.flights_by_entry[entry]
-            chosen = self._choose(service, usable, flight, now)
-            if chosen is not None:
-                return flight, chosen
-        return None
-
-    def _choose(
-        self,
-        service: _Service,
-        usable: Sequence[target_pool.PoolMember],
-        flight: _Flight,
-        now: float,
-    ) -> target_pool.PoolMember | None:
-        """Return the least loaded target, or an ejected one that is due for a probe.
-
-        Targets of another pool are used only when no own target can be.
-        """
-        best: target_pool.PoolMember | None = None
-        best_key = (True, math.inf, math.inf)
-        for member in usable:
-            host_id = member.target.host_id
-            if not member.free or host_id in flight.tried_host_ids:
-                continue
-            if service.ejections.is_ejected(host_id):
-                # Requests that must not repeat probe only when nothing else does.
-                probe_at = now if flight.is_repeatable else now - PROBE_OVERDUE_S
-                if service.ejections.is_probe_due(host_id, probe_at):
-                    return member
-                continue
-            seeming = member.slots.in_use + service.ejections.penalty(host_id, now)
-            load = seeming / member.slots.slots
-            key = (member.is_lent, load, member.slots.last_used_at)
-            if best is None or key < best_key:
-                best, best_key = member, key
-        return best
-
     def _assign(
         self,
-        flight: _Flight,
+        flight: flights.Flight,
         chosen: target_pool.PoolMember,
         now: float,
-    ) -> _Assignment:
+    ) -> flights.Assignment:
         service, entry = flight.service, flight.entry
         host_id = chosen.target.host_id
         if service.ejections.is_ejected(host_id):
@@ -939,9 +719,9 @@
             entry.request_id, entry.is_long, entry.team, now, chosen.is_lent
         )
         service.uses[use] = entry.kind
-        return _Assignment(chosen.target, chosen.slots, use)
+        return flights.Assignment(chosen.target, chosen.slots, use)
 
-    def _give_back(self, flight: _Flight, assigned: _Assignment) -> None:
+    def _give_back(self, flight: flights.Flight, assigned: flights.Assignment) -> None:
         """Give back a slot that was never used."""
         now = asyncio.get_running_loop().time()
         assigned.target_slots.release(assigned.use, True, now)
@@ -949,34 +729,8 @@
         flight.service.ejections.note_neutral(assigned.target.host_id)
         self._pump_after_release(flight.service)
 
-    def _shares(
-        self,
-        service: _Service,
-        usable: Sequence[target_pool.PoolMember],
-        document: document_model.Document,
-        declared: document_model.Service,
-    ) -> queueing.SlotShares:
-        in_use_by_team: dict[str, int] = collections.Counter(
-            use.team for use in service.uses if use.team is not None
-        )
-        return queueing.SlotShares(
-            total=sum(use.is_borrowed for use in service.uses)
-            + sum(
-                member.free if member.is_lent else member.slots.slots
-                for member in usable
-                if member.slots.is_read
-                and not service.ejections.is_ejected(member.target.host_id)
-            ),
-            short_reserve=declared.short_reserve,
-            in_use_long=sum(use.is_long for use in service.uses),
-            in_use_by_team=in_use_by_team,
-            quota_by_team={
-                name: team.max_slots for name, team in document.teams.items()
-            },
-        )
-
     def _usable_targets(
-        self, service: _Service, now: float
+        self, service: flights.ServiceState, now: float
     ) -> list[target_pool.PoolMember]:
         """Return the targets that may receive work of a service, with their slots."""
         document = self._source.state.documents.production
@@ -1003,12 +757,12 @@
             if name in document.services and document.services[name].pool == pool
         )
 
-    def _pump_after_release(self, service: _Service) -> None:
+    def _pump_after_release(self, service: flights.ServiceState) -> None:
         """Give a released slot to its service, else to one that borrows or lends."""
         self._pump(service)
         self._pump_all(skipped=service)
 
-    def _pump_all(self, skipped: _Service | None = None) -> None:
+    def _pump_all(self, skipped: flights.ServiceState | None = None) -> None:
         """Give free slots to the waiting requests of all services."""
         for service in list(self._services_by_name.values()):
             if len(service.queue) and service is not skipped:
@@ -1023,7 +777,7 @@
 
     # Learned classes.
 
-    def _outlive(self, flight: _Flight, use: slots.SlotUse) -> None:
+    def _outlive(self, flight: flights.Flight, use: slots.SlotUse) -> None:
         """Count a running request as long once it outlives the short class."""
         now = asyncio.get_running_loop().time()
         use.is_long = True
@@ -1034,7 +788,7 @@
         )
         self._learn_class(flight.service, flight.request.kind)
 
-    def _learn_class(self, service: _Service, kind: str) -> None:
+    def _learn_class(self, service: flights.ServiceState, kind: str) -> None:
         document = self._source.state.documents.production
         declared = None if document is None else document.services.get(service.name)
         if declared is None:
--- /dev/null
+++ b/clementinespar/requests/flights.py
@@ -0,0 +1,98 @@
+"""State of requests from admission to outcome, and of the services they are for."""
+
+import asyncio
+import dataclasses
+import math
+from collections.abc import Callable
+
+from clementinespar.requests import (
+    demand_meter,
+    ejection,
+    model,
+    queueing,
+    retries,
+    runtimes,
+    slots,
+)
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Assignment:
+    """A target with a slot taken for one attempt."""
+
+    target: model.Target
+    target_slots: slots.TargetSlots
+    use: slots.SlotUse
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Flight:
+    """One request from its admission to its outcome."""
+
+    request: model.Request
+    service: "ServiceState"
+    entry: queueing.QueueEntry
+    is_repeatable: bool
+    declared_s: float  # run time as the caller or the document declares it
+    started_callbacks: list[Callable[[], None]]
+    waiters: int = 0  # callers that still wait; 0 means all of them left
+    has_started: bool = False  # a byte may have left for a target
+    is_claimed: bool = False
+    queued_at: float = 0.0  # event-loop time
+    expiry: asyncio.TimerHandle | None = None  # refuses it while it is queued
+    waited_s: float = 0.0
+    attempts: int = 0
+    tried_host_ids: set[str] = dataclasses.field(default_factory=set)
+    failures: list[tuple[str, model.Attempt]] = dataclasses.field(default_factory=list)
+    running: set["asyncio.Task[tuple[str, model.Attempt]]"] = dataclasses.field(
+        default_factory=set
+    )
+    # Set while the request waits in the queue.
+    assigned: "asyncio.Future[Assignment | model.Outcome] | None" = None
+    task: "asyncio.Task[model.Outcome] | None" = None
+
+    def note_started(self) -> None:
+        """Tell the callers that a byte may leave from now on."""
+        if not self.has_started:
+            self.has_started = True
+            for callback in self.started_callbacks:
+                callback()
+
+
+class ServiceState:
+    """Queue and memory of one service."""
+
+    name: str
+    queue: queueing.ServiceQueue
+    run_times: runtimes.RunTimes
+    budget: retries.RetryBudget
+    ejections: ejection.EjectionTracker
+    meter: demand_meter.DemandMeter
+    flights_by_entry: dict[queueing.QueueEntry, Flight]  # those that wait
+    uses: dict[slots.SlotUse, str]  # attempts in flight, with their kind
+    is_long_by_kind: dict[str, bool]
+    host_ids: set[str]  # targets seen at the last look
+    claiming: int  # requests that wait for their claim
+    last_active_at: float  # event-loop time of the newest request or answer
+    pump_timer: asyncio.TimerHandle | None
+
+    def __init__(self, name: str, now: float) -> None:
+        self.name = name
+        self.queue = queueing.ServiceQueue()
+        self.run_times = runtimes.RunTimes()
+        self.budget = retries.RetryBudget()
+        self.ejections = ejection.EjectionTracker()
+        self.meter = demand_meter.DemandMeter(now)
+        self.flights_by_entry = {}
+        self.uses = {}
+        self.is_long_by_kind = {}
+        self.host_ids = set()
+        self.claiming = 0
+        self.last_active_at = -math.inf
+        self.pump_timer = None
+
+    def update_demand(self, now: float) -> None:
+        """Measure the demand after a change."""
+        # Queued work counts as the slots that would run it within a second.
+        queued = min(float(len(self.queue)), self.queue.queued_work_s())
+        self.meter.set_level(len(self.uses) + queued, now)
--- /dev/null
+++ b/clementinespar/requests/selection.py
@@ -0,0 +1,98 @@
+"""Which waiting request starts next, and at which target."""
+
+import collections
+import math
+from collections.abc import Sequence
+
+from clementinespar.documents import model as document_model
+from clementinespar.requests import flights, queueing, target_pool
+
+# A probe puts a request at risk. One that must not repeat is used only if no other one
+# came for this long.
+PROBE_OVERDUE_S = 10.0
+
+
+def has_room(
+    service: flights.ServiceState,
+    usable: Sequence[target_pool.PoolMember],
+    now: float,
+) -> bool:
+    """Whether any target may take a request now."""
+    return any(
+        member.free
+        and (
+            not service.ejections.is_ejected(member.target.host_id)
+            or service.ejections.is_probe_due(member.target.host_id, now)
+        )
+        for member in usable
+    )
+
+
+def next_start(
+    service: flights.ServiceState,
+    usable: Sequence[target_pool.PoolMember],
+    shares: queueing.SlotShares,
+    now: float,
+) -> tuple[flights.Flight, target_pool.PoolMember] | None:
+    """Return the next request to start and its target, or None."""
+    for entry in service.queue.candidates(shares, now):
+        flight = service.flights_by_entry[entry]
+        chosen = choose(service, usable, flight, now)
+        if chosen is not None:
+            return flight, chosen
+    return None
+
+
+def choose(
+    service: flights.ServiceState,
+    usable: Sequence[target_pool.PoolMember],
+    flight: flights.Flight,
+    now: float,
+) -> target_pool.PoolMember | None:
+    """Return the least loaded target, or an ejected one that is due for a probe.
+
+    Targets of another pool are used only when no own target can be.
+    """
+    best: target_pool.PoolMember | None = None
+    best_key = (True, math.inf, math.inf)
+    for member in usable:
+        host_id = member.target.host_id
+        if not member.free or host_id in flight.tried_host_ids:
+            continue
+        if service.ejections.is_ejected(host_id):
+            # Requests that must not repeat probe only when nothing else does.
+            probe_at = now if flight.is_repeatable else now - PROBE_OVERDUE_S
+            if service.ejections.is_probe_due(host_id, probe_at):
+                return member
+            continue
+        seeming = member.slots.in_use + service.ejections.penalty(host_id, now)
+        load = seeming / member.slots.slots
+        key = (member.is_lent, load, member.slots.last_used_at)
+        if best is None or key < best_key:
+            best, best_key = member, key
+    return best
+
+
+def compute_shares(
+    service: flights.ServiceState,
+    usable: Sequence[target_pool.PoolMember],
+    document: document_model.Document,
+    declared: document_model.Service,
+) -> queueing.SlotShares:
+    """Return how the slots of a service are shared out at this moment."""
+    in_use_by_team: dict[str, int] = collections.Counter(
+        use.team for use in service.uses if use.team is not None
+    )
+    return queueing.SlotShares(
+        total=sum(use.is_borrowed for use in service.uses)
+        + sum(
+            member.free if member.is_lent else member.slots.slots
+            for member in usable
+            if member.slots.is_read
+            and not service.ejections.is_ejected(member.target.host_id)
+        ),
+        short_reserve=declared.short_reserve,
+        in_use_long=sum(use.is_long for use in service.uses),
+        in_use_by_team=in_use_by_team,
+        quota_by_team={name: team.max_slots for name, team in document.teams.items()},
+    )
--- a/clementinespar/requests/tests/test_dispatcher_policy.py
+++ b/clementinespar/requests/tests/test_dispatcher_policy.py
@@ -8,6 +8,7 @@
 
 from clementinespar import codes
 from clementinespar.requests import (
+    admission,
     dispatcher,
     ejection,
     model,
@@ -187,7 +188,7 @@
 
 def test_bytes_in_the_queue_are_limited(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against a queue of few but large requests that fills the memory."""
-    monkeypatch.setattr(dispatcher, "MAX_HELD_BYTES", 100)
+    monkeypatch.setattr(admission, "MAX_HELD_BYTES", 100)
 
     async def main() -> None:
         setup = Setup()
