Send work on silent targets elsewhere while other requests wait

A repeatable request on a silent target was doubled only if no other request waited, so during a peak it stayed there until its deadline. Change: such a request takes a retry from the budget and waits in the queue like any other; an answer of its first target ends that wait. What remains are orders, which must not repeat, and long work, whose silence is suspicious only after 8 run times. Tested: two new tests, each fails without its part of the change.

--- a/bench/policy/waiting.py
+++ b/bench/policy/waiting.py
@@ -258,6 +258,7 @@
     return tables.markdown(
         (
             "user",
+            "targets",
             "policy",
             "extra load",
             "refused",
--- a/clementinespar/requests/dispatcher.py
+++ b/clementinespar/requests/dispatcher.py
@@ -333,19 +333,16 @@
         while True:
             assigned = await self._wait_for_slot(flight)
             if isinstance(assigned, model.Outcome):
+                if assigned.kind is model.OutcomeKind.ANSWERED:
+                    return assigned
                 return self._outcome_of_failures(flight, assigned)
             self._start_attempt(flight, assigned)
             answer = await self._wait_for_answer(flight)
             if answer is not None:
-                host_id, attempt = answer
-                return model.Outcome(
-                    model.OutcomeKind.ANSWERED,
-                    codes.ResultCode.OK,
-                    status=attempt.status,
-                    body=attempt.body,
-                    content_type=attempt.content_type,
-                    host_id=host_id,
-                )
+                return _answered(*answer)
+            if flight.is_doubling:
+                flight.is_doubling = False
+                continue
             refusal = self._check_retry(flight)
             if refusal is not None:
                 return self._outcome_of_failures(flight, refusal)
@@ -460,6 +457,9 @@
         if attempt.is_leaving:
             self._pool.note_leaving(assigned.target, service.name)
         if is_answer:
+            if flight.assigned is not None and not flight.assigned.done():
+                # The silent target answered while its request waited for another one.
+                self._take_from_queue(flight, _answered(host_id, attempt))
             service.run_times.observe(flight.request.kind, run_s, now)
             self._learn_class(service, flight.request.kind)
             service.ejections.note_success(host_id, request_id, now)
@@ -509,6 +509,8 @@
             )
             if check is not None and check.done():
                 check = None
+                if flight.is_doubling:
+                    return None
             for task in [task for task in flight.running if task.done()]:
                 flight.running.discard(task)
                 host_id, attempt = task.result()
@@ -553,18 +555,13 @@
             or flight.waiters == 0
             or not flight.is_repeatable
             or flight.attempts >= retries.MAX_ATTEMPTS
-            or len(service.queue)
             or loop.time() >= flight.request.deadline
+            or all(host_id in flight.tried_host_ids for host_id in service.host_ids)
+            or self._quota_in_use(service, flight.entry) is not None
         ):
             return
-        now = loop.time()
-        chosen = selection.choose(
-            service, self._usable_targets(service, now), flight, now
-        )
-        if self._quota_in_use(service, flight.entry) is not None:
-            return
-        if chosen is not None and service.budget.take(now):
-            self._start_attempt(flight, self._assign(flight, chosen, now))
+        # It waits for a slot like any other; the queue keeps its order of arrival.
+        flight.is_doubling = service.budget.take(loop.time())
 
     def _check_retry(self, flight: flights.Flight) -> model.Outcome | None:
         """Return why a failed request must not be sent again, or None."""
@@ -814,5 +811,16 @@
     )
 
 
+def _answered(host_id: str, attempt: model.Attempt) -> model.Outcome:
+    return model.Outcome(
+        model.OutcomeKind.ANSWERED,
+        codes.ResultCode.OK,
+        status=attempt.status,
+        body=attempt.body,
+        content_type=attempt.content_type,
+        host_id=host_id,
+    )
+
+
 def _cancelled() -> model.Outcome:
     return model.not_run(codes.ResultCode.REQUEST_CANCELLED, "the caller left")
--- a/clementinespar/requests/flights.py
+++ b/clementinespar/requests/flights.py
@@ -42,6 +42,8 @@
     expiry: asyncio.TimerHandle | None = None  # refuses it while it is queued
     waited_s: float = 0.0
     attempts: int = 0
+    # Its target is silent: it shall also run elsewhere, and the retry is paid for.
+    is_doubling: bool = False
     tried_host_ids: set[str] = dataclasses.field(default_factory=set)
     failures: list[tuple[str, model.Attempt]] = dataclasses.field(default_factory=list)
     running: set["asyncio.Task[tuple[str, model.Attempt]]"] = dataclasses.field(
--- a/clementinespar/requests/tests/test_dispatcher_policy.py
+++ b/clementinespar/requests/tests/test_dispatcher_policy.py
@@ -475,3 +475,43 @@
     queue.remove(first)
     queue.remove(second)
     assert len(queue) == 0
+
+
+def test_work_on_a_silent_target_runs_elsewhere_although_others_wait() -> None:
+    """Guards against repeatable work that stays unknown during a peak."""
+
+    async def main() -> None:
+        setup = Setup(host_count=4)
+        await setup.submit_many(8, run_ms=20)
+        tasks = [setup.submit(run_ms=300, deadline_s=10.0) for _ in range(8)]
+        await asyncio.sleep(0.1)
+        setup.fakes["h0"].state.faults.freeze = True
+        # Keeps the queue filled from before the silence is noticed until after it.
+        for _ in range(40):
+            tasks += [setup.submit(run_ms=300, deadline_s=10.0) for _ in range(2)]
+            await asyncio.sleep(0.1)
+        outcomes = await asyncio.gather(*tasks)
+        assert {outcome.kind for outcome in outcomes} == {model.OutcomeKind.ANSWERED}
+
+    run(main)
+
+
+def test_a_late_answer_ends_the_wait_for_a_second_target() -> None:
+    """Guards against a second run after the first target has answered after all."""
+
+    async def main() -> None:
+        setup = Setup(host_count=2)
+        await setup.submit_many(4, run_ms=20)
+        setup.fakes["h0"].state.faults.freeze = True
+        first = [setup.submit(run_ms=20, request_id=f"{i}-first") for i in range(4)]
+        await asyncio.sleep(0.1)
+        blocking = [setup.submit("report", run_ms=5000) for _ in range(2)]
+        await asyncio.sleep(3.5)  # the silence is noticed; no slot is free elsewhere
+        setup.fakes["h0"].state.faults.freeze = False
+        outcomes = await asyncio.gather(*first)
+        assert {outcome.kind for outcome in outcomes} == {model.OutcomeKind.ANSWERED}
+        await asyncio.gather(*blocking)
+        await asyncio.sleep(1.0)
+        assert all(setup.runs(f"{i}-first") == 1 for i in range(4))
+
+    run(main)
