Measure nodes at rest and during waves apart; compress the host list

Cause: the figures at rest included the waves of a fleet whose hosts were all due at once, in which the whole host list is sent again at each change. Change: one measurement with maintenance paused and one with all hosts due; the platform's stand-in compresses replies, as the client already asks for. Conclusion: kept; the worst case of the list stays above 8 kB/s.

--- a/bench/capacity/__main__.py
+++ b/bench/capacity/__main__.py
@@ -99,6 +99,20 @@
         for size in sizes
     ]
     slopes += _slopes("hosts, 3 nodes", idle)
+    waves = [
+        (
+            float(size.hosts),
+            _run(
+                "bench.capacity.nodes",
+                "waves",
+                *_size_arguments(size),
+                "3",
+                str(_IDLE_S),
+            ),
+        )
+        for size in sizes
+    ]
+    slopes += _slopes("hosts, 3 nodes, waves", waves)
     nodes = [
         (
             float(count),
--- a/bench/capacity/nodes.py
+++ b/bench/capacity/nodes.py
@@ -1,7 +1,8 @@
 """Cost of control of whole entry nodes, as separate processes.
 
 ``python -m bench.capacity.nodes idle HOSTS POOLS TEAMS NODES SECONDS`` prints, as JSON,
-what one node spends at rest. ``... publish HOSTS POOLS TEAMS NODES COUNT`` prints the
+what one node spends at rest, ``waves`` instead of ``idle`` while all pools take their
+turns of maintenance. ``... publish HOSTS POOLS TEAMS NODES COUNT`` prints the
 time until a document is in force on all nodes.
 """
 
@@ -20,10 +21,13 @@
 
 
 async def measure_idle(
-    size: fleets.FleetSize, node_count: int, seconds: float
+    size: fleets.FleetSize, node_count: int, seconds: float, has_waves: bool = False
 ) -> Figures:
-    """Processor time, memory and bytes of a node that serves no requests."""
-    document = fleets.make_document(size)
+    """Processor time, memory and bytes of a node that serves no requests.
+
+    With waves, all hosts are due at once, so the fleet changes as fast as it ever can.
+    """
+    document = fleets.make_document(size, has_waves=has_waves)
     async with bench_deployment.running(document, node_count) as deployment:
         await bench_deployment.put_in_force(deployment, document)
         await asyncio.sleep(_SETTLE_S)
@@ -92,8 +96,17 @@
     """Run one measurement named on the command line."""
     name, hosts, pools, teams, node_count, amount = sys.argv[1:7]
     size = fleets.FleetSize(int(hosts), int(pools), int(teams))
-    measure = {"idle": measure_idle, "publish": measure_publish}[name]
-    print(json.dumps(asyncio.run(measure(size, int(node_count), int(amount)))))
+    figures: Figures
+    match name:
+        case "idle" | "waves":
+            figures = asyncio.run(
+                measure_idle(size, int(node_count), int(amount), name == "waves")
+            )
+        case "publish":
+            figures = asyncio.run(measure_publish(size, int(node_count), int(amount)))
+        case _:
+            raise SystemExit(f"unknown measurement {name}")
+    print(json.dumps(figures))
 
 
 if __name__ == "__main__":
--- a/bench/fleets.py
+++ b/bench/fleets.py
@@ -38,7 +38,7 @@
 )
 
 
-def make_document(size: FleetSize) -> model.Document:
+def make_document(size: FleetSize, has_waves: bool = False) -> model.Document:
     """Return a document with one service for each pool.
 
     Hosts are spread over pools round robin, so a pool has about three hosts at the
@@ -71,7 +71,12 @@
     }
     teams = {f"team-{i}": model.Team(max_slots=16) for i in range(size.teams)}
     return model.Document(
-        user="synthetic", hosts=hosts, pools=pools, services=services, teams=teams
+        user="synthetic",
+        hosts=hosts,
+        pools=pools,
+        services=services,
+        teams=teams,
+        maintenance=model.Maintenance(paused=not has_waves),
     )
 
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -244,6 +244,7 @@
             (r"/faults", _FaultsHandler, arguments),
             (r"/actions", _ActionsHandler, arguments),
         ],
+        compress_response=True,
         log_function=lambda handler: None,
     )
 
