Start heartbeat tasks in sorted order and fix the hash seed of the tests

Heartbeat tasks were started in the order of a set of texts. Change: sorted order; the history stands as explicit examples; make test fixes the seed. Tested: the test under seeds 0 to 5 passes before and after.

--- a/Makefile
+++ b/Makefile
@@ -20,8 +20,9 @@
 	$(BIN)/pip install --quiet -r requirements-bench.txt
 	touch $(BENCH_STAMP)
 
+# A fixed hash seed gives the same order of sets, and so the same verdict, in each run.
 test: $(STAMP)
-	$(BIN)/python -m pytest
+	PYTHONHASHSEED=0 $(BIN)/python -m pytest
 
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
--- a/clementinespar/peers/membership.py
+++ b/clementinespar/peers/membership.py
@@ -493,7 +493,9 @@
             if task is not current:
                 task.cancel()
             endpoint.link.close()
-        for address in wanted:
+        # Sorted: the order of a set of texts differs between processes, and tests with
+        # a paused clock must run alike each time.
+        for address in sorted(wanted):
             if address not in self._tasks_by_address:
                 endpoint = _Endpoint(self._link_factory(address))
                 self._endpoints_by_address[address] = endpoint
--- a/clementinespar/peers/tests/test_membership_faults.py
+++ b/clementinespar/peers/tests/test_membership_faults.py
@@ -176,6 +176,18 @@
             assert seen == expected, f"view of {node.members.name} at {endpoint}"
 
 
+def _restart_with_an_older_clock(endpoint: str) -> list[object]:
+    """Return a history in which a node returns with a lower incarnation."""
+    return [
+        Start("b", endpoint, 2),
+        Wait(0.25),
+        Kill(endpoint),
+        Start("b", endpoint, 1),
+    ]
+
+
+@hypothesis.example(_restart_with_an_older_clock(_ENDPOINTS[1]))
+@hypothesis.example(_restart_with_an_older_clock(_ENDPOINTS[2]))
 @hypothesis.given(strategies.lists(_actions, max_size=25))
 @hypothesis.settings(derandomize=True, max_examples=150, deadline=None)
 def test_views_agree_after_the_faults_end(actions: list[object]) -> None:
