Share the basis of decisions and their append between the two planners' runners

Cause: both runners chose the document, copied the hosts for trial, observed the fleet and appended decisions with the same code. Change: pools/planning.py holds these parts once. Behaviour is unchanged, except that a move without effect is logged with its reason too.

--- a/clementinespar/capacity/runner.py
+++ b/clementinespar/capacity/runner.py
@@ -4,16 +4,15 @@
 
 import logbook
 
-from clementinespar import codes, errors, explanation
+from clementinespar import codes, explanation
 from clementinespar.capacity import demand as capacity_demand
 from clementinespar.capacity import planner
 from clementinespar.documents import messages as document_messages
 from clementinespar.fleet import appending
 from clementinespar.fleet import source as fleet_source
 from clementinespar.platform import service as platform_service
-from clementinespar.pools import availability
 from clementinespar.pools import operations as pool_operations
-from clementinespar.pools import state as pools_state
+from clementinespar.pools import planning
 
 _LOG = logbook.Logger(__name__)
 
@@ -98,7 +97,13 @@
                 still_planned = {(m.host_id, m.to_pool) for m in newer.moves}
             if (move.host_id, move.to_pool) not in still_planned:
                 continue
-            await self._take_out(move)
+            what = (
+                f"move of host {move.host_id} from {move.from_pool} to {move.to_pool}"
+            )
+            record = move.to_record(self._author, self._appender.now_ms())
+            await planning.append_decision(
+                self._appender, record, f"{what}: {move.because}", _LOG
+            )
         return codes.ResultCode.OK
 
     def plan(self, environment: document_messages.Environment) -> planner.CapacityPlan:
@@ -130,25 +135,17 @@
     def _situation(
         self, environment: document_messages.Environment
     ) -> planner.Situation | None:
-        fleet = self._source.state
-        in_force = fleet.documents.in_force_by_environment.get(environment)
-        if in_force is None:
+        basis = planning.basis_of(
+            self._source, self._host_list, self._demand, environment
+        )
+        if basis is None:
             return None
-        pools = fleet.pools
-        if environment == "trial":
-            pools = pools.copy()
-            pools_state.apply_document(pools, in_force.document, fleet.offset)
         return planner.Situation(
-            in_force.document,
-            pools,
+            basis.document,
+            basis.pools,
             self._demand.demand_by_service(),
             asyncio.get_running_loop().time(),
-            availability.observe(
-                pools,
-                self._host_list,
-                self._demand.ejected_host_ids(),
-                fleet.log_time_ms,
-            ),
+            basis.observation,
         )
 
     def _update_histories(self) -> None:
@@ -168,19 +165,3 @@
             self._history_by_environment[environment] = planner.update_history(
                 history, planner.compute_needs(situation), now
             )
-
-    async def _take_out(self, move: planner.Move) -> None:
-        """Append a decision; a later round decides again if it has no effect."""
-        what = f"move of host {move.host_id} from {move.from_pool} to {move.to_pool}"
-        try:
-            result = await self._appender.append(
-                move.to_record(self._author, self._appender.now_ms()),
-                pool_operations.APPEND_TIMEOUT_S,
-            )
-        except errors.ClementinesparError as error:
-            _LOG.warning("{}: not appended: {}", what, error)
-            return
-        if result.code == codes.ResultCode.OK:
-            _LOG.info("{}: {}", what, move.because)
-        else:
-            _LOG.notice("{}: no effect: {}", what, result.code.name)
--- a/clementinespar/waves/runner.py
+++ b/clementinespar/waves/runner.py
@@ -5,15 +5,14 @@
 
 import logbook
 
-from clementinespar import codes, errors, explanation
+from clementinespar import codes, explanation
 from clementinespar.capacity import demand as capacity_demand
 from clementinespar.documents import messages as document_messages
 from clementinespar.fleet import appending
 from clementinespar.fleet import source as fleet_source
 from clementinespar.platform import service as platform_service
-from clementinespar.pools import availability
 from clementinespar.pools import operations as pool_operations
-from clementinespar.pools import state as pools_state
+from clementinespar.pools import planning
 from clementinespar.waves import planner
 
 _LOG = logbook.Logger(__name__)
@@ -92,7 +91,10 @@
                 planned_at = now
                 still_planned = self.plan("production").decisions
             if decision in still_planned:
-                await self._append(decision)
+                record = decision.to_record(self._author, self._appender.now_ms())
+                await planning.append_decision(
+                    self._appender, record, str(decision), _LOG
+                )
         return codes.ResultCode.OK
 
     def plan(self, environment: document_messages.Environment) -> planner.WavePlan:
@@ -101,26 +103,19 @@
         The trial document is evaluated against a copy of the hosts, so its plan shows
         what the document would do if it were promoted now.
         """
-        fleet = self._source.state
-        in_force = fleet.documents.in_force_by_environment.get(environment)
-        if in_force is None:
+        basis = planning.basis_of(
+            self._source, self._host_list, self._demand, environment
+        )
+        if basis is None:
             return planner.WavePlan()
-        pools = fleet.pools
-        if environment == "trial":
-            pools = pools.copy()
-            pools_state.apply_document(pools, in_force.document, fleet.offset)
+        fleet = self._source.state
         return planner.plan(
             planner.Situation(
-                in_force.document,
-                pools,
+                basis.document,
+                basis.pools,
                 fleet.waves,
                 fleet.log_time_ms,
-                availability.observe(
-                    pools,
-                    self._host_list,
-                    self._demand.ejected_host_ids(),
-                    fleet.log_time_ms,
-                ),
+                basis.observation,
             )
         )
 
@@ -136,20 +131,3 @@
             ("the production document names no such pool",),
             codes.ResultCode.POOL_UNKNOWN,
         )
-
-    async def _append(
-        self, decision: planner.WaveEnd | planner.WaveStart | planner.TakeOut
-    ) -> None:
-        """Append a decision; a later round decides again if it has no effect."""
-        try:
-            result = await self._appender.append(
-                decision.to_record(self._author, self._appender.now_ms()),
-                pool_operations.APPEND_TIMEOUT_S,
-            )
-        except errors.ClementinesparError as error:
-            _LOG.warning("{}: not appended: {}", decision, error)
-            return
-        if result.code == codes.ResultCode.OK:
-            _LOG.info("{}", decision)
-        else:
-            _LOG.notice("{}: no effect: {}", decision, result.code.name)
