List targets once at admission; share the mean of the moves bench

Cause: a read of the whole change found that each admitted request listed the targets of its service twice, that the moves bench had the formula of its slow demand twice, and an argument of the probes that nobody passes. Change: admission uses the targets it has already; one function gives the mean. Behaviour is unchanged.

--- a/bench/capacity/probe.py
+++ b/bench/capacity/probe.py
@@ -35,12 +35,12 @@
 Figures = dict[str, float]
 
 
-def _header(record_class_author: str = "bench") -> dict[str, object]:
+def _header() -> dict[str, object]:
     issued_ms = fleets.now_ms()
     return {
         "record_id": identifiers.new_id(issued_ms),
         "issued_ms": issued_ms,
-        "author": record_class_author,
+        "author": "bench",
     }
 
 
--- a/bench/policy/hosts.py
+++ b/bench/policy/hosts.py
@@ -136,16 +136,22 @@
     return waiting.Spread((value,))
 
 
+def _mean_slots(user: workload.User, service: int, at_s: float, busy: int) -> float:
+    """Return the slow part of the slots that a service asks for at a time.
+
+    One service after the other is busy for an hour.
+    """
+    turn = int(at_s / 3600) % len(user.services)
+    is_busy = turn == (service - busy) % len(user.services)
+    return user.slots * (0.9 if is_busy else 0.15)
+
+
 def _level(user: workload.User, service: int, at_s: float, busy: int) -> float:
     """Return the slots that a service asks for at a time.
 
-    One service after the other is busy for an hour, which is the slow part; peaks of
-    five times the mean for four seconds come by turns on top.
+    Peaks of five times the mean for four seconds come by turns on top of the mean.
     """
-    is_busy = int(at_s / 3600) % len(user.services) == (service - busy) % len(
-        user.services
-    )
-    mean = user.slots * (0.9 if is_busy else 0.15)
+    mean = _mean_slots(user, service, at_s, busy)
     turn = int(at_s / 4.0) % len(user.services)
     return mean * (workload.PEAK_FACTOR if turn == service else workload.QUIET_FACTOR)
 
@@ -177,12 +183,7 @@
                 serving = sum(
                     host.is_available for host in node.state.pools.hosts_of(service)
                 )
-                slow = user.slots * (
-                    0.9
-                    if int((now - began) / 3600) % len(user.services)
-                    == (index - seed) % len(user.services)
-                    else 0.15
-                )
+                slow = _mean_slots(user, index, now - began, seed)
                 if serving * workload.SLOTS_PER_TARGET < slow:
                     short_s += _CHECK_S
             await node.run_rounds(_CHECK_S)
--- a/clementinespar/requests/dispatcher.py
+++ b/clementinespar/requests/dispatcher.py
@@ -232,12 +232,14 @@
             )
         service = self._service(request.service, now)
         flight = self._new_flight(request, service, declared, kind, on_started, now)
+        usable = self._usable_targets(service, now)
         refusal = admission.check_capacity(
             flight,
-            self._usable_targets(service, now),
+            usable,
             document,
             declared,
-            has_targets=bool(self._targets_of(service.name)),
+            # All own targets are usable; lent ones are not while their lender is busy.
+            has_targets=bool(usable or self._targets.lent_targets_of(service.name)),
             held_bytes=self._held_bytes,
             now=now,
         )
