--- /dev/null
+++ b/clementinespar/http_calls.py
@@ -0,0 +1,209 @@
+"""HTTP/1.1 calls over kept connections, with few system calls for each call.
+
+tornado's curl client took 5 to 10 ms for one call on the operators' machines, and an
+owner makes hundreds of calls a second. httptools parses the responses; one connection
+carries one call at a time.
+"""
+
+import asyncio
+import dataclasses
+import socket
+
+import httptools
+
+from clementinespar import codes, errors
+
+CONNECT_TIMEOUT_S = 0.4  # all addresses are within a few milliseconds
+MAX_IDLE_PER_ADDRESS = 8  # kept connections to one address
+MAX_IDLE_S = 10.0  # an idle connection may go silent; older ones are not used again
+
+
+class CallNotSentError(errors.ClementinesparError):
+    """The call did not leave this process, so it had no effect."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(codes.ResultCode.CALL_NOT_SENT, message)
+
+
+class CallUnansweredError(errors.ClementinesparError):
+    """The call was sent and got no whole response; it may have an effect, also later."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(codes.ResultCode.CALL_UNANSWERED, message)
+
+
+@dataclasses.dataclass(slots=True)
+class Response:
+    """A whole response."""
+
+    status: int
+    body: bytes
+
+
+class _Connection(asyncio.Protocol):
+    """One connection with at most one call in flight."""
+
+    transport: asyncio.Transport | None
+    is_closed: bool
+    idle_since: float  # event-loop time
+    _parser: httptools.HttpResponseParser
+    _waiter: "asyncio.Future[Response] | None"
+    _chunks: list[bytes]
+
+    def __init__(self) -> None:
+        self.transport = None
+        self.is_closed = False
+        self.idle_since = 0.0
+        self._parser = httptools.HttpResponseParser(self)
+        self._waiter = None
+        self._chunks = []
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.is_closed = True
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_exception(
+                CallUnansweredError(f"the connection was lost: {exc}")
+            )
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            if self._waiter is not None and not self._waiter.done():
+                self._waiter.set_exception(
+                    CallUnansweredError(f"the response is not HTTP: {error}")
+                )
+            self.close()
+
+    def on_body(self, body: bytes) -> None:
+        """Keep a part of the body."""
+        self._chunks.append(body)
+
+    def on_message_complete(self) -> None:
+        """Hand the whole response to the caller."""
+        if not self._parser.should_keep_alive():
+            self.is_closed = True
+        body = b"".join(self._chunks)
+        self._chunks = []
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(Response(self._parser.get_status_code(), body))
+
+    async def call(self, request: bytes, timeout_s: float) -> Response:
+        """Send one request and wait for its response."""
+        assert self.transport is not None
+        loop = asyncio.get_running_loop()
+        waiter = loop.create_future()
+        self._waiter = waiter
+        self.transport.write(request)
+        timer = loop.call_later(timeout_s, _expire, waiter, timeout_s)
+        try:
+            return await waiter
+        except BaseException:
+            self.close()
+            raise
+        finally:
+            timer.cancel()
+            self._waiter = None
+
+    def close(self) -> None:
+        """Drop the connection; bytes not yet sent are lost."""
+        self.is_closed = True
+        if self.transport is not None:
+            self.transport.abort()
+
+
+def _expire(waiter: "asyncio.Future[Response]", timeout_s: float) -> None:
+    if not waiter.done():
+        waiter.set_exception(
+            CallUnansweredError(f"no response within {timeout_s * 1000:.0f} ms")
+        )
+
+
+class HttpCaller:
+    """Makes calls to any address; needs a running event loop."""
+
+    _idle_by_address: dict[str, list[_Connection]]
+    calls: int  # calls sent so far
+
+    def __init__(self) -> None:
+        self._idle_by_address = {}
+        self.calls = 0
+
+    async def call(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: str = "",
+        timeout_s: float = 1.0,
+    ) -> Response:
+        """Make one call.
+
+        Parameters
+        ----------
+        address : str
+            ``IP:port``.
+        headers : str
+            Further header lines, each with its line end.
+        timeout_s : float
+            Longest wait for the whole response, without connecting, in seconds.
+
+        Raises
+        ------
+        CallNotSentError
+            No connection could be opened.
+        CallUnansweredError
+            The call may have been executed.
+        """
+        connection = await self._take(address)
+        self.calls += 1
+        request = (
+            f"{method} {path} HTTP/1.1\r\nHost: {address}\r\n"
+            f"Content-Length: {len(body)}\r\n{headers}\r\n"
+        ).encode() + body
+        response = await connection.call(request, timeout_s)
+        self._give_back(address, connection)
+        return response
+
+    def drop_idle(self, address: str) -> None:
+        """Close the kept connections to an address, which may have gone silent."""
+        for connection in self._idle_by_address.pop(address, ()):
+            connection.close()
+
+    def close(self) -> None:
+        """Close all kept connections."""
+        for address in list(self._idle_by_address):
+            self.drop_idle(address)
+
+    async def _take(self, address: str) -> _Connection:
+        loop = asyncio.get_running_loop()
+        idle = self._idle_by_address.get(address)
+        while idle:
+            connection = idle.pop()
+            if connection.is_closed or loop.time() - connection.idle_since > MAX_IDLE_S:
+                connection.close()
+                continue
+            return connection
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, opened = await loop.create_connection(_Connection, host, int(port))
+        except (OSError, TimeoutError, ValueError) as error:
+            raise CallNotSentError(f"no connection to {address}: {error!r}") from error
+        return opened
+
+    def _give_back(self, address: str, connection: _Connection) -> None:
+        idle = self._idle_by_address.setdefault(address, [])
+        if connection.is_closed or len(idle) >= MAX_IDLE_PER_ADDRESS:
+            connection.close()
+            return
+        connection.idle_since = asyncio.get_running_loop().time()
+        idle.append(connection)
--- /dev/null
+++ b/clementinespar/jobs/options.py
@@ -0,0 +1,111 @@
+"""Settings of a node for jobs, read from an INI file."""
+
+import configparser
+import dataclasses
+import pathlib
+from typing import Annotated
+
+import pydantic
+import pydantic.dataclasses
+
+from clementinespar import codes, errors, options
+
+Milliseconds = Annotated[float, pydantic.Field(gt=0, le=86_400_000)]
+
+_CONFIG = pydantic.ConfigDict(extra="forbid")
+
+
+@pydantic.dataclasses.dataclass(frozen=True, slots=True, config=_CONFIG)
+class NodeSection:
+    """Who this node is."""
+
+    name: options.Name
+    data_centre: options.Name
+    address: options.IpNumber
+    callers: options.Endpoint  # where callers connect
+    readiness: options.Endpoint  # where the balancer asks
+    first_internal_port: options.Port
+    stop_limit_s: options.Seconds = 6.0  # time from a planned stop to the kill
+
+
+@pydantic.dataclasses.dataclass(frozen=True, slots=True, config=_CONFIG)
+class StoreSection:
+    """The store and its limits."""
+
+    address: options.Endpoint
+    record_bytes: int = pydantic.Field(default=262_144, ge=1024)
+    ownership_min_ms: Milliseconds = 1_000  # shortest time to live of ownership
+
+
+@pydantic.dataclasses.dataclass(frozen=True, slots=True, config=_CONFIG)
+class HostsSection:
+    """The platform's service for hosts."""
+
+    address: options.Endpoint
+    holder_lease_ms: Milliseconds = 3_000  # pause between two holders of one host
+    move_s: options.Seconds = 1.5
+    upkeep_s: options.Seconds = 2.0
+
+
+@pydantic.dataclasses.dataclass(frozen=True, slots=True, config=_CONFIG)
+class JobsSection:
+    """Bounds of jobs on workers."""
+
+    lease_max_ms: Milliseconds = 6_000
+    latency_harm_ms: Milliseconds = 4_000
+    away_notice_ms: Milliseconds = 4_500  # a lasting task away this long is missed
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobNodeSettings:
+    """All settings of a node for jobs."""
+
+    node: NodeSection
+    store: StoreSection
+    hosts: HostsSection
+    jobs: JobsSection
+
+
+_SECTIONS: dict[str, type] = {
+    "node": NodeSection,
+    "store": StoreSection,
+    "hosts": HostsSection,
+    "jobs": JobsSection,
+}
+
+SettingsPath = Annotated[pathlib.Path, "path of an INI file"]
+
+
+def load_job_settings(path: SettingsPath) -> JobNodeSettings:
+    """Read settings; all bad ones are reported at once.
+
+    Raises
+    ------
+    ExceptionGroup
+        Of `errors.ClementinesparError`, one for each bad setting.
+    """
+    parser = configparser.ConfigParser(interpolation=None)
+    problems: list[Exception] = []
+    try:
+        parser.read_string(path.read_text())
+    except (OSError, configparser.Error, UnicodeDecodeError) as error:
+        problem = errors.ClementinesparError(
+            codes.ResultCode.SETTINGS_UNREADABLE, f"{path}: {error}"
+        )
+        raise ExceptionGroup("settings", [problem]) from error
+    sections: dict[str, object] = {}
+    for name, section_type in _SECTIONS.items():
+        values = dict(parser[name]) if parser.has_section(name) else {}
+        try:
+            sections[name] = section_type(**values)
+        except pydantic.ValidationError as error:
+            problems.extend(
+                errors.ClementinesparError(
+                    codes.ResultCode.SETTING_INVALID,
+                    f"[{name}] {'.'.join(map(str, detail['loc']))}: {detail['msg']}",
+                )
+                for detail in error.errors()
+            )
+    if problems:
+        raise ExceptionGroup("settings", problems)
+    return JobNodeSettings(**sections)  # type: ignore[arg-type]
--- /dev/null
+++ b/clementinespar/jobs/ownership.py
@@ -0,0 +1,164 @@
+"""Which partitions this node owns, kept by a group on the store.
+
+The confirmation of ownership counts from before the call that got it was sent. Leases
+on workers extend only on the strength of it.
+"""
+
+import asyncio
+import contextlib
+import zlib
+from collections.abc import AsyncIterator, Callable
+
+from clementinespar import errors
+from clementinespar.jobs import pool_owner, services
+
+PARTITION_COUNT = 24
+FLEET_PARTITION = PARTITION_COUNT - 1  # waves and moves of hosts
+JOIN_INTERVAL_S = 0.4
+OWNERS_MAX_AGE_S = 2.0
+
+
+def partition_of(pool: str) -> int:
+    """Return the partition of a pool, the same on every node."""
+    return zlib.crc32(pool.encode()) % FLEET_PARTITION
+
+
+class OwnershipKeeper:
+    """Joins the group and runs an owner for each assigned partition."""
+
+    owners_by_partition: dict[int, pool_owner.PoolOwner]
+    is_fleet_owner: bool
+    generation: int
+    assigned: frozenset[int]
+    _confirmed_at: float | None
+    _stacks: dict[int, contextlib.AsyncExitStack]
+    _epochs: dict[int, int]  # generation in which each partition came
+    _fenced_epochs: dict[int, int]
+    _owner_names: dict[int, str]
+    _owners_read_at: float  # event-loop time
+
+    def __init__(
+        self,
+        group: services.OwnershipGroup,
+        make_owner: Callable[
+            [int, int], pool_owner.PoolOwner
+        ],
+        wanted_partitions: Callable[[], frozenset[int]],
+        record: services.JobRecorder,
+    ) -> None:
+        self.owners_by_partition = {}
+        self.is_fleet_owner = False
+        self.generation = 0
+        self.assigned = frozenset()
+        self._group = group
+        self._make_owner = make_owner
+        self._wanted_partitions = wanted_partitions
+        self._record = record
+        self._confirmed_at = None
+        self._stacks = {}
+        self._epochs = {}
+        self._fenced_epochs = {}
+        self._owner_names = {}
+        self._owners_read_at = -OWNERS_MAX_AGE_S
+
+    def confirmed_at(self) -> float | None:
+        """Return when the newest successful join was sent."""
+        return self._confirmed_at
+
+    async def run(self) -> None:
+        """Join at intervals until cancelled."""
+        loop = asyncio.get_running_loop()
+        is_reached = True
+        while True:
+            sent_at = loop.time()
+            try:
+                assignment = await self._group.join(self.generation)
+            except errors.ClementinesparError as error:
+                if is_reached:
+                    self._record("ownership_unconfirmed", code=int(error.code))
+                is_reached = False
+            else:
+                if not is_reached:
+                    self._record("ownership_confirmed_again")
+                is_reached = True
+                await self._apply(assignment, sent_at)
+            await asyncio.sleep(max(0.05, sent_at + JOIN_INTERVAL_S - loop.time()))
+
+    async def _apply(self, assignment: services.Assignment, sent_at: float) -> None:
+        if assignment.generation != self.generation:
+            self._record(
+                "assignment",
+                generation=assignment.generation,
+                partitions=sorted(assignment.partitions),
+            )
+        for partition in set(self.owners_by_partition) - assignment.partitions:
+            await self._end(partition)
+        for partition, owner in list(self.owners_by_partition.items()):
+            if owner.is_lost:
+                await self._end(partition)
+        for partition in set(self._epochs) - assignment.partitions:
+            del self._epochs[partition]
+        for partition in assignment.partitions:
+            # An epoch counts from the generation in which the partition came; it stays
+            # while the partition does.
+            self._epochs.setdefault(partition, assignment.generation)
+        self.generation = assignment.generation
+        self.assigned = assignment.partitions
+        self._confirmed_at = sent_at
+        self.is_fleet_owner = FLEET_PARTITION in assignment.partitions
+        for partition in assignment.partitions & self._wanted_partitions():
+            epoch = self._epochs[partition]
+            is_usable = epoch > self._fenced_epochs.get(partition, 0)
+            if partition not in self.owners_by_partition and is_usable:
+                await self._begin(partition, epoch)
+
+    async def _begin(self, partition: int, epoch: int) -> None:
+        owner = self._make_owner(partition, epoch)
+        stack = contextlib.AsyncExitStack()
+        await stack.enter_async_context(pool_owner.own_partition(owner))
+        self.owners_by_partition[partition] = owner
+        self._stacks[partition] = stack
+
+    async def _end(self, partition: int) -> None:
+        owner = self.owners_by_partition.pop(partition)
+        if owner.is_lost:
+            # A fenced epoch is not used again: the next owner object waits for a
+            # later generation.
+            self._fenced_epochs[partition] = owner.epoch
+            self._epochs.pop(partition, None)
+        owner.is_lost = True
+        await self._stacks.pop(partition).aclose()
+
+    async def find_owner(self, partition: int, is_fresh: bool = False) -> str | None:
+        """Return the member that owns a partition, from a view of limited age."""
+        loop = asyncio.get_running_loop()
+        age = loop.time() - self._owners_read_at
+        if age > OWNERS_MAX_AGE_S or (is_fresh and age > 0.1):
+            try:
+                self._owner_names = dict(await self._group.list_owners())
+                self._owners_read_at = loop.time()
+            except errors.ClementinesparError as error:
+                self._record("owners_unknown", code=int(error.code))
+        return self._owner_names.get(partition)
+
+    async def close(self) -> None:
+        """Give everything up in a planned way."""
+        for partition in list(self.owners_by_partition):
+            await self._end(partition)
+        try:
+            await self._group.leave()
+        except errors.ClementinesparError as error:
+            self._record("leave_failed", code=int(error.code))
+
+
+@contextlib.asynccontextmanager
+async def keep_ownership(keeper: OwnershipKeeper) -> AsyncIterator[None]:
+    """Run a keeper while the context is entered."""
+    task = asyncio.create_task(keeper.run())
+    try:
+        yield
+    finally:
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+        await keeper.close()
--- /dev/null
+++ b/clementinespar/jobs/peer_server.py
@@ -0,0 +1,68 @@
+"""Answers to the other nodes, and metrics, over HTTP on the internal port."""
+
+import contextlib
+import json
+from collections.abc import AsyncIterator
+
+import tornado.httpserver
+import tornado.netutil
+import tornado.web
+
+from clementinespar import errors
+from clementinespar.jobs import service, telemetry
+
+
+class _QuestionHandler(tornado.web.RequestHandler):
+    """Answers one question about a partition."""
+
+    def initialize(self, jobs: service.JobService) -> None:
+        self._jobs = jobs
+
+    def compute_etag(self) -> None:
+        """Send no entity tag; peers do not cache."""
+
+    def get(self, partition: str) -> None:
+        """Answer as the owner, or with 503."""
+        path = (self.request.uri or "")[len(partition) + 1 :]
+        try:
+            told = self._jobs.answer_peer(int(partition), path)
+        except errors.ClementinesparError as error:
+            self.set_status(503)
+            told = {"code": int(error.code), "message": error.message}
+        except (ValueError, KeyError) as error:
+            self.set_status(400)
+            told = {"message": repr(error)}
+        self.finish(json.dumps(told))
+
+
+class _MetricsHandler(tornado.web.RequestHandler):
+    """Serves the metrics of the node."""
+
+    def initialize(self, metrics: telemetry.JobMetrics) -> None:
+        self._metrics = metrics
+
+    def get(self) -> None:
+        """Write all metrics as text."""
+        self.set_header("Content-Type", "text/plain; version=0.0.4")
+        self.finish(self._metrics.render())
+
+
+@contextlib.asynccontextmanager
+async def serve_peers(
+    address: str, port: int, jobs: service.JobService, metrics: telemetry.JobMetrics
+) -> AsyncIterator[None]:
+    """Listen for peers while the context is entered."""
+    application = tornado.web.Application(
+        [
+            (r"/metrics", _MetricsHandler, {"metrics": metrics}),
+            (r"/(\d+)/.*", _QuestionHandler, {"jobs": jobs}),
+        ],
+        log_function=lambda handler: None,
+    )
+    server = tornado.httpserver.HTTPServer(application)
+    server.add_sockets(tornado.netutil.bind_sockets(port, address))
+    try:
+        yield
+    finally:
+        server.stop()
+        await server.close_all_connections()
--- /dev/null
+++ b/clementinespar/jobs/pool_owner.py
@@ -0,0 +1,950 @@
+"""The one node that decides for a pool of workers.
+
+Takeover: the first progress record carries the owner's epoch and fences every earlier
+owner out of the partition; then progress and commands are read, and each worker is
+called with the new fence. Jobs that an earlier owner had adopted wait until every
+worker that it may have used has answered, or its lease has certainly ended. Jobs that
+nobody adopted start at once.
+
+What must last is stored before it is shown or acknowledged: adoption before the first
+start, ends before their acknowledgement, a final state before a caller sees it.
+"""
+
+import asyncio
+import collections
+import collections.abc
+import contextlib
+import dataclasses
+import json
+import time
+from collections.abc import AsyncIterator, Callable
+
+from clementinespar import codes, errors
+from clementinespar.jobs import (
+    model,
+    placement,
+    services,
+    state,
+    telemetry,
+    worker_session,
+)
+
+LEASE_SHARE = 0.9  # of the longest lease that workers grant
+FLUSH_INTERVAL_S = 0.6  # ends are acknowledged at least this often
+SCHEDULE_SPACING_S = 0.004  # collects events for one round of placement
+RETRY_DELAY_S = 0.08  # after a failed run, so that others go first
+LOST_RETRY_DELAY_S = 0.02
+STORE_RETRY_S = 0.1
+COMMAND_WAIT_S = 10.0  # long wait of a read for new commands
+COMMAND_SPACING_S = 0.01  # collects commands, since each read is priced
+STALE_COMMANDS_S = 1.5  # an unknown job is reported only if commands are this fresh
+STATUS_RETENTION_MS = 150_000  # longer than callers may ask for a final state
+HOUSEKEEPING_S = 0.5
+STUCK_AFTER_S = 1.4  # a run without progress for this long is started elsewhere
+STUCK_LASTING_S = 4.0  # a lasting task needs some time until it is at work
+LATE_FACTOR = 3.0  # a job later than this many objectives earns nothing
+UNKNOWN_STEP = model.StepSpec(1)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnerSettings:
+    """Figures that the owner of a pool needs.
+
+    Attributes
+    ----------
+    lease_max_s : float
+        Longest lease that a worker grants, in seconds.
+    latency_harm_s : float
+        How long a serving task may be over its target, in seconds.
+    """
+
+    lease_max_s: float
+    latency_harm_s: float = 4.0
+
+
+class PoolOwner:
+    """Decisions for one partition of pools; made by `own_partition`."""
+
+    partition: int
+    epoch: int
+    is_loaded: bool
+    is_lost: bool
+    jobs_by_id: dict[str, state.JobProgress]
+    sessions_by_id: dict[str, worker_session.WorkerSession]
+    evacuating: dict[str, float]  # worker id: event-loop time until which it is kept
+    commands_read_at: float
+    metrics: telemetry.JobMetrics
+
+    def __init__(
+        self,
+        partition: int,
+        epoch: int,
+        owns_pool: Callable[[str], bool],
+        confirmed_at: Callable[[], float | None],
+        on_lost: Callable[["PoolOwner"], None],
+        store: services.JobStore,
+        directory: services.WorkerDirectory,
+        workers: services.WorkerClient,
+        settings: OwnerSettings,
+        record: services.JobRecorder,
+        metrics: telemetry.JobMetrics,
+    ) -> None:
+        self.partition = partition
+        self.epoch = epoch
+        self.is_loaded = False
+        self.is_lost = False
+        self.jobs_by_id = {}
+        self.sessions_by_id = {}
+        self.evacuating = {}
+        self.commands_read_at = 0.0
+        self.metrics = metrics
+        self._owns_pool = owns_pool
+        self._confirmed_at = confirmed_at
+        self._on_lost = on_lost
+        self._store = store
+        self._directory = directory
+        self._workers = workers
+        self._settings = settings
+        self._record = record
+        self._lease_s = settings.lease_max_s * LEASE_SHARE
+        self._sequence = 0
+        self._recorded_workers: set[str] = set()
+        self._stored_workers: set[str] = set()
+        self._former_workers: set[str] = set()
+        self._cancelled_ids: set[str] = set()
+        self._finished_commands: list[str] = []
+        self._former_bound = 0.0
+        self._dirty: dict[str, state.JobProgress] = {}
+        self._active: dict[str, state.JobProgress] = {}  # not final
+        self._flush_wanted = asyncio.Event()
+        self._schedule_wanted = asyncio.Event()
+        self._durations_by_image: dict[str, float] = {}
+        self._policy = placement.Placement()
+
+    # What sessions tell.
+
+    def confirmed_at(self) -> float | None:
+        """Return when the newest confirmation of ownership was asked for."""
+        return None if self.is_lost else self._confirmed_at()
+
+    def on_contact(self, session: worker_session.WorkerSession) -> None:
+        """Look for room after each report."""
+        self._watch_runs(session)
+        self._schedule_wanted.set()
+
+    def on_fenced(self) -> None:
+        """Give the partition up: a later owner has reached a worker."""
+        self.lose("a worker has seen a later owner")
+
+    def orphan_spec(self, key: model.TaskKey) -> model.StepSpec:
+        """Return the size of a run that must be stopped."""
+        job = self.jobs_by_id.get(key.job_id)
+        if job is not None and 0 <= key.step < len(job.spec.steps):
+            return job.spec.steps[key.step]
+        return UNKNOWN_STEP
+
+    def on_end(
+        self,
+        session: worker_session.WorkerSession,
+        end: model.EndedTask,
+        run: worker_session.Run | None,
+    ) -> None:
+        """Apply an end once, whoever started the run."""
+        self.metrics.count_end(end.kind.value)
+        self._schedule_wanted.set()
+        job = self.jobs_by_id.get(end.task.job_id)
+        task = None if job is None or job.is_final else job.find_task(end.task)
+        if job is None or task is None:
+            self._flush_soon()
+            return
+        step = job.find_step(end.task)
+        task.open_runs.discard(end.run)
+        task.last_run = max(task.last_run, end.run)
+        if end.saved:
+            task.saved = end.saved
+        is_failure = end.kind is model.EndKind.FAILED
+        if end.kind is model.EndKind.DONE:
+            session.note_outcome(job.spec.job_id, False)
+            if step.spec.is_gang:
+                self._finish_gang(job, step, end.run)
+            else:
+                state.mark_done(step, task)
+                self._stop_copies(task)
+        elif is_failure:
+            self._note_failure(session, job, step, task, end)
+        if end.kind is not model.EndKind.DONE:
+            self._record(
+                "end",
+                job=job.spec.job_id,
+                task=f"{end.task.occurrence}.{end.task.step}.{end.task.index}",
+                run=end.run,
+                worker=session.entry.worker_id,
+                kind=end.kind.value,
+            )
+            delay = RETRY_DELAY_S if is_failure else LOST_RETRY_DELAY_S
+            self._requeue(step, task, 0.0 if step.spec.is_lasting else delay)
+        self._mark_dirty(job)
+        if not job.is_final:
+            self._finish_occurrences(job)
+        del run
+
+    def on_gone(
+        self,
+        session: worker_session.WorkerSession,
+        run: worker_session.Run,
+        reason: str,
+    ) -> None:
+        """Place a task again whose run certainly does not execute."""
+        self._schedule_wanted.set()
+        job = self.jobs_by_id.get(run.key.job_id)
+        task = None if job is None or job.is_final else job.find_task(run.key)
+        self._record(
+            "run_gone",
+            job=run.key.job_id,
+            task=f"{run.key.occurrence}.{run.key.step}.{run.key.index}",
+            run=run.number,
+            worker=session.entry.worker_id,
+            reason=reason,
+        )
+        if job is None or task is None:
+            return
+        task.open_runs.discard(run.number)
+        self._requeue(job.find_step(run.key), task, LOST_RETRY_DELAY_S)
+
+    def on_unknown_run(
+        self, session: worker_session.WorkerSession, listed: model.RunningTask
+    ) -> worker_session.Run | None:
+        """Adopt a run of a former owner if its task still needs it."""
+        job = self.jobs_by_id.get(listed.task.job_id)
+        task = None if job is None or job.is_final else job.find_task(listed.task)
+        if job is None or task is None:
+            return None
+        step = job.find_step(listed.task)
+        task.last_run = max(task.last_run, listed.run)
+        if task.is_done or (task.open_runs and not step.spec.is_speculative):
+            return None
+        now = asyncio.get_running_loop().time()
+        run = worker_session.Run(listed.task, listed.run, step.spec, session, now)
+        run.status = worker_session.RunStatus.RUNNING
+        run.percent = listed.percent
+        task.open_runs.add(listed.run)
+        step.waiting.discard(listed.task.index)
+        self._mark_started(job)
+        return run
+
+    # What callers ask.
+
+    def describe(self, job_id: str) -> model.JobState | None:
+        """Return a job's state, or None if no job has this id.
+
+        Raises
+        ------
+        errors.ClementinesparError
+            This node cannot tell, since its view of the commands is old.
+        """
+        job = self.jobs_by_id.get(job_id)
+        if job is not None:
+            if job.is_final and not job.is_final_stored:
+                return model.JobState.RUNNING
+            return job.state
+        loop = asyncio.get_running_loop()
+        if not self.is_loaded or loop.time() - self.commands_read_at > (
+            COMMAND_WAIT_S + STALE_COMMANDS_S
+        ):
+            raise errors.ClementinesparError(
+                codes.ResultCode.JOB_OWNER_UNKNOWN, "the commands are not read yet"
+            )
+        return None
+
+    def count_waiting(self, queue: str) -> int:
+        """Return the number of accepted jobs of a queue with no started task."""
+        return sum(
+            1
+            for job in self._active.values()
+            if job.spec.queue == queue
+            and not job.has_started
+            and not job.spec.occurrences
+        )
+
+    def describe_load(self, pool: str) -> dict[str, object]:
+        """Return the waiting work and the use of each worker of a pool."""
+        now = asyncio.get_running_loop().time()
+        return {
+            "waiting_cores": sum(
+                len(step.waiting) * step.spec.cpu_millis
+                for job in self._active.values()
+                for occurrence in job.occurrences.values()
+                for step in occurrence.ready_steps()
+            )
+            / 1000,
+            "workers": {
+                session.entry.worker_id: {
+                    "used_cores": (session.entry.cpu_millis - session.free_cpu) / 1000,
+                    "runs": len(session.runs),
+                    "lasting": sum(
+                        1 for run in session.runs.values() if run.spec.is_lasting
+                    ),
+                    "can_take": session.can_take(now),
+                }
+                for session in self.sessions_by_id.values()
+                if session.entry.pool == pool
+            },
+        }
+
+    def evacuate(self, worker_id: str, kept_s: float) -> bool:
+        """Keep new work from a worker; True once its host may be taken away.
+
+        Lasting tasks are moved as far as their steps allow; others end by themselves.
+        """
+        loop = asyncio.get_running_loop()
+        self.evacuating[worker_id] = loop.time() + kept_s
+        session = self.sessions_by_id.get(worker_id)
+        if session is None:
+            return self.is_loaded
+        if not session.is_evacuating:
+            session.is_evacuating = True
+            self._record("evacuate", worker=worker_id, runs=len(session.runs))
+        for run in list(session.runs.values()):
+            if run.spec.is_lasting:
+                self._move_lasting(run, "its host is to be taken away")
+        return not session.runs and session.is_touched
+
+    # Loops.
+
+    async def load(self) -> None:
+        """Fence earlier owners, then read progress and commands."""
+        loop = asyncio.get_running_loop()
+        await self._append([services.KeyedRecord("owner", b"%d" % self.epoch)])
+        self._former_bound = (
+            loop.time()
+            + self._settings.lease_max_s
+            + worker_session.LEASE_MARGIN_S
+        )
+        progress = await self._retry(
+            lambda: self._store.list_newest(services.Topic.PROGRESS, self.partition)
+        )
+        commands = await self._retry(
+            lambda: self._store.list_newest(services.Topic.COMMANDS, self.partition)
+        )
+        values = {record.key: record.value for record in progress.records}
+        held = values.get("workers")
+        if held:
+            self._former_workers = set(json.loads(held))
+            self._recorded_workers = set(self._former_workers)
+        specs: dict[str, bytes] = {}
+        for record in commands.records:
+            if record.key.startswith("j"):
+                specs[record.key[1:]] = record.value
+        for key, value in values.items():
+            if not key.startswith("p"):
+                continue
+            job_id = key[1:]
+            try:
+                spec = (
+                    state.decode_spec(job_id, specs[job_id])
+                    if job_id in specs
+                    else model.JobSpec(job_id, "", "", ())
+                )
+                job = state.JobProgress(spec)
+                state.restore_progress(job, value)
+            except (ValueError, KeyError, TypeError, IndexError) as error:
+                self._record(
+                    "entry_invalid",
+                    code=int(codes.ResultCode.ENTRY_INVALID),
+                    key=key,
+                    error=repr(error),
+                )
+                continue
+            self._set_deadline(job)
+            self.jobs_by_id[job_id] = job
+            if not job.is_final:
+                self._active[job_id] = job
+                self._finish_occurrences(job)
+        self._apply_commands(commands.records)
+        self._next_command = commands.next_offset
+        self.commands_read_at = loop.time()
+        self.is_loaded = True
+        self._refresh_sessions()
+        self._record(
+            "pool_loaded",
+            partition=self.partition,
+            epoch=self.epoch,
+            jobs=len(self.jobs_by_id),
+            open_jobs=len(self._active),
+            former_workers=len(self._former_workers),
+        )
+
+    async def follow_commands(self) -> None:
+        """Apply what callers ask, as it is stored."""
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                page = await self._store.read(
+                    services.Topic.COMMANDS,
+                    self.partition,
+                    self._next_command,
+                    COMMAND_WAIT_S,
+                )
+            except errors.ClementinesparError as error:
+                if error.code is not codes.ResultCode.STORE_HISTORY_GONE:
+                    await asyncio.sleep(STORE_RETRY_S)
+                    continue
+                self._record("commands_listed_anew", partition=self.partition)
+                page = await self._retry(
+                    lambda: self._store.list_newest(
+                        services.Topic.COMMANDS, self.partition
+                    )
+                )
+            self.commands_read_at = loop.time()
+            self._next_command = page.next_offset
+            self._apply_commands(page.records)
+            await asyncio.sleep(COMMAND_SPACING_S)
+
+    async def write_progress(self) -> None:
+        """Store what changed, one append at a time; acknowledge what is stored."""
+        while True:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(FLUSH_INTERVAL_S):
+                    await self._flush_wanted.wait()
+            self._flush_wanted.clear()
+            await self._flush()
+
+    async def _flush(self) -> None:
+        dirty = list(self._dirty.values())
+        self._dirty.clear()
+        processed = [
+            (session, session.processed, session.born_ms)
+            for session in self.sessions_by_id.values()
+        ]
+        records = []
+        for job in dirty:
+            job.is_dirty = False
+            if not job.first_epoch:
+                job.first_epoch = self.epoch
+            records.append(
+                services.KeyedRecord(
+                    "p" + job.spec.job_id, state.encode_progress(job)
+                )
+            )
+        stored_workers = set(self._recorded_workers)
+        if stored_workers != self._stored_workers:
+            records.append(
+                services.KeyedRecord(
+                    "workers", json.dumps(sorted(stored_workers)).encode()
+                )
+            )
+        finals = [job for job in dirty if job.is_final]
+        if records:
+            await self._append(records)
+        self._stored_workers = stored_workers
+        for session, number, born_ms in processed:
+            if session.born_ms == born_ms:
+                session.acknowledged = max(session.acknowledged, number)
+        for job in finals:
+            job.is_final_stored = True
+            self._finished_commands.append(job.spec.job_id)
+        has_adopted = False
+        for job in dirty:
+            if not job.is_adopted:
+                job.is_adopted = True
+                job.adopted_epoch = self.epoch
+                has_adopted = True
+        if has_adopted:
+            self._schedule_wanted.set()
+
+    async def schedule(self) -> None:
+        """Place tasks whenever something has changed."""
+        while True:
+            await self._schedule_wanted.wait()
+            await asyncio.sleep(SCHEDULE_SPACING_S)
+            self._schedule_wanted.clear()
+            self._place_tasks()
+
+    async def keep_house(self) -> None:
+        """Follow the directory, open occurrences, drop what nobody may ask for."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_S)
+            self._refresh_sessions()
+            now_ms = time.time() * 1000
+            for job in list(self._active.values()):
+                if job.spec.occurrences and job.open_due_occurrences(now_ms):
+                    self._mark_dirty(job)
+            for worker_id, until in list(self.evacuating.items()):
+                if loop.time() > until:
+                    del self.evacuating[worker_id]
+                    session = self.sessions_by_id.get(worker_id)
+                    if session is not None:
+                        session.is_evacuating = False
+            self._schedule_wanted.set()
+            await self._drop_finished(now_ms)
+
+    async def _drop_finished(self, now_ms: float) -> None:
+        if self._finished_commands:
+            keys = self._finished_commands
+            self._finished_commands = []
+            try:
+                await self._store.append(
+                    services.Topic.COMMANDS,
+                    self.partition,
+                    [services.KeyedRecord("j" + job_id, b"") for job_id in keys],
+                )
+            except errors.ClementinesparError:
+                self._finished_commands.extend(keys)  # dropped with the next ones
+        expired = [
+            job_id
+            for job_id, job in self.jobs_by_id.items()
+            if job.is_final_stored and now_ms - job.final_ms > STATUS_RETENTION_MS
+        ]
+        for job_id in expired:
+            del self.jobs_by_id[job_id]
+            self._cancelled_ids.discard(job_id)
+        if expired:
+            await self._append(
+                [services.KeyedRecord("p" + job_id, b"") for job_id in expired]
+            )
+
+    # Commands.
+
+    def _apply_commands(self, records: list[services.KeyedRecord]) -> None:
+        for record in records:
+            kind, job_id = record.key[:1], record.key[1:]
+            if not record.value:
+                continue
+            if kind == "j" and job_id not in self.jobs_by_id:
+                self._add_job(job_id, record.value)
+        for record in records:
+            if record.key[:1] == "c" and record.value:
+                self._cancel(record.key[1:])
+
+    def _add_job(self, job_id: str, value: bytes) -> None:
+        try:
+            job = state.JobProgress(state.decode_spec(job_id, value))
+        except (ValueError, KeyError, TypeError) as error:
+            self._record(
+                "entry_invalid",
+                code=int(codes.ResultCode.ENTRY_INVALID),
+                key="j" + job_id,
+                error=repr(error),
+            )
+            return
+        self._set_deadline(job)
+        self.jobs_by_id[job_id] = job
+        self._active[job_id] = job
+        if job.spec.occurrences:
+            job.open_due_occurrences(time.time() * 1000)
+        self._record(
+            "job_adopted",
+            job=job_id,
+            queue=job.spec.queue,
+            steps=len(job.spec.steps),
+            age_ms=int(time.time() * 1000) - job.spec.accepted_ms,
+        )
+        if job_id in self._cancelled_ids:
+            self._finish_job(job, model.JobState.CANCELLED, "cancelled before it came")
+        self._mark_dirty(job)
+        self._flush_wanted.set()
+
+    def _cancel(self, job_id: str) -> None:
+        self._cancelled_ids.add(job_id)
+        job = self.jobs_by_id.get(job_id)
+        if job is not None and not job.is_final:
+            self._finish_job(job, model.JobState.CANCELLED, "cancelled by its caller")
+
+    def _set_deadline(self, job: state.JobProgress) -> None:
+        loop = asyncio.get_running_loop()
+        age_s = max(0.0, time.time() - job.spec.accepted_ms / 1000)
+        objective_s = (
+            job.spec.stretch * job.remaining_ms() + job.spec.objective_ms
+        ) / 1000
+        job.deadline = loop.time() - age_s + objective_s
+
+    # Ends.
+
+    def _note_failure(
+        self,
+        session: worker_session.WorkerSession,
+        job: state.JobProgress,
+        step: state.StepState,
+        task: state.TaskState,
+        end: model.EndedTask,
+    ) -> None:
+        if end.run in task.failed_runs:
+            return
+        task.failed_runs.add(end.run)
+        task.failed_on.add(session.entry.worker_id)
+        if session.note_outcome(job.spec.job_id, True):
+            self._record(
+                "worker_ejected", worker=session.entry.worker_id, reason="failures"
+            )
+        attempts = len(task.failed_runs)
+        if step.spec.is_gang:
+            attempts = len(set().union(*(t.failed_runs for t in step.tasks)))
+        if not step.spec.is_lasting and attempts >= job.spec.max_attempts:
+            self._finish_job(job, model.JobState.FAILED, "a task failed too often")
+
+    def _finish_gang(
+        self, job: state.JobProgress, step: state.StepState, run: int
+    ) -> None:
+        """One done end stands for all members of the run."""
+        for member in step.tasks:
+            state.mark_done(step, member)
+            self._stop_copies(member, keep_run=run)
+
+    def _requeue(
+        self, step: state.StepState, task: state.TaskState, delay_s: float
+    ) -> None:
+        if task.is_done or task.open_runs:
+            return
+        loop = asyncio.get_running_loop()
+        task.not_before = loop.time() + delay_s
+        step.waiting.add(task.key.index)
+        if delay_s:
+            loop.call_later(delay_s, self._schedule_wanted.set)
+
+    def _stop_copies(self, task: state.TaskState, keep_run: int = -1) -> None:
+        if not task.open_runs:
+            return
+        for session in self.sessions_by_id.values():
+            for run in list(session.runs.values()):
+                if run.key == task.key and run.number != keep_run:
+                    session.stop(run, "another copy is done")
+
+    def _finish_occurrences(self, job: state.JobProgress) -> None:
+        for number, occurrence in list(job.occurrences.items()):
+            if occurrence.is_done and not job.is_lasting:
+                del job.occurrences[number]
+                job.finished_occurrences += 1
+        wanted = job.spec.occurrences or 1
+        if job.finished_occurrences >= wanted:
+            self._finish_job(job, model.JobState.DONE, "all tasks are done")
+
+    def _finish_job(
+        self, job: state.JobProgress, final: model.JobState, reason: str
+    ) -> None:
+        job.state = final
+        job.final_ms = int(time.time() * 1000)
+        self._active.pop(job.spec.job_id, None)
+        self._record(
+            "job_final",
+            job=job.spec.job_id,
+            state=final.value,
+            reason=reason,
+            age_ms=job.final_ms - job.spec.accepted_ms,
+        )
+        self.metrics.observe_job(final.value, job.final_ms - job.spec.accepted_ms)
+        if final is not model.JobState.DONE:
+            for session in self.sessions_by_id.values():
+                for run in list(session.runs.values()):
+                    if run.key.job_id == job.spec.job_id:
+                        session.stop(run, f"its job is {final.value}")
+        job.occurrences.clear()
+        self._mark_dirty(job)
+        self._flush_wanted.set()
+
+    def _mark_started(self, job: state.JobProgress) -> None:
+        if not job.has_started:
+            job.has_started = True
+            job.state = model.JobState.RUNNING
+
+    def _mark_dirty(self, job: state.JobProgress) -> None:
+        job.is_dirty = True
+        self._dirty[job.spec.job_id] = job
+
+    def _flush_soon(self) -> None:
+        """Ends of unknown jobs are acknowledged with the next flush."""
+
+    # Placement.
+
+    def _is_settled(self) -> bool:
+        """Whether no worker can still execute what a former owner started unseen."""
+        loop = asyncio.get_running_loop()
+        if loop.time() > self._former_bound:
+            return True
+        for worker_id in self._former_workers:
+            session = self.sessions_by_id.get(worker_id)
+            if session is None or not session.is_touched:
+                return False
+        return True
+
+    def _place_tasks(self) -> None:
+        if not self.is_loaded or self.is_lost or self.confirmed_at() is None:
+            return
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        is_settled = self._is_settled()
+        usable = [
+            session
+            for session in self.sessions_by_id.values()
+            if session.can_take(now) and session.entry.worker_id in self._stored_workers
+        ]
+        if not usable:
+            return
+        waiting = [
+            job
+            for job in self._active.values()
+            if job.is_adopted
+            and (is_settled or job.adopted_epoch == self.epoch)
+            and any(s.waiting for o in job.occurrences.values() for s in o.steps)
+        ]
+        waiting.sort(key=lambda job: placement.rank(job, now))
+        room = self._policy.begin(usable)
+        for job in waiting:
+            if not room.has_any():
+                break
+            for occurrence in job.occurrences.values():
+                for step in occurrence.ready_steps():
+                    self._place_step(job, occurrence, step, room, now)
+
+    def _place_step(
+        self,
+        job: state.JobProgress,
+        occurrence: state.Occurrence,
+        step: state.StepState,
+        room: placement.Room,
+        now: float,
+    ) -> None:
+        if step.spec.is_gang:
+            self._place_gang(job, occurrence, step, room, now)
+            return
+        counts = self._count_per_worker(job, step)
+        for index in sorted(step.waiting):
+            task = step.tasks[index]
+            if task.not_before > now:
+                continue
+            session = room.choose(step.spec, counts, task.failed_on)
+            if session is None:
+                if not task.failed_on:
+                    break
+                continue
+            counts[session.entry.worker_id] += 1
+            self._start(job, step, task, job.next_run(task, self.epoch), session)
+
+    def _place_gang(
+        self,
+        job: state.JobProgress,
+        occurrence: state.Occurrence,
+        step: state.StepState,
+        room: placement.Room,
+        now: float,
+    ) -> None:
+        """Start all members with one run number, or none."""
+        if len(step.waiting) < len(step.tasks) or any(
+            task.not_before > now for task in step.tasks
+        ):
+            return
+        chosen = room.choose_gang(step.spec, len(step.tasks))
+        if chosen is None:
+            return
+        number = max(job.next_run(task, self.epoch) for task in step.tasks)
+        saved = max((task.saved for task in step.tasks), default="")
+        for task, session in zip(step.tasks, chosen, strict=True):
+            task.saved = saved
+            self._start(job, step, task, number, session)
+
+    def _count_per_worker(
+        self, job: state.JobProgress, step: state.StepState
+    ) -> collections.Counter[str]:
+        counts: collections.Counter[str] = collections.Counter()
+        if not step.spec.max_per_worker and not step.spec.is_lasting:
+            return counts
+        sample = step.tasks[0].key
+        for session in self.sessions_by_id.values():
+            for run in session.runs.values():
+                key = run.key
+                if (
+                    key.job_id == sample.job_id
+                    and key.step == sample.step
+                    and key.occurrence == sample.occurrence
+                ):
+                    counts[session.entry.worker_id] += 1
+        return counts
+
+    def _start(
+        self,
+        job: state.JobProgress,
+        step: state.StepState,
+        task: state.TaskState,
+        number: int,
+        session: worker_session.WorkerSession,
+    ) -> None:
+        now = asyncio.get_running_loop().time()
+        run = worker_session.Run(task.key, number, step.spec, session, now)
+        task.last_run = number
+        task.open_runs.add(number)
+        step.waiting.discard(task.key.index)
+        session.add_run(run)
+        self._mark_started(job)
+        self.metrics.count_start()
+        self._record(
+            "start",
+            job=job.spec.job_id,
+            task=f"{task.key.occurrence}.{task.key.step}.{task.key.index}",
+            run=number,
+            worker=session.entry.worker_id,
+            slack_ms=int((job.deadline - now) * 1000),
+        )
+        session.start(run, job.spec.payload, task.saved)
+
+    # Runs that need attention.
+
+    def _watch_runs(self, session: worker_session.WorkerSession) -> None:
+        now = asyncio.get_running_loop().time()
+        for run in list(session.runs.values()):
+            if run.status is not worker_session.RunStatus.RUNNING:
+                continue
+            limit = STUCK_LASTING_S if run.spec.is_lasting else STUCK_AFTER_S
+            is_stuck = run.percent < 100 and now - run.percent_at > limit
+            if is_stuck and not run.spec.is_filler:
+                session.stop(run, "no progress")
+                session.ejected_until = now + worker_session.EJECT_S
+            elif session.entry.is_draining and run.spec.is_lasting:
+                self._move_lasting(run, "its worker is draining")
+        self._policy.pace(session, now, self._settings.latency_harm_s)
+
+    def _move_lasting(self, run: worker_session.Run, reason: str) -> None:
+        """Stop a lasting task so that it starts elsewhere, if its step may miss it."""
+        if run.status is not worker_session.RunStatus.RUNNING:
+            return
+        job = self.jobs_by_id.get(run.key.job_id)
+        if job is None or job.is_final:
+            return
+        now = asyncio.get_running_loop().time()
+        step = job.find_step(run.key)
+        may_miss = step.spec.may_miss
+        if may_miss is not None and not run.session.entry.is_draining:
+            at_work = 0
+            for session in self.sessions_by_id.values():
+                for other in session.runs.values():
+                    key = other.key
+                    if (
+                        key.job_id == run.key.job_id
+                        and key.step == run.key.step
+                        and other.status is worker_session.RunStatus.RUNNING
+                        and other.percent >= 100
+                        and now - session.last_contact
+                        < worker_session.SILENT_AFTER_S
+                    ):
+                        at_work += 1
+            is_at_work = run.percent >= 100
+            if is_at_work and len(step.tasks) - at_work >= max(1, may_miss):
+                return
+        counts = self._count_per_worker(job, step)
+        room = self._policy.begin(
+            [
+                session
+                for session in self.sessions_by_id.values()
+                if session.can_take(now) and session is not run.session
+            ]
+        )
+        if room.choose(step.spec, counts, set()) is None:
+            return  # nowhere to go: it keeps working where it is
+        run.session.stop(run, reason)
+
+    # Workers.
+
+    def _refresh_sessions(self) -> None:
+        if not self._directory.is_loaded:
+            return
+        for entry in self._directory.by_id.values():
+            session = self.sessions_by_id.get(entry.worker_id)
+            if not self._owns_pool(entry.pool):
+                if session is not None:
+                    session.is_listed = False
+                continue
+            if session is None:
+                session = worker_session.WorkerSession(
+                    entry,
+                    self.epoch,
+                    self._lease_s,
+                    self._former_bound,
+                    self._workers,
+                    self,
+                    self._record,
+                )
+                session.is_evacuating = entry.worker_id in self.evacuating
+                self.sessions_by_id[entry.worker_id] = session
+                if entry.worker_id not in self._recorded_workers:
+                    self._recorded_workers.add(entry.worker_id)
+                    self._flush_wanted.set()
+                session.open()
+            elif session.entry is not entry:
+                session.entry = entry
+            session.is_listed = True
+        now = asyncio.get_running_loop().time()
+        for worker_id, session in list(self.sessions_by_id.items()):
+            if worker_id in self._directory.by_id:
+                continue
+            session.is_listed = False
+            is_expired = now > session.lease_bound + worker_session.LEASE_MARGIN_S
+            is_silent = now - session.last_contact > worker_session.SILENT_AFTER_S
+            if is_expired and is_silent and not session.runs:
+                session.close()
+                del self.sessions_by_id[worker_id]
+                self._recorded_workers.discard(worker_id)
+                self._flush_wanted.set()
+
+    # The store.
+
+    async def _append(self, records: list[services.KeyedRecord]) -> None:
+        """Append as the owner until it is stored; give up when fenced out."""
+        sequence = self._sequence
+        self._sequence += 1
+        while True:
+            try:
+                await self._store.append_fenced(
+                    self.partition, self.epoch, sequence, records
+                )
+                return
+            except errors.ClementinesparError as error:
+                if error.code is codes.ResultCode.STORE_FENCED:
+                    self.lose("the store has seen a later owner")
+                    await asyncio.Event().wait()  # cancelled with the partition
+                self._record("append_retried", code=int(error.code))
+            await asyncio.sleep(STORE_RETRY_S)
+
+    async def _retry(
+        self, call: "Callable[[], collections.abc.Awaitable[services.RecordPage]]"
+    ) -> services.RecordPage:
+        while True:
+            try:
+                return await call()
+            except errors.ClementinesparError as error:
+                self._record("read_retried", code=int(error.code))
+            await asyncio.sleep(STORE_RETRY_S)
+
+    def lose(self, reason: str) -> None:
+        """Stop acting as the owner."""
+        if self.is_lost:
+            return
+        self.is_lost = True
+        self._record("pool_lost", partition=self.partition, reason=reason)
+        self._on_lost(self)
+
+    async def run(self) -> None:
+        """Load, then decide until cancelled."""
+        await self.load()
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.follow_commands())
+            group.create_task(self.write_progress())
+            group.create_task(self.schedule())
+            group.create_task(self.keep_house())
+
+    def close(self) -> None:
+        """End all sessions; runs go on until their leases end or a next owner."""
+        self.is_lost = True
+        for session in self.sessions_by_id.values():
+            session.close()
+
+
+@contextlib.asynccontextmanager
+async def own_partition(owner: PoolOwner) -> AsyncIterator[None]:
+    """Run an owner while the context is entered."""
+    task = asyncio.create_task(owner.run())
+    try:
+        yield
+    finally:
+        task.cancel()
+        owner.close()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
--- /dev/null
+++ b/clementinespar/jobs/service.py
@@ -0,0 +1,212 @@
+"""What callers ask of jobs, at any node.
+
+A submission and a cancellation are commands on the store; their acknowledgement is the
+store's. States are asked of the owner of the pool, here or at a peer.
+"""
+
+import asyncio
+import json
+import urllib.parse
+from collections.abc import Iterable
+
+from clementinespar import codes, errors, http_calls
+from clementinespar.jobs import model, ownership, services, state
+
+PEER_TIMEOUT_S = 0.5
+OWNER_RETRY_S = 0.15  # a change of owner takes about a second
+WAITING_MAX_AGE_S = 1.0  # callers may be told a count that is 2 s old
+STORE_RETRY_S = 0.1
+FAILED_STORE_S = 0.3  # submissions are refused at once for this long after a failure
+
+
+class JobService:
+    """Submission, state and cancellation of jobs."""
+
+    keeper: ownership.OwnershipKeeper
+    configuration: services.ConfigurationSource
+    _store: services.JobStore
+    _caller: http_calls.HttpCaller
+    _waiting_by_queue: dict[str, tuple[float, int]]
+
+    def __init__(
+        self,
+        keeper: ownership.OwnershipKeeper,
+        configuration: services.ConfigurationSource,
+        store: services.JobStore,
+        caller: http_calls.HttpCaller,
+    ) -> None:
+        self.keeper = keeper
+        self.configuration = configuration
+        self._store = store
+        self._caller = caller
+        self._waiting_by_queue = {}
+
+    async def submit(
+        self, pool: str, spec: model.JobSpec, timeout_s: float
+    ) -> codes.ResultCode:
+        """Store a job; ``OK`` once it is durable.
+
+        Returns ``STORE_REFUSED`` if it certainly is not stored and ``STORE_UNANSWERED``
+        if it may be.
+        """
+        record = services.KeyedRecord("j" + spec.job_id, state.encode_spec(spec))
+        return await self._command(pool, record, timeout_s)
+
+    async def cancel(
+        self, pool: str, job_id: str, timeout_s: float
+    ) -> codes.ResultCode:
+        """Store a cancellation; the job's owner stops what runs."""
+        record = services.KeyedRecord("c" + job_id, b"1")
+        return await self._command(pool, record, timeout_s)
+
+    async def describe(
+        self, pool: str, job_id: str, timeout_s: float
+    ) -> model.JobState | None:
+        """Return a job's state, or None if no pool knows it.
+
+        Raises
+        ------
+        errors.ClementinesparError
+            No owner could be asked in time.
+        """
+        told = await self._ask_owner(
+            ownership.partition_of(pool), f"/jobs/{job_id}", timeout_s
+        )
+        if told["state"] is not None:
+            return model.JobState(told["state"])
+        # A queue may have moved to another pool since the job came.
+        for partition in self._other_partitions(pool):
+            told = await self._ask_owner(partition, f"/jobs/{job_id}", timeout_s)
+            if told["state"] is not None:
+                return model.JobState(told["state"])
+        return None
+
+    async def count_waiting(self, queue: model.Queue, timeout_s: float) -> int:
+        """Return the accepted jobs of a queue of which no task has started."""
+        loop = asyncio.get_running_loop()
+        held = self._waiting_by_queue.get(queue.name)
+        if held is not None and loop.time() - held[0] < WAITING_MAX_AGE_S:
+            return held[1]
+        name = urllib.parse.quote(queue.name, safe="")
+        told = await self._ask_owner(
+            ownership.partition_of(queue.pool), f"/waiting/{name}", timeout_s
+        )
+        count = int(told["waiting"])
+        self._waiting_by_queue[queue.name] = (loop.time(), count)
+        return count
+
+    async def evacuate(self, pool: str, worker_id: str, kept_s: float) -> bool:
+        """Ask the owner of a pool to free a worker; True once it is free."""
+        name = urllib.parse.quote(worker_id, safe="")
+        told = await self._ask_owner(
+            ownership.partition_of(pool),
+            f"/evacuate/{name}?kept_s={kept_s}",
+            PEER_TIMEOUT_S,
+        )
+        return bool(told["is_free"])
+
+    async def describe_load(self, pool: str) -> dict[str, object]:
+        """Return the demand and use of a pool as its owner sees them."""
+        return await self._ask_owner(
+            ownership.partition_of(pool),
+            f"/load/{urllib.parse.quote(pool, safe='')}",
+            PEER_TIMEOUT_S,
+        )
+
+    def _other_partitions(self, pool: str) -> Iterable[int]:
+        configuration = self.configuration.current
+        if configuration is None:
+            return ()
+        return sorted(
+            {ownership.partition_of(name) for name in configuration.pools_by_name}
+            - {ownership.partition_of(pool)}
+        )
+
+    async def _command(
+        self, pool: str, record: services.KeyedRecord, timeout_s: float
+    ) -> codes.ResultCode:
+        loop = asyncio.get_running_loop()
+        end = loop.time() + timeout_s
+        may_be_stored = False
+        while True:
+            try:
+                await self._store.append(
+                    services.Topic.COMMANDS, ownership.partition_of(pool), [record]
+                )
+                return codes.ResultCode.OK
+            except errors.ClementinesparError as error:
+                may_be_stored |= error.code is codes.ResultCode.STORE_UNANSWERED
+            if not may_be_stored:
+                return codes.ResultCode.STORE_REFUSED
+            if loop.time() + STORE_RETRY_S > end:
+                return codes.ResultCode.STORE_UNANSWERED
+            await asyncio.sleep(STORE_RETRY_S)
+
+    async def _ask_owner(
+        self, partition: int, path: str, timeout_s: float
+    ) -> dict[str, object]:
+        loop = asyncio.get_running_loop()
+        end = loop.time() + timeout_s
+        is_fresh = False
+        while True:
+            try:
+                return await self._ask_once(partition, path, is_fresh)
+            except errors.ClementinesparError as error:
+                if loop.time() + OWNER_RETRY_S > end:
+                    raise errors.ClementinesparError(
+                        codes.ResultCode.JOB_OWNER_UNKNOWN, error.message
+                    ) from error
+            is_fresh = True
+            await asyncio.sleep(OWNER_RETRY_S)
+
+    async def _ask_once(
+        self, partition: int, path: str, is_fresh: bool
+    ) -> dict[str, object]:
+        if partition in self.keeper.owners_by_partition:
+            return self.answer_peer(partition, path)
+        member = await self.keeper.find_owner(partition, is_fresh)
+        if member is None:
+            raise errors.ClementinesparError(
+                codes.ResultCode.JOB_OWNER_UNKNOWN, "the partition has no owner"
+            )
+        address = member.partition("/")[0]
+        response = await self._caller.call(
+            address, "GET", f"/{partition}{path}", timeout_s=PEER_TIMEOUT_S
+        )
+        if response.status != 200:
+            raise errors.ClementinesparError(
+                codes.ResultCode.JOB_OWNER_UNKNOWN,
+                f"the peer answered with status {response.status}",
+            )
+        told: dict[str, object] = json.loads(response.body)
+        return told
+
+    def answer_peer(self, partition: int, path: str) -> dict[str, object]:
+        """Answer a question as the owner of a partition.
+
+        Raises
+        ------
+        errors.ClementinesparError
+            This node is not the owner, or has not loaded the partition.
+        """
+        owner = self.keeper.owners_by_partition.get(partition)
+        if owner is None or owner.is_lost or not owner.is_loaded:
+            raise errors.ClementinesparError(
+                codes.ResultCode.JOB_OWNER_UNKNOWN, "this node is not the owner"
+            )
+        parts = urllib.parse.urlsplit(path)
+        _, kind, name = parts.path.split("/", 2)
+        name = urllib.parse.unquote(name)
+        if kind == "jobs":
+            job_state = owner.describe(name)
+            return {"state": None if job_state is None else job_state.value}
+        if kind == "waiting":
+            return {"waiting": owner.count_waiting(name)}
+        if kind == "evacuate":
+            kept_s = float(urllib.parse.parse_qs(parts.query)["kept_s"][0])
+            return {"is_free": owner.evacuate(name, kept_s)}
+        if kind == "load":
+            return owner.describe_load(name)
+        raise errors.ClementinesparError(
+            codes.ResultCode.REQUEST_INVALID, f"unknown question {kind}"
+        )
--- /dev/null
+++ b/clementinespar/jobs/state.py
@@ -0,0 +1,324 @@
+"""State of jobs in the owner's memory, and its durable form.
+
+A task's state is either pending, at most one open run (more for speculative copies), or
+done. Ends are applied once: failed runs are kept by their number, so an end that is
+listed again after a change of owner does not count twice.
+"""
+
+import json
+from collections.abc import Iterator
+
+from clementinespar.jobs import model
+
+# Room for the runs of one owner; the next owner's runs are all higher.
+RUNS_PER_EPOCH = 1000
+
+
+class TaskState:
+    """One task of one occurrence."""
+
+    __slots__ = (
+        "key",
+        "is_done",
+        "failed_runs",
+        "open_runs",
+        "last_run",
+        "saved",
+        "not_before",
+        "failed_on",
+        "lost_at",
+    )
+
+    key: model.TaskKey
+    is_done: bool
+    failed_runs: set[int]
+    open_runs: set[int]  # runs that may be executing
+    last_run: int
+    saved: str  # newest checkpoint; empty: none
+    not_before: float  # event-loop time of the next try
+    failed_on: set[str]  # workers on which a run failed
+    lost_at: float  # event-loop time since which a lasting task is away
+
+    def __init__(self, key: model.TaskKey) -> None:
+        self.key = key
+        self.is_done = False
+        self.failed_runs = set()
+        self.open_runs = set()
+        self.last_run = 0
+        self.saved = ""
+        self.not_before = 0.0
+        self.failed_on = set()
+        self.lost_at = 0.0
+
+
+class StepState:
+    """The tasks of one step of one occurrence."""
+
+    __slots__ = ("spec", "tasks", "done_count", "waiting")
+
+    spec: model.StepSpec
+    tasks: list[TaskState]
+    done_count: int
+    waiting: set[int]  # indexes of tasks with no open run that are not done
+
+    def __init__(self, spec: model.StepSpec, tasks: list[TaskState]) -> None:
+        self.spec = spec
+        self.tasks = tasks
+        self.done_count = 0
+        self.waiting = set(range(len(tasks)))
+
+    @property
+    def is_done(self) -> bool:
+        """Whether every task has ended as done."""
+        return self.done_count == len(self.tasks)
+
+
+class Occurrence:
+    """One run-through of a job's steps."""
+
+    __slots__ = ("number", "steps", "due_ms", "is_failed")
+
+    number: int
+    steps: list[StepState]
+    due_ms: int
+    is_failed: bool
+
+    def __init__(self, job: model.JobSpec, number: int) -> None:
+        self.number = number
+        self.due_ms = job.first_due_ms + number * job.period_ms
+        self.is_failed = False
+        self.steps = [
+            StepState(
+                spec,
+                [
+                    TaskState(model.TaskKey(job.job_id, number, step, index))
+                    for index in range(spec.task_count)
+                ],
+            )
+            for step, spec in enumerate(job.steps)
+        ]
+
+    @property
+    def is_done(self) -> bool:
+        """Whether every step is done."""
+        return all(step.is_done for step in self.steps)
+
+    def ready_steps(self) -> Iterator[StepState]:
+        """Yield steps with waiting tasks whose predecessors are done."""
+        for step in self.steps:
+            if step.waiting and all(self.steps[i].is_done for i in step.spec.after):
+                yield step
+
+
+class JobProgress:
+    """One job as its owner knows it."""
+
+    __slots__ = (
+        "spec",
+        "state",
+        "occurrences",
+        "first_epoch",
+        "adopted_epoch",
+        "is_adopted",
+        "is_dirty",
+        "has_started",
+        "final_ms",
+        "deadline",
+        "finished_occurrences",
+        "is_final_stored",
+    )
+
+    spec: model.JobSpec
+    state: model.JobState
+    occurrences: dict[int, Occurrence]
+    first_epoch: int  # epoch of the owner that adopted the job first; 0: none
+    adopted_epoch: int  # epoch of the owner whose memory this is, or a former one
+    is_adopted: bool  # the adoption is stored, so tasks may start
+    is_dirty: bool  # memory is ahead of the store
+    has_started: bool
+    final_ms: int  # Unix ms of the final state
+    deadline: float  # event-loop time until which the job earns its full worth
+    finished_occurrences: int
+    is_final_stored: bool  # the final state may be shown
+
+    def __init__(self, spec: model.JobSpec) -> None:
+        self.spec = spec
+        self.state = model.JobState.QUEUED
+        self.occurrences = {}
+        self.first_epoch = 0
+        self.adopted_epoch = 0
+        self.is_adopted = False
+        self.is_dirty = False
+        self.has_started = False
+        self.final_ms = 0
+        self.deadline = 0.0
+        self.finished_occurrences = 0
+        self.is_final_stored = False
+        if not spec.occurrences:
+            self.occurrences[0] = Occurrence(spec, 0)
+
+    @property
+    def is_final(self) -> bool:
+        """Whether nothing of the job runs any more."""
+        return self.state in model.FINAL_STATES
+
+    @property
+    def is_lasting(self) -> bool:
+        """Whether the job runs until it is cancelled."""
+        return any(step.is_lasting for step in self.spec.steps)
+
+    def find_task(self, key: model.TaskKey) -> TaskState | None:
+        """Return a task, or None if the job has none of this key."""
+        occurrence = self.occurrences.get(key.occurrence)
+        if occurrence is None or not 0 <= key.step < len(occurrence.steps):
+            return None
+        tasks = occurrence.steps[key.step].tasks
+        return tasks[key.index] if 0 <= key.index < len(tasks) else None
+
+    def find_step(self, key: model.TaskKey) -> StepState:
+        """Return the step of a task of this job."""
+        return self.occurrences[key.occurrence].steps[key.step]
+
+    def open_due_occurrences(self, now_ms: float) -> bool:
+        """Create the occurrences that have become due; whether there were any."""
+        opened = False
+        spec = self.spec
+        number = self.finished_occurrences + len(self.occurrences)
+        # Finished occurrences are dropped in order of their end, so the next number is
+        # the count of all that were ever opened.
+        while (
+            number < spec.occurrences
+            and spec.first_due_ms + number * spec.period_ms <= now_ms
+        ):
+            self.occurrences[number] = Occurrence(spec, number)
+            number += 1
+            opened = True
+        return opened
+
+    def next_run(self, task: TaskState, epoch: int) -> int:
+        """Return a run number above every earlier one, also those of former owners."""
+        base = (epoch - self.first_epoch) * RUNS_PER_EPOCH
+        return max(base, task.last_run) + 1
+
+    def remaining_ms(self) -> float:
+        """Return the estimated length of the longest chain of work that is left."""
+        total = 0.0
+        for occurrence in self.occurrences.values():
+            lengths: list[float] = []
+            for step in occurrence.steps:
+                before = max((lengths[i] for i in step.spec.after), default=0.0)
+                own = 0.0 if step.is_done else float(step.spec.estimate_ms)
+                lengths.append(before + own)
+            total = max(total, max(lengths, default=0.0))
+        return total
+
+    def remaining_work(self) -> float:
+        """Return the estimated core-milliseconds of tasks not yet done."""
+        return sum(
+            (len(step.tasks) - step.done_count)
+            * step.spec.cpu_millis
+            * max(1, step.spec.estimate_ms)
+            / 1000
+            for occurrence in self.occurrences.values()
+            for step in occurrence.steps
+        )
+
+
+def encode_progress(job: JobProgress) -> bytes:
+    """Return the durable form of a job's progress."""
+    told: dict[str, object] = {"epoch": job.first_epoch}
+    if job.is_final:
+        told["state"] = job.state.value
+        told["final_ms"] = job.final_ms
+        return json.dumps(told, separators=(",", ":")).encode()
+    if job.has_started:
+        told["started"] = 1
+    if job.finished_occurrences:
+        told["finished"] = job.finished_occurrences
+    occurrences: dict[str, object] = {}
+    for occurrence in job.occurrences.values():
+        done: dict[str, str] = {}
+        failed: dict[str, list[int]] = {}
+        for number, step in enumerate(occurrence.steps):
+            mask = 0
+            for index, task in enumerate(step.tasks):
+                if task.is_done:
+                    mask |= 1 << index
+                if task.failed_runs and not step.spec.is_lasting:
+                    failed[f"{number}.{index}"] = sorted(task.failed_runs)
+            if mask:
+                done[str(number)] = f"{mask:x}"
+        if done or failed or job.spec.occurrences:
+            occurrences[str(occurrence.number)] = {"done": done, "failed": failed}
+    if occurrences:
+        told["occurrences"] = occurrences
+    return json.dumps(told, separators=(",", ":")).encode()
+
+
+def restore_progress(job: JobProgress, value: bytes) -> None:
+    """Apply a stored progress to a fresh job; raises ValueError or KeyError."""
+    told = json.loads(value)
+    job.first_epoch = int(told["epoch"])
+    job.adopted_epoch = job.first_epoch
+    job.is_adopted = True
+    if "state" in told:
+        job.state = model.JobState(told["state"])
+        job.final_ms = int(told["final_ms"])
+        job.is_final_stored = True
+        job.occurrences.clear()
+        return
+    job.has_started = bool(told.get("started"))
+    if job.has_started:
+        job.state = model.JobState.RUNNING
+    job.finished_occurrences = int(told.get("finished", 0))
+    for name, held in told.get("occurrences", {}).items():
+        number = int(name)
+        occurrence = job.occurrences.setdefault(number, Occurrence(job.spec, number))
+        for step_name, mask_text in held["done"].items():
+            step = occurrence.steps[int(step_name)]
+            mask = int(mask_text, 16)
+            for index, task in enumerate(step.tasks):
+                if mask >> index & 1:
+                    mark_done(step, task)
+        for task_name, runs in held["failed"].items():
+            step_name, _, index_name = task_name.partition(".")
+            task = occurrence.steps[int(step_name)].tasks[int(index_name)]
+            task.failed_runs.update(runs)
+
+
+def mark_done(step: StepState, task: TaskState) -> None:
+    """Note that a task ended as done."""
+    if not task.is_done:
+        task.is_done = True
+        step.done_count += 1
+    step.waiting.discard(task.key.index)
+
+
+def encode_spec(spec: model.JobSpec) -> bytes:
+    """Return the durable form of a job as submitted."""
+    steps = []
+    for step in spec.steps:
+        told: dict[str, object] = {}
+        for name in model.StepSpec.__slots__:  # type: ignore[attr-defined]
+            value = getattr(step, name)
+            if value or value is not None and name == "may_miss":
+                told[name] = value
+        steps.append(told)
+    told_job: dict[str, object] = {"steps": steps}
+    for name in model.JobSpec.__slots__:  # type: ignore[attr-defined]
+        value = getattr(spec, name)
+        if name not in ("steps", "job_id") and value:
+            told_job[name] = value
+    return json.dumps(told_job, separators=(",", ":")).encode()
+
+
+def decode_spec(job_id: str, value: bytes) -> model.JobSpec:
+    """Return the job of a durable form; raises ValueError, KeyError or TypeError."""
+    told = json.loads(value)
+    steps = tuple(
+        model.StepSpec(**{**step, "after": tuple(step.get("after", ()))})
+        for step in told.pop("steps")
+    )
+    return model.JobSpec(
+        **{"queue": "", "payload": "", **told, "job_id": job_id, "steps": steps}
+    )
--- /dev/null
+++ b/clementinespar/jobs/telemetry.py
@@ -0,0 +1,129 @@
+"""Decision log and metrics of the slice."""
+
+import json
+import os
+import time
+
+import prometheus_client
+
+LINES_PER_S = 400.0  # above this, lines are dropped and counted
+BURST_LINES = 800.0
+MAX_PENDING_BYTES = 256 * 1024  # kept while the output does not take more
+
+_JOB_SECONDS = (0.25, 0.5, 1.0, 1.5, 2.0, 3.0, 5.0, 8.0, 15.0, 30.0)
+
+
+class JobMetrics:
+    """Counters and histograms of jobs on one node."""
+
+    registry: prometheus_client.CollectorRegistry
+    _starts: prometheus_client.Counter
+    _ends: prometheus_client.Counter
+    _answers: prometheus_client.Counter
+    _job_seconds: prometheus_client.Histogram
+    _answer_seconds: prometheus_client.Histogram
+
+    def __init__(self) -> None:
+        self.registry = prometheus_client.CollectorRegistry()
+        self._starts = prometheus_client.Counter(
+            "clementinespar_task_starts",
+            "Starts of tasks ordered by this node.",
+            registry=self.registry,
+        )
+        self._ends = prometheus_client.Counter(
+            "clementinespar_task_ends",
+            "Ends of runs by kind.",
+            ["kind"],
+            registry=self.registry,
+        )
+        self._answers = prometheus_client.Counter(
+            "clementinespar_job_answers",
+            "Answers to callers by call and status.",
+            ["call", "status"],
+            registry=self.registry,
+        )
+        self._job_seconds = prometheus_client.Histogram(
+            "clementinespar_job_seconds",
+            "Time from acceptance to the final state.",
+            ["state"],
+            buckets=_JOB_SECONDS,
+            registry=self.registry,
+        )
+        self._answer_seconds = prometheus_client.Histogram(
+            "clementinespar_job_answer_seconds",
+            "Time to answer a caller.",
+            ["call"],
+            buckets=(0.005, 0.01, 0.02, 0.05, 0.1, 0.3, 1.0, 3.0),
+            registry=self.registry,
+        )
+
+    def count_start(self) -> None:
+        """Count one start."""
+        self._starts.inc()
+
+    def count_end(self, kind: str) -> None:
+        """Count one end."""
+        self._ends.labels(kind).inc()
+
+    def observe_job(self, state: str, age_ms: float) -> None:
+        """Count one final state."""
+        self._job_seconds.labels(state).observe(age_ms / 1000)
+
+    def observe_answer(self, call: str, status: int, seconds: float) -> None:
+        """Count one answer to a caller."""
+        self._answers.labels(call, str(status)).inc()
+        self._answer_seconds.labels(call).observe(seconds)
+
+    def render(self) -> bytes:
+        """Return the text that Prometheus reads."""
+        return prometheus_client.generate_latest(self.registry)
+
+
+class DecisionLog:
+    """Writes one JSON line for each decision and never blocks.
+
+    Lines above the rate are dropped; the next line tells how many.
+    """
+
+    _descriptor: int
+    _node: str
+    _tokens: float
+    _refilled_at: float
+    _dropped: int
+    _pending: bytearray
+
+    def __init__(self, node: str, descriptor: int = 1) -> None:
+        self._descriptor = descriptor
+        self._node = node
+        self._tokens = BURST_LINES
+        self._refilled_at = time.monotonic()
+        self._dropped = 0
+        self._pending = bytearray()
+        os.set_blocking(descriptor, False)
+
+    def __call__(self, event: str, **fields: object) -> None:
+        """Write one line, or count it as dropped."""
+        now = time.monotonic()
+        self._tokens = min(
+            BURST_LINES, self._tokens + (now - self._refilled_at) * LINES_PER_S
+        )
+        self._refilled_at = now
+        if self._tokens < 1 or len(self._pending) > MAX_PENDING_BYTES:
+            self._dropped += 1
+            return
+        self._tokens -= 1
+        line: dict[str, object] = {"t": round(time.time(), 3), "node": self._node}
+        line["event"] = event
+        line.update(fields)
+        if self._dropped:
+            line["dropped_lines"] = self._dropped
+            self._dropped = 0
+        self._pending += json.dumps(line, default=str).encode() + b"\n"
+        try:
+            written = os.write(self._descriptor, self._pending)
+        except BlockingIOError:
+            return  # kept for the next line
+        except OSError:
+            self._pending.clear()  # nobody reads the output any more
+            return
+        del self._pending[:written]
--- /dev/null
+++ b/clementinespar/jobs/worker_session.py
@@ -0,0 +1,525 @@
+"""One task for each worker: renews its lease, reads its lists, gives it orders.
+
+An order without an answer is open, not failed: its run counts as executing until the
+worker lists it, or a stop of that same run was answered and a later list does not show
+it, or the worker's lease has certainly ended.
+"""
+
+import asyncio
+import enum
+from collections.abc import Coroutine
+from typing import Protocol
+
+from clementinespar import codes, errors
+from clementinespar.jobs import model, services
+
+# A worker's clock may run 2% slow, so a lease lasts that much longer in real time.
+CLOCK_RATE = 0.98
+LEASE_MARGIN_S = 0.15  # network and timer delay beyond the end of a lease
+RENEW_WAIT_MS = 800  # a renewal waits this long for an end
+SETTLE_WAIT_MS = 60  # shorter wait while a stop or an open order is outstanding
+RENEW_SPACING_S = 0.025  # collects ends, since each renewal is priced
+RETRY_DELAY_S = 0.15
+SILENT_AFTER_S = 1.6  # no new work for a worker without contact for this long
+EJECT_FAILED_JOBS = 2  # jobs that failed in a row on a worker before it is ejected
+EJECT_S = 2.5
+
+
+class RunStatus(enum.Enum):
+    """How far a run is, as its owner knows it."""
+
+    STARTING = "starting"
+    OPEN = "open"  # the start has no answer
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+class Run:
+    """One run of a task on one worker."""
+
+    __slots__ = (
+        "key",
+        "number",
+        "spec",
+        "status",
+        "started_at",
+        "answered_at",
+        "stop_answered_at",
+        "is_stop_in_flight",
+        "percent",
+        "percent_at",
+        "usage",
+        "over_since",
+        "pace",
+        "session",
+        "was_lasting_ready",
+    )
+
+    key: model.TaskKey
+    number: int
+    spec: model.StepSpec
+    status: RunStatus
+    started_at: float  # event-loop times
+    answered_at: float
+    stop_answered_at: float | None
+    is_stop_in_flight: bool
+    percent: int
+    percent_at: float  # when the percent last changed
+    usage: int
+    over_since: float | None  # since when the tail is over its target
+    pace: int  # percent
+    session: "WorkerSession"
+    was_lasting_ready: bool
+
+    def __init__(
+        self,
+        key: model.TaskKey,
+        number: int,
+        spec: model.StepSpec,
+        session: "WorkerSession",
+        now: float,
+    ) -> None:
+        self.key = key
+        self.number = number
+        self.spec = spec
+        self.status = RunStatus.STARTING
+        self.started_at = now
+        self.answered_at = now
+        self.stop_answered_at = None
+        self.is_stop_in_flight = False
+        self.percent = 0
+        self.percent_at = now
+        self.usage = 0
+        self.over_since = None
+        self.pace = 100
+        self.session = session
+        self.was_lasting_ready = False
+
+
+class RunEvents(Protocol):
+    """What a session tells the owner of its pool."""
+
+    def confirmed_at(self) -> float | None:
+        """Return when the newest confirmation of ownership was asked for."""
+        ...
+
+    def on_contact(self, session: "WorkerSession") -> None:
+        """Note that a renewal was answered."""
+        ...
+
+    def on_end(
+        self, session: "WorkerSession", end: model.EndedTask, run: Run | None
+    ) -> None:
+        """Apply an end from the worker's list."""
+        ...
+
+    def on_gone(self, session: "WorkerSession", run: Run, reason: str) -> None:
+        """Note that a run certainly does not execute, without an end."""
+        ...
+
+    def on_unknown_run(
+        self, session: "WorkerSession", listed: model.RunningTask
+    ) -> Run | None:
+        """Return the run to track for one that a former owner started."""
+        ...
+
+    def on_fenced(self) -> None:
+        """Note that a worker has seen a later owner."""
+        ...
+
+    def orphan_spec(self, key: model.TaskKey) -> model.StepSpec:
+        """Return the size of a run that must be stopped."""
+        ...
+
+
+class WorkerSession:
+    """State and connections of one worker for the owner of its pool."""
+
+    entry: model.WorkerEntry
+    fence: int
+    lease_s: float  # longest lease counted from the confirmation of ownership
+    runs: dict[tuple[model.TaskKey, int], Run]
+    free_cpu: int
+    free_memory: int
+    free_gpus: int
+    is_touched: bool  # it has answered this owner, so former owners are harmless
+    is_listed: bool  # the directory has it
+    is_evacuating: bool
+    lease_bound: float  # event-loop time after which nothing of ours executes there
+    last_contact: float
+    acknowledged: int  # ends up to here are stored
+    processed: int  # ends up to here are applied in memory
+    born_ms: int
+    failed_jobs: set[str]
+    ejected_until: float
+    _client: services.WorkerClient
+    _events: RunEvents
+    _record: services.JobRecorder
+    _clock_ms: int | None
+    _clock_at: float
+    _task: asyncio.Task[None] | None
+    _orders: set[asyncio.Task[None]]
+
+    def __init__(
+        self,
+        entry: model.WorkerEntry,
+        fence: int,
+        lease_s: float,
+        former_bound: float,
+        client: services.WorkerClient,
+        events: RunEvents,
+        record: services.JobRecorder,
+    ) -> None:
+        self.entry = entry
+        self.fence = fence
+        self.lease_s = lease_s
+        self.runs = {}
+        self.free_cpu = entry.cpu_millis
+        self.free_memory = entry.memory_mb
+        self.free_gpus = entry.gpus
+        self.is_touched = False
+        self.is_listed = True
+        self.is_evacuating = False
+        self.lease_bound = former_bound
+        self.last_contact = 0.0
+        self.acknowledged = 0
+        self.processed = 0
+        self.born_ms = 0
+        self.failed_jobs = set()
+        self.ejected_until = 0.0
+        self._client = client
+        self._events = events
+        self._record = record
+        self._clock_ms = None
+        self._clock_at = 0.0
+        self._task = None
+        self._orders = set()
+
+    def open(self) -> None:
+        """Start the task of this worker."""
+        self._task = asyncio.create_task(self._keep())
+
+    def close(self) -> None:
+        """Stop calling the worker; runs there go on until their lease ends."""
+        if self._task is not None:
+            self._task.cancel()
+        for order in self._orders:
+            order.cancel()
+
+    def can_take(self, now: float) -> bool:
+        """Whether the worker may get new work."""
+        return (
+            self.is_touched
+            and self.is_listed
+            and not self.is_evacuating
+            and not self.entry.is_draining
+            and now - self.last_contact < SILENT_AFTER_S
+            and now >= self.ejected_until
+        )
+
+    def fits(self, spec: model.StepSpec) -> bool:
+        """Whether the free capacity holds one more task of a step."""
+        return (
+            (spec.is_filler or spec.cpu_millis <= self.free_cpu)
+            and spec.memory_mb <= self.free_memory
+            and spec.gpus <= self.free_gpus
+            and (not spec.label or spec.label in self.entry.labels)
+        )
+
+    def add_run(self, run: Run) -> None:
+        """Count a run's capacity as in use."""
+        self.runs[(run.key, run.number)] = run
+        if not run.spec.is_filler:
+            self.free_cpu -= run.spec.cpu_millis
+        self.free_memory -= run.spec.memory_mb
+        self.free_gpus -= run.spec.gpus
+
+    def drop_run(self, run: Run) -> bool:
+        """Free a run's capacity; False if it was not counted."""
+        if self.runs.pop((run.key, run.number), None) is None:
+            return False
+        if not run.spec.is_filler:
+            self.free_cpu += run.spec.cpu_millis
+        self.free_memory += run.spec.memory_mb
+        self.free_gpus += run.spec.gpus
+        return True
+
+    def start(self, run: Run, payload: str, saved: str) -> None:
+        """Give the order to start a run, which must be counted already."""
+        self._give(self._start(run, payload, saved))
+
+    def stop(self, run: Run, reason: str) -> None:
+        """Give the order to stop a run."""
+        if run.status is RunStatus.STOPPING:
+            return
+        self._record(
+            "stop",
+            job=run.key.job_id,
+            task=_name(run.key),
+            run=run.number,
+            worker=self.entry.worker_id,
+            reason=reason,
+        )
+        run.status = RunStatus.STOPPING
+        run.stop_answered_at = None
+        self._give(self._stop(run))
+
+    def pace(self, run: Run, percent: int) -> None:
+        """Let a run work at a share of its speed."""
+        run.pace = percent
+        self._give(self._pace(run, percent))
+
+    def lease_until_ms(self) -> int | None:
+        """Return the end of the lease on the worker's clock, or None without a basis.
+
+        Also moves the bound after which the worker certainly runs nothing of ours.
+        """
+        confirmed = self._events.confirmed_at()
+        if self._clock_ms is None or confirmed is None:
+            return None
+        end = confirmed + self.lease_s
+        left_s = end - self._clock_at
+        if end - asyncio.get_running_loop().time() < LEASE_MARGIN_S:
+            return None
+        self.lease_bound = max(self.lease_bound, end)
+        return self._clock_ms + int(CLOCK_RATE * left_s * 1000)
+
+    def note_clock(self, clock_ms: int) -> None:
+        """Keep the worker's clock as read from a response."""
+        self._clock_ms = clock_ms
+        self._clock_at = asyncio.get_running_loop().time()
+
+    async def _keep(self) -> None:
+        loop = asyncio.get_running_loop()
+        failures = 0
+        while True:
+            sent_at = loop.time()
+            wait_ms = RENEW_WAIT_MS
+            if not self.is_touched:
+                wait_ms = 0
+            elif any(
+                run.status in (RunStatus.OPEN, RunStatus.STOPPING)
+                for run in self.runs.values()
+            ):
+                wait_ms = SETTLE_WAIT_MS
+            try:
+                report = await self._client.renew(
+                    self.entry,
+                    self.fence,
+                    self.acknowledged,
+                    self.lease_until_ms(),
+                    wait_ms,
+                )
+            except errors.ClementinesparError as error:
+                failures += 1
+                if failures in (1, 10):
+                    self._record(
+                        "worker_silent",
+                        worker=self.entry.worker_id,
+                        code=int(error.code),
+                        failures=failures,
+                        open_runs=len(self.runs),
+                        error=error.message,
+                    )
+                self._drop_lapsed()
+                await asyncio.sleep(RETRY_DELAY_S if failures < 20 else 0.5)
+                continue
+            if report is None:
+                self._events.on_fenced()
+                await asyncio.sleep(0.5)
+                continue
+            if failures:
+                self._record(
+                    "worker_back", worker=self.entry.worker_id, failures=failures
+                )
+            failures = 0
+            self._apply(report, sent_at)
+            await asyncio.sleep(RENEW_SPACING_S)
+
+    def _drop_lapsed(self) -> None:
+        """Release runs of a silent worker once its lease has certainly ended."""
+        now = asyncio.get_running_loop().time()
+        if now < self.lease_bound + LEASE_MARGIN_S:
+            return
+        for run in list(self.runs.values()):
+            if run.status is not RunStatus.STARTING:
+                self.drop_run(run)
+                self._events.on_gone(self, run, "lease ended on a silent worker")
+
+    def _apply(self, report: model.WorkerReport, sent_at: float) -> None:
+        self.note_clock(report.clock_ms)
+        now = asyncio.get_running_loop().time()
+        self.last_contact = now
+        if report.born_ms != self.born_ms:
+            if self.born_ms:
+                self._record(
+                    "worker_reborn",
+                    worker=self.entry.worker_id,
+                    born_ms=report.born_ms,
+                    open_runs=len(self.runs),
+                )
+            self.born_ms = report.born_ms
+            self.processed = 0
+            self.acknowledged = 0
+        is_whole = True
+        for end in report.ended:
+            if end.number <= self.processed:
+                continue
+            self.processed = end.number
+            run = self.runs.get((end.task, end.run))
+            if run is not None:
+                self.drop_run(run)
+            self._events.on_end(self, end, run)
+        if len(report.ended) >= 500:
+            is_whole = False  # the worker lists at most 500 ends at a time
+        listed = set()
+        for item in report.running:
+            listed.add((item.task, item.run))
+            run = self.runs.get((item.task, item.run))
+            if run is None:
+                run = self._events.on_unknown_run(self, item)
+                if run is None:
+                    spec = self._events.orphan_spec(item.task)
+                    run = Run(item.task, item.run, spec, self, now)
+                    run.status = RunStatus.RUNNING
+                    self.add_run(run)
+                    self.stop(run, "not wanted by this owner")
+                else:
+                    self.add_run(run)
+            if run.status is RunStatus.OPEN:
+                run.status = RunStatus.RUNNING
+                run.answered_at = now
+            if run.percent != item.percent:
+                run.percent = item.percent
+                run.percent_at = now
+            run.usage = item.usage
+        if is_whole:
+            for run in list(self.runs.values()):
+                if (run.key, run.number) not in listed:
+                    self._settle_unlisted(run, sent_at)
+        self.is_touched = True
+        for run in self.runs.values():
+            if (
+                run.status is RunStatus.STOPPING
+                and run.stop_answered_at is None
+                and not run.is_stop_in_flight
+            ):
+                self._give(self._stop(run))
+        self._events.on_contact(self)
+
+    def _settle_unlisted(self, run: Run, sent_at: float) -> None:
+        if run.status is RunStatus.OPEN and run.answered_at < sent_at:
+            self.stop(run, "the start has no answer and is not listed")
+        elif run.status is RunStatus.RUNNING and run.answered_at < sent_at:
+            self.drop_run(run)
+            self._events.on_gone(self, run, "no longer listed")
+        elif (
+            run.status is RunStatus.STOPPING
+            and run.stop_answered_at is not None
+            and run.stop_answered_at < sent_at
+        ):
+            self.drop_run(run)
+            self._events.on_gone(self, run, "stopped before it started")
+
+    def _give(self, order: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(order)
+        self._orders.add(task)
+        task.add_done_callback(self._orders.discard)
+
+    async def _start(self, run: Run, payload: str, saved: str) -> None:
+        loop = asyncio.get_running_loop()
+        until = self.lease_until_ms()
+        if until is None:
+            self._abandon(run, "ownership is not confirmed")
+            return
+        order = model.StartOrder(
+            run.key, run.number, payload, until, self.fence, saved
+        )
+        try:
+            answer = await self._client.start(self.entry, order)
+        except errors.ClementinesparError as error:
+            if error.code is codes.ResultCode.CALL_NOT_SENT:
+                self.last_contact = min(self.last_contact, loop.time() - SILENT_AFTER_S)
+                self._abandon(run, error.message)
+                return
+            run.answered_at = loop.time()
+            if run.status is RunStatus.STARTING:
+                run.status = RunStatus.OPEN
+            self._record(
+                "start_unanswered",
+                job=run.key.job_id,
+                task=_name(run.key),
+                run=run.number,
+                worker=self.entry.worker_id,
+                code=int(error.code),
+            )
+            return
+        if answer.clock_ms is not None:
+            self.note_clock(answer.clock_ms)
+        run.answered_at = loop.time()
+        run.percent_at = run.answered_at
+        if answer.result is model.StartResult.STARTED:
+            if run.status is RunStatus.STARTING:
+                run.status = RunStatus.RUNNING
+            return
+        if answer.result is model.StartResult.FENCED:
+            self._events.on_fenced()
+        if answer.result in (model.StartResult.UNHEALTHY, model.StartResult.NO_ROOM):
+            self.ejected_until = loop.time() + EJECT_S
+        if run.status is RunStatus.STARTING:
+            self._abandon(run, f"refused: {answer.result.value}")
+
+    def _abandon(self, run: Run, reason: str) -> None:
+        if self.drop_run(run):
+            self._events.on_gone(self, run, reason)
+
+    async def _stop(self, run: Run) -> None:
+        run.is_stop_in_flight = True
+        try:
+            if await self._client.stop(self.entry, run.key, run.number, self.fence):
+                run.stop_answered_at = asyncio.get_running_loop().time()
+            else:
+                self._events.on_fenced()
+        except errors.ClementinesparError as error:
+            self._record(
+                "stop_unanswered",
+                job=run.key.job_id,
+                run=run.number,
+                worker=self.entry.worker_id,
+                code=int(error.code),
+            )
+        finally:
+            run.is_stop_in_flight = False
+
+    async def _pace(self, run: Run, percent: int) -> None:
+        try:
+            await self._client.pace(
+                self.entry, run.key, run.number, percent, self.fence
+            )
+        except errors.ClementinesparError as error:
+            # The next report shows the tail again, and the order is given anew.
+            run.pace = -1
+            self._record(
+                "pace_unanswered",
+                job=run.key.job_id,
+                worker=self.entry.worker_id,
+                code=int(error.code),
+            )
+
+    def note_outcome(self, job_id: str, is_failure: bool) -> bool:
+        """Count an outcome; True if the worker is ejected by it."""
+        if not is_failure:
+            self.failed_jobs.clear()
+            return False
+        self.failed_jobs.add(job_id)
+        if len(self.failed_jobs) < EJECT_FAILED_JOBS:
+            return False
+        # One job stays counted, so that a single failed probe ejects again.
+        self.failed_jobs = {job_id}
+        self.ejected_until = asyncio.get_running_loop().time() + EJECT_S
+        return True
+
+
+def _name(key: model.TaskKey) -> str:
+    return f"{key.occurrence}.{key.step}.{key.index}"
+
