--- a/clementinespar/jobs/model.py
+++ b/clementinespar/jobs/model.py
@@ -58,6 +58,7 @@
 
     job_id: str
     queue: str
+    pool: str  # pool of the queue when the job was submitted
     payload: str  # opaque text that each task receives
     steps: tuple[StepSpec, ...]
     first_due_ms: int = 0  # Unix ms of the first occurrence
--- a/clementinespar/jobs/node.py
+++ b/clementinespar/jobs/node.py
@@ -7,6 +7,7 @@
 
 from clementinespar import http_calls
 from clementinespar.jobs import (
+    fleet,
     options,
     ownership,
     peer_server,
@@ -28,6 +29,8 @@
     workers: services.WorkerClient
     directory: services.WorkerDirectory
     configuration: services.ConfigurationSource
+    hosts: services.HostService
+    waves: services.WaveSource
 
 
 class JobNode:
@@ -68,8 +71,26 @@
                 self.metrics,
             )
 
+        def hold_fleet(
+            epoch: int,
+        ) -> contextlib.AbstractAsyncContextManager[None]:
+            return fleet.own_fleet(
+                fleet.FleetOwner(
+                    epoch,
+                    self.keeper,
+                    self.jobs,
+                    parts.store,
+                    parts.hosts,
+                    parts.waves,
+                    parts.configuration,
+                    settings.hosts.holder_lease_ms / 1000,
+                    settings.hosts.upkeep_s,
+                    record,
+                )
+            )
+
         self.keeper = ownership.OwnershipKeeper(
-            parts.group, make_owner, self.wanted_partitions, record
+            parts.group, make_owner, hold_fleet, self.wanted_partitions, record
         )
         self.jobs = service.JobService(
             self.keeper, parts.configuration, parts.store, caller
--- a/clementinespar/jobs/ownership.py
+++ b/clementinespar/jobs/ownership.py
@@ -40,9 +40,8 @@
     def __init__(
         self,
         group: services.OwnershipGroup,
-        make_owner: Callable[
-            [int, int], pool_owner.PoolOwner
-        ],
+        make_owner: Callable[[int, int], pool_owner.PoolOwner],
+        hold_fleet: Callable[[int], contextlib.AbstractAsyncContextManager[None]],
         wanted_partitions: Callable[[], frozenset[int]],
         record: services.JobRecorder,
     ) -> None:
@@ -52,6 +51,7 @@
         self.assigned = frozenset()
         self._group = group
         self._make_owner = make_owner
+        self._hold_fleet = hold_fleet
         self._wanted_partitions = wanted_partitions
         self._record = record
         self._confirmed_at = None
@@ -106,6 +106,14 @@
         self.assigned = assignment.partitions
         self._confirmed_at = sent_at
         self.is_fleet_owner = FLEET_PARTITION in assignment.partitions
+        if self.is_fleet_owner and FLEET_PARTITION not in self._stacks:
+            stack = contextlib.AsyncExitStack()
+            await stack.enter_async_context(
+                self._hold_fleet(self._epochs[FLEET_PARTITION])
+            )
+            self._stacks[FLEET_PARTITION] = stack
+        elif not self.is_fleet_owner and FLEET_PARTITION in self._stacks:
+            await self._stacks.pop(FLEET_PARTITION).aclose()
         for partition in assignment.partitions & self._wanted_partitions():
             epoch = self._epochs[partition]
             is_usable = epoch > self._fenced_epochs.get(partition, 0)
@@ -145,6 +153,8 @@
         """Give everything up in a planned way."""
         for partition in list(self.owners_by_partition):
             await self._end(partition)
+        if FLEET_PARTITION in self._stacks:
+            await self._stacks.pop(FLEET_PARTITION).aclose()
         try:
             await self._group.leave()
         except errors.ClementinesparError as error:
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -291,10 +291,11 @@
             },
         }
 
-    def evacuate(self, worker_id: str, kept_s: float) -> bool:
+    def evacuate(self, worker_id: str, kept_s: float, is_urgent: bool) -> bool:
         """Keep new work from a worker; True once its host may be taken away.
 
-        Lasting tasks are moved as far as their steps allow; others end by themselves.
+        Lasting tasks are moved as far as their steps allow. Others end by themselves,
+        or are stopped with their checkpoints when it is urgent.
         """
         loop = asyncio.get_running_loop()
         self.evacuating[worker_id] = loop.time() + kept_s
@@ -307,6 +308,8 @@
         for run in list(session.runs.values()):
             if run.spec.is_lasting:
                 self._move_lasting(run, "its host is to be taken away")
+            elif is_urgent and run.status is worker_session.RunStatus.RUNNING:
+                session.stop(run, "its host is to be taken away")
         return not session.runs and session.is_touched
 
     # Loops.
@@ -343,7 +346,7 @@
                 spec = (
                     state.decode_spec(job_id, specs[job_id])
                     if job_id in specs
-                    else model.JobSpec(job_id, "", "", ())
+                    else model.JobSpec(job_id, "", "", "", ())
                 )
                 job = state.JobProgress(spec)
                 state.restore_progress(job, value)
@@ -688,10 +691,15 @@
             and any(s.waiting for o in job.occurrences.values() for s in o.steps)
         ]
         waiting.sort(key=lambda job: placement.rank(job, now))
-        room = self._policy.begin(usable)
+        room_by_pool: dict[str, placement.Room] = {}
+        for pool in {job.spec.pool for job in waiting}:
+            room_by_pool[pool] = self._policy.begin(
+                [session for session in usable if session.entry.pool == pool]
+            )
         for job in waiting:
+            room = room_by_pool[job.spec.pool]
             if not room.has_any():
-                break
+                continue
             for occurrence in job.occurrences.values():
                 for step in occurrence.ready_steps():
                     self._place_step(job, occurrence, step, room, now)
@@ -834,7 +842,9 @@
             [
                 session
                 for session in self.sessions_by_id.values()
-                if session.can_take(now) and session is not run.session
+                if session.can_take(now)
+                and session is not run.session
+                and session.entry.pool == job.spec.pool
             ]
         )
         if room.choose(step.spec, counts, set()) is None:
--- a/clementinespar/jobs/service.py
+++ b/clementinespar/jobs/service.py
@@ -95,12 +95,14 @@
         self._waiting_by_queue[queue.name] = (loop.time(), count)
         return count
 
-    async def evacuate(self, pool: str, worker_id: str, kept_s: float) -> bool:
+    async def evacuate(
+        self, pool: str, worker_id: str, kept_s: float, is_urgent: bool
+    ) -> bool:
         """Ask the owner of a pool to free a worker; True once it is free."""
         name = urllib.parse.quote(worker_id, safe="")
         told = await self._ask_owner(
             ownership.partition_of(pool),
-            f"/evacuate/{name}?kept_s={kept_s}",
+            f"/evacuate/{name}?kept_s={kept_s}&urgent={int(is_urgent)}",
             PEER_TIMEOUT_S,
         )
         return bool(told["is_free"])
@@ -203,8 +205,10 @@
         if kind == "waiting":
             return {"waiting": owner.count_waiting(name)}
         if kind == "evacuate":
-            kept_s = float(urllib.parse.parse_qs(parts.query)["kept_s"][0])
-            return {"is_free": owner.evacuate(name, kept_s)}
+            query = urllib.parse.parse_qs(parts.query)
+            kept_s = float(query["kept_s"][0])
+            is_urgent = query["urgent"][0] == "1"
+            return {"is_free": owner.evacuate(name, kept_s, is_urgent)}
         if kind == "load":
             return owner.describe_load(name)
         raise errors.ClementinesparError(
--- a/clementinespar/jobs/state.py
+++ b/clementinespar/jobs/state.py
@@ -320,5 +320,5 @@
         for step in told.pop("steps")
     )
     return model.JobSpec(
-        **{"queue": "", "payload": "", **told, "job_id": job_id, "steps": steps}
+        **{"queue": "", "pool": "", "payload": "", **told, "job_id": job_id, "steps": steps}
     )
