--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -35,9 +35,11 @@
 RETRY_DELAY_S = 0.08  # after a failed run, so that others go first
 LOST_RETRY_DELAY_S = 0.02
 STORE_RETRY_S = 0.1
-COMMAND_WAIT_S = 10.0  # long wait of a read for new commands
+# Long wait of a read for new commands. A connection may go silent for good, and a job
+# must be known within three seconds.
+COMMAND_WAIT_S = 1.0
 COMMAND_SPACING_S = 0.01  # collects commands, since each read is priced
-STALE_COMMANDS_S = 1.5  # an unknown job is reported only if commands are this fresh
+STALE_COMMANDS_S = 1.4  # an unknown job is reported only if commands are this fresh
 STATUS_RETENTION_MS = 150_000  # longer than callers may ask for a final state
 HOUSEKEEPING_S = 0.5
 STUCK_AFTER_S = 1.4  # a run without progress for this long is started elsewhere
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -307,8 +307,10 @@
                     self.entry,
                     self.fence,
                     self.acknowledged,
-                    self.lease_until_ms(),
-                    wait_ms,
+                    # A silent worker is only looked at: a renewal without an answer
+                    # may still arrive, and its lease would never certainly end.
+                    None if failures else self.lease_until_ms(),
+                    0 if failures else wait_ms,
                 )
             except errors.ClementinesparError as error:
                 failures += 1
