--- a/clementinespar/jobs/fleet.py
+++ b/clementinespar/jobs/fleet.py
@@ -18,7 +18,9 @@
 TICK_S = 0.4
 HOLDER_MARGIN_S = 0.6  # a former holder learns of its loss by its next join
 CONFIRMED_WITHIN_S = 1.2  # no order without a recent confirmation of ownership
-EVACUATION_KEPT_S = 2.0  # an evacuation that is not asked for again ends after this
+# An evacuation that is not asked for again ends after this; a slow platform may carry
+# the order out seconds after the worker was found free.
+EVACUATION_KEPT_S = 6.0
 URGENT_AFTER_S = 3.0  # short work is stopped when an evacuation takes this long
 POOL_SHARE = 0.25  # of a pool's hosts that may be on their way out at once
 RETURN_S = 0.8  # a host's new worker appears this long after its upkeep
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -303,7 +303,13 @@
         self.evacuating[worker_id] = loop.time() + kept_s
         session = self.sessions_by_id.get(worker_id)
         if session is None:
-            return self.is_loaded
+            # After a change of owner the worker may be in use though it is not known
+            # here yet.
+            return (
+                self._directory.is_loaded
+                and worker_id not in self._directory.by_id
+                and self._is_settled()
+            )
         if not session.is_evacuating:
             session.is_evacuating = True
             self._record("evacuate", worker=worker_id, runs=len(session.runs))
@@ -312,7 +318,8 @@
                 self._move_lasting(run, "its host is to be taken away")
             elif is_urgent and run.status is worker_session.RunStatus.RUNNING:
                 session.stop(run, "its host is to be taken away")
-        return not session.runs and session.is_touched
+        is_known = session.is_touched or loop.time() > session.lease_bound
+        return not session.runs and is_known
 
     # Loops.
 
