--- a/clementinespar/http_calls.py
+++ b/clementinespar/http_calls.py
@@ -26,7 +26,7 @@
 
 
 class CallUnansweredError(errors.ClementinesparError):
-    """The call was sent and got no whole response; it may have an effect, also later."""
+    """The call was sent and got no whole response; it may still take effect."""
 
     def __init__(self, message: str) -> None:
         super().__init__(codes.ResultCode.CALL_UNANSWERED, message)
@@ -99,7 +99,7 @@
         """Send one request and wait for its response."""
         assert self.transport is not None
         loop = asyncio.get_running_loop()
-        waiter = loop.create_future()
+        waiter: asyncio.Future[Response] = loop.create_future()
         self._waiter = waiter
         self.transport.write(request)
         timer = loop.call_later(timeout_s, _expire, waiter, timeout_s)
--- a/clementinespar/jobs/placement.py
+++ b/clementinespar/jobs/placement.py
@@ -122,9 +122,7 @@
 
 
 def _serving_count(session: worker_session.WorkerSession) -> float:
-    return float(
-        sum(1 for run in session.runs.values() if run.spec.latency_target_ms)
-    )
+    return float(sum(1 for run in session.runs.values() if run.spec.latency_target_ms))
 
 
 def _fill_group(
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -12,12 +12,11 @@
 
 import asyncio
 import collections
-import collections.abc
 import contextlib
 import dataclasses
 import json
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 
 from clementinespar import codes, errors
 from clementinespar.jobs import (
@@ -74,8 +73,19 @@
     jobs_by_id: dict[str, state.JobProgress]
     sessions_by_id: dict[str, worker_session.WorkerSession]
     evacuating: dict[str, float]  # worker id: event-loop time until which it is kept
-    commands_read_at: float
+    commands_read_at: float  # event-loop time of the newest read
     metrics: telemetry.JobMetrics
+    _lease_s: float
+    _sequence: int  # of the next fenced append
+    _next_command: int  # offset
+    _recorded_workers: set[str]  # workers that may be used, to be stored
+    _stored_workers: set[str]  # workers that the store knows to be in use
+    _former_workers: set[str]  # those of the former owner
+    _former_bound: float  # event-loop time at which the former owner's leases end
+    _cancelled_ids: set[str]
+    _finished_commands: list[str]  # ids of jobs whose command can be dropped
+    _dirty: dict[str, state.JobProgress]  # memory is ahead of the store
+    _active: dict[str, state.JobProgress]  # not final
 
     def __init__(
         self,
@@ -110,17 +120,17 @@
         self._record = record
         self._lease_s = settings.lease_max_s * LEASE_SHARE
         self._sequence = 0
-        self._recorded_workers: set[str] = set()
-        self._stored_workers: set[str] = set()
-        self._former_workers: set[str] = set()
-        self._cancelled_ids: set[str] = set()
-        self._finished_commands: list[str] = []
+        self._next_command = 0
+        self._recorded_workers = set()
+        self._stored_workers = set()
+        self._former_workers = set()
+        self._cancelled_ids = set()
+        self._finished_commands = []
         self._former_bound = 0.0
-        self._dirty: dict[str, state.JobProgress] = {}
-        self._active: dict[str, state.JobProgress] = {}  # not final
+        self._dirty = {}
+        self._active = {}
         self._flush_wanted = asyncio.Event()
         self._schedule_wanted = asyncio.Event()
-        self._durations_by_image: dict[str, float] = {}
         self._policy = placement.Placement()
 
     # What sessions tell.
@@ -157,8 +167,7 @@
         job = self.jobs_by_id.get(end.task.job_id)
         task = None if job is None or job.is_final else job.find_task(end.task)
         if job is None or task is None:
-            self._flush_soon()
-            return
+            return  # acknowledged with the next flush
         step = job.find_step(end.task)
         task.open_runs.discard(end.run)
         task.last_run = max(task.last_run, end.run)
@@ -188,7 +197,6 @@
         self._mark_dirty(job)
         if not job.is_final:
             self._finish_occurrences(job)
-        del run
 
     def on_gone(
         self,
@@ -328,9 +336,7 @@
         loop = asyncio.get_running_loop()
         await self._append([services.KeyedRecord("owner", b"%d" % self.epoch)])
         self._former_bound = (
-            loop.time()
-            + self._settings.lease_max_s
-            + worker_session.LEASE_MARGIN_S
+            loop.time() + self._settings.lease_max_s + worker_session.LEASE_MARGIN_S
         )
         progress = await self._retry(
             lambda: self._store.list_newest(services.Topic.PROGRESS, self.partition)
@@ -430,13 +436,10 @@
         ]
         records = []
         for job in dirty:
-            job.is_dirty = False
             if not job.first_epoch:
                 job.first_epoch = self.epoch
             records.append(
-                services.KeyedRecord(
-                    "p" + job.spec.job_id, state.encode_progress(job)
-                )
+                services.KeyedRecord("p" + job.spec.job_id, state.encode_progress(job))
             )
         stored_workers = set(self._recorded_workers)
         if stored_workers != self._stored_workers:
@@ -660,12 +663,8 @@
             job.state = model.JobState.RUNNING
 
     def _mark_dirty(self, job: state.JobProgress) -> None:
-        job.is_dirty = True
         self._dirty[job.spec.job_id] = job
 
-    def _flush_soon(self) -> None:
-        """Ends of unknown jobs are acknowledged with the next flush."""
-
     # Placement.
 
     def _is_settled(self) -> bool:
@@ -839,8 +838,7 @@
                         and key.step == run.key.step
                         and other.status is worker_session.RunStatus.RUNNING
                         and other.percent >= 100
-                        and now - session.last_contact
-                        < worker_session.SILENT_AFTER_S
+                        and now - session.last_contact < worker_session.SILENT_AFTER_S
                     ):
                         at_work += 1
             is_at_work = run.percent >= 100
@@ -923,7 +921,7 @@
             await asyncio.sleep(STORE_RETRY_S)
 
     async def _retry(
-        self, call: "Callable[[], collections.abc.Awaitable[services.RecordPage]]"
+        self, call: Callable[[], Awaitable[services.RecordPage]]
     ) -> services.RecordPage:
         while True:
             try:
--- a/clementinespar/jobs/service.py
+++ b/clementinespar/jobs/service.py
@@ -8,6 +8,7 @@
 import json
 import urllib.parse
 from collections.abc import Iterable
+from typing import Any
 
 from clementinespar import codes, errors, http_calls
 from clementinespar.jobs import model, ownership, services, state
@@ -107,7 +108,7 @@
         )
         return bool(told["is_free"])
 
-    async def describe_load(self, pool: str) -> dict[str, object]:
+    async def describe_load(self, pool: str) -> dict[str, Any]:
         """Return the demand and use of a pool as its owner sees them."""
         return await self._ask_owner(
             ownership.partition_of(pool),
@@ -146,7 +147,7 @@
 
     async def _ask_owner(
         self, partition: int, path: str, timeout_s: float
-    ) -> dict[str, object]:
+    ) -> dict[str, Any]:
         loop = asyncio.get_running_loop()
         end = loop.time() + timeout_s
         is_fresh = False
@@ -163,7 +164,7 @@
 
     async def _ask_once(
         self, partition: int, path: str, is_fresh: bool
-    ) -> dict[str, object]:
+    ) -> dict[str, Any]:
         if partition in self.keeper.owners_by_partition:
             return self.answer_peer(partition, path)
         member = await self.keeper.find_owner(partition, is_fresh)
@@ -180,10 +181,10 @@
                 codes.ResultCode.JOB_OWNER_UNKNOWN,
                 f"the peer answered with status {response.status}",
             )
-        told: dict[str, object] = json.loads(response.body)
+        told: dict[str, Any] = json.loads(response.body)
         return told
 
-    def answer_peer(self, partition: int, path: str) -> dict[str, object]:
+    def answer_peer(self, partition: int, path: str) -> dict[str, Any]:
         """Answer a question as the owner of a partition.
 
         Raises
--- a/clementinespar/jobs/services.py
+++ b/clementinespar/jobs/services.py
@@ -137,9 +137,13 @@
 class WorkerDirectory(Protocol):
     """The workers that announce themselves."""
 
-    by_id: Mapping[str, model.WorkerEntry]
     is_loaded: bool
 
+    @property
+    def by_id(self) -> Mapping[str, model.WorkerEntry]:
+        """Return the workers by their id."""
+        ...
+
     async def refresh(self) -> None:
         """List anew; raises `errors.ClementinesparError` if that failed."""
         ...
@@ -174,7 +178,10 @@
 class WaveSource(Protocol):
     """Waves that the operators ask for, and their reported state."""
 
-    by_number: Mapping[int, model.UpkeepWave]
+    @property
+    def by_number(self) -> Mapping[int, model.UpkeepWave]:
+        """Return the waves by their number."""
+        ...
 
     async def report(self, wave: model.UpkeepWave, is_done: bool) -> None:
         """Tell the operators how far a wave is."""
--- a/clementinespar/jobs/state.py
+++ b/clementinespar/jobs/state.py
@@ -120,7 +120,6 @@
         "first_epoch",
         "adopted_epoch",
         "is_adopted",
-        "is_dirty",
         "has_started",
         "final_ms",
         "deadline",
@@ -134,7 +133,6 @@
     first_epoch: int  # epoch of the owner that adopted the job first; 0: none
     adopted_epoch: int  # epoch of the owner whose memory this is, or a former one
     is_adopted: bool  # the adoption is stored, so tasks may start
-    is_dirty: bool  # memory is ahead of the store
     has_started: bool
     final_ms: int  # Unix ms of the final state
     deadline: float  # event-loop time until which the job earns its full worth
@@ -148,7 +146,6 @@
         self.first_epoch = 0
         self.adopted_epoch = 0
         self.is_adopted = False
-        self.is_dirty = False
         self.has_started = False
         self.final_ms = 0
         self.deadline = 0.0
@@ -299,13 +296,13 @@
     steps = []
     for step in spec.steps:
         told: dict[str, object] = {}
-        for name in model.StepSpec.__slots__:  # type: ignore[attr-defined]
+        for name in model.StepSpec.__slots__:
             value = getattr(step, name)
             if value or value is not None and name == "may_miss":
                 told[name] = value
         steps.append(told)
     told_job: dict[str, object] = {"steps": steps}
-    for name in model.JobSpec.__slots__:  # type: ignore[attr-defined]
+    for name in model.JobSpec.__slots__:
         value = getattr(spec, name)
         if name not in ("steps", "job_id") and value:
             told_job[name] = value
@@ -320,5 +317,12 @@
         for step in told.pop("steps")
     )
     return model.JobSpec(
-        **{"queue": "", "pool": "", "payload": "", **told, "job_id": job_id, "steps": steps}
+        **{
+            "queue": "",
+            "pool": "",
+            "payload": "",
+            **told,
+            "job_id": job_id,
+            "steps": steps,
+        }
     )
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -434,9 +434,7 @@
         if until is None:
             self._abandon(run, "ownership is not confirmed")
             return
-        order = model.StartOrder(
-            run.key, run.number, payload, until, self.fence, saved
-        )
+        order = model.StartOrder(run.key, run.number, payload, until, self.fence, saved)
         try:
             answer = await self._client.start(self.entry, order)
         except errors.ClementinesparError as error:
@@ -524,4 +522,3 @@
 
 def _name(key: model.TaskKey) -> str:
     return f"{key.occurrence}.{key.step}.{key.index}"
-
