Order jobs by what can still be in time; move hosts by turns

Cause: under a peak, jobs in order of slack all ended just after their objective, and a pool's idle hosts stood beside a pool with too few. New jobs without some slack count as late and go last, begun jobs go first; run times are learned by image. Hosts follow the rate of arrivals: a pool keeps its home size until its turn and rests after it.

--- /dev/null
+++ b/clementinespar/jobs/demand.py
@@ -0,0 +1,48 @@
+"""What an owner learns of its work: run times by image, and the rate of arrivals."""
+
+import math
+
+from clementinespar.jobs import model
+
+LEARNING_SHARE = 0.15  # weight of the newest run time
+RATE_WINDOW_S = 0.8  # time constant of the arrival rate
+
+
+class RunTimes:
+    """Mean run time of the tasks of each image."""
+
+    _mean_ms_by_image: dict[str, float]
+
+    def __init__(self) -> None:
+        self._mean_ms_by_image = {}
+
+    def note(self, spec: model.StepSpec, took_ms: float) -> None:
+        """Learn from a task that ended as done."""
+        if not spec.image:
+            return
+        mean = self._mean_ms_by_image.get(spec.image, spec.estimate_ms or took_ms)
+        self._mean_ms_by_image[spec.image] = mean + LEARNING_SHARE * (took_ms - mean)
+
+    def estimate_ms(self, spec: model.StepSpec) -> float:
+        """Return the expected run time of one task, in ms."""
+        return self._mean_ms_by_image.get(spec.image, float(spec.estimate_ms))
+
+
+class ArrivalRate:
+    """Decaying average of arriving work, in core-seconds for each second."""
+
+    _rate: float
+    _noted_at: float
+
+    def __init__(self) -> None:
+        self._rate = 0.0
+        self._noted_at = 0.0
+
+    def note(self, core_seconds: float, now: float) -> None:
+        """Count work that arrived now."""
+        self._rate = self.read(now) + core_seconds / RATE_WINDOW_S
+        self._noted_at = now
+
+    def read(self, now: float) -> float:
+        """Return the rate at a time."""
+        return self._rate * math.exp((self._noted_at - now) / RATE_WINDOW_S)
--- a/clementinespar/jobs/fleet.py
+++ b/clementinespar/jobs/fleet.py
@@ -13,7 +13,7 @@
 from collections.abc import AsyncIterator
 
 from clementinespar import codes, errors
-from clementinespar.jobs import model, ownership, service, services
+from clementinespar.jobs import capacity, model, ownership, service, services
 
 TICK_S = 0.4
 HOLDER_MARGIN_S = 0.6  # a former holder learns of its loss by its next join
@@ -23,6 +23,10 @@
 EVACUATION_KEPT_S = 6.0
 URGENT_AFTER_S = 3.0  # short work is stopped when an evacuation takes this long
 POOL_SHARE = 0.25  # of a pool's hosts that may be on their way out at once
+ARRIVAL_LIMIT_S = 6.0  # a moved host that is not up by then is not counted
+LOG_INTERVAL_S = 2.0
+HOST_CORES = 16.0  # until a worker of the pool is known
+MOVABLE_RUNS = 0  # only hosts on which nothing runs change their pool
 RETURN_S = 0.8  # a host's new worker appears this long after its upkeep
 
 
@@ -44,6 +48,9 @@
 
     epoch: int
     _waves: dict[int, _WaveProgress]
+    _turns: dict[str, capacity.TurnState]
+    _arriving: dict[str, tuple[str, float]]  # host id: its new pool and since when
+    _logged_at: float
     _sequence: int
 
     def __init__(
@@ -70,6 +77,9 @@
         self._upkeep_s = upkeep_s
         self._record = record
         self._waves = {}
+        self._turns = {}
+        self._arriving = {}
+        self._logged_at = 0.0
         self._sequence = 0
 
     async def run(self) -> None:
@@ -86,6 +96,8 @@
                 for entry in page.records:
                     if entry.key.startswith("wave"):
                         begun_by_wave[int(entry.key[4:])] = set(json.loads(entry.value))
+                    elif entry.key == "turns":
+                        self._restore_turns(json.loads(entry.value), loop.time())
                 break
             except errors.ClementinesparError as error:
                 if error.code is codes.ResultCode.STORE_FENCED:
@@ -118,12 +130,161 @@
         )
 
     async def _tick(self) -> None:
-        open_waves = [wave for wave in self._waves.values() if not wave.is_done]
-        if not open_waves or not self._may_act():
+        if not self._may_act():
             return
         hosts_by_id = {host.host_id: host for host in await self._hosts.list_hosts()}
-        for wave in open_waves:
-            await self._advance_wave(wave, hosts_by_id)
+        for wave in self._waves.values():
+            if not wave.is_done:
+                await self._advance_wave(wave, hosts_by_id)
+        await self._follow_demand(hosts_by_id)
+
+    async def _follow_demand(self, hosts_by_id: dict[str, model.HostEntry]) -> None:
+        """Move idle hosts to where work waits, or to rest."""
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        configuration = self._configuration.current
+        if configuration is None:
+            return
+        leaving = {
+            host_id
+            for wave in self._waves.values()
+            for host_id in wave.evacuating_since
+            if host_id not in wave.begun
+        }
+        for host_id, (destination, since) in list(self._arriving.items()):
+            host = hosts_by_id.get(host_id)
+            is_there = (
+                host is not None and host.pool == destination and host.state == "up"
+            )
+            if is_there or now - since > ARRIVAL_LIMIT_S:
+                del self._arriving[host_id]
+        views = []
+        for pool in configuration.pools_by_name.values():
+            if not pool.is_spare and pool.name not in self._turns:
+                home = sum(1 for host in hosts_by_id.values() if host.pool == pool.name)
+                self._turns[pool.name] = capacity.TurnState(home)
+            view = await self._view_pool(pool, hosts_by_id, leaving)
+            if view is None:
+                return  # the owner of the pool cannot be asked now
+            views.append(view)
+        before = json.dumps(self._describe_turns())
+        moves = capacity.plan_moves(views, self._turns, now)
+        if moves or now - self._logged_at >= LOG_INTERVAL_S:
+            self._logged_at = now
+            self._record(
+                "capacity",
+                pools={
+                    view.name: [
+                        view.hosts,
+                        round(view.used_cores, 1),
+                        round(view.waiting_cores, 1),
+                        round(view.arriving_cores, 1),
+                        len(view.movable),
+                        self._describe_turn(view.name),
+                    ]
+                    for view in views
+                },
+                moves=len(moves),
+            )
+        for move in moves:
+            await self._move_host(move, hosts_by_id[move.host_id])
+        after = self._describe_turns()
+        if json.dumps(after) != before:
+            await self._store_record("turns", after)
+
+    async def _view_pool(
+        self,
+        pool: model.Pool,
+        hosts_by_id: dict[str, model.HostEntry],
+        leaving: set[str],
+    ) -> capacity.PoolView | None:
+        hosts = [host for host in hosts_by_id.values() if host.pool == pool.name]
+        arriving = sum(1 for to, _ in self._arriving.values() if to == pool.name)
+        arriving += sum(1 for host in hosts if host.state == "upkeep")
+        up = [
+            host
+            for host in hosts
+            if host.state == "up" and host.host_id not in self._arriving
+        ]
+        if pool.is_spare:
+            movable = [host.host_id for host in up if host.host_id not in leaving]
+            return capacity.PoolView(
+                pool.name, True, HOST_CORES, len(up) + arriving, movable=movable
+            )
+        try:
+            load = await self._jobs.describe_load(pool.name)
+        except errors.ClementinesparError as error:
+            self._record("load_unknown", pool=pool.name, code=int(error.code))
+            return None
+        workers = load["workers"]
+        return capacity.PoolView(
+            name=pool.name,
+            is_spare=False,
+            host_cores=load["worker_cores"] or HOST_CORES,
+            hosts=len(up) + arriving,
+            used_cores=sum(worker["used_cores"] for worker in workers.values()),
+            waiting_cores=load["waiting_cores"],
+            arriving_cores=load["arriving_cores"],
+            lasting_cores=sum(worker["lasting_cores"] for worker in workers.values()),
+            movable=[
+                host.host_id
+                for host in up
+                if host.host_id not in leaving
+                and host.worker_id in workers
+                and not workers[host.worker_id]["lasting"]
+                and workers[host.worker_id]["runs"] <= MOVABLE_RUNS
+            ],
+        )
+
+    async def _move_host(self, move: capacity.Move, host: model.HostEntry) -> None:
+        loop = asyncio.get_running_loop()
+        is_free = await self._is_free(host, model.EvacuationUrgency.IF_IDLE)
+        if not is_free or not self._may_act():
+            return
+        self._arriving[move.host_id] = (move.destination, loop.time())
+        is_moved = await self._hosts.move(move.host_id, move.destination, self.epoch)
+        self._record(
+            "host_move",
+            host=move.host_id,
+            source=move.source,
+            destination=move.destination,
+            is_begun=is_moved,
+        )
+        if not is_moved:
+            del self._arriving[move.host_id]
+
+    def _describe_turn(self, pool: str) -> str:
+        """Return a word for the log."""
+        turn = self._turns.get(pool)
+        if turn is None:
+            return "spare"
+        if turn.is_peaking:
+            return "peak"
+        return "resting" if turn.is_resting else "home"
+
+    def _describe_turns(self) -> dict[str, object]:
+        """Return what the next holder needs to know of the peaks."""
+        ended = sorted(
+            (n for n, turn in self._turns.items() if turn.turn_ended_at is not None),
+            key=lambda n: self._turns[n].turn_ended_at or 0.0,
+        )
+        return {
+            name: {
+                "home": turn.home_hosts,
+                "peaking": turn.is_peaking,
+                "rank": ended.index(name) if name in ended else -1,
+            }
+            for name, turn in sorted(self._turns.items())
+        }
+
+    def _restore_turns(self, told: dict[str, dict[str, int]], now: float) -> None:
+        for name, held in told.items():
+            self._turns[name] = capacity.TurnState(
+                home_hosts=int(held["home"]),
+                is_peaking=bool(held["peaking"]),
+                # Only the order of the ends matters.
+                turn_ended_at=now + 1e-3 * held["rank"] if held["rank"] >= 0 else None,
+            )
 
     async def _advance_wave(
         self, progress: _WaveProgress, hosts_by_id: dict[str, model.HostEntry]
@@ -153,8 +314,10 @@
             since = progress.evacuating_since.get(host.host_id)
             if since is None or host.state != "up":
                 continue
-            is_urgent = loop.time() - since > URGENT_AFTER_S
-            if not await self._is_free(host, is_urgent):
+            urgency = model.EvacuationUrgency.DRAIN
+            if loop.time() - since > URGENT_AFTER_S:
+                urgency = model.EvacuationUrgency.STOP
+            if not await self._is_free(host, urgency):
                 continue
             if len(down) >= wave.max_down or not self._may_act():
                 continue
@@ -221,12 +384,14 @@
         found = configuration.pools_by_name.get(pool) if configuration else None
         return found is not None and found.is_spare
 
-    async def _is_free(self, host: model.HostEntry, is_urgent: bool) -> bool:
+    async def _is_free(
+        self, host: model.HostEntry, urgency: model.EvacuationUrgency
+    ) -> bool:
         if not host.worker_id or self._is_spare(host.pool):
             return True
         try:
             return await self._jobs.evacuate(
-                host.pool, host.worker_id, EVACUATION_KEPT_S, is_urgent
+                host.pool, host.worker_id, EVACUATION_KEPT_S, urgency
             )
         except errors.ClementinesparError as error:
             self._record(
--- a/clementinespar/jobs/model.py
+++ b/clementinespar/jobs/model.py
@@ -221,6 +221,14 @@
     worker_id: str
 
 
+class EvacuationUrgency(enum.Enum):
+    """What a worker may lose so that its host can be taken away."""
+
+    IF_IDLE = "if_idle"  # nothing: a worker with runs stays in use
+    DRAIN = "drain"  # new work
+    STOP = "stop"  # short work that runs, with its checkpoints
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpkeepWave:
     """A wave of upkeep that the operators ask for."""
--- a/clementinespar/jobs/placement.py
+++ b/clementinespar/jobs/placement.py
@@ -1,6 +1,7 @@
 """Order of jobs, choice of workers, and pacing of filling tasks."""
 
 import collections
+from collections.abc import Callable
 
 from clementinespar.jobs import model, state, worker_session
 
@@ -10,19 +11,37 @@
 PACE_STEP = 20  # percent added at once while the tails allow it
 PACE_INTERVAL_S = 0.6  # the reported tail covers the last half second
 
+# Classes of jobs in the order of their placement.
+LASTING = 0
+BEGUN = 1
+NEW = 2
+LATE = 3
+BEGUN_TOLERANCE = 0.3  # of the chain that is left; estimates are off by half
+NEW_MARGIN = 0.15  # of the chain, for the waits of later steps
 
-def rank(job: state.JobProgress, now: float) -> tuple[int, int, float]:
+
+def rank(
+    job: state.JobProgress,
+    now: float,
+    estimate_ms: Callable[[model.StepSpec], float],
+) -> tuple[int, int, float]:
     """Return the sorting key of a job; the lowest is placed first.
 
-    Lasting work goes first, since it earns all the time. Jobs that can still be in time
-    follow by their slack. Jobs that are late already go last, oldest last.
+    Lasting work goes first, since it earns all the time. Jobs that have begun and can
+    still be in time follow, then new ones by their slack. A new job counts as late
+    while it still has some slack: under overload, jobs that begin with none all end
+    just after their objective. Late jobs go last, the latest last.
     """
     if job.is_lasting:
-        return (0, job.spec.priority, 0.0)
-    slack_s = job.deadline - now - job.remaining_ms() / 1000
-    if slack_s >= 0:
-        return (1, job.spec.priority, slack_s)
-    return (2, job.spec.priority, -slack_s)
+        return (LASTING, job.spec.priority, 0.0)
+    chain_s = job.remaining_ms(estimate_ms) / 1000
+    slack_s = job.deadline - now - chain_s
+    if job.has_started:
+        if slack_s >= -BEGUN_TOLERANCE * chain_s:
+            return (BEGUN, job.spec.priority, slack_s)
+    elif slack_s >= NEW_MARGIN * chain_s:
+        return (NEW, job.spec.priority, slack_s)
+    return (LATE, job.spec.priority, -slack_s)
 
 
 class Room:
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -20,6 +20,7 @@
 
 from clementinespar import codes, errors
 from clementinespar.jobs import (
+    demand,
     model,
     placement,
     services,
@@ -84,6 +85,10 @@
     _former_bound: float  # event-loop time at which the former owner's leases end
     _cancelled_ids: set[str]
     _finished_commands: list[str]  # ids of jobs whose command can be dropped
+    _unsubscribe: Callable[[], None]
+    _policy: placement.Placement
+    _run_times: demand.RunTimes
+    _arrivals_by_pool: dict[str, demand.ArrivalRate]
     _dirty: dict[str, state.JobProgress]  # memory is ahead of the store
     _active: dict[str, state.JobProgress]  # not final
 
@@ -127,11 +132,14 @@
         self._cancelled_ids = set()
         self._finished_commands = []
         self._former_bound = 0.0
+        self._unsubscribe = _do_nothing
         self._dirty = {}
         self._active = {}
         self._flush_wanted = asyncio.Event()
         self._schedule_wanted = asyncio.Event()
         self._policy = placement.Placement()
+        self._run_times = demand.RunTimes()
+        self._arrivals_by_pool = {}
 
     # What sessions tell.
 
@@ -176,6 +184,9 @@
         is_failure = end.kind is model.EndKind.FAILED
         if end.kind is model.EndKind.DONE:
             session.note_outcome(job.spec.job_id, False)
+            if run is not None:
+                now = asyncio.get_running_loop().time()
+                self._run_times.note(step.spec, (now - run.started_at) * 1000)
             if step.spec.is_gang:
                 self._finish_gang(job, step, end.run)
             else:
@@ -279,10 +290,23 @@
     def describe_load(self, pool: str) -> dict[str, object]:
         """Return the waiting work and the use of each worker of a pool."""
         now = asyncio.get_running_loop().time()
+        sessions = [
+            session
+            for session in self.sessions_by_id.values()
+            if session.entry.pool == pool
+        ]
+        arrivals = self._arrivals_by_pool.get(pool)
+        estimate_ms = self._run_times.estimate_ms
         return {
+            "arriving_cores": 0.0 if arrivals is None else arrivals.read(now),
+            "worker_cores": max(
+                (session.entry.cpu_millis / 1000 for session in sessions), default=0.0
+            ),
             "waiting_cores": sum(
                 len(step.waiting) * step.spec.cpu_millis
                 for job in self._active.values()
+                if job.spec.pool == pool
+                and placement.rank(job, now, estimate_ms)[0] < placement.LATE
                 for occurrence in job.occurrences.values()
                 for step in occurrence.ready_steps()
             )
@@ -294,22 +318,30 @@
                     "lasting": sum(
                         1 for run in session.runs.values() if run.spec.is_lasting
                     ),
+                    "lasting_cores": sum(
+                        run.spec.cpu_millis / 1000
+                        for run in session.runs.values()
+                        if run.spec.is_lasting and not run.spec.is_filler
+                    ),
                     "can_take": session.can_take(now),
                 }
-                for session in self.sessions_by_id.values()
-                if session.entry.pool == pool
+                for session in sessions
             },
         }
 
-    def evacuate(self, worker_id: str, kept_s: float, is_urgent: bool) -> bool:
+    def evacuate(
+        self, worker_id: str, kept_s: float, urgency: model.EvacuationUrgency
+    ) -> bool:
         """Keep new work from a worker; True once its host may be taken away.
 
-        Lasting tasks are moved as far as their steps allow. Others end by themselves,
-        or are stopped with their checkpoints when it is urgent.
+        Lasting tasks are moved as far as their steps allow.
         """
         loop = asyncio.get_running_loop()
-        self.evacuating[worker_id] = loop.time() + kept_s
         session = self.sessions_by_id.get(worker_id)
+        is_if_idle = urgency is model.EvacuationUrgency.IF_IDLE
+        if is_if_idle and (session is None or session.runs):
+            return False
+        self.evacuating[worker_id] = loop.time() + kept_s
         if session is None:
             # After a change of owner the worker may be in use though it is not known
             # here yet.
@@ -324,7 +356,10 @@
         for run in list(session.runs.values()):
             if run.spec.is_lasting:
                 self._move_lasting(run, "its host is to be taken away")
-            elif is_urgent and run.status is worker_session.RunStatus.RUNNING:
+            elif (
+                urgency is model.EvacuationUrgency.STOP
+                and run.status is worker_session.RunStatus.RUNNING
+            ):
                 session.stop(run, "its host is to be taken away")
         is_known = session.is_touched or loop.time() > session.lease_bound
         return not session.runs and is_known
@@ -382,6 +417,7 @@
         self._next_command = commands.next_offset
         self.commands_read_at = loop.time()
         self.is_loaded = True
+        self._unsubscribe = self._directory.subscribe(self._refresh_sessions)
         self._refresh_sessions()
         self._record(
             "pool_loaded",
@@ -546,6 +582,14 @@
         self._set_deadline(job)
         self.jobs_by_id[job_id] = job
         self._active[job_id] = job
+        if not job.is_lasting:
+            rate = self._arrivals_by_pool.setdefault(
+                job.spec.pool, demand.ArrivalRate()
+            )
+            rate.note(
+                job.remaining_work(self._run_times.estimate_ms),
+                asyncio.get_running_loop().time(),
+            )
         if job.spec.occurrences:
             job.open_due_occurrences(time.time() * 1000)
         self._record(
@@ -570,7 +614,8 @@
         loop = asyncio.get_running_loop()
         age_s = max(0.0, time.time() - job.spec.accepted_ms / 1000)
         objective_s = (
-            job.spec.stretch * job.remaining_ms() + job.spec.objective_ms
+            job.spec.stretch * job.remaining_ms(self._run_times.estimate_ms)
+            + job.spec.objective_ms
         ) / 1000
         job.deadline = loop.time() - age_s + objective_s
 
@@ -698,7 +743,8 @@
             and (is_settled or job.adopted_epoch == self.epoch)
             and any(s.waiting for o in job.occurrences.values() for s in o.steps)
         ]
-        waiting.sort(key=lambda job: placement.rank(job, now))
+        estimate_ms = self._run_times.estimate_ms
+        waiting.sort(key=lambda job: placement.rank(job, now, estimate_ms))
         room_by_pool: dict[str, placement.Room] = {}
         for pool in {job.spec.pool for job in waiting}:
             room_by_pool[pool] = self._policy.begin(
@@ -861,7 +907,7 @@
     # Workers.
 
     def _refresh_sessions(self) -> None:
-        if not self._directory.is_loaded:
+        if not self._directory.is_loaded or self.is_lost:
             return
         for entry in self._directory.by_id.values():
             session = self.sessions_by_id.get(entry.worker_id)
@@ -950,10 +996,15 @@
     def close(self) -> None:
         """End all sessions; runs go on until their leases end or a next owner."""
         self.is_lost = True
+        self._unsubscribe()
         for session in self.sessions_by_id.values():
             session.close()
 
 
+def _do_nothing() -> None:
+    """Take the place of an unsubscription before there is one."""
+
+
 @contextlib.asynccontextmanager
 async def own_partition(owner: PoolOwner) -> AsyncIterator[None]:
     """Run an owner while the context is entered."""
--- a/clementinespar/jobs/service.py
+++ b/clementinespar/jobs/service.py
@@ -97,13 +97,17 @@
         return count
 
     async def evacuate(
-        self, pool: str, worker_id: str, kept_s: float, is_urgent: bool
+        self,
+        pool: str,
+        worker_id: str,
+        kept_s: float,
+        urgency: model.EvacuationUrgency,
     ) -> bool:
         """Ask the owner of a pool to free a worker; True once it is free."""
         name = urllib.parse.quote(worker_id, safe="")
         told = await self._ask_owner(
             ownership.partition_of(pool),
-            f"/evacuate/{name}?kept_s={kept_s}&urgent={int(is_urgent)}",
+            f"/evacuate/{name}?kept_s={kept_s}&urgency={urgency.value}",
             PEER_TIMEOUT_S,
         )
         return bool(told["is_free"])
@@ -208,8 +212,8 @@
         if kind == "evacuate":
             query = urllib.parse.parse_qs(parts.query)
             kept_s = float(query["kept_s"][0])
-            is_urgent = query["urgent"][0] == "1"
-            return {"is_free": owner.evacuate(name, kept_s, is_urgent)}
+            urgency = model.EvacuationUrgency(query["urgency"][0])
+            return {"is_free": owner.evacuate(name, kept_s, urgency)}
         if kind == "load":
             return owner.describe_load(name)
         raise errors.ClementinesparError(
--- a/clementinespar/jobs/services.py
+++ b/clementinespar/jobs/services.py
@@ -148,8 +148,8 @@
         """List anew; raises `errors.ClementinesparError` if that failed."""
         ...
 
-    def subscribe(self, listener: Callable[[], None]) -> None:
-        """Call the listener after each change."""
+    def subscribe(self, listener: Callable[[], None]) -> Callable[[], None]:
+        """Call the listener after each change, until the result is called."""
         ...
 
 
--- a/clementinespar/jobs/state.py
+++ b/clementinespar/jobs/state.py
@@ -6,7 +6,7 @@
 """
 
 import json
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from clementinespar.jobs import model
 
@@ -197,25 +197,25 @@
         base = (epoch - self.first_epoch) * RUNS_PER_EPOCH
         return max(base, task.last_run) + 1
 
-    def remaining_ms(self) -> float:
+    def remaining_ms(self, estimate_ms: Callable[[model.StepSpec], float]) -> float:
         """Return the estimated length of the longest chain of work that is left."""
         total = 0.0
         for occurrence in self.occurrences.values():
             lengths: list[float] = []
             for step in occurrence.steps:
                 before = max((lengths[i] for i in step.spec.after), default=0.0)
-                own = 0.0 if step.is_done else float(step.spec.estimate_ms)
+                own = 0.0 if step.is_done else estimate_ms(step.spec)
                 lengths.append(before + own)
             total = max(total, max(lengths, default=0.0))
         return total
 
-    def remaining_work(self) -> float:
-        """Return the estimated core-milliseconds of tasks not yet done."""
+    def remaining_work(self, estimate_ms: Callable[[model.StepSpec], float]) -> float:
+        """Return the estimated core-seconds of tasks not yet done."""
         return sum(
             (len(step.tasks) - step.done_count)
             * step.spec.cpu_millis
-            * max(1, step.spec.estimate_ms)
-            / 1000
+            * estimate_ms(step.spec)
+            / 1e6
             for occurrence in self.occurrences.values()
             for step in occurrence.steps
         )
