--- /dev/null
+++ b/clementinespar/jobs/tests/fakes.py
@@ -0,0 +1,332 @@
+"""Fakes of the store and of workers, with the faults that the platform can have.
+
+They follow the published protocol: fences, leases on the worker's own clock, ends that
+are listed until they are acknowledged, appends that may be done without an answer.
+"""
+
+import asyncio
+import collections
+import dataclasses
+from collections.abc import Callable, Mapping, Sequence
+
+from clementinespar import codes, errors, http_calls
+from clementinespar.jobs import model, services
+
+
+def ignore_event(event: str, **fields: object) -> None:
+    """Drop a decision."""
+
+
+class FakeStore:
+    """`services.JobStore` in memory."""
+
+    is_down: bool
+    loses_answers: bool  # what is asked is done, and no answer comes
+    values: dict[tuple[services.Topic, int], dict[str, bytes]]
+
+    def __init__(self) -> None:
+        self.is_down = False
+        self.loses_answers = False
+        self.values = collections.defaultdict(dict)
+        self._log: dict[tuple[services.Topic, int], list[services.KeyedRecord]] = (
+            collections.defaultdict(list)
+        )
+        self._fences: dict[int, tuple[int, int]] = {}
+
+    def _check(self) -> None:
+        if self.is_down:
+            raise errors.ClementinesparError(codes.ResultCode.STORE_REFUSED, "down")
+
+    def _check_answer(self) -> None:
+        if self.loses_answers:
+            raise errors.ClementinesparError(codes.ResultCode.STORE_UNANSWERED, "lost")
+
+    async def append(
+        self,
+        topic: services.Topic,
+        partition: int,
+        records: Sequence[services.KeyedRecord],
+    ) -> None:
+        await asyncio.sleep(0.003)
+        self._check()
+        self._apply(topic, partition, records)
+        self._check_answer()
+
+    async def append_fenced(
+        self,
+        partition: int,
+        epoch: int,
+        sequence: int,
+        records: Sequence[services.KeyedRecord],
+    ) -> None:
+        await asyncio.sleep(0.003)
+        self._check()
+        held_epoch, held_sequence = self._fences.get(partition, (0, -1))
+        if epoch < held_epoch:
+            raise errors.ClementinesparError(codes.ResultCode.STORE_FENCED, "epoch")
+        if epoch > held_epoch or sequence == held_sequence + 1:
+            self._fences[partition] = (epoch, sequence)
+            self._apply(services.Topic.PROGRESS, partition, records)
+        elif sequence > held_sequence + 1:
+            raise errors.ClementinesparError(codes.ResultCode.STORE_FENCED, "sequence")
+        self._check_answer()
+
+    def _apply(
+        self,
+        topic: services.Topic,
+        partition: int,
+        records: Sequence[services.KeyedRecord],
+    ) -> None:
+        for record in records:
+            self._log[topic, partition].append(record)
+            if record.value:
+                self.values[topic, partition][record.key] = record.value
+            else:
+                self.values[topic, partition].pop(record.key, None)
+
+    async def list_newest(
+        self, topic: services.Topic, partition: int
+    ) -> services.RecordPage:
+        await asyncio.sleep(0.003)
+        self._check()
+        return services.RecordPage(
+            [
+                services.KeyedRecord(key, value)
+                for key, value in self.values[topic, partition].items()
+            ],
+            len(self._log[topic, partition]),
+        )
+
+    async def read(
+        self, topic: services.Topic, partition: int, offset: int, wait_s: float
+    ) -> services.RecordPage:
+        waited = 0.0
+        while True:
+            await asyncio.sleep(0.005)
+            waited += 0.005
+            self._check()
+            records = self._log[topic, partition][offset:]
+            if records or waited >= wait_s:
+                return services.RecordPage(list(records), offset + len(records))
+
+
+@dataclasses.dataclass
+class FakeWorker:
+    """One worker: what runs there, under which fence and lease."""
+
+    entry: model.WorkerEntry
+    born_ms: int = 1
+    fence: int = 0
+    lease_until_ms: float = 0.0
+    running: dict[model.TaskKey, tuple[int, float]] = dataclasses.field(
+        default_factory=dict
+    )  # run and the loop time of its end
+    ended: list[model.EndedTask] = dataclasses.field(default_factory=list)
+    ended_runs: dict[model.TaskKey, int] = dataclasses.field(default_factory=dict)
+    next_number: int = 1
+    is_silent: bool = False  # it runs on and answers nothing
+    is_deaf_to_answers: bool = False  # orders arrive, answers do not
+    end_kind: model.EndKind = model.EndKind.DONE
+    keeps_ends: bool = False  # acknowledgements never arrive
+
+
+class FakeWorkers:
+    """`services.WorkerClient` over fake workers, and `services.WorkerDirectory`."""
+
+    by_id: dict[str, model.WorkerEntry]
+    workers: dict[str, FakeWorker]
+    starts: list[tuple[model.TaskKey, int, str]]
+    violations: list[str]
+    task_s: float  # run time of every task that does not last
+    is_loaded: bool
+
+    def __init__(self, count: int = 2, pool: str = "quotes", cpu: int = 4000) -> None:
+        self.by_id = {}
+        self.workers = {}
+        self.starts = []
+        self.violations = []
+        self.task_s = 0.5
+        self.is_loaded = True
+        self.done_acknowledged: set[model.TaskKey] = set()
+        self.cpu_by_step: dict[tuple[str, int], int] = {}
+        self.lasting_jobs: set[str] = set()
+        for number in range(count):
+            self.add(f"{pool}-{number}", pool, cpu)
+
+    def add(self, worker_id: str, pool: str, cpu: int = 4000) -> None:
+        entry = model.WorkerEntry(
+            worker_id, pool, "127.0.0.1:1", "a", False, cpu, 32_000, 0, (), "r", 0
+        )
+        self.by_id[worker_id] = entry
+        self.workers[worker_id] = FakeWorker(entry)
+
+    def subscribe(self, listener: Callable[[], None]) -> Callable[[], None]:
+        return lambda: None
+
+    async def refresh(self) -> None:
+        """Do nothing; the entries are always current."""
+
+    def crash(self, worker_id: str) -> None:
+        """Lose everything on a worker; it comes back empty under its id."""
+        worker = self.workers[worker_id]
+        self.workers[worker_id] = FakeWorker(worker.entry, worker.born_ms + 1)
+
+    def advance(self, worker: FakeWorker) -> None:
+        """Let leases lapse and tasks end."""
+        now = asyncio.get_running_loop().time()
+        for task, (run, ends_at) in list(worker.running.items()):
+            is_lapsed = worker.lease_until_ms / 1000 < min(now, ends_at)
+            if is_lapsed:
+                self._end(worker, task, run, model.EndKind.LAPSED)
+            elif ends_at <= now:
+                self._end(worker, task, run, worker.end_kind)
+
+    def _end(
+        self, worker: FakeWorker, task: model.TaskKey, run: int, kind: model.EndKind
+    ) -> None:
+        del worker.running[task]
+        worker.ended.append(model.EndedTask(worker.next_number, task, run, kind, ""))
+        worker.next_number += 1
+        worker.ended_runs[task] = max(run, worker.ended_runs.get(task, 0))
+
+    async def _reach(self, worker_id: str) -> FakeWorker:
+        await asyncio.sleep(0.002)
+        worker = self.workers[worker_id]
+        self.advance(worker)
+        if worker.is_silent:
+            await asyncio.sleep(0.5)
+            raise http_calls.CallUnansweredError("silent")
+        return worker
+
+    def _check_answer(self, worker: FakeWorker) -> None:
+        if worker.is_deaf_to_answers:
+            raise http_calls.CallUnansweredError("the answer was lost")
+
+    async def start(
+        self, worker: model.WorkerEntry, order: model.StartOrder
+    ) -> model.StartAnswer:
+        held = await self._reach(worker.worker_id)
+        now = asyncio.get_running_loop().time()
+        clock_ms = int(now * 1000)
+        if order.fence < held.fence:
+            return model.StartAnswer(model.StartResult.FENCED, clock_ms)
+        held.fence = order.fence
+        held.lease_until_ms = max(held.lease_until_ms, order.lease_until_ms)
+        if order.lease_until_ms <= clock_ms:
+            return model.StartAnswer(model.StartResult.LEASE_LATE, clock_ms)
+        if order.run <= held.ended_runs.get(order.task, 0):
+            return model.StartAnswer(model.StartResult.STALE_RUN, clock_ms)
+        if order.task not in held.running:
+            self._note_start(held, order.task, order.run)
+            lasts = order.task.job_id in self.lasting_jobs
+            held.running[order.task] = (
+                order.run,
+                float("inf") if lasts else now + self.task_s,
+            )
+        self._check_answer(held)
+        return model.StartAnswer(model.StartResult.STARTED, clock_ms)
+
+    def _note_start(self, held: FakeWorker, task: model.TaskKey, run: int) -> None:
+        for other in self.workers.values():
+            self.advance(other)
+            if task in other.running:
+                self.violations.append(f"{task} runs twice")
+        if task in self.done_acknowledged:
+            self.violations.append(f"{task} starts after its end was acknowledged")
+        used = sum(
+            self.cpu_by_step.get((key.job_id, key.step), 0)
+            for key in (*held.running, task)
+        )
+        if used > held.entry.cpu_millis:
+            self.violations.append(f"{held.entry.worker_id} is over its capacity")
+        self.starts.append((task, run, held.entry.worker_id))
+
+    async def stop(
+        self, worker: model.WorkerEntry, task: model.TaskKey, run: int, fence: int
+    ) -> bool:
+        held = await self._reach(worker.worker_id)
+        if fence < held.fence:
+            return False
+        held.fence = fence
+        running = held.running.get(task)
+        if running is not None and running[0] == run:
+            self._end(held, task, run, model.EndKind.STOPPED)
+        held.ended_runs[task] = max(run, held.ended_runs.get(task, 0))
+        self._check_answer(held)
+        return True
+
+    async def renew(
+        self,
+        worker: model.WorkerEntry,
+        fence: int,
+        acknowledged: int,
+        lease_until_ms: int | None,
+        wait_ms: int,
+    ) -> model.WorkerReport | None:
+        held = await self._reach(worker.worker_id)
+        if fence < held.fence:
+            return None
+        held.fence = fence
+        if lease_until_ms is not None:
+            held.lease_until_ms = max(held.lease_until_ms, lease_until_ms)
+        for end in held.ended:
+            if end.number <= acknowledged and end.kind is model.EndKind.DONE:
+                self.done_acknowledged.add(end.task)
+        if not held.keeps_ends:
+            held.ended = [end for end in held.ended if end.number > acknowledged]
+        waited = 0
+        newest = held.next_number
+        while held.next_number == newest and waited < wait_ms:
+            await asyncio.sleep(0.02)
+            waited += 20
+            if self.workers[worker.worker_id] is not held:
+                raise http_calls.CallUnansweredError("the worker crashed")
+            self.advance(held)
+        if held.is_silent or held.is_deaf_to_answers:
+            raise http_calls.CallUnansweredError("silent")
+        now = asyncio.get_running_loop().time()
+        return model.WorkerReport(
+            int(now * 1000),
+            held.born_ms,
+            [
+                # The progress changes with time, so no run looks stuck.
+                model.RunningTask(task, run, "", int(now * 10) % 100, 0)
+                if task.job_id not in self.lasting_jobs
+                else model.RunningTask(task, run, "", 100, 0)
+                for task, (run, _) in held.running.items()
+            ],
+            list(held.ended),
+        )
+
+    async def pace(
+        self,
+        worker: model.WorkerEntry,
+        task: model.TaskKey,
+        run: int,
+        percent: int,
+        fence: int,
+    ) -> bool:
+        return True
+
+
+class FakeGroup:
+    """`services.OwnershipGroup` with one member that may lose its partitions."""
+
+    assignment: services.Assignment
+    is_down: bool
+
+    def __init__(self, partitions: frozenset[int], generation: int = 1) -> None:
+        self.assignment = services.Assignment(generation, partitions)
+        self.is_down = False
+
+    async def join(self, generation: int) -> services.Assignment:
+        await asyncio.sleep(0.002)
+        if self.is_down:
+            raise errors.ClementinesparError(codes.ResultCode.STORE_REFUSED, "down")
+        return self.assignment
+
+    async def leave(self) -> None:
+        """Do nothing; the test tells the next assignment."""
+
+    async def list_owners(self) -> Mapping[int, str]:
+        return {}
--- /dev/null
+++ b/clementinespar/jobs/tests/helpers.py
@@ -0,0 +1,129 @@
+"""Owners of pools on fakes."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+from clementinespar.jobs import model, pool_owner, services, state, telemetry
+from clementinespar.jobs.tests import fakes
+
+PARTITION = 3
+LEASE_MAX_S = 6.0
+
+
+def make_spec(
+    job_id: str,
+    task_count: int = 2,
+    cpu: int = 1000,
+    is_lasting: bool = False,
+    pool: str = "quotes",
+    may_miss: int | None = None,
+    max_attempts: int = 3,
+) -> model.JobSpec:
+    """Return a job of one step."""
+    step = model.StepSpec(
+        task_count,
+        cpu,
+        100,
+        estimate_ms=500,
+        is_lasting=is_lasting,
+        may_miss=may_miss,
+        max_per_worker=1 if is_lasting else 0,
+    )
+    return model.JobSpec(
+        job_id,
+        "q",
+        pool,
+        "payload",
+        (step,),
+        max_attempts=max_attempts,
+        objective_ms=600,
+        stretch=1.6,
+    )
+
+
+class OwnerBench:
+    """A store, workers, and one owner after another."""
+
+    store: fakes.FakeStore
+    workers: fakes.FakeWorkers
+    confirmed_at: float | None  # None: the store's confirmation is counted from now
+    owner: pool_owner.PoolOwner
+    epoch: int
+    _frozen_by_epoch: dict[int, float]
+
+    def __init__(self, workers: fakes.FakeWorkers) -> None:
+        self.store = fakes.FakeStore()
+        self.workers = workers
+        self.confirmed_at = None
+        self.epoch = 0
+        self._frozen_by_epoch = {}
+
+    def make_owner(self) -> pool_owner.PoolOwner:
+        """Return the next owner, with a later epoch."""
+        self.epoch += 1
+        epoch = self.epoch
+        loop = asyncio.get_running_loop()
+
+        def confirmed_at() -> float:
+            if epoch in self._frozen_by_epoch:
+                return self._frozen_by_epoch[epoch]
+            return loop.time() if self.confirmed_at is None else self.confirmed_at
+
+        self.owner = pool_owner.PoolOwner(
+            PARTITION,
+            self.epoch,
+            lambda pool: True,
+            confirmed_at,
+            lambda owner: None,
+            self.store,
+            self.workers,
+            self.workers,
+            pool_owner.OwnerSettings(LEASE_MAX_S),
+            fakes.ignore_event,
+            telemetry.JobMetrics(),
+        )
+        return self.owner
+
+    def freeze_confirmation(self, now: float) -> None:
+        """Let the confirmation of the present owner age from now on."""
+        self._frozen_by_epoch.setdefault(self.epoch, now)
+
+    async def submit(self, spec: model.JobSpec) -> None:
+        """Store a job as a node does."""
+        for number, step in enumerate(spec.steps):
+            self.workers.cpu_by_step[spec.job_id, number] = step.cpu_millis
+            if step.is_lasting:
+                self.workers.lasting_jobs.add(spec.job_id)
+        await self.store.append(
+            services.Topic.COMMANDS,
+            PARTITION,
+            [services.KeyedRecord("j" + spec.job_id, state.encode_spec(spec))],
+        )
+
+    async def cancel(self, job_id: str) -> None:
+        """Store a cancellation."""
+        await self.store.append(
+            services.Topic.COMMANDS,
+            PARTITION,
+            [services.KeyedRecord("c" + job_id, b"1")],
+        )
+
+    async def wait_state(
+        self, job_id: str, wanted: model.JobState, timeout_s: float = 30.0
+    ) -> None:
+        """Wait until the owner shows a state."""
+        async with asyncio.timeout(timeout_s):
+            while True:
+                with contextlib.suppress(Exception):
+                    if self.owner.describe(job_id) is wanted:
+                        return
+                await asyncio.sleep(0.02)
+
+
+@contextlib.asynccontextmanager
+async def run_owner(bench: OwnerBench) -> AsyncIterator[pool_owner.PoolOwner]:
+    """Run the next owner while the context is entered."""
+    owner = bench.make_owner()
+    async with pool_owner.own_partition(owner):
+        yield owner
--- /dev/null
+++ b/clementinespar/jobs/tests/test_owner_machine.py
@@ -0,0 +1,115 @@
+"""Random histories of owners, workers and the store."""
+
+import asyncio
+import contextlib
+from collections.abc import Coroutine
+from typing import Any
+
+import hypothesis
+from hypothesis import stateful, strategies
+
+from clementinespar import errors
+from clementinespar.jobs import pool_owner
+from clementinespar.jobs.tests import fakes, helpers
+from clementinespar.tests import paused_clock
+
+WORKERS = 3
+
+
+class OwnerMachine(stateful.RuleBasedStateMachine):
+    """Guards against double runs, starts after an acknowledged end, and overload."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.loop = paused_clock.PausedClockLoop()
+        self.bench = helpers.OwnerBench(fakes.FakeWorkers(WORKERS))
+        self.count = 0
+        self.owner: pool_owner.PoolOwner | None = None
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def sleep(self, seconds: float) -> None:
+        """Let event-loop time pass."""
+        self.loop.run_until_complete(asyncio.sleep(seconds))
+
+    def call(self, command: Coroutine[Any, Any, None]) -> None:
+        """Make a call of a node; without an answer it may have an effect."""
+        with contextlib.suppress(errors.ClementinesparError):
+            self.loop.run_until_complete(command)
+
+    @stateful.initialize()
+    def begin(self) -> None:
+        self.change_owner(is_planned=True)
+
+    @stateful.rule(count=strategies.integers(1, 5), lasts=strategies.booleans())
+    def submit(self, count: int, lasts: bool) -> None:
+        self.count += 1
+        count = min(count, WORKERS) if lasts else count
+        spec = helpers.make_spec(f"job{self.count}", count, 900, is_lasting=lasts)
+        self.call(self.bench.submit(spec))
+
+    @stateful.rule(number=strategies.integers(1, 20))
+    def cancel(self, number: int) -> None:
+        self.call(self.bench.cancel(f"job{number}"))
+
+    @stateful.rule(seconds=strategies.sampled_from([0.05, 0.4, 2.0, 8.0]))
+    def wait(self, seconds: float) -> None:
+        self.sleep(seconds)
+
+    @stateful.rule(is_planned=strategies.booleans())
+    def change_owner(self, is_planned: bool) -> None:
+        """Start a next owner; an unplanned change leaves the former one acting.
+
+        The former owner has its last confirmation from the moment of the change.
+        """
+        former, former_tasks = self.owner, self.tasks
+        self.bench.freeze_confirmation(self.loop.time())
+
+        async def start() -> None:
+            self.owner = self.bench.make_owner()
+            self.tasks = [asyncio.ensure_future(self.owner.run())]
+
+        if is_planned and former is not None:
+            for task in former_tasks:
+                task.cancel()
+            former.close()
+        self.loop.run_until_complete(start())
+
+    @stateful.rule(number=strategies.integers(0, WORKERS - 1))
+    def toggle_silence(self, number: int) -> None:
+        worker = self.bench.workers.workers[f"quotes-{number}"]
+        worker.is_silent = not worker.is_silent
+
+    @stateful.rule(number=strategies.integers(0, WORKERS - 1))
+    def toggle_lost_answers(self, number: int) -> None:
+        worker = self.bench.workers.workers[f"quotes-{number}"]
+        worker.is_deaf_to_answers = not worker.is_deaf_to_answers
+
+    @stateful.rule(number=strategies.integers(0, WORKERS - 1))
+    def crash_worker(self, number: int) -> None:
+        self.bench.workers.crash(f"quotes-{number}")
+
+    @stateful.rule(is_down=strategies.booleans())
+    def set_store(self, is_down: bool) -> None:
+        self.bench.store.is_down = is_down
+
+    @stateful.rule(is_lossy=strategies.booleans())
+    def set_lost_store_answers(self, is_lossy: bool) -> None:
+        self.bench.store.loses_answers = is_lossy and not self.bench.store.is_down
+
+    @stateful.invariant()
+    def no_violation(self) -> None:
+        assert not self.bench.workers.violations
+
+    def teardown(self) -> None:
+        for task in asyncio.all_tasks(self.loop):
+            task.cancel()
+        if self.owner is not None:
+            self.owner.close()
+        self.sleep(0.01)
+        self.loop.close()
+
+
+TestOwnerMachine = OwnerMachine.TestCase
+TestOwnerMachine.settings = hypothesis.settings(
+    max_examples=40, stateful_step_count=25, deadline=None, derandomize=True
+)
--- /dev/null
+++ b/clementinespar/jobs/tests/test_placement.py
@@ -0,0 +1,104 @@
+"""Tests of the order of jobs."""
+
+import asyncio
+import collections
+
+import pytest
+
+from clementinespar.jobs import model, placement, state, worker_session
+from clementinespar.jobs.tests import fakes, helpers
+
+
+def estimate_ms(spec: model.StepSpec) -> float:
+    """Return the declared run time."""
+    return float(spec.estimate_ms)
+
+
+@pytest.mark.parametrize(
+    ("is_lasting", "has_started", "slack_s", "wanted"),
+    [
+        (True, False, -100.0, placement.LASTING),
+        (False, True, 0.0, placement.BEGUN),
+        (False, True, -0.1, placement.BEGUN),
+        (False, True, -1.0, placement.LATE),
+        (False, False, 1.0, placement.NEW),
+        (False, False, 0.01, placement.LATE),  # it would end just after its objective
+        (False, False, -1.0, placement.LATE),
+    ],
+)
+def test_class_of_a_job(
+    is_lasting: bool, has_started: bool, slack_s: float, wanted: int
+) -> None:
+    """Guards against overload in which every job ends just after its objective."""
+    job = state.JobProgress(helpers.make_spec("a", is_lasting=is_lasting))
+    job.has_started = has_started
+    job.deadline = 10.0 + 0.5 + slack_s  # the chain takes 500 ms
+    assert placement.rank(job, 10.0, estimate_ms)[0] == wanted
+
+
+def make_session(
+    worker_id: str, cpu: int = 4000, rack: str = "r"
+) -> worker_session.WorkerSession:
+    """Return a session of an idle worker."""
+    entry = model.WorkerEntry(
+        worker_id, "p", "127.0.0.1:1", "a", False, cpu, 8000, 0, ("gpu-less",), rack, 0
+    )
+
+    class NoEvents:
+        pass
+
+    return worker_session.WorkerSession(
+        entry,
+        1,
+        5.0,
+        0.0,
+        fakes.FakeWorkers(0),
+        NoEvents(),  # type: ignore[arg-type]
+        fakes.ignore_event,
+    )
+
+
+@pytest.mark.parametrize(
+    ("spec", "counts", "avoided", "wanted"),
+    [
+        (model.StepSpec(1, 1000, 10), {}, set(), "big"),
+        (model.StepSpec(1, 1000, 10), {}, {"big"}, "small"),
+        (model.StepSpec(1, 6000, 10), {}, {"big"}, "big"),
+        (model.StepSpec(1, 9000, 10), {}, set(), None),
+        (model.StepSpec(1, 10, 9000), {}, set(), None),
+        (model.StepSpec(1, 10, 10, label="other"), {}, set(), None),
+        (model.StepSpec(1, 10, 10, data_rack="r2"), {}, set(), "small"),
+        (model.StepSpec(1, 10, 10, max_per_worker=1), {"big": 1}, set(), "small"),
+        (model.StepSpec(1, 9000, 10, is_filler=True), {}, set(), "big"),
+    ],
+)
+def test_choice_of_a_worker(
+    spec: model.StepSpec,
+    counts: dict[str, int],
+    avoided: set[str],
+    wanted: str | None,
+) -> None:
+    """Guards against starts over capacity, without the label or beyond the limit."""
+
+    async def scenario() -> None:
+        sessions = [make_session("small"), make_session("big", 8000)]
+        sessions[0].entry = make_session("small", rack="r2").entry
+        chosen = placement.Room(sessions).choose(
+            spec, collections.Counter(counts), avoided
+        )
+        assert (None if chosen is None else chosen.entry.worker_id) == wanted
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(("size", "wanted"), [(4, True), (12, True), (13, False)])
+def test_gang_is_placed_whole_or_not_at_all(size: int, wanted: bool) -> None:
+    """Guards against members of a gang that wait for others without room."""
+
+    async def scenario() -> None:
+        sessions = [make_session("a", 4000, "r1"), make_session("b", 8000, "r2")]
+        spec = model.StepSpec(size, 1000, 10, is_gang=True, is_same_rack=True)
+        chosen = placement.Room(sessions).choose_gang(spec, size)
+        assert (chosen is not None) is wanted
+
+    asyncio.run(scenario())
--- /dev/null
+++ b/clementinespar/jobs/tests/test_pool_owner.py
@@ -0,0 +1,296 @@
+"""Tests of the owner of a pool on a paused clock."""
+
+import asyncio
+
+import pytest
+
+from clementinespar import errors
+from clementinespar.jobs import model, services
+from clementinespar.jobs.tests import fakes, helpers
+from clementinespar.tests import paused_clock
+
+
+@paused_clock.test
+async def test_job_is_done_and_its_ends_are_acknowledged() -> None:
+    """Guards against ends that stay listed, which workers send again and again."""
+    bench = helpers.OwnerBench(fakes.FakeWorkers())
+    async with helpers.run_owner(bench):
+        await bench.submit(helpers.make_spec("a", task_count=5))
+        await bench.wait_state("a", model.JobState.DONE)
+        await asyncio.sleep(2.0)
+        assert all(not worker.ended for worker in bench.workers.workers.values())
+    assert len(bench.workers.starts) == 5
+    assert not bench.workers.violations
+
+
+@paused_clock.test
+async def test_done_is_stored_before_it_is_shown() -> None:
+    """Guards against a job that was shown as done and runs again after a loss."""
+    bench = helpers.OwnerBench(fakes.FakeWorkers())
+    async with helpers.run_owner(bench) as owner:
+        await bench.submit(helpers.make_spec("a", task_count=1))
+        while not bench.workers.starts:
+            await asyncio.sleep(0.01)
+        bench.store.is_down = True
+        await asyncio.sleep(3.0)
+        assert owner.describe("a") is model.JobState.RUNNING
+        bench.store.is_down = False
+        await bench.wait_state("a", model.JobState.DONE)
+
+
+@paused_clock.test
+async def test_all_nodes_lost_after_an_acknowledgement() -> None:
+    """Guards against an accepted job that no node knows after all lost power."""
+    bench = helpers.OwnerBench(fakes.FakeWorkers())
+    await bench.submit(helpers.make_spec("a"))
+    async with helpers.run_owner(bench):
+        await asyncio.sleep(0.1)
+    async with helpers.run_owner(bench):
+        await bench.wait_state("a", model.JobState.DONE)
+    assert not bench.workers.violations
+
+
+@paused_clock.test
+async def test_next_owner_adopts_what_runs() -> None:
+    """Guards against a second run of a task that a former owner started."""
+    workers = fakes.FakeWorkers()
+    workers.task_s = 3.0
+    bench = helpers.OwnerBench(workers)
+    await bench.submit(helpers.make_spec("a", task_count=4))
+    async with helpers.run_owner(bench):
+        await asyncio.sleep(1.0)
+    assert len(workers.starts) == 4
+    async with helpers.run_owner(bench):
+        await bench.wait_state("a", model.JobState.DONE)
+    assert len(workers.starts) == 4
+
+
+@paused_clock.test
+async def test_next_owner_waits_for_a_worker_that_it_cannot_reach() -> None:
+    """Guards against a second run while the first goes on behind a cut."""
+    workers = fakes.FakeWorkers()
+    workers.task_s = 60.0
+    bench = helpers.OwnerBench(workers)
+    await bench.submit(helpers.make_spec("a", task_count=2))
+    async with helpers.run_owner(bench):
+        await asyncio.sleep(1.0)
+    used = {worker_id for _, _, worker_id in workers.starts}
+    silent = sorted(used)[0]
+    workers.workers[silent].is_silent = True
+    async with helpers.run_owner(bench):
+        await asyncio.sleep(20.0)
+    assert not workers.violations
+    runs = sorted(run for _, run, worker_id in workers.starts if worker_id != silent)
+    assert runs[-1] > 1000  # started again under a run above all of the first owner
+
+
+@paused_clock.test
+async def test_new_job_starts_while_a_former_worker_is_silent() -> None:
+    """Guards against a pool that stands still after a change of owner."""
+    workers = fakes.FakeWorkers(3)
+    workers.task_s = 60.0
+    bench = helpers.OwnerBench(workers)
+    await bench.submit(helpers.make_spec("old", task_count=3))
+    async with helpers.run_owner(bench):
+        await asyncio.sleep(1.0)
+    workers.workers["quotes-0"].is_silent = True
+    async with helpers.run_owner(bench):
+        await asyncio.sleep(0.5)
+        await bench.submit(helpers.make_spec("new", task_count=1))
+        await asyncio.sleep(0.5)
+        assert any(task.job_id == "new" for task, _, _ in workers.starts)
+
+
+@paused_clock.test
+async def test_lease_of_a_silent_worker_ends() -> None:
+    """Guards against renewals without answers that keep a lease from ever ending.
+
+    Found by the bench: a lasting task of a crashed worker did not start again.
+    """
+    workers = fakes.FakeWorkers(2)
+    bench = helpers.OwnerBench(workers)
+    await bench.submit(helpers.make_spec("a", task_count=1, is_lasting=True))
+    async with helpers.run_owner(bench):
+        await asyncio.sleep(1.0)
+        first = workers.starts[0][2]
+        workers.workers[first].is_silent = True
+        await asyncio.sleep(helpers.LEASE_MAX_S + 3.0)
+        assert len(workers.starts) == 2
+        assert workers.starts[1][2] != first
+    assert not workers.violations
+
+
+@paused_clock.test
+async def test_start_without_an_answer_is_closed_before_the_next() -> None:
+    """Guards against a second run beside one whose start had no answer."""
+    workers = fakes.FakeWorkers(2)
+    workers.task_s = 5.0
+    bench = helpers.OwnerBench(workers)
+    async with helpers.run_owner(bench):
+        await asyncio.sleep(0.5)
+        for worker in workers.workers.values():
+            worker.is_deaf_to_answers = True
+        await bench.submit(helpers.make_spec("a", task_count=2))
+        await asyncio.sleep(1.0)
+        for worker in workers.workers.values():
+            worker.is_deaf_to_answers = False
+        await bench.wait_state("a", model.JobState.DONE, 60.0)
+    assert not workers.violations
+
+
+@paused_clock.test
+async def test_nothing_starts_without_confirmed_ownership() -> None:
+    """Guards against orders of a node that the store has not confirmed for long."""
+    workers = fakes.FakeWorkers()
+    bench = helpers.OwnerBench(workers)
+    async with helpers.run_owner(bench):
+        await asyncio.sleep(1.0)
+        bench.confirmed_at = asyncio.get_running_loop().time() - helpers.LEASE_MAX_S
+        await bench.submit(helpers.make_spec("a"))
+        await asyncio.sleep(2.0)
+        assert not workers.starts
+        bench.confirmed_at = None
+        await bench.wait_state("a", model.JobState.DONE)
+
+
+@paused_clock.test
+async def test_fenced_owner_gives_up() -> None:
+    """Guards against a frozen owner that goes on after its successor took over."""
+    workers = fakes.FakeWorkers()
+    bench = helpers.OwnerBench(workers)
+    async with helpers.run_owner(bench) as first:
+        await asyncio.sleep(0.5)
+        async with helpers.run_owner(bench) as second:
+            await bench.submit(helpers.make_spec("a", task_count=6))
+            await bench.wait_state("a", model.JobState.DONE)
+            assert first.is_lost
+            assert not second.is_lost
+    assert not workers.violations
+
+
+@paused_clock.test
+async def test_worker_is_not_free_before_the_next_owner_has_read_it() -> None:
+    """Guards against an upkeep that ends lasting tasks right after a change of owner.
+
+    Found by the bench: a new owner without a session of the worker answered "free".
+    """
+    workers = fakes.FakeWorkers(2)
+    bench = helpers.OwnerBench(workers)
+    await bench.submit(helpers.make_spec("a", task_count=2, is_lasting=True))
+    async with helpers.run_owner(bench):
+        await asyncio.sleep(1.0)
+    workers.is_loaded = False
+    async with helpers.run_owner(bench) as owner:
+        while not owner.is_loaded:
+            await asyncio.sleep(0.01)
+        drain = model.EvacuationUrgency.DRAIN
+        assert not owner.evacuate("quotes-0", 1.0, drain)
+
+
+@paused_clock.test
+async def test_evacuation_moves_no_more_lasting_tasks_than_may_miss() -> None:
+    """Guards against two lasting tasks of a step that are away at once."""
+    workers = fakes.FakeWorkers(4)
+    bench = helpers.OwnerBench(workers)
+    spec = helpers.make_spec("a", task_count=2, is_lasting=True, may_miss=1)
+    await bench.submit(spec)
+    async with helpers.run_owner(bench) as owner:
+        await asyncio.sleep(1.0)
+        used = [worker_id for _, _, worker_id in workers.starts]
+        drain = model.EvacuationUrgency.DRAIN
+        lowest = 2
+        for _ in range(200):
+            for worker_id in used:
+                owner.evacuate(worker_id, 5.0, drain)
+            await asyncio.sleep(0.01)
+            running = sum(len(w.running) for w in workers.workers.values())
+            lowest = min(lowest, running)
+        assert lowest == 1
+        assert all(not workers.workers[worker_id].running for worker_id in used)
+
+
+@paused_clock.test
+async def test_pools_of_one_partition_stay_apart() -> None:
+    """Guards against a start on a worker of another pool.
+
+    Found by the bench: two pools may share a partition by their hash.
+    """
+    workers = fakes.FakeWorkers(2, pool="quotes")
+    workers.add("batches-0", "batches", cpu=64_000)
+    bench = helpers.OwnerBench(workers)
+    async with helpers.run_owner(bench):
+        await bench.submit(helpers.make_spec("a", task_count=6, pool="quotes"))
+        await bench.wait_state("a", model.JobState.DONE)
+    assert {worker_id for _, _, worker_id in workers.starts} <= {"quotes-0", "quotes-1"}
+
+
+@paused_clock.test
+async def test_unknown_job_is_not_reported_from_an_old_view() -> None:
+    """Guards against "unknown" for a job that was accepted while reads hung.
+
+    Found by the bench: a read of the store hung on a silent connection.
+    """
+    bench = helpers.OwnerBench(fakes.FakeWorkers())
+    async with helpers.run_owner(bench) as owner:
+        await asyncio.sleep(1.0)
+        assert owner.describe("missing") is None
+        bench.store.is_down = True
+        await asyncio.sleep(4.0)
+        with pytest.raises(errors.ClementinesparError):
+            owner.describe("missing")
+
+
+@paused_clock.test
+async def test_cancelled_job_stops_and_stays_cancelled() -> None:
+    """Guards against tasks of a cancelled job that run on or start again."""
+    workers = fakes.FakeWorkers()
+    workers.task_s = 60.0
+    bench = helpers.OwnerBench(workers)
+    await bench.submit(helpers.make_spec("a", task_count=2))
+    async with helpers.run_owner(bench):
+        await asyncio.sleep(0.5)
+        await bench.cancel("a")
+        await asyncio.sleep(0.5)
+        assert all(not worker.running for worker in workers.workers.values())
+    async with helpers.run_owner(bench) as owner:
+        await bench.submit(helpers.make_spec("a", task_count=2))
+        await asyncio.sleep(1.0)
+        assert owner.describe("a") is model.JobState.CANCELLED
+    assert len(workers.starts) == 2
+
+
+@paused_clock.test
+async def test_failures_count_once_over_a_change_of_owner() -> None:
+    """Guards against a job that fails early because an end is listed again."""
+    workers = fakes.FakeWorkers(1)
+    worker = workers.workers["quotes-0"]
+    worker.end_kind = model.EndKind.FAILED
+    worker.keeps_ends = True
+    bench = helpers.OwnerBench(workers)
+    await bench.submit(helpers.make_spec("a", task_count=1, max_attempts=2))
+    async with helpers.run_owner(bench):
+        while not worker.ended:
+            await asyncio.sleep(0.02)
+        worker.end_kind = model.EndKind.DONE
+        workers.task_s = 3.0  # the second run is open when the owner is lost
+        await asyncio.sleep(1.0)
+    async with helpers.run_owner(bench):
+        await bench.wait_state("a", model.JobState.DONE)
+
+
+@pytest.mark.parametrize(
+    "value", [b"", b"{", b"[]", b'{"epoch":1,"occurrences":{"0":{}}}', b'{"epoch":"x"}']
+)
+def test_progress_that_cannot_be_read_is_left_out(value: bytes) -> None:
+    """Guards against one bad entry that keeps a pool from loading."""
+
+    async def scenario() -> None:
+        bench = helpers.OwnerBench(fakes.FakeWorkers())
+        await bench.submit(helpers.make_spec("bad"))
+        await bench.submit(helpers.make_spec("good"))
+        progress = bench.store.values[services.Topic.PROGRESS, helpers.PARTITION]
+        progress["pbad"] = value
+        async with helpers.run_owner(bench):
+            await bench.wait_state("good", model.JobState.DONE)
+
+    paused_clock.run(scenario())
--- /dev/null
+++ b/clementinespar/jobs/tests/test_state.py
@@ -0,0 +1,77 @@
+"""Tests of the durable form of jobs."""
+
+import pytest
+from hypothesis import given, strategies
+
+from clementinespar.jobs import model, state
+from clementinespar.jobs.tests import helpers
+
+STEPS = strategies.builds(
+    model.StepSpec,
+    task_count=strategies.integers(1, 9),
+    cpu_millis=strategies.integers(0, 9000),
+    may_miss=strategies.none() | strategies.integers(0, 3),
+    is_lasting=strategies.booleans(),
+    image=strategies.text(max_size=5),
+)
+
+
+@given(strategies.lists(STEPS, min_size=1, max_size=4), strategies.text(max_size=20))
+def test_spec_survives_the_store(steps: list[model.StepSpec], payload: str) -> None:
+    """Guards against a field that a node with empty memory does not get back."""
+    spec = model.JobSpec("0" * 16, "q", "p", payload, tuple(steps), max_attempts=2)
+    assert state.decode_spec(spec.job_id, state.encode_spec(spec)) == spec
+
+
+@given(
+    strategies.sets(strategies.integers(0, 6)),
+    strategies.dictionaries(
+        strategies.integers(0, 6), strategies.sets(strategies.integers(1, 9))
+    ),
+)
+def test_progress_survives_the_store(
+    done: set[int], failed: dict[int, set[int]]
+) -> None:
+    """Guards against ends that are forgotten after they were acknowledged."""
+    job = state.JobProgress(helpers.make_spec("a", task_count=7))
+    job.first_epoch = 4
+    step = job.occurrences[0].steps[0]
+    for index in done:
+        state.mark_done(step, step.tasks[index])
+    for index, runs in failed.items():
+        step.tasks[index].failed_runs = set(runs)
+    other = state.JobProgress(job.spec)
+    state.restore_progress(other, state.encode_progress(job))
+    held = other.occurrences[0].steps[0]
+    assert {t.key.index for t in held.tasks if t.is_done} == done
+    assert held.done_count == len(done)
+    assert held.waiting == set(range(7)) - done
+    for index, runs in failed.items():
+        assert held.tasks[index].failed_runs == runs
+
+
+@pytest.mark.parametrize(("epoch", "last_run", "wanted"), [(4, 0, 1), (4, 3, 4)])
+def test_runs_rise(epoch: int, last_run: int, wanted: int) -> None:
+    """Guards against a run that a worker refuses as old."""
+    job = state.JobProgress(helpers.make_spec("a"))
+    job.first_epoch = 4
+    task = job.occurrences[0].steps[0].tasks[0]
+    task.last_run = last_run
+    assert job.next_run(task, epoch) == wanted
+    # A next owner knows no run of this one, and all of its runs are higher.
+    assert job.next_run(task, epoch + 1) > wanted + 100
+
+
+def test_occurrences_open_when_due_and_finish_the_job() -> None:
+    """Guards against an occurrence that starts early or is left out."""
+    spec = model.JobSpec(
+        "a", "q", "p", "", (model.StepSpec(1),), 1_000, 500, occurrences=3
+    )
+    job = state.JobProgress(spec)
+    assert not job.open_due_occurrences(999)
+    assert job.open_due_occurrences(1_600)
+    assert sorted(job.occurrences) == [0, 1]
+    job.occurrences.pop(0)
+    job.finished_occurrences = 1
+    assert job.open_due_occurrences(5_000)
+    assert sorted(job.occurrences) == [1, 2]
