--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -152,6 +152,19 @@
         self._watch_runs(session)
         self._schedule_wanted.set()
 
+    def on_silent(self, session: worker_session.WorkerSession) -> None:
+        """Let copies of speculative tasks start beside runs on a silent worker."""
+        for run in session.runs.values():
+            if not run.spec.is_speculative:
+                continue
+            job = self.jobs_by_id.get(run.key.job_id)
+            task = None if job is None or job.is_final else job.find_task(run.key)
+            if job is None or task is None or task.is_done:
+                continue
+            if len(task.open_runs) == 1:
+                job.find_step(run.key).waiting.add(run.key.index)
+                self._schedule_wanted.set()
+
     def on_fenced(self) -> None:
         """Give the partition up: a later owner has reached a worker."""
         self.lose("a worker has seen a later owner")
--- a/clementinespar/jobs/tests/test_pool_owner.py
+++ b/clementinespar/jobs/tests/test_pool_owner.py
@@ -1,6 +1,7 @@
 """Tests of the owner of a pool on a paused clock."""
 
 import asyncio
+import dataclasses
 
 import pytest
 
@@ -120,6 +121,22 @@
     assert not workers.violations
 
 
+@paused_clock.test
+async def test_copy_of_a_speculative_task_starts_beside_a_silent_worker() -> None:
+    """Guards against a wait for the lease where a copy may run in parallel."""
+    workers = fakes.FakeWorkers(2)
+    workers.task_s = 3.0
+    bench = helpers.OwnerBench(workers)
+    spec = helpers.make_spec("a", task_count=1)
+    step = dataclasses.replace(spec.steps[0], is_speculative=True)
+    await bench.submit(dataclasses.replace(spec, steps=(step,)))
+    async with helpers.run_owner(bench):
+        await asyncio.sleep(0.5)
+        workers.workers[workers.starts[0][2]].is_silent = True
+        await bench.wait_state("a", model.JobState.DONE, helpers.LEASE_MAX_S - 0.5)
+    assert len(workers.starts) == 2
+
+
 @paused_clock.test
 async def test_start_without_an_answer_is_closed_before_the_next() -> None:
     """Guards against a second run beside one whose start had no answer."""
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -107,6 +107,10 @@
         """Note that a renewal was answered."""
         ...
 
+    def on_silent(self, session: "WorkerSession") -> None:
+        """Note that a renewal had no answer."""
+        ...
+
     def on_end(
         self, session: "WorkerSession", end: model.EndedTask, run: Run | None
     ) -> None:
@@ -323,6 +327,7 @@
                         open_runs=len(self.runs),
                         error=error.message,
                     )
+                self._events.on_silent(self)
                 self._drop_lapsed()
                 await asyncio.sleep(RETRY_DELAY_S if failures < 20 else 0.5)
                 continue
