Let a fenced owner come back with a later generation

Cause: the epoch of a partition was kept at its first generation, so a node that was fenced out while it stayed assigned never owned the pool again, and a fenced holder of orders to hosts was not replaced.

--- a/clementinespar/jobs/fleet.py
+++ b/clementinespar/jobs/fleet.py
@@ -47,6 +47,7 @@
     """The one holder of orders to hosts; made by `own_fleet`."""
 
     epoch: int
+    is_lost: bool  # a later holder was here
     _waves: dict[int, _WaveProgress]
     _turns: dict[str, capacity.TurnState]
     _arriving: dict[str, tuple[str, float]]  # host id: its new pool and since when
@@ -67,6 +68,7 @@
         record: services.JobRecorder,
     ) -> None:
         self.epoch = epoch
+        self.is_lost = False
         self._keeper = keeper
         self._jobs = jobs
         self._store = store
@@ -101,6 +103,7 @@
                 break
             except errors.ClementinesparError as error:
                 if error.code is codes.ResultCode.STORE_FENCED:
+                    self.is_lost = True
                     return
                 self._record("fleet_load_retried", code=int(error.code))
             await asyncio.sleep(TICK_S)
@@ -117,6 +120,7 @@
             except errors.ClementinesparError as error:
                 self._record("fleet_tick_failed", code=int(error.code))
                 if error.code is codes.ResultCode.STORE_FENCED:
+                    self.is_lost = True
                     return
             await asyncio.sleep(TICK_S)
 
@@ -438,11 +442,11 @@
 
 
 @contextlib.asynccontextmanager
-async def own_fleet(owner: FleetOwner) -> AsyncIterator[None]:
+async def own_fleet(owner: FleetOwner) -> AsyncIterator[FleetOwner]:
     """Run the holder while the context is entered."""
     task = asyncio.create_task(owner.run())
     try:
-        yield
+        yield owner
     finally:
         task.cancel()
         with contextlib.suppress(asyncio.CancelledError):
--- a/clementinespar/jobs/node.py
+++ b/clementinespar/jobs/node.py
@@ -73,7 +73,7 @@
 
         def hold_fleet(
             epoch: int,
-        ) -> contextlib.AbstractAsyncContextManager[None]:
+        ) -> contextlib.AbstractAsyncContextManager[fleet.FleetOwner]:
             return fleet.own_fleet(
                 fleet.FleetOwner(
                     epoch,
--- a/clementinespar/jobs/ownership.py
+++ b/clementinespar/jobs/ownership.py
@@ -8,6 +8,7 @@
 import contextlib
 import zlib
 from collections.abc import AsyncIterator, Callable
+from typing import Protocol
 
 from clementinespar import errors
 from clementinespar.jobs import pool_owner, services
@@ -23,6 +24,13 @@
     return zlib.crc32(pool.encode()) % FLEET_PARTITION
 
 
+class FleetHolder(Protocol):
+    """The holder of orders to hosts."""
+
+    epoch: int
+    is_lost: bool  # a later holder was here
+
+
 class OwnershipKeeper:
     """Joins the group and runs an owner for each assigned partition."""
 
@@ -32,6 +40,7 @@
     assigned: frozenset[int]
     _confirmed_at: float | None
     _stacks: dict[int, contextlib.AsyncExitStack]
+    _fleet_holder: FleetHolder | None
     _epochs: dict[int, int]  # generation in which each partition came
     _fenced_epochs: dict[int, int]
     _owner_names: dict[int, str]
@@ -41,7 +50,9 @@
         self,
         group: services.OwnershipGroup,
         make_owner: Callable[[int, int], pool_owner.PoolOwner],
-        hold_fleet: Callable[[int], contextlib.AbstractAsyncContextManager[None]],
+        hold_fleet: Callable[
+            [int], contextlib.AbstractAsyncContextManager[FleetHolder]
+        ],
         wanted_partitions: Callable[[], frozenset[int]],
         record: services.JobRecorder,
     ) -> None:
@@ -56,6 +67,7 @@
         self._record = record
         self._confirmed_at = None
         self._stacks = {}
+        self._fleet_holder = None
         self._epochs = {}
         self._fenced_epochs = {}
         self._owner_names = {}
@@ -100,26 +112,38 @@
             del self._epochs[partition]
         for partition in assignment.partitions:
             # An epoch counts from the generation in which the partition came; it stays
-            # while the partition does.
-            self._epochs.setdefault(partition, assignment.generation)
+            # while the partition does, unless a later owner was there meanwhile.
+            fenced = self._fenced_epochs.get(partition, 0)
+            if self._epochs.get(partition, 0) <= fenced:
+                self._epochs[partition] = assignment.generation
         self.generation = assignment.generation
         self.assigned = assignment.partitions
         self._confirmed_at = sent_at
         self.is_fleet_owner = FLEET_PARTITION in assignment.partitions
-        if self.is_fleet_owner and FLEET_PARTITION not in self._stacks:
-            stack = contextlib.AsyncExitStack()
-            await stack.enter_async_context(
-                self._hold_fleet(self._epochs[FLEET_PARTITION])
-            )
-            self._stacks[FLEET_PARTITION] = stack
-        elif not self.is_fleet_owner and FLEET_PARTITION in self._stacks:
-            await self._stacks.pop(FLEET_PARTITION).aclose()
+        await self._apply_fleet(assignment.generation)
         for partition in assignment.partitions & self._wanted_partitions():
             epoch = self._epochs[partition]
             is_usable = epoch > self._fenced_epochs.get(partition, 0)
             if partition not in self.owners_by_partition and is_usable:
                 await self._begin(partition, epoch)
 
+    async def _apply_fleet(self, generation: int) -> None:
+        """Hold the orders to hosts while their partition is assigned."""
+        holder = self._fleet_holder
+        if holder is not None and (holder.is_lost or not self.is_fleet_owner):
+            self._fleet_holder = None
+            self._fenced_epochs[FLEET_PARTITION] = holder.epoch
+            await self._stacks.pop(FLEET_PARTITION).aclose()
+        if not self.is_fleet_owner or self._fleet_holder is not None:
+            return
+        # A holder that was fenced out needs a later generation than its own.
+        if generation > self._fenced_epochs.get(FLEET_PARTITION, 0):
+            stack = contextlib.AsyncExitStack()
+            self._fleet_holder = await stack.enter_async_context(
+                self._hold_fleet(generation)
+            )
+            self._stacks[FLEET_PARTITION] = stack
+
     async def _begin(self, partition: int, epoch: int) -> None:
         owner = self._make_owner(partition, epoch)
         stack = contextlib.AsyncExitStack()
@@ -154,6 +178,7 @@
         for partition in list(self.owners_by_partition):
             await self._end(partition)
         if FLEET_PARTITION in self._stacks:
+            self._fleet_holder = None
             await self._stacks.pop(FLEET_PARTITION).aclose()
         try:
             await self._group.leave()
