--- a/clementinespar/commands/status.py
+++ b/clementinespar/commands/status.py
@@ -14,6 +14,7 @@
     "pool": "/v1/pools",
     "wave": "/v1/waves",
     "request": "/v1/requests",
+    "job": "/v1/jobs",
 }
 
 
@@ -77,7 +78,7 @@
     timeout_s: float,
     as_json: bool,
 ) -> None:
-    """Tell why a host, pool, wave or request is in its state.
+    """Tell why a host, pool, wave, request or job is in its state.
 
     A wave is named by its pool. What became of a request is known only to the node that
     its caller asked, so all given nodes are asked for it.
--- a/clementinespar/jobs/peer_server.py
+++ b/clementinespar/jobs/peer_server.py
@@ -8,7 +8,7 @@
 import tornado.netutil
 import tornado.web
 
-from clementinespar import errors
+from clementinespar import codes, errors
 from clementinespar.jobs import service, telemetry
 
 
@@ -35,6 +35,27 @@
         self.finish(json.dumps(told))
 
 
+class _JobHandler(tornado.web.RequestHandler):
+    """Explains a job to operators, whoever owns it."""
+
+    def initialize(self, jobs: service.JobService) -> None:
+        self._jobs = jobs
+
+    async def get(self, job_id: str) -> None:
+        """Answer with the explanation, or with the code of the failure."""
+        try:
+            told = await self._jobs.explain(job_id)
+        except errors.ClementinesparError as error:
+            is_unknown = error.code is codes.ResultCode.JOB_UNKNOWN
+            self.set_status(404 if is_unknown else 503)
+            told = {
+                "code": int(error.code),
+                "name": error.code.name,
+                "message": error.message,
+            }
+        self.finish(json.dumps(told))
+
+
 class _MetricsHandler(tornado.web.RequestHandler):
     """Serves the metrics of the node."""
 
@@ -55,6 +76,7 @@
     application = tornado.web.Application(
         [
             (r"/metrics", _MetricsHandler, {"metrics": metrics}),
+            (r"/v1/jobs/([0-9A-Za-z]+)", _JobHandler, {"jobs": jobs}),
             (r"/(\d+)/.*", _QuestionHandler, {"jobs": jobs}),
         ],
         log_function=lambda handler: None,
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -18,7 +18,7 @@
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 
-from clementinespar import codes, errors
+from clementinespar import codes, errors, explanation
 from clementinespar.jobs import (
     demand,
     model,
@@ -290,6 +290,43 @@
             )
         return None
 
+    def explain(self, job_id: str) -> explanation.Explanation | None:
+        """Return why a job is in its state, or None if no job has this id."""
+        if self.describe(job_id) is None:
+            return None
+        job = self.jobs_by_id[job_id]
+        now = asyncio.get_running_loop().time()
+        because = []
+        waits_for = None
+        if not job.is_adopted:
+            waits_for = "the store, for the record of its adoption"
+        elif job.adopted_epoch != self.epoch and not self._is_settled():
+            waits_for = "workers of the former owner that do not answer"
+        if not job.is_final and not job.is_lasting:
+            slack_s = job.deadline - now
+            because.append(f"its objective ends in {slack_s:.1f} s")
+        for occurrence in job.occurrences.values():
+            for number, step in enumerate(occurrence.steps):
+                because.append(
+                    f"occurrence {occurrence.number}, step {number}:"
+                    f" {step.done_count} of {len(step.tasks)} tasks done,"
+                    f" {len(step.waiting)} wait"
+                )
+        because.extend(
+            f"{run.key.occurrence}.{run.key.step}.{run.key.index} run {run.number} is"
+            f" {run.status.value} on {session.entry.worker_id}"
+            for session in self.sessions_by_id.values()
+            for run in session.runs.values()
+            if run.key.job_id == job_id
+        )
+        return explanation.Explanation(
+            subject=f"job {job_id}",
+            state=job.state.value,
+            waits_for=waits_for,
+            because=tuple(because),
+            code=codes.ResultCode.OK,
+        )
+
     def count_waiting(self, queue: str) -> int:
         """Return the number of accepted jobs of a queue with no started task."""
         return sum(
--- a/clementinespar/jobs/service.py
+++ b/clementinespar/jobs/service.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import dataclasses
 import json
 import urllib.parse
 from collections.abc import Iterable
@@ -120,6 +121,20 @@
             PEER_TIMEOUT_S,
         )
 
+    async def explain(self, job_id: str) -> dict[str, Any]:
+        """Return why a job is in its state; raises with ``JOB_UNKNOWN``."""
+        configuration = self.configuration.current
+        pools = () if configuration is None else configuration.pools_by_name
+        for partition in sorted({ownership.partition_of(pool) for pool in pools}):
+            told = await self._ask_owner(
+                partition, f"/explain/{job_id}", PEER_TIMEOUT_S
+            )
+            if told["state"] is not None:
+                return told
+        raise errors.ClementinesparError(
+            codes.ResultCode.JOB_UNKNOWN, "no pool knows this job"
+        )
+
     def _other_partitions(self, pool: str) -> Iterable[int]:
         configuration = self.configuration.current
         if configuration is None:
@@ -207,6 +222,11 @@
         if kind == "jobs":
             job_state = owner.describe(name)
             return {"state": None if job_state is None else job_state.value}
+        if kind == "explain":
+            explained = owner.explain(name)
+            if explained is None:
+                return {"state": None}
+            return {**dataclasses.asdict(explained), "code": int(explained.code)}
         if kind == "waiting":
             return {"waiting": owner.count_waiting(name)}
         if kind == "evacuate":
--- a/clementinespar/jobs/tests/test_pool_owner.py
+++ b/clementinespar/jobs/tests/test_pool_owner.py
@@ -137,6 +137,27 @@
     assert len(workers.starts) == 2
 
 
+@paused_clock.test
+async def test_worker_that_goes_and_comes_gets_a_pause() -> None:
+    """Guards against an idle worker that attracts work each time it returns."""
+    workers = fakes.FakeWorkers(2)
+    bench = helpers.OwnerBench(workers)
+    async with helpers.run_owner(bench) as owner:
+        await asyncio.sleep(0.5)
+        pauses = []
+        for _ in range(3):
+            workers.workers["quotes-0"].is_silent = True
+            await asyncio.sleep(2.0)
+            workers.workers["quotes-0"].is_silent = False
+            await asyncio.sleep(0.8)
+            now = asyncio.get_running_loop().time()
+            session = owner.sessions_by_id["quotes-0"]
+            pauses.append(max(0.0, session.ejected_until - now))
+        assert pauses[0] == 0.0
+        assert 0.0 < pauses[1] < pauses[2]
+        assert owner.sessions_by_id["quotes-1"].ejected_until == 0.0
+
+
 @paused_clock.test
 async def test_start_without_an_answer_is_closed_before_the_next() -> None:
     """Guards against a second run beside one whose start had no answer."""
@@ -257,6 +278,25 @@
             owner.describe("missing")
 
 
+@paused_clock.test
+async def test_explanation_names_runs_and_what_is_awaited() -> None:
+    """Guards against an operator who cannot see why a job does not go on."""
+    workers = fakes.FakeWorkers(1)
+    workers.task_s = 60.0
+    bench = helpers.OwnerBench(workers)
+    await bench.submit(helpers.make_spec("a", task_count=2))
+    async with helpers.run_owner(bench):
+        await asyncio.sleep(0.5)
+    workers.workers["quotes-0"].is_silent = True
+    async with helpers.run_owner(bench) as owner:
+        await asyncio.sleep(0.5)
+        told = owner.explain("a")
+        assert told is not None
+        assert told.waits_for == "workers of the former owner that do not answer"
+        assert any("0 of 2 tasks done" in line for line in told.because)
+        assert owner.explain("missing") is None
+
+
 @paused_clock.test
 async def test_cancelled_job_stops_and_stays_cancelled() -> None:
     """Guards against tasks of a cancelled job that run on or start again."""
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -23,6 +23,10 @@
 SILENT_AFTER_S = 1.6  # no new work for a worker without contact for this long
 EJECT_FAILED_JOBS = 2  # jobs that failed in a row on a worker before it is ejected
 EJECT_S = 2.5
+# A worker that was silent and back before within the window gets a pause of 1, 2, then
+# 4 s; an idle worker would otherwise attract work each time it returns.
+FLAP_WINDOW_S = 15.0
+FLAP_PAUSE_MAX_S = 4.0
 
 
 class RunStatus(enum.Enum):
@@ -163,6 +167,7 @@
     _clock_at: float
     _task: asyncio.Task[None] | None
     _orders: set[asyncio.Task[None]]
+    _returns: list[float]  # event-loop times at which it was back from silence
 
     def __init__(
         self,
@@ -198,6 +203,7 @@
         self._clock_at = 0.0
         self._task = None
         self._orders = set()
+        self._returns = []
 
     def open(self) -> None:
         """Start the task of this worker."""
@@ -336,13 +342,27 @@
                 await asyncio.sleep(0.5)
                 continue
             if failures:
-                self._record(
-                    "worker_back", worker=self.entry.worker_id, failures=failures
-                )
+                self._note_return(failures)
             failures = 0
             self._apply(report, sent_at)
             await asyncio.sleep(RENEW_SPACING_S)
 
+    def _note_return(self, failures: int) -> None:
+        """Keep new work for a while from a worker that goes and comes repeatedly."""
+        now = asyncio.get_running_loop().time()
+        self._returns = [at for at in self._returns if now - at < FLAP_WINDOW_S]
+        pause_s = 0.0
+        if self._returns:
+            pause_s = min(FLAP_PAUSE_MAX_S, 2.0 ** (len(self._returns) - 1))
+            self.ejected_until = max(self.ejected_until, now + pause_s)
+        self._returns.append(now)
+        self._record(
+            "worker_back",
+            worker=self.entry.worker_id,
+            failures=failures,
+            pause_s=pause_s,
+        )
+
     def _drop_lapsed(self) -> None:
         """Release runs of a silent worker once its lease has certainly ended."""
         now = asyncio.get_running_loop().time()
