--- a/clementinespar/jobs/model.py
+++ b/clementinespar/jobs/model.py
@@ -69,6 +69,7 @@
     priority: int = 0  # lower goes first
     stretch: float = 1.0
     objective_ms: int = 0
+    needs_advice: bool = False  # only workers that the adviser names may run it
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -84,6 +85,7 @@
     max_attempts: int
     priority: int
     stretch: float
+    needs_advice: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -207,6 +209,15 @@
     lease_until_ms: int  # on the worker's clock
     fence: int
     saved: str
+    ticket: str = ""  # of the adviser; empty: none is needed
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Advice:
+    """Workers that may run a step."""
+
+    tickets_by_worker: dict[str, str]
+    valid_s: float  # for all tasks of the step, in one life of the worker
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/clementinespar/jobs/node.py
+++ b/clementinespar/jobs/node.py
@@ -27,6 +27,7 @@
     store: services.JobStore
     group: services.OwnershipGroup
     workers: services.WorkerClient
+    adviser: services.Adviser
     directory: services.WorkerDirectory
     configuration: services.ConfigurationSource
     hosts: services.HostService
@@ -66,6 +67,7 @@
                 parts.store,
                 parts.directory,
                 parts.workers,
+                parts.adviser,
                 owner_settings,
                 record,
                 self.metrics,
--- a/clementinespar/jobs/options.py
+++ b/clementinespar/jobs/options.py
@@ -54,6 +54,9 @@
     lease_max_ms: Milliseconds = 6_000
     latency_harm_ms: Milliseconds = 4_000
     away_notice_ms: Milliseconds = 4_500  # a lasting task away this long is missed
+    adviser: Annotated[
+        options.Endpoint | None, pydantic.BeforeValidator(lambda text: text or None)
+    ] = None  # empty: no queue needs advice
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/clementinespar/jobs/placement.py
+++ b/clementinespar/jobs/placement.py
@@ -1,7 +1,7 @@
 """Order of jobs, choice of workers, and pacing of filling tasks."""
 
 import collections
-from collections.abc import Callable
+from collections.abc import Callable, Container
 
 from clementinespar.jobs import model, state, worker_session
 
@@ -90,6 +90,15 @@
                 best, best_score = session, score
         return best
 
+    def restrict(self, worker_ids: Container[str]) -> "Room":
+        """Return the room on some of the workers."""
+        return Room([s for s in self._sessions if s.entry.worker_id in worker_ids])
+
+    def worker_ids(self) -> list[str]:
+        """Return the ids of the workers, those with the most free cores first."""
+        ranked = sorted(self._sessions, key=lambda session: -session.free_cpu)
+        return [session.entry.worker_id for session in ranked]
+
     def choose_gang(
         self, spec: model.StepSpec, size: int
     ) -> list[worker_session.WorkerSession] | None:
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -20,6 +20,7 @@
 
 from clementinespar import codes, errors, explanation
 from clementinespar.jobs import (
+    advice,
     demand,
     model,
     placement,
@@ -87,6 +88,7 @@
     _finished_commands: list[str]  # ids of jobs whose command can be dropped
     _unsubscribe: Callable[[], None]
     _policy: placement.Placement
+    _tickets: advice.TicketBook
     _run_times: demand.RunTimes
     _arrivals_by_pool: dict[str, demand.ArrivalRate]
     _dirty: dict[str, state.JobProgress]  # memory is ahead of the store
@@ -102,6 +104,7 @@
         store: services.JobStore,
         directory: services.WorkerDirectory,
         workers: services.WorkerClient,
+        adviser: services.Adviser,
         settings: OwnerSettings,
         record: services.JobRecorder,
         metrics: telemetry.JobMetrics,
@@ -138,6 +141,7 @@
         self._flush_wanted = asyncio.Event()
         self._schedule_wanted = asyncio.Event()
         self._policy = placement.Placement()
+        self._tickets = advice.TicketBook(adviser, record, self._schedule_wanted)
         self._run_times = demand.RunTimes()
         self._arrivals_by_pool = {}
 
@@ -165,6 +169,12 @@
                 job.find_step(run.key).waiting.add(run.key.index)
                 self._schedule_wanted.set()
 
+    def on_ticket_rejected(
+        self, session: worker_session.WorkerSession, run: worker_session.Run
+    ) -> None:
+        """Ask the adviser again before the next start there."""
+        self._tickets.forget(run.key, session.entry.worker_id)
+
     def on_fenced(self) -> None:
         """Give the partition up: a later owner has reached a worker."""
         self.lose("a worker has seen a later owner")
@@ -749,6 +759,7 @@
                     if run.key.job_id == job.spec.job_id:
                         session.stop(run, f"its job is {final.value}")
         job.occurrences.clear()
+        self._tickets.drop_job(job.spec.job_id)
         self._mark_dirty(job)
         self._flush_wanted.set()
 
@@ -806,18 +817,21 @@
                 continue
             for occurrence in job.occurrences.values():
                 for step in occurrence.ready_steps():
-                    self._place_step(job, occurrence, step, room, now)
+                    self._place_step(job, step, room, now)
 
     def _place_step(
         self,
         job: state.JobProgress,
-        occurrence: state.Occurrence,
         step: state.StepState,
         room: placement.Room,
         now: float,
     ) -> None:
+        tickets: dict[str, str] = {}
+        if job.spec.needs_advice:
+            tickets = self._tickets.usable(step, room.worker_ids())
+            room = room.restrict(tickets)
         if step.spec.is_gang:
-            self._place_gang(job, occurrence, step, room, now)
+            self._place_gang(job, step, room, tickets, now)
             return
         counts = self._count_per_worker(job, step)
         for index in sorted(step.waiting):
@@ -830,14 +844,16 @@
                     break
                 continue
             counts[session.entry.worker_id] += 1
-            self._start(job, step, task, job.next_run(task, self.epoch), session)
+            ticket = tickets.get(session.entry.worker_id, "")
+            number = job.next_run(task, self.epoch)
+            self._start(job, step, task, number, session, ticket)
 
     def _place_gang(
         self,
         job: state.JobProgress,
-        occurrence: state.Occurrence,
         step: state.StepState,
         room: placement.Room,
+        tickets: dict[str, str],
         now: float,
     ) -> None:
         """Start all members with one run number, or none."""
@@ -852,7 +868,8 @@
         saved = max((task.saved for task in step.tasks), default="")
         for task, session in zip(step.tasks, chosen, strict=True):
             task.saved = saved
-            self._start(job, step, task, number, session)
+            ticket = tickets.get(session.entry.worker_id, "")
+            self._start(job, step, task, number, session, ticket)
 
     def _count_per_worker(
         self, job: state.JobProgress, step: state.StepState
@@ -879,6 +896,7 @@
         task: state.TaskState,
         number: int,
         session: worker_session.WorkerSession,
+        ticket: str,
     ) -> None:
         now = asyncio.get_running_loop().time()
         run = worker_session.Run(task.key, number, step.spec, session, now)
@@ -896,7 +914,7 @@
             worker=session.entry.worker_id,
             slack_ms=int((job.deadline - now) * 1000),
         )
-        session.start(run, job.spec.payload, task.saved)
+        session.start(run, job.spec.payload, task.saved, ticket)
 
     # Runs that need attention.
 
@@ -1047,6 +1065,7 @@
         """End all sessions; runs go on until their leases end or a next owner."""
         self.is_lost = True
         self._unsubscribe()
+        self._tickets.close()
         for session in self.sessions_by_id.values():
             session.close()
 
--- a/clementinespar/jobs/services.py
+++ b/clementinespar/jobs/services.py
@@ -134,6 +134,16 @@
         ...
 
 
+class Adviser(Protocol):
+    """Tells which workers may run a step."""
+
+    async def advise(
+        self, job_id: str, occurrence: int, step: int, worker_ids: Sequence[str]
+    ) -> model.Advice:
+        """Return tickets; raises `errors.ClementinesparError` without an answer."""
+        ...
+
+
 class WorkerDirectory(Protocol):
     """The workers that announce themselves."""
 
--- a/clementinespar/jobs/tests/fakes.py
+++ b/clementinespar/jobs/tests/fakes.py
@@ -309,6 +309,31 @@
         return True
 
 
+class FakeAdviser:
+    """`services.Adviser` that allows some workers and may refuse calls."""
+
+    good: set[str]
+    is_busy: bool
+    calls: int
+
+    def __init__(self) -> None:
+        self.good = set()
+        self.is_busy = False
+        self.calls = 0
+
+    async def advise(
+        self, job_id: str, occurrence: int, step: int, worker_ids: Sequence[str]
+    ) -> model.Advice:
+        await asyncio.sleep(0.02)
+        self.calls += 1
+        if self.is_busy:
+            raise errors.ClementinesparError(
+                codes.ResultCode.PLATFORM_UNAVAILABLE, "busy"
+            )
+        good = self.good.intersection(worker_ids)
+        return model.Advice({worker_id: f"t-{worker_id}" for worker_id in good}, 3.0)
+
+
 class FakeGroup:
     """`services.OwnershipGroup` with one member that may lose its partitions."""
 
--- a/clementinespar/jobs/tests/helpers.py
+++ b/clementinespar/jobs/tests/helpers.py
@@ -47,6 +47,7 @@
 
     store: fakes.FakeStore
     workers: fakes.FakeWorkers
+    adviser: fakes.FakeAdviser
     confirmed_at: float | None  # None: the store's confirmation is counted from now
     owner: pool_owner.PoolOwner
     epoch: int
@@ -54,6 +55,7 @@
 
     def __init__(self, workers: fakes.FakeWorkers) -> None:
         self.store = fakes.FakeStore()
+        self.adviser = fakes.FakeAdviser()
         self.workers = workers
         self.confirmed_at = None
         self.epoch = 0
@@ -79,6 +81,7 @@
             self.store,
             self.workers,
             self.workers,
+            self.adviser,
             pool_owner.OwnerSettings(LEASE_MAX_S),
             fakes.ignore_event,
             telemetry.JobMetrics(),
--- a/clementinespar/jobs/tests/test_ownership.py
+++ b/clementinespar/jobs/tests/test_ownership.py
@@ -52,6 +52,7 @@
             self.store,
             self.workers,
             self.workers,
+            fakes.FakeAdviser(),
             pool_owner.OwnerSettings(6.0),
             fakes.ignore_event,
             telemetry.JobMetrics(),
--- a/clementinespar/jobs/tests/test_pool_owner.py
+++ b/clementinespar/jobs/tests/test_pool_owner.py
@@ -297,6 +297,24 @@
         assert owner.explain("missing") is None
 
 
+@paused_clock.test
+async def test_only_advised_workers_run_a_step() -> None:
+    """Guards against starts that are refused for want of a ticket."""
+    workers = fakes.FakeWorkers(4)
+    bench = helpers.OwnerBench(workers)
+    bench.adviser.is_busy = True
+    spec = dataclasses.replace(helpers.make_spec("a", 6), needs_advice=True)
+    async with helpers.run_owner(bench):
+        await bench.submit(spec)
+        await asyncio.sleep(1.0)
+        assert not workers.starts
+        bench.adviser.is_busy = False
+        bench.adviser.good = {"quotes-2"}
+        await bench.wait_state("a", model.JobState.DONE)
+    assert {worker_id for _, _, worker_id in workers.starts} == {"quotes-2"}
+    assert bench.adviser.calls < 10
+
+
 @paused_clock.test
 async def test_cancelled_job_stops_and_stays_cancelled() -> None:
     """Guards against tasks of a cancelled job that run on or start again."""
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -135,6 +135,10 @@
         """Note that a worker has seen a later owner."""
         ...
 
+    def on_ticket_rejected(self, session: "WorkerSession", run: Run) -> None:
+        """Note that a worker did not accept the ticket of a start."""
+        ...
+
     def orphan_spec(self, key: model.TaskKey) -> model.StepSpec:
         """Return the size of a run that must be stopped."""
         ...
@@ -254,9 +258,9 @@
         self.free_gpus += run.spec.gpus
         return True
 
-    def start(self, run: Run, payload: str, saved: str) -> None:
+    def start(self, run: Run, payload: str, saved: str, ticket: str = "") -> None:
         """Give the order to start a run, which must be counted already."""
-        self._give(self._start(run, payload, saved))
+        self._give(self._start(run, payload, saved, ticket))
 
     def stop(self, run: Run, reason: str) -> None:
         """Give the order to stop a run."""
@@ -453,13 +457,15 @@
         self._orders.add(task)
         task.add_done_callback(self._orders.discard)
 
-    async def _start(self, run: Run, payload: str, saved: str) -> None:
+    async def _start(self, run: Run, payload: str, saved: str, ticket: str) -> None:
         loop = asyncio.get_running_loop()
         until = self.lease_until_ms()
         if until is None:
             self._abandon(run, "ownership is not confirmed")
             return
-        order = model.StartOrder(run.key, run.number, payload, until, self.fence, saved)
+        order = model.StartOrder(
+            run.key, run.number, payload, until, self.fence, saved, ticket
+        )
         try:
             answer = await self._client.start(self.entry, order)
         except errors.ClementinesparError as error:
@@ -489,6 +495,8 @@
             return
         if answer.result is model.StartResult.FENCED:
             self._events.on_fenced()
+        if answer.result is model.StartResult.NO_TICKET:
+            self._events.on_ticket_rejected(self, run)
         if answer.result in (model.StartResult.UNHEALTHY, model.StartResult.NO_ROOM):
             self.ejected_until = loop.time() + EJECT_S
         if run.status is RunStatus.STARTING:
