Leave ownership to larger nodes where there are enough of them

A node that sees three or more members of 1.5 times its size hands its pools over and stands by. On deployments with machines of one size nothing changes.

--- a/clementinespar/jobs/node.py
+++ b/clementinespar/jobs/node.py
@@ -92,7 +92,12 @@
             )
 
         self.keeper = ownership.OwnershipKeeper(
-            parts.group, make_owner, hold_fleet, self.wanted_partitions, record
+            parts.group,
+            make_owner,
+            hold_fleet,
+            self.wanted_partitions,
+            int(settings.node.cpu_share * settings.node.cores * 1000),
+            record,
         )
         self.jobs = service.JobService(
             self.keeper, parts.configuration, parts.store, caller
@@ -101,13 +106,13 @@
     @property
     def is_ready(self) -> bool:
         """Whether the balancer may send callers here."""
-        confirmed = self.keeper.confirmed_at()
+        reached = self.keeper.reached_at
         now = asyncio.get_running_loop().time()
         return (
             not self.is_stopping
             and self._parts.configuration.current is not None
-            and confirmed is not None
-            and now - confirmed < READY_WITHIN_S
+            and reached is not None
+            and now - reached < READY_WITHIN_S
         )
 
     def wanted_partitions(self) -> frozenset[int]:
--- a/clementinespar/jobs/options.py
+++ b/clementinespar/jobs/options.py
@@ -26,6 +26,8 @@
     readiness: options.Endpoint  # where the balancer asks
     first_internal_port: options.Port
     stop_limit_s: options.Seconds = 6.0  # time from a planned stop to the kill
+    cpu_share: float = pydantic.Field(default=1.0, gt=0)  # of one core of this machine
+    cores: float = pydantic.Field(default=1.0, gt=0)  # speed of that core, as a factor
 
 
 @pydantic.dataclasses.dataclass(frozen=True, slots=True, config=_CONFIG)
--- a/clementinespar/jobs/ownership.py
+++ b/clementinespar/jobs/ownership.py
@@ -17,6 +17,28 @@
 FLEET_PARTITION = PARTITION_COUNT - 1  # waves and moves of hosts
 JOIN_INTERVAL_S = 0.4
 OWNERS_MAX_AGE_S = 2.0
+# A small node owns nothing while this many larger ones do; an owner of a busy pool
+# needs about a whole core.
+ENOUGH_LARGER = 3
+LARGER_FACTOR = 1.5  # of the own cores
+STAND_BY_INTERVAL_S = 1.0
+FIRST_SIZES_DELAY_S = 1.0  # after a start
+SIZES_INTERVAL_S = 5.0  # between looks at the sizes while no larger node was seen
+
+
+def format_member(address: str, born_ms: int, core_millis: int) -> str:
+    """Return the name of a member: where it answers, since when, and how large it is.
+
+    A process gets a new name at each start: one that starts again must not pass for the
+    one before, whose orders may still be on their way.
+    """
+    return f"{address}/{born_ms}/{core_millis}"
+
+
+def parse_core_millis(member: str) -> int:
+    """Return the size in a member's name, 0 if it has none."""
+    size = member.rpartition("/")[2]
+    return int(size) if size.isdigit() else 0
 
 
 def partition_of(pool: str) -> int:
@@ -38,6 +60,7 @@
     is_fleet_owner: bool
     generation: int
     assigned: frozenset[int]
+    reached_at: float | None  # event-loop time of the newest answer of the store
     _confirmed_at: float | None
     _stacks: dict[int, contextlib.AsyncExitStack]
     _fleet_holder: FleetHolder | None
@@ -45,6 +68,8 @@
     _fenced_epochs: dict[int, int]
     _owner_names: dict[int, str]
     _owners_read_at: float  # event-loop time
+    _larger_count: int  # members with more cores, as last seen
+    _sizes_read_at: float  # event-loop time
 
     def __init__(
         self,
@@ -54,6 +79,7 @@
             [int], contextlib.AbstractAsyncContextManager[FleetHolder]
         ],
         wanted_partitions: Callable[[], frozenset[int]],
+        core_millis: int,
         record: services.JobRecorder,
     ) -> None:
         self.owners_by_partition = {}
@@ -64,6 +90,10 @@
         self._make_owner = make_owner
         self._hold_fleet = hold_fleet
         self._wanted_partitions = wanted_partitions
+        self._core_millis = core_millis
+        self.reached_at = None
+        self._larger_count = 0
+        self._sizes_read_at = 0.0
         self._record = record
         self._confirmed_at = None
         self._stacks = {}
@@ -81,9 +111,15 @@
         """Join at intervals until cancelled."""
         loop = asyncio.get_running_loop()
         is_reached = True
+        # The first look at the sizes comes after a join, so nobody waits at a start.
+        self._sizes_read_at = loop.time() - SIZES_INTERVAL_S + FIRST_SIZES_DELAY_S
         while True:
             sent_at = loop.time()
             try:
+                if await self._stands_by():
+                    self.reached_at = loop.time()
+                    await asyncio.sleep(STAND_BY_INTERVAL_S)
+                    continue
                 assignment = await self._group.join(self.generation)
             except errors.ClementinesparError as error:
                 if is_reached:
@@ -93,9 +129,33 @@
                 if not is_reached:
                     self._record("ownership_confirmed_again")
                 is_reached = True
+                self.reached_at = loop.time()
                 await self._apply(assignment, sent_at)
             await asyncio.sleep(max(0.05, sent_at + JOIN_INTERVAL_S - loop.time()))
 
+    async def _stands_by(self) -> bool:
+        """Whether larger nodes own the partitions; hands its own over to them."""
+        loop = asyncio.get_running_loop()
+        interval_s = (
+            SIZES_INTERVAL_S if self._larger_count == 0 else STAND_BY_INTERVAL_S
+        )
+        if loop.time() - self._sizes_read_at >= interval_s:
+            self._owner_names = dict(await self._group.list_owners())
+            self._owners_read_at = self._sizes_read_at = loop.time()
+            self._larger_count = sum(
+                parse_core_millis(member) > LARGER_FACTOR * self._core_millis
+                for member in set(self._owner_names.values())
+            )
+        if self._larger_count < ENOUGH_LARGER:
+            return False
+        if self.generation:
+            self._record("ownership_left_to_larger_nodes", count=self._larger_count)
+            await self.close()
+            self.generation = 0
+            self.assigned = frozenset()
+            self.is_fleet_owner = False
+        return True
+
     async def _apply(self, assignment: services.Assignment, sent_at: float) -> None:
         if assignment.generation != self.generation:
             self._record(
--- a/clementinespar/jobs/tests/fakes.py
+++ b/clementinespar/jobs/tests/fakes.py
@@ -339,10 +339,12 @@
 
     assignment: services.Assignment
     is_down: bool
+    owners: dict[int, str]
 
     def __init__(self, partitions: frozenset[int], generation: int = 1) -> None:
         self.assignment = services.Assignment(generation, partitions)
         self.is_down = False
+        self.owners = {}
 
     async def join(self, generation: int) -> services.Assignment:
         await asyncio.sleep(0.002)
@@ -354,4 +356,4 @@
         """Do nothing; the test tells the next assignment."""
 
     async def list_owners(self) -> Mapping[int, str]:
-        return {}
+        return self.owners
--- a/clementinespar/jobs/tests/test_ownership.py
+++ b/clementinespar/jobs/tests/test_ownership.py
@@ -37,6 +37,7 @@
             self.make_owner,
             self.hold_fleet,
             lambda: frozenset({PARTITION}),
+            1_000,
             fakes.ignore_event,
         )
 
@@ -79,7 +80,7 @@
     """Guards against a pool that is read anew whenever another node comes or goes."""
     bench = KeeperBench(frozenset({PARTITION}))
     async with ownership.keep_ownership(bench.keeper):
-        await asyncio.sleep(1.0)
+        await asyncio.sleep(3.0)
         bench.assign(5, PARTITION, 7)
         await asyncio.sleep(1.0)
         assert bench.epochs == [1]
@@ -96,7 +97,7 @@
     """Guards against two owners that act under one epoch."""
     bench = KeeperBench(frozenset({PARTITION}))
     async with ownership.keep_ownership(bench.keeper):
-        await asyncio.sleep(1.0)
+        await asyncio.sleep(3.0)
         bench.keeper.owners_by_partition[PARTITION].lose("a test")
         await asyncio.sleep(1.0)
         assert bench.epochs == [1]
@@ -110,7 +111,7 @@
     """Guards against waves that stand still after the store dealt partitions anew."""
     bench = KeeperBench(frozenset({ownership.FLEET_PARTITION}))
     async with ownership.keep_ownership(bench.keeper):
-        await asyncio.sleep(1.0)
+        await asyncio.sleep(3.0)
         bench.holders[0].is_lost = True
         await asyncio.sleep(1.0)
         assert bench.open_holders == 0
@@ -126,9 +127,35 @@
     """Guards against leases that outlive what the store has confirmed."""
     bench = KeeperBench(frozenset({PARTITION}))
     async with ownership.keep_ownership(bench.keeper):
-        await asyncio.sleep(1.0)
+        await asyncio.sleep(3.0)
         bench.group.is_down = True
         await asyncio.sleep(0.5)
         held = bench.keeper.confirmed_at()
         await asyncio.sleep(3.0)
         assert bench.keeper.confirmed_at() == held
+
+
+@paused_clock.test
+async def test_small_node_owns_nothing_while_larger_ones_do() -> None:
+    """Guards against a busy pool on a machine with half a core."""
+    bench = KeeperBench(frozenset({PARTITION}))
+    bench.group.owners = {
+        number: ownership.format_member(f"10.0.0.{number}:1", 5, 2_000)
+        for number in range(3)
+    }
+    async with ownership.keep_ownership(bench.keeper):
+        await asyncio.sleep(0.5)
+        assert PARTITION in bench.keeper.owners_by_partition
+        await asyncio.sleep(4.5)
+        assert not bench.keeper.owners_by_partition
+        assert bench.keeper.reached_at is not None
+        del bench.group.owners[1]
+        await asyncio.sleep(3.0)
+        assert PARTITION in bench.keeper.owners_by_partition
+
+
+def test_member_names() -> None:
+    """Guards against a size that is read from another part of the name."""
+    member = ownership.format_member("10.0.0.1:7060", 1_790_000_000_000, 516)
+    assert ownership.parse_core_millis(member) == 516
+    assert ownership.parse_core_millis("") == 0
