--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak: the real program in separate processes, with faults from outside."""
--- /dev/null
+++ b/soak/fleet.py
@@ -0,0 +1,115 @@
+"""Nodes of the real program as processes."""
+
+import asyncio
+import contextlib
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import AsyncIterator
+
+from soak import proxy
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+STOP_LIMIT_S = 3
+
+_SETTINGS = """[node]
+name = node-{number}
+data_centre = z
+address = 127.0.0.1
+callers = 127.0.0.1:{callers}
+readiness = 127.0.0.1:{readiness}
+first_internal_port = {internal}
+stop_limit_s = {stop_limit}
+[store]
+address = 127.0.0.1:{store}
+[hosts]
+address = 127.0.0.1:{store}
+[jobs]
+lease_max_ms = 6000
+"""
+
+
+def find_ports(count: int) -> list[int]:
+    """Return free ports of the loopback address."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for held in sockets:
+            held.bind(("127.0.0.1", 0))
+        return [int(held.getsockname()[1]) for held in sockets]
+    finally:
+        for held in sockets:
+            held.close()
+
+
+class Node:
+    """One node: its settings, its proxy to the store, its process."""
+
+    callers: str  # IP:port
+    store_proxy: proxy.Proxy
+    process: subprocess.Popen[bytes] | None
+
+    def __init__(
+        self, number: int, folder: pathlib.Path, store_proxy: proxy.Proxy
+    ) -> None:
+        ports = find_ports(3)
+        self.callers = f"127.0.0.1:{ports[0]}"
+        self.store_proxy = store_proxy
+        self.process = None
+        self._log = folder / f"node-{number}.log"
+        self._settings = folder / f"node-{number}.ini"
+        self._settings.write_text(
+            _SETTINGS.format(
+                number=number,
+                callers=ports[0],
+                readiness=ports[1],
+                internal=ports[2],
+                store=store_proxy.port,
+                stop_limit=STOP_LIMIT_S,
+            )
+        )
+
+    def start(self) -> None:
+        """Start the process, unless it runs."""
+        if self.process is not None and self.process.poll() is None:
+            return
+        with self._log.open("ab") as output:
+            self.process = subprocess.Popen(
+                [sys.executable, "platform/serve.py"],
+                cwd=ROOT,
+                env={**os.environ, "CLEMENTINESPAR_NODE_FILE": str(self._settings)},
+                stdout=output,
+                stderr=output,
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to this process, if it runs."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def is_running(self) -> bool:
+        """Whether the process runs."""
+        return self.process is not None and self.process.poll() is None
+
+
+@contextlib.asynccontextmanager
+async def run_nodes(
+    count: int, folder: pathlib.Path, store: str
+) -> AsyncIterator[list[Node]]:
+    """Run nodes while the context is entered; kill them by their ids at the end."""
+    async with contextlib.AsyncExitStack() as stack:
+        nodes = []
+        for number in range(count):
+            store_proxy = await stack.enter_async_context(proxy.open_proxy(store))
+            nodes.append(Node(number, folder, store_proxy))
+        try:
+            for node in nodes:
+                node.start()
+            yield nodes
+        finally:
+            for node in nodes:
+                node.signal(signal.SIGKILL)
+                if node.process is not None:
+                    await asyncio.to_thread(node.process.wait)
