--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 BENCH_STAMP := $(VENV)/.bench-installed
 SOURCES := $(shell find clementinespar -name '*.py' -not -path '*/tests/*')
 
-.PHONY: setup test lint types check demo bench bench-capacity binary proto clean
+.PHONY: setup test lint types check demo soak soak-many bench bench-capacity binary proto clean
 
 setup: $(STAMP)
 
@@ -45,6 +45,13 @@
 demo: $(STAMP) dist/clementinespar
 	$(BIN)/python -m demo --program dist/clementinespar
 
+# One seed of the soak; without SEED, a fresh one.
+soak: $(STAMP)
+	PYTHONPATH=.:platform $(BIN)/python -m soak $(if $(SEED),--seed $(SEED))
+
+soak-many: $(STAMP)
+	PYTHONPATH=.:platform $(BIN)/python -m soak --seeds 50
+
 bench: $(BENCH_STAMP)
 	$(BIN)/python -m bench
 
--- a/clementinespar/jobs/node.py
+++ b/clementinespar/jobs/node.py
@@ -53,9 +53,7 @@
         self.metrics = telemetry.JobMetrics()
         self.is_stopping = False
         self._parts = parts
-        owner_settings = pool_owner.OwnerSettings(
-            settings.jobs.lease_max_ms / 1000, settings.jobs.latency_harm_ms / 1000
-        )
+        owner_settings = pool_owner.OwnerSettings(settings.jobs.lease_max_ms / 1000)
 
         def make_owner(partition: int, epoch: int) -> pool_owner.PoolOwner:
             return pool_owner.PoolOwner(
--- a/clementinespar/jobs/options.py
+++ b/clementinespar/jobs/options.py
@@ -35,7 +35,6 @@
     """The store and its limits."""
 
     address: options.Endpoint
-    record_bytes: int = pydantic.Field(default=262_144, ge=1024)
     ownership_min_ms: Milliseconds = 1_000  # shortest time to live of ownership
 
 
@@ -45,7 +44,6 @@
 
     address: options.Endpoint
     holder_lease_ms: Milliseconds = 3_000  # pause between two holders of one host
-    move_s: options.Seconds = 1.5
     upkeep_s: options.Seconds = 2.0
 
 
@@ -54,8 +52,6 @@
     """Bounds of jobs on workers."""
 
     lease_max_ms: Milliseconds = 6_000
-    latency_harm_ms: Milliseconds = 4_000
-    away_notice_ms: Milliseconds = 4_500  # a lasting task away this long is missed
     adviser: Annotated[
         options.Endpoint | None, pydantic.BeforeValidator(lambda text: text or None)
     ] = None  # empty: no queue needs advice
@@ -78,10 +74,8 @@
     "jobs": JobsSection,
 }
 
-SettingsPath = Annotated[pathlib.Path, "path of an INI file"]
 
-
-def load_job_settings(path: SettingsPath) -> JobNodeSettings:
+def load_job_settings(path: pathlib.Path) -> JobNodeSettings:
     """Read settings; all bad ones are reported at once.
 
     Raises
--- a/clementinespar/jobs/placement.py
+++ b/clementinespar/jobs/placement.py
@@ -114,39 +114,30 @@
         return None
 
 
-class Placement:
-    """Choice of workers; one for each owner."""
-
-    def begin(self, sessions: list[worker_session.WorkerSession]) -> Room:
-        """Return the room of one round."""
-        return Room(sessions)
-
-    def pace(
-        self, session: worker_session.WorkerSession, now: float, harm_s: float
-    ) -> None:
-        """Slow filling tasks while a serving task beside them is near its target."""
-        fillers = []
-        worst = 0.0
-        for run in session.runs.values():
-            if run.spec.is_filler:
-                fillers.append(run)
-            elif run.spec.latency_target_ms:
-                worst = max(worst, run.usage / run.spec.latency_target_ms)
-        for run in fillers:
-            if run.status is not worker_session.RunStatus.RUNNING:
-                continue
-            if run.over_since is not None and now - run.over_since < PACE_INTERVAL_S:
-                continue
-            wanted = run.pace
-            if worst > 1.0:
-                wanted = 0
-            elif worst > PACE_DOWN_SHARE:
-                wanted = run.pace // 2
-            elif worst < PACE_UP_SHARE:
-                wanted = min(100, run.pace + PACE_STEP)
-            if wanted != run.pace:
-                run.over_since = now
-                session.pace(run, wanted)
+def pace_fillers(session: worker_session.WorkerSession, now: float) -> None:
+    """Slow filling tasks while a serving task beside them is near its target."""
+    fillers = []
+    worst = 0.0
+    for run in session.runs.values():
+        if run.spec.is_filler:
+            fillers.append(run)
+        elif run.spec.latency_target_ms:
+            worst = max(worst, run.usage / run.spec.latency_target_ms)
+    for run in fillers:
+        if run.status is not worker_session.RunStatus.RUNNING:
+            continue
+        if run.paced_at is not None and now - run.paced_at < PACE_INTERVAL_S:
+            continue
+        wanted = run.pace
+        if worst > 1.0:
+            wanted = 0
+        elif worst > PACE_DOWN_SHARE:
+            wanted = run.pace // 2
+        elif worst < PACE_UP_SHARE:
+            wanted = min(100, run.pace + PACE_STEP)
+        if wanted != run.pace:
+            run.paced_at = now
+            session.pace(run, wanted)
 
 
 def _serving_count(session: worker_session.WorkerSession) -> float:
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -57,12 +57,9 @@
     ----------
     lease_max_s : float
         Longest lease that a worker grants, in seconds.
-    latency_harm_s : float
-        How long a serving task may be over its target, in seconds.
     """
 
     lease_max_s: float
-    latency_harm_s: float = 4.0
 
 
 class PoolOwner:
@@ -87,7 +84,6 @@
     _cancelled_ids: set[str]
     _finished_commands: list[str]  # ids of jobs whose command can be dropped
     _unsubscribe: Callable[[], None]
-    _policy: placement.Placement
     _tickets: advice.TicketBook
     _run_times: demand.RunTimes
     _arrivals_by_pool: dict[str, demand.ArrivalRate]
@@ -140,7 +136,6 @@
         self._active = {}
         self._flush_wanted = asyncio.Event()
         self._schedule_wanted = asyncio.Event()
-        self._policy = placement.Placement()
         self._tickets = advice.TicketBook(adviser, record, self._schedule_wanted)
         self._run_times = demand.RunTimes()
         self._arrivals_by_pool = {}
@@ -808,7 +803,7 @@
         waiting.sort(key=lambda job: placement.rank(job, now, estimate_ms))
         room_by_pool: dict[str, placement.Room] = {}
         for pool in {job.spec.pool for job in waiting}:
-            room_by_pool[pool] = self._policy.begin(
+            room_by_pool[pool] = placement.Room(
                 [session for session in usable if session.entry.pool == pool]
             )
         for job in waiting:
@@ -930,7 +925,7 @@
                 session.ejected_until = now + worker_session.EJECT_S
             elif session.entry.is_draining and run.spec.is_lasting:
                 self._move_lasting(run, "its worker is draining")
-        self._policy.pace(session, now, self._settings.latency_harm_s)
+        placement.pace_fillers(session, now)
 
     def _move_lasting(self, run: worker_session.Run, reason: str) -> None:
         """Stop a lasting task so that it starts elsewhere, if its step may miss it."""
@@ -959,7 +954,7 @@
             if is_at_work and len(step.tasks) - at_work >= max(1, may_miss):
                 return
         counts = self._count_per_worker(job, step)
-        room = self._policy.begin(
+        room = placement.Room(
             [
                 session
                 for session in self.sessions_by_id.values()
--- a/clementinespar/jobs/tests/test_placement.py
+++ b/clementinespar/jobs/tests/test_placement.py
@@ -102,3 +102,34 @@
         assert (chosen is not None) is wanted
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("tail_ms", "pace", "wanted"),
+    [(50, 100, None), (90, 100, 50), (120, 100, 0), (50, 40, 60), (70, 40, None)],
+)
+def test_fillers_slow_down_before_the_target(
+    tail_ms: int, pace: int, wanted: int | None
+) -> None:
+    """Guards against serving tasks that stay over their target beside fillers."""
+
+    async def scenario() -> None:
+        session = make_session("a")
+        paces = []
+        session.pace = lambda run, percent: paces.append(percent)  # type: ignore[method-assign]
+        for number, spec in enumerate(
+            (
+                model.StepSpec(1, latency_target_ms=100),
+                model.StepSpec(1, is_filler=True),
+            )
+        ):
+            key = model.TaskKey("j", 0, 0, number)
+            run = worker_session.Run(key, 1, spec, session, 0.0)
+            run.status = worker_session.RunStatus.RUNNING
+            run.usage = tail_ms
+            run.pace = pace
+            session.add_run(run)
+        placement.pace_fillers(session, 10.0)
+        assert paces == ([] if wanted is None else [wanted])
+
+    asyncio.run(scenario())
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -53,10 +53,9 @@
         "percent",
         "percent_at",
         "usage",
-        "over_since",
+        "paced_at",
         "pace",
         "session",
-        "was_lasting_ready",
     )
 
     key: model.TaskKey
@@ -70,10 +69,9 @@
     percent: int
     percent_at: float  # when the percent last changed
     usage: int
-    over_since: float | None  # since when the tail is over its target
+    paced_at: float | None  # when its pace last changed
     pace: int  # percent
     session: "WorkerSession"
-    was_lasting_ready: bool
 
     def __init__(
         self,
@@ -94,10 +92,9 @@
         self.percent = 0
         self.percent_at = now
         self.usage = 0
-        self.over_since = None
+        self.paced_at = None
         self.pace = 100
         self.session = session
-        self.was_lasting_ready = False
 
 
 class RunEvents(Protocol):
