--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -13,6 +13,7 @@
 from soak import callers, faults, fleet
 
 SETTLE_S = 30.0  # after the last fault, in which all accepted jobs must be done
+LIMIT_S = 75.0  # after the time of faults, a seed that has not ended has failed
 POOLS = {"work": 4}
 CONFIGURATION = {
     "version": 1,
@@ -109,7 +110,12 @@
     )
     broken = []
     for number in chosen:
-        problems = asyncio.run(play(number, seconds, nodes))
+        try:
+            problems = asyncio.run(
+                asyncio.wait_for(play(number, seconds, nodes), seconds + LIMIT_S)
+            )
+        except TimeoutError:
+            problems = ["the seed did not end in time"]
         for problem in problems[:10]:
             click.echo(f"  {problem}")
         if problems:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -82,8 +82,8 @@
 
     async def _restart(self, node: fleet.Node) -> None:
         await self._wait()
-        while node.is_running():
-            await asyncio.sleep(0.05)
+        # An overlapping fault may have started it already; that is no process to wait
+        # for.
         node.start()
 
     async def _pause(self) -> None:
