--- a/clementinespar/jobs/ownership.py
+++ b/clementinespar/jobs/ownership.py
@@ -22,8 +22,8 @@
 ENOUGH_LARGER = 3
 LARGER_FACTOR = 1.5  # of the own cores
 STAND_BY_INTERVAL_S = 1.0
-FIRST_SIZES_DELAY_S = 1.0  # after a start
-SIZES_INTERVAL_S = 5.0  # between looks at the sizes while no larger node was seen
+# Between looks at the sizes while no larger node was seen in as long after the start.
+SIZES_INTERVAL_S = 5.0
 
 
 def format_member(address: str, born_ms: int, core_millis: int) -> str:
@@ -70,6 +70,7 @@
     _owners_read_at: float  # event-loop time
     _larger_count: int  # members with more cores, as last seen
     _sizes_read_at: float  # event-loop time
+    _began_at: float  # event-loop time
 
     def __init__(
         self,
@@ -94,6 +95,7 @@
         self.reached_at = None
         self._larger_count = 0
         self._sizes_read_at = 0.0
+        self._began_at = 0.0
         self._record = record
         self._confirmed_at = None
         self._stacks = {}
@@ -111,8 +113,10 @@
         """Join at intervals until cancelled."""
         loop = asyncio.get_running_loop()
         is_reached = True
-        # The first look at the sizes comes after a join, so nobody waits at a start.
-        self._sizes_read_at = loop.time() - SIZES_INTERVAL_S + FIRST_SIZES_DELAY_S
+        # A node that comes back looks at the sizes before its first join: to own a pool
+        # for a second costs two changes of owner.
+        self._began_at = loop.time()
+        self._sizes_read_at = self._began_at - SIZES_INTERVAL_S
         while True:
             sent_at = loop.time()
             try:
@@ -136,9 +140,9 @@
     async def _stands_by(self) -> bool:
         """Whether larger nodes own the partitions; hands its own over to them."""
         loop = asyncio.get_running_loop()
-        interval_s = (
-            SIZES_INTERVAL_S if self._larger_count == 0 else STAND_BY_INTERVAL_S
-        )
+        interval_s = STAND_BY_INTERVAL_S
+        if self._larger_count == 0 and loop.time() - self._began_at > SIZES_INTERVAL_S:
+            interval_s = SIZES_INTERVAL_S
         if loop.time() - self._sizes_read_at >= interval_s:
             self._owner_names = dict(await self._group.list_owners())
             self._owners_read_at = self._sizes_read_at = loop.time()
--- a/clementinespar/jobs/tests/test_ownership.py
+++ b/clementinespar/jobs/tests/test_ownership.py
@@ -144,9 +144,8 @@
         for number in range(3)
     }
     async with ownership.keep_ownership(bench.keeper):
-        await asyncio.sleep(0.5)
-        assert PARTITION in bench.keeper.owners_by_partition
-        await asyncio.sleep(4.5)
+        await asyncio.sleep(5.0)
+        assert not bench.epochs  # it never owned the pool, not even for a moment
         assert not bench.keeper.owners_by_partition
         assert bench.keeper.reached_at is not None
         del bench.group.owners[1]
