--- a/clementinespar/jobs/node.py
+++ b/clementinespar/jobs/node.py
@@ -94,7 +94,7 @@
             make_owner,
             hold_fleet,
             self.wanted_partitions,
-            int(settings.node.cpu_share * settings.node.cores * 1000),
+            settings.node.core_millis,
             record,
         )
         self.jobs = service.JobService(
--- a/clementinespar/jobs/options.py
+++ b/clementinespar/jobs/options.py
@@ -29,6 +29,11 @@
     cpu_share: float = pydantic.Field(default=1.0, gt=0)  # of one core of this machine
     cores: float = pydantic.Field(default=1.0, gt=0)  # speed of that core, as a factor
 
+    @property
+    def core_millis(self) -> int:
+        """Return the size of this machine, in thousandths of a core."""
+        return int(self.cpu_share * self.cores * 1000)
+
 
 @pydantic.dataclasses.dataclass(frozen=True, slots=True, config=_CONFIG)
 class StoreSection:
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -45,7 +45,6 @@
 HOUSEKEEPING_S = 0.5
 STUCK_AFTER_S = 1.4  # a run without progress for this long is started elsewhere
 STUCK_LASTING_S = 4.0  # a lasting task needs some time until it is at work
-LATE_FACTOR = 3.0  # a job later than this many objectives earns nothing
 UNKNOWN_STEP = model.StepSpec(1)
 
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -89,10 +89,6 @@
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(number)
 
-    def is_running(self) -> bool:
-        """Whether the process runs."""
-        return self.process is not None and self.process.poll() is None
-
 
 @contextlib.asynccontextmanager
 async def run_nodes(
