Keep the wait for silent workers across changes of owner

Cause: each owner waited the longest lease anew for every worker of the former owner's list that it could not reach.

The record of the workers in use now tells two groups: those that the owner has reached, and those that it has not, with the time that former leases have left. Time left is stored instead of a point in time since the clocks of two nodes may differ. A lease is extended only on a worker that the store knows to be in use, so a next owner never misses one.

--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -14,7 +14,6 @@
 import collections
 import contextlib
 import dataclasses
-import json
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 
@@ -43,8 +42,10 @@
 STALE_COMMANDS_S = 1.4  # an unknown job is reported only if commands are this fresh
 STATUS_RETENTION_MS = 150_000  # longer than callers may ask for a final state
 HOUSEKEEPING_S = 0.5
+USAGE_INTERVAL_S = 1.0  # between records of the time that former leases have left
 STUCK_AFTER_S = 1.4  # a run without progress for this long is started elsewhere
 STUCK_LASTING_S = 4.0  # a lasting task needs some time until it is at work
+ANY_WORKER = ""  # stands for all, if the record of the workers in use is unreadable
 UNKNOWN_STEP = model.StepSpec(1)
 
 
@@ -76,10 +77,10 @@
     _lease_s: float
     _sequence: int  # of the next fenced append
     _next_command: int  # offset
-    _recorded_workers: set[str]  # workers that may be used, to be stored
+    _used_workers: set[str]  # workers that have answered this owner, to be stored
     _stored_workers: set[str]  # workers that the store knows to be in use
-    _former_workers: set[str]  # those of the former owner
-    _former_bound: float  # event-loop time at which the former owner's leases end
+    _former_bounds: dict[str, float]  # event-loop times at which former leases end
+    _usage_stored_at: float  # event-loop time
     _cancelled_ids: set[str]
     _finished_commands: list[str]  # ids of jobs whose command can be dropped
     _unsubscribe: Callable[[], None]
@@ -124,12 +125,12 @@
         self._lease_s = settings.lease_max_s * LEASE_SHARE
         self._sequence = 0
         self._next_command = 0
-        self._recorded_workers = set()
+        self._used_workers = set()
         self._stored_workers = set()
-        self._former_workers = set()
+        self._former_bounds = {}
+        self._usage_stored_at = 0.0
         self._cancelled_ids = set()
         self._finished_commands = []
-        self._former_bound = 0.0
         self._unsubscribe = _do_nothing
         self._dirty = {}
         self._active = {}
@@ -147,9 +148,16 @@
 
     def on_contact(self, session: worker_session.WorkerSession) -> None:
         """Look for room after each report."""
+        if session.entry.worker_id not in self._used_workers:
+            self._used_workers.add(session.entry.worker_id)
+            self._flush_wanted.set()
         self._watch_runs(session)
         self._schedule_wanted.set()
 
+    def may_lease(self, worker_id: str) -> bool:
+        """Whether the next owner would learn from the store of a lease there."""
+        return worker_id in self._stored_workers
+
     def on_silent(self, session: worker_session.WorkerSession) -> None:
         """Let copies of speculative tasks start beside runs on a silent worker."""
         for run in session.runs.values():
@@ -424,9 +432,7 @@
         """Fence earlier owners, then read progress and commands."""
         loop = asyncio.get_running_loop()
         await self._append([services.KeyedRecord("owner", b"%d" % self.epoch)])
-        self._former_bound = (
-            loop.time() + self._settings.lease_max_s + worker_session.LEASE_MARGIN_S
-        )
+        fenced_at = loop.time()
         progress = await self._retry(
             lambda: self._store.list_newest(services.Topic.PROGRESS, self.partition)
         )
@@ -434,10 +440,8 @@
             lambda: self._store.list_newest(services.Topic.COMMANDS, self.partition)
         )
         values = {record.key: record.value for record in progress.records}
-        held = values.get("workers")
-        if held:
-            self._former_workers = set(json.loads(held))
-            self._recorded_workers = set(self._former_workers)
+        if "workers" in values:
+            self._restore_usage(values["workers"], fenced_at)
         specs: dict[str, bytes] = {}
         for record in commands.records:
             if record.key.startswith("j"):
@@ -479,7 +483,7 @@
             epoch=self.epoch,
             jobs=len(self.jobs_by_id),
             open_jobs=len(self._active),
-            former_workers=len(self._former_workers),
+            former_workers=len(self._former_bounds),
         )
 
     async def follow_commands(self) -> None:
@@ -531,17 +535,15 @@
             records.append(
                 services.KeyedRecord("p" + job.spec.job_id, state.encode_progress(job))
             )
-        stored_workers = set(self._recorded_workers)
-        if stored_workers != self._stored_workers:
-            records.append(
-                services.KeyedRecord(
-                    "workers", json.dumps(sorted(stored_workers)).encode()
-                )
-            )
+        used_workers = set(self._used_workers)
+        if self._is_usage_due(used_workers):
+            records.append(services.KeyedRecord("workers", self._encode_usage()))
         finals = [job for job in dirty if job.is_final]
         if records:
             await self._append(records)
-        self._stored_workers = stored_workers
+        if used_workers != self._stored_workers:
+            self._stored_workers = used_workers
+            self._schedule_wanted.set()
         for session, number, born_ms in processed:
             if session.born_ms == born_ms:
                 session.acknowledged = max(session.acknowledged, number)
@@ -557,6 +559,49 @@
         if has_adopted:
             self._schedule_wanted.set()
 
+    def _restore_usage(self, value: bytes, fenced_at: float) -> None:
+        """Wait for the leases of the former owner and of those before it."""
+        lease_end = (
+            fenced_at + self._settings.lease_max_s + worker_session.LEASE_MARGIN_S
+        )
+        try:
+            usage = state.decode_usage(value)
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            self._record(
+                "entry_invalid",
+                code=int(codes.ResultCode.ENTRY_INVALID),
+                key="workers",
+                error=repr(error),
+            )
+            self._former_bounds[ANY_WORKER] = lease_end
+            return
+        for worker_id, left_s in usage.left_s_by_former.items():
+            self._former_bounds[worker_id] = fenced_at + left_s
+        for worker_id in usage.used:
+            self._former_bounds[worker_id] = lease_end
+
+    def _is_usage_due(self, used_workers: set[str]) -> bool:
+        if used_workers != self._stored_workers:
+            return True
+        now = asyncio.get_running_loop().time()
+        return bool(
+            now - self._usage_stored_at > USAGE_INTERVAL_S and self._former_bounds
+        )
+
+    def _encode_usage(self) -> bytes:
+        """Return the record that tells a next owner for which workers it waits.
+
+        A worker that this owner has not reached keeps the end of its former lease, told
+        as the time left, since the clocks of two nodes may differ.
+        """
+        now = asyncio.get_running_loop().time()
+        self._usage_stored_at = now
+        for worker_id, bound in list(self._former_bounds.items()):
+            if now > bound or worker_id in self._used_workers:
+                del self._former_bounds[worker_id]
+        left_s = {name: bound - now for name, bound in self._former_bounds.items()}
+        return state.encode_usage(state.WorkerUsage(set(self._used_workers), left_s))
+
     async def schedule(self) -> None:
         """Place tasks whenever something has changed."""
         while True:
@@ -769,14 +814,11 @@
 
     def _is_settled(self) -> bool:
         """Whether no worker can still execute what a former owner started unseen."""
-        loop = asyncio.get_running_loop()
-        if loop.time() > self._former_bound:
-            return True
-        for worker_id in self._former_workers:
-            session = self.sessions_by_id.get(worker_id)
-            if session is None or not session.is_touched:
-                return False
-        return True
+        now = asyncio.get_running_loop().time()
+        return all(
+            now > bound or worker_id in self._used_workers
+            for worker_id, bound in self._former_bounds.items()
+        )
 
     def _place_tasks(self) -> None:
         if not self.is_loaded or self.is_lost or self.confirmed_at() is None:
@@ -982,16 +1024,16 @@
                     entry,
                     self.epoch,
                     self._lease_s,
-                    self._former_bound,
+                    max(
+                        self._former_bounds.get(entry.worker_id, 0.0),
+                        self._former_bounds.get(ANY_WORKER, 0.0),
+                    ),
                     self._workers,
                     self,
                     self._record,
                 )
                 session.is_evacuating = entry.worker_id in self.evacuating
                 self.sessions_by_id[entry.worker_id] = session
-                if entry.worker_id not in self._recorded_workers:
-                    self._recorded_workers.add(entry.worker_id)
-                    self._flush_wanted.set()
                 session.open()
             elif session.entry is not entry:
                 session.entry = entry
@@ -1006,7 +1048,7 @@
             if is_expired and is_silent and not session.runs:
                 session.close()
                 del self.sessions_by_id[worker_id]
-                self._recorded_workers.discard(worker_id)
+                self._used_workers.discard(worker_id)
                 self._flush_wanted.set()
 
     # The store.
--- a/clementinespar/jobs/tests/test_pool_owner.py
+++ b/clementinespar/jobs/tests/test_pool_owner.py
@@ -369,3 +369,73 @@
             await bench.wait_state("good", model.JobState.DONE)
 
     paused_clock.run(scenario())
+
+
+@paused_clock.test
+async def test_changes_of_owner_do_not_prolong_the_wait_for_a_silent_worker() -> None:
+    """Guards against a wait that each next owner begins anew.
+
+    Found by the bench: a lasting task of a dark rack was away for 20 s, since its pool
+    changed its owner every few seconds.
+    """
+    workers = fakes.FakeWorkers(3)
+    bench = helpers.OwnerBench(workers)
+    await bench.submit(helpers.make_spec("a", task_count=1, is_lasting=True))
+    async with helpers.run_owner(bench):
+        await asyncio.sleep(1.0)
+    used = workers.starts[0][2]
+    workers.workers[used].is_silent = True
+    for _ in range(5):
+        async with helpers.run_owner(bench):
+            await asyncio.sleep(helpers.LEASE_MAX_S / 3)
+    assert [worker_id for _, _, worker_id in workers.starts[1:]] != []
+    assert not workers.violations
+
+
+@paused_clock.test
+async def test_lease_is_extended_only_where_the_next_owner_waits_for_it() -> None:
+    """Guards against a lease on a worker that the store does not know to be in use.
+
+    A worker that comes back to an owner just before the next one takes over would go on
+    with what the first owner had started there.
+    """
+    workers = fakes.FakeWorkers(2)
+    workers.task_s = 60.0
+    bench = helpers.OwnerBench(workers)
+    await bench.submit(helpers.make_spec("a", task_count=1, is_lasting=True))
+    async with helpers.run_owner(bench):
+        await asyncio.sleep(1.0)
+    used = workers.workers[workers.starts[0][2]]
+    used.is_silent = True
+    async with helpers.run_owner(bench):
+        await asyncio.sleep(helpers.LEASE_MAX_S / 2)
+        bench.store.is_down = True
+        used.is_silent = False
+        await asyncio.sleep(1.0)
+        used.is_silent = True
+    bench.store.is_down = False
+    async with helpers.run_owner(bench):
+        await asyncio.sleep(2 * helpers.LEASE_MAX_S)
+    assert len(workers.starts) == 2
+    assert not workers.violations
+
+
+@paused_clock.test
+async def test_unreadable_record_of_the_workers_in_use() -> None:
+    """Guards against a start beside a run that a former owner's record hid."""
+    workers = fakes.FakeWorkers(2)
+    workers.task_s = 60.0
+    bench = helpers.OwnerBench(workers)
+    await bench.submit(helpers.make_spec("a", task_count=1))
+    async with helpers.run_owner(bench):
+        await asyncio.sleep(1.0)
+    workers.workers[workers.starts[0][2]].is_silent = True
+    await bench.store.append(
+        services.Topic.PROGRESS,
+        helpers.PARTITION,
+        [services.KeyedRecord("workers", b"[1]")],
+    )
+    async with helpers.run_owner(bench):
+        await asyncio.sleep(2 * helpers.LEASE_MAX_S)
+    assert len(workers.starts) == 2
+    assert not workers.violations
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -104,6 +104,10 @@
         """Return when the newest confirmation of ownership was asked for."""
         ...
 
+    def may_lease(self, worker_id: str) -> bool:
+        """Whether the next owner would learn from the store of a lease there."""
+        ...
+
     def on_contact(self, session: "WorkerSession") -> None:
         """Note that a renewal was answered."""
         ...
@@ -288,6 +292,8 @@
         confirmed = self._events.confirmed_at()
         if self._clock_ms is None or confirmed is None:
             return None
+        if not self._events.may_lease(self.entry.worker_id):
+            return None
         end = confirmed + self.lease_s
         left_s = end - self._clock_at
         if end - asyncio.get_running_loop().time() < LEASE_MARGIN_S:
