Answer submissions early while the store is away

Cause: a submission whose append had no answer was repeated until just before the caller's deadline.

A node now takes the store as away when its calls (joins of the group, appends of submissions) have had no answer for 0.5 s. Lost answers to single calls do not count while others are answered.

Ruled out: a pause after each failed append (the first caller of each node in each pause would still be held).

--- a/clementinespar/jobs/ownership.py
+++ b/clementinespar/jobs/ownership.py
@@ -10,7 +10,7 @@
 from collections.abc import AsyncIterator, Callable
 from typing import Protocol
 
-from clementinespar import errors
+from clementinespar import codes, errors
 from clementinespar.jobs import pool_owner, services
 
 PARTITION_COUNT = 24
@@ -61,6 +61,7 @@
     generation: int
     assigned: frozenset[int]
     reached_at: float | None  # event-loop time of the newest answer of the store
+    unanswered_since: float | None  # event-loop time of the first call without answer
     _confirmed_at: float | None
     _stacks: dict[int, contextlib.AsyncExitStack]
     _fleet_holder: FleetHolder | None
@@ -93,6 +94,7 @@
         self._wanted_partitions = wanted_partitions
         self._core_millis = core_millis
         self.reached_at = None
+        self.unanswered_since = None
         self._larger_count = 0
         self._sizes_read_at = 0.0
         self._began_at = 0.0
@@ -119,13 +121,17 @@
         self._sizes_read_at = self._began_at - SIZES_INTERVAL_S
         while True:
             sent_at = loop.time()
+            if self.unanswered_since is None:
+                self.unanswered_since = sent_at
             try:
                 if await self._stands_by():
-                    self.reached_at = loop.time()
+                    self._note_answer()
                     await asyncio.sleep(STAND_BY_INTERVAL_S)
                     continue
                 assignment = await self._group.join(self.generation)
             except errors.ClementinesparError as error:
+                if error.code is codes.ResultCode.STORE_REFUSED:
+                    self.unanswered_since = None  # a refusal is an answer
                 if is_reached:
                     self._record("ownership_unconfirmed", code=int(error.code))
                 is_reached = False
@@ -133,10 +139,14 @@
                 if not is_reached:
                     self._record("ownership_confirmed_again")
                 is_reached = True
-                self.reached_at = loop.time()
+                self._note_answer()
                 await self._apply(assignment, sent_at)
             await asyncio.sleep(max(0.05, sent_at + JOIN_INTERVAL_S - loop.time()))
 
+    def _note_answer(self) -> None:
+        self.reached_at = asyncio.get_running_loop().time()
+        self.unanswered_since = None
+
     async def _stands_by(self) -> bool:
         """Whether larger nodes own the partitions; hands its own over to them."""
         loop = asyncio.get_running_loop()
--- a/clementinespar/jobs/service.py
+++ b/clementinespar/jobs/service.py
@@ -7,6 +7,7 @@
 import asyncio
 import dataclasses
 import json
+import math
 import urllib.parse
 from collections.abc import Iterable
 from typing import Any
@@ -18,7 +19,9 @@
 OWNER_RETRY_S = 0.15  # a change of owner takes about a second
 WAITING_MAX_AGE_S = 1.0  # callers may be told a count that is 2 s old
 STORE_RETRY_S = 0.1
-FAILED_STORE_S = 0.3  # submissions are refused at once for this long after a failure
+# A store that has answered no call for this long is taken as away. A slow store answers
+# in some hundred milliseconds.
+SILENT_STORE_S = 0.5
 
 
 class JobService:
@@ -29,6 +32,9 @@
     _store: services.JobStore
     _caller: http_calls.HttpCaller
     _waiting_by_queue: dict[str, tuple[float, int]]
+    _sent_at: dict[str, float]  # job id: event-loop time of its append in flight
+    _lost_at: float  # event-loop time of the first append without an answer
+    _answered_at: float  # event-loop time of the newest answer to an append
 
     def __init__(
         self,
@@ -42,6 +48,9 @@
         self._store = store
         self._caller = caller
         self._waiting_by_queue = {}
+        self._sent_at = {}
+        self._lost_at = -math.inf
+        self._answered_at = -math.inf
 
     async def submit(
         self, pool: str, spec: model.JobSpec, timeout_s: float
@@ -49,10 +58,41 @@
         """Store a job; ``OK`` once it is durable.
 
         Returns ``STORE_REFUSED`` if it certainly is not stored and ``STORE_UNANSWERED``
-        if it may be.
+        if it may be. While the store is away the answer comes early, so that the caller
+        can try another node or come back.
         """
+        if self._is_store_away():
+            return codes.ResultCode.STORE_REFUSED
         record = services.KeyedRecord("j" + spec.job_id, state.encode_spec(spec))
-        return await self._command(pool, record, timeout_s)
+        loop = asyncio.get_running_loop()
+        self._sent_at[spec.job_id] = loop.time()
+        command = asyncio.create_task(self._command(pool, record, timeout_s))
+        try:
+            while True:
+                done, _ = await asyncio.wait({command}, timeout=SILENT_STORE_S)
+                if done:
+                    return command.result()
+                if self._is_store_away():
+                    return codes.ResultCode.STORE_UNANSWERED
+        finally:
+            command.cancel()
+            self._sent_at.pop(spec.job_id, None)
+
+    def _is_store_away(self) -> bool:
+        """Whether calls of this node to the store have gone without answers."""
+        now = asyncio.get_running_loop().time()
+        answered_at = self._store_answered_at()
+        unanswered = [self._lost_at, *self._sent_at.values()]
+        if self.keeper.unanswered_since is not None:
+            unanswered.append(self.keeper.unanswered_since)
+        return any(
+            sent_at > answered_at and now - sent_at >= SILENT_STORE_S
+            for sent_at in unanswered
+        )
+
+    def _store_answered_at(self) -> float:
+        reached_at = self.keeper.reached_at
+        return max(self._answered_at, -math.inf if reached_at is None else reached_at)
 
     async def cancel(
         self, pool: str, job_id: str, timeout_s: float
@@ -151,13 +191,19 @@
         end = loop.time() + timeout_s
         may_be_stored = False
         while True:
+            sent_at = loop.time()
             try:
                 await self._store.append(
                     services.Topic.COMMANDS, ownership.partition_of(pool), [record]
                 )
-                return codes.ResultCode.OK
             except errors.ClementinesparError as error:
-                may_be_stored |= error.code is codes.ResultCode.STORE_UNANSWERED
+                if error.code is codes.ResultCode.STORE_UNANSWERED:
+                    may_be_stored = True
+                    if self._lost_at <= self._store_answered_at():
+                        self._lost_at = sent_at
+            else:
+                self._answered_at = loop.time()
+                return codes.ResultCode.OK
             if not may_be_stored:
                 return codes.ResultCode.STORE_REFUSED
             if loop.time() + STORE_RETRY_S > end:
--- a/clementinespar/jobs/tests/fakes.py
+++ b/clementinespar/jobs/tests/fakes.py
@@ -17,16 +17,26 @@
     """Drop a decision."""
 
 
+SILENT_CALL_S = 1.0  # a call without an answer is given up after this long
+
+
+async def _lose_call() -> None:
+    await asyncio.sleep(SILENT_CALL_S)
+    raise errors.ClementinesparError(codes.ResultCode.STORE_UNANSWERED, "silent")
+
+
 class FakeStore:
     """`services.JobStore` in memory."""
 
     is_down: bool
     loses_answers: bool  # what is asked is done, and no answer comes
+    is_silent: bool  # nothing is done, and no answer comes
     values: dict[tuple[services.Topic, int], dict[str, bytes]]
 
     def __init__(self) -> None:
         self.is_down = False
         self.loses_answers = False
+        self.is_silent = False
         self.values = collections.defaultdict(dict)
         self._log: dict[tuple[services.Topic, int], list[services.KeyedRecord]] = (
             collections.defaultdict(list)
@@ -49,6 +59,8 @@
     ) -> None:
         await asyncio.sleep(0.003)
         self._check()
+        if self.is_silent:
+            await _lose_call()
         self._apply(topic, partition, records)
         self._check_answer()
 
@@ -339,21 +351,27 @@
 
     assignment: services.Assignment
     is_down: bool
+    is_silent: bool
     owners: dict[int, str]
 
     def __init__(self, partitions: frozenset[int], generation: int = 1) -> None:
         self.assignment = services.Assignment(generation, partitions)
         self.is_down = False
+        self.is_silent = False
         self.owners = {}
 
     async def join(self, generation: int) -> services.Assignment:
         await asyncio.sleep(0.002)
         if self.is_down:
             raise errors.ClementinesparError(codes.ResultCode.STORE_REFUSED, "down")
+        if self.is_silent:
+            await _lose_call()
         return self.assignment
 
     async def leave(self) -> None:
         """Do nothing; the test tells the next assignment."""
 
     async def list_owners(self) -> Mapping[int, str]:
+        if self.is_silent:
+            await _lose_call()
         return self.owners
