Lend idle hosts to pools that lack some, and release them from peaks sooner

The largest size of 1.75 times home was reached too (72 of 41 hosts).

Pools with no waiting work now lend idle hosts while another lacks some: all beyond their need during and after their turn, half of their home size before it. The largest size is 2.5 times home. A peak keeps the largest need of the last seconds instead of every host that it ever had.

--- a/clementinespar/jobs/capacity.py
+++ b/clementinespar/jobs/capacity.py
@@ -13,7 +13,9 @@
 QUIET_SHARE = 0.3  # use below which the turn is over
 QUIET_S = 1.2  # for this long
 HEADROOM = 1.15  # capacity for each unit of demand, since tasks do not pack fully
-MOST_SHARE = 1.75  # of its home size, the most hosts that a pool gets at its peak
+MOST_SHARE = 2.5  # of its home size, the most hosts that a pool gets at its peak
+KEPT_SHARE = 0.5  # of its home size, kept before its turn while another pool lacks
+HOLD_S = 3.0  # a need for hosts is kept this long, as arrivals come unevenly
 SPARE_HOSTS = 1  # idle hosts that a pool keeps beyond its demand after its turn
 
 
@@ -41,6 +43,13 @@
     quiet_since: float | None = None
     turn_ended_at: float | None = None
     is_resting: bool = False  # the other pools have their turns first
+    needs: list[tuple[float, int]] = dataclasses.field(default_factory=list)
+
+    def hold_need(self, needed: int, now: float) -> int:
+        """Return the largest number of hosts needed within `HOLD_S`."""
+        self.needs = [(at, n) for at, n in self.needs if now - at < HOLD_S]
+        self.needs.append((now, needed))
+        return max(n for _, n in self.needs)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -92,24 +101,42 @@
         first.is_resting = False
 
 
-def wanted_hosts(turn: TurnState, view: PoolView) -> int:
-    """Return the number of hosts that a pool shall have."""
+def needed_hosts(turn: TurnState, view: PoolView) -> int:
+    """Return the number of hosts that the demand of a pool keeps busy."""
     host_cores = max(1.0, view.host_cores)
     needed = math.ceil(demand_cores(view) * HEADROOM / host_cores)
-    if view.waiting_cores > 0:
-        waiting = math.ceil(view.waiting_cores * HEADROOM / host_cores)
-        needed = min(needed, view.hosts + waiting)
-    else:
-        needed = min(needed, view.hosts)
-    needed = min(needed, math.ceil(turn.home_hosts * MOST_SHARE))
+    waiting = math.ceil(view.waiting_cores * HEADROOM / host_cores)
+    needed = min(needed, view.hosts + waiting)
+    return min(needed, math.ceil(turn.home_hosts * MOST_SHARE))
+
+
+def wanted_hosts(turn: TurnState, view: PoolView, now: float) -> int:
+    """Return the number of hosts that a pool shall have if no other lacks any."""
+    needed = needed_hosts(turn, view)
     if turn.is_peaking:
-        return max(turn.home_hosts, view.hosts, needed)
+        held = turn.hold_need(needed, now)
+        if view.waiting_cores > 0:
+            held = max(held, view.hosts)
+        return max(turn.home_hosts, held)
     if not turn.is_resting:
         return max(turn.home_hosts, needed)
+    host_cores = max(1.0, view.host_cores)
     used = math.ceil(view.used_cores * HEADROOM / host_cores)
     return max(needed, used) + SPARE_HOSTS
 
 
+def kept_hosts(turn: TurnState, view: PoolView) -> int:
+    """Return the number of hosts that a pool keeps while another lacks some.
+
+    A pool whose turn has not come lends a part of its home size: what another pool
+    lacks now counts more than a slower begin of its own turn.
+    """
+    needed = needed_hosts(turn, view) + SPARE_HOSTS
+    if turn.is_peaking or turn.is_resting:
+        return needed
+    return max(needed, math.ceil(turn.home_hosts * KEPT_SHARE))
+
+
 def plan_moves(
     views: list[PoolView], turns: dict[str, TurnState], now: float
 ) -> list[Move]:
@@ -134,24 +161,35 @@
         turn = turns.setdefault(view.name, TurnState(view.hosts))
         update_turn(turn, view, now)
     update_resting(turns)
+    lent: list[tuple[str, str]] = []
     for view in views:
         if view.is_spare:
             continue
         turn = turns[view.name]
-        wanted = wanted_hosts(turn, view)
+        wanted = wanted_hosts(turn, view, now)
+        kept = kept_hosts(turn, view)
         if wanted > view.hosts:
             lacking.append((wanted - view.hosts, view))
-        else:
-            surplus.extend(
-                (host_id, view.name) for host_id in view.movable[: view.hosts - wanted]
+        given = max(0, view.hosts - wanted)
+        surplus.extend((host_id, view.name) for host_id in view.movable[:given])
+        if view.waiting_cores <= 0:
+            lendable = max(given, view.hosts - kept)
+            lent.extend(
+                (host_id, view.name) for host_id in view.movable[given:lendable]
             )
     # Hosts of other pools are taken first: those in the spare pool cost nothing.
     sources = surplus + [
         (host_id, view.name) for view in spare_pools for host_id in view.movable
     ]
     for count, view in sorted(lacking, key=lambda item: -item[0]):
-        for _ in range(min(count, len(sources))):
-            host_id, source = sources.pop(0)
+        is_short = view.waiting_cores > 0
+        for _ in range(count):
+            if sources:
+                host_id, source = sources.pop(0)
+            elif is_short and lent:
+                host_id, source = lent.pop(0)
+            else:
+                break
             leaving.append(Move(host_id, source, view.name))
     if spare_pools:
         moved = {move.host_id for move in leaving}
