--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -27,6 +27,7 @@
     state,
     telemetry,
     worker_session,
+    worker_use,
 )
 
 LEASE_SHARE = 0.9  # of the longest lease that workers grant
@@ -42,10 +43,8 @@
 STALE_COMMANDS_S = 1.4  # an unknown job is reported only if commands are this fresh
 STATUS_RETENTION_MS = 150_000  # longer than callers may ask for a final state
 HOUSEKEEPING_S = 0.5
-USAGE_INTERVAL_S = 1.0  # between records of the time that former leases have left
 STUCK_AFTER_S = 1.4  # a run without progress for this long is started elsewhere
 STUCK_LASTING_S = 4.0  # a lasting task needs some time until it is at work
-ANY_WORKER = ""  # stands for all, if the record of the workers in use is unreadable
 UNKNOWN_STEP = model.StepSpec(1)
 
 
@@ -77,10 +76,7 @@
     _lease_s: float
     _sequence: int  # of the next fenced append
     _next_command: int  # offset
-    _used_workers: set[str]  # workers that have answered this owner, to be stored
-    _stored_workers: set[str]  # workers that the store knows to be in use
-    _former_bounds: dict[str, float]  # event-loop times at which former leases end
-    _usage_stored_at: float  # event-loop time
+    _use: worker_use.WorkerUse
     _cancelled_ids: set[str]
     _finished_commands: list[str]  # ids of jobs whose command can be dropped
     _unsubscribe: Callable[[], None]
@@ -125,10 +121,7 @@
         self._lease_s = settings.lease_max_s * LEASE_SHARE
         self._sequence = 0
         self._next_command = 0
-        self._used_workers = set()
-        self._stored_workers = set()
-        self._former_bounds = {}
-        self._usage_stored_at = 0.0
+        self._use = worker_use.WorkerUse()
         self._cancelled_ids = set()
         self._finished_commands = []
         self._unsubscribe = _do_nothing
@@ -148,15 +141,15 @@
 
     def on_contact(self, session: worker_session.WorkerSession) -> None:
         """Look for room after each report."""
-        if session.entry.worker_id not in self._used_workers:
-            self._used_workers.add(session.entry.worker_id)
+        if session.entry.worker_id not in self._use.touched:
+            self._use.touched.add(session.entry.worker_id)
             self._flush_wanted.set()
         self._watch_runs(session)
         self._schedule_wanted.set()
 
     def may_lease(self, worker_id: str) -> bool:
         """Whether the next owner would learn from the store of a lease there."""
-        return worker_id in self._stored_workers
+        return worker_id in self._use.stored
 
     def on_silent(self, session: worker_session.WorkerSession) -> None:
         """Let copies of speculative tasks start beside runs on a silent worker."""
@@ -312,7 +305,7 @@
         waits_for = None
         if not job.is_adopted:
             waits_for = "the store, for the record of its adoption"
-        elif job.adopted_epoch != self.epoch and not self._is_settled():
+        elif job.adopted_epoch != self.epoch and not self._use.is_settled():
             waits_for = "workers of the former owner that do not answer"
         if not job.is_final and not job.is_lasting:
             slack_s = job.deadline - now
@@ -410,7 +403,7 @@
             return (
                 self._directory.is_loaded
                 and worker_id not in self._directory.by_id
-                and self._is_settled()
+                and self._use.is_settled()
             )
         if not session.is_evacuating:
             session.is_evacuating = True
@@ -483,7 +476,7 @@
             epoch=self.epoch,
             jobs=len(self.jobs_by_id),
             open_jobs=len(self._active),
-            former_workers=len(self._former_bounds),
+            former_workers=self._use.former_count,
         )
 
     async def follow_commands(self) -> None:
@@ -535,14 +528,14 @@
             records.append(
                 services.KeyedRecord("p" + job.spec.job_id, state.encode_progress(job))
             )
-        used_workers = set(self._used_workers)
-        if self._is_usage_due(used_workers):
-            records.append(services.KeyedRecord("workers", self._encode_usage()))
+        used_workers = set(self._use.touched)
+        if self._use.is_due():
+            records.append(services.KeyedRecord("workers", self._use.encode()))
         finals = [job for job in dirty if job.is_final]
         if records:
             await self._append(records)
-        if used_workers != self._stored_workers:
-            self._stored_workers = used_workers
+        if used_workers != self._use.stored:
+            self._use.stored = used_workers
             self._schedule_wanted.set()
         for session, number, born_ms in processed:
             if session.born_ms == born_ms:
@@ -561,11 +554,9 @@
 
     def _restore_usage(self, value: bytes, fenced_at: float) -> None:
         """Wait for the leases of the former owner and of those before it."""
-        lease_end = (
-            fenced_at + self._settings.lease_max_s + worker_session.LEASE_MARGIN_S
-        )
+        lease_s = self._settings.lease_max_s + worker_session.LEASE_MARGIN_S
         try:
-            usage = state.decode_usage(value)
+            self._use.restore(value, fenced_at, lease_s)
         except (ValueError, KeyError, TypeError, AttributeError) as error:
             self._record(
                 "entry_invalid",
@@ -573,34 +564,7 @@
                 key="workers",
                 error=repr(error),
             )
-            self._former_bounds[ANY_WORKER] = lease_end
-            return
-        for worker_id, left_s in usage.left_s_by_former.items():
-            self._former_bounds[worker_id] = fenced_at + left_s
-        for worker_id in usage.used:
-            self._former_bounds[worker_id] = lease_end
-
-    def _is_usage_due(self, used_workers: set[str]) -> bool:
-        if used_workers != self._stored_workers:
-            return True
-        now = asyncio.get_running_loop().time()
-        return bool(
-            now - self._usage_stored_at > USAGE_INTERVAL_S and self._former_bounds
-        )
-
-    def _encode_usage(self) -> bytes:
-        """Return the record that tells a next owner for which workers it waits.
-
-        A worker that this owner has not reached keeps the end of its former lease, told
-        as the time left, since the clocks of two nodes may differ.
-        """
-        now = asyncio.get_running_loop().time()
-        self._usage_stored_at = now
-        for worker_id, bound in list(self._former_bounds.items()):
-            if now > bound or worker_id in self._used_workers:
-                del self._former_bounds[worker_id]
-        left_s = {name: bound - now for name, bound in self._former_bounds.items()}
-        return state.encode_usage(state.WorkerUsage(set(self._used_workers), left_s))
+            self._use.wait_for_all(fenced_at, lease_s)
 
     async def schedule(self) -> None:
         """Place tasks whenever something has changed."""
@@ -812,24 +776,16 @@
 
     # Placement.
 
-    def _is_settled(self) -> bool:
-        """Whether no worker can still execute what a former owner started unseen."""
-        now = asyncio.get_running_loop().time()
-        return all(
-            now > bound or worker_id in self._used_workers
-            for worker_id, bound in self._former_bounds.items()
-        )
-
     def _place_tasks(self) -> None:
         if not self.is_loaded or self.is_lost or self.confirmed_at() is None:
             return
         loop = asyncio.get_running_loop()
         now = loop.time()
-        is_settled = self._is_settled()
+        is_settled = self._use.is_settled()
         usable = [
             session
             for session in self.sessions_by_id.values()
-            if session.can_take(now) and session.entry.worker_id in self._stored_workers
+            if session.can_take(now) and session.entry.worker_id in self._use.stored
         ]
         if not usable:
             return
@@ -1024,10 +980,7 @@
                     entry,
                     self.epoch,
                     self._lease_s,
-                    max(
-                        self._former_bounds.get(entry.worker_id, 0.0),
-                        self._former_bounds.get(ANY_WORKER, 0.0),
-                    ),
+                    self._use.former_end(entry.worker_id),
                     self._workers,
                     self,
                     self._record,
@@ -1048,7 +1001,7 @@
             if is_expired and is_silent and not session.runs:
                 session.close()
                 del self.sessions_by_id[worker_id]
-                self._used_workers.discard(worker_id)
+                self._use.touched.discard(worker_id)
                 self._flush_wanted.set()
 
     # The store.
--- a/clementinespar/jobs/state.py
+++ b/clementinespar/jobs/state.py
@@ -5,7 +5,6 @@
 listed again after a change of owner does not count twice.
 """
 
-import dataclasses
 import json
 from collections.abc import Callable, Iterator
 
@@ -15,23 +14,6 @@
 RUNS_PER_EPOCH = 1000
 
 
-@dataclasses.dataclass(slots=True)
-class WorkerUsage:
-    """Workers that may still execute what owners of a pool started there.
-
-    Attributes
-    ----------
-    used : set of str
-        Ids of the workers that the owner has reached; it may extend leases there.
-    left_s_by_former : dict of str to float
-        Seconds that the leases of former owners last at most, for each worker that the
-        owner has not reached.
-    """
-
-    used: set[str]
-    left_s_by_former: dict[str, float]
-
-
 class TaskState:
     """One task of one occurrence."""
 
@@ -344,26 +326,3 @@
             "steps": steps,
         }
     )
-
-
-def encode_usage(usage: WorkerUsage) -> bytes:
-    """Return the durable form of the workers in use."""
-    former = {
-        worker_id: round(left_s, 3)
-        for worker_id, left_s in sorted(usage.left_s_by_former.items())
-    }
-    told = {"used": sorted(usage.used), "former": former}
-    return json.dumps(told, separators=(",", ":")).encode()
-
-
-def decode_usage(value: bytes) -> WorkerUsage:
-    """Return the workers of a durable form.
-
-    Raises
-    ------
-    ValueError, KeyError, TypeError, AttributeError
-        The value does not hold them.
-    """
-    told = json.loads(value)
-    former = {str(name): float(left_s) for name, left_s in told["former"].items()}
-    return WorkerUsage(set(told["used"]), former)
--- /dev/null
+++ b/clementinespar/jobs/worker_use.py
@@ -0,0 +1,95 @@
+"""Which workers may execute work of a pool, as far as the store knows.
+
+The record lets a next owner wait for just those workers on which a former owner's
+lease may last. Time left is stored instead of a point in time, since the clocks of two
+nodes may differ.
+"""
+
+import asyncio
+import json
+
+ANY_WORKER = ""  # stands for all, if the record is unreadable
+LEFT_INTERVAL_S = 1.0  # between records of the time that former leases have left
+
+
+class WorkerUse:
+    """Workers that this owner uses, and leases of former owners."""
+
+    touched: set[str]  # workers that have answered this owner
+    stored: set[str]  # workers that the store knows to be in use by this owner
+    _ends: dict[str, float]  # worker id: event-loop time at which former leases end
+    _told_at: float  # event-loop time
+
+    def __init__(self) -> None:
+        self.touched = set()
+        self.stored = set()
+        self._ends = {}
+        self._told_at = 0.0
+
+    @property
+    def former_count(self) -> int:
+        """Number of workers on which a former lease may last."""
+        return len(self._ends)
+
+    def former_end(self, worker_id: str) -> float:
+        """Return the event-loop time at which former leases on a worker have ended."""
+        return max(self._ends.get(worker_id, 0.0), self._ends.get(ANY_WORKER, 0.0))
+
+    def is_settled(self) -> bool:
+        """Whether no worker can still execute what a former owner started unseen."""
+        now = asyncio.get_running_loop().time()
+        return all(
+            now > end or worker_id in self.touched
+            for worker_id, end in self._ends.items()
+        )
+
+    def is_due(self) -> bool:
+        """Whether the record is to be stored."""
+        if self.touched != self.stored:
+            return True
+        now = asyncio.get_running_loop().time()
+        return bool(self._ends) and now - self._told_at > LEFT_INTERVAL_S
+
+    def wait_for_all(self, fenced_at: float, lease_s: float) -> None:
+        """Expect leases everywhere, as the former owner's record is unreadable."""
+        self._ends[ANY_WORKER] = fenced_at + lease_s
+
+    def restore(self, value: bytes, fenced_at: float, lease_s: float) -> None:
+        """Read the former owner's record.
+
+        Parameters
+        ----------
+        value : bytes
+            The record.
+        fenced_at : float
+            Event-loop time after which the former owner could store nothing.
+        lease_s : float
+            Longest time that its leases last, in seconds.
+
+        Raises
+        ------
+        ValueError, KeyError, TypeError, AttributeError
+            The record is unreadable.
+        """
+        told = json.loads(value)
+        ends = {
+            str(worker_id): fenced_at + float(left_s)
+            for worker_id, left_s in told["former"].items()
+        }
+        for worker_id in told["used"]:
+            ends[str(worker_id)] = fenced_at + lease_s
+        self._ends = ends
+
+    def encode(self) -> bytes:
+        """Return the record for the next owner.
+
+        A worker that this owner has not reached keeps the end of its former leases.
+        """
+        now = asyncio.get_running_loop().time()
+        self._told_at = now
+        for worker_id, end in list(self._ends.items()):
+            if now > end or worker_id in self.touched:
+                del self._ends[worker_id]
+        former = {name: round(end - now, 3) for name, end in sorted(self._ends.items())}
+        told = {"used": sorted(self.touched), "former": former}
+        return json.dumps(told, separators=(",", ":")).encode()
