Move placement of tasks and the watch over runs out of the pool's owner

No change of behaviour. pool_owner.py had 1,120 lines; it now decides the order of jobs and applies commands and ends, task_placer.py starts what waits, and run_watch.py stops or moves what needs attention.

--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -11,7 +11,6 @@
 """
 
 import asyncio
-import collections
 import contextlib
 import dataclasses
 import time
@@ -23,8 +22,10 @@
     demand,
     model,
     placement,
+    run_watch,
     services,
     state,
+    task_placer,
     telemetry,
     worker_session,
     worker_use,
@@ -43,8 +44,6 @@
 STALE_COMMANDS_S = 1.4  # an unknown job is reported only if commands are this fresh
 STATUS_RETENTION_MS = 150_000  # longer than callers may ask for a final state
 HOUSEKEEPING_S = 0.5
-STUCK_AFTER_S = 1.4  # a run without progress for this long is started elsewhere
-STUCK_LASTING_S = 4.0  # a lasting task needs some time until it is at work
 UNKNOWN_STEP = model.StepSpec(1)
 
 
@@ -77,6 +76,8 @@
     _sequence: int  # of the next fenced append
     _next_command: int  # offset
     _use: worker_use.WorkerUse
+    _placer: task_placer.TaskPlacer
+    _watch: run_watch.RunWatch
     _cancelled_ids: set[str]
     _finished_commands: list[str]  # ids of jobs whose command can be dropped
     _unsubscribe: Callable[[], None]
@@ -130,6 +131,12 @@
         self._flush_wanted = asyncio.Event()
         self._schedule_wanted = asyncio.Event()
         self._tickets = advice.TicketBook(adviser, record, self._schedule_wanted)
+        self._placer = task_placer.TaskPlacer(
+            epoch, self.sessions_by_id, self._tickets, record, metrics
+        )
+        self._watch = run_watch.RunWatch(
+            self.jobs_by_id, self.sessions_by_id, self._placer
+        )
         self._run_times = demand.RunTimes()
         self._arrivals_by_pool = {}
 
@@ -144,7 +151,7 @@
         if session.entry.worker_id not in self._use.touched:
             self._use.touched.add(session.entry.worker_id)
             self._flush_wanted.set()
-        self._watch_runs(session)
+        self._watch.check(session)
         self._schedule_wanted.set()
 
     def may_lease(self, worker_id: str) -> bool:
@@ -268,7 +275,7 @@
         run.percent = listed.percent
         task.open_runs.add(listed.run)
         step.waiting.discard(listed.task.index)
-        self._mark_started(job)
+        job.mark_started()
         return run
 
     # What callers ask.
@@ -410,7 +417,7 @@
             self._record("evacuate", worker=worker_id, runs=len(session.runs))
         for run in list(session.runs.values()):
             if run.spec.is_lasting:
-                self._move_lasting(run, "its host is to be taken away")
+                self._watch.move_lasting(run, "its host is to be taken away")
             elif (
                 urgency is model.EvacuationUrgency.STOP
                 and run.status is worker_session.RunStatus.RUNNING
@@ -766,11 +773,6 @@
         self._mark_dirty(job)
         self._flush_wanted.set()
 
-    def _mark_started(self, job: state.JobProgress) -> None:
-        if not job.has_started:
-            job.has_started = True
-            job.state = model.JobState.RUNNING
-
     def _mark_dirty(self, job: state.JobProgress) -> None:
         self._dirty[job.spec.job_id] = job
 
@@ -804,165 +806,7 @@
                 [session for session in usable if session.entry.pool == pool]
             )
         for job in waiting:
-            room = room_by_pool[job.spec.pool]
-            if not room.has_any():
-                continue
-            for occurrence in job.occurrences.values():
-                for step in occurrence.ready_steps():
-                    self._place_step(job, step, room, now)
-
-    def _place_step(
-        self,
-        job: state.JobProgress,
-        step: state.StepState,
-        room: placement.Room,
-        now: float,
-    ) -> None:
-        tickets: dict[str, str] = {}
-        if job.spec.needs_advice:
-            tickets = self._tickets.usable(step, room.worker_ids())
-            room = room.restrict(tickets)
-        if step.spec.is_gang:
-            self._place_gang(job, step, room, tickets, now)
-            return
-        counts = self._count_per_worker(job, step)
-        for index in sorted(step.waiting):
-            task = step.tasks[index]
-            if task.not_before > now:
-                continue
-            session = room.choose(step.spec, counts, task.failed_on)
-            if session is None:
-                if not task.failed_on:
-                    break
-                continue
-            counts[session.entry.worker_id] += 1
-            ticket = tickets.get(session.entry.worker_id, "")
-            number = job.next_run(task, self.epoch)
-            self._start(job, step, task, number, session, ticket)
-
-    def _place_gang(
-        self,
-        job: state.JobProgress,
-        step: state.StepState,
-        room: placement.Room,
-        tickets: dict[str, str],
-        now: float,
-    ) -> None:
-        """Start all members with one run number, or none."""
-        if len(step.waiting) < len(step.tasks) or any(
-            task.not_before > now for task in step.tasks
-        ):
-            return
-        chosen = room.choose_gang(step.spec, len(step.tasks))
-        if chosen is None:
-            return
-        number = max(job.next_run(task, self.epoch) for task in step.tasks)
-        saved = max((task.saved for task in step.tasks), default="")
-        for task, session in zip(step.tasks, chosen, strict=True):
-            task.saved = saved
-            ticket = tickets.get(session.entry.worker_id, "")
-            self._start(job, step, task, number, session, ticket)
-
-    def _count_per_worker(
-        self, job: state.JobProgress, step: state.StepState
-    ) -> collections.Counter[str]:
-        counts: collections.Counter[str] = collections.Counter()
-        if not step.spec.max_per_worker and not step.spec.is_lasting:
-            return counts
-        sample = step.tasks[0].key
-        for session in self.sessions_by_id.values():
-            for run in session.runs.values():
-                key = run.key
-                if (
-                    key.job_id == sample.job_id
-                    and key.step == sample.step
-                    and key.occurrence == sample.occurrence
-                ):
-                    counts[session.entry.worker_id] += 1
-        return counts
-
-    def _start(
-        self,
-        job: state.JobProgress,
-        step: state.StepState,
-        task: state.TaskState,
-        number: int,
-        session: worker_session.WorkerSession,
-        ticket: str,
-    ) -> None:
-        now = asyncio.get_running_loop().time()
-        run = worker_session.Run(task.key, number, step.spec, session, now)
-        task.last_run = number
-        task.open_runs.add(number)
-        step.waiting.discard(task.key.index)
-        session.add_run(run)
-        self._mark_started(job)
-        self.metrics.count_start()
-        self._record(
-            "start",
-            job=job.spec.job_id,
-            task=f"{task.key.occurrence}.{task.key.step}.{task.key.index}",
-            run=number,
-            worker=session.entry.worker_id,
-            slack_ms=int((job.deadline - now) * 1000),
-        )
-        session.start(run, job.spec.payload, task.saved, ticket)
-
-    # Runs that need attention.
-
-    def _watch_runs(self, session: worker_session.WorkerSession) -> None:
-        now = asyncio.get_running_loop().time()
-        for run in list(session.runs.values()):
-            if run.status is not worker_session.RunStatus.RUNNING:
-                continue
-            limit = STUCK_LASTING_S if run.spec.is_lasting else STUCK_AFTER_S
-            is_stuck = run.percent < 100 and now - run.percent_at > limit
-            if is_stuck and not run.spec.is_filler:
-                session.stop(run, "no progress")
-                session.ejected_until = now + worker_session.EJECT_S
-            elif session.entry.is_draining and run.spec.is_lasting:
-                self._move_lasting(run, "its worker is draining")
-        placement.pace_fillers(session, now)
-
-    def _move_lasting(self, run: worker_session.Run, reason: str) -> None:
-        """Stop a lasting task so that it starts elsewhere, if its step may miss it."""
-        if run.status is not worker_session.RunStatus.RUNNING:
-            return
-        job = self.jobs_by_id.get(run.key.job_id)
-        if job is None or job.is_final:
-            return
-        now = asyncio.get_running_loop().time()
-        step = job.find_step(run.key)
-        may_miss = step.spec.may_miss
-        if may_miss is not None and not run.session.entry.is_draining:
-            at_work = 0
-            for session in self.sessions_by_id.values():
-                for other in session.runs.values():
-                    key = other.key
-                    if (
-                        key.job_id == run.key.job_id
-                        and key.step == run.key.step
-                        and other.status is worker_session.RunStatus.RUNNING
-                        and other.percent >= 100
-                        and now - session.last_contact < worker_session.SILENT_AFTER_S
-                    ):
-                        at_work += 1
-            is_at_work = run.percent >= 100
-            if is_at_work and len(step.tasks) - at_work >= max(1, may_miss):
-                return
-        counts = self._count_per_worker(job, step)
-        room = placement.Room(
-            [
-                session
-                for session in self.sessions_by_id.values()
-                if session.can_take(now)
-                and session is not run.session
-                and session.entry.pool == job.spec.pool
-            ]
-        )
-        if room.choose(step.spec, counts, set()) is None:
-            return  # nowhere to go: it keeps working where it is
-        run.session.stop(run, reason)
+            self._placer.place(job, room_by_pool[job.spec.pool], now)
 
     # Workers.
 
--- /dev/null
+++ b/clementinespar/jobs/run_watch.py
@@ -0,0 +1,81 @@
+"""Watches runs: those without progress, and lasting ones that have to move."""
+
+import asyncio
+
+from clementinespar.jobs import placement, state, task_placer, worker_session
+
+STUCK_AFTER_S = 1.4  # a run without progress for this long is started elsewhere
+STUCK_LASTING_S = 4.0  # a lasting task needs some time until it is at work
+
+
+class RunWatch:
+    """Runs of one pool that need attention."""
+
+    _jobs_by_id: dict[str, state.JobProgress]
+    _sessions_by_id: dict[str, worker_session.WorkerSession]
+    _placer: task_placer.TaskPlacer
+
+    def __init__(
+        self,
+        jobs_by_id: dict[str, state.JobProgress],
+        sessions_by_id: dict[str, worker_session.WorkerSession],
+        placer: task_placer.TaskPlacer,
+    ) -> None:
+        self._jobs_by_id = jobs_by_id
+        self._sessions_by_id = sessions_by_id
+        self._placer = placer
+
+    def check(self, session: worker_session.WorkerSession) -> None:
+        """Stop runs without progress, move lasting ones, and pace what fills."""
+        now = asyncio.get_running_loop().time()
+        for run in list(session.runs.values()):
+            if run.status is not worker_session.RunStatus.RUNNING:
+                continue
+            limit = STUCK_LASTING_S if run.spec.is_lasting else STUCK_AFTER_S
+            is_stuck = run.percent < 100 and now - run.percent_at > limit
+            if is_stuck and not run.spec.is_filler:
+                session.stop(run, "no progress")
+                session.ejected_until = now + worker_session.EJECT_S
+            elif session.entry.is_draining and run.spec.is_lasting:
+                self.move_lasting(run, "its worker is draining")
+        placement.pace_fillers(session, now)
+
+    def move_lasting(self, run: worker_session.Run, reason: str) -> None:
+        """Stop a lasting task so that it starts elsewhere, if its step may miss it."""
+        if run.status is not worker_session.RunStatus.RUNNING:
+            return
+        job = self._jobs_by_id.get(run.key.job_id)
+        if job is None or job.is_final:
+            return
+        now = asyncio.get_running_loop().time()
+        step = job.find_step(run.key)
+        may_miss = step.spec.may_miss
+        if may_miss is not None and not run.session.entry.is_draining:
+            at_work = 0
+            for session in self._sessions_by_id.values():
+                for other in session.runs.values():
+                    key = other.key
+                    if (
+                        key.job_id == run.key.job_id
+                        and key.step == run.key.step
+                        and other.status is worker_session.RunStatus.RUNNING
+                        and other.percent >= 100
+                        and now - session.last_contact < worker_session.SILENT_AFTER_S
+                    ):
+                        at_work += 1
+            is_at_work = run.percent >= 100
+            if is_at_work and len(step.tasks) - at_work >= max(1, may_miss):
+                return
+        counts = self._placer.count_per_worker(job, step)
+        room = placement.Room(
+            [
+                session
+                for session in self._sessions_by_id.values()
+                if session.can_take(now)
+                and session is not run.session
+                and session.entry.pool == job.spec.pool
+            ]
+        )
+        if room.choose(step.spec, counts, set()) is None:
+            return  # nowhere to go: it keeps working where it is
+        run.session.stop(run, reason)
--- a/clementinespar/jobs/state.py
+++ b/clementinespar/jobs/state.py
@@ -164,6 +164,12 @@
         """Whether the job runs until it is cancelled."""
         return any(step.is_lasting for step in self.spec.steps)
 
+    def mark_started(self) -> None:
+        """Note that a task has started."""
+        if not self.has_started:
+            self.has_started = True
+            self.state = model.JobState.RUNNING
+
     def find_task(self, key: model.TaskKey) -> TaskState | None:
         """Return a task, or None if the job has none of this key."""
         occurrence = self.occurrences.get(key.occurrence)
--- /dev/null
+++ b/clementinespar/jobs/task_placer.py
@@ -0,0 +1,143 @@
+"""Starts the waiting tasks of one job where there is room."""
+
+import asyncio
+import collections
+
+from clementinespar.jobs import (
+    advice,
+    placement,
+    services,
+    state,
+    telemetry,
+    worker_session,
+)
+
+
+class TaskPlacer:
+    """Places tasks for the owner of a pool, which tells the order of the jobs."""
+
+    _epoch: int
+    _sessions_by_id: dict[str, worker_session.WorkerSession]
+    _tickets: advice.TicketBook
+    _record: services.JobRecorder
+    _metrics: telemetry.JobMetrics
+
+    def __init__(
+        self,
+        epoch: int,
+        sessions_by_id: dict[str, worker_session.WorkerSession],
+        tickets: advice.TicketBook,
+        record: services.JobRecorder,
+        metrics: telemetry.JobMetrics,
+    ) -> None:
+        self._epoch = epoch
+        self._sessions_by_id = sessions_by_id
+        self._tickets = tickets
+        self._record = record
+        self._metrics = metrics
+
+    def place(self, job: state.JobProgress, room: placement.Room, now: float) -> None:
+        """Start the tasks of a job whose turn has come, as far as there is room."""
+        if not room.has_any():
+            return
+        for occurrence in job.occurrences.values():
+            for step in occurrence.ready_steps():
+                self._place_step(job, step, room, now)
+
+    def _place_step(
+        self,
+        job: state.JobProgress,
+        step: state.StepState,
+        room: placement.Room,
+        now: float,
+    ) -> None:
+        tickets: dict[str, str] = {}
+        if job.spec.needs_advice:
+            tickets = self._tickets.usable(step, room.worker_ids())
+            room = room.restrict(tickets)
+        if step.spec.is_gang:
+            self._place_gang(job, step, room, tickets, now)
+            return
+        counts = self.count_per_worker(job, step)
+        for index in sorted(step.waiting):
+            task = step.tasks[index]
+            if task.not_before > now:
+                continue
+            session = room.choose(step.spec, counts, task.failed_on)
+            if session is None:
+                if not task.failed_on:
+                    break
+                continue
+            counts[session.entry.worker_id] += 1
+            ticket = tickets.get(session.entry.worker_id, "")
+            number = job.next_run(task, self._epoch)
+            self._start(job, step, task, number, session, ticket)
+
+    def _place_gang(
+        self,
+        job: state.JobProgress,
+        step: state.StepState,
+        room: placement.Room,
+        tickets: dict[str, str],
+        now: float,
+    ) -> None:
+        """Start all members with one run number, or none."""
+        if len(step.waiting) < len(step.tasks) or any(
+            task.not_before > now for task in step.tasks
+        ):
+            return
+        chosen = room.choose_gang(step.spec, len(step.tasks))
+        if chosen is None:
+            return
+        number = max(job.next_run(task, self._epoch) for task in step.tasks)
+        saved = max((task.saved for task in step.tasks), default="")
+        for task, session in zip(step.tasks, chosen, strict=True):
+            task.saved = saved
+            ticket = tickets.get(session.entry.worker_id, "")
+            self._start(job, step, task, number, session, ticket)
+
+    def count_per_worker(
+        self, job: state.JobProgress, step: state.StepState
+    ) -> collections.Counter[str]:
+        """Return the runs of a lasting or bounded step on each worker id."""
+        counts: collections.Counter[str] = collections.Counter()
+        if not step.spec.max_per_worker and not step.spec.is_lasting:
+            return counts
+        sample = step.tasks[0].key
+        for session in self._sessions_by_id.values():
+            for run in session.runs.values():
+                key = run.key
+                if (
+                    key.job_id == sample.job_id
+                    and key.step == sample.step
+                    and key.occurrence == sample.occurrence
+                ):
+                    counts[session.entry.worker_id] += 1
+        return counts
+
+    def _start(
+        self,
+        job: state.JobProgress,
+        step: state.StepState,
+        task: state.TaskState,
+        number: int,
+        session: worker_session.WorkerSession,
+        ticket: str,
+    ) -> None:
+        now = asyncio.get_running_loop().time()
+        run = worker_session.Run(task.key, number, step.spec, session, now)
+        task.last_run = number
+        task.open_runs.add(number)
+        step.waiting.discard(task.key.index)
+        session.add_run(run)
+        job.mark_started()
+        self._metrics.count_start()
+        self._record(
+            "start",
+            job=job.spec.job_id,
+            task=f"{task.key.occurrence}.{task.key.step}.{task.key.index}",
+            run=number,
+            worker=session.entry.worker_id,
+            slack_ms=int((job.deadline - now) * 1000),
+        )
+        session.start(run, job.spec.payload, task.saved, ticket)
