--- a/clementinespar/jobs/placement.py
+++ b/clementinespar/jobs/placement.py
@@ -16,8 +16,8 @@
 BEGUN = 1
 NEW = 2
 LATE = 3
-BEGUN_TOLERANCE = 1.0  # of the chain that is left; estimates are off by half
-NEW_MARGIN = 0.2  # of the chain, for the waits of later steps
+BEGUN_TOLERANCE = 0.3  # of the chain that is left; estimates are off by half
+NEW_MARGIN = 0.15  # of the chain, for the waits of later steps
 
 
 def rank(
