--- a/clementinespar/jobs/demand.py
+++ b/clementinespar/jobs/demand.py
@@ -1,47 +1,31 @@
-"""What an owner learns of its work: run times, and the rate of arrivals."""
+"""What an owner learns of its work: run times by image, and the rate of arrivals."""
 
 import math
 
 from clementinespar.jobs import model
 
-LEARNING_SHARE = 0.01  # weight of the newest run time; tasks of one job are alike
-# Slope of measured over declared run times, both as logarithms: 0.45 over 336 jobs of a
-# calm day on teranga-dakar.
-DECLARED_WEIGHT = 0.45
+LEARNING_SHARE = 0.15  # weight of the newest run time
 RATE_WINDOW_S = 0.8  # time constant of the arrival rate
 
 
 class RunTimes:
-    """What declared run times of one pool's tasks are worth.
+    """Mean run time of the tasks of each image."""
 
-    Declared times scatter more than real ones, so a prediction lies between the usual
-    run time and what the usual error makes of the declared one.
-    """
-
-    _log_declared: float | None  # decaying mean of the logarithms, ms
-    _log_measured: float  # decaying mean of the logarithms, ms
+    _mean_ms_by_image: dict[str, float]
 
     def __init__(self) -> None:
-        self._log_declared = None
-        self._log_measured = 0.0
+        self._mean_ms_by_image = {}
 
     def note(self, spec: model.StepSpec, took_ms: float) -> None:
         """Learn from a task that ended as done."""
-        if spec.estimate_ms <= 0:
+        if not spec.image:
             return
-        declared = math.log(spec.estimate_ms)
-        if self._log_declared is None:
-            self._log_declared = self._log_measured = declared
-        measured = math.log(max(1.0, took_ms))
-        self._log_declared += LEARNING_SHARE * (declared - self._log_declared)
-        self._log_measured += LEARNING_SHARE * (measured - self._log_measured)
+        mean = self._mean_ms_by_image.get(spec.image, spec.estimate_ms or took_ms)
+        self._mean_ms_by_image[spec.image] = mean + LEARNING_SHARE * (took_ms - mean)
 
     def estimate_ms(self, spec: model.StepSpec) -> float:
         """Return the expected run time of one task, in ms."""
-        if self._log_declared is None or spec.estimate_ms <= 0:
-            return float(spec.estimate_ms)
-        deviation = math.log(spec.estimate_ms) - self._log_declared
-        return math.exp(self._log_measured + DECLARED_WEIGHT * deviation)
+        return self._mean_ms_by_image.get(spec.image, float(spec.estimate_ms))
 
 
 class ArrivalRate:
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -85,7 +85,7 @@
     _finished_commands: list[str]  # ids of jobs whose command can be dropped
     _unsubscribe: Callable[[], None]
     _tickets: advice.TicketBook
-    _run_times_by_pool: dict[str, demand.RunTimes]
+    _run_times: demand.RunTimes
     _arrivals_by_pool: dict[str, demand.ArrivalRate]
     _dirty: dict[str, state.JobProgress]  # memory is ahead of the store
     _active: dict[str, state.JobProgress]  # not final
@@ -137,7 +137,7 @@
         self._flush_wanted = asyncio.Event()
         self._schedule_wanted = asyncio.Event()
         self._tickets = advice.TicketBook(adviser, record, self._schedule_wanted)
-        self._run_times_by_pool = {}
+        self._run_times = demand.RunTimes()
         self._arrivals_by_pool = {}
 
     # What sessions tell.
@@ -211,7 +211,7 @@
             session.note_outcome(job.spec.job_id, False)
             if run is not None:
                 now = asyncio.get_running_loop().time()
-                self._run_times(job).note(step.spec, (now - run.started_at) * 1000)
+                self._run_times.note(step.spec, (now - run.started_at) * 1000)
             if step.spec.is_gang:
                 self._finish_gang(job, step, end.run)
             else:
@@ -358,6 +358,7 @@
             if session.entry.pool == pool
         ]
         arrivals = self._arrivals_by_pool.get(pool)
+        estimate_ms = self._run_times.estimate_ms
         return {
             "arriving_cores": 0.0 if arrivals is None else arrivals.read(now),
             "worker_cores": max(
@@ -366,7 +367,8 @@
             "waiting_cores": sum(
                 len(step.waiting) * step.spec.cpu_millis
                 for job in self._active.values()
-                if job.spec.pool == pool and self._rank(job, now)[0] < placement.LATE
+                if job.spec.pool == pool
+                and placement.rank(job, now, estimate_ms)[0] < placement.LATE
                 for occurrence in job.occurrences.values()
                 for step in occurrence.ready_steps()
             )
@@ -684,7 +686,7 @@
                 job.spec.pool, demand.ArrivalRate()
             )
             rate.note(
-                job.remaining_work(self._run_times(job).estimate_ms),
+                job.remaining_work(self._run_times.estimate_ms),
                 asyncio.get_running_loop().time(),
             )
         if job.spec.occurrences:
@@ -707,17 +709,11 @@
         if job is not None and not job.is_final:
             self._finish_job(job, model.JobState.CANCELLED, "cancelled by its caller")
 
-    def _run_times(self, job: state.JobProgress) -> demand.RunTimes:
-        return self._run_times_by_pool.setdefault(job.spec.pool, demand.RunTimes())
-
-    def _rank(self, job: state.JobProgress, now: float) -> tuple[int, int, float]:
-        return placement.rank(job, now, self._run_times(job).estimate_ms)
-
     def _set_deadline(self, job: state.JobProgress) -> None:
         loop = asyncio.get_running_loop()
         age_s = max(0.0, time.time() - job.spec.accepted_ms / 1000)
         objective_s = (
-            job.spec.stretch * job.remaining_ms(self._run_times(job).estimate_ms)
+            job.spec.stretch * job.remaining_ms(self._run_times.estimate_ms)
             + job.spec.objective_ms
         ) / 1000
         job.deadline = loop.time() - age_s + objective_s
@@ -844,7 +840,8 @@
             and (is_settled or job.adopted_epoch == self.epoch)
             and any(s.waiting for o in job.occurrences.values() for s in o.steps)
         ]
-        waiting.sort(key=lambda job: self._rank(job, now))
+        estimate_ms = self._run_times.estimate_ms
+        waiting.sort(key=lambda job: placement.rank(job, now, estimate_ms))
         room_by_pool: dict[str, placement.Room] = {}
         for pool in {job.spec.pool for job in waiting}:
             room_by_pool[pool] = placement.Room(
