Extend leases before the first record after a change of owner

Cause: since the wait for silent workers is kept in the store, a lease waited for the next owner's own record. The workers that the former owner's record calls in use need no new record: a next owner reads the same one until this one writes its own.

The first record of an owner now follows after a second, when it has called every worker, or as soon as a worker answers that the former record did not have; renewals stay short until the lease can be given.

--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -150,7 +150,8 @@
         """Look for room after each report."""
         if session.entry.worker_id not in self._use.touched:
             self._use.touched.add(session.entry.worker_id)
-            self._flush_wanted.set()
+            if not self.may_lease(session.entry.worker_id):
+                self._flush_wanted.set()
         self._watch.check(session)
         self._schedule_wanted.set()
 
@@ -535,14 +536,14 @@
             records.append(
                 services.KeyedRecord("p" + job.spec.job_id, state.encode_progress(job))
             )
-        used_workers = set(self._use.touched)
-        if self._use.is_due():
+        is_use_due = self._use.is_due()
+        if is_use_due:
             records.append(services.KeyedRecord("workers", self._use.encode()))
         finals = [job for job in dirty if job.is_final]
         if records:
             await self._append(records)
-        if used_workers != self._use.stored:
-            self._use.stored = used_workers
+        if is_use_due:
+            self._use.note_stored()
             self._schedule_wanted.set()
         for session, number, born_ms in processed:
             if session.born_ms == born_ms:
--- a/clementinespar/jobs/tests/test_pool_owner.py
+++ b/clementinespar/jobs/tests/test_pool_owner.py
@@ -439,3 +439,24 @@
         await asyncio.sleep(2 * helpers.LEASE_MAX_S)
     assert len(workers.starts) == 2
     assert not workers.violations
+
+
+@paused_clock.test
+async def test_next_owner_extends_leases_before_its_first_record() -> None:
+    """Guards against runs that lapse while the store is away after a change of owner.
+
+    Found by the bench: leases of adopted runs waited for a record of the next owner.
+    """
+    workers = fakes.FakeWorkers(1)
+    workers.task_s = 60.0
+    bench = helpers.OwnerBench(workers)
+    await bench.submit(helpers.make_spec("a", task_count=2))
+    async with helpers.run_owner(bench):
+        await asyncio.sleep(1.0)
+    async with helpers.run_owner(bench) as owner:
+        while not owner.is_loaded:
+            await asyncio.sleep(0.001)
+        bench.store.is_down = True
+        await asyncio.sleep(2 * helpers.LEASE_MAX_S)
+        assert len(workers.workers["quotes-0"].running) == 2
+    assert not workers.violations
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -314,7 +314,7 @@
             wait_ms = RENEW_WAIT_MS
             if not self.is_touched:
                 wait_ms = 0
-            elif any(
+            elif not self._events.may_lease(self.entry.worker_id) or any(
                 run.status in (RunStatus.OPEN, RunStatus.STOPPING)
                 for run in self.runs.values()
             ):
--- a/clementinespar/jobs/worker_use.py
+++ b/clementinespar/jobs/worker_use.py
@@ -17,12 +17,16 @@
 
     touched: set[str]  # workers that have answered this owner
     stored: set[str]  # workers that the store knows to be in use by this owner
+    _unreached: set[str]  # used by the former owner, and not called long enough yet
+    _told: set[str]  # workers in use by the newest record, which may not be stored yet
     _ends: dict[str, float]  # worker id: event-loop time at which former leases end
     _told_at: float  # event-loop time
 
     def __init__(self) -> None:
         self.touched = set()
         self.stored = set()
+        self._unreached = set()
+        self._told = set()
         self._ends = {}
         self._told_at = 0.0
 
@@ -45,7 +49,7 @@
 
     def is_due(self) -> bool:
         """Whether the record is to be stored."""
-        if self.touched != self.stored:
+        if self.touched | self._unreached != self.stored:
             return True
         now = asyncio.get_running_loop().time()
         return bool(self._ends) and now - self._told_at > LEFT_INTERVAL_S
@@ -57,6 +61,9 @@
     def restore(self, value: bytes, fenced_at: float, lease_s: float) -> None:
         """Read the former owner's record.
 
+        The workers that it used count as stored, as a next owner reads the same record
+        until this one writes its own: their leases are extended without a pause.
+
         Parameters
         ----------
         value : bytes
@@ -76,20 +83,36 @@
             str(worker_id): fenced_at + float(left_s)
             for worker_id, left_s in told["former"].items()
         }
-        for worker_id in told["used"]:
-            ends[str(worker_id)] = fenced_at + lease_s
+        self._unreached = {str(worker_id) for worker_id in told["used"]}
+        for worker_id in self._unreached:
+            ends[worker_id] = fenced_at + lease_s
         self._ends = ends
+        self.stored = set(self._unreached)
+        self._told_at = fenced_at
 
     def encode(self) -> bytes:
         """Return the record for the next owner.
 
-        A worker that this owner has not reached keeps the end of its former leases.
+        A worker that this owner has not reached within the interval keeps the end of
+        its former leases. It gets no lease from here on until it is stored again.
         """
         now = asyncio.get_running_loop().time()
-        self._told_at = now
+        if now - self._told_at > LEFT_INTERVAL_S:
+            self._unreached = set()
+            self._told_at = now
         for worker_id, end in list(self._ends.items()):
             if now > end or worker_id in self.touched:
                 del self._ends[worker_id]
-        former = {name: round(end - now, 3) for name, end in sorted(self._ends.items())}
-        told = {"used": sorted(self.touched), "former": former}
+        self._told = self.touched | self._unreached
+        self.stored &= self._told
+        former = {
+            worker_id: round(end - now, 3)
+            for worker_id, end in sorted(self._ends.items())
+            if worker_id not in self._told
+        }
+        told = {"used": sorted(self._told), "former": former}
         return json.dumps(told, separators=(",", ":")).encode()
+
+    def note_stored(self) -> None:
+        """Note that the newest record is stored."""
+        self.stored = set(self._told)
