Soak: a 504 to a submission leaves open whether the job is stored

The check counted a job as refused if a 503 followed a 504. By the protocol a 504 is no refusal: the first try may be stored. A refusal as the first answer is checked as before.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -100,7 +100,7 @@
                 self.open_answers.discard(job_id)
                 return
             await asyncio.sleep(0.2)
-            if status == 0:
+            if status in (0, 502, 504):
                 self.open_answers.discard(job_id)
         if job_id in self.accepted and (
             is_lasting or self._chance.random() < CANCEL_SHARE
