Spare a next owner the wait for workers on which nothing runs

Cause: an owner's record called every worker in use that had answered it, until the worker's lease had ended. A host that was moved or taken down for upkeep stayed there for up to 6 s, and a next owner waited that long for its answer before it started anything that the former one had adopted. Moves of hosts have become more frequent with the lending of idle hosts, so this weighs more.

An owner now releases a worker in its record when nothing runs there and it gets no new work: while it is evacuated, no longer listed, or silent. A worker with a run is always in use.

Ruled out: dropping workers when they leave the directory (a cut worker may run on).

--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -148,9 +148,11 @@
 
     def on_contact(self, session: worker_session.WorkerSession) -> None:
         """Look for room after each report."""
-        if session.entry.worker_id not in self._use.touched:
-            self._use.touched.add(session.entry.worker_id)
-            if not self.may_lease(session.entry.worker_id):
+        worker_id = session.entry.worker_id
+        self._use.answered.add(worker_id)
+        if worker_id not in self._use.in_use and not session.is_released():
+            self._use.in_use.add(worker_id)
+            if not self.may_lease(worker_id):
                 self._flush_wanted.set()
         self._watch.check(session)
         self._schedule_wanted.set()
@@ -425,7 +427,10 @@
             ):
                 session.stop(run, "its host is to be taken away")
         is_known = session.is_touched or loop.time() > session.lease_bound
-        return not session.runs and is_known
+        if session.runs or not is_known:
+            return False
+        self._release_idle_workers()
+        return True
 
     # Loops.
 
@@ -536,6 +541,12 @@
             records.append(
                 services.KeyedRecord("p" + job.spec.job_id, state.encode_progress(job))
             )
+        # A worker may have got a run after it was released.
+        self._use.in_use.update(
+            worker_id
+            for worker_id, session in self.sessions_by_id.items()
+            if session.runs and session.is_touched
+        )
         is_use_due = self._use.is_due()
         if is_use_due:
             records.append(services.KeyedRecord("workers", self._use.encode()))
@@ -588,6 +599,7 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
             self._refresh_sessions()
+            self._release_idle_workers()
             now_ms = time.time() * 1000
             for job in list(self._active.values()):
                 if job.spec.occurrences and job.open_due_occurrences(now_ms):
@@ -846,8 +858,18 @@
             if is_expired and is_silent and not session.runs:
                 session.close()
                 del self.sessions_by_id[worker_id]
-                self._use.touched.discard(worker_id)
-                self._flush_wanted.set()
+                self._use.in_use.discard(worker_id)
+
+    def _release_idle_workers(self) -> None:
+        """Spare a next owner the wait for workers that may vanish without any run."""
+        released = {
+            worker_id
+            for worker_id, session in self.sessions_by_id.items()
+            if session.is_released()
+        }
+        if released & self._use.in_use:
+            self._use.in_use -= released
+            self._flush_wanted.set()
 
     # The store.
 
--- a/clementinespar/jobs/tests/test_pool_owner.py
+++ b/clementinespar/jobs/tests/test_pool_owner.py
@@ -460,3 +460,51 @@
         await asyncio.sleep(2 * helpers.LEASE_MAX_S)
         assert len(workers.workers["quotes-0"].running) == 2
     assert not workers.violations
+
+
+@paused_clock.test
+@pytest.mark.parametrize("is_evacuated", [True, False])
+async def test_next_owner_does_not_wait_for_idle_workers(is_evacuated: bool) -> None:
+    """Guards against a wait for a host that was moved away, or that fell silent idle.
+
+    Found by a hunt: a lasting task was away for 6 s, as its pool changed its owner
+    while hosts were moved.
+    """
+    workers = fakes.FakeWorkers(2)
+    bench = helpers.OwnerBench(workers)
+    await bench.submit(helpers.make_spec("a", task_count=1, is_lasting=True))
+    async with helpers.run_owner(bench) as owner:
+        await asyncio.sleep(1.0)
+        used = workers.starts[0][2]
+        idle = next(worker_id for worker_id in workers.workers if worker_id != used)
+        if is_evacuated:
+            assert owner.evacuate(idle, 5.0, model.EvacuationUrgency.IF_IDLE)
+        workers.workers[idle].is_silent = True
+        await asyncio.sleep(0.2 if is_evacuated else 4.0)
+    workers.crash(used)
+    async with helpers.run_owner(bench):
+        await asyncio.sleep(1.0)
+    assert [worker_id for _, _, worker_id in workers.starts] == [used, used]
+    assert not workers.violations
+
+
+@paused_clock.test
+async def test_worker_with_a_run_after_its_release_stays_in_use() -> None:
+    """Guards against a run on a worker that the next owner does not wait for."""
+    workers = fakes.FakeWorkers(1)
+    workers.task_s = 60.0
+    bench = helpers.OwnerBench(workers)
+    async with helpers.run_owner(bench) as owner:
+        await asyncio.sleep(1.0)
+        assert owner.evacuate("quotes-0", 0.3, model.EvacuationUrgency.IF_IDLE)
+        await bench.submit(helpers.make_spec("a", task_count=1))
+        await asyncio.sleep(2.0)
+        assert len(workers.starts) == 1
+    workers.workers["quotes-0"].is_silent = True
+    workers.add("quotes-1", "quotes")
+    async with helpers.run_owner(bench):
+        await asyncio.sleep(helpers.LEASE_MAX_S - 1.5)
+        assert len(workers.starts) == 1
+        await asyncio.sleep(3.0)
+        assert len(workers.starts) == 2
+    assert not workers.violations
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -232,6 +232,15 @@
             and now >= self.ejected_until
         )
 
+    def is_released(self) -> bool:
+        """Whether nothing runs on a worker that gets no new work for now."""
+        now = asyncio.get_running_loop().time()
+        return not self.runs and (
+            self.is_evacuating
+            or not self.is_listed
+            or now - self.last_contact >= SILENT_AFTER_S
+        )
+
     def fits(self, spec: model.StepSpec) -> bool:
         """Whether the free capacity holds one more task of a step."""
         return (
@@ -314,10 +323,10 @@
             wait_ms = RENEW_WAIT_MS
             if not self.is_touched:
                 wait_ms = 0
-            elif not self._events.may_lease(self.entry.worker_id) or any(
+            elif any(
                 run.status in (RunStatus.OPEN, RunStatus.STOPPING)
                 for run in self.runs.values()
-            ):
+            ) or (self.runs and not self._events.may_lease(self.entry.worker_id)):
                 wait_ms = SETTLE_WAIT_MS
             try:
                 report = await self._client.renew(
--- a/clementinespar/jobs/worker_use.py
+++ b/clementinespar/jobs/worker_use.py
@@ -15,7 +15,8 @@
 class WorkerUse:
     """Workers that this owner uses, and leases of former owners."""
 
-    touched: set[str]  # workers that have answered this owner
+    answered: set[str]  # workers on which former owners are harmless
+    in_use: set[str]  # workers on which a run of this owner may execute
     stored: set[str]  # workers that the store knows to be in use by this owner
     _unreached: set[str]  # used by the former owner, and not called long enough yet
     _told: set[str]  # workers in use by the newest record, which may not be stored yet
@@ -23,7 +24,8 @@
     _told_at: float  # event-loop time
 
     def __init__(self) -> None:
-        self.touched = set()
+        self.answered = set()
+        self.in_use = set()
         self.stored = set()
         self._unreached = set()
         self._told = set()
@@ -43,13 +45,13 @@
         """Whether no worker can still execute what a former owner started unseen."""
         now = asyncio.get_running_loop().time()
         return all(
-            now > end or worker_id in self.touched
+            now > end or worker_id in self.answered
             for worker_id, end in self._ends.items()
         )
 
     def is_due(self) -> bool:
         """Whether the record is to be stored."""
-        if self.touched | self._unreached != self.stored:
+        if self.in_use | self._unreached != self.stored:
             return True
         now = asyncio.get_running_loop().time()
         return bool(self._ends) and now - self._told_at > LEFT_INTERVAL_S
@@ -101,9 +103,9 @@
             self._unreached = set()
             self._told_at = now
         for worker_id, end in list(self._ends.items()):
-            if now > end or worker_id in self.touched:
+            if now > end or worker_id in self.answered:
                 del self._ends[worker_id]
-        self._told = self.touched | self._unreached
+        self._told = self.in_use | self._unreached
         self.stored &= self._told
         former = {
             worker_id: round(end - now, 3)
