--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 BENCH_STAMP := $(VENV)/.bench-installed
 SOURCES := $(shell find clementinespar -name '*.py' -not -path '*/tests/*')
 
-.PHONY: setup test lint types check demo soak soak-many bench bench-capacity binary proto clean
+.PHONY: setup test lint types check demo soak soak-many soak-regressions bench bench-capacity binary proto clean
 
 setup: $(STAMP)
 
@@ -52,6 +52,9 @@
 soak-many: $(STAMP)
 	PYTHONPATH=.:platform $(BIN)/python -m soak --seeds 50
 
+soak-regressions: $(STAMP)
+	PYTHONPATH=.:platform $(BIN)/python -m soak --regressions --seconds 8
+
 bench: $(BENCH_STAMP)
 	$(BIN)/python -m bench
 
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -15,6 +15,7 @@
 SETTLE_S = 30.0  # after the last fault, in which all accepted jobs must be done
 LIMIT_S = 75.0  # after the time of faults, a seed that has not ended has failed
 POOLS = {"work": 4}
+REGRESSION_SEEDS = pathlib.Path(__file__).with_name("regression_seeds.txt")
 CONFIGURATION = {
     "version": 1,
     "routes": [
@@ -97,17 +98,29 @@
     return [f"{job_id} is shown as {state}" for job_id, state in missing.items()]
 
 
+def read_regression_seeds(path: pathlib.Path) -> list[int]:
+    """Return the first word of each line that is no comment."""
+    lines = path.read_text().splitlines()
+    return [int(line.split()[0]) for line in lines if line and line[0] != "#"]
+
+
 @click.command()
 @click.option("--seed", type=int, help="Play this seed.")
 @click.option("--seeds", default=1, show_default=True, help="Play so many fresh seeds.")
+@click.option("--regressions", is_flag=True, help="Play the seeds that failed once.")
 @click.option("--seconds", default=15.0, show_default=True, help="Time of faults.")
 @click.option("--nodes", default=4, show_default=True, help="Processes of the program.")
-def main(seed: int | None, seeds: int, seconds: float, nodes: int) -> None:
+def main(
+    seed: int | None, seeds: int, regressions: bool, seconds: float, nodes: int
+) -> None:
     """Play seeds and fail if a promise was broken."""
     signal.signal(signal.SIGPIPE, signal.SIG_IGN)
-    chosen = (
-        [seed] if seed is not None else [secrets.randbits(31) for _ in range(seeds)]
-    )
+    if regressions:
+        chosen = read_regression_seeds(REGRESSION_SEEDS)
+    elif seed is not None:
+        chosen = [seed]
+    else:
+        chosen = [secrets.randbits(31) for _ in range(seeds)]
     broken = []
     for number in chosen:
         try:
