--- a/clementinespar/jobs/service.py
+++ b/clementinespar/jobs/service.py
@@ -19,9 +19,9 @@
 OWNER_RETRY_S = 0.15  # a change of owner takes about a second
 WAITING_MAX_AGE_S = 1.0  # callers may be told a count that is 2 s old
 STORE_RETRY_S = 0.1
-# A store that has answered no call for this long is taken as away. A slow store answers
-# in some hundred milliseconds.
-SILENT_STORE_S = 0.5
+# A store that has answered no call for this long is taken as away; calls to it are
+# given up after the same time. A slow store may need most of it.
+SILENT_STORE_S = 1.0
 
 
 class JobService:
