Keep a lasting run that may have got to work while others are away

Cause: an evacuation stopped a lasting run that was not at work by the last report, without regard to how many others of its step were away.

The test fails without the change.

--- a/clementinespar/jobs/run_watch.py
+++ b/clementinespar/jobs/run_watch.py
@@ -63,8 +63,9 @@
                         and now - session.last_contact < worker_session.SILENT_AFTER_S
                     ):
                         at_work += 1
-            is_at_work = run.percent >= 100
-            if is_at_work and len(step.tasks) - at_work >= max(1, may_miss):
+            # The run itself may have got to work since the last report.
+            away = len(step.tasks) - at_work - (run.percent < 100)
+            if away >= max(1, may_miss):
                 return
         counts = self._placer.count_per_worker(job, step)
         room = placement.Room(
--- a/clementinespar/jobs/tests/test_pool_owner.py
+++ b/clementinespar/jobs/tests/test_pool_owner.py
@@ -508,3 +508,26 @@
         await asyncio.sleep(3.0)
         assert len(workers.starts) == 2
     assert not workers.violations
+
+
+@paused_clock.test
+async def test_run_that_may_be_at_work_is_kept_while_others_are_away() -> None:
+    """Guards against a stop of a run that got to work since its last report.
+
+    Found by a hunt: an evacuation ended such a run while more of its step were away
+    than it may miss.
+    """
+    workers = fakes.FakeWorkers(3)
+    bench = helpers.OwnerBench(workers)
+    spec = helpers.make_spec("a", task_count=2, is_lasting=True, may_miss=1)
+    await bench.submit(spec)
+    async with helpers.run_owner(bench) as owner:
+        await asyncio.sleep(1.0)
+        away, kept = (worker_id for _, _, worker_id in workers.starts)
+        workers.workers[away].is_silent = True
+        await asyncio.sleep(3.0)
+        for run in owner.sessions_by_id[kept].runs.values():
+            run.percent = 50  # as last reported
+        assert not owner.evacuate(kept, 5.0, model.EvacuationUrgency.DRAIN)
+        await asyncio.sleep(0.3)
+        assert workers.workers[kept].running
