Run work beside a context in one place

own_partition, keep_ownership and own_fleet each wrote the same task that is cancelled and awaited at the end. background.running serves all three. A keeper now also leaves its group when its task had failed; else no change of behaviour. The older running() methods of the follower, the watcher and the duty holder stay: they swallow a failure of their task at the end, these raise it.

--- a/clementinespar/jobs/fleet.py
+++ b/clementinespar/jobs/fleet.py
@@ -12,7 +12,7 @@
 import math
 from collections.abc import AsyncIterator
 
-from clementinespar import codes, errors
+from clementinespar import background, codes, errors
 from clementinespar.jobs import capacity, model, ownership, service, services
 
 TICK_S = 0.25
@@ -454,10 +454,5 @@
 @contextlib.asynccontextmanager
 async def own_fleet(owner: FleetOwner) -> AsyncIterator[FleetOwner]:
     """Run the holder while the context is entered."""
-    task = asyncio.create_task(owner.run())
-    try:
+    async with background.running(owner.run()):
         yield owner
-    finally:
-        task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await task
--- a/clementinespar/jobs/ownership.py
+++ b/clementinespar/jobs/ownership.py
@@ -10,7 +10,7 @@
 from collections.abc import AsyncIterator, Callable
 from typing import Protocol
 
-from clementinespar import codes, errors
+from clementinespar import background, codes, errors
 from clementinespar.jobs import pool_owner, services
 
 PARTITION_COUNT = 24
@@ -263,11 +263,8 @@
 @contextlib.asynccontextmanager
 async def keep_ownership(keeper: OwnershipKeeper) -> AsyncIterator[None]:
     """Run a keeper while the context is entered."""
-    task = asyncio.create_task(keeper.run())
     try:
-        yield
+        async with background.running(keeper.run()):
+            yield
     finally:
-        task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await task
         await keeper.close()
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -16,7 +16,7 @@
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 
-from clementinespar import codes, errors, explanation
+from clementinespar import background, codes, errors, explanation
 from clementinespar.jobs import (
     advice,
     demand,
@@ -933,11 +933,8 @@
 @contextlib.asynccontextmanager
 async def own_partition(owner: PoolOwner) -> AsyncIterator[None]:
     """Run an owner while the context is entered."""
-    task = asyncio.create_task(owner.run())
-    try:
-        yield
-    finally:
-        task.cancel()
-        owner.close()
-        with contextlib.suppress(asyncio.CancelledError):
-            await task
+    async with background.running(owner.run()):
+        try:
+            yield
+        finally:
+            owner.close()
