Append under an epoch in one place

PoolOwner._append and FleetOwner._store_record each numbered appends and repeated them until the store had answered. FencedLog does it for both, with the pause that each had. No change of behaviour.

--- /dev/null
+++ b/clementinespar/jobs/fenced_log.py
@@ -0,0 +1,56 @@
+"""Appends of one owner to its partition, in their order, each until it is stored."""
+
+import asyncio
+from collections.abc import Sequence
+
+from clementinespar import codes, errors
+from clementinespar.jobs import services
+
+
+class FencedLog:
+    """Numbers the appends of one epoch, so that the store knows a repetition.
+
+    Parameters
+    ----------
+    retry_s : float
+        Pause before an append is repeated, in seconds.
+    """
+
+    _sequence: int  # of the next append
+
+    def __init__(
+        self,
+        store: services.JobStore,
+        partition: int,
+        epoch: int,
+        retry_s: float,
+        record: services.JobRecorder,
+    ) -> None:
+        self._store = store
+        self._partition = partition
+        self._epoch = epoch
+        self._retry_s = retry_s
+        self._record = record
+        self._sequence = 0
+
+    async def append(self, records: Sequence[services.KeyedRecord]) -> None:
+        """Append records; repeats until the store has answered.
+
+        Raises
+        ------
+        errors.ClementinesparError
+            With ``STORE_FENCED``: the store has seen a later owner.
+        """
+        sequence = self._sequence
+        self._sequence += 1
+        while True:
+            try:
+                await self._store.append_fenced(
+                    self._partition, self._epoch, sequence, records
+                )
+                return
+            except errors.ClementinesparError as error:
+                if error.code is codes.ResultCode.STORE_FENCED:
+                    raise
+                self._record("append_retried", code=int(error.code))
+            await asyncio.sleep(self._retry_s)
--- a/clementinespar/jobs/fleet.py
+++ b/clementinespar/jobs/fleet.py
@@ -13,7 +13,14 @@
 from collections.abc import AsyncIterator
 
 from clementinespar import background, codes, errors
-from clementinespar.jobs import capacity, model, ownership, service, services
+from clementinespar.jobs import (
+    capacity,
+    fenced_log,
+    model,
+    ownership,
+    service,
+    services,
+)
 
 TICK_S = 0.25
 HOLDER_MARGIN_S = 0.6  # a former holder learns of its loss by its next join
@@ -52,7 +59,7 @@
     _turns: dict[str, capacity.TurnState]
     _arriving: dict[str, tuple[str, float]]  # host id: its new pool and since when
     _logged_at: float
-    _sequence: int
+    _log: fenced_log.FencedLog
 
     def __init__(
         self,
@@ -82,7 +89,9 @@
         self._turns = {}
         self._arriving = {}
         self._logged_at = 0.0
-        self._sequence = 0
+        self._log = fenced_log.FencedLog(
+            store, ownership.FLEET_PARTITION, epoch, TICK_S, record
+        )
 
     async def run(self) -> None:
         """Load what former holders did, wait for the last to stop, then act."""
@@ -435,20 +444,8 @@
 
     async def _store_record(self, key: str, value: object) -> None:
         """Store a record under the holder's epoch; repeats until it is answered."""
-        sequence = self._sequence
-        self._sequence += 1
         entry = services.KeyedRecord(key, json.dumps(value).encode())
-        while True:
-            try:
-                await self._store.append_fenced(
-                    ownership.FLEET_PARTITION, self.epoch, sequence, [entry]
-                )
-                return
-            except errors.ClementinesparError as error:
-                if error.code is codes.ResultCode.STORE_FENCED:
-                    raise
-                self._record("append_retried", code=int(error.code))
-            await asyncio.sleep(TICK_S)
+        await self._log.append([entry])
 
 
 @contextlib.asynccontextmanager
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -20,6 +20,7 @@
 from clementinespar.jobs import (
     advice,
     demand,
+    fenced_log,
     model,
     placement,
     run_watch,
@@ -73,7 +74,7 @@
     commands_read_at: float  # event-loop time of the newest read
     metrics: telemetry.JobMetrics
     _lease_s: float
-    _sequence: int  # of the next fenced append
+    _log: fenced_log.FencedLog
     _next_command: int  # offset
     _use: worker_use.WorkerUse
     _placer: task_placer.TaskPlacer
@@ -120,7 +121,7 @@
         self._settings = settings
         self._record = record
         self._lease_s = settings.lease_max_s * LEASE_SHARE
-        self._sequence = 0
+        self._log = fenced_log.FencedLog(store, partition, epoch, STORE_RETRY_S, record)
         self._next_command = 0
         self._use = worker_use.WorkerUse()
         self._cancelled_ids = set()
@@ -875,20 +876,11 @@
 
     async def _append(self, records: list[services.KeyedRecord]) -> None:
         """Append as the owner until it is stored; give up when fenced out."""
-        sequence = self._sequence
-        self._sequence += 1
-        while True:
-            try:
-                await self._store.append_fenced(
-                    self.partition, self.epoch, sequence, records
-                )
-                return
-            except errors.ClementinesparError as error:
-                if error.code is codes.ResultCode.STORE_FENCED:
-                    self.lose("the store has seen a later owner")
-                    await asyncio.Event().wait()  # cancelled with the partition
-                self._record("append_retried", code=int(error.code))
-            await asyncio.sleep(STORE_RETRY_S)
+        try:
+            await self._log.append(records)
+        except errors.ClementinesparError:
+            self.lose("the store has seen a later owner")
+            await asyncio.Event().wait()  # cancelled with the partition
 
     async def _retry(
         self, call: Callable[[], Awaitable[services.RecordPage]]
