Keep the appends of an epoch in their order

Cause, found while reading: the drop of old final states appends beside the writing of progress. When the first was being repeated after a failure, the second went out with a later sequence number, which the store refuses (409), and the owner gave its partition up as if a later owner were there.

Appends now take turns. The test fails without the change: the second append raises STORE_FENCED.

--- a/clementinespar/jobs/fenced_log.py
+++ b/clementinespar/jobs/fenced_log.py
@@ -17,6 +17,7 @@
     """
 
     _sequence: int  # of the next append
+    _turn: asyncio.Lock  # the store refuses an append whose predecessor is missing
 
     def __init__(
         self,
@@ -32,6 +33,7 @@
         self._retry_s = retry_s
         self._record = record
         self._sequence = 0
+        self._turn = asyncio.Lock()
 
     async def append(self, records: Sequence[services.KeyedRecord]) -> None:
         """Append records; repeats until the store has answered.
@@ -41,16 +43,17 @@
         errors.ClementinesparError
             With ``STORE_FENCED``: the store has seen a later owner.
         """
-        sequence = self._sequence
-        self._sequence += 1
-        while True:
-            try:
-                await self._store.append_fenced(
-                    self._partition, self._epoch, sequence, records
-                )
-                return
-            except errors.ClementinesparError as error:
-                if error.code is codes.ResultCode.STORE_FENCED:
-                    raise
-                self._record("append_retried", code=int(error.code))
-            await asyncio.sleep(self._retry_s)
+        async with self._turn:
+            sequence = self._sequence
+            self._sequence += 1
+            while True:
+                try:
+                    await self._store.append_fenced(
+                        self._partition, self._epoch, sequence, records
+                    )
+                    return
+                except errors.ClementinesparError as error:
+                    if error.code is codes.ResultCode.STORE_FENCED:
+                        raise
+                    self._record("append_retried", code=int(error.code))
+                await asyncio.sleep(self._retry_s)
--- /dev/null
+++ b/clementinespar/jobs/tests/test_fenced_log.py
@@ -0,0 +1,28 @@
+"""Tests of appends under an epoch on a paused clock."""
+
+import asyncio
+
+from clementinespar.jobs import fenced_log, services
+from clementinespar.jobs.tests import fakes
+from clementinespar.tests import paused_clock
+
+PARTITION = 3
+
+
+@paused_clock.test
+async def test_appends_of_two_tasks_keep_their_order() -> None:
+    """Guards against an owner that fences itself out.
+
+    The store takes an append whose predecessor is missing as one of a former owner. The
+    drop of old states meets a repeated append of progress after an outage.
+    """
+    store = fakes.FakeStore()
+    log = fenced_log.FencedLog(store, PARTITION, 1, 0.1, fakes.ignore_event)
+    store.is_down = True
+    async with asyncio.TaskGroup() as group:
+        group.create_task(log.append([services.KeyedRecord("a", b"1")]))
+        await asyncio.sleep(0.05)
+        store.is_down = False
+        group.create_task(log.append([services.KeyedRecord("b", b"2")]))
+    values = store.values[services.Topic.PROGRESS, PARTITION]
+    assert list(values.items()) == [("a", b"1"), ("b", b"2")]
