--- a/clementinespar/jobs/model.py
+++ b/clementinespar/jobs/model.py
@@ -144,6 +144,11 @@
     step: int
     index: int
 
+    @property
+    def name_in_job(self) -> str:
+        """Occurrence, step and index, as logs show them."""
+        return f"{self.occurrence}.{self.step}.{self.index}"
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunningTask:
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -167,11 +167,11 @@
         for run in session.runs.values():
             if not run.spec.is_speculative:
                 continue
-            job = self.jobs_by_id.get(run.key.job_id)
-            task = None if job is None or job.is_final else job.find_task(run.key)
-            if job is None or task is None or task.is_done:
+            found = self._find_open(run.key)
+            if found is None:
                 continue
-            if len(task.open_runs) == 1:
+            job, task = found
+            if not task.is_done and len(task.open_runs) == 1:
                 job.find_step(run.key).waiting.add(run.key.index)
                 self._schedule_wanted.set()
 
@@ -201,10 +201,10 @@
         """Apply an end once, whoever started the run."""
         self.metrics.count_end(end.kind.value)
         self._schedule_wanted.set()
-        job = self.jobs_by_id.get(end.task.job_id)
-        task = None if job is None or job.is_final else job.find_task(end.task)
-        if job is None or task is None:
+        found = self._find_open(end.task)
+        if found is None:
             return  # acknowledged with the next flush
+        job, task = found
         step = job.find_step(end.task)
         task.open_runs.discard(end.run)
         task.last_run = max(task.last_run, end.run)
@@ -227,7 +227,7 @@
             self._record(
                 "end",
                 job=job.spec.job_id,
-                task=f"{end.task.occurrence}.{end.task.step}.{end.task.index}",
+                task=end.task.name_in_job,
                 run=end.run,
                 worker=session.entry.worker_id,
                 kind=end.kind.value,
@@ -246,18 +246,18 @@
     ) -> None:
         """Place a task again whose run certainly does not execute."""
         self._schedule_wanted.set()
-        job = self.jobs_by_id.get(run.key.job_id)
-        task = None if job is None or job.is_final else job.find_task(run.key)
         self._record(
             "run_gone",
             job=run.key.job_id,
-            task=f"{run.key.occurrence}.{run.key.step}.{run.key.index}",
+            task=run.key.name_in_job,
             run=run.number,
             worker=session.entry.worker_id,
             reason=reason,
         )
-        if job is None or task is None:
+        found = self._find_open(run.key)
+        if found is None:
             return
+        job, task = found
         task.open_runs.discard(run.number)
         self._requeue(job.find_step(run.key), task, LOST_RETRY_DELAY_S)
 
@@ -265,10 +265,10 @@
         self, session: worker_session.WorkerSession, listed: model.RunningTask
     ) -> worker_session.Run | None:
         """Adopt a run of a former owner if its task still needs it."""
-        job = self.jobs_by_id.get(listed.task.job_id)
-        task = None if job is None or job.is_final else job.find_task(listed.task)
-        if job is None or task is None:
+        found = self._find_open(listed.task)
+        if found is None:
             return None
+        job, task = found
         step = job.find_step(listed.task)
         task.last_run = max(task.last_run, listed.run)
         if task.is_done or (task.open_runs and not step.spec.is_speculative):
@@ -282,6 +282,14 @@
         job.mark_started()
         return run
 
+    def _find_open(
+        self, key: model.TaskKey
+    ) -> tuple[state.JobProgress, state.TaskState] | None:
+        """Return a task and its job, or None if the job is final or lacks the task."""
+        job = self.jobs_by_id.get(key.job_id)
+        task = None if job is None or job.is_final else job.find_task(key)
+        return None if job is None or task is None else (job, task)
+
     # What callers ask.
 
     def describe(self, job_id: str) -> model.JobState | None:
@@ -329,8 +337,8 @@
                     f" {len(step.waiting)} wait"
                 )
         because.extend(
-            f"{run.key.occurrence}.{run.key.step}.{run.key.index} run {run.number} is"
-            f" {run.status.value} on {session.entry.worker_id}"
+            f"{run.key.name_in_job} run {run.number} is {run.status.value}"
+            f" on {session.entry.worker_id}"
             for session in self.sessions_by_id.values()
             for run in session.runs.values()
             if run.key.job_id == job_id
@@ -466,12 +474,7 @@
                 job = state.JobProgress(spec)
                 state.restore_progress(job, value)
             except (ValueError, KeyError, TypeError, IndexError) as error:
-                self._record(
-                    "entry_invalid",
-                    code=int(codes.ResultCode.ENTRY_INVALID),
-                    key=key,
-                    error=repr(error),
-                )
+                telemetry.record_invalid_entry(self._record, key, error)
                 continue
             self._set_deadline(job)
             self.jobs_by_id[job_id] = job
@@ -578,12 +581,7 @@
         try:
             self._use.restore(value, fenced_at, lease_s)
         except (ValueError, KeyError, TypeError, AttributeError) as error:
-            self._record(
-                "entry_invalid",
-                code=int(codes.ResultCode.ENTRY_INVALID),
-                key="workers",
-                error=repr(error),
-            )
+            telemetry.record_invalid_entry(self._record, "workers", error)
             self._use.wait_for_all(fenced_at, lease_s)
 
     async def schedule(self) -> None:
@@ -656,12 +654,7 @@
         try:
             job = state.JobProgress(state.decode_spec(job_id, value))
         except (ValueError, KeyError, TypeError) as error:
-            self._record(
-                "entry_invalid",
-                code=int(codes.ResultCode.ENTRY_INVALID),
-                key="j" + job_id,
-                error=repr(error),
-            )
+            telemetry.record_invalid_entry(self._record, "j" + job_id, error)
             return
         self._set_deadline(job)
         self.jobs_by_id[job_id] = job
--- a/clementinespar/jobs/task_placer.py
+++ b/clementinespar/jobs/task_placer.py
@@ -135,7 +135,7 @@
         self._record(
             "start",
             job=job.spec.job_id,
-            task=f"{task.key.occurrence}.{task.key.step}.{task.key.index}",
+            task=task.key.name_in_job,
             run=number,
             worker=session.entry.worker_id,
             slack_ms=int((job.deadline - now) * 1000),
--- a/clementinespar/jobs/telemetry.py
+++ b/clementinespar/jobs/telemetry.py
@@ -6,6 +6,9 @@
 
 import prometheus_client
 
+from clementinespar import codes
+from clementinespar.jobs import services
+
 LINES_PER_S = 400.0  # above this, lines are dropped and counted
 BURST_LINES = 800.0
 MAX_PENDING_BYTES = 256 * 1024  # kept while the output does not take more
@@ -13,6 +16,18 @@
 _JOB_SECONDS = (0.25, 0.5, 1.0, 1.5, 2.0, 3.0, 5.0, 8.0, 15.0, 30.0)
 
 
+def record_invalid_entry(
+    record: services.JobRecorder, key: str, error: Exception
+) -> None:
+    """Note an entry of the store that cannot be read; the rest goes on."""
+    record(
+        "entry_invalid",
+        code=int(codes.ResultCode.ENTRY_INVALID),
+        key=key,
+        error=repr(error),
+    )
+
+
 class JobMetrics:
     """Counters and histograms of jobs on one node."""
 
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -279,7 +279,7 @@
         self._record(
             "stop",
             job=run.key.job_id,
-            task=_name(run.key),
+            task=run.key.name_in_job,
             run=run.number,
             worker=self.entry.worker_id,
             reason=reason,
@@ -491,7 +491,7 @@
             self._record(
                 "start_unanswered",
                 job=run.key.job_id,
-                task=_name(run.key),
+                task=run.key.name_in_job,
                 run=run.number,
                 worker=self.entry.worker_id,
                 code=int(error.code),
@@ -563,7 +563,3 @@
         self.failed_jobs = {job_id}
         self.ejected_until = asyncio.get_running_loop().time() + EJECT_S
         return True
-
-
-def _name(key: model.TaskKey) -> str:
-    return f"{key.occurrence}.{key.step}.{key.index}"
