Remove what nothing reads, and twins inside one module

TaskState.lost_at, Occurrence.is_failed and Occurrence.due_ms were written and never read. MOVABLE_RUNS was 0, so a host is movable when nothing runs there, lasting tasks included. The turns of pools are compared as they are instead of as text. No change of behaviour.

--- a/clementinespar/jobs/fleet.py
+++ b/clementinespar/jobs/fleet.py
@@ -33,7 +33,6 @@
 ARRIVAL_LIMIT_S = 6.0  # a moved host that is not up by then is not counted
 LOG_INTERVAL_S = 2.0
 HOST_CORES = 16.0  # until a worker of the pool is known
-MOVABLE_RUNS = 0  # only hosts on which nothing runs change their pool
 RETURN_S = 0.8  # a host's new worker appears this long after its upkeep
 
 
@@ -180,7 +179,7 @@
             if view is None:
                 return  # the owner of the pool cannot be asked now
             views.append(view)
-        before = json.dumps(self._describe_turns())
+        before = self._describe_turns()
         moves = capacity.plan_moves(views, self._turns, now)
         if moves or now - self._logged_at >= LOG_INTERVAL_S:
             self._logged_at = now
@@ -203,7 +202,7 @@
             for move in moves:
                 group.create_task(self._move_host(move, hosts_by_id[move.host_id]))
         after = self._describe_turns()
-        if json.dumps(after) != before:
+        if after != before:
             await self._store_record("turns", after)
 
     async def _view_pool(
@@ -245,8 +244,7 @@
                 for host in up
                 if host.host_id not in leaving
                 and host.worker_id in workers
-                and not workers[host.worker_id]["lasting"]
-                and workers[host.worker_id]["runs"] <= MOVABLE_RUNS
+                and not workers[host.worker_id]["runs"]
             ],
         )
 
--- a/clementinespar/jobs/ownership.py
+++ b/clementinespar/jobs/ownership.py
@@ -154,8 +154,8 @@
         if self._larger_count == 0 and loop.time() - self._began_at > SIZES_INTERVAL_S:
             interval_s = SIZES_INTERVAL_S
         if loop.time() - self._sizes_read_at >= interval_s:
-            self._owner_names = dict(await self._group.list_owners())
-            self._owners_read_at = self._sizes_read_at = loop.time()
+            await self._read_owners()
+            self._sizes_read_at = loop.time()
             self._larger_count = sum(
                 parse_core_millis(member) > LARGER_FACTOR * self._core_millis
                 for member in set(self._owner_names.values())
@@ -241,12 +241,15 @@
         age = loop.time() - self._owners_read_at
         if age > OWNERS_MAX_AGE_S or (is_fresh and age > 0.1):
             try:
-                self._owner_names = dict(await self._group.list_owners())
-                self._owners_read_at = loop.time()
+                await self._read_owners()
             except errors.ClementinesparError as error:
                 self._record("owners_unknown", code=int(error.code))
         return self._owner_names.get(partition)
 
+    async def _read_owners(self) -> None:
+        self._owner_names = dict(await self._group.list_owners())
+        self._owners_read_at = asyncio.get_running_loop().time()
+
     async def close(self) -> None:
         """Give everything up in a planned way."""
         for partition in list(self.owners_by_partition):
--- a/clementinespar/jobs/state.py
+++ b/clementinespar/jobs/state.py
@@ -26,7 +26,6 @@
         "saved",
         "not_before",
         "failed_on",
-        "lost_at",
     )
 
     key: model.TaskKey
@@ -37,7 +36,6 @@
     saved: str  # newest checkpoint; empty: none
     not_before: float  # event-loop time of the next try
     failed_on: set[str]  # workers on which a run failed
-    lost_at: float  # event-loop time since which a lasting task is away
 
     def __init__(self, key: model.TaskKey) -> None:
         self.key = key
@@ -48,7 +46,6 @@
         self.saved = ""
         self.not_before = 0.0
         self.failed_on = set()
-        self.lost_at = 0.0
 
 
 class StepState:
@@ -76,17 +73,13 @@
 class Occurrence:
     """One run-through of a job's steps."""
 
-    __slots__ = ("number", "steps", "due_ms", "is_failed")
+    __slots__ = ("number", "steps")
 
     number: int
     steps: list[StepState]
-    due_ms: int
-    is_failed: bool
 
     def __init__(self, job: model.JobSpec, number: int) -> None:
         self.number = number
-        self.due_ms = job.first_due_ms + number * job.period_ms
-        self.is_failed = False
         self.steps = [
             StepState(
                 spec,
