Take the number of partitions from the store instead of a constant of 24

Each append to a higher partition was refused for good, two kinds of request were served 0, and the partition of the orders to hosts did not exist.

The mapping of pools is a value of its own (jobs/partitions.py). With one partition the owner of a pool and the owner of the hosts have the same partition, so the records of hosts have a topic of their own and the manager keeps the two owners apart.

--- a/clementinespar/jobs/fenced_log.py
+++ b/clementinespar/jobs/fenced_log.py
@@ -23,12 +23,14 @@
     def __init__(
         self,
         store: services.JobStore,
+        topic: services.Topic,
         partition: int,
         epoch: int,
         retry_s: float,
         log_event: services.EventLog,
     ) -> None:
         self._store = store
+        self._topic = topic
         self._partition = partition
         self._epoch = epoch
         self._retry_s = retry_s
@@ -50,7 +52,7 @@
             while True:
                 try:
                     await self._store.append_fenced(
-                        self._partition, self._epoch, sequence, records
+                        self._topic, self._partition, self._epoch, sequence, records
                     )
                     return
                 except errors.ClementinesparError as error:
--- a/clementinespar/jobs/fleet.py
+++ b/clementinespar/jobs/fleet.py
@@ -57,6 +57,7 @@
 
     epoch: int
     is_lost: bool  # the store has seen a later owner
+    _partition: int
     _waves: dict[int, _WaveProgress]
     _peaks: dict[str, capacity.PeakState]
     _arriving: dict[str, tuple[str, float]]  # host id: its new pool and time of order
@@ -65,6 +66,7 @@
 
     def __init__(
         self,
+        partition: int,
         epoch: int,
         ownership_manager: ownership.OwnershipManager,
         jobs: service.JobService,
@@ -78,6 +80,7 @@
     ) -> None:
         self.epoch = epoch
         self.is_lost = False
+        self._partition = partition
         self._ownership_manager = ownership_manager
         self._jobs = jobs
         self._store = store
@@ -92,7 +95,7 @@
         self._arriving = {}
         self._logged_at = 0.0
         self._log = fenced_log.FencedLog(
-            store, ownership.FLEET_PARTITION, epoch, TICK_S, log_event
+            store, services.Topic.HOSTS, partition, epoch, TICK_S, log_event
         )
 
     async def run(self) -> None:
@@ -104,7 +107,7 @@
             try:
                 await self._store_record("holder", {"epoch": self.epoch})
                 page = await self._store.list_newest(
-                    services.Topic.PROGRESS, ownership.FLEET_PARTITION
+                    services.Topic.HOSTS, self._partition
                 )
                 for entry in page.records:
                     if entry.key.startswith("wave"):
--- a/clementinespar/jobs/node.py
+++ b/clementinespar/jobs/node.py
@@ -10,6 +10,7 @@
     fleet,
     options,
     ownership,
+    partitions,
     peer_server,
     pool_owner,
     service,
@@ -41,6 +42,7 @@
     ownership_manager: ownership.OwnershipManager
     metrics: telemetry.JobMetrics
     is_stopping: bool
+    _partition_map: partitions.PartitionMap
     _platform_services: PlatformServices
 
     def __init__(
@@ -53,13 +55,14 @@
         self.metrics = telemetry.JobMetrics()
         self.is_stopping = False
         self._platform_services = platform_services
+        self._partition_map = partitions.PartitionMap(settings.store.partitions)
         owner_settings = pool_owner.OwnerSettings(settings.jobs.lease_max_ms / 1000)
 
         def make_owner(partition: int, epoch: int) -> pool_owner.PoolOwner:
             return pool_owner.PoolOwner(
                 partition,
                 epoch,
-                lambda pool: ownership.partition_of(pool) == partition,
+                lambda pool: self._partition_map.find(pool) == partition,
                 self.ownership_manager.confirmed_at,
                 lambda owner: None,
                 platform_services.store,
@@ -76,6 +79,7 @@
         ) -> contextlib.AbstractAsyncContextManager[fleet.FleetOwner]:
             return fleet.own_fleet(
                 fleet.FleetOwner(
+                    self._partition_map.fleet_partition,
                     epoch,
                     self.ownership_manager,
                     self.jobs,
@@ -93,12 +97,14 @@
             platform_services.group,
             make_owner,
             own_fleet,
+            self._partition_map.fleet_partition,
             self.wanted_partitions,
             settings.node.core_millis,
             log_event,
         )
         self.jobs = service.JobService(
             self.ownership_manager,
+            self._partition_map,
             platform_services.configuration,
             platform_services.store,
             http_client,
@@ -122,7 +128,7 @@
         if configuration is None:
             return frozenset()
         return frozenset(
-            ownership.partition_of(name) for name in configuration.pools_by_name
+            self._partition_map.find(name) for name in configuration.pools_by_name
         )
 
     def needs_directory(self) -> bool:
--- a/clementinespar/jobs/options.py
+++ b/clementinespar/jobs/options.py
@@ -41,6 +41,7 @@
 
     address: options.Endpoint
     ownership_min_ms: Milliseconds = 1_000  # shortest time to live that the store takes
+    partitions: int = pydantic.Field(default=24, ge=1, le=10_000)  # of each topic
 
 
 @pydantic.dataclasses.dataclass(frozen=True, slots=True, config=_CONFIG)
--- a/clementinespar/jobs/ownership.py
+++ b/clementinespar/jobs/ownership.py
@@ -6,15 +6,12 @@
 
 import asyncio
 import contextlib
-import zlib
 from collections.abc import AsyncIterator, Callable
 from typing import Protocol
 
 from clementinespar import background, codes, errors
 from clementinespar.jobs import pool_owner, services
 
-PARTITION_COUNT = 24
-FLEET_PARTITION = PARTITION_COUNT - 1  # orders to hosts; no pool belongs to it
 JOIN_INTERVAL_S = 0.4
 OWNERS_MAX_AGE_S = 2.0
 # A node owns nothing while at least this many larger nodes own partitions: the owner of
@@ -42,11 +39,6 @@
     return int(size) if size.isdigit() else 0
 
 
-def partition_of(pool: str) -> int:
-    """Return the partition of a pool, the same on every node."""
-    return zlib.crc32(pool.encode()) % FLEET_PARTITION
-
-
 class FleetOwnerHandle(Protocol):
     """The owner of the fleet partition, which alone gives orders to hosts."""
 
@@ -65,7 +57,10 @@
     unanswered_since: float | None  # event-loop time of the first unanswered call
     _confirmed_at: float | None
     _stacks: dict[int, contextlib.AsyncExitStack]
+    _fleet_partition: int
     _fleet_owner: FleetOwnerHandle | None
+    _fleet_stack: contextlib.AsyncExitStack
+    _fleet_fenced_epoch: int  # last epoch of an owner of the fleet that was fenced out
     _epochs: dict[int, int]  # generation in which each partition was assigned
     _fenced_epochs: dict[int, int]  # last epoch that a later owner fenced out
     _owner_names: dict[int, str]
@@ -81,6 +76,7 @@
         own_fleet: Callable[
             [int], contextlib.AbstractAsyncContextManager[FleetOwnerHandle]
         ],
+        fleet_partition: int,
         wanted_partitions: Callable[[], frozenset[int]],
         core_millis: int,
         log_event: services.EventLog,
@@ -102,7 +98,10 @@
         self._log_event = log_event
         self._confirmed_at = None
         self._stacks = {}
+        self._fleet_partition = fleet_partition
         self._fleet_owner = None
+        self._fleet_stack = contextlib.AsyncExitStack()
+        self._fleet_fenced_epoch = 0
         self._epochs = {}
         self._fenced_epochs = {}
         self._owner_names = {}
@@ -199,7 +198,7 @@
         self.generation = assignment.generation
         self.assigned = assignment.partitions
         self._confirmed_at = sent_at
-        self.is_fleet_owner = FLEET_PARTITION in assignment.partitions
+        self.is_fleet_owner = self._fleet_partition in assignment.partitions
         await self._apply_fleet(assignment.generation)
         for partition in assignment.partitions & self._wanted_partitions():
             epoch = self._epochs[partition]
@@ -212,17 +211,15 @@
         fleet_owner = self._fleet_owner
         if fleet_owner is not None and (fleet_owner.is_lost or not self.is_fleet_owner):
             self._fleet_owner = None
-            self._fenced_epochs[FLEET_PARTITION] = fleet_owner.epoch
-            await self._stacks.pop(FLEET_PARTITION).aclose()
+            self._fleet_fenced_epoch = fleet_owner.epoch
+            await self._fleet_stack.aclose()
         if not self.is_fleet_owner or self._fleet_owner is not None:
             return
         # After an owner was fenced out, the next one needs a later generation.
-        if generation > self._fenced_epochs.get(FLEET_PARTITION, 0):
-            stack = contextlib.AsyncExitStack()
-            self._fleet_owner = await stack.enter_async_context(
+        if generation > self._fleet_fenced_epoch:
+            self._fleet_owner = await self._fleet_stack.enter_async_context(
                 self._own_fleet(generation)
             )
-            self._stacks[FLEET_PARTITION] = stack
 
     async def _start_owner(self, partition: int, epoch: int) -> None:
         owner = self._make_owner(partition, epoch)
@@ -264,9 +261,8 @@
         """Stop all owners and leave the group."""
         for partition in list(self.owners_by_partition):
             await self._stop_owner(partition)
-        if FLEET_PARTITION in self._stacks:
-            self._fleet_owner = None
-            await self._stacks.pop(FLEET_PARTITION).aclose()
+        self._fleet_owner = None
+        await self._fleet_stack.aclose()
         try:
             await self._group.leave()
         except errors.ClementinesparError as error:
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -124,7 +124,7 @@
         self._log_event = log_event
         self._lease_s = settings.lease_max_s * LEASE_SHARE
         self._log = fenced_log.FencedLog(
-            store, partition, epoch, STORE_RETRY_S, log_event
+            store, services.Topic.PROGRESS, partition, epoch, STORE_RETRY_S, log_event
         )
         self._next_command = 0
         self._worker_use = worker_use.WorkerUse()
--- a/clementinespar/jobs/service.py
+++ b/clementinespar/jobs/service.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 from clementinespar import codes, errors, http_calls
-from clementinespar.jobs import model, ownership, services, state
+from clementinespar.jobs import model, ownership, partitions, services, state
 
 PEER_TIMEOUT_S = 0.5
 OWNER_RETRY_S = 0.15  # a change of owner takes about a second
@@ -29,6 +29,7 @@
 
     ownership_manager: ownership.OwnershipManager
     configuration: services.ConfigurationSource
+    _partition_map: partitions.PartitionMap
     _store: services.JobStore
     _http_client: http_calls.HttpClient
     _waiting_by_queue: dict[str, tuple[float, int]]
@@ -39,12 +40,14 @@
     def __init__(
         self,
         ownership_manager: ownership.OwnershipManager,
+        partition_map: partitions.PartitionMap,
         configuration: services.ConfigurationSource,
         store: services.JobStore,
         http_client: http_calls.HttpClient,
     ) -> None:
         self.ownership_manager = ownership_manager
         self.configuration = configuration
+        self._partition_map = partition_map
         self._store = store
         self._http_client = http_client
         self._waiting_by_queue = {}
@@ -112,7 +115,7 @@
             No owner answered in time.
         """
         reply = await self._ask_owner(
-            ownership.partition_of(pool), f"/jobs/{job_id}", timeout_s
+            self._partition_map.find(pool), f"/jobs/{job_id}", timeout_s
         )
         if reply["state"] is not None:
             return model.JobState(reply["state"])
@@ -131,7 +134,7 @@
             return cached[1]
         name = urllib.parse.quote(queue.name, safe="")
         reply = await self._ask_owner(
-            ownership.partition_of(queue.pool), f"/waiting/{name}", timeout_s
+            self._partition_map.find(queue.pool), f"/waiting/{name}", timeout_s
         )
         count = int(reply["waiting"])
         self._waiting_by_queue[queue.name] = (loop.time(), count)
@@ -147,7 +150,7 @@
         """Ask the owner of a pool to evacuate a worker; True once it is free."""
         name = urllib.parse.quote(worker_id, safe="")
         reply = await self._ask_owner(
-            ownership.partition_of(pool),
+            self._partition_map.find(pool),
             f"/evacuate/{name}?kept_s={kept_s}&urgency={urgency.value}",
             PEER_TIMEOUT_S,
         )
@@ -156,7 +159,7 @@
     async def describe_load(self, pool: str) -> dict[str, Any]:
         """Return the demand and use of a pool, as its owner measures them."""
         return await self._ask_owner(
-            ownership.partition_of(pool),
+            self._partition_map.find(pool),
             f"/load/{urllib.parse.quote(pool, safe='')}",
             PEER_TIMEOUT_S,
         )
@@ -165,7 +168,7 @@
         """Return why a job is in its state; raises with ``JOB_UNKNOWN``."""
         configuration = self.configuration.current
         pools = () if configuration is None else configuration.pools_by_name
-        for partition in sorted({ownership.partition_of(pool) for pool in pools}):
+        for partition in sorted({self._partition_map.find(pool) for pool in pools}):
             reply = await self._ask_owner(
                 partition, f"/explain/{job_id}", PEER_TIMEOUT_S
             )
@@ -180,8 +183,8 @@
         if configuration is None:
             return ()
         return sorted(
-            {ownership.partition_of(name) for name in configuration.pools_by_name}
-            - {ownership.partition_of(pool)}
+            {self._partition_map.find(name) for name in configuration.pools_by_name}
+            - {self._partition_map.find(pool)}
         )
 
     async def _append_command(
@@ -194,7 +197,7 @@
             sent_at = loop.time()
             try:
                 await self._store.append(
-                    services.Topic.COMMANDS, ownership.partition_of(pool), [record]
+                    services.Topic.COMMANDS, self._partition_map.find(pool), [record]
                 )
             except errors.ClementinesparError as error:
                 if error.code is codes.ResultCode.STORE_UNANSWERED:
--- a/clementinespar/jobs/services.py
+++ b/clementinespar/jobs/services.py
@@ -13,6 +13,7 @@
 
     COMMANDS = "commands"  # requests of callers, written by any node
     PROGRESS = "progress"  # written only by the owner of the partition
+    HOSTS = "hosts"  # waves and peaks, written only by the owner of the fleet
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -54,12 +55,13 @@
 
     async def append_fenced(
         self,
+        topic: Topic,
         partition: int,
         epoch: int,
         sequence: int,
         records: Sequence[KeyedRecord],
     ) -> None:
-        """Append progress as the owner with this epoch; repeating it has no effect.
+        """Append records as the owner with this epoch; repeating it has no effect.
 
         Raises ``STORE_FENCED`` if the store has seen a later epoch or misses an earlier
         sequence number. Without records, it only sets the epoch.
--- a/clementinespar/jobs/tests/fakes.py
+++ b/clementinespar/jobs/tests/fakes.py
@@ -41,7 +41,7 @@
         self._log: dict[tuple[services.Topic, int], list[services.KeyedRecord]] = (
             collections.defaultdict(list)
         )
-        self._fences: dict[int, tuple[int, int]] = {}
+        self._fences: dict[tuple[services.Topic, int], tuple[int, int]] = {}
 
     def _check(self) -> None:
         if self.is_down:
@@ -66,6 +66,7 @@
 
     async def append_fenced(
         self,
+        topic: services.Topic,
         partition: int,
         epoch: int,
         sequence: int,
@@ -73,12 +74,12 @@
     ) -> None:
         await asyncio.sleep(0.003)
         self._check()
-        stored_epoch, stored_sequence = self._fences.get(partition, (0, -1))
+        stored_epoch, stored_sequence = self._fences.get((topic, partition), (0, -1))
         if epoch < stored_epoch:
             raise errors.ClementinesparError(codes.ResultCode.STORE_FENCED, "epoch")
         if epoch > stored_epoch or sequence == stored_sequence + 1:
-            self._fences[partition] = (epoch, sequence)
-            self._apply(services.Topic.PROGRESS, partition, records)
+            self._fences[topic, partition] = (epoch, sequence)
+            self._apply(topic, partition, records)
         elif sequence > stored_sequence + 1:
             raise errors.ClementinesparError(codes.ResultCode.STORE_FENCED, "sequence")
         self._check_answer()
--- a/clementinespar/jobs/tests/test_fenced_log.py
+++ b/clementinespar/jobs/tests/test_fenced_log.py
@@ -17,7 +17,9 @@
     housekeeping may append while an append of progress is retried.
     """
     store = fakes.FakeStore()
-    log = fenced_log.FencedLog(store, PARTITION, 1, 0.1, fakes.ignore_event)
+    log = fenced_log.FencedLog(
+        store, services.Topic.PROGRESS, PARTITION, 1, 0.1, fakes.ignore_event
+    )
     store.is_down = True
     async with asyncio.TaskGroup() as group:
         group.create_task(log.append([services.KeyedRecord("a", b"1")]))
--- a/clementinespar/jobs/tests/test_ownership.py
+++ b/clementinespar/jobs/tests/test_ownership.py
@@ -10,6 +10,7 @@
 from clementinespar.tests import paused_clock
 
 PARTITION = 3
+FLEET_PARTITION = 23
 
 
 @dataclasses.dataclass
@@ -25,7 +26,9 @@
 
     ownership_manager: ownership.OwnershipManager
 
-    def __init__(self, partitions: frozenset[int]) -> None:
+    def __init__(
+        self, partitions: frozenset[int], fleet_partition: int = FLEET_PARTITION
+    ) -> None:
         self.group = fakes.FakeGroup(partitions)
         self.store = fakes.FakeStore()
         self.workers = fakes.FakeWorkers(1)
@@ -36,6 +39,7 @@
             self.group,
             self.make_owner,
             self.own_fleet,
+            fleet_partition,
             lambda: frozenset({PARTITION}),
             1_000,
             fakes.ignore_event,
@@ -109,13 +113,13 @@
 @paused_clock.test
 async def test_fenced_fleet_owner_comes_back_with_a_later_generation() -> None:
     """Guards against waves that stop after the store has reassigned partitions."""
-    harness = ManagerHarness(frozenset({ownership.FLEET_PARTITION}))
+    harness = ManagerHarness(frozenset({FLEET_PARTITION}))
     async with ownership.run_ownership_manager(harness.ownership_manager):
         await asyncio.sleep(3.0)
         harness.fleet_owners[0].is_lost = True
         await asyncio.sleep(1.0)
         assert harness.open_fleet_owners == 0
-        harness.assign(3, ownership.FLEET_PARTITION)
+        harness.assign(3, FLEET_PARTITION)
         await asyncio.sleep(1.0)
         assert [fleet_owner.epoch for fleet_owner in harness.fleet_owners] == [1, 3]
         assert harness.open_fleet_owners == 1
--- a/clementinespar/jobs/tests/test_service.py
+++ b/clementinespar/jobs/tests/test_service.py
@@ -7,7 +7,7 @@
 import pytest
 
 from clementinespar import codes, http_calls
-from clementinespar.jobs import model, ownership, service
+from clementinespar.jobs import model, ownership, partitions, service
 from clementinespar.jobs.tests import fakes, helpers
 from clementinespar.tests import paused_clock
 
@@ -20,6 +20,9 @@
     current: model.JobConfiguration | None = None
 
 
+PARTITION_MAP = partitions.PartitionMap(24)
+
+
 class ServiceHarness:
     """A node's service on a store and a group that can become unavailable."""
 
@@ -30,12 +33,14 @@
             self.group,
             lambda partition, epoch: pytest.fail("no partition is assigned"),
             lambda epoch: pytest.fail("the fleet partition is not assigned"),
+            PARTITION_MAP.fleet_partition,
             frozenset,
             1_000,
             fakes.ignore_event,
         )
         self.jobs = service.JobService(
             self.ownership_manager,
+            PARTITION_MAP,
             NoConfiguration(),
             self.store,
             http_calls.HttpClient(),
