--- a/clementinespar/jobs/model.py
+++ b/clementinespar/jobs/model.py
@@ -2,6 +2,9 @@
 
 import dataclasses
 import enum
+from collections.abc import Mapping
+
+from clementinespar.jobs import teams
 
 
 class JobState(enum.Enum):
@@ -88,6 +91,7 @@
     priority: int
     stretch: float
     needs_advice: bool = False
+    is_public: bool = False  # calls need no key
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -106,6 +110,25 @@
     queues_by_name: dict[str, Queue]
     pools_by_name: dict[str, Pool]
     max_body_bytes: int
+    # None: the configuration has no teams, so calls need no key.
+    teams_by_key_digest: Mapping[bytes, teams.Team] | None = None
+
+    def needs_key(self, queue: Queue) -> bool:
+        """Whether calls of a queue must carry the key of a team."""
+        return self.teams_by_key_digest is not None and not queue.is_public
+
+    def is_authorized(self, queue: Queue, authorization: str) -> bool:
+        """Whether a call of a queue carries a key that is in force.
+
+        Parameters
+        ----------
+        authorization : str
+            The value of the Authorization header; empty if there is none.
+        """
+        if self.teams_by_key_digest is None or queue.is_public:
+            return True
+        key = teams.parse_bearer(authorization)
+        return key is not None and teams.hash_key(key) in self.teams_by_key_digest
 
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Return the queue of the host with the longest prefix of the path."""
--- a/clementinespar/jobs/options.py
+++ b/clementinespar/jobs/options.py
@@ -58,6 +58,8 @@
     """Limits of jobs on workers."""
 
     lease_max_ms: Milliseconds = 6_000
+    # A configuration that was read longer ago may hold keys that are withdrawn by now.
+    keys_max_age_ms: Milliseconds = 4_000
     adviser: Annotated[
         options.Endpoint | None, pydantic.BeforeValidator(lambda text: text or None)
     ] = None  # empty: no queue needs tickets
--- a/clementinespar/jobs/services.py
+++ b/clementinespar/jobs/services.py
@@ -186,6 +186,8 @@
     """The configuration in force at this node."""
 
     current: model.JobConfiguration | None
+    # Event-loop time at which the newest answered read was sent; None: none yet.
+    confirmed_at: float | None
 
 
 class HostService(Protocol):
--- a/clementinespar/jobs/tests/test_service.py
+++ b/clementinespar/jobs/tests/test_service.py
@@ -18,6 +18,7 @@
     """`services.ConfigurationSource` before the first version."""
 
     current: model.JobConfiguration | None = None
+    confirmed_at: float | None = None
 
 
 PARTITION_MAP = partitions.PartitionMap(24)
