Let lasting tasks share workers as far as their step may miss them

Cause: lasting tasks were spread one to a host.

A worker now takes up to may_miss tasks of a step, those with lasting tasks first, so the loss of one host stays within what the step may miss. Serving tasks and fillers, which disturb each other, stay spread.

--- a/clementinespar/jobs/placement.py
+++ b/clementinespar/jobs/placement.py
@@ -85,7 +85,7 @@
             score = (
                 -float(worker_id in avoided),
                 -float(bool(spec.data_rack) and session.entry.rack != spec.data_rack),
-                -float(counts[worker_id]) if spec.is_lasting else 0.0,
+                *_lasting_score(session, spec, counts[worker_id]),
                 -_serving_count(session) if spec.is_filler else 0.0,
                 float(session.free_cpu),
             )
@@ -148,6 +148,29 @@
             session.pace(run, wanted)
 
 
+def _lasting_score(
+    session: worker_session.WorkerSession, spec: model.StepSpec, count: int
+) -> tuple[float, float]:
+    """Return how well a worker suits one more task of a lasting step.
+
+    Lasting tasks share workers, since a host with a lasting task cannot be lent to a
+    pool at its peak. The loss of one worker stays within what the step may miss. Tasks
+    that disturb each other are spread instead.
+
+    Parameters
+    ----------
+    count : int
+        Tasks of the step on the worker.
+    """
+    if not spec.is_lasting:
+        return (0.0, 0.0)
+    if spec.is_filler or spec.latency_target_ms:
+        return (-float(count), 0.0)
+    shareable = max(1, spec.may_miss or 1)
+    lasting_count = sum(1 for run in session.runs.values() if run.spec.is_lasting)
+    return (-float(max(0, count + 1 - shareable)), float(lasting_count))
+
+
 def _serving_count(session: worker_session.WorkerSession) -> float:
     return float(sum(1 for run in session.runs.values() if run.spec.latency_target_ms))
 
--- a/clementinespar/jobs/tests/test_placement.py
+++ b/clementinespar/jobs/tests/test_placement.py
@@ -7,6 +7,7 @@
 
 from clementinespar.jobs import model, placement, state, worker_session
 from clementinespar.jobs.tests import fakes, helpers
+from clementinespar.tests import paused_clock
 
 
 def estimate_ms(spec: model.StepSpec) -> float:
@@ -133,3 +134,57 @@
         assert paces == ([] if wanted is None else [wanted])
 
     asyncio.run(scenario())
+
+
+def place_lasting(
+    sessions: list[worker_session.WorkerSession], number: int, spec: model.StepSpec
+) -> collections.Counter[str]:
+    """Place all tasks of a lasting step; return the tasks on each worker."""
+    counts: collections.Counter[str] = collections.Counter()
+    for index in range(spec.task_count):
+        chosen = placement.FreeCapacity(sessions).choose(spec, counts, set())
+        assert chosen is not None
+        key = model.TaskKey(f"job-{number}", 0, 0, index)
+        chosen.add_run(worker_session.Run(key, 1, spec, chosen, 0.0))
+        counts[chosen.entry.worker_id] += 1
+    return counts
+
+
+@paused_clock.test
+async def test_lasting_work_leaves_hosts_for_the_peaks_of_other_pools() -> None:
+    """Guards against lasting tasks that keep nearly every host of a quiet pool.
+
+    The load of a large pool between its peaks: two lasting jobs on 48 workers of 16
+    cores. Spread over all of them, they kept 47 hosts busy at a sixth of their cores,
+    while a pool at its peak waited for hosts.
+    """
+    sessions = [make_session(f"w-{n}", 16_000, f"r-{n // 12}") for n in range(48)]
+    for session in sessions:
+        session.free_memory = 32_000
+    spread = model.StepSpec(36, 1800, 3792, is_lasting=True, may_miss=3)
+    apart = model.StepSpec(
+        16, 1550, 8496, is_lasting=True, may_miss=1, max_per_worker=1
+    )
+    counts = place_lasting(sessions, 1, spread)
+    assert max(counts.values()) == 3  # the loss of a host stays within `may_miss`
+    place_lasting(sessions, 2, apart)
+    busy = sum(1 for session in sessions if session.runs)
+    assert busy <= 16
+
+
+@paused_clock.test
+async def test_lasting_tasks_that_disturb_each_other_are_spread() -> None:
+    """Guards against serving tasks whose latency suffers from others beside them."""
+    sessions = [make_session(f"w-{n}", 16_000) for n in range(8)]
+    serving = model.StepSpec(8, 1000, 10, is_lasting=True, latency_target_ms=50)
+    assert set(place_lasting(sessions, 1, serving).values()) == {1}
+    filler = model.StepSpec(8, 1000, 10, is_lasting=True, is_filler=True)
+    assert set(place_lasting(sessions, 2, filler).values()) == {1}
+
+
+@paused_clock.test
+async def test_lasting_tasks_beyond_what_may_miss_find_a_worker() -> None:
+    """Guards against tasks that wait although a worker has capacity."""
+    sessions = [make_session("w-0", 16_000)]
+    spec = model.StepSpec(5, 1000, 10, is_lasting=True, may_miss=1)
+    assert place_lasting(sessions, 1, spec) == {"w-0": 5}
