Send commands through the owner of their partition while the store is slow

Cause: the store appends to a partition one call at a time.

A node whose last call to the store took over 0.1 s hands its command to the owner of the partition, which appends what waits in one call (jobs/command_writer.py) and knows the job without reading it back. Without the owner the node appends by itself; an attempt that may be stored is never called a refusal.

--- a/clementinespar/jobs/ownership.py
+++ b/clementinespar/jobs/ownership.py
@@ -55,6 +55,7 @@
     assigned: frozenset[int]
     reached_at: float | None  # event-loop time of the last answer of the store
     unanswered_since: float | None  # event-loop time of the first unanswered call
+    store_latency_s: float  # duration of the last answered join
     _confirmed_at: float | None
     _stacks: dict[int, contextlib.AsyncExitStack]
     _fleet_partition: int
@@ -92,6 +93,7 @@
         self._core_millis = core_millis
         self.reached_at = None
         self.unanswered_since = None
+        self.store_latency_s = 0.0
         self._larger_node_count = 0
         self._sizes_read_at = 0.0
         self._started_at = 0.0
@@ -140,6 +142,7 @@
                     self._log_event("ownership_confirmed_again")
                 is_reached = True
                 self._mark_reached()
+                self.store_latency_s = loop.time() - sent_at
                 await self._apply(assignment, sent_at)
             await asyncio.sleep(max(0.05, sent_at + JOIN_INTERVAL_S - loop.time()))
 
@@ -157,8 +160,10 @@
         ):
             interval_s = SIZE_CHECK_INTERVAL_S
         if loop.time() - self._sizes_read_at >= interval_s:
+            read_at = loop.time()
             await self._read_owners()
             self._sizes_read_at = loop.time()
+            self.store_latency_s = self._sizes_read_at - read_at
             self._larger_node_count = sum(
                 parse_core_millis(member) > LARGER_NODE_FACTOR * self._core_millis
                 for member in set(self._owner_names.values())
--- a/clementinespar/jobs/peer_server.py
+++ b/clementinespar/jobs/peer_server.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import urllib.parse
 from collections.abc import AsyncIterator
 
 import tornado.httpserver
@@ -9,7 +10,7 @@
 import tornado.web
 
 from clementinespar import codes, errors
-from clementinespar.jobs import service, telemetry
+from clementinespar.jobs import service, services, telemetry
 
 
 class _PeerRequestHandler(tornado.web.RequestHandler):
@@ -35,6 +36,28 @@
         self.finish(json.dumps(reply))
 
 
+class _CommandHandler(tornado.web.RequestHandler):
+    """Appends a command of a caller that reached a peer."""
+
+    def initialize(self, jobs: service.JobService) -> None:
+        self._jobs = jobs
+
+    async def post(self, partition: str, key: str) -> None:
+        """Answer 200 once it is stored, 503 if it is not, 504 if that is unknown."""
+        record = services.KeyedRecord(urllib.parse.unquote(key), self.request.body)
+        try:
+            await self._jobs.append_for_peer(int(partition), record)
+        except errors.ClementinesparError as error:
+            is_refused = error.code is codes.ResultCode.STORE_REFUSED
+            self.set_status(503 if is_refused else 504)
+            self.finish(json.dumps({"code": int(error.code)}))
+        except ValueError as error:
+            self.set_status(400)
+            self.finish(json.dumps({"message": str(error)}))
+        else:
+            self.finish("{}")
+
+
 class _JobHandler(tornado.web.RequestHandler):
     """Explains a job to operators, whichever node owns it."""
 
@@ -77,6 +100,7 @@
         [
             (r"/metrics", _MetricsHandler, {"metrics": metrics}),
             (r"/v1/jobs/([0-9A-Za-z]+)", _JobHandler, {"jobs": jobs}),
+            (r"/(\d+)/commands/([^/]+)", _CommandHandler, {"jobs": jobs}),
             (r"/(\d+)/.*", _PeerRequestHandler, {"jobs": jobs}),
         ],
         log_function=lambda handler: None,
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -650,6 +650,11 @@
 
     # Commands.
 
+    def accept_stored_command(self, record: services.KeyedRecord) -> None:
+        """Apply a command that was stored just now, before it is read back."""
+        if self.is_loaded and not self.is_lost:
+            self._apply_commands([record])
+
     def _apply_commands(self, records: list[services.KeyedRecord]) -> None:
         for record in records:
             kind, job_id = record.key[:1], record.key[1:]
--- a/clementinespar/jobs/service.py
+++ b/clementinespar/jobs/service.py
@@ -13,7 +13,14 @@
 from typing import Any
 
 from clementinespar import codes, errors, http_calls
-from clementinespar.jobs import model, ownership, partitions, services, state
+from clementinespar.jobs import (
+    command_writer,
+    model,
+    ownership,
+    partitions,
+    services,
+    state,
+)
 
 PEER_TIMEOUT_S = 0.5
 OWNER_RETRY_S = 0.15  # a change of owner takes about a second
@@ -22,6 +29,11 @@
 # A store that has answered no call for this long counts as unavailable, and calls to it
 # are given up after the same time. A slow store may need most of it to answer.
 STORE_UNAVAILABLE_S = 1.0
+# Above this latency of the store's calls, commands go through the owner of their
+# partition, which appends many at a time. A call usually takes a few milliseconds.
+SLOW_STORE_S = 0.1
+# Shorter than `STORE_UNAVAILABLE_S`, so that a direct append can follow.
+FORWARD_TIMEOUT_S = 0.8
 
 
 class JobService:
@@ -36,6 +48,8 @@
     _sent_at: dict[str, float]  # job id: event-loop time of its pending append
     _unanswered_since: float  # event-loop time of the first append without an answer
     _answered_at: float  # event-loop time of the last answer to an append
+    _append_latency_s: float  # duration of the last answered append
+    _command_writer: command_writer.CommandWriter
 
     def __init__(
         self,
@@ -54,6 +68,8 @@
         self._sent_at = {}
         self._unanswered_since = -math.inf
         self._answered_at = -math.inf
+        self._append_latency_s = 0.0
+        self._command_writer = command_writer.CommandWriter(store)
 
     async def submit(
         self, pool: str, spec: model.JobSpec, timeout_s: float
@@ -196,8 +212,8 @@
         while True:
             sent_at = loop.time()
             try:
-                await self._store.append(
-                    services.Topic.COMMANDS, self._partition_map.find(pool), [record]
+                await self._append_once(
+                    self._partition_map.find(pool), record, may_be_stored
                 )
             except errors.ClementinesparError as error:
                 if error.code is codes.ResultCode.STORE_UNANSWERED:
@@ -213,6 +229,90 @@
                 return codes.ResultCode.STORE_UNANSWERED
             await asyncio.sleep(STORE_RETRY_S)
 
+    async def _append_once(
+        self, partition: int, record: services.KeyedRecord, is_repeated: bool
+    ) -> None:
+        """Append a command, through the owner of its partition if the store is slow.
+
+        A command whose first attempt had no answer does not depend on the owner again.
+        """
+        if self._is_store_slow() and not is_repeated:
+            if partition in self.ownership_manager.owners_by_partition:
+                await self.append_for_peer(partition, record)
+                return
+            if await self._append_at_owner(partition, record):
+                return
+        loop = asyncio.get_running_loop()
+        sent_at = loop.time()
+        await self._store.append(services.Topic.COMMANDS, partition, [record])
+        self._append_latency_s = loop.time() - sent_at
+
+    def _is_store_slow(self) -> bool:
+        latency_s = max(self._append_latency_s, self.ownership_manager.store_latency_s)
+        return latency_s > SLOW_STORE_S
+
+    async def _append_at_owner(
+        self, partition: int, record: services.KeyedRecord
+    ) -> bool:
+        """Let the owner append a command; False if it certainly did not.
+
+        Raises
+        ------
+        errors.ClementinesparError
+            With ``STORE_UNANSWERED``: the command may be stored.
+        """
+        member = await self.ownership_manager.find_owner(partition)
+        if member is None:
+            return False
+        try:
+            response = await self._http_client.call(
+                member.partition("/")[0],
+                "POST",
+                f"/{partition}/commands/{urllib.parse.quote(record.key, safe='')}",
+                record.value,
+                timeout_s=FORWARD_TIMEOUT_S,
+            )
+        except http_calls.CallNotSentError:
+            return False
+        except http_calls.CallUnansweredError as error:
+            raise errors.ClementinesparError(
+                codes.ResultCode.STORE_UNANSWERED, error.message
+            ) from error
+        # The next command finds out by its own append whether the store is still slow.
+        self._append_latency_s = 0.0
+        if response.status == 503:
+            return False
+        if response.status != 200:
+            raise errors.ClementinesparError(
+                codes.ResultCode.STORE_UNANSWERED,
+                f"the peer answered with status {response.status}, expected 200",
+            )
+        return True
+
+    async def append_for_peer(
+        self, partition: int, record: services.KeyedRecord
+    ) -> None:
+        """Append a command together with others and hand it to the owner here.
+
+        Raises
+        ------
+        errors.ClementinesparError
+            As `services.JobStore.append`.
+        ValueError
+            It is not a command, or there is no such partition.
+        """
+        is_known = 0 <= partition < self._partition_map.count
+        if not is_known or record.key[:1] not in ("j", "c") or not record.value:
+            raise ValueError(f"no command for partition {partition}: {record.key!r}")
+        await self._command_writer.append(partition, record)
+        owner = self.ownership_manager.owners_by_partition.get(partition)
+        if owner is not None:
+            owner.accept_stored_command(record)
+
+    def close(self) -> None:
+        """Cancel the appends that are not answered."""
+        self._command_writer.close()
+
     async def _ask_owner(
         self, partition: int, path: str, timeout_s: float
     ) -> dict[str, Any]:
--- a/clementinespar/jobs/tests/fakes.py
+++ b/clementinespar/jobs/tests/fakes.py
@@ -31,12 +31,16 @@
     is_down: bool
     loses_answers: bool  # appends are done, but not answered
     drops_calls: bool  # appends are neither done nor answered
+    # Time for which an append occupies its partition; the store is slow if it is long.
+    append_s: float
     values: dict[tuple[services.Topic, int], dict[str, bytes]]
 
     def __init__(self) -> None:
         self.is_down = False
         self.loses_answers = False
         self.drops_calls = False
+        self.append_s = 0.0
+        self._free_at: dict[tuple[services.Topic, int], float] = {}
         self.values = collections.defaultdict(dict)
         self._log: dict[tuple[services.Topic, int], list[services.KeyedRecord]] = (
             collections.defaultdict(list)
@@ -61,9 +65,19 @@
         self._check()
         if self.drops_calls:
             await _time_out_call()
+        await self._queue_append(topic, partition)
         self._apply(topic, partition, records)
         self._check_answer()
 
+    async def _queue_append(self, topic: services.Topic, partition: int) -> None:
+        """Wait for the earlier appends of the partition; refuse beyond 2 s of them."""
+        now = asyncio.get_running_loop().time()
+        free_at = max(now, self._free_at.get((topic, partition), 0.0))
+        if free_at - now > 2.0:
+            raise errors.ClementinesparError(codes.ResultCode.STORE_REFUSED, "busy")
+        self._free_at[topic, partition] = free_at + self.append_s
+        await asyncio.sleep(free_at + self.append_s - now)
+
     async def append_fenced(
         self,
         topic: services.Topic,
--- a/clementinespar/jobs/tests/test_service.py
+++ b/clementinespar/jobs/tests/test_service.py
@@ -27,8 +27,12 @@
 class ServiceHarness:
     """A node's service on a store and a group that can become unavailable."""
 
-    def __init__(self) -> None:
-        self.store = fakes.FakeStore()
+    def __init__(
+        self,
+        store: fakes.FakeStore | None = None,
+        http_client: http_calls.HttpClient | None = None,
+    ) -> None:
+        self.store = store or fakes.FakeStore()
         self.group = fakes.FakeGroup(frozenset())
         self.ownership_manager = ownership.OwnershipManager(
             self.group,
@@ -44,7 +48,7 @@
             PARTITION_MAP,
             NoConfiguration(),
             self.store,
-            http_calls.HttpClient(),
+            http_client or http_calls.HttpClient(),
         )
 
     def set_unavailable(self, is_unavailable: bool) -> None:
