Send commands through the owner where the store turns this node away

Such a node refused every job of the callers whose open connections stay with it, although the owner of the pool reached the store.

A refused append, or an outage as this node sees it, now lets the owner append the command. An owner that does not reach the store either refuses at once, so callers learn as fast as before that the job is not stored.

--- a/clementinespar/jobs/ownership.py
+++ b/clementinespar/jobs/ownership.py
@@ -243,6 +243,10 @@
         owner.is_lost = True
         await self._stacks.pop(partition).aclose()
 
+    def known_owner(self, partition: int) -> str | None:
+        """Return the owner of a partition by the last list, whatever its age."""
+        return self._owner_names.get(partition)
+
     async def find_owner(self, partition: int, is_fresh: bool = False) -> str | None:
         """Return the member that owns a partition.
 
--- a/clementinespar/jobs/service.py
+++ b/clementinespar/jobs/service.py
@@ -77,11 +77,9 @@
         """Store a job; returns ``OK`` once it is durable.
 
         Returns ``STORE_REFUSED`` if it certainly is not stored and ``STORE_UNANSWERED``
-        if it may be. While the store is unavailable, returns before the timeout, so
-        that the caller can try another node or retry later.
+        if it may be. While neither this node nor the owner of the pool reaches the
+        store, returns before the timeout, so that the caller can retry later.
         """
-        if self._is_store_unavailable():
-            return codes.ResultCode.STORE_REFUSED
         record = services.KeyedRecord("j" + spec.job_id, state.encode_spec(spec))
         loop = asyncio.get_running_loop()
         self._sent_at[spec.job_id] = loop.time()
@@ -232,20 +230,36 @@
     async def _append_once(
         self, partition: int, record: services.KeyedRecord, is_repeated: bool
     ) -> None:
-        """Append a command, through the owner of its partition if the store is slow.
+        """Append a command, or let the owner of its partition append it.
 
-        A command whose first attempt had no answer does not depend on the owner again.
+        The owner does so while the store is slow, or turns this node away but not the
+        owner. A command whose first attempt had no answer does not depend on the owner
+        again.
         """
-        if self._is_store_slow() and not is_repeated:
+        is_unavailable = self._is_store_unavailable()
+        is_forwarded_first = is_unavailable or self._is_store_slow()
+        if is_forwarded_first and not is_repeated:
             if partition in self.ownership_manager.owners_by_partition:
                 await self.append_for_peer(partition, record)
                 return
             if await self._append_at_owner(partition, record):
                 return
+            if is_unavailable:
+                raise errors.ClementinesparError(
+                    codes.ResultCode.STORE_REFUSED, "the store does not answer"
+                )
         loop = asyncio.get_running_loop()
         sent_at = loop.time()
-        await self._store.append(services.Topic.COMMANDS, partition, [record])
-        self._append_latency_s = loop.time() - sent_at
+        try:
+            await self._store.append(services.Topic.COMMANDS, partition, [record])
+        except errors.ClementinesparError as error:
+            is_refused = error.code is codes.ResultCode.STORE_REFUSED
+            if is_forwarded_first or is_repeated or not is_refused:
+                raise
+            if not await self._append_at_owner(partition, record):
+                raise
+        else:
+            self._append_latency_s = loop.time() - sent_at
 
     def _is_store_slow(self) -> bool:
         latency_s = max(self._append_latency_s, self.ownership_manager.store_latency_s)
@@ -261,7 +275,7 @@
         errors.ClementinesparError
             With ``STORE_UNANSWERED``: the command may be stored.
         """
-        member = await self.ownership_manager.find_owner(partition)
+        member = self.ownership_manager.known_owner(partition)
         if member is None:
             return False
         try:
@@ -304,6 +318,10 @@
         is_known = 0 <= partition < self._partition_map.count
         if not is_known or record.key[:1] not in ("j", "c") or not record.value:
             raise ValueError(f"no command for partition {partition}: {record.key!r}")
+        if self._is_store_unavailable():
+            raise errors.ClementinesparError(
+                codes.ResultCode.STORE_REFUSED, "the store does not answer"
+            )
         await self._command_writer.append(partition, record)
         owner = self.ownership_manager.owners_by_partition.get(partition)
         if owner is not None:
--- a/clementinespar/jobs/tests/test_slow_store.py
+++ b/clementinespar/jobs/tests/test_slow_store.py
@@ -7,7 +7,7 @@
 import pytest
 
 from clementinespar import codes, errors, http_calls
-from clementinespar.jobs import command_writer, services
+from clementinespar.jobs import command_writer, ownership, services
 from clementinespar.jobs.tests import fakes, test_service
 from clementinespar.tests import paused_clock
 
@@ -62,7 +62,7 @@
 class SlowStoreHarness:
     """Nodes on one store; the first of them owns the partition of the pool."""
 
-    def __init__(self, latency_s: float) -> None:
+    def __init__(self, latency_s: float = 0.004) -> None:
         self.store = fakes.FakeStore()
         self.peers = PeerClient()
         self.nodes = [
@@ -71,7 +71,7 @@
         self.peers.owner = self.nodes[0]
         partition = test_service.PARTITION_MAP.find(POOL)
         for node in self.nodes:
-            node.group.owners = {partition: OWNER}
+            node.ownership_manager._owner_names = {partition: OWNER}
             node.ownership_manager.store_latency_s = latency_s
 
     async def submit_peak(self, rate: int, length_s: float) -> collections.Counter[str]:
@@ -200,3 +200,45 @@
     )
     assert max(sizes) <= command_writer.MAX_BATCH_BYTES
     assert len(store.values[services.Topic.COMMANDS, 1]) == 7
+
+
+@pytest.mark.parametrize("fault", ["is_down", "drops_calls"])
+def test_node_that_the_store_turns_away_accepts_jobs(fault: str) -> None:
+    """Guards against callers refused by a node while the store serves the others."""
+
+    @paused_clock.test
+    async def scenario() -> None:
+        harness = SlowStoreHarness()
+        store = fakes.FakeStore()
+        setattr(store, fault, True)
+        node = test_service.ServiceHarness(store, harness.peers)
+        node.group.is_down = True
+        node.group.owners = {test_service.PARTITION_MAP.find(POOL): OWNER}
+        async with ownership.run_ownership_manager(node.ownership_manager):
+            # The first submission without an answer may take until its time is up.
+            await node.submit("0" * 16)
+            if fault == "drops_calls":
+                node.jobs._unanswered_since = asyncio.get_running_loop().time() - 2.0
+            code, took_s = await node.submit("a" * 16)
+        assert code is codes.ResultCode.OK
+        assert took_s < 0.2
+        commands = harness.store.values[
+            services.Topic.COMMANDS, test_service.PARTITION_MAP.find(POOL)
+        ]
+        assert "j" + "a" * 16 in commands
+
+    scenario()
+
+
+@paused_clock.test
+async def test_owner_without_the_store_refuses_at_once() -> None:
+    """Guards against callers that wait for an owner while the store is down."""
+    harness = SlowStoreHarness()
+    owner = harness.nodes[0].jobs
+    owner._unanswered_since = asyncio.get_running_loop().time() - 2.0
+    node = harness.nodes[1]
+    node.jobs._unanswered_since = owner._unanswered_since
+    code, took_s = await node.submit("a" * 16)
+    assert code is codes.ResultCode.STORE_REFUSED
+    assert took_s < 0.05
+    assert not any(harness.store.values.values())
