Record what is left of the lease of a silent worker for the next owner

Cause: the record of workers in use named silent workers with runs like all others, so the next owner waited for a whole lease from its own start.

An owner extends no lease on a silent worker anyway. It now records the end of that lease in place of the use, and extends it again only after a record that has the worker in use.

--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -156,7 +156,7 @@
         worker_id = session.entry.worker_id
         self._worker_use.answered.add(worker_id)
         if worker_id not in self._worker_use.in_use and not session.is_released():
-            self._worker_use.in_use.add(worker_id)
+            self._worker_use.add(worker_id)
             if not self.may_lease(worker_id):
                 self._flush_wanted.set()
         self._run_watch.check(session)
@@ -449,7 +449,7 @@
         is_known = session.has_answered or loop.time() > session.lease_bound
         if session.runs or not is_known:
             return False
-        self._release_idle_workers()
+        self._release_workers()
         return True
 
     # Background tasks.
@@ -557,11 +557,9 @@
                 services.KeyedRecord("p" + job.spec.job_id, state.encode_progress(job))
             )
         # A worker may have got a run after it was released.
-        self._worker_use.in_use.update(
-            worker_id
-            for worker_id, session in self.sessions_by_id.items()
-            if session.runs and session.has_answered
-        )
+        for worker_id, session in self.sessions_by_id.items():
+            if session.runs and session.has_answered and session.is_responsive():
+                self._worker_use.add(worker_id)
         is_use_due = self._worker_use.is_due()
         if is_use_due:
             records.append(services.KeyedRecord("workers", self._worker_use.encode()))
@@ -609,7 +607,7 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
             self._refresh_sessions()
-            self._release_idle_workers()
+            self._release_workers()
             now_ms = time.time() * 1000
             for job in list(self._active.values()):
                 if job.spec.occurrences and job.open_due_occurrences(now_ms):
@@ -875,22 +873,28 @@
             if is_expired and is_unresponsive and not session.runs:
                 session.close()
                 del self.sessions_by_id[worker_id]
-                self._worker_use.in_use.discard(worker_id)
+                self._worker_use.remove(worker_id)
 
-    def _release_idle_workers(self) -> None:
-        """Remove idle workers from the record that the next owner waits for.
+    def _release_workers(self) -> None:
+        """Remove idle and unresponsive workers from those recorded as in use.
 
-        Their hosts may be taken away, and the next owner would wait for their leases to
-        end although nothing runs there.
+        The host of an idle worker may be taken away, and the next owner would wait for
+        its lease although nothing runs there. The lease of an unresponsive worker is
+        not extended, so the next owner waits only for what is left of it.
         """
         released = {
             worker_id
             for worker_id, session in self.sessions_by_id.items()
             if session.is_released()
         }
-        if released & self._worker_use.in_use:
-            self._worker_use.in_use -= released
+        for worker_id in released & self._worker_use.in_use:
+            self._worker_use.remove(worker_id)
             self._flush_wanted.set()
+        for worker_id, session in self.sessions_by_id.items():
+            if worker_id in self._worker_use.in_use and not session.is_responsive():
+                end = session.lease_bound + worker_session.LEASE_MARGIN_S
+                self._worker_use.release_silent(worker_id, end)
+                self._flush_wanted.set()
 
     # Store.
 
--- a/clementinespar/jobs/tests/test_pool_owner.py
+++ b/clementinespar/jobs/tests/test_pool_owner.py
@@ -532,3 +532,78 @@
         assert not owner.evacuate(kept, 5.0, model.EvacuationUrgency.DRAIN)
         await asyncio.sleep(0.3)
         assert workers.workers[kept].running
+
+
+@paused_clock.test
+async def test_next_owner_waits_only_for_the_rest_of_a_silent_lease() -> None:
+    """Guards against jobs that wait for a whole lease after a change of owner.
+
+    The load of a rack that is lost some seconds before a rolling restart: the next
+    owner waited another 10 s for the leases of workers that had been silent for 7 s.
+    """
+    workers = fakes.FakeWorkers(2)
+    workers.task_s = 60.0
+    harness = helpers.OwnerHarness(workers)
+    await harness.submit(helpers.make_spec("a", task_count=2, cpu=4000))
+    async with helpers.run_owner(harness):
+        await asyncio.sleep(1.0)
+        assert len(workers.starts) == 2
+        workers.workers["quotes-0"].is_unresponsive = True
+        await asyncio.sleep(helpers.LEASE_MAX_S * 0.7)
+        # Adopted by this owner, and no worker has room for it.
+        await harness.submit(helpers.make_spec("b", task_count=1, cpu=4000))
+        await asyncio.sleep(0.2)
+    workers.add("quotes-2", "quotes")
+    workers.add("quotes-3", "quotes")  # for the task of the silent worker
+    took_over_at = asyncio.get_running_loop().time()
+    async with helpers.run_owner(harness):
+        while not any(key.job_id == "b" for key, _, _ in workers.starts):
+            await asyncio.sleep(0.05)
+        waited_s = asyncio.get_running_loop().time() - took_over_at
+        await asyncio.sleep(2 * helpers.LEASE_MAX_S)
+    assert waited_s < helpers.LEASE_MAX_S / 2
+    assert not workers.violations
+
+
+@paused_clock.test
+async def test_silent_worker_gets_no_lease_until_it_is_recorded_again() -> None:
+    """Guards against a second run beside one whose lease the next owner ignores.
+
+    The worker answers again while the store is down, so that no record has it in use.
+    """
+    workers = fakes.FakeWorkers(2)
+    workers.task_s = 60.0
+    harness = helpers.OwnerHarness(workers)
+    await harness.submit(helpers.make_spec("a", task_count=2, cpu=4000))
+    async with helpers.run_owner(harness):
+        await asyncio.sleep(1.0)
+        silent = workers.workers["quotes-0"]
+        silent.is_unresponsive = True
+        await asyncio.sleep(3.0)
+        harness.store.is_down = True
+        silent.is_unresponsive = False
+        await asyncio.sleep(1.0)
+        silent.is_unresponsive = True
+    harness.store.is_down = False
+    async with helpers.run_owner(harness):
+        await asyncio.sleep(2 * helpers.LEASE_MAX_S)
+    assert not workers.violations
+
+
+@paused_clock.test
+async def test_silent_worker_that_answers_keeps_its_work() -> None:
+    """Guards against work given up on a worker that was only slow to report."""
+    workers = fakes.FakeWorkers(1)
+    workers.task_s = 20.0
+    harness = helpers.OwnerHarness(workers)
+    await harness.submit(helpers.make_spec("a", task_count=1))
+    async with helpers.run_owner(harness):
+        await asyncio.sleep(1.0)
+        for _ in range(3):
+            workers.workers["quotes-0"].is_unresponsive = True
+            await asyncio.sleep(3.0)
+            workers.workers["quotes-0"].is_unresponsive = False
+            await asyncio.sleep(2.0)
+        await harness.wait_state("a", model.JobState.DONE)
+    assert len(workers.starts) == 1
+    assert not workers.violations
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -233,13 +233,15 @@
             and now >= self.ejected_until
         )
 
+    def is_responsive(self) -> bool:
+        """Whether the worker has answered recently."""
+        now = asyncio.get_running_loop().time()
+        return now - self.last_contact < UNRESPONSIVE_AFTER_S
+
     def is_released(self) -> bool:
         """Whether the worker has no runs and gets no new work at present."""
-        now = asyncio.get_running_loop().time()
         return not self.runs and (
-            self.is_evacuating
-            or not self.is_listed
-            or now - self.last_contact >= UNRESPONSIVE_AFTER_S
+            self.is_evacuating or not self.is_listed or not self.is_responsive()
         )
 
     def fits(self, spec: model.StepSpec) -> bool:
--- a/clementinespar/jobs/worker_use.py
+++ b/clementinespar/jobs/worker_use.py
@@ -22,6 +22,8 @@
     _unreached: set[str]
     _recorded: set[str]  # workers in use by the newest record, stored or not
     _lease_ends: dict[str, float]  # worker id: event-loop end of previous leases
+    # The same of this owner's leases on unresponsive workers with runs.
+    _silent_lease_ends: dict[str, float]
     _recorded_at: float  # event-loop time
 
     def __init__(self) -> None:
@@ -31,6 +33,7 @@
         self._unreached = set()
         self._recorded = set()
         self._lease_ends = {}
+        self._silent_lease_ends = {}
         self._recorded_at = 0.0
 
     @property
@@ -44,6 +47,25 @@
             self._lease_ends.get(worker_id, 0.0), self._lease_ends.get(ANY_WORKER, 0.0)
         )
 
+    def add(self, worker_id: str) -> None:
+        """Record a worker as in use."""
+        self._silent_lease_ends.pop(worker_id, None)
+        self.in_use.add(worker_id)
+
+    def remove(self, worker_id: str) -> None:
+        """Record that no run of this owner can execute on a worker."""
+        self._silent_lease_ends.pop(worker_id, None)
+        self.in_use.discard(worker_id)
+
+    def release_silent(self, worker_id: str, lease_end: float) -> None:
+        """Record an unresponsive worker with the end of its lease only.
+
+        Its lease is not extended any more, so the next owner need not wait for a whole
+        one. The worker is in use again once it answers and that is stored.
+        """
+        self.in_use.discard(worker_id)
+        self._silent_lease_ends[worker_id] = lease_end
+
     def is_settled(self) -> bool:
         """Whether no worker can execute runs of previous owners unknown to this one."""
         now = asyncio.get_running_loop().time()
@@ -57,7 +79,8 @@
         if self.in_use | self._unreached != self.stored:
             return True
         now = asyncio.get_running_loop().time()
-        return bool(self._lease_ends) and now - self._recorded_at > RECORD_INTERVAL_S
+        has_ends = bool(self._lease_ends or self._silent_lease_ends)
+        return has_ends and now - self._recorded_at > RECORD_INTERVAL_S
 
     def wait_for_all(self, fenced_at: float, lease_s: float) -> None:
         """Assume a lease on every worker, as the previous record is unreadable."""
@@ -111,9 +134,15 @@
                 del self._lease_ends[worker_id]
         self._recorded = self.in_use | self._unreached
         self.stored &= self._recorded
+        lease_ends = dict(self._lease_ends)
+        for worker_id, end in list(self._silent_lease_ends.items()):
+            if now > end:
+                del self._silent_lease_ends[worker_id]
+            else:
+                lease_ends[worker_id] = max(end, lease_ends.get(worker_id, 0.0))
         previous_leases = {
             worker_id: round(end - now, 3)
-            for worker_id, end in sorted(self._lease_ends.items())
+            for worker_id, end in sorted(lease_ends.items())
             if worker_id not in self._recorded
         }
         fields = {"used": sorted(self._recorded), "former": previous_leases}
