--- a/clementinespar/jobs/tests/test_pool_owner.py
+++ b/clementinespar/jobs/tests/test_pool_owner.py
@@ -607,3 +607,31 @@
         await harness.wait_state("a", model.JobState.DONE)
     assert len(workers.starts) == 1
     assert not workers.violations
+
+
+@paused_clock.test
+async def test_released_worker_gets_no_lease_while_the_record_has_no_answer() -> None:
+    """Guards against a lease that the next owner does not know of.
+
+    The record without the worker is stored, but its answer is lost; the worker answers
+    again meanwhile.
+    """
+    workers = fakes.FakeWorkers(2)
+    workers.task_s = 60.0
+    harness = helpers.OwnerHarness(workers)
+    await harness.submit(helpers.make_spec("a", task_count=2, cpu=4000))
+    async with helpers.run_owner(harness):
+        await asyncio.sleep(1.0)
+        silent = workers.workers["quotes-0"]
+        silent.is_unresponsive = True
+        await asyncio.sleep(1.0)
+        harness.store.loses_answers = True
+        await asyncio.sleep(helpers.LEASE_MAX_S / 2)
+        lease_until_ms = silent.lease_until_ms
+        silent.is_unresponsive = False
+        await asyncio.sleep(1.0)
+        assert silent.lease_until_ms == lease_until_ms
+    harness.store.loses_answers = False
+    async with helpers.run_owner(harness):
+        await asyncio.sleep(2 * helpers.LEASE_MAX_S)
+    assert not workers.violations
