--- a/clementinespar/jobs/model.py
+++ b/clementinespar/jobs/model.py
@@ -125,10 +125,11 @@
         authorization : str
             The value of the Authorization header; empty if there is none.
         """
-        if self.teams_by_key_digest is None or queue.is_public:
+        if not self.needs_key(queue):
             return True
         key = teams.parse_bearer(authorization)
-        return key is not None and teams.hash_key(key) in self.teams_by_key_digest
+        teams_by_key_digest = self.teams_by_key_digest or {}
+        return key is not None and teams.hash_key(key) in teams_by_key_digest
 
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Return the queue of the host with the longest prefix of the path."""
--- a/clementinespar/jobs/ownership.py
+++ b/clementinespar/jobs/ownership.py
@@ -55,7 +55,7 @@
     assigned: frozenset[int]
     reached_at: float | None  # event-loop time of the last answer of the store
     unanswered_since: float | None  # event-loop time of the first unanswered call
-    store_latency_s: float  # duration of the last answered join
+    store_latency_s: float  # duration of the last answered join or list of owners
     _confirmed_at: float | None
     _stacks: dict[int, contextlib.AsyncExitStack]
     _fleet_partition: int
