Log what holds up lasting tasks and the moves of their runs

A lasting task that stood still left no line: neither a move that was not possible nor a task that its owner held back. lasting_held says for how long the tasks wait, whether a worker has room and which workers of previous owners have to answer or lapse first; move_blocked says why a run stays on a worker that drains or is evacuated. No decision changes.

--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -20,6 +20,7 @@
 from clementinespar.jobs import (
     demand,
     fenced_log,
+    held_tasks,
     model,
     placement,
     run_watch,
@@ -81,6 +82,7 @@
     _worker_use: worker_use.WorkerUse
     _placer: task_placer.TaskPlacer
     _run_watch: run_watch.RunWatch
+    _held_tasks: held_tasks.HeldTaskLog
     _cancelled_ids: set[str]
     _finished_commands: list[str]  # ids of jobs whose commands can be deleted
     _unsubscribe: Callable[[], None]
@@ -140,8 +142,9 @@
             epoch, self.sessions_by_id, self._tickets, log_event, metrics
         )
         self._run_watch = run_watch.RunWatch(
-            self.jobs_by_id, self.sessions_by_id, self._placer
+            self.jobs_by_id, self.sessions_by_id, self._placer, log_event
         )
+        self._held_tasks = held_tasks.HeldTaskLog(log_event)
         self._run_times = demand.RunTimes()
         self._arrivals_by_pool = {}
 
@@ -619,6 +622,9 @@
                     if session is not None:
                         session.is_evacuating = False
             self._schedule_wanted.set()
+            self._held_tasks.report(
+                self._active.values(), self._worker_use.find_unsettled(), self._has_room
+            )
             await self._drop_finished(now_ms)
 
     async def _drop_finished(self, now_ms: float) -> None:
@@ -834,6 +840,19 @@
         for job in waiting:
             self._placer.place(job, free_capacity_by_pool[job.spec.pool], now)
 
+    def _has_room(self, job: state.JobProgress, step: state.StepState) -> bool:
+        """Whether a worker of the job's pool could take one more task of a step."""
+        now = asyncio.get_running_loop().time()
+        free_capacity = placement.FreeCapacity(
+            [
+                session
+                for session in self.sessions_by_id.values()
+                if session.can_take(now) and session.entry.pool == job.spec.pool
+            ]
+        )
+        counts = self._placer.count_per_worker(job, step)
+        return free_capacity.choose(step.spec, counts, set()) is not None
+
     # Workers.
 
     def _refresh_sessions(self) -> None:
--- a/clementinespar/jobs/run_watch.py
+++ b/clementinespar/jobs/run_watch.py
@@ -2,7 +2,13 @@
 
 import asyncio
 
-from clementinespar.jobs import placement, state, task_placer, worker_session
+from clementinespar.jobs import (
+    placement,
+    services,
+    state,
+    task_placer,
+    worker_session,
+)
 
 STUCK_AFTER_S = 1.4  # a run without progress for this long is started elsewhere
 STUCK_LASTING_S = 4.0  # a lasting task takes some time until it is working
@@ -14,16 +20,19 @@
     _jobs_by_id: dict[str, state.JobProgress]
     _sessions_by_id: dict[str, worker_session.WorkerSession]
     _placer: task_placer.TaskPlacer
+    _log_event: services.EventLog
 
     def __init__(
         self,
         jobs_by_id: dict[str, state.JobProgress],
         sessions_by_id: dict[str, worker_session.WorkerSession],
         placer: task_placer.TaskPlacer,
+        log_event: services.EventLog,
     ) -> None:
         self._jobs_by_id = jobs_by_id
         self._sessions_by_id = sessions_by_id
         self._placer = placer
+        self._log_event = log_event
 
     def check(self, session: worker_session.WorkerSession) -> None:
         """Stop stuck runs, move lasting ones off a draining worker, pace fillers."""
@@ -71,6 +80,7 @@
             # The run itself may have started working since the last report.
             down = len(step.tasks) - working - (run.percent < 100)
             if down >= max(1, may_miss):
+                self._report_blocked(run, "other tasks of its step are down")
                 return
         counts = self._placer.count_per_worker(job, step)
         free_capacity = placement.FreeCapacity(
@@ -83,5 +93,21 @@
             ]
         )
         if free_capacity.choose(step.spec, counts, set()) is None:
-            return  # no other worker can take it, so it goes on here
+            self._report_blocked(run, "no other worker has room")
+            return
         run.session.stop(run, reason)
+
+    def _report_blocked(self, run: worker_session.Run, reason: str) -> None:
+        """Log once for each reason that a run cannot be moved."""
+        if run.move_blocked_by == reason:
+            return
+        run.move_blocked_by = reason
+        self._log_event(
+            "move_blocked",
+            job=run.key.job_id,
+            task=run.key.name_in_job,
+            run=run.number,
+            worker=run.session.entry.worker_id,
+            is_draining=run.session.entry.is_draining,
+            reason=reason,
+        )
--- a/clementinespar/jobs/tests/fakes.py
+++ b/clementinespar/jobs/tests/fakes.py
@@ -194,6 +194,11 @@
     async def refresh(self) -> None:
         """Do nothing; the entries are always current."""
 
+    def drain(self, worker_id: str) -> None:
+        """Let a worker report that it is draining."""
+        entry = self.by_id[worker_id]
+        self.by_id[worker_id] = dataclasses.replace(entry, is_draining=True)
+
     def crash(self, worker_id: str) -> None:
         """Restart a worker under its id, without its runs and ends."""
         worker = self.workers[worker_id]
--- a/clementinespar/jobs/tests/helpers.py
+++ b/clementinespar/jobs/tests/helpers.py
@@ -51,6 +51,7 @@
     confirmed_at: float | None  # None: ownership counts as confirmed just now
     owner: pool_owner.PoolOwner
     epoch: int
+    events: list[tuple[str, dict[str, object]]]  # that the owners have logged
     _frozen_by_epoch: dict[int, float]
 
     def __init__(self, workers: fakes.FakeWorkers) -> None:
@@ -59,6 +60,7 @@
         self.workers = workers
         self.confirmed_at = None
         self.epoch = 0
+        self.events = []
         self._frozen_by_epoch = {}
 
     def make_owner(self) -> pool_owner.PoolOwner:
@@ -83,11 +85,14 @@
             self.workers,
             self.adviser,
             pool_owner.OwnerSettings(LEASE_MAX_S),
-            fakes.ignore_event,
+            self._log_event,
             telemetry.JobMetrics(),
         )
         return self.owner
 
+    def _log_event(self, event: str, **fields: object) -> None:
+        self.events.append((event, fields))
+
     def freeze_confirmation(self, now: float) -> None:
         """Fix the time of the current owner's confirmation, so that it ages."""
         self._frozen_by_epoch.setdefault(self.epoch, now)
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -56,6 +56,7 @@
         "usage",
         "paced_at",
         "pace",
+        "move_blocked_by",
         "session",
     )
 
@@ -72,6 +73,7 @@
     usage: int  # as in `model.RunningTask`
     paced_at: float | None  # when `pace` last changed
     pace: int  # share of its speed, in percent
+    move_blocked_by: str  # why it was not moved to another worker; empty: it can be
     session: "WorkerSession"
 
     def __init__(
@@ -95,6 +97,7 @@
         self.usage = 0
         self.paced_at = None
         self.pace = 100
+        self.move_blocked_by = ""
         self.session = session
 
 
--- a/clementinespar/jobs/worker_use.py
+++ b/clementinespar/jobs/worker_use.py
@@ -68,11 +68,19 @@
 
     def is_settled(self) -> bool:
         """Whether no worker can execute runs of previous owners unknown to this one."""
+        return not self.find_unsettled()
+
+    def find_unsettled(self) -> dict[str, float]:
+        """Return the workers that may execute unknown runs of previous owners.
+
+        The values are the seconds that are left of the leases on them.
+        """
         now = asyncio.get_running_loop().time()
-        return all(
-            now > end or worker_id in self.answered
+        return {
+            worker_id: end - now
             for worker_id, end in self._lease_ends.items()
-        )
+            if now <= end and worker_id not in self.answered
+        }
 
     def is_due(self) -> bool:
         """Whether the record has to be stored again."""
