Tell dead workers from silent ones by the list of hosts

Callers saw lasting tasks stand still for up to 20 s although workers had room (LOST). Cause: an owner takes a worker that does not answer as cut off, and waits until the lease on it has certainly ended: 5.4 s where workers grant 6 s, 9 s where they grant 10 s, counted anew by each owner that follows. For a worker that has left or died that is never needed. The list of hosts shows the worker of each host; a worker that two lists in a row miss has ended, and so has all that ran on it.

Hosts are listed only while a silent worker holds up tasks. A list that misses most of the workers that answer is not used, and without a list the lease decides as before. A start without an answer still outlives the worker until its lease ends.

--- a/clementinespar/jobs/node.py
+++ b/clementinespar/jobs/node.py
@@ -69,6 +69,7 @@
                 platform_services.directory,
                 platform_services.workers,
                 platform_services.adviser,
+                platform_services.hosts,
                 owner_settings,
                 log_event,
                 self.metrics,
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -29,6 +29,7 @@
     task_placer,
     telemetry,
     tickets,
+    worker_deaths,
     worker_session,
     worker_use,
 )
@@ -83,6 +84,8 @@
     _placer: task_placer.TaskPlacer
     _run_watch: run_watch.RunWatch
     _held_tasks: held_tasks.HeldTaskLog
+    _death_watch: worker_deaths.WorkerDeathWatch
+    _loaded_at: float  # event-loop time
     _cancelled_ids: set[str]
     _finished_commands: list[str]  # ids of jobs whose commands can be deleted
     _unsubscribe: Callable[[], None]
@@ -103,6 +106,7 @@
         directory: services.WorkerDirectory,
         workers: services.WorkerClient,
         adviser: services.Adviser,
+        hosts: services.HostService,
         settings: OwnerSettings,
         log_event: services.EventLog,
         metrics: telemetry.JobMetrics,
@@ -145,6 +149,14 @@
             self.jobs_by_id, self.sessions_by_id, self._placer, log_event
         )
         self._held_tasks = held_tasks.HeldTaskLog(log_event)
+        self._death_watch = worker_deaths.WorkerDeathWatch(
+            hosts,
+            self._find_silent_workers,
+            self._find_responsive_workers,
+            self._on_worker_death,
+            log_event,
+        )
+        self._loaded_at = 0.0
         self._run_times = demand.RunTimes()
         self._arrivals_by_pool = {}
 
@@ -498,6 +510,7 @@
         self._apply_commands(commands.records)
         self._next_command = commands.next_offset
         self.commands_read_at = loop.time()
+        self._loaded_at = loop.time()
         self.is_loaded = True
         self._unsubscribe = self._directory.subscribe(self._refresh_sessions)
         self._refresh_sessions()
@@ -915,6 +928,36 @@
                 self._worker_use.release_silent(worker_id, end)
                 self._flush_wanted.set()
 
+    def _find_silent_workers(self) -> dict[str, float]:
+        """Return the silent workers that hold up tasks, as the death watch needs it."""
+        known_since = dict.fromkeys(self._worker_use.find_unsettled(), self._loaded_at)
+        known_since.pop(worker_use.ANY_WORKER, None)
+        for worker_id, session in self.sessions_by_id.items():
+            if session.is_silent and session.has_settled_runs():
+                known_since[worker_id] = session.opened_at
+        return known_since
+
+    def _find_responsive_workers(self) -> set[str]:
+        return {
+            worker_id
+            for worker_id, session in self.sessions_by_id.items()
+            if session.has_answered and not session.is_silent
+        }
+
+    def _on_worker_death(self, worker_id: str) -> None:
+        """Free the tasks of a worker that the platform reports as ended."""
+        session = self.sessions_by_id.get(worker_id)
+        self._log_event(
+            "worker_dead",
+            worker=worker_id,
+            open_runs=0 if session is None else len(session.runs),
+        )
+        self._worker_use.settle(worker_id)
+        if session is not None:
+            session.drop_ended()
+        self._release_workers()
+        self._schedule_wanted.set()
+
     # Store.
 
     async def _append(self, records: list[services.KeyedRecord]) -> None:
@@ -951,6 +994,7 @@
             group.create_task(self.write_progress())
             group.create_task(self.schedule())
             group.create_task(self.run_housekeeping())
+            group.create_task(self._death_watch.run())
 
     def close(self) -> None:
         """Close all sessions.
--- a/clementinespar/jobs/tests/fakes.py
+++ b/clementinespar/jobs/tests/fakes.py
@@ -156,10 +156,16 @@
     loses_answers: bool = False  # orders are carried out, but not answered
     end_kind: model.EndKind = model.EndKind.DONE
     loses_acknowledgements: bool = False  # acknowledgements never arrive
+    is_dead: bool = False  # its host lists no worker
+    drops_starts: bool = False  # starts do nothing and are not answered
 
 
 class FakeWorkers:
-    """`services.WorkerClient` over fake workers, and `services.WorkerDirectory`."""
+    """Fake workers.
+
+    They are a `services.WorkerClient`, a `services.WorkerDirectory` and the
+    `services.HostService` of the hosts of these workers.
+    """
 
     by_id: dict[str, model.WorkerEntry]
     workers: dict[str, FakeWorker]
@@ -167,6 +173,8 @@
     violations: list[str]
     task_s: float  # run time of tasks that are not lasting
     is_loaded: bool
+    lists_hosts: bool  # else the calls for the list fail
+    host_lists: int  # that were asked for
 
     def __init__(self, count: int = 2, pool: str = "quotes", cpu: int = 4000) -> None:
         self.by_id = {}
@@ -175,6 +183,9 @@
         self.violations = []
         self.task_s = 0.5
         self.is_loaded = True
+        self.lists_hosts = True
+        self.host_lists = 0
+        self.dropped_starts: set[str] = set()  # workers that got them
         self.acknowledged_done: set[model.TaskKey] = set()
         self.cpu_by_step: dict[tuple[str, int], int] = {}
         self.lasting_jobs: set[str] = set()
@@ -199,6 +210,36 @@
         entry = self.by_id[worker_id]
         self.by_id[worker_id] = dataclasses.replace(entry, is_draining=True)
 
+    def end(self, worker_id: str) -> None:
+        """End a worker, and with it all that runs there."""
+        worker = self.workers[worker_id]
+        worker.running.clear()
+        worker.is_unresponsive = True
+        worker.is_dead = True
+
+    async def list_hosts(self) -> list[model.HostEntry]:
+        await asyncio.sleep(0.005)
+        self.host_lists += 1
+        if not self.lists_hosts:
+            raise errors.PlatformUnavailableError("the platform does not answer")
+        return [
+            model.HostEntry(
+                f"host-{worker_id}",
+                worker.entry.pool,
+                "down" if worker.is_dead else "up",
+                "a",
+                "r",
+                "" if worker.is_dead else worker_id,
+            )
+            for worker_id, worker in self.workers.items()
+        ]
+
+    async def move(self, host_id: str, pool: str, fence: int) -> bool:
+        return False
+
+    async def start_maintenance(self, host_id: str, wave: int, fence: int) -> bool:
+        return False
+
     def crash(self, worker_id: str) -> None:
         """Restart a worker under its id, without its runs and ends."""
         worker = self.workers[worker_id]
@@ -239,6 +280,9 @@
         self, worker: model.WorkerEntry, order: model.StartOrder
     ) -> model.StartAnswer:
         fake = await self._reach(worker.worker_id)
+        if fake.drops_starts:
+            self.dropped_starts.add(worker.worker_id)
+            raise http_calls.CallUnansweredError("the start was lost")
         now = asyncio.get_running_loop().time()
         clock_ms = int(now * 1000)
         if order.fence < fake.fence:
--- a/clementinespar/jobs/tests/helpers.py
+++ b/clementinespar/jobs/tests/helpers.py
@@ -84,6 +84,7 @@
             self.workers,
             self.workers,
             self.adviser,
+            self.workers,
             pool_owner.OwnerSettings(LEASE_MAX_S),
             self._log_event,
             telemetry.JobMetrics(),
--- a/clementinespar/jobs/tests/test_lasting_recovery.py
+++ b/clementinespar/jobs/tests/test_lasting_recovery.py
@@ -125,9 +125,7 @@
 
     def _end_runs(self, worker_id: str) -> None:
         self._ended.add(worker_id)
-        worker = self.workers.workers[worker_id]
-        worker.running.clear()
-        worker.is_unresponsive = True
+        self.workers.end(worker_id)
 
     async def _replace(self, delay_s: float) -> None:
         await asyncio.sleep(delay_s)
--- a/clementinespar/jobs/tests/test_owner_machine.py
+++ b/clementinespar/jobs/tests/test_owner_machine.py
@@ -81,7 +81,7 @@
     @stateful.rule(number=strategies.integers(0, WORKERS - 1))
     def toggle_unresponsive(self, number: int) -> None:
         worker = self.harness.workers.workers[f"quotes-{number}"]
-        worker.is_unresponsive = not worker.is_unresponsive
+        worker.is_unresponsive = worker.is_dead or not worker.is_unresponsive
 
     @stateful.rule(number=strategies.integers(0, WORKERS - 1))
     def toggle_lost_answers(self, number: int) -> None:
@@ -92,6 +92,15 @@
     def crash_worker(self, number: int) -> None:
         self.harness.workers.crash(f"quotes-{number}")
 
+    @stateful.rule(number=strategies.integers(0, WORKERS - 1))
+    def end_worker(self, number: int) -> None:
+        """End a worker; it is back, if at all, by `crash_worker`."""
+        self.harness.workers.end(f"quotes-{number}")
+
+    @stateful.rule(is_listed=strategies.booleans())
+    def set_list_of_hosts(self, is_listed: bool) -> None:
+        self.harness.workers.lists_hosts = is_listed
+
     @stateful.rule(is_down=strategies.booleans())
     def set_store_down(self, is_down: bool) -> None:
         self.harness.store.is_down = is_down
--- a/clementinespar/jobs/tests/test_ownership.py
+++ b/clementinespar/jobs/tests/test_ownership.py
@@ -58,6 +58,7 @@
             self.workers,
             self.workers,
             fakes.FakeAdviser(),
+            self.workers,
             pool_owner.OwnerSettings(6.0),
             fakes.ignore_event,
             telemetry.JobMetrics(),
--- /dev/null
+++ b/clementinespar/jobs/tests/test_worker_deaths.py
@@ -0,0 +1,151 @@
+"""Tests of workers that have ended and of lists of hosts that prove nothing."""
+
+import asyncio
+from collections.abc import Iterator, Sequence
+
+import pytest
+
+from clementinespar import background, errors
+from clementinespar.jobs import model, worker_deaths
+from clementinespar.jobs.tests import fakes, helpers
+from clementinespar.tests import paused_clock
+
+RESTART_S = 3.0  # well below the lease
+
+
+class ScriptedHosts:
+    """`services.HostService` that gives one list after the other, the last repeatedly.
+
+    A list is given by the ids of its workers; None stands for a failed call.
+    """
+
+    def __init__(self, lists: Sequence[Sequence[str] | None]) -> None:
+        self._lists: Iterator[Sequence[str] | None] = iter(lists)
+        self._current: Sequence[str] | None = None
+
+    async def list_hosts(self) -> list[model.HostEntry]:
+        self._current = next(self._lists, self._current)
+        if self._current is None:
+            raise errors.PlatformUnavailableError("the platform does not answer")
+        return [
+            model.HostEntry(f"h{n}", "quotes", "up", "a", "r", worker_id)
+            for n, worker_id in enumerate(self._current)
+        ]
+
+    async def move(self, host_id: str, pool: str, fence: int) -> bool:
+        return False
+
+    async def start_maintenance(self, host_id: str, wave: int, fence: int) -> bool:
+        return False
+
+
+@pytest.mark.parametrize(
+    ("lists", "age_s", "is_dead"),
+    [
+        pytest.param([["b", "c", ""]], 60.0, True, id="not listed"),
+        pytest.param([["a", "b", "c"]], 60.0, False, id="cut off, but listed"),
+        pytest.param([["b", "c"], ["a", "b", "c"]], 60.0, False, id="missing once"),
+        pytest.param([["b", "c"]], 0.0, False, id="younger than the list"),
+        pytest.param([[]], 60.0, False, id="empty list"),
+        pytest.param([["x", "y"]], 60.0, False, id="others that answer are missing"),
+        pytest.param([None], 60.0, False, id="no list"),
+    ],
+)
+def test_death_needs_two_plausible_lists_without_the_worker(
+    lists: list[list[str] | None], age_s: float, is_dead: bool
+) -> None:
+    """Guards against work that is started twice since a list was wrong or stale."""
+
+    async def watch() -> list[str]:
+        now = asyncio.get_running_loop().time()
+        dead: list[str] = []
+        death_watch = worker_deaths.WorkerDeathWatch(
+            ScriptedHosts(lists),
+            lambda: {} if dead else {"a": now - age_s},
+            lambda: {"b", "c"},
+            dead.append,
+            fakes.ignore_event,
+        )
+        async with background.running(death_watch.run()):
+            await asyncio.sleep(worker_deaths.LIST_LAG_S - 0.1)
+        return dead
+
+    assert paused_clock.run(watch()) == (["a"] if is_dead else [])
+
+
+@pytest.mark.parametrize("is_lasting", [True, False])
+@paused_clock.test
+async def test_tasks_of_a_dead_worker_run_again_before_its_lease_ends(
+    is_lasting: bool,
+) -> None:
+    """Guards against tasks that stand still for the lease of a worker that is gone."""
+    workers = fakes.FakeWorkers(3)
+    workers.task_s = 60.0
+    harness = helpers.OwnerHarness(workers)
+    await harness.submit(helpers.make_spec("a", 1, is_lasting=is_lasting))
+    async with helpers.run_owner(harness):
+        await asyncio.sleep(3.0)
+        workers.end(workers.starts[0][2])
+        await asyncio.sleep(RESTART_S)
+        assert len(workers.starts) == 2
+        assert not workers.violations
+
+
+@paused_clock.test
+async def test_next_owner_does_not_wait_for_the_lease_of_a_dead_worker() -> None:
+    """Guards against lasting tasks that each new owner holds back for a whole lease."""
+    workers = fakes.FakeWorkers(3)
+    harness = helpers.OwnerHarness(workers)
+    await harness.submit(helpers.make_spec("a", 1, is_lasting=True))
+    async with helpers.run_owner(harness):
+        await asyncio.sleep(2.0)
+        workers.end(workers.starts[0][2])
+    async with helpers.run_owner(harness):
+        await asyncio.sleep(RESTART_S)
+        assert len(workers.starts) == 2
+
+
+@paused_clock.test
+async def test_dead_worker_without_a_list_of_hosts_is_waited_for() -> None:
+    """Guards against a second run while the first may execute."""
+    workers = fakes.FakeWorkers(3)
+    workers.lists_hosts = False
+    harness = helpers.OwnerHarness(workers)
+    await harness.submit(helpers.make_spec("a", 1, is_lasting=True))
+    async with helpers.run_owner(harness):
+        await asyncio.sleep(2.0)
+        workers.end(workers.starts[0][2])
+        await asyncio.sleep(RESTART_S)
+        assert len(workers.starts) == 1
+        await asyncio.sleep(helpers.LEASE_MAX_S)
+        assert len(workers.starts) == 2
+
+
+@paused_clock.test
+async def test_start_without_an_answer_outlives_the_death_of_its_worker() -> None:
+    """Guards against two runs: a worker that is back may carry out an old order."""
+    workers = fakes.FakeWorkers(2)
+    harness = helpers.OwnerHarness(workers)
+    async with helpers.run_owner(harness):
+        await asyncio.sleep(2.0)
+        for worker in workers.workers.values():
+            worker.drops_starts = True
+        await harness.submit(helpers.make_spec("a", 1, is_lasting=True))
+        await asyncio.sleep(0.3)
+        for worker_id, worker in workers.workers.items():
+            worker.drops_starts = False
+            if worker_id in workers.dropped_starts:
+                workers.end(worker_id)
+        await asyncio.sleep(RESTART_S)
+        assert not workers.starts
+
+
+@paused_clock.test
+async def test_hosts_are_listed_only_while_a_worker_is_silent() -> None:
+    """Guards against calls to the platform that nobody needs."""
+    workers = fakes.FakeWorkers(3)
+    harness = helpers.OwnerHarness(workers)
+    await harness.submit(helpers.make_spec("a", 2, is_lasting=True))
+    async with helpers.run_owner(harness):
+        await asyncio.sleep(10.0)
+    assert workers.host_lists == 0
--- /dev/null
+++ b/clementinespar/jobs/worker_deaths.py
@@ -0,0 +1,85 @@
+"""Finds workers that have ended among those that do not answer.
+
+A worker that is cut off runs on until its lease ends, so silence alone proves nothing.
+The list of hosts shows the worker of each host: one that it no longer shows has ended,
+and so has all that ran on it.
+"""
+
+import asyncio
+from collections.abc import Callable, Mapping, Set
+
+from clementinespar import errors
+from clementinespar.jobs import services
+
+CHECK_INTERVAL_S = 0.3  # between two lists while a worker is sought
+LISTS_WITHOUT_WORKER = 2  # pages of one list are not a snapshot
+LIST_LAG_S = 1.5  # the list may show a new worker this much later
+
+
+class WorkerDeathWatch:
+    """Looks for silent workers in the list of hosts, for one partition.
+
+    Parameters
+    ----------
+    find_silent : callable
+        Returns the workers that do not answer and hold up tasks: their ids with the
+        event-loop time since which this owner has known them.
+    find_responsive : callable
+        Returns the ids of the workers that answer.
+    on_death : callable
+        Called with the id of a worker that has ended.
+    """
+
+    def __init__(
+        self,
+        hosts: services.HostService,
+        find_silent: Callable[[], Mapping[str, float]],
+        find_responsive: Callable[[], Set[str]],
+        on_death: Callable[[str], None],
+        log_event: services.EventLog,
+    ) -> None:
+        self._hosts = hosts
+        self._find_silent = find_silent
+        self._find_responsive = find_responsive
+        self._on_death = on_death
+        self._log_event = log_event
+
+    async def run(self) -> None:
+        """Check at intervals until cancelled."""
+        loop = asyncio.get_running_loop()
+        missing_counts: dict[str, int] = {}
+        is_reached = True
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            silent = self._find_silent()
+            missing_counts = {
+                worker_id: count
+                for worker_id, count in missing_counts.items()
+                if worker_id in silent
+            }
+            if not silent:
+                continue
+            sent_at = loop.time()
+            try:
+                listed = {host.worker_id for host in await self._hosts.list_hosts()}
+            except errors.ClementinesparError as error:
+                if is_reached:
+                    self._log_event("hosts_unknown", code=int(error.code))
+                is_reached = False
+                continue
+            is_reached = True
+            if not self._is_plausible(listed):
+                self._log_event("hosts_implausible", workers=len(listed))
+                continue
+            for worker_id, known_since in silent.items():
+                if worker_id in listed:
+                    missing_counts[worker_id] = 0
+                elif sent_at - known_since >= LIST_LAG_S:
+                    missing_counts[worker_id] = missing_counts.get(worker_id, 0) + 1
+                    if missing_counts[worker_id] >= LISTS_WITHOUT_WORKER:
+                        self._on_death(worker_id)
+
+    def _is_plausible(self, listed: Set[str]) -> bool:
+        """Whether a list shows at least half of the workers that answer, and any."""
+        responsive = self._find_responsive()
+        return bool(listed - {""}) and 2 * len(responsive & listed) >= len(responsive)
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -49,6 +49,7 @@
         "status",
         "started_at",
         "answered_at",
+        "is_start_settled",
         "stop_answered_at",
         "is_stop_in_flight",
         "percent",
@@ -66,6 +67,7 @@
     status: RunStatus
     started_at: float  # event-loop time, as are the following
     answered_at: float  # when its start was answered, given up or first listed
+    is_start_settled: bool  # its start was answered or it was listed
     stop_answered_at: float | None
     is_stop_in_flight: bool
     percent: int
@@ -90,6 +92,7 @@
         self.status = RunStatus.STARTING
         self.started_at = now
         self.answered_at = now
+        self.is_start_settled = False
         self.stop_answered_at = None
         self.is_stop_in_flight = False
         self.percent = 0
@@ -161,6 +164,9 @@
     free_gpus: int
     has_answered: bool  # it knows the fence, so it refuses orders of previous owners
     is_listed: bool  # the directory lists the worker
+    is_silent: bool  # the last renewal was not answered
+    is_dead: bool  # reported as ended since its last answer
+    opened_at: float  # event-loop time
     is_evacuating: bool
     lease_bound: float  # event-loop time after which none of our runs executes there
     last_contact: float  # event-loop time
@@ -197,6 +203,9 @@
         self.free_gpus = entry.gpus
         self.has_answered = False
         self.is_listed = True
+        self.is_silent = False
+        self.is_dead = False
+        self.opened_at = asyncio.get_running_loop().time()
         self.is_evacuating = False
         self.lease_bound = previous_lease_bound
         self.last_contact = 0.0
@@ -230,6 +239,7 @@
         return (
             self.has_answered
             and self.is_listed
+            and not self.is_dead
             and not self.is_evacuating
             and not self.entry.is_draining
             and now - self.last_contact < UNRESPONSIVE_AFTER_S
@@ -348,6 +358,7 @@
                 )
             except errors.ClementinesparError as error:
                 failures += 1
+                self.is_silent = True
                 if failures in (1, 10):
                     self._log_event(
                         "worker_silent",
@@ -368,6 +379,8 @@
             if failures:
                 self._record_return(failures)
             failures = 0
+            self.is_silent = False
+            self.is_dead = False
             self._apply(report, sent_at)
             await asyncio.sleep(RENEW_SPACING_S)
 
@@ -397,6 +410,26 @@
                 self.drop_run(run)
                 self._events.on_run_gone(self, run, "lease ended on a silent worker")
 
+    def has_settled_runs(self) -> bool:
+        """Whether it has runs that `drop_ended` would drop."""
+        return any(run.is_start_settled for run in self.runs.values())
+
+    def drop_ended(self) -> None:
+        """Drop the runs of a worker that has ended.
+
+        A start without an answer may still be carried out by a worker that comes back
+        under the same id, so its run is kept until the lease ends.
+        """
+        self.is_dead = True
+        for run in list(self.runs.values()):
+            if run.is_start_settled:
+                self.drop_run(run)
+                self._events.on_run_gone(self, run, "its worker has ended")
+        if not self.runs:
+            self.lease_bound = min(
+                self.lease_bound, asyncio.get_running_loop().time() - LEASE_MARGIN_S
+            )
+
     def _apply(self, report: model.WorkerReport, sent_at: float) -> None:
         self.set_clock(report.clock_ms)
         now = asyncio.get_running_loop().time()
@@ -437,6 +470,7 @@
                     self.stop(run, "not wanted by this owner")
                 else:
                     self.add_run(run)
+            run.is_start_settled = True
             if run.status is RunStatus.OPEN:
                 run.status = RunStatus.RUNNING
                 run.answered_at = now
@@ -512,6 +546,7 @@
         run.answered_at = loop.time()
         run.percent_at = run.answered_at
         if answer.result is model.StartResult.STARTED:
+            run.is_start_settled = True
             if run.status is RunStatus.STARTING:
                 run.status = RunStatus.RUNNING
             return
--- a/clementinespar/jobs/worker_use.py
+++ b/clementinespar/jobs/worker_use.py
@@ -66,6 +66,11 @@
         self.in_use.discard(worker_id)
         self._silent_lease_ends[worker_id] = lease_end
 
+    def settle(self, worker_id: str) -> None:
+        """Record that no run of previous owners can execute on a worker."""
+        self._unreached.discard(worker_id)
+        self._lease_ends.pop(worker_id, None)
+
     def is_settled(self) -> bool:
         """Whether no worker can execute runs of previous owners unknown to this one."""
         return not self.find_unsettled()
