Bring a host for lasting tasks whose worker drains or is lost

Cause: a pool that rests after its peak keeps as many hosts as its cores need, and a host whose worker drains counted as one of them. With at most one task a worker, three lasting tasks on three hosts have no host to move to, and after a loss none until the next peak.

The planner now counts the hosts that the lasting tasks of a pool need at least, and not those whose worker is draining or dead. No spare host is kept for it: the host is brought when one leaves.

The new tests failed before.

--- a/clementinespar/jobs/capacity.py
+++ b/clementinespar/jobs/capacity.py
@@ -28,11 +28,12 @@
     name: str
     is_spare: bool
     host_cores: float  # of one host
-    hosts: int  # up, arriving or in maintenance, which is short
+    hosts: int  # up and staying, arriving, or in maintenance, which is short
     used_cores: float = 0.0
     waiting_cores: float = 0.0  # of work that can still meet its objective
     arriving_cores: float = 0.0  # core-seconds of work that arrive per second
     lasting_cores: float = 0.0
+    lasting_hosts: int = 0  # fewest that can hold the lasting tasks
     movable: list[str] = dataclasses.field(default_factory=list)  # ids of idle hosts
 
 
@@ -124,7 +125,7 @@
         return max(peak.home_hosts, needed)
     host_cores = max(1.0, view.host_cores)
     used = math.ceil(view.used_cores * HEADROOM / host_cores)
-    return max(needed, used) + SPARE_HOSTS
+    return max(max(needed, used) + SPARE_HOSTS, view.lasting_hosts)
 
 
 def kept_hosts(peak: PeakState, view: PoolView) -> int:
@@ -133,7 +134,7 @@
     A pool before its peak lends a part of its home size: what another pool lacks now
     counts more than a slower start of its own peak.
     """
-    needed = needed_hosts(peak, view) + SPARE_HOSTS
+    needed = max(needed_hosts(peak, view) + SPARE_HOSTS, view.lasting_hosts)
     if peak.is_peaking or peak.is_resting:
         return needed
     return max(needed, math.ceil(peak.home_hosts * KEPT_SHARE))
--- a/clementinespar/jobs/fleet.py
+++ b/clementinespar/jobs/fleet.py
@@ -238,18 +238,25 @@
             self._log_event("load_unknown", pool=pool.name, code=int(error.code))
             return None
         workers = load["workers"]
+        # A draining worker leaves with its host, so its tasks need another one.
+        staying = [
+            host
+            for host in up
+            if not workers.get(host.worker_id, {}).get("is_leaving", False)
+        ]
         return capacity.PoolView(
             name=pool.name,
             is_spare=False,
             host_cores=load["worker_cores"] or DEFAULT_HOST_CORES,
-            hosts=len(up) + arriving,
+            hosts=len(staying) + arriving,
             used_cores=sum(worker["used_cores"] for worker in workers.values()),
             waiting_cores=load["waiting_cores"],
             arriving_cores=load["arriving_cores"],
             lasting_cores=sum(worker["lasting_cores"] for worker in workers.values()),
+            lasting_hosts=load.get("lasting_hosts", 0),
             movable=[
                 host.host_id
-                for host in up
+                for host in staying
                 if host.host_id not in leaving
                 and host.worker_id in workers
                 and not workers[host.worker_id]["runs"]
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -13,6 +13,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import math
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 
@@ -411,6 +412,16 @@
                 for step in occurrence.ready_steps()
             )
             / 1000,
+            "lasting_hosts": max(
+                (
+                    _count_hosts_of_lasting(step)
+                    for job in self._active.values()
+                    if job.spec.pool == pool and job.is_lasting
+                    for occurrence in job.occurrences.values()
+                    for step in occurrence.steps
+                ),
+                default=0,
+            ),
             "workers": {
                 session.entry.worker_id: {
                     "used_cores": (session.entry.cpu_millis - session.free_cpu) / 1000,
@@ -424,6 +435,7 @@
                         if run.spec.is_lasting and not run.spec.is_filler
                     ),
                     "can_take": session.can_take(now),
+                    "is_leaving": session.entry.is_draining or session.is_dead,
                 }
                 for session in sessions
             },
@@ -1008,6 +1020,15 @@
             session.close()
 
 
+def _count_hosts_of_lasting(step: state.StepState) -> int:
+    """Return the smallest number of hosts that can hold the tasks of a lasting step."""
+    if not step.spec.is_lasting:
+        return 0
+    if not step.spec.max_per_worker:
+        return 1
+    return math.ceil(len(step.tasks) / step.spec.max_per_worker)
+
+
 def _do_nothing() -> None:
     """Stand in for `PoolOwner._unsubscribe` until the owner has subscribed."""
 
--- a/clementinespar/jobs/tests/test_capacity.py
+++ b/clementinespar/jobs/tests/test_capacity.py
@@ -138,3 +138,35 @@
     assert capacity.plan_moves(
         [gap, make_spare(0)], peaks, 1.0 + capacity.NEED_WINDOW_S
     )
+
+
+def make_resting_peaks(*names: str) -> dict[str, capacity.PeakState]:
+    """Return pools that have had their peak, and one that has not."""
+    peaks = {
+        name: capacity.PeakState(8, peak_ended_at=10.0 + n)
+        for n, name in enumerate(names)
+    }
+    return {**peaks, "later": capacity.PeakState(8)}
+
+
+@pytest.mark.parametrize(
+    ("hosts", "lasting_hosts", "wanted"),
+    [
+        pytest.param(3, 3, 0, id="each lasting task has its host"),
+        pytest.param(2, 3, 1, id="the host of a lasting task leaves"),
+        pytest.param(2, 1, 0, id="lasting tasks may share a host"),
+        pytest.param(0, 3, 3, id="all hosts are lost"),
+    ],
+)
+def test_resting_pool_has_a_host_for_each_lasting_task(
+    hosts: int, lasting_hosts: int, wanted: int
+) -> None:
+    """Guards against a lasting task without a worker until the next peak."""
+    view = make_view("a", hosts, lasting_hosts=lasting_hosts, movable=[])
+    moves = capacity.plan_moves(
+        [view, make_spare(4)], make_resting_peaks("a", "b"), 20.0
+    )
+    brought = [move for move in moves if move.destination == "a"]
+    assert len(brought) >= wanted
+    if wanted == 0:
+        assert not brought
--- a/clementinespar/jobs/tests/test_pool_owner.py
+++ b/clementinespar/jobs/tests/test_pool_owner.py
@@ -635,3 +635,24 @@
     async with helpers.run_owner(harness):
         await asyncio.sleep(2 * helpers.LEASE_MAX_S)
     assert not workers.violations
+
+
+@paused_clock.test
+async def test_load_tells_draining_workers_and_the_hosts_of_lasting_tasks() -> None:
+    """Guards against a draining worker that counts as capacity of its pool.
+
+    The lasting task on it would have nowhere to go.
+    """
+    workers = fakes.FakeWorkers(3)
+    harness = helpers.OwnerHarness(workers)
+    await harness.submit(helpers.make_spec("a", task_count=3, is_lasting=True))
+    async with helpers.run_owner(harness) as owner:
+        await asyncio.sleep(2.0)
+        workers.drain("quotes-1")
+        await asyncio.sleep(1.0)
+        load = owner.describe_load("quotes")
+    assert load["lasting_hosts"] == 3
+    described = load["workers"]
+    assert isinstance(described, dict)
+    leaving = [name for name, worker in described.items() if worker["is_leaving"]]
+    assert leaving == ["quotes-1"]
