Wait for granted leases instead of the longest that workers take

After a change of owner, lasting tasks of a worker that does not answer waited for the longest lease that workers take, 0.6 s (of 6 s) or 1 s (of 10 s) longer than any owner grants. Leases end at most 0.9 of it after a confirmation of ownership, and the confirmation was sent before the next owner's fence was stored.

test_next_owner_waits_no_longer_than_leases_are_granted failed before.

--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -78,7 +78,7 @@
     evacuating: dict[str, float]  # worker id: event-loop time at which it expires
     commands_read_at: float  # event-loop time of the last read of commands
     metrics: telemetry.JobMetrics
-    _lease_s: float
+    _lease_s: float  # longest lease that owners grant
     _log: fenced_log.FencedLog
     _next_command: int  # offset
     _worker_use: worker_use.WorkerUse
@@ -127,7 +127,6 @@
         self._store = store
         self._directory = directory
         self._workers = workers
-        self._settings = settings
         self._log_event = log_event
         self._lease_s = settings.lease_max_s * LEASE_SHARE
         self._log = fenced_log.FencedLog(
@@ -614,7 +613,8 @@
 
     def _restore_worker_use(self, value: bytes, fenced_at: float) -> None:
         """Restore which workers the previous owners may still have leases on."""
-        lease_s = self._settings.lease_max_s + worker_session.LEASE_MARGIN_S
+        # Its leases end at most this long after a confirmation that preceded the fence.
+        lease_s = self._lease_s + worker_session.LEASE_MARGIN_S
         try:
             self._worker_use.restore(value, fenced_at, lease_s)
         except (ValueError, KeyError, TypeError, AttributeError) as error:
--- a/clementinespar/jobs/tests/test_pool_owner.py
+++ b/clementinespar/jobs/tests/test_pool_owner.py
@@ -6,7 +6,7 @@
 import pytest
 
 from clementinespar import errors
-from clementinespar.jobs import model, services
+from clementinespar.jobs import model, pool_owner, services, worker_session
 from clementinespar.jobs.tests import fakes, helpers
 from clementinespar.tests import paused_clock
 
@@ -656,3 +656,21 @@
     assert isinstance(described, dict)
     leaving = [name for name, worker in described.items() if worker["is_leaving"]]
     assert leaving == ["quotes-1"]
+
+
+@paused_clock.test
+async def test_next_owner_waits_no_longer_than_leases_are_granted() -> None:
+    """Guards against a wait for the longest lease where shorter ones are granted."""
+    workers = fakes.FakeWorkers(2)
+    harness = helpers.OwnerHarness(workers)
+    await harness.submit(helpers.make_spec("a", task_count=1, is_lasting=True))
+    async with helpers.run_owner(harness):
+        await asyncio.sleep(2.0)
+    used = workers.starts[0][2]
+    workers.workers[used].is_unresponsive = True
+    granted_s = helpers.LEASE_MAX_S * pool_owner.LEASE_SHARE
+    margin_s = worker_session.LEASE_MARGIN_S + pool_owner.HOUSEKEEPING_INTERVAL_S
+    async with helpers.run_owner(harness):
+        await asyncio.sleep(granted_s + margin_s + 0.1)
+        assert len(workers.starts) == 2
+    assert not workers.violations
