Start lasting tasks that no silent worker can run without waiting for it

A task has one run at a time, so one whose run this owner has adopted can run nowhere else; such tasks are no longer held back. Tasks that the new owner has not located wait as before.

--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -300,6 +300,7 @@
         run.status = worker_session.RunStatus.RUNNING
         run.percent = listed.percent
         task.open_runs.add(listed.run)
+        task.is_located = not step.spec.is_speculative
         step.waiting.discard(listed.task.index)
         job.mark_started()
         return run
@@ -852,7 +853,6 @@
             job
             for job in self._active.values()
             if job.is_adopted
-            and (is_settled or job.adopted_epoch == self.epoch)
             and any(s.waiting for o in job.occurrences.values() for s in o.steps)
         ]
         estimate_ms = self._run_times.estimate_ms
@@ -863,7 +863,10 @@
                 [session for session in usable if session.entry.pool == pool]
             )
         for job in waiting:
-            self._placer.place(job, free_capacity_by_pool[job.spec.pool], now)
+            is_free = is_settled or job.adopted_epoch == self.epoch
+            self._placer.place(
+                job, free_capacity_by_pool[job.spec.pool], now, only_located=not is_free
+            )
 
     def _has_room(self, job: state.JobProgress, step: state.StepState) -> bool:
         """Whether a worker of the job's pool could take one more task of a step."""
--- a/clementinespar/jobs/task_placer.py
+++ b/clementinespar/jobs/task_placer.py
@@ -37,21 +37,38 @@
         self._metrics = metrics
 
     def place(
-        self, job: state.JobProgress, free_capacity: placement.FreeCapacity, now: float
+        self,
+        job: state.JobProgress,
+        free_capacity: placement.FreeCapacity,
+        now: float,
+        only_located: bool = False,
     ) -> None:
-        """Start the ready tasks of a job, as far as the free capacity allows."""
+        """Start the ready tasks of a job, as far as the free capacity allows.
+
+        Parameters
+        ----------
+        only_located : bool
+            Leave out tasks of which a worker may execute a run of a previous owner.
+        """
         if not free_capacity.has_any():
             return
         for occurrence in job.occurrences.values():
             for step in occurrence.ready_steps():
-                self._place_step(job, step, free_capacity, now)
+                indexes = {
+                    index
+                    for index in step.waiting
+                    if step.tasks[index].not_before <= now
+                    and (step.tasks[index].is_located or not only_located)
+                }
+                if indexes:
+                    self._place_step(job, step, indexes, free_capacity)
 
     def _place_step(
         self,
         job: state.JobProgress,
         step: state.StepState,
+        indexes: set[int],
         free_capacity: placement.FreeCapacity,
-        now: float,
     ) -> None:
         tickets_by_worker_id: dict[str, str] = {}
         if job.spec.needs_advice:
@@ -60,13 +77,12 @@
             )
             free_capacity = free_capacity.restrict(tickets_by_worker_id)
         if step.spec.is_gang:
-            self._place_gang(job, step, free_capacity, tickets_by_worker_id, now)
+            if len(indexes) == len(step.tasks):
+                self._place_gang(job, step, free_capacity, tickets_by_worker_id)
             return
         counts = self.count_per_worker(job, step)
-        for index in sorted(step.waiting):
+        for index in sorted(indexes):
             task = step.tasks[index]
-            if task.not_before > now:
-                continue
             session = free_capacity.choose(step.spec, counts, task.failed_on)
             if session is None:
                 if not task.failed_on:
@@ -83,13 +99,8 @@
         step: state.StepState,
         free_capacity: placement.FreeCapacity,
         tickets_by_worker_id: dict[str, str],
-        now: float,
     ) -> None:
         """Start all members under one run number, or none of them."""
-        if len(step.waiting) < len(step.tasks) or any(
-            task.not_before > now for task in step.tasks
-        ):
-            return
         chosen = free_capacity.choose_gang(step.spec, len(step.tasks))
         if chosen is None:
             return
