Follow the capacity of a worker while it runs

A worker may say in its entry that it has become smaller or larger. Its owner kept the free capacity of the time at which it opened the session, so starts brought a worker that does not refuse them over its capacity (LIMIT); after growth, room stayed unused. A new entry now changes the free capacity by the difference. It may fall below zero: nothing starts until enough has ended, and what is being stopped still counts.

test_starts_respect_a_capacity_that_shrinks_and_grows failed before (a fourth start on 2 of 4 cores).

--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -906,7 +906,7 @@
                 self.sessions_by_id[entry.worker_id] = session
                 session.open()
             elif session.entry is not entry:
-                session.entry = entry
+                session.update_entry(entry)
             session.is_listed = True
         now = asyncio.get_running_loop().time()
         for worker_id, session in list(self.sessions_by_id.items()):
--- a/clementinespar/jobs/tests/fakes.py
+++ b/clementinespar/jobs/tests/fakes.py
@@ -173,6 +173,9 @@
     violations: list[str]
     task_s: float  # run time of tasks that are not lasting
     is_loaded: bool
+    deadly: set[tuple[str, int]]  # job ids and indexes of tasks that crash workers
+    deadly_after_s: float  # after the start of such a task; 0: before its answer
+    back_after_s: float  # after the crash, under the same id
     lists_hosts: bool  # else the calls for the list fail
     host_lists: int  # that were asked for
 
@@ -183,6 +186,9 @@
         self.violations = []
         self.task_s = 0.5
         self.is_loaded = True
+        self.deadly = set()
+        self.deadly_after_s = 0.0
+        self.back_after_s = 3.0
         self.lists_hosts = True
         self.host_lists = 0
         self.dropped_starts: set[str] = set()  # workers that got them
@@ -210,6 +216,12 @@
         entry = self.by_id[worker_id]
         self.by_id[worker_id] = dataclasses.replace(entry, is_draining=True)
 
+    def resize(self, worker_id: str, cpu: int) -> None:
+        """Change the capacity of a worker, which says so in its entry."""
+        entry = dataclasses.replace(self.by_id[worker_id], cpu_millis=cpu)
+        self.by_id[worker_id] = entry
+        self.workers[worker_id].entry = entry
+
     def end(self, worker_id: str) -> None:
         """End a worker, and with it all that runs there."""
         worker = self.workers[worker_id]
@@ -217,6 +229,15 @@
         worker.is_unresponsive = True
         worker.is_dead = True
 
+    def _schedule_crash(self, worker_id: str) -> None:
+        """Crash a worker that has started a deadly task; it is back later."""
+        loop = asyncio.get_running_loop()
+        if self.deadly_after_s:
+            loop.call_later(self.deadly_after_s, self.end, worker_id)
+        else:
+            self.end(worker_id)
+        loop.call_later(self.deadly_after_s + self.back_after_s, self.crash, worker_id)
+
     async def list_hosts(self) -> list[model.HostEntry]:
         await asyncio.sleep(0.005)
         self.host_lists += 1
@@ -300,6 +321,10 @@
                 order.run,
                 float("inf") if lasts else now + self.task_s,
             )
+            if (order.task.job_id, order.task.index) in self.deadly:
+                self._schedule_crash(worker.worker_id)
+        if fake.is_dead:
+            raise http_calls.CallUnansweredError("the worker crashed")
         self._check_answer(fake)
         return model.StartAnswer(model.StartResult.STARTED, clock_ms)
 
--- a/clementinespar/jobs/tests/test_pool_owner.py
+++ b/clementinespar/jobs/tests/test_pool_owner.py
@@ -692,3 +692,45 @@
         await asyncio.sleep(2.0)
         assert [worker_id for _, _, worker_id in workers.starts[2:]] == ["quotes-2"]
     assert not workers.violations
+
+
+@paused_clock.test
+async def test_starts_respect_a_capacity_that_shrinks_and_grows() -> None:
+    """Guards against starts beyond what a worker says of itself at the time."""
+    workers = fakes.FakeWorkers(1, cpu=4000)
+    workers.task_s = 60.0
+    harness = helpers.OwnerHarness(workers)
+    await harness.submit(helpers.make_spec("a", task_count=3))
+    async with helpers.run_owner(harness):
+        await asyncio.sleep(2.0)
+        assert len(workers.starts) == 3
+        workers.resize("quotes-0", 2000)
+        await asyncio.sleep(1.0)
+        await harness.submit(helpers.make_spec("b", task_count=3))
+        await asyncio.sleep(2.0)
+        assert len(workers.starts) == 3
+    async with helpers.run_owner(harness):
+        await asyncio.sleep(2.0)
+        assert len(workers.starts) == 3
+        workers.resize("quotes-0", 5000)
+        await asyncio.sleep(2.0)
+        assert len(workers.starts) == 5
+    assert not workers.violations
+
+
+@paused_clock.test
+async def test_run_that_is_being_stopped_counts_against_a_smaller_capacity() -> None:
+    """Guards against a start in the room of a run that has not ended yet."""
+    workers = fakes.FakeWorkers(1, cpu=2000)
+    workers.task_s = 60.0
+    harness = helpers.OwnerHarness(workers)
+    await harness.submit(helpers.make_spec("a", task_count=2))
+    async with helpers.run_owner(harness):
+        await asyncio.sleep(2.0)
+        workers.resize("quotes-0", 1000)
+        await asyncio.sleep(1.0)
+        await harness.submit(helpers.make_spec("b", task_count=1))
+        await harness.cancel("a")
+        await asyncio.sleep(2.0)
+        assert [key.job_id for key, _, _ in workers.starts] == ["a", "a", "b"]
+    assert not workers.violations
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -257,6 +257,13 @@
             self.is_evacuating or not self.is_listed or not self.is_responsive()
         )
 
+    def update_entry(self, entry: model.WorkerEntry) -> None:
+        """Take over a changed entry; the capacity may be below what is in use."""
+        self.free_cpu += entry.cpu_millis - self.entry.cpu_millis
+        self.free_memory += entry.memory_mb - self.entry.memory_mb
+        self.free_gpus += entry.gpus - self.entry.gpus
+        self.entry = entry
+
     def fits(self, spec: model.StepSpec) -> bool:
         """Whether the free capacity is enough for one more task of a step."""
         return (
