Give up tasks that crash worker after worker

One task may crash each worker that starts it.

A death is now counted against the tasks that ran there, whether it is seen by the list of hosts or by a worker that is back with a new start time. A worker that drained, was evacuated or is only silent does not count. After three deaths the job fails. Innocent tasks that ran beside it are protected: a job whose tasks have seen two workers die runs one task at a time, the most suspect first and away from lasting tasks, so that the next death names its cause; then two are enough. Lasting tasks are given up after four deaths within 10 s of a start, and cleared by a longer run.

The count outlives the owner: deaths are stored with the job, near the limit before the next start, and runs on a worker that does not answer are stored with its identity, so that the next owner can tell a death from a cut.

test_crashing_tasks.py: the four cases of the first test failed before (no end within 60 s).

--- /dev/null
+++ b/clementinespar/jobs/crash_counts.py
@@ -0,0 +1,96 @@
+"""Limits how many workers one task may crash.
+
+A worker that dies lists no ends, so the tasks that ran on it are all suspects. Most are
+innocent and run elsewhere at once. A job whose tasks have seen two workers die goes on
+with one task at a time, so that another death names its cause.
+"""
+
+from collections.abc import Iterator
+
+from clementinespar.jobs import state, worker_session
+
+PROBATION_CRASHES = 2  # workers that have died under a job before it is on probation
+MAX_CRASHES = 3  # workers that may die under one task
+MAX_CRASHES_ALONE = 2  # the same if the last run was the only one of its job
+MAX_LASTING_CRASHES = 4  # lasting tasks see more workers die by chance
+SURVIVED_S = 10.0  # a lasting run of this age did not crash its worker
+
+
+def record(
+    job: state.JobProgress, task: state.TaskState, run: int, worker_id: str
+) -> bool:
+    """Count the death of a worker under a run; False if it was counted before."""
+    task.at_risk.pop(run, None)
+    if task.is_done or run in task.crashed_runs:
+        return False
+    task.crashed_runs.add(run)
+    job.crashed_workers.add(worker_id)
+    job.crash_version += 1
+    return True
+
+
+def has_survived(run: worker_session.Run, now: float) -> bool:
+    """Whether a run has gone on for too long to be the cause of a crash."""
+    return run.spec.is_lasting and now - run.started_at > SURVIVED_S
+
+
+def is_exceeded(step: state.StepState, task: state.TaskState, is_alone: bool) -> bool:
+    """Whether too many workers have died under a task to start it again."""
+    count = len(task.crashed_runs)
+    if step.spec.is_lasting:
+        return count >= MAX_LASTING_CRASHES
+    return count >= (MAX_CRASHES_ALONE if is_alone else MAX_CRASHES)
+
+
+def is_on_probation(job: state.JobProgress) -> bool:
+    """Whether only one task of a job may run at a time."""
+    if job.crash_version == 0 or job.is_lasting:
+        return False
+    return (
+        len(job.crashed_workers) >= PROBATION_CRASHES
+        or _max_crashes(job) >= PROBATION_CRASHES
+    )
+
+
+def may_start(job: state.JobProgress) -> bool:
+    """Whether tasks of a job may start as far as the stored counts are concerned.
+
+    A count near the limit is stored before the next start, so that the next owner knows
+    it even if this one dies with the worker.
+    """
+    is_stored = job.stored_crash_version == job.crash_version
+    return is_stored or _max_crashes(job) < PROBATION_CRASHES
+
+
+def choose_alone(
+    job: state.JobProgress, step: state.StepState, indexes: set[int]
+) -> set[int]:
+    """Return the one task of a step that may start on probation, or none.
+
+    It is the most suspect one, and starts once no other task of the job runs.
+    """
+    if any(task.open_runs for task in open_tasks(job)):
+        return set()
+    return {
+        max(indexes, key=lambda index: (len(step.tasks[index].crashed_runs), -index))
+    }
+
+
+def acquit(job: state.JobProgress, task: state.TaskState) -> bool:
+    """Clear a task that ran without a death of its worker; True if it was suspect."""
+    if not task.crashed_runs:
+        return False
+    task.crashed_runs.clear()
+    job.crashed_workers.clear()
+    return True
+
+
+def open_tasks(job: state.JobProgress) -> Iterator[state.TaskState]:
+    """Yield the tasks of a job that are not done."""
+    for occurrence in job.occurrences.values():
+        for step in occurrence.steps:
+            yield from (task for task in step.tasks if not task.is_done)
+
+
+def _max_crashes(job: state.JobProgress) -> int:
+    return max((len(task.crashed_runs) for task in open_tasks(job)), default=0)
--- /dev/null
+++ b/clementinespar/jobs/crash_watch.py
@@ -0,0 +1,166 @@
+"""Attributes the deaths of workers to the tasks that ran on them.
+
+Runs on a worker that does not answer are stored with its identity, so that the next
+owner can tell whether the worker died under them.
+"""
+
+import asyncio
+from collections.abc import Callable, Mapping, Sequence
+
+from clementinespar.jobs import (
+    crash_counts,
+    model,
+    services,
+    state,
+    telemetry,
+    worker_session,
+    worker_use,
+)
+
+
+class CrashWatch:
+    """Counts crashes for the owner of a partition.
+
+    Parameters
+    ----------
+    active : mapping of str to state.JobProgress
+        Jobs that are not in a final state, by id.
+    store_soon : callable
+        Stores the progress of a job at once.
+    give_up : callable
+        Fails a job whose task has crashed too many workers.
+    """
+
+    # Of previous owners, by worker id: task, run and start of the worker in Unix ms.
+    _restored: dict[str, list[tuple[model.TaskKey, int, int]]]
+
+    def __init__(
+        self,
+        active: Mapping[str, state.JobProgress],
+        sessions_by_id: Mapping[str, worker_session.WorkerSession],
+        use: worker_use.WorkerUse,
+        store_soon: Callable[[state.JobProgress], None],
+        give_up: Callable[[state.JobProgress], None],
+        log_event: services.EventLog,
+        metrics: telemetry.JobMetrics,
+    ) -> None:
+        self._active = active
+        self._sessions_by_id = sessions_by_id
+        self._worker_use = use
+        self._store_soon = store_soon
+        self._give_up = give_up
+        self._log_event = log_event
+        self._metrics = metrics
+        self._restored = {}
+
+    def restore(self, job: state.JobProgress) -> None:
+        """Add the runs at risk of a job that a previous owner has stored."""
+        for task in crash_counts.open_tasks(job):
+            for run, (worker_id, born_ms) in task.at_risk.items():
+                self._restored.setdefault(worker_id, []).append(
+                    (task.key, run, born_ms)
+                )
+
+    def mark_at_risk(
+        self,
+        session: worker_session.WorkerSession,
+        runs: Sequence[worker_session.Run],
+    ) -> None:
+        """Store runs on a worker that does not answer, with its identity."""
+        now = asyncio.get_running_loop().time()
+        for run in runs:
+            found = self._find(run.key)
+            if found is None or crash_counts.has_survived(run, now):
+                continue
+            job, task = found
+            if run.number not in task.at_risk and run.number in task.open_runs:
+                task.at_risk[run.number] = (session.entry.worker_id, session.born_ms)
+                session.has_runs_at_risk = True
+                self._store_soon(job)
+
+    def on_contact(self, session: worker_session.WorkerSession) -> None:
+        """Handle a worker that answers: its runs are no longer at risk."""
+        for key, run, born_ms in self._restored.pop(session.entry.worker_id, ()):
+            found = self._find(key)
+            if found is None or run not in found[1].at_risk:
+                continue  # it was adopted or has ended
+            if born_ms == session.born_ms:
+                self.clear_risk(key, run)  # it never started
+            else:
+                self._count(*found, run, session.entry.worker_id, is_alone=False)
+        if not session.has_runs_at_risk:
+            return
+        session.has_runs_at_risk = False
+        for tracked in session.runs.values():
+            self.clear_risk(tracked.key, tracked.number)
+
+    def clear_risk(self, key: model.TaskKey, run: int) -> None:
+        """Forget that a run was at risk."""
+        found = self._find(key)
+        if found is not None and found[1].at_risk.pop(run, None) is not None:
+            self._store_soon(found[0])
+
+    def on_death(self, worker_id: str) -> None:
+        """Count the runs of previous owners on a worker that has ended."""
+        for key, run, _ in self._restored.pop(worker_id, ()):
+            found = self._find(key)
+            if found is not None and run in found[1].at_risk:
+                self._count(*found, run, worker_id, is_alone=False)
+
+    def count_crash(self, session: worker_session.WorkerSession) -> None:
+        """Count the runs on a worker that has died, unless it was to leave."""
+        if session.entry.is_draining or session.is_evacuating:
+            return
+        now = asyncio.get_running_loop().time()
+        for run in list(session.runs.values()):
+            found = self._find(run.key)
+            if found is None or run.number not in found[1].open_runs:
+                continue
+            if not crash_counts.has_survived(run, now):
+                self._count(*found, run.number, session.entry.worker_id, run.is_alone)
+
+    def acquit_survivors(self) -> None:
+        """Clear lasting tasks that have survived, and leases that have ended."""
+        now = asyncio.get_running_loop().time()
+        for session in self._sessions_by_id.values():
+            for run in session.runs.values():
+                if run.is_suspect and crash_counts.has_survived(run, now):
+                    run.is_suspect = False
+                    found = self._find(run.key)
+                    if found is not None and crash_counts.acquit(*found):
+                        self._store_soon(found[0])
+        for worker_id in set(self._restored) - set(self._worker_use.find_unsettled()):
+            # The worker was cut off, or it is not known to have died.
+            for key, number, _ in self._restored.pop(worker_id):
+                self.clear_risk(key, number)
+
+    def _count(
+        self,
+        job: state.JobProgress,
+        task: state.TaskState,
+        run: int,
+        worker_id: str,
+        is_alone: bool,
+    ) -> None:
+        if not crash_counts.record(job, task, run, worker_id):
+            return
+        self._metrics.count_crash()
+        self._log_event(
+            "task_crash",
+            job=job.spec.job_id,
+            task=task.key.name_in_job,
+            run=run,
+            worker=worker_id,
+            crashes=len(task.crashed_runs),
+            is_alone=is_alone,
+        )
+        self._store_soon(job)
+        if crash_counts.is_exceeded(job.find_step(task.key), task, is_alone):
+            self._give_up(job)
+
+    def _find(
+        self, key: model.TaskKey
+    ) -> tuple[state.JobProgress, state.TaskState] | None:
+        job = self._active.get(key.job_id)
+        task = None if job is None else job.find_task(key)
+        return None if job is None or task is None else (job, task)
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -19,6 +19,8 @@
 
 from clementinespar import background, codes, errors, explanation
 from clementinespar.jobs import (
+    crash_counts,
+    crash_watch,
     demand,
     fenced_log,
     held_tasks,
@@ -85,6 +87,7 @@
     _placer: task_placer.TaskPlacer
     _run_watch: run_watch.RunWatch
     _held_tasks: held_tasks.HeldTaskLog
+    _crash_watch: crash_watch.CrashWatch
     _death_watch: worker_deaths.WorkerDeathWatch
     _loaded_at: float  # event-loop time
     _cancelled_ids: set[str]
@@ -149,6 +152,15 @@
             self.jobs_by_id, self.sessions_by_id, self._placer, log_event
         )
         self._held_tasks = held_tasks.HeldTaskLog(log_event)
+        self._crash_watch = crash_watch.CrashWatch(
+            self._active,
+            self.sessions_by_id,
+            self._worker_use,
+            self._store_soon,
+            self._give_up,
+            log_event,
+            metrics,
+        )
         self._death_watch = worker_deaths.WorkerDeathWatch(
             hosts,
             self._find_silent_workers,
@@ -170,6 +182,7 @@
         """Record that the worker has answered and request a round of placement."""
         worker_id = session.entry.worker_id
         self._worker_use.answered.add(worker_id)
+        self._crash_watch.on_contact(session)
         if worker_id not in self._worker_use.in_use and not session.is_released():
             self._worker_use.add(worker_id)
             if not self.may_lease(worker_id):
@@ -186,6 +199,7 @@
 
     def on_unresponsive(self, session: worker_session.WorkerSession) -> None:
         """Queue copies of the speculative tasks that run on an unresponsive worker."""
+        self._crash_watch.mark_at_risk(session, list(session.runs.values()))
         for run in session.runs.values():
             if not run.spec.is_speculative:
                 continue
@@ -229,6 +243,7 @@
         job, task = found
         step = job.find_step(end.task)
         task.open_runs.discard(end.run)
+        task.at_risk.pop(end.run, None)
         task.last_run = max(task.last_run, end.run)
         if end.saved:
             task.saved = end.saved
@@ -238,6 +253,7 @@
             if run is not None:
                 now = asyncio.get_running_loop().time()
                 self._run_times.add(step.spec, (now - run.started_at) * 1000)
+            crash_counts.acquit(job, task)
             if step.spec.is_gang:
                 self._finish_gang(job, step, end.run)
             else:
@@ -260,6 +276,16 @@
         if not job.is_final:
             self._finish_occurrences(job)
 
+    def on_start_unanswered(
+        self, session: worker_session.WorkerSession, run: worker_session.Run
+    ) -> None:
+        """Store where the run may execute, in case its worker has died."""
+        self._crash_watch.mark_at_risk(session, [run])
+
+    def on_crash(self, session: worker_session.WorkerSession) -> None:
+        """Count the death of a worker against the tasks that ran there."""
+        self._crash_watch.count_crash(session)
+
     def on_run_gone(
         self,
         session: worker_session.WorkerSession,
@@ -281,6 +307,7 @@
             return
         job, task = found
         task.open_runs.discard(run.number)
+        self._crash_watch.clear_risk(run.key, run.number)
         self._requeue(job.find_step(run.key), task, LOST_RETRY_DELAY_S)
 
     def on_unknown_run(
@@ -299,7 +326,9 @@
         run = worker_session.Run(listed.task, listed.run, step.spec, session, now)
         run.status = worker_session.RunStatus.RUNNING
         run.percent = listed.percent
+        run.is_suspect = bool(task.crashed_runs)
         task.open_runs.add(listed.run)
+        task.at_risk.pop(listed.run, None)
         task.is_located = not step.spec.is_speculative
         step.waiting.discard(listed.task.index)
         job.mark_started()
@@ -360,6 +389,11 @@
                     f" {step.done_count} of {len(step.tasks)} tasks done,"
                     f" {len(step.waiting)} wait"
                 )
+                because.extend(
+                    f"{task.key.name_in_job}: {len(task.crashed_runs)} workers died"
+                    for task in step.tasks
+                    if task.crashed_runs
+                )
         because.extend(
             f"{run.key.name_in_job} run {run.number} is {run.status.value}"
             f" on {session.entry.worker_id}"
@@ -518,6 +552,7 @@
             self.jobs_by_id[job_id] = job
             if not job.is_final:
                 self._active[job_id] = job
+                self._crash_watch.restore(job)
                 self._finish_occurrences(job)
         self._apply_commands(commands.records)
         self._next_command = commands.next_offset
@@ -591,6 +626,7 @@
         is_use_due = self._worker_use.is_due()
         if is_use_due:
             records.append(services.KeyedRecord("workers", self._worker_use.encode()))
+        crash_versions = [(job, job.crash_version) for job in dirty]
         finals = [job for job in dirty if job.is_final]
         if records:
             await self._append(records)
@@ -600,6 +636,10 @@
         for session, number, born_ms in processed:
             if session.born_ms == born_ms:
                 session.acknowledged = max(session.acknowledged, number)
+        for job, crash_version in crash_versions:
+            if job.stored_crash_version != crash_version:
+                job.stored_crash_version = crash_version
+                self._schedule_wanted.set()
         for job in finals:
             job.is_final_stored = True
             self._finished_commands.append(job.spec.job_id)
@@ -637,6 +677,7 @@
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
             self._refresh_sessions()
             self._release_workers()
+            self._crash_watch.acquit_survivors()
             now_ms = time.time() * 1000
             for job in list(self._active.values()):
                 if job.spec.occurrences and job.open_due_occurrences(now_ms):
@@ -830,6 +871,15 @@
         self._mark_dirty(job)
         self._flush_wanted.set()
 
+    def _give_up(self, job: state.JobProgress) -> None:
+        self._finish_job(
+            job, model.JobState.FAILED, "its task crashed too many workers"
+        )
+
+    def _store_soon(self, job: state.JobProgress) -> None:
+        self._mark_dirty(job)
+        self._flush_wanted.set()
+
     def _mark_dirty(self, job: state.JobProgress) -> None:
         self._dirty[job.spec.job_id] = job
 
@@ -853,6 +903,7 @@
             job
             for job in self._active.values()
             if job.is_adopted
+            and crash_counts.may_start(job)
             and any(s.waiting for o in job.occurrences.values() for s in o.steps)
         ]
         estimate_ms = self._run_times.estimate_ms
@@ -948,7 +999,7 @@
         known_since = dict.fromkeys(self._worker_use.find_unsettled(), self._loaded_at)
         known_since.pop(worker_use.ANY_WORKER, None)
         for worker_id, session in self.sessions_by_id.items():
-            if session.is_silent and session.has_settled_runs():
+            if session.is_silent and not session.is_dead and session.runs:
                 known_since[worker_id] = session.opened_at
         return known_since
 
@@ -968,6 +1019,7 @@
             open_runs=0 if session is None else len(session.runs),
         )
         self._worker_use.settle(worker_id)
+        self._crash_watch.on_death(worker_id)
         if session is not None:
             session.drop_ended()
         self._release_workers()
--- a/clementinespar/jobs/state.py
+++ b/clementinespar/jobs/state.py
@@ -2,7 +2,8 @@
 
 A task is waiting, has one open run (more for speculative copies), or is done. An end is
 applied only once: failed runs are kept by their number, so that an end which is listed
-again after a change of owner does not count twice.
+again after a change of owner does not count twice. Runs whose worker died are kept in
+the same way.
 """
 
 import json
@@ -22,6 +23,8 @@
         "key",
         "is_done",
         "failed_runs",
+        "crashed_runs",
+        "at_risk",
         "open_runs",
         "last_run",
         "saved",
@@ -33,6 +36,9 @@
     key: model.TaskKey
     is_done: bool
     failed_runs: set[int]
+    crashed_runs: set[int]  # under which a worker died
+    # Runs on workers that do not answer: the worker's id, and its start in Unix ms.
+    at_risk: dict[int, tuple[str, int]]
     open_runs: set[int]  # numbers of runs that may be executing
     last_run: int
     saved: str  # newest checkpoint; empty: none
@@ -45,6 +51,8 @@
         self.key = key
         self.is_done = False
         self.failed_runs = set()
+        self.crashed_runs = set()
+        self.at_risk = {}
         self.open_runs = set()
         self.last_run = 0
         self.saved = ""
@@ -123,6 +131,9 @@
         "deadline",
         "finished_occurrences",
         "is_final_stored",
+        "crashed_workers",
+        "crash_version",
+        "stored_crash_version",
     )
 
     spec: model.JobSpec
@@ -136,6 +147,9 @@
     deadline: float  # event-loop time at which the objective of the job ends
     finished_occurrences: int
     is_final_stored: bool  # the final state is stored, so it may be shown
+    crashed_workers: set[str]  # that died under a task of the job
+    crash_version: int  # increases with each death that counts
+    stored_crash_version: int  # of the newest stored progress
 
     def __init__(self, spec: model.JobSpec) -> None:
         self.spec = spec
@@ -149,6 +163,9 @@
         self.deadline = 0.0
         self.finished_occurrences = 0
         self.is_final_stored = False
+        self.crashed_workers = set()
+        self.crash_version = 0
+        self.stored_crash_version = 0
         if not spec.occurrences:
             self.occurrences[0] = Occurrence(spec, 0)
 
@@ -240,6 +257,8 @@
     for occurrence in job.occurrences.values():
         done: dict[str, str] = {}
         failed: dict[str, list[int]] = {}
+        crashed: dict[str, list[int]] = {}
+        at_risk: dict[str, dict[str, tuple[str, int]]] = {}
         for number, step in enumerate(occurrence.steps):
             mask = 0
             for index, task in enumerate(step.tasks):
@@ -247,10 +266,21 @@
                     mask |= 1 << index
                 if task.failed_runs and not step.spec.is_lasting:
                     failed[f"{number}.{index}"] = sorted(task.failed_runs)
+                if task.crashed_runs and not task.is_done:
+                    crashed[f"{number}.{index}"] = sorted(task.crashed_runs)
+                if task.at_risk and not task.is_done:
+                    at_risk[f"{number}.{index}"] = {
+                        str(run): worker for run, worker in task.at_risk.items()
+                    }
             if mask:
                 done[str(number)] = f"{mask:x}"
-        if done or failed or job.spec.occurrences:
-            occurrences[str(occurrence.number)] = {"done": done, "failed": failed}
+        if done or failed or crashed or at_risk or job.spec.occurrences:
+            occurrences[str(occurrence.number)] = {
+                "done": done,
+                "failed": failed,
+                "crashed": crashed,
+                "at_risk": at_risk,
+            }
     if occurrences:
         fields["occurrences"] = occurrences
     return json.dumps(fields, separators=(",", ":")).encode()
@@ -282,9 +312,20 @@
                 if mask >> index & 1:
                     mark_done(step, task)
         for task_name, runs in occurrence_fields["failed"].items():
-            step_name, _, index_name = task_name.partition(".")
-            task = occurrence.steps[int(step_name)].tasks[int(index_name)]
-            task.failed_runs.update(runs)
+            _find_by_name(occurrence, task_name).failed_runs.update(runs)
+        for task_name, runs in occurrence_fields.get("crashed", {}).items():
+            _find_by_name(occurrence, task_name).crashed_runs.update(runs)
+            job.crash_version = job.stored_crash_version = 1
+        for task_name, workers in occurrence_fields.get("at_risk", {}).items():
+            _find_by_name(occurrence, task_name).at_risk.update(
+                (int(run), (str(worker_id), int(born_ms)))
+                for run, (worker_id, born_ms) in workers.items()
+            )
+
+
+def _find_by_name(occurrence: Occurrence, name: str) -> TaskState:
+    step_name, _, index_name = name.partition(".")
+    return occurrence.steps[int(step_name)].tasks[int(index_name)]
 
 
 def mark_done(step: StepState, task: TaskState) -> None:
--- a/clementinespar/jobs/task_placer.py
+++ b/clementinespar/jobs/task_placer.py
@@ -4,6 +4,7 @@
 import collections
 
 from clementinespar.jobs import (
+    crash_counts,
     placement,
     services,
     state,
@@ -52,6 +53,7 @@
         """
         if not free_capacity.has_any():
             return
+        is_alone = crash_counts.is_on_probation(job)
         for occurrence in job.occurrences.values():
             for step in occurrence.ready_steps():
                 indexes = {
@@ -60,8 +62,10 @@
                     if step.tasks[index].not_before <= now
                     and (step.tasks[index].is_located or not only_located)
                 }
+                if indexes and is_alone and not step.spec.is_gang:
+                    indexes = crash_counts.choose_alone(job, step, indexes)
                 if indexes:
-                    self._place_step(job, step, indexes, free_capacity)
+                    self._place_step(job, step, indexes, free_capacity, is_alone)
 
     def _place_step(
         self,
@@ -69,6 +73,7 @@
         step: state.StepState,
         indexes: set[int],
         free_capacity: placement.FreeCapacity,
+        is_alone: bool,
     ) -> None:
         tickets_by_worker_id: dict[str, str] = {}
         if job.spec.needs_advice:
@@ -83,7 +88,8 @@
         counts = self.count_per_worker(job, step)
         for index in sorted(indexes):
             task = step.tasks[index]
-            session = free_capacity.choose(step.spec, counts, task.failed_on)
+            avoided = task.failed_on | self._find_endangered(step, task)
+            session = free_capacity.choose(step.spec, counts, avoided)
             if session is None:
                 if not task.failed_on:
                     break
@@ -91,7 +97,26 @@
             counts[session.entry.worker_id] += 1
             ticket = tickets_by_worker_id.get(session.entry.worker_id, "")
             number = job.next_run(task, self._epoch)
-            self._start(job, step, task, number, session, ticket)
+            self._start(job, step, task, number, session, ticket, is_alone)
+
+    def _find_endangered(
+        self, step: state.StepState, task: state.TaskState
+    ) -> set[str]:
+        """Return workers to spare, as a suspect task may crash them.
+
+        Suspects stay away from lasting tasks and from each other.
+        """
+        is_suspect = bool(task.crashed_runs)
+        if not is_suspect and not step.spec.is_lasting:
+            return set()
+        return {
+            worker_id
+            for worker_id, session in self._sessions_by_id.items()
+            if any(
+                run.is_suspect or (is_suspect and run.spec.is_lasting)
+                for run in session.runs.values()
+            )
+        }
 
     def _place_gang(
         self,
@@ -142,9 +167,12 @@
         number: int,
         session: worker_session.WorkerSession,
         ticket: str,
+        is_alone: bool = False,
     ) -> None:
         now = asyncio.get_running_loop().time()
         run = worker_session.Run(task.key, number, step.spec, session, now)
+        run.is_suspect = bool(task.crashed_runs)
+        run.is_alone = is_alone
         task.last_run = number
         task.open_runs.add(number)
         step.waiting.discard(task.key.index)
--- a/clementinespar/jobs/telemetry.py
+++ b/clementinespar/jobs/telemetry.py
@@ -32,6 +32,7 @@
     registry: prometheus_client.CollectorRegistry
     _starts: prometheus_client.Counter
     _ends: prometheus_client.Counter
+    _crashes: prometheus_client.Counter
     _answers: prometheus_client.Counter
     _job_seconds: prometheus_client.Histogram
     _answer_seconds: prometheus_client.Histogram
@@ -49,6 +50,11 @@
             ["kind"],
             registry=self.registry,
         )
+        self._crashes = prometheus_client.Counter(
+            "clementinespar_task_crashes",
+            "Runs whose worker died under them.",
+            registry=self.registry,
+        )
         self._answers = prometheus_client.Counter(
             "clementinespar_job_answers",
             "Answers to callers by call and status.",
@@ -78,6 +84,10 @@
         """Count the end of a run."""
         self._ends.labels(kind).inc()
 
+    def count_crash(self) -> None:
+        """Count a run whose worker died under it."""
+        self._crashes.inc()
+
     def observe_job(self, state: str, age_ms: float) -> None:
         """Count a job that reached a final state, by the time since acceptance."""
         self._job_seconds.labels(state).observe(age_ms / 1000)
--- /dev/null
+++ b/clementinespar/jobs/tests/test_crashing_tasks.py
@@ -0,0 +1,163 @@
+"""Tests of tasks that crash each worker on which they start."""
+
+import asyncio
+import collections
+
+import pytest
+
+from clementinespar.jobs import model
+from clementinespar.jobs.tests import fakes, helpers
+from clementinespar.tests import paused_clock
+
+MAX_CRASHES = 3  # workers that one task may crash
+
+
+def count_starts(workers: fakes.FakeWorkers) -> collections.Counter[tuple[str, int]]:
+    """Return the number of starts of each task."""
+    return collections.Counter((key.job_id, key.index) for key, _, _ in workers.starts)
+
+
+def count_deadly_starts(workers: fakes.FakeWorkers) -> int:
+    """Return the largest number of starts of a deadly task."""
+    starts = count_starts(workers)
+    return max(starts[task] for task in workers.deadly)
+
+
+@pytest.mark.parametrize("after_s", [0.0, 0.2])
+@pytest.mark.parametrize("is_lasting", [False, True])
+@paused_clock.test
+async def test_task_that_crashes_its_workers_is_given_up(
+    after_s: float, is_lasting: bool
+) -> None:
+    """Guards against one task that crashes worker after worker."""
+    workers = fakes.FakeWorkers(6)
+    workers.deadly = {("bad", 0)}
+    workers.deadly_after_s = after_s
+    harness = helpers.OwnerHarness(workers)
+    async with helpers.run_owner(harness):
+        await harness.submit(helpers.make_spec("bad", 2, is_lasting=is_lasting))
+        await harness.wait_state("bad", model.JobState.FAILED, timeout_s=60.0)
+        await asyncio.sleep(10.0)
+    assert count_deadly_starts(workers) <= MAX_CRASHES + is_lasting
+    assert not workers.violations
+
+
+@pytest.mark.parametrize("bad_tasks", [1, 6])
+@paused_clock.test
+async def test_job_that_crashes_workers_leaves_the_others_done(bad_tasks: int) -> None:
+    """Guards against innocent jobs that fail beside one that crashes workers.
+
+    A whole step of such tasks must not crash every worker again and again.
+    """
+    workers = fakes.FakeWorkers(6)
+    workers.deadly = {("bad", index) for index in range(bad_tasks)}
+    harness = helpers.OwnerHarness(workers)
+    async with helpers.run_owner(harness):
+        for number in range(8):
+            await harness.submit(helpers.make_spec(f"good{number}", 2, cpu=500))
+        await harness.submit(helpers.make_spec("bad", 6, cpu=500))
+        await harness.wait_state("bad", model.JobState.FAILED, timeout_s=60.0)
+        for number in range(8):
+            await harness.wait_state(f"good{number}", model.JobState.DONE, 60.0)
+    assert count_deadly_starts(workers) <= MAX_CRASHES
+    total = sum(
+        count for task, count in count_starts(workers).items() if task[0] == "bad"
+    )
+    assert total <= 6 + MAX_CRASHES
+    assert not workers.violations
+
+
+@pytest.mark.parametrize("is_lasting", [False, True])
+@pytest.mark.parametrize("delay_s", [0.0, 0.1, 1.0, 2.5])
+@paused_clock.test
+async def test_crashes_are_counted_over_changes_of_owner(
+    delay_s: float, is_lasting: bool
+) -> None:
+    """Guards against a count that begins anew with each owner.
+
+    The owner dies some time after each crash, before or after it has noticed that.
+    """
+    workers = fakes.FakeWorkers(6)
+    workers.deadly = {("bad", 0)}
+    harness = helpers.OwnerHarness(workers)
+    await harness.submit(helpers.make_spec("bad", 1, is_lasting=is_lasting))
+    for changes in range(1, 4):
+        async with helpers.run_owner(harness):
+            async with asyncio.timeout(60.0):
+                while len(workers.starts) < changes:
+                    await asyncio.sleep(0.02)
+            await asyncio.sleep(delay_s)
+        await asyncio.sleep(1.0)
+    async with helpers.run_owner(harness):
+        await harness.wait_state("bad", model.JobState.FAILED, timeout_s=60.0)
+        await asyncio.sleep(10.0)
+    # An owner that dies in the instant of the crash stores nothing about it.
+    missed = 0 if delay_s else 1
+    assert len(workers.starts) <= MAX_CRASHES + is_lasting + missed
+
+
+@pytest.mark.parametrize("times", [2, 3])
+@paused_clock.test
+async def test_jobs_survive_the_repeated_loss_of_a_rack(times: int) -> None:
+    """Guards against jobs that are given up because their workers lose power."""
+    workers = fakes.FakeWorkers(6)
+    workers.task_s = 3.0
+    harness = helpers.OwnerHarness(workers)
+    async with helpers.run_owner(harness):
+        await harness.submit(helpers.make_spec("lasting", 3, is_lasting=True))
+        for number in range(4):
+            await harness.submit(helpers.make_spec(f"job{number}", 4, cpu=500))
+        for turn in range(times):
+            await asyncio.sleep(3.5)
+            rack = [f"quotes-{3 * (turn % 2) + number}" for number in range(3)]
+            for worker_id in rack:
+                workers.end(worker_id)
+            await asyncio.sleep(2.0)
+            for worker_id in rack:
+                workers.crash(worker_id)
+        for number in range(4):
+            await harness.wait_state(f"job{number}", model.JobState.DONE, 60.0)
+        assert harness.owner.describe("lasting") is model.JobState.RUNNING
+
+
+@pytest.mark.parametrize("fault", ["cut", "drained", "evacuated"])
+@paused_clock.test
+async def test_only_deaths_of_workers_count(fault: str) -> None:
+    """Guards against tasks that are given up since their workers were cut or left."""
+    workers = fakes.FakeWorkers(6)
+    workers.task_s = 60.0
+    harness = helpers.OwnerHarness(workers)
+    async with helpers.run_owner(harness) as owner:
+        await harness.submit(helpers.make_spec("a", 1))
+        await asyncio.sleep(2.0)
+        worker_id = workers.starts[0][2]
+        if fault == "cut":
+            workers.workers[worker_id].is_unresponsive = True
+        elif fault == "drained":
+            workers.drain(worker_id)
+            await asyncio.sleep(1.0)
+            workers.end(worker_id)
+        else:
+            owner.evacuate(worker_id, 10.0, model.EvacuationUrgency.DRAIN)
+            workers.end(worker_id)
+        await asyncio.sleep(10.0)
+    assert len(workers.starts) == 2
+    assert not [event for event, _ in harness.events if event == "task_crash"]
+
+
+@paused_clock.test
+async def test_count_near_its_limit_is_stored_before_the_next_start() -> None:
+    """Guards against crashes that are lost with the owner while the store is down."""
+    workers = fakes.FakeWorkers(6)
+    workers.deadly = {("bad", 0)}
+    harness = helpers.OwnerHarness(workers)
+    await harness.submit(helpers.make_spec("bad", 1))
+    async with helpers.run_owner(harness):
+        while not workers.starts:
+            await asyncio.sleep(0.02)
+        harness.store.is_down = True
+        await asyncio.sleep(30.0)
+        assert len(workers.starts) == 2
+        harness.store.is_down = False
+        await harness.wait_state("bad", model.JobState.FAILED, timeout_s=60.0)
+    assert len(workers.starts) == MAX_CRASHES
--- a/clementinespar/jobs/tests/test_state.py
+++ b/clementinespar/jobs/tests/test_state.py
@@ -50,6 +50,38 @@
         assert restored_step.tasks[index].failed_runs == runs
 
 
+@given(
+    strategies.dictionaries(
+        strategies.integers(0, 6), strategies.sets(strategies.integers(1, 9))
+    ),
+    strategies.dictionaries(
+        strategies.integers(0, 6),
+        strategies.dictionaries(
+            strategies.integers(1, 9),
+            strategies.tuples(strategies.text(), strategies.integers(0)),
+        ),
+    ),
+    strategies.booleans(),
+)
+def test_crashes_survive_the_store(
+    crashed: dict[int, set[int]],
+    at_risk: dict[int, dict[int, tuple[str, int]]],
+    is_lasting: bool,
+) -> None:
+    """Guards against a task that crashes more workers after a change of owner."""
+    job = state.JobProgress(helpers.make_spec("a", 7, is_lasting=is_lasting))
+    step = job.occurrences[0].steps[0]
+    for index, runs in crashed.items():
+        step.tasks[index].crashed_runs = set(runs)
+    for index, workers in at_risk.items():
+        step.tasks[index].at_risk = dict(workers)
+    other = state.JobProgress(job.spec)
+    state.restore_progress(other, state.encode_progress(job))
+    for task in other.occurrences[0].steps[0].tasks:
+        assert task.crashed_runs == crashed.get(task.key.index, set())
+        assert task.at_risk == at_risk.get(task.key.index, {})
+
+
 @pytest.mark.parametrize(("epoch", "last_run", "wanted"), [(4, 0, 1), (4, 3, 4)])
 def test_runs_rise(epoch: int, last_run: int, wanted: int) -> None:
     """Guards against a run number that a worker refuses as stale."""
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -58,6 +58,8 @@
         "paced_at",
         "pace",
         "move_blocked_by",
+        "is_suspect",
+        "is_alone",
         "session",
     )
 
@@ -76,6 +78,8 @@
     paced_at: float | None  # when `pace` last changed
     pace: int  # share of its speed, in percent
     move_blocked_by: str  # why it was not moved to another worker; empty: it can be
+    is_suspect: bool  # a worker has died under an earlier run of the task
+    is_alone: bool  # it is the only run of its job
     session: "WorkerSession"
 
     def __init__(
@@ -101,6 +105,8 @@
         self.paced_at = None
         self.pace = 100
         self.move_blocked_by = ""
+        self.is_suspect = False
+        self.is_alone = False
         self.session = session
 
 
@@ -129,6 +135,14 @@
         """Apply the end of a run that the worker lists."""
         ...
 
+    def on_start_unanswered(self, session: "WorkerSession", run: Run) -> None:
+        """Handle a start whose effect is open."""
+        ...
+
+    def on_crash(self, session: "WorkerSession") -> None:
+        """Handle the death of a worker, before its runs are dropped."""
+        ...
+
     def on_run_gone(self, session: "WorkerSession", run: Run, reason: str) -> None:
         """Handle a run that certainly does not execute although no end was listed."""
         ...
@@ -166,6 +180,7 @@
     is_listed: bool  # the directory lists the worker
     is_silent: bool  # the last renewal was not answered
     is_dead: bool  # reported as ended since its last answer
+    has_runs_at_risk: bool  # some are stored as such
     opened_at: float  # event-loop time
     is_evacuating: bool
     lease_bound: float  # event-loop time after which none of our runs executes there
@@ -205,6 +220,7 @@
         self.is_listed = True
         self.is_silent = False
         self.is_dead = False
+        self.has_runs_at_risk = False
         self.opened_at = asyncio.get_running_loop().time()
         self.is_evacuating = False
         self.lease_bound = previous_lease_bound
@@ -417,10 +433,6 @@
                 self.drop_run(run)
                 self._events.on_run_gone(self, run, "lease ended on a silent worker")
 
-    def has_settled_runs(self) -> bool:
-        """Whether it has runs that `drop_ended` would drop."""
-        return any(run.is_start_settled for run in self.runs.values())
-
     def drop_ended(self) -> None:
         """Drop the runs of a worker that has ended.
 
@@ -428,6 +440,7 @@
         under the same id, so its run is kept until the lease ends.
         """
         self.is_dead = True
+        self._events.on_crash(self)
         for run in list(self.runs.values()):
             if run.is_start_settled:
                 self.drop_run(run)
@@ -449,6 +462,7 @@
                     born_ms=report.born_ms,
                     open_runs=len(self.runs),
                 )
+                self._events.on_crash(self)
             self.born_ms = report.born_ms
             self.processed = 0
             self.acknowledged = 0
@@ -547,6 +561,7 @@
                 worker=self.entry.worker_id,
                 code=int(error.code),
             )
+            self._events.on_start_unanswered(self, run)
             return
         if answer.clock_ms is not None:
             self.set_clock(answer.clock_ms)
