Leave out stored progress of the wrong shape instead of failing to load

A list where the owner expects an object raised AttributeError past the load of a partition, so one such record kept every owner of it from starting. The two new cases of test_progress_that_cannot_be_read_is_left_out failed before. All readers of stored records now treat the same errors as undecodable.

--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -545,7 +545,7 @@
                 )
                 job = state.JobProgress(spec)
                 state.restore_progress(job, value)
-            except (ValueError, KeyError, TypeError, IndexError) as error:
+            except state.DECODING_ERRORS as error:
                 telemetry.log_invalid_entry(self._log_event, key, error)
                 continue
             self._set_deadline(job)
@@ -658,7 +658,7 @@
         lease_s = self._lease_s + worker_session.LEASE_MARGIN_S
         try:
             self._worker_use.restore(value, fenced_at, lease_s)
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
+        except state.DECODING_ERRORS as error:
             telemetry.log_invalid_entry(self._log_event, "workers", error)
             self._worker_use.wait_for_all(fenced_at, lease_s)
 
@@ -740,7 +740,7 @@
     def _add_job(self, job_id: str, value: bytes) -> None:
         try:
             job = state.JobProgress(state.decode_spec(job_id, value))
-        except (ValueError, KeyError, TypeError) as error:
+        except state.DECODING_ERRORS as error:
             telemetry.log_invalid_entry(self._log_event, "j" + job_id, error)
             return
         self._set_deadline(job)
--- a/clementinespar/jobs/state.py
+++ b/clementinespar/jobs/state.py
@@ -14,6 +14,8 @@
 # Run numbers for each epoch. If a task has no more runs than this under one owner, all
 # its runs under the next owner have higher numbers.
 RUNS_PER_EPOCH = 1000
+# What decoding a stored value raises if another writer or a fault has changed it.
+DECODING_ERRORS = (ValueError, KeyError, TypeError, IndexError, AttributeError)
 
 
 class TaskState:
@@ -287,7 +289,7 @@
 
 
 def restore_progress(job: JobProgress, value: bytes) -> None:
-    """Apply stored progress to a new job; raises ValueError or KeyError."""
+    """Apply stored progress to a new job; raises one of `DECODING_ERRORS`."""
     fields = json.loads(value)
     job.first_epoch = int(fields["epoch"])
     job.adopted_epoch = job.first_epoch
@@ -355,7 +357,7 @@
 
 
 def decode_spec(job_id: str, value: bytes) -> model.JobSpec:
-    """Return the job of a stored form; raises ValueError, KeyError or TypeError."""
+    """Return the job of a stored form; raises one of `DECODING_ERRORS`."""
     fields = json.loads(value)
     steps = tuple(
         model.StepSpec(**{**step, "after": tuple(step.get("after", ()))})
--- a/clementinespar/jobs/tests/test_pool_owner.py
+++ b/clementinespar/jobs/tests/test_pool_owner.py
@@ -356,7 +356,16 @@
 
 
 @pytest.mark.parametrize(
-    "value", [b"", b"{", b"[]", b'{"epoch":1,"occurrences":{"0":{}}}', b'{"epoch":"x"}']
+    "value",
+    [
+        b"",
+        b"{",
+        b"[]",
+        b'{"epoch":1,"occurrences":{"0":{}}}',
+        b'{"epoch":1,"occurrences":[]}',
+        b'{"epoch":1,"occurrences":{"0":{"done":{},"failed":{},"crashed":[]}}}',
+        b'{"epoch":"x"}',
+    ],
 )
 def test_progress_that_cannot_be_read_is_left_out(value: bytes) -> None:
     """Guards against one invalid entry that keeps a partition from loading."""
