Revert: start lasting tasks that no silent worker can run without waiting

Only a record that the store fences before each start would rule that out. The task waits again until each worker has answered, has ended or its lease is over; the list of hosts keeps that short for workers that are gone.

--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -329,7 +329,6 @@
         run.is_suspect = bool(task.crashed_runs)
         task.open_runs.add(listed.run)
         task.at_risk.pop(listed.run, None)
-        task.is_located = not step.spec.is_speculative
         step.waiting.discard(listed.task.index)
         job.mark_started()
         return run
@@ -903,6 +902,7 @@
             job
             for job in self._active.values()
             if job.is_adopted
+            and (is_settled or job.adopted_epoch == self.epoch)
             and crash_counts.may_start(job)
             and any(s.waiting for o in job.occurrences.values() for s in o.steps)
         ]
@@ -914,10 +914,7 @@
                 [session for session in usable if session.entry.pool == pool]
             )
         for job in waiting:
-            is_free = is_settled or job.adopted_epoch == self.epoch
-            self._placer.place(
-                job, free_capacity_by_pool[job.spec.pool], now, only_located=not is_free
-            )
+            self._placer.place(job, free_capacity_by_pool[job.spec.pool], now)
 
     def _has_room(self, job: state.JobProgress, step: state.StepState) -> bool:
         """Whether a worker of the job's pool could take one more task of a step."""
--- a/clementinespar/jobs/state.py
+++ b/clementinespar/jobs/state.py
@@ -32,7 +32,6 @@
         "saved",
         "not_before",
         "failed_on",
-        "is_located",
     )
 
     key: model.TaskKey
@@ -46,8 +45,6 @@
     saved: str  # newest checkpoint; empty: none
     not_before: float  # event-loop time before which no run starts
     failed_on: set[str]  # workers on which a run failed
-    # This owner adopted its run, so no other run of a previous owner executes.
-    is_located: bool
 
     def __init__(self, key: model.TaskKey) -> None:
         self.key = key
@@ -60,7 +57,6 @@
         self.saved = ""
         self.not_before = 0.0
         self.failed_on = set()
-        self.is_located = False
 
 
 class StepState:
--- a/clementinespar/jobs/task_placer.py
+++ b/clementinespar/jobs/task_placer.py
@@ -38,19 +38,9 @@
         self._metrics = metrics
 
     def place(
-        self,
-        job: state.JobProgress,
-        free_capacity: placement.FreeCapacity,
-        now: float,
-        only_located: bool = False,
+        self, job: state.JobProgress, free_capacity: placement.FreeCapacity, now: float
     ) -> None:
-        """Start the ready tasks of a job, as far as the free capacity allows.
-
-        Parameters
-        ----------
-        only_located : bool
-            Leave out tasks of which a worker may execute a run of a previous owner.
-        """
+        """Start the ready tasks of a job, as far as the free capacity allows."""
         if not free_capacity.has_any():
             return
         is_alone = crash_counts.is_on_probation(job)
@@ -60,7 +50,6 @@
                     index
                     for index in step.waiting
                     if step.tasks[index].not_before <= now
-                    and (step.tasks[index].is_located or not only_located)
                 }
                 if indexes and is_alone and not step.spec.is_gang:
                     indexes = crash_counts.choose_alone(job, step, indexes)
