Suspect only tasks that started just before their worker died

Cause: all runs on a worker that dies counted.

Suspect are now the runs of the last 0.3 s before the worker fell silent, else of the last 1.5 s, in which a silent death is noticed. Two deaths are enough if no other task was suspect of the last one, three otherwise; three and five for lasting tasks.

--- a/clementinespar/jobs/crash_counts.py
+++ b/clementinespar/jobs/crash_counts.py
@@ -1,19 +1,39 @@
 """Limits how many workers one task may crash.
 
-A worker that dies lists no ends, so the tasks that ran on it are all suspects. Most are
-innocent and run elsewhere at once. A job whose tasks have seen two workers die goes on
-with one task at a time, so that another death names its cause.
+A worker that dies lists no ends. The tasks that it started last are suspects, and most
+of them are innocent: they run elsewhere at once. A job whose tasks have seen two
+workers die goes on with one task at a time, so that another death names its cause.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 from clementinespar.jobs import state, worker_session
 
 PROBATION_CRASHES = 2  # workers that have died under a job before it is on probation
-MAX_CRASHES = 3  # workers that may die under one task
-MAX_CRASHES_ALONE = 2  # the same if the last run was the only one of its job
-MAX_LASTING_CRASHES = 4  # lasting tasks see more workers die by chance
-SURVIVED_S = 10.0  # a lasting run of this age did not crash its worker
+# Workers that may die under one task; the second number holds if no other task is
+# suspect of the last death. Lasting tasks see more workers die by chance.
+MAX_CRASHES = (3, 2)
+MAX_LASTING_CRASHES = (5, 3)
+# A run that started this long before its worker fell silent is suspect. Without a reset
+# of its connections, a dead worker is noticed by the timeout of a renewal.
+SUSPECT_S = 1.5
+# If there are runs that are this young, the others are not suspect.
+PRIME_SUSPECT_S = 0.3
+
+
+def find_suspects(
+    runs: Iterable[worker_session.Run], silent_at: float
+) -> list[worker_session.Run]:
+    """Return the runs that may have crashed their worker.
+
+    Parameters
+    ----------
+    silent_at : float
+        Event-loop time at which the worker was first noticed to be silent.
+    """
+    suspects = [run for run in runs if silent_at - run.started_at <= SUSPECT_S]
+    prime = [run for run in suspects if silent_at - run.started_at <= PRIME_SUSPECT_S]
+    return prime or suspects
 
 
 def record(
@@ -30,16 +50,20 @@
 
 
 def has_survived(run: worker_session.Run, now: float) -> bool:
-    """Whether a run has gone on for too long to be the cause of a crash."""
-    return run.spec.is_lasting and now - run.started_at > SURVIVED_S
+    """Whether a run has gone on for too long to be suspect of a later death."""
+    return now - run.started_at > SUSPECT_S
+
 
+def is_exceeded(step: state.StepState, task: state.TaskState, is_sole: bool) -> bool:
+    """Whether too many workers have died under a task to start it again.
 
-def is_exceeded(step: state.StepState, task: state.TaskState, is_alone: bool) -> bool:
-    """Whether too many workers have died under a task to start it again."""
-    count = len(task.crashed_runs)
-    if step.spec.is_lasting:
-        return count >= MAX_LASTING_CRASHES
-    return count >= (MAX_CRASHES_ALONE if is_alone else MAX_CRASHES)
+    Parameters
+    ----------
+    is_sole : bool
+        No other task is suspect of the last death.
+    """
+    limits = MAX_LASTING_CRASHES if step.spec.is_lasting else MAX_CRASHES
+    return len(task.crashed_runs) >= limits[is_sole]
 
 
 def is_on_probation(job: state.JobProgress) -> bool:
--- a/clementinespar/jobs/crash_watch.py
+++ b/clementinespar/jobs/crash_watch.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Mapping
 
 from clementinespar.jobs import (
     crash_counts,
@@ -61,16 +61,13 @@
                     (task.key, run, born_ms)
                 )
 
-    def mark_at_risk(
-        self,
-        session: worker_session.WorkerSession,
-        runs: Sequence[worker_session.Run],
-    ) -> None:
-        """Store runs on a worker that does not answer, with its identity."""
-        now = asyncio.get_running_loop().time()
-        for run in runs:
+    def mark_at_risk(self, session: worker_session.WorkerSession) -> None:
+        """Store suspect runs on a worker that does not answer, with its identity."""
+        for run in crash_counts.find_suspects(
+            session.runs.values(), session.silent_since()
+        ):
             found = self._find(run.key)
-            if found is None or crash_counts.has_survived(run, now):
+            if found is None:
                 continue
             job, task = found
             if run.number not in task.at_risk and run.number in task.open_runs:
@@ -87,7 +84,7 @@
             if born_ms == session.born_ms:
                 self.clear_risk(key, run)  # it never started
             else:
-                self._count(*found, run, session.entry.worker_id, is_alone=False)
+                self._count(*found, run, session.entry.worker_id, is_sole=False)
         if not session.has_runs_at_risk:
             return
         session.has_runs_at_risk = False
@@ -105,26 +102,36 @@
         for key, run, _ in self._restored.pop(worker_id, ()):
             found = self._find(key)
             if found is not None and run in found[1].at_risk:
-                self._count(*found, run, worker_id, is_alone=False)
+                self._count(*found, run, worker_id, is_sole=False)
 
     def count_crash(self, session: worker_session.WorkerSession) -> None:
-        """Count the runs on a worker that has died, unless it was to leave."""
+        """Count the suspect runs on a worker that has died, unless it was to leave."""
         if session.entry.is_draining or session.is_evacuating:
             return
-        now = asyncio.get_running_loop().time()
-        for run in list(session.runs.values()):
+        suspects = crash_counts.find_suspects(
+            session.runs.values(), session.silent_since()
+        )
+        for run in suspects:
             found = self._find(run.key)
-            if found is None or run.number not in found[1].open_runs:
-                continue
-            if not crash_counts.has_survived(run, now):
-                self._count(*found, run.number, session.entry.worker_id, run.is_alone)
+            if found is not None and run.number in found[1].open_runs:
+                self._count(
+                    *found,
+                    run.number,
+                    session.entry.worker_id,
+                    is_sole=len(suspects) == 1,
+                )
 
     def acquit_survivors(self) -> None:
         """Clear lasting tasks that have survived, and leases that have ended."""
         now = asyncio.get_running_loop().time()
         for session in self._sessions_by_id.values():
             for run in session.runs.values():
-                if run.is_suspect and crash_counts.has_survived(run, now):
+                is_lasting = run.spec.is_lasting and not session.is_silent
+                if (
+                    run.is_suspect
+                    and is_lasting
+                    and crash_counts.has_survived(run, now)
+                ):
                     run.is_suspect = False
                     found = self._find(run.key)
                     if found is not None and crash_counts.acquit(*found):
@@ -140,7 +147,7 @@
         task: state.TaskState,
         run: int,
         worker_id: str,
-        is_alone: bool,
+        is_sole: bool,
     ) -> None:
         if not crash_counts.record(job, task, run, worker_id):
             return
@@ -152,10 +159,10 @@
             run=run,
             worker=worker_id,
             crashes=len(task.crashed_runs),
-            is_alone=is_alone,
+            is_sole=is_sole,
         )
         self._store_soon(job)
-        if crash_counts.is_exceeded(job.find_step(task.key), task, is_alone):
+        if crash_counts.is_exceeded(job.find_step(task.key), task, is_sole):
             self._give_up(job)
 
     def _find(
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -199,7 +199,7 @@
 
     def on_unresponsive(self, session: worker_session.WorkerSession) -> None:
         """Queue copies of the speculative tasks that run on an unresponsive worker."""
-        self._crash_watch.mark_at_risk(session, list(session.runs.values()))
+        self._crash_watch.mark_at_risk(session)
         for run in session.runs.values():
             if not run.spec.is_speculative:
                 continue
@@ -276,11 +276,9 @@
         if not job.is_final:
             self._finish_occurrences(job)
 
-    def on_start_unanswered(
-        self, session: worker_session.WorkerSession, run: worker_session.Run
-    ) -> None:
+    def on_start_unanswered(self, session: worker_session.WorkerSession) -> None:
         """Store where the run may execute, in case its worker has died."""
-        self._crash_watch.mark_at_risk(session, [run])
+        self._crash_watch.mark_at_risk(session)
 
     def on_crash(self, session: worker_session.WorkerSession) -> None:
         """Count the death of a worker against the tasks that ran there."""
--- a/clementinespar/jobs/task_placer.py
+++ b/clementinespar/jobs/task_placer.py
@@ -43,7 +43,7 @@
         """Start the ready tasks of a job, as far as the free capacity allows."""
         if not free_capacity.has_any():
             return
-        is_alone = crash_counts.is_on_probation(job)
+        is_on_probation = crash_counts.is_on_probation(job)
         for occurrence in job.occurrences.values():
             for step in occurrence.ready_steps():
                 indexes = {
@@ -51,10 +51,10 @@
                     for index in step.waiting
                     if step.tasks[index].not_before <= now
                 }
-                if indexes and is_alone and not step.spec.is_gang:
+                if indexes and is_on_probation and not step.spec.is_gang:
                     indexes = crash_counts.choose_alone(job, step, indexes)
                 if indexes:
-                    self._place_step(job, step, indexes, free_capacity, is_alone)
+                    self._place_step(job, step, indexes, free_capacity)
 
     def _place_step(
         self,
@@ -62,7 +62,6 @@
         step: state.StepState,
         indexes: set[int],
         free_capacity: placement.FreeCapacity,
-        is_alone: bool,
     ) -> None:
         tickets_by_worker_id: dict[str, str] = {}
         if job.spec.needs_advice:
@@ -86,7 +85,7 @@
             counts[session.entry.worker_id] += 1
             ticket = tickets_by_worker_id.get(session.entry.worker_id, "")
             number = job.next_run(task, self._epoch)
-            self._start(job, step, task, number, session, ticket, is_alone)
+            self._start(job, step, task, number, session, ticket)
 
     def _find_endangered(
         self, step: state.StepState, task: state.TaskState
@@ -156,12 +155,10 @@
         number: int,
         session: worker_session.WorkerSession,
         ticket: str,
-        is_alone: bool = False,
     ) -> None:
         now = asyncio.get_running_loop().time()
         run = worker_session.Run(task.key, number, step.spec, session, now)
         run.is_suspect = bool(task.crashed_runs)
-        run.is_alone = is_alone
         task.last_run = number
         task.open_runs.add(number)
         step.waiting.discard(task.key.index)
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -59,7 +59,6 @@
         "pace",
         "move_blocked_by",
         "is_suspect",
-        "is_alone",
         "session",
     )
 
@@ -79,7 +78,6 @@
     pace: int  # share of its speed, in percent
     move_blocked_by: str  # why it was not moved to another worker; empty: it can be
     is_suspect: bool  # a worker has died under an earlier run of the task
-    is_alone: bool  # it is the only run of its job
     session: "WorkerSession"
 
     def __init__(
@@ -106,7 +104,6 @@
         self.pace = 100
         self.move_blocked_by = ""
         self.is_suspect = False
-        self.is_alone = False
         self.session = session
 
 
@@ -135,7 +132,7 @@
         """Apply the end of a run that the worker lists."""
         ...
 
-    def on_start_unanswered(self, session: "WorkerSession", run: Run) -> None:
+    def on_start_unanswered(self, session: "WorkerSession") -> None:
         """Handle a start whose effect is open."""
         ...
 
@@ -179,6 +176,7 @@
     has_answered: bool  # it knows the fence, so it refuses orders of previous owners
     is_listed: bool  # the directory lists the worker
     is_silent: bool  # the last renewal was not answered
+    _silent_since: float  # event-loop time, if it is silent
     is_dead: bool  # reported as ended since its last answer
     has_runs_at_risk: bool  # some are stored as such
     opened_at: float  # event-loop time
@@ -219,6 +217,7 @@
         self.has_answered = False
         self.is_listed = True
         self.is_silent = False
+        self._silent_since = 0.0
         self.is_dead = False
         self.has_runs_at_risk = False
         self.opened_at = asyncio.get_running_loop().time()
@@ -267,6 +266,12 @@
         now = asyncio.get_running_loop().time()
         return now - self.last_contact < UNRESPONSIVE_AFTER_S
 
+    def silent_since(self) -> float:
+        """Return the event-loop time since which it is silent; now if it is not."""
+        if self.is_silent:
+            return self._silent_since
+        return asyncio.get_running_loop().time()
+
     def is_released(self) -> bool:
         """Whether the worker has no runs and gets no new work at present."""
         return not self.runs and (
@@ -381,7 +386,9 @@
                 )
             except errors.ClementinesparError as error:
                 failures += 1
-                self.is_silent = True
+                if not self.is_silent:
+                    self.is_silent = True
+                    self._silent_since = loop.time()
                 if failures in (1, 10):
                     self._log_event(
                         "worker_silent",
@@ -402,8 +409,6 @@
             if failures:
                 self._record_return(failures)
             failures = 0
-            self.is_silent = False
-            self.is_dead = False
             self._apply(report, sent_at)
             await asyncio.sleep(RENEW_SPACING_S)
 
@@ -466,6 +471,8 @@
             self.born_ms = report.born_ms
             self.processed = 0
             self.acknowledged = 0
+        self.is_silent = False
+        self.is_dead = False
         is_complete = True
         for end in report.ended:
             if end.number <= self.processed:
@@ -561,7 +568,7 @@
                 worker=self.entry.worker_id,
                 code=int(error.code),
             )
-            self._events.on_start_unanswered(self, run)
+            self._events.on_start_unanswered(self)
             return
         if answer.clock_ms is not None:
             self.set_clock(answer.clock_ms)
