Take no death from a list that is older than the worker's answer

Silent workers are now looked up again after the call, and a worker that is back is as new to the list as one that is new. A list counts only if it shows every worker that answers, and if there is one: half of them, or a list of other pools while nobody answers, was enough before.

--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -995,7 +995,7 @@
         known_since.pop(worker_use.ANY_WORKER, None)
         for worker_id, session in self.sessions_by_id.items():
             if session.is_silent and not session.is_dead and session.runs:
-                known_since[worker_id] = session.opened_at
+                known_since[worker_id] = session.born_seen_at
         return known_since
 
     def _find_responsive_workers(self) -> set[str]:
--- a/clementinespar/jobs/tests/test_worker_deaths.py
+++ b/clementinespar/jobs/tests/test_worker_deaths.py
@@ -48,6 +48,7 @@
         pytest.param([["b", "c"]], 0.0, False, id="younger than the list"),
         pytest.param([[]], 60.0, False, id="empty list"),
         pytest.param([["x", "y"]], 60.0, False, id="others that answer are missing"),
+        pytest.param([["b"]], 60.0, False, id="one that answers is missing"),
         pytest.param([None], 60.0, False, id="no list"),
     ],
 )
@@ -73,6 +74,62 @@
     assert paused_clock.run(watch()) == (["a"] if is_dead else [])
 
 
+@paused_clock.test
+async def test_list_proves_nothing_while_no_worker_answers() -> None:
+    """Guards against deaths taken from a list that nothing confirms."""
+    now = asyncio.get_running_loop().time()
+    dead: list[str] = []
+    death_watch = worker_deaths.WorkerDeathWatch(
+        ScriptedHosts([["x-of-another-pool"]]),
+        lambda: {"a": now - 60.0},
+        set,
+        dead.append,
+        fakes.ignore_event,
+    )
+    async with background.running(death_watch.run()):
+        await asyncio.sleep(2.0)
+    assert not dead
+
+
+@paused_clock.test
+async def test_worker_that_answers_while_the_list_is_on_its_way_is_not_dead() -> None:
+    """Guards against two runs: the list is older than the worker's new life."""
+    workers = fakes.FakeWorkers(3)
+    harness = helpers.OwnerHarness(workers)
+    await harness.submit(helpers.make_spec("a", 3, is_lasting=True))
+    async with helpers.run_owner(harness):
+        await asyncio.sleep(3.0)
+        ended = workers.starts[0][2]
+        workers.list_s = 1.0
+        workers.end(ended)
+        while workers.host_lists < 2:
+            await asyncio.sleep(0.02)
+        await asyncio.sleep(0.1)
+        workers.crash(ended)
+        workers.add("new", "quotes")  # later, so that the task restarts where it was
+        await asyncio.sleep(4.0)
+    assert not workers.violations
+
+
+@paused_clock.test
+async def test_reborn_worker_that_the_list_does_not_show_yet_is_not_dead() -> None:
+    """Guards against two runs: the list lags behind a worker that is back."""
+    workers = fakes.FakeWorkers(3)
+    workers.list_lag_s = worker_deaths.LIST_LAG_S
+    harness = helpers.OwnerHarness(workers)
+    await harness.submit(helpers.make_spec("a", 3, is_lasting=True))
+    async with helpers.run_owner(harness):
+        await asyncio.sleep(3.0)
+        reborn = workers.starts[0][2]
+        workers.crash(reborn)
+        while len(workers.starts) == 3:
+            await asyncio.sleep(0.02)
+        workers.add("new", "quotes")
+        workers.workers[reborn].is_unresponsive = True  # cut off, runs on
+        await asyncio.sleep(3.0)
+    assert not workers.violations
+
+
 @pytest.mark.parametrize("is_lasting", [True, False])
 @paused_clock.test
 async def test_tasks_of_a_dead_worker_run_again_before_its_lease_ends(
--- a/clementinespar/jobs/worker_deaths.py
+++ b/clementinespar/jobs/worker_deaths.py
@@ -23,7 +23,7 @@
     ----------
     find_silent : callable
         Returns the workers that do not answer and hold up tasks: their ids with the
-        event-loop time since which this owner has known them.
+        event-loop time since which this owner has known them, in their present life.
     find_responsive : callable
         Returns the ids of the workers that answer.
     on_death : callable
@@ -71,7 +71,11 @@
             if not self._is_plausible(listed):
                 self._log_event("hosts_implausible", workers=len(listed))
                 continue
-            for worker_id, known_since in silent.items():
+            # A worker that has answered since the call was sent is newer than the list.
+            still_silent = self._find_silent()
+            for worker_id, known_since in still_silent.items():
+                if worker_id not in silent:
+                    continue
                 if worker_id in listed:
                     missing_counts[worker_id] = 0
                 elif sent_at - known_since >= LIST_LAG_S:
@@ -80,6 +84,6 @@
                         self._on_death(worker_id)
 
     def _is_plausible(self, listed: Set[str]) -> bool:
-        """Whether a list shows at least half of the workers that answer, and any."""
+        """Whether a list shows all workers that answer, and there are any."""
         responsive = self._find_responsive()
-        return bool(listed - {""}) and 2 * len(responsive & listed) >= len(responsive)
+        return bool(responsive) and responsive <= listed
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -179,7 +179,7 @@
     _silent_since: float  # event-loop time, if it is silent
     is_dead: bool  # reported as ended since its last answer
     has_runs_at_risk: bool  # some are stored as such
-    opened_at: float  # event-loop time
+    born_seen_at: float  # event-loop time at which this life of it was first seen
     is_evacuating: bool
     lease_bound: float  # event-loop time after which none of our runs executes there
     last_contact: float  # event-loop time
@@ -220,7 +220,7 @@
         self._silent_since = 0.0
         self.is_dead = False
         self.has_runs_at_risk = False
-        self.opened_at = asyncio.get_running_loop().time()
+        self.born_seen_at = asyncio.get_running_loop().time()
         self.is_evacuating = False
         self.lease_bound = previous_lease_bound
         self.last_contact = 0.0
@@ -468,6 +468,7 @@
                     open_runs=len(self.runs),
                 )
                 self._events.on_crash(self)
+                self.born_seen_at = now
             self.born_ms = report.born_ms
             self.processed = 0
             self.acknowledged = 0
