Give a partition up when an unexpected error ends its owner

An exception that no task of an owner expects ended all of them, and nothing noticed: the partition stayed assigned to a node that did nothing for it, without a limit. Such an owner is now lost, the error is logged, and the node leaves the group and joins again, since only a later generation gives a partition an owner. The owner of the hosts had the same fault.

--- a/clementinespar/jobs/fleet.py
+++ b/clementinespar/jobs/fleet.py
@@ -20,6 +20,7 @@
     ownership,
     service,
     services,
+    telemetry,
 )
 
 TICK_S = 0.25
@@ -56,7 +57,8 @@
     """The owner of the fleet partition, which alone gives orders to hosts."""
 
     epoch: int
-    is_lost: bool  # the store has seen a later owner
+    is_lost: bool  # the store has seen a later owner, or it has failed
+    has_failed: bool  # by an unexpected error
     _partition: int
     _waves: dict[int, _WaveProgress]
     _peaks: dict[str, capacity.PeakState]
@@ -80,6 +82,7 @@
     ) -> None:
         self.epoch = epoch
         self.is_lost = False
+        self.has_failed = False
         self._partition = partition
         self._ownership_manager = ownership_manager
         self._jobs = jobs
@@ -99,6 +102,15 @@
         )
 
     async def run(self) -> None:
+        """Act as the owner until cancelled, lost or failed."""
+        try:
+            await self._run()
+        except Exception as error:
+            self.has_failed = True
+            self.is_lost = True
+            telemetry.log_failure(self._log_event, self._partition, error)
+
+    async def _run(self) -> None:
         """Load stored state, wait until the previous owner has stopped, then act."""
         loop = asyncio.get_running_loop()
         acts_from = loop.time() + self._holder_lease_s + PREVIOUS_OWNER_MARGIN_S
--- a/clementinespar/jobs/ownership.py
+++ b/clementinespar/jobs/ownership.py
@@ -43,7 +43,8 @@
     """The owner of the fleet partition, which alone gives orders to hosts."""
 
     epoch: int
-    is_lost: bool  # the store has seen a later owner
+    is_lost: bool  # the store has seen a later owner, or it has failed
+    has_failed: bool  # by an unexpected error
 
 
 class OwnershipManager:
@@ -174,13 +175,22 @@
             self._log_event(
                 "ownership_left_to_larger_nodes", count=self._larger_node_count
             )
-            await self.close()
-            self.generation = 0
-            self.assigned = frozenset()
-            self.is_fleet_owner = False
+            await self._leave()
         return True
 
+    async def _leave(self) -> None:
+        """Give up all partitions; the next join begins anew."""
+        await self.close()
+        self.generation = 0
+        self.assigned = frozenset()
+        self.is_fleet_owner = False
+
     async def _apply(self, assignment: services.Assignment, sent_at: float) -> None:
+        owners = [*self.owners_by_partition.values(), self._fleet_owner]
+        if any(owner is not None and owner.has_failed for owner in owners):
+            # Only a later generation gives the partition an owner again.
+            await self._leave()
+            return
         if assignment.generation != self.generation:
             self._log_event(
                 "assignment",
@@ -270,6 +280,8 @@
         """Stop all owners and leave the group."""
         for partition in list(self.owners_by_partition):
             await self._stop_owner(partition)
+        if self._fleet_owner is not None and self._fleet_owner.is_lost:
+            self._fleet_fenced_epoch = self._fleet_owner.epoch
         self._fleet_owner = None
         await self._fleet_stack.aclose()
         try:
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -75,6 +75,7 @@
     epoch: int
     is_loaded: bool
     is_lost: bool
+    has_failed: bool  # by an unexpected error
     jobs_by_id: dict[str, state.JobProgress]
     sessions_by_id: dict[str, worker_session.WorkerSession]
     evacuating: dict[str, float]  # worker id: event-loop time at which it expires
@@ -119,6 +120,7 @@
         self.epoch = epoch
         self.is_loaded = False
         self.is_lost = False
+        self.has_failed = False
         self.jobs_by_id = {}
         self.sessions_by_id = {}
         self.evacuating = {}
@@ -1049,14 +1051,22 @@
         self._on_lost(self)
 
     async def run(self) -> None:
-        """Load the partition, then run the background tasks until cancelled."""
-        await self.load()
-        async with asyncio.TaskGroup() as group:
-            group.create_task(self.follow_commands())
-            group.create_task(self.write_progress())
-            group.create_task(self.schedule())
-            group.create_task(self.run_housekeeping())
-            group.create_task(self._death_watch.run())
+        """Load the partition, then run the background tasks until cancelled.
+
+        An unexpected error ends the owner, and the partition is given up.
+        """
+        try:
+            await self.load()
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self.follow_commands())
+                group.create_task(self.write_progress())
+                group.create_task(self.schedule())
+                group.create_task(self.run_housekeeping())
+                group.create_task(self._death_watch.run())
+        except Exception as error:
+            self.has_failed = True
+            telemetry.log_failure(self._log_event, self.partition, error)
+            self.mark_lost("an unexpected error")
 
     def close(self) -> None:
         """Close all sessions.
--- a/clementinespar/jobs/telemetry.py
+++ b/clementinespar/jobs/telemetry.py
@@ -3,6 +3,7 @@
 import json
 import os
 import time
+import traceback
 
 import prometheus_client
 
@@ -11,6 +12,7 @@
 
 LINES_PER_S = 400.0  # above this rate, lines are dropped and counted
 BURST_LINES = 800.0
+MAX_ERROR_LINES = 12  # of a traceback
 MAX_PENDING_BYTES = 256 * 1024  # buffered while the output would block
 
 _JOB_SECONDS = (0.25, 0.5, 1.0, 1.5, 2.0, 3.0, 5.0, 8.0, 15.0, 30.0)
@@ -26,6 +28,15 @@
     )
 
 
+def log_failure(log_event: services.EventLog, partition: int, error: Exception) -> None:
+    """Log an unexpected error that has ended the owner of a partition."""
+    log_event(
+        "owner_failed",
+        partition=partition,
+        error=traceback.format_exception(error)[-MAX_ERROR_LINES:],
+    )
+
+
 class JobMetrics:
     """Counters and histograms of jobs on one node."""
 
--- a/clementinespar/jobs/tests/fakes.py
+++ b/clementinespar/jobs/tests/fakes.py
@@ -466,12 +466,14 @@
     is_down: bool
     drops_calls: bool
     owners: dict[int, str]
+    leaves: int  # calls of `leave`
 
     def __init__(self, partitions: frozenset[int], generation: int = 1) -> None:
         self.assignment = services.Assignment(generation, partitions)
         self.is_down = False
         self.drops_calls = False
         self.owners = {}
+        self.leaves = 0
 
     async def join(self, generation: int) -> services.Assignment:
         await asyncio.sleep(0.002)
@@ -482,7 +484,8 @@
         return self.assignment
 
     async def leave(self) -> None:
-        """Do nothing; the test sets the next assignment."""
+        """Count the call; the test sets the next assignment."""
+        self.leaves += 1
 
     async def list_owners(self) -> Mapping[int, str]:
         if self.drops_calls:
--- a/clementinespar/jobs/tests/test_ownership.py
+++ b/clementinespar/jobs/tests/test_ownership.py
@@ -19,6 +19,7 @@
 
     epoch: int
     is_lost: bool = False
+    has_failed: bool = False
 
 
 class ManagerHarness:
@@ -111,6 +112,37 @@
         assert harness.epochs == [1, 4]
 
 
+@paused_clock.test
+async def test_partition_gets_an_owner_again_after_an_unexpected_error() -> None:
+    """Guards against a partition whose owner has ended without anyone noticing."""
+    harness = ManagerHarness(frozenset({PARTITION}))
+    async with ownership.run_ownership_manager(harness.ownership_manager):
+        await asyncio.sleep(3.0)
+        owner = harness.ownership_manager.owners_by_partition[PARTITION]
+        owner.jobs_by_id["a"] = None  # type: ignore[assignment]
+        await asyncio.sleep(1.0)
+        assert owner.is_lost
+        assert harness.group.leaves == 1
+        harness.assign(2, PARTITION)
+        await asyncio.sleep(1.0)
+        assert harness.epochs == [1, 2]
+        assert not harness.ownership_manager.owners_by_partition[PARTITION].is_lost
+
+
+@paused_clock.test
+async def test_hosts_get_an_owner_again_after_an_unexpected_error() -> None:
+    """Guards against waves and moves that stop for good without anyone noticing."""
+    harness = ManagerHarness(frozenset({FLEET_PARTITION}))
+    async with ownership.run_ownership_manager(harness.ownership_manager):
+        await asyncio.sleep(3.0)
+        harness.fleet_owners[0].is_lost = harness.fleet_owners[0].has_failed = True
+        await asyncio.sleep(1.0)
+        assert harness.group.leaves == 1
+        harness.assign(2, FLEET_PARTITION)
+        await asyncio.sleep(1.0)
+        assert [fleet_owner.epoch for fleet_owner in harness.fleet_owners] == [1, 2]
+
+
 @paused_clock.test
 async def test_fenced_fleet_owner_comes_back_with_a_later_generation() -> None:
     """Guards against waves that stop after the store has reassigned partitions."""
