Check the fence of owners that may have missed a change of ownership

A node that the group had not heard of for longer than the time to live, and that then got the same partition again, went on under its old epoch and took the fresh confirmation, although another node may have owned the partition in between and have runs of its own there. After such a gap, with a later generation, an owner of pools or of the hosts acts again only after the store has taken an append under its epoch: another owner would have fenced it out. Nothing is loaded anew if no other began.

--- a/clementinespar/jobs/fleet.py
+++ b/clementinespar/jobs/fleet.py
@@ -59,6 +59,8 @@
     epoch: int
     is_lost: bool  # the store has seen a later owner, or it has failed
     has_failed: bool  # by an unexpected error
+    _fence_checks: int  # done; fewer than wanted: another owner may have begun
+    _wanted_fence_checks: int
     _partition: int
     _waves: dict[int, _WaveProgress]
     _peaks: dict[str, capacity.PeakState]
@@ -83,6 +85,8 @@
         self.epoch = epoch
         self.is_lost = False
         self.has_failed = False
+        self._fence_checks = 0
+        self._wanted_fence_checks = 0
         self._partition = partition
         self._ownership_manager = ownership_manager
         self._jobs = jobs
@@ -117,7 +121,7 @@
         begun_by_wave: dict[int, set[str]] = {}
         while True:
             try:
-                await self._store_record("holder", {"epoch": self.epoch})
+                await self._store_holder()
                 page = await self._store.list_newest(
                     services.Topic.HOSTS, self._partition
                 )
@@ -150,16 +154,25 @@
                     return
             await asyncio.sleep(TICK_S)
 
+    def check_fence(self) -> None:
+        """Stop acting until the store has confirmed that no later owner has begun."""
+        self._wanted_fence_checks += 1
+
     def _may_act(self) -> bool:
         confirmed = self._ownership_manager.confirmed_at()
         now = asyncio.get_running_loop().time()
         return (
             self._ownership_manager.is_fleet_owner
+            and self._fence_checks == self._wanted_fence_checks
             and confirmed is not None
             and now - confirmed < CONFIRMATION_MAX_AGE_S
         )
 
     async def _tick(self) -> None:
+        wanted = self._wanted_fence_checks
+        if wanted != self._fence_checks:
+            await self._store_holder()
+            self._fence_checks = wanted
         if not self._may_act():
             return
         hosts_by_id = {host.host_id: host for host in await self._hosts.list_hosts()}
@@ -476,6 +489,9 @@
         progress.begun.add(host.host_id)
         await self._store_record(f"wave{number}", sorted(progress.begun))
 
+    async def _store_holder(self) -> None:
+        await self._store_record("holder", {"epoch": self.epoch})
+
     async def _store_record(self, key: str, value: object) -> None:
         """Store a record under the epoch of this owner; retries until it is stored."""
         entry = services.KeyedRecord(key, json.dumps(value).encode())
--- a/clementinespar/jobs/ownership.py
+++ b/clementinespar/jobs/ownership.py
@@ -46,6 +46,10 @@
     is_lost: bool  # the store has seen a later owner, or it has failed
     has_failed: bool  # by an unexpected error
 
+    def check_fence(self) -> None:
+        """Stop acting until the store has confirmed that no later owner has begun."""
+        ...
+
 
 class OwnershipManager:
     """Joins the group and runs an owner for each assigned partition."""
@@ -192,6 +196,7 @@
             await self._leave()
             return
         if assignment.generation != self.generation:
+            self._check_fences()
             self._log_event(
                 "assignment",
                 generation=assignment.generation,
@@ -221,6 +226,21 @@
             if partition not in self.owners_by_partition and is_usable:
                 await self._start_owner(partition, epoch)
 
+    def _check_fences(self) -> None:
+        """Let no owner act whose partition may have been another's in between.
+
+        After a gap as long as the time to live, this node does not know the
+        assignments that it has missed.
+        """
+        confirmed_at = self._confirmed_at
+        now = asyncio.get_running_loop().time()
+        if confirmed_at is None or now - confirmed_at < self._group.ttl_s:
+            return
+        for owner in self.owners_by_partition.values():
+            owner.check_fence()
+        if self._fleet_owner is not None:
+            self._fleet_owner.check_fence()
+
     async def _apply_fleet(self, generation: int) -> None:
         """Run the owner of the fleet while the fleet partition is assigned."""
         fleet_owner = self._fleet_owner
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -81,6 +81,8 @@
     evacuating: dict[str, float]  # worker id: event-loop time at which it expires
     commands_read_at: float  # event-loop time of the last read of commands
     metrics: telemetry.JobMetrics
+    _fence_checks: int  # done; fewer than wanted: another owner may have begun
+    _wanted_fence_checks: int
     _lease_s: float  # longest lease that owners grant
     _log: fenced_log.FencedLog
     _next_command: int  # offset
@@ -121,6 +123,8 @@
         self.is_loaded = False
         self.is_lost = False
         self.has_failed = False
+        self._fence_checks = 0
+        self._wanted_fence_checks = 0
         self.jobs_by_id = {}
         self.sessions_by_id = {}
         self.evacuating = {}
@@ -178,7 +182,13 @@
 
     def confirmed_at(self) -> float | None:
         """Return when the last call that confirmed ownership was sent."""
-        return None if self.is_lost else self._confirmed_at()
+        is_checked = self._fence_checks == self._wanted_fence_checks
+        return self._confirmed_at() if is_checked and not self.is_lost else None
+
+    def check_fence(self) -> None:
+        """Stop acting until the store has confirmed that no later owner has begun."""
+        self._wanted_fence_checks += 1
+        self._flush_wanted.set()
 
     def on_contact(self, session: worker_session.WorkerSession) -> None:
         """Record that the worker has answered and request a round of placement."""
@@ -517,7 +527,7 @@
     async def load(self) -> None:
         """Fence previous owners, then read progress and commands."""
         loop = asyncio.get_running_loop()
-        await self._append([services.KeyedRecord("owner", b"%d" % self.epoch)])
+        await self._append([self._owner_record()])
         fenced_at = loop.time()
         progress = await self._retry_read(
             lambda: self._store.list_newest(services.Topic.PROGRESS, self.partition)
@@ -612,6 +622,9 @@
             for session in self.sessions_by_id.values()
         ]
         records = []
+        fence_checks = self._wanted_fence_checks
+        if fence_checks != self._fence_checks:
+            records.append(self._owner_record())
         for job in dirty:
             if not job.first_epoch:
                 job.first_epoch = self.epoch
@@ -629,6 +642,9 @@
         finals = [job for job in dirty if job.is_final]
         if records:
             await self._append(records)
+        if fence_checks != self._fence_checks:
+            self._fence_checks = fence_checks
+            self._schedule_wanted.set()
         if is_use_due:
             self._worker_use.mark_stored()
             self._schedule_wanted.set()
@@ -1024,6 +1040,9 @@
 
     # Store.
 
+    def _owner_record(self) -> services.KeyedRecord:
+        return services.KeyedRecord("owner", b"%d" % self.epoch)
+
     async def _append(self, records: list[services.KeyedRecord]) -> None:
         """Append progress as the owner; never returns once the owner is fenced out."""
         try:
--- a/clementinespar/jobs/services.py
+++ b/clementinespar/jobs/services.py
@@ -85,6 +85,8 @@
 class OwnershipGroup(Protocol):
     """Assigns each partition to one live node."""
 
+    ttl_s: float  # a member that joins later than this may have lost its partitions
+
     async def join(self, generation: int) -> Assignment:
         """Join or stay in the group.
 
--- a/clementinespar/jobs/tests/fakes.py
+++ b/clementinespar/jobs/tests/fakes.py
@@ -31,6 +31,7 @@
     is_down: bool
     loses_answers: bool  # appends are done, but not answered
     drops_calls: bool  # appends are neither done nor answered
+    cut_epochs: set[int]  # owners whose appends get no answer and do nothing
     # Time for which an append occupies its partition; the store is slow if it is long.
     append_s: float
     values: dict[tuple[services.Topic, int], dict[str, bytes]]
@@ -39,6 +40,7 @@
         self.is_down = False
         self.loses_answers = False
         self.drops_calls = False
+        self.cut_epochs = set()
         self.append_s = 0.0
         self._free_at: dict[tuple[services.Topic, int], float] = {}
         self.values = collections.defaultdict(dict)
@@ -88,6 +90,8 @@
     ) -> None:
         await asyncio.sleep(0.003)
         self._check()
+        if epoch in self.cut_epochs:
+            await _time_out_call()
         stored_epoch, stored_sequence = self._fences.get((topic, partition), (0, -1))
         if epoch < stored_epoch:
             raise errors.ClementinesparError(codes.ResultCode.STORE_FENCED, "epoch")
@@ -463,6 +467,7 @@
     """`services.OwnershipGroup` with one member, whose assignment the test sets."""
 
     assignment: services.Assignment
+    ttl_s: float
     is_down: bool
     drops_calls: bool
     owners: dict[int, str]
@@ -470,6 +475,7 @@
 
     def __init__(self, partitions: frozenset[int], generation: int = 1) -> None:
         self.assignment = services.Assignment(generation, partitions)
+        self.ttl_s = 1.5
         self.is_down = False
         self.drops_calls = False
         self.owners = {}
--- a/clementinespar/jobs/tests/test_ownership.py
+++ b/clementinespar/jobs/tests/test_ownership.py
@@ -20,6 +20,10 @@
     epoch: int
     is_lost: bool = False
     has_failed: bool = False
+    fence_checks: int = 0  # that were asked for
+
+    def check_fence(self) -> None:
+        self.fence_checks += 1
 
 
 class ManagerHarness:
--- a/clementinespar/jobs/tests/test_two_owners.py
+++ b/clementinespar/jobs/tests/test_two_owners.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from clementinespar.jobs.tests import fakes, helpers
+from clementinespar.jobs import ownership, pool_owner, services, state, telemetry
+from clementinespar.jobs.tests import fakes, helpers, test_ownership
 from clementinespar.tests import paused_clock
 
 
@@ -41,3 +42,86 @@
     previous.close()
     await asyncio.sleep(0.01)
     assert not workers.violations
+
+
+@paused_clock.test
+async def test_owner_whose_partition_was_another_ones_in_between_does_not_act() -> None:
+    """Guards against two owners: one that has missed its loss is confirmed again.
+
+    The other one, cut off in turn, has a worker that the first cannot reach.
+    """
+    harness = test_ownership.ManagerHarness(frozenset({test_ownership.PARTITION}))
+    workers = harness.workers = fakes.FakeWorkers(2)
+    workers.lasting_jobs.add("a")
+    spec = helpers.make_spec("a", 1, is_lasting=True)
+    await harness.store.append(
+        services.Topic.COMMANDS,
+        test_ownership.PARTITION,
+        [services.KeyedRecord("ja", state.encode_spec(spec))],
+    )
+    loop = asyncio.get_running_loop()
+    async with ownership.run_ownership_manager(harness.ownership_manager):
+        await asyncio.sleep(3.0)
+        used = workers.starts[0][2]
+        other = next(worker_id for worker_id in workers.workers if worker_id != used)
+        workers.cut_for |= {(used, 1), (other, 5)}
+        harness.group.is_down = True
+        harness.store.cut_epochs.add(1)
+        await asyncio.sleep(1.6)
+        confirmed_at = loop.time()
+        between = pool_owner.PoolOwner(
+            test_ownership.PARTITION,
+            5,
+            lambda pool: True,
+            lambda: confirmed_at,
+            lambda owner: None,
+            harness.store,
+            workers,
+            workers,
+            fakes.FakeAdviser(),
+            workers,
+            pool_owner.OwnerSettings(helpers.LEASE_MAX_S),
+            fakes.ignore_event,
+            telemetry.JobMetrics(),
+        )
+        async with pool_owner.own_partition(between):
+            for _ in range(16):
+                await asyncio.sleep(0.3)
+                confirmed_at = loop.time()
+            # It is cut off from the store, and its leases last.
+            await asyncio.sleep(1.6)
+            harness.group.is_down = False
+            harness.assign(6, test_ownership.PARTITION)
+            harness.store.cut_epochs.clear()
+            await asyncio.sleep(3.0)
+    assert not workers.violations
+
+
+@paused_clock.test
+async def test_owner_acts_on_after_a_gap_in_which_no_other_began() -> None:
+    """Guards against a pool that stands still after each outage of the store."""
+    harness = test_ownership.ManagerHarness(frozenset({test_ownership.PARTITION}))
+    async with ownership.run_ownership_manager(harness.ownership_manager):
+        await asyncio.sleep(3.0)
+        harness.group.is_down = True
+        await asyncio.sleep(3.0)
+        harness.group.is_down = False
+        harness.assign(6, test_ownership.PARTITION)
+        await asyncio.sleep(1.0)
+        owner = harness.ownership_manager.owners_by_partition[test_ownership.PARTITION]
+        assert owner.epoch == 1
+        assert owner.confirmed_at() is not None
+
+
+@paused_clock.test
+async def test_owner_of_the_hosts_checks_its_fence_after_a_gap() -> None:
+    """Guards against two holders of orders to hosts that take turns."""
+    harness = test_ownership.ManagerHarness(frozenset({test_ownership.FLEET_PARTITION}))
+    async with ownership.run_ownership_manager(harness.ownership_manager):
+        await asyncio.sleep(3.0)
+        harness.group.is_down = True
+        await asyncio.sleep(3.0)
+        harness.group.is_down = False
+        harness.assign(6, test_ownership.FLEET_PARTITION)
+        await asyncio.sleep(1.0)
+        assert [owner.fence_checks for owner in harness.fleet_owners] == [1]
