Bring hosts for draining workers only where lasting tasks need them

Hosts whose worker drains count as before; the hosts that lasting tasks need are counted without them.

Beside it: is_leaving no longer names dead workers, which no list of hosts shows, and move_blocked_by says what it holds.

--- a/clementinespar/jobs/capacity.py
+++ b/clementinespar/jobs/capacity.py
@@ -28,12 +28,13 @@
     name: str
     is_spare: bool
     host_cores: float  # of one host
-    hosts: int  # up and staying, arriving, or in maintenance, which is short
+    hosts: int  # up, arriving or in maintenance, which is short
     used_cores: float = 0.0
     waiting_cores: float = 0.0  # of work that can still meet its objective
     arriving_cores: float = 0.0  # core-seconds of work that arrive per second
     lasting_cores: float = 0.0
-    lasting_hosts: int = 0  # fewest that can hold the lasting tasks
+    lasting_hosts: int = 0  # fewest that can hold the largest lasting step
+    leaving_hosts: int = 0  # of `hosts`, those whose worker drains
     movable: list[str] = dataclasses.field(default_factory=list)  # ids of idle hosts
 
 
@@ -125,7 +126,12 @@
         return max(peak.home_hosts, needed)
     host_cores = max(1.0, view.host_cores)
     used = math.ceil(view.used_cores * HEADROOM / host_cores)
-    return max(max(needed, used) + SPARE_HOSTS, view.lasting_hosts)
+    return max(needed, used) + SPARE_HOSTS
+
+
+def hosts_for_lasting(view: PoolView) -> int:
+    """Return the number of hosts with which each lasting task has a place to go."""
+    return view.lasting_hosts + view.leaving_hosts if view.lasting_hosts else 0
 
 
 def kept_hosts(peak: PeakState, view: PoolView) -> int:
@@ -134,7 +140,7 @@
     A pool before its peak lends a part of its home size: what another pool lacks now
     counts more than a slower start of its own peak.
     """
-    needed = max(needed_hosts(peak, view) + SPARE_HOSTS, view.lasting_hosts)
+    needed = max(needed_hosts(peak, view) + SPARE_HOSTS, hosts_for_lasting(view))
     if peak.is_peaking or peak.is_resting:
         return needed
     return max(needed, math.ceil(peak.home_hosts * KEPT_SHARE))
@@ -169,7 +175,7 @@
         if view.is_spare:
             continue
         peak = peaks[view.name]
-        wanted = wanted_hosts(peak, view, now)
+        wanted = max(wanted_hosts(peak, view, now), hosts_for_lasting(view))
         kept = kept_hosts(peak, view)
         if wanted > view.hosts:
             lacking.append((wanted - view.hosts, view))
--- a/clementinespar/jobs/fleet.py
+++ b/clementinespar/jobs/fleet.py
@@ -273,12 +273,13 @@
             name=pool.name,
             is_spare=False,
             host_cores=load["worker_cores"] or DEFAULT_HOST_CORES,
-            hosts=len(staying) + arriving,
+            hosts=len(up) + arriving,
             used_cores=sum(worker["used_cores"] for worker in workers.values()),
             waiting_cores=load["waiting_cores"],
             arriving_cores=load["arriving_cores"],
             lasting_cores=sum(worker["lasting_cores"] for worker in workers.values()),
             lasting_hosts=load.get("lasting_hosts", 0),
+            leaving_hosts=len(up) - len(staying),
             movable=[
                 host.host_id
                 for host in staying
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -478,7 +478,7 @@
                         if run.spec.is_lasting and not run.spec.is_filler
                     ),
                     "can_take": session.can_take(now),
-                    "is_leaving": session.entry.is_draining or session.is_dead,
+                    "is_leaving": session.entry.is_draining,
                 }
                 for session in sessions
             },
--- a/clementinespar/jobs/tests/test_capacity.py
+++ b/clementinespar/jobs/tests/test_capacity.py
@@ -150,19 +150,27 @@
 
 
 @pytest.mark.parametrize(
-    ("hosts", "lasting_hosts", "wanted"),
+    ("hosts", "leaving_hosts", "lasting_hosts", "wanted"),
     [
-        pytest.param(3, 3, 0, id="each lasting task has its host"),
-        pytest.param(2, 3, 1, id="the host of a lasting task leaves"),
-        pytest.param(2, 1, 0, id="lasting tasks may share a host"),
-        pytest.param(0, 3, 3, id="all hosts are lost"),
+        pytest.param(3, 0, 3, 0, id="each lasting task has its host"),
+        pytest.param(3, 1, 3, 1, id="the host of a lasting task leaves"),
+        pytest.param(2, 0, 3, 1, id="the host of a lasting task is lost"),
+        pytest.param(2, 0, 1, 0, id="lasting tasks may share a host"),
+        pytest.param(0, 0, 3, 3, id="all hosts are lost"),
+        pytest.param(4, 1, 0, 0, id="no lasting task, so no host for a restart"),
     ],
 )
 def test_resting_pool_has_a_host_for_each_lasting_task(
-    hosts: int, lasting_hosts: int, wanted: int
+    hosts: int, leaving_hosts: int, lasting_hosts: int, wanted: int
 ) -> None:
     """Guards against a lasting task without a worker until the next peak."""
-    view = make_view("a", hosts, lasting_hosts=lasting_hosts, movable=[])
+    view = make_view(
+        "a",
+        hosts,
+        leaving_hosts=leaving_hosts,
+        lasting_hosts=lasting_hosts,
+        movable=[],
+    )
     moves = capacity.plan_moves(
         [view, make_spare(4)], make_resting_peaks("a", "b"), 20.0
     )
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -76,7 +76,7 @@
     usage: int  # as in `model.RunningTask`
     paced_at: float | None  # when `pace` last changed
     pace: int  # share of its speed, in percent
-    move_blocked_by: str  # why it was not moved to another worker; empty: it can be
+    move_blocked_by: str  # why its last move was not possible; empty: none was tried
     is_suspect: bool  # a worker has died under an earlier run of the task
     session: "WorkerSession"
 
