Isolate suspect tasks before one is given up for crashes

It is given up at the third death if no other task was suspect of the last one; five deaths are the limit if that never happens (gangs: three, as their members start together). A worker that has left a renewal without an answer gets no new starts.

test_tasks_that_start_beside_the_cause_of_crashes_are_not_given_up failed before.

--- a/clementinespar/jobs/crash_counts.py
+++ b/clementinespar/jobs/crash_counts.py
@@ -10,10 +10,11 @@
 from clementinespar.jobs import state, worker_session
 
 PROBATION_CRASHES = 2  # workers that have died under a job before it is on probation
-# Workers that may die under one task; the second number holds if no other task is
-# suspect of the last death. Lasting tasks see more workers die by chance.
-MAX_CRASHES = (3, 2)
-MAX_LASTING_CRASHES = (5, 3)
+# Of a task, before it starts only where no other task has just started.
+ISOLATED_CRASHES = 2
+ISOLATION_LIMIT_S = 2.0  # a task is not isolated if that delays it longer than this
+MAX_CRASHES = 3  # of a task, if no other was suspect of the last one
+MAX_SHARED_CRASHES = 5  # of a task, if others were always suspect as well
 # A run that started this long before its worker fell silent is suspect. Without a reset
 # of its connections, a dead worker is noticed by the timeout of a renewal.
 SUSPECT_S = 1.5
@@ -60,10 +61,19 @@
     Parameters
     ----------
     is_sole : bool
-        No other task is suspect of the last death.
+        No other task is suspect of the last death. The members of a gang always start
+        together.
     """
-    limits = MAX_LASTING_CRASHES if step.spec.is_lasting else MAX_CRASHES
-    return len(task.crashed_runs) >= limits[is_sole]
+    is_certain = is_sole or step.spec.is_gang
+    return len(task.crashed_runs) >= (MAX_CRASHES if is_certain else MAX_SHARED_CRASHES)
+
+
+def is_isolated(task: state.TaskState, now: float) -> bool:
+    """Whether a task may only start where no other task has just started."""
+    return (
+        len(task.crashed_runs) >= ISOLATED_CRASHES
+        and now - task.not_before < ISOLATION_LIMIT_S
+    )
 
 
 def is_on_probation(job: state.JobProgress) -> bool:
--- a/clementinespar/jobs/placement.py
+++ b/clementinespar/jobs/placement.py
@@ -1,5 +1,6 @@
 """Order of jobs, choice of workers, and pacing of filler tasks."""
 
+import asyncio
 import collections
 from collections.abc import Callable, Container
 
@@ -74,11 +75,12 @@
         avoided : set of str
             Workers on which the task failed; chosen only if no other can take it.
         """
+        now = asyncio.get_running_loop().time()
         best: worker_session.WorkerSession | None = None
         best_score: tuple[float, ...] = ()
         for session in self._sessions:
             worker_id = session.entry.worker_id
-            if not session.fits(spec):
+            if now < session.isolated_until or not session.fits(spec):
                 continue
             if spec.max_per_worker and counts[worker_id] >= spec.max_per_worker:
                 continue
@@ -111,11 +113,13 @@
 
         With `StepSpec.is_same_rack`, the workers are on one rack if possible.
         """
+        now = asyncio.get_running_loop().time()
+        sessions = [s for s in self._sessions if now >= s.isolated_until]
         by_rack: dict[str, list[worker_session.WorkerSession]] = {}
-        for session in self._sessions:
+        for session in sessions:
             by_rack.setdefault(session.entry.rack, []).append(session)
         groups = list(by_rack.values()) if spec.is_same_rack else []
-        for group in (*groups, self._sessions):
+        for group in (*groups, sessions):
             chosen = _fill_group(group, spec, size)
             if chosen is not None:
                 return chosen
--- a/clementinespar/jobs/task_placer.py
+++ b/clementinespar/jobs/task_placer.py
@@ -54,7 +54,7 @@
                 if indexes and is_on_probation and not step.spec.is_gang:
                     indexes = crash_counts.choose_alone(job, step, indexes)
                 if indexes:
-                    self._place_step(job, step, indexes, free_capacity)
+                    self._place_step(job, step, indexes, free_capacity, now)
 
     def _place_step(
         self,
@@ -62,6 +62,7 @@
         step: state.StepState,
         indexes: set[int],
         free_capacity: placement.FreeCapacity,
+        now: float,
     ) -> None:
         tickets_by_worker_id: dict[str, str] = {}
         if job.spec.needs_advice:
@@ -76,17 +77,34 @@
         counts = self.count_per_worker(job, step)
         for index in sorted(indexes):
             task = step.tasks[index]
+            is_isolated = crash_counts.is_isolated(task, now)
+            choices = free_capacity
+            if is_isolated:
+                choices = free_capacity.restrict(self._find_quiet(now))
             avoided = task.failed_on | self._find_endangered(step, task)
-            session = free_capacity.choose(step.spec, counts, avoided)
+            session = choices.choose(step.spec, counts, avoided)
             if session is None:
-                if not task.failed_on:
+                if not task.failed_on and not is_isolated:
                     break
                 continue
+            if is_isolated:
+                session.isolated_until = now + crash_counts.PRIME_SUSPECT_S
             counts[session.entry.worker_id] += 1
             ticket = tickets_by_worker_id.get(session.entry.worker_id, "")
             number = job.next_run(task, self._epoch)
             self._start(job, step, task, number, session, ticket)
 
+    def _find_quiet(self, now: float) -> set[str]:
+        """Return the workers on which no task has just started."""
+        return {
+            worker_id
+            for worker_id, session in self._sessions_by_id.items()
+            if all(
+                now - run.started_at > crash_counts.PRIME_SUSPECT_S
+                for run in session.runs.values()
+            )
+        }
+
     def _find_endangered(
         self, step: state.StepState, task: state.TaskState
     ) -> set[str]:
--- a/clementinespar/jobs/tests/test_crashing_tasks.py
+++ b/clementinespar/jobs/tests/test_crashing_tasks.py
@@ -75,6 +75,30 @@
     assert not workers.violations
 
 
+@paused_clock.test
+async def test_tasks_that_start_beside_the_cause_of_crashes_are_not_given_up() -> None:
+    """Guards against jobs that fail for starts that were never carried out.
+
+    The starts of one round go to the same workers, and none of them is answered.
+    """
+    workers = fakes.FakeWorkers(2, cpu=16_000)
+    workers.deadly = {("bad", 0)}
+    workers.back_after_s = 1.0
+    harness = helpers.OwnerHarness(workers)
+    for number in range(14):
+        await harness.submit(
+            helpers.make_spec(f"good{number}", 1, is_lasting=number < 2)
+        )
+    await harness.submit(helpers.make_spec("bad", 1))
+    async with helpers.run_owner(harness):
+        await harness.wait_state("bad", model.JobState.FAILED, timeout_s=60.0)
+        for number in range(2, 14):
+            await harness.wait_state(f"good{number}", model.JobState.DONE, 60.0)
+        for number in range(2):
+            assert harness.owner.describe(f"good{number}") is model.JobState.RUNNING
+    assert count_deadly_starts(workers) <= MAX_STARTS
+
+
 @pytest.mark.parametrize("is_lasting", [False, True])
 @pytest.mark.parametrize("delay_s", [0.0, 0.1, 1.0, 2.5])
 @paused_clock.test
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -179,6 +179,7 @@
     _silent_since: float  # event-loop time, if it is silent
     is_dead: bool  # reported as ended since its last answer
     has_runs_at_risk: bool  # some are stored as such
+    isolated_until: float  # event-loop time before which it gets no other task
     born_seen_at: float  # event-loop time at which this life of it was first seen
     is_evacuating: bool
     lease_bound: float  # event-loop time after which none of our runs executes there
@@ -220,6 +221,7 @@
         self._silent_since = 0.0
         self.is_dead = False
         self.has_runs_at_risk = False
+        self.isolated_until = 0.0
         self.born_seen_at = asyncio.get_running_loop().time()
         self.is_evacuating = False
         self.lease_bound = previous_lease_bound
@@ -254,6 +256,7 @@
         return (
             self.has_answered
             and self.is_listed
+            and not self.is_silent
             and not self.is_dead
             and not self.is_evacuating
             and not self.entry.is_draining
