Acknowledge the ends of a worker once, not with each renewal

A worker restarts under its id and carries a start out before the owner notices; its ends are numbered from one again, and the next renewal acknowledges all up to the number that the owner knows from before. The end is forgotten unread, and the task is requeued as gone. An acknowledgement is now sent until a renewal with it is answered, then none until there is a new one.

test_end_of_a_new_life_is_not_acknowledged_by_a_number_of_the_old_one failed before.

--- a/clementinespar/jobs/tests/test_pool_owner.py
+++ b/clementinespar/jobs/tests/test_pool_owner.py
@@ -725,3 +725,32 @@
         await asyncio.sleep(2.0)
         assert [key.job_id for key, _, _ in workers.starts] == ["a", "a", "b"]
     assert not workers.violations
+
+
+@paused_clock.test
+async def test_end_of_a_new_life_is_not_acknowledged_by_a_number_of_the_old_one() -> (
+    None
+):
+    """Guards against a task that runs again although its end was acknowledged.
+
+    A worker that has restarted unnoticed carries a start out, and its ends are numbered
+    from one again.
+    """
+    workers = fakes.FakeWorkers(1)
+    harness = helpers.OwnerHarness(workers)
+    await harness.submit(helpers.make_spec("a", 3))
+    async with helpers.run_owner(harness):
+        await harness.wait_state("a", model.JobState.DONE)
+        await asyncio.sleep(2.0)
+        workers.task_s = 60.0
+        await harness.submit(helpers.make_spec("b", 1))
+        while len(workers.starts) < 4:
+            await asyncio.sleep(0.01)
+        task, run, worker_id = workers.starts[-1]
+        workers.crash(worker_id)
+        reborn = workers.workers[worker_id]
+        reborn.ended.append(model.EndedTask(1, task, run, model.EndKind.DONE, ""))
+        reborn.next_number = 2
+        await harness.wait_state("b", model.JobState.DONE)
+    assert len(workers.starts) == 4
+    assert not workers.violations
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -186,6 +186,7 @@
     last_contact: float  # event-loop time
     acknowledged: int  # number of the last end that is stored
     processed: int  # number of the last end that is applied in memory
+    _acknowledgement_seen: int  # highest `acknowledged` that the worker has answered
     born_ms: int
     failed_jobs: set[str]
     ejected_until: float
@@ -228,6 +229,7 @@
         self.last_contact = 0.0
         self.acknowledged = 0
         self.processed = 0
+        self._acknowledgement_seen = 0
         self.born_ms = 0
         self.failed_jobs = set()
         self.ejected_until = 0.0
@@ -377,11 +379,16 @@
                 for run in self.runs.values()
             ) or (self.runs and not self._events.may_lease(self.entry.worker_id)):
                 wait_ms = SETTLE_WAIT_MS
+            # Sent until it is answered, and not again: a worker that has restarted
+            # numbers its ends anew and would forget the first ones.
+            acknowledged = self.acknowledged
+            if acknowledged <= self._acknowledgement_seen:
+                acknowledged = 0
             try:
                 report = await self._client.renew(
                     self.entry,
                     self.fence,
-                    self.acknowledged,
+                    acknowledged,
                     # An unresponsive worker gets no lease: a renewal without an answer
                     # may still arrive, and the lease would never certainly end.
                     None if failures else self.lease_until_ms(),
@@ -412,6 +419,7 @@
             if failures:
                 self._record_return(failures)
             failures = 0
+            self._acknowledgement_seen = max(self._acknowledgement_seen, acknowledged)
             self._apply(report, sent_at)
             await asyncio.sleep(RENEW_SPACING_S)
 
@@ -475,6 +483,7 @@
             self.born_ms = report.born_ms
             self.processed = 0
             self.acknowledged = 0
+            self._acknowledgement_seen = 0
         self.is_silent = False
         self.is_dead = False
         is_complete = True
