Stand-in: hosts, deaths, drains and capacities of workers; soak: faults and checks for them

The list of hosts was empty, workers came back at once, and each lasting job was cancelled.

A job may be reported as failed only if two workers died under one of its tasks.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -9,12 +9,14 @@
 
 import click
 
+from clementinespar import background
 from clementinespar_adapter import standin
-from soak import callers, faults, fleet
+from soak import callers, faults, fleet, standstill
 
-SETTLE_TIMEOUT_S = 30.0  # for accepted jobs to end after the last fault
-TIMEOUT_MARGIN_S = 75.0  # for a seed to end after its fault injection
+SETTLE_TIMEOUT_S = 45.0  # for accepted jobs to end after the last fault, and a calm
+TIMEOUT_MARGIN_S = 90.0  # for a seed to end after its fault injection
 POOLS = {"work": 4}
+MIN_DEATHS = 2  # of workers under one task of a job before the job may fail
 REGRESSION_SEEDS = pathlib.Path(__file__).with_name("regression_seeds.txt")
 CONFIGURATION = {
     "version": 1,
@@ -47,11 +49,13 @@
         await wait_ready(nodes)
         load = callers.Callers(platform, nodes, random.Random(seed + 1))
         injector = faults.Injector(platform, nodes, rng)
-        async with asyncio.TaskGroup() as group:
-            group.create_task(load.run(seconds))
-            group.create_task(injector.run(seconds))
-        injector.end_faults()
-        problems = await settle(platform, load)
+        watch = standstill.StandstillWatch(platform, load)
+        async with background.running(watch.run()):
+            async with asyncio.TaskGroup() as group:
+                group.create_task(load.run(seconds))
+                group.create_task(injector.run(seconds))
+            injector.end_faults()
+            problems = await settle(platform, load, watch)
     problems += platform.violations
     if not load.accepted:
         problems.append("no job was accepted")
@@ -61,7 +65,8 @@
     ]
     click.echo(
         f"seed {seed}: {injector.count} faults, {len(load.accepted)} jobs accepted,"
-        f" {len(load.refused)} refused, {platform.starts} starts,"
+        f" {len(load.refused)} refused, {len(load.failed)} failed,"
+        f" {platform.starts} starts,"
         f" {len(problems)} problems, logs in {folder}"
     )
     return problems
@@ -81,24 +86,60 @@
                 break
 
 
-async def settle(platform: standin.Platform, load: callers.Callers) -> list[str]:
-    """Wait until accepted jobs have their final state; return those without it."""
+async def settle(
+    platform: standin.Platform,
+    load: callers.Callers,
+    watch: standstill.StandstillWatch,
+) -> list[str]:
+    """Wait for final states and a calm; return the jobs that violate a guarantee.
+
+    A job with a task that crashes workers may stay unfinished without further crashes,
+    which would end the calm.
+    """
     loop = asyncio.get_running_loop()
     end = loop.time() + SETTLE_TIMEOUT_S
     missing: dict[str, str] = dict.fromkeys(sorted(load.accepted), "")
-    while missing and loop.time() < end:
+    deadly = {job_id for job_id in load.accepted if platform.is_deadly(job_id)}
+    while (missing.keys() - deadly or not watch.is_judged()) and loop.time() < end:
         for job_id in list(missing):
-            missing[job_id] = state = await load.read_state(job_id)
-            is_final = state == "done" or (
-                state == "cancelled" and job_id in load.cancelled
-            )
-            if is_final or (job_id in platform.lasting and state == "running"):
+            missing[job_id] = await load.read_state(job_id)
+            if is_allowed_end(platform, load, job_id, missing[job_id]):
                 del missing[job_id]
         await asyncio.sleep(0.2)
-    return [
+    # A task that lasts may have crashed workers after its job was seen running.
+    for job_id in sorted(load.kept):
+        state = await load.read_state(job_id)
+        if not is_allowed_end(platform, load, job_id, state):
+            missing[job_id] = state
+    problems = [
         f"{job_id} was accepted, but its last reported state is {state}"
         for job_id, state in missing.items()
+        if job_id not in deadly or state not in ("queued", "running")
+    ]
+    if not watch.is_judged():
+        problems.append("the lasting tasks cannot be judged: it did not become calm")
+    problems += [
+        f"{job_id} lasts and stood still for {seconds:.1f} s"
+        for job_id, seconds in watch.standstills.items()
+        if job_id not in load.failed
     ]
+    return problems + [
+        f"{job_id} lasts and does not run at the end"
+        for job_id in sorted(watch.find_stopped() - load.failed)
+    ]
+
+
+def is_allowed_end(
+    platform: standin.Platform, load: callers.Callers, job_id: str, state: str
+) -> bool:
+    """Whether a job may end in a state, or go on if it lasts."""
+    if state == "failed":
+        return platform.count_deaths(job_id) >= MIN_DEATHS
+    if state == "cancelled":
+        return job_id in load.cancelled
+    if state == "done":
+        return not platform.is_deadly(job_id)
+    return state == "running" and job_id in platform.lasting
 
 
 def read_regression_seeds(path: pathlib.Path) -> list[int]:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -13,6 +13,10 @@
 SUBMIT_TIMEOUT_S = 12.0  # after which a caller stops repeating a submission
 CANCEL_SHARE = 0.1
 LASTING_SHARE = 0.05
+KEPT_SHARE = 0.4  # of the lasting jobs; they are not cancelled
+DEADLY_SHARE = 0.02  # of the jobs; one task crashes each worker that starts it
+MAX_DEADLY_JOBS = 4  # in one seed, so that it becomes calm after the last fault
+LASTING_CPU = 50  # thousandths of a core
 
 
 class Callers:
@@ -21,6 +25,8 @@
     accepted: set[str]
     refused: set[str]
     cancelled: set[str]
+    failed: set[str]  # reported as failed
+    kept: set[str]  # accepted lasting jobs that are not cancelled
     not_stored: set[str]  # no attempt so far can have stored the job
     wrong_states: list[str]
 
@@ -30,6 +36,8 @@
         self.accepted = set()
         self.refused = set()
         self.cancelled = set()
+        self.failed = set()
+        self.kept = set()
         self.not_stored = set()
         self.wrong_states = []
         self._platform = platform
@@ -61,7 +69,10 @@
         """Return the job's state from a random node, or the status of its refusal."""
         node = self._rng.choice(self._nodes)
         status, reply = await self._call(node, "GET", f"/q/{job_id}", b"")
-        return str(reply.get("state", status))
+        state = str(reply.get("state", status))
+        if state == "failed":
+            self.failed.add(job_id)
+        return state
 
     async def _call(
         self, node: fleet.Node, method: str, path: str, body: bytes
@@ -83,9 +94,15 @@
         step = {"count": self._rng.randint(1, 4), "cpu": cpu, "memMb": 10}
         steps = [{**step, "estMs": 250}, {**step, "estMs": 250, "after": [0]}]
         if is_lasting:
-            steps = [{"count": 1, "cpu": 50, "longRunning": True}]
+            steps = [{"count": 1, "cpu": LASTING_CPU, "longRunning": True}]
             self._platform.lasting.add(job_id)
-        self._platform.task_cpu_by_job_id[job_id] = 50 if is_lasting else cpu
+        elif (
+            self._rng.random() < DEADLY_SHARE
+            and len(self._platform.deadly) < MAX_DEADLY_JOBS
+        ):
+            index = self._rng.randrange(int(step["count"]))
+            self._platform.add_deadly(job_id, self._rng.randint(0, 1), index)
+        self._platform.task_cpu_by_job_id[job_id] = LASTING_CPU if is_lasting else cpu
         body = json.dumps({"spec": "x", "steps": steps}).encode()
         end = loop.time() + SUBMIT_TIMEOUT_S
         self.not_stored.add(job_id)
@@ -104,6 +121,9 @@
             await asyncio.sleep(0.2)
             if status in (0, 502, 504):
                 self.not_stored.discard(job_id)
+        if is_lasting and self._rng.random() < KEPT_SHARE:
+            self.kept |= {job_id} & self.accepted
+            return
         if job_id in self.accepted and (
             is_lasting or self._rng.random() < CANCEL_SHARE
         ):
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,6 +11,10 @@
 
 FAULT_INTERVAL_RANGE_S = (0.1, 1.6)  # between the starts of two faults; they overlap
 FAULT_DURATION_RANGE_S = (0.3, 4.0)
+DRAIN_RANGE_S = (2.0, 4.0)
+REPLACE_RANGE_S = (0.2, 1.5)  # until another worker registers for one that has left
+SHRINK_RANGE_S = (3.0, 7.0)  # some shrinks outlast the notice that owners get
+SHRUNK_SHARES = (0.25, 0.5)
 
 
 class Injector:
@@ -36,6 +40,11 @@
             self._crash_worker,
             self._make_worker_unresponsive,
             self._lose_worker_answers,
+            self._kill_worker,
+            self._kill_worker,
+            self._drain_worker,
+            self._shrink_worker,
+            self._lose_worker_and_node,
         ]
 
     async def run(self, seconds: float) -> None:
@@ -45,7 +54,7 @@
         async with asyncio.TaskGroup() as group:
             while loop.time() < end:
                 self.count += 1
-                group.create_task(self._rng.choice(self._faults)())
+                group.create_task(self._inject(self._rng.choice(self._faults)))
                 await asyncio.sleep(self._rng.uniform(*FAULT_INTERVAL_RANGE_S))
 
     def end_faults(self) -> None:
@@ -54,11 +63,17 @@
         for worker in self._platform.workers_by_port.values():
             worker.is_unresponsive = False
             worker.loses_answers = False
+        self._platform.disturb()
         for node in self._nodes:
             node.store_proxy.set_mode(proxy.Mode.PASS)
             node.signal(signal.SIGCONT)
             node.start()
 
+    async def _inject(self, fault: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        self._platform.disturb()
+        await fault()
+        self._platform.disturb()
+
     async def _wait_duration(self) -> None:
         await asyncio.sleep(self._rng.uniform(*FAULT_DURATION_RANGE_S))
 
@@ -68,6 +83,15 @@
     def _choose_worker_port(self) -> int:
         return self._rng.choice(sorted(self._platform.workers_by_port))
 
+    def _choose_ready_worker(self) -> standin.Worker | None:
+        workers = self._platform.workers_by_port
+        ready = [
+            workers[port]
+            for port in sorted(workers)
+            if not workers[port].is_dead and not workers[port].is_draining
+        ]
+        return self._rng.choice(ready) if ready else None
+
     async def _kill(self) -> None:
         node = self._choose_node()
         node.signal(signal.SIGKILL)
@@ -107,8 +131,44 @@
         self._platform.drop_history()
 
     async def _crash_worker(self) -> None:
-        port = self._choose_worker_port()
-        self._platform.crash(self._platform.workers_by_port[port])
+        if (worker := self._choose_ready_worker()) is not None:
+            self._platform.crash(worker)
+
+    async def _kill_worker(self) -> None:
+        """Kill a worker, which is back later, possibly under another id."""
+        if (worker := self._choose_ready_worker()) is None:
+            return
+        self._platform.kill(worker, resets_calls=self._rng.random() < 0.5)
+        await self._wait_duration()
+        self._platform.revive(worker, has_new_id=self._rng.random() < 0.5)
+
+    async def _drain_worker(self) -> None:
+        """Drain a worker, which then leaves; another one registers."""
+        if (worker := self._choose_ready_worker()) is None:
+            return
+        self._platform.drain(worker)
+        await asyncio.sleep(self._rng.uniform(*DRAIN_RANGE_S))
+        if not self._platform.is_current(worker):
+            return  # it has died and is back
+        self._platform.leave(worker)
+        await asyncio.sleep(self._rng.uniform(*REPLACE_RANGE_S))
+        self._platform.replace(worker)
+
+    async def _shrink_worker(self) -> None:
+        if (worker := self._choose_ready_worker()) is None:
+            return
+        full = self._platform.capacity
+        share = self._rng.choice(SHRUNK_SHARES)
+        self._platform.set_capacity(worker, int(full * share))
+        await asyncio.sleep(self._rng.uniform(*SHRINK_RANGE_S))
+        if self._platform.is_current(worker) and not worker.is_dead:
+            self._platform.set_capacity(worker, full)
+
+    async def _lose_worker_and_node(self) -> None:
+        """Lose a worker beside a node, which may own its pool."""
+        end_node = self._rng.choice([self._kill, self._terminate])
+        end_worker = self._rng.choice([self._kill_worker, self._drain_worker])
+        await asyncio.gather(end_node(), end_worker())
 
     async def _make_worker_unresponsive(self) -> None:
         port = self._choose_worker_port()
