--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -16,6 +16,7 @@
 SETTLE_TIMEOUT_S = 45.0  # for accepted jobs to end after the last fault, and a calm
 TIMEOUT_MARGIN_S = 90.0  # for a seed to end after its fault injection
 POOLS = {"work": 4}
+FINAL_STATES = ("done", "failed", "cancelled")
 MIN_DEATHS = 2  # of workers under one task of a job before the job may fail
 REGRESSION_SEEDS = pathlib.Path(__file__).with_name("regression_seeds.txt")
 CONFIGURATION = {
@@ -99,22 +100,29 @@
     loop = asyncio.get_running_loop()
     end = loop.time() + SETTLE_TIMEOUT_S
     missing: dict[str, str] = dict.fromkeys(sorted(load.accepted), "")
+    wrong: dict[str, str] = {}
     deadly = {job_id for job_id in load.accepted if platform.is_deadly(job_id)}
     while (missing.keys() - deadly or not watch.is_judged()) and loop.time() < end:
         for job_id in list(missing):
-            missing[job_id] = await load.read_state(job_id)
-            if is_allowed_end(platform, load, job_id, missing[job_id]):
+            missing[job_id] = state = await load.read_state(job_id)
+            if is_allowed_end(platform, load, job_id, state):
                 del missing[job_id]
+            elif state in FINAL_STATES:
+                wrong[job_id] = missing.pop(job_id)
         await asyncio.sleep(0.2)
-    # A task that lasts may have crashed workers after its job was seen running.
+    # A job that lasts may have failed after it was seen running.
     for job_id in sorted(load.kept):
         state = await load.read_state(job_id)
         if not is_allowed_end(platform, load, job_id, state):
-            missing[job_id] = state
-    problems = [
-        f"{job_id} was accepted, but its last reported state is {state}"
+            wrong[job_id] = state
+    wrong |= {
+        job_id: state
         for job_id, state in missing.items()
         if job_id not in deadly or state not in ("queued", "running")
+    }
+    problems = [
+        f"{job_id} was accepted, but its last reported state is {state}"
+        for job_id, state in wrong.items()
     ]
     if not watch.is_judged():
         problems.append("the lasting tasks cannot be judged: it did not become calm")
