--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -121,7 +121,8 @@
         if job_id not in deadly or state not in ("queued", "running")
     }
     problems = [
-        f"{job_id} was accepted, but its last reported state is {state}"
+        f"{job_id} was accepted, but its last reported state is {state};"
+        f" {platform.count_deaths(job_id)} workers died under one of its tasks"
         for job_id, state in wrong.items()
     ]
     if not watch.is_judged():
