--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -125,13 +125,13 @@
         f" {platform.count_deaths(job_id)} workers died under one of its tasks"
         for job_id, state in wrong.items()
     ]
-    if not watch.is_judged():
-        problems.append("the lasting tasks cannot be judged: it did not become calm")
     problems += [
         f"{job_id} lasts and stood still for {seconds:.1f} s"
         for job_id, seconds in watch.standstills.items()
         if job_id not in load.failed
     ]
+    if not watch.is_judged():
+        return [*problems, "it did not become calm, so lasting tasks are not judged"]
     return problems + [
         f"{job_id} lasts and does not run at the end"
         for job_id in sorted(watch.find_stopped() - load.failed)
