--- a/clementinespar/jobs/ownership.py
+++ b/clementinespar/jobs/ownership.py
@@ -185,6 +185,7 @@
     async def _leave(self) -> None:
         """Give up all partitions; the next join begins anew."""
         await self.close()
+        self._epochs.clear()
         self.generation = 0
         self.assigned = frozenset()
         self.is_fleet_owner = False
--- a/clementinespar/jobs/tests/test_ownership.py
+++ b/clementinespar/jobs/tests/test_ownership.py
@@ -147,6 +147,18 @@
         assert [fleet_owner.epoch for fleet_owner in harness.fleet_owners] == [1, 2]
 
 
+@paused_clock.test
+async def test_owner_has_a_new_epoch_after_its_node_has_left() -> None:
+    """Guards against run numbers that are used again after the group was left."""
+    harness = ManagerHarness(frozenset({PARTITION, FLEET_PARTITION}))
+    async with ownership.run_ownership_manager(harness.ownership_manager):
+        await asyncio.sleep(3.0)
+        harness.fleet_owners[0].is_lost = harness.fleet_owners[0].has_failed = True
+        harness.assign(4, PARTITION, FLEET_PARTITION)
+        await asyncio.sleep(3.0)
+        assert harness.epochs == [1, 4]
+
+
 @paused_clock.test
 async def test_fenced_fleet_owner_comes_back_with_a_later_generation() -> None:
     """Guards against waves that stop after the store has reassigned partitions."""
