Measure suspicion from the last sign of life of a worker

Suspect are now the runs that started up to 0.3 s before the last answer of the worker, and the first that got none.

The members of a gang are one suspect, instead of counting as certain whoever else was suspect. A job leaves probation when a gang of it is done by a member that has seen no death, and a run that the next owner adopts is no longer stored as at risk; both had a failing test.

--- a/clementinespar/jobs/crash_counts.py
+++ b/clementinespar/jobs/crash_counts.py
@@ -13,17 +13,19 @@
 # Of a task, before it starts only where no other task has just started.
 ISOLATED_CRASHES = 2
 ISOLATION_LIMIT_S = 2.0  # a task is not isolated if that delays it longer than this
-MAX_CRASHES = 3  # of a task, if no other was suspect of the last one
+MAX_CRASHES = 3  # of a task, if no other step was suspect of the last one
 MAX_SHARED_CRASHES = 5  # of a task, if others were always suspect as well
-# A run that started this long before its worker fell silent is suspect. Without a reset
-# of its connections, a dead worker is noticed by the timeout of a renewal.
+# A run that started this long before its worker was noticed to be silent is suspect.
+# Without a reset of its connections, a dead worker is noticed by a renewal's timeout.
 SUSPECT_S = 1.5
-# If there are runs that are this young, the others are not suspect.
+# The runs that started this long before the last sign of life, and the first ones that
+# started after it, are more suspect than the others.
 PRIME_SUSPECT_S = 0.3
+SAME_ROUND_S = 0.005  # runs that start within this time started together
 
 
 def find_suspects(
-    runs: Iterable[worker_session.Run], silent_at: float
+    runs: Iterable[worker_session.Run], silent_at: float, alive_at: float
 ) -> list[worker_session.Run]:
     """Return the runs that may have crashed their worker.
 
@@ -31,9 +33,18 @@
     ----------
     silent_at : float
         Event-loop time at which the worker was first noticed to be silent.
+    alive_at : float
+        Event-loop time of its last answer before that.
     """
     suspects = [run for run in runs if silent_at - run.started_at <= SUSPECT_S]
-    prime = [run for run in suspects if silent_at - run.started_at <= PRIME_SUSPECT_S]
+    unheard = [run.started_at for run in suspects if run.started_at > alive_at]
+    # Starts after the first one that got no answer may have met a dead worker.
+    first_until = min(unheard, default=alive_at) + SAME_ROUND_S
+    prime = [
+        run
+        for run in suspects
+        if alive_at - PRIME_SUSPECT_S <= run.started_at <= first_until
+    ]
     return prime or suspects
 
 
@@ -55,17 +66,15 @@
     return now - run.started_at > SUSPECT_S
 
 
-def is_exceeded(step: state.StepState, task: state.TaskState, is_sole: bool) -> bool:
+def is_exceeded(task: state.TaskState, is_sole: bool) -> bool:
     """Whether too many workers have died under a task to start it again.
 
     Parameters
     ----------
     is_sole : bool
-        No other task is suspect of the last death. The members of a gang always start
-        together.
+        No other step is suspect of the last death.
     """
-    is_certain = is_sole or step.spec.is_gang
-    return len(task.crashed_runs) >= (MAX_CRASHES if is_certain else MAX_SHARED_CRASHES)
+    return len(task.crashed_runs) >= (MAX_CRASHES if is_sole else MAX_SHARED_CRASHES)
 
 
 def is_isolated(task: state.TaskState, now: float) -> bool:
@@ -111,8 +120,11 @@
 
 
 def acquit(job: state.JobProgress, task: state.TaskState) -> bool:
-    """Clear a task that ran without a death of its worker; True if it was suspect."""
-    if not task.crashed_runs:
+    """Clear a task that ran without a death of its worker; True if that changed it.
+
+    A gang is cleared as a whole by the end of one member.
+    """
+    if not task.crashed_runs and not job.crashed_workers:
         return False
     task.crashed_runs.clear()
     job.crashed_workers.clear()
--- a/clementinespar/jobs/crash_watch.py
+++ b/clementinespar/jobs/crash_watch.py
@@ -64,7 +64,7 @@
     def mark_at_risk(self, session: worker_session.WorkerSession) -> None:
         """Store suspect runs on a worker that does not answer, with its identity."""
         for run in crash_counts.find_suspects(
-            session.runs.values(), session.silent_since()
+            session.runs.values(), session.silent_since(), session.alive_at
         ):
             found = self._find(run.key)
             if found is None:
@@ -109,8 +109,15 @@
         if session.entry.is_draining or session.is_evacuating:
             return
         suspects = crash_counts.find_suspects(
-            session.runs.values(), session.silent_since()
+            session.runs.values(), session.silent_since(), session.alive_at
         )
+        # The members of a gang start together, so they share one suspicion.
+        steps = {
+            (run.key.job_id, run.key.occurrence, run.key.step)
+            if run.spec.is_gang
+            else run.key
+            for run in suspects
+        }
         for run in suspects:
             found = self._find(run.key)
             if found is not None and run.number in found[1].open_runs:
@@ -118,7 +125,7 @@
                     *found,
                     run.number,
                     session.entry.worker_id,
-                    is_sole=len(suspects) == 1,
+                    is_sole=len(steps) == 1,
                 )
 
     def acquit_survivors(self) -> None:
@@ -162,7 +169,7 @@
             is_sole=is_sole,
         )
         self._store_soon(job)
-        if crash_counts.is_exceeded(job.find_step(task.key), task, is_sole):
+        if crash_counts.is_exceeded(task, is_sole):
             self._give_up(job)
 
     def _find(
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -338,7 +338,8 @@
         run.percent = listed.percent
         run.is_suspect = bool(task.crashed_runs)
         task.open_runs.add(listed.run)
-        task.at_risk.pop(listed.run, None)
+        if task.at_risk.pop(listed.run, None) is not None:
+            self._store_soon(job)
         step.waiting.discard(listed.task.index)
         job.mark_started()
         return run
--- a/clementinespar/jobs/tests/test_crashing_tasks.py
+++ b/clementinespar/jobs/tests/test_crashing_tasks.py
@@ -210,3 +210,90 @@
                 workers.crash(f"quotes-{number}")
         await harness.wait_state("a", model.JobState.DONE, timeout_s=60.0)
     assert [event for event, _ in harness.events if event == "task_crash"]
+
+
+@pytest.mark.parametrize("bad_jobs", [1, 2])
+@pytest.mark.parametrize("after_s", [0.0, 0.1, 0.25])
+@pytest.mark.parametrize("is_gang", [False, True])
+@paused_clock.test
+async def test_deadly_task_beside_a_stream_of_jobs(
+    bad_jobs: int, after_s: float, is_gang: bool
+) -> None:
+    """Guards against suspicion that falls on starts after the worker had died."""
+    workers = fakes.FakeWorkers(6, cpu=64_000)
+    workers.deadly = {(f"bad{i}", 0) for i in range(bad_jobs)}
+    workers.deadly_after_s = after_s
+    harness = helpers.OwnerHarness(workers)
+    step = model.StepSpec(2, 100, 100, estimate_ms=500, is_gang=is_gang)
+    if not is_gang:
+        step = model.StepSpec(1, 100, 100, estimate_ms=500)
+    async with helpers.run_owner(harness):
+        await asyncio.sleep(1.0)
+        for turn in range(150):
+            if turn % 25 == 0 and turn // 25 < bad_jobs:
+                await harness.submit(helpers.make_spec(f"bad{turn // 25}", 1, cpu=100))
+            await harness.submit(
+                model.JobSpec(
+                    f"good{turn}",
+                    "q",
+                    "quotes",
+                    "p",
+                    (step,),
+                    max_attempts=3,
+                    objective_ms=600,
+                    stretch=1.6,
+                )
+            )
+            await asyncio.sleep(0.1)
+        await asyncio.sleep(60.0)
+    starts = [
+        sum(key.job_id == f"bad{i}" for key, _, _ in workers.starts)
+        for i in range(bad_jobs)
+    ]
+    assert max(starts) <= MAX_STARTS
+
+
+def test_job_leaves_probation_after_its_gang_is_done() -> None:
+    """Guards against a job that runs one task at a time for good."""
+    spec = model.JobSpec(
+        "a",
+        "q",
+        "quotes",
+        "payload",
+        (
+            model.StepSpec(3, 1000, 100, is_gang=True),
+            model.StepSpec(50, 1000, 100, after=(0,)),
+        ),
+    )
+    job = state.JobProgress(spec)
+    step = job.occurrences[0].steps[0]
+    crash_counts.record(job, step.tasks[0], 1, "w0")
+    crash_counts.record(job, step.tasks[1], 2, "w1")
+    # As `PoolOwner.on_end` and `_finish_gang` do if member 2 is listed first.
+    crash_counts.acquit(job, step.tasks[2])
+    for task in step.tasks:
+        state.mark_done(step, task)
+    assert not crash_counts.is_on_probation(job)
+
+
+@paused_clock.test
+async def test_adopted_run_is_no_longer_stored_as_at_risk() -> None:
+    """Guards against a later, unrelated death that counts for an adopted run."""
+    workers = fakes.FakeWorkers(2)
+    workers.task_s = 60.0
+    harness = helpers.OwnerHarness(workers)
+    await harness.submit(helpers.make_spec("a", 1))
+    async with helpers.run_owner(harness):
+        while not workers.starts:
+            await asyncio.sleep(0.02)
+        used = workers.starts[0][2]
+        await asyncio.sleep(0.1)
+        workers.workers[used].is_unresponsive = True
+        await asyncio.sleep(1.4)
+    workers.workers[used].is_unresponsive = False
+    async with helpers.run_owner(harness):
+        await asyncio.sleep(12.0)
+    workers.crash(used)
+    async with helpers.run_owner(harness):
+        await asyncio.sleep(8.0)
+    assert not [fields for event, fields in harness.events if event == "task_crash"]
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -183,7 +183,8 @@
     born_seen_at: float  # event-loop time at which this life of it was first seen
     is_evacuating: bool
     lease_bound: float  # event-loop time after which none of our runs executes there
-    last_contact: float  # event-loop time
+    last_contact: float  # event-loop time of the last report
+    alive_at: float  # event-loop time of the last report or answer to a start
     acknowledged: int  # number of the last end that is stored
     processed: int  # number of the last end that is applied in memory
     _acknowledgement_seen: int  # highest `acknowledged` that the worker has answered
@@ -227,6 +228,7 @@
         self.is_evacuating = False
         self.lease_bound = previous_lease_bound
         self.last_contact = 0.0
+        self.alive_at = 0.0
         self.acknowledged = 0
         self.processed = 0
         self._acknowledgement_seen = 0
@@ -484,6 +486,7 @@
             self.processed = 0
             self.acknowledged = 0
             self._acknowledgement_seen = 0
+        self.alive_at = now
         self.is_silent = False
         self.is_dead = False
         is_complete = True
@@ -587,6 +590,7 @@
             self.set_clock(answer.clock_ms)
         run.answered_at = loop.time()
         run.percent_at = run.answered_at
+        self.alive_at = run.answered_at
         if answer.result is model.StartResult.STARTED:
             run.is_start_settled = True
             if run.status is RunStatus.STARTING:
