Count a death that is known only after the lease has ended

The run was forgotten at the end of the lease, and the later new life of the worker counted nothing. Its risk is now kept until the worker answers, in the same life or another, or is gone.

test_deadly_task_on_a_pool_whose_workers_all_die failed before for workers that are back after 8 s.

--- a/clementinespar/jobs/crash_watch.py
+++ b/clementinespar/jobs/crash_watch.py
@@ -31,8 +31,9 @@
         Fails a job whose task has crashed too many workers.
     """
 
-    # Of previous owners, by worker id: task, run and start of the worker in Unix ms.
-    _restored: dict[str, list[tuple[model.TaskKey, int, int]]]
+    # Runs at risk that no session tracks, since a previous owner started them or their
+    # lease has ended; by worker id: task, run and start of the worker in Unix ms.
+    _unresolved: dict[str, list[tuple[model.TaskKey, int, int]]]
 
     def __init__(
         self,
@@ -51,13 +52,13 @@
         self._give_up = give_up
         self._log_event = log_event
         self._metrics = metrics
-        self._restored = {}
+        self._unresolved = {}
 
     def restore(self, job: state.JobProgress) -> None:
         """Add the runs at risk of a job that a previous owner has stored."""
         for task in crash_counts.open_tasks(job):
             for run, (worker_id, born_ms) in task.at_risk.items():
-                self._restored.setdefault(worker_id, []).append(
+                self._unresolved.setdefault(worker_id, []).append(
                     (task.key, run, born_ms)
                 )
 
@@ -77,7 +78,7 @@
 
     def on_contact(self, session: worker_session.WorkerSession) -> None:
         """Handle a worker that answers: its runs are no longer at risk."""
-        for key, run, born_ms in self._restored.pop(session.entry.worker_id, ()):
+        for key, run, born_ms in self._unresolved.pop(session.entry.worker_id, ()):
             found = self._find(key)
             if found is None or run not in found[1].at_risk:
                 continue  # it was adopted or has ended
@@ -91,6 +92,24 @@
         for tracked in session.runs.values():
             self.clear_risk(tracked.key, tracked.number)
 
+    def on_lapse(
+        self, session: worker_session.WorkerSession, run: worker_session.Run
+    ) -> None:
+        """Keep a run at risk until its worker answers in the same life or another."""
+        found = self._find(run.key)
+        if found is not None and run.number in found[1].at_risk:
+            self._unresolved.setdefault(session.entry.worker_id, []).append(
+                (run.key, run.number, session.born_ms)
+            )
+
+    def on_run_gone(
+        self, session: worker_session.WorkerSession, run: worker_session.Run
+    ) -> None:
+        """Forget that a run was at risk, unless its worker may have died."""
+        unresolved = self._unresolved.get(session.entry.worker_id, ())
+        if (run.key, run.number, session.born_ms) not in unresolved:
+            self.clear_risk(run.key, run.number)
+
     def clear_risk(self, key: model.TaskKey, run: int) -> None:
         """Forget that a run was at risk."""
         found = self._find(key)
@@ -99,7 +118,7 @@
 
     def on_death(self, worker_id: str) -> None:
         """Count the runs of previous owners on a worker that has ended."""
-        for key, run, _ in self._restored.pop(worker_id, ()):
+        for key, run, _ in self._unresolved.pop(worker_id, ()):
             found = self._find(key)
             if found is not None and run in found[1].at_risk:
                 self._count(*found, run, worker_id, is_sole=False)
@@ -129,7 +148,7 @@
                 )
 
     def acquit_survivors(self) -> None:
-        """Clear lasting tasks that have survived, and leases that have ended."""
+        """Clear lasting tasks that have survived, and runs on workers that are gone."""
         now = asyncio.get_running_loop().time()
         for session in self._sessions_by_id.values():
             for run in session.runs.values():
@@ -143,9 +162,10 @@
                     found = self._find(run.key)
                     if found is not None and crash_counts.acquit(*found):
                         self._store_soon(found[0])
-        for worker_id in set(self._restored) - set(self._worker_use.find_unsettled()):
-            # The worker was cut off, or it is not known to have died.
-            for key, number, _ in self._restored.pop(worker_id):
+        silent = {*self._worker_use.find_unsettled(), *self._sessions_by_id}
+        for worker_id in set(self._unresolved) - silent:
+            # The worker is gone, and it is not known to have died under the run.
+            for key, number, _ in self._unresolved.pop(worker_id):
                 self.clear_risk(key, number)
 
     def _count(
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -292,6 +292,12 @@
         """Store where the run may execute, in case its worker has died."""
         self._crash_watch.mark_at_risk(session)
 
+    def on_lapse(
+        self, session: worker_session.WorkerSession, run: worker_session.Run
+    ) -> None:
+        """Keep a run at risk until its worker shows whether it died."""
+        self._crash_watch.on_lapse(session, run)
+
     def on_crash(self, session: worker_session.WorkerSession) -> None:
         """Count the death of a worker against the tasks that ran there."""
         self._crash_watch.count_crash(session)
@@ -317,7 +323,7 @@
             return
         job, task = found
         task.open_runs.discard(run.number)
-        self._crash_watch.clear_risk(run.key, run.number)
+        self._crash_watch.on_run_gone(session, run)
         self._requeue(job.find_step(run.key), task, LOST_RETRY_DELAY_S)
 
     def on_unknown_run(
--- a/clementinespar/jobs/tests/test_crashing_tasks.py
+++ b/clementinespar/jobs/tests/test_crashing_tasks.py
@@ -297,3 +297,23 @@
     async with helpers.run_owner(harness):
         await asyncio.sleep(8.0)
     assert not [fields for event, fields in harness.events if event == "task_crash"]
+
+
+@pytest.mark.parametrize("after_s", [0.0, 0.2])
+@pytest.mark.parametrize("count", [1, 2])
+@pytest.mark.parametrize("back_s", [3.0, 8.0])
+@paused_clock.test
+async def test_deadly_task_on_a_pool_whose_workers_all_die(
+    after_s: float, count: int, back_s: float
+) -> None:
+    """Guards against deaths that lapse uncounted as no worker proves the list."""
+    workers = fakes.FakeWorkers(count)
+    workers.deadly = {("bad", 0)}
+    workers.deadly_after_s = after_s
+    workers.back_after_s = back_s
+    harness = helpers.OwnerHarness(workers)
+    async with helpers.run_owner(harness):
+        await harness.submit(helpers.make_spec("bad", 1))
+        await asyncio.sleep(120.0)
+        assert harness.owner.describe("bad") is model.JobState.FAILED
+    assert count_deadly_starts(workers) <= MAX_STARTS
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -140,6 +140,10 @@
         """Handle the death of a worker, before its runs are dropped."""
         ...
 
+    def on_lapse(self, session: "WorkerSession", run: Run) -> None:
+        """Handle the end of the lease of a run, before `on_run_gone`."""
+        ...
+
     def on_run_gone(self, session: "WorkerSession", run: Run, reason: str) -> None:
         """Handle a run that certainly does not execute although no end was listed."""
         ...
@@ -449,6 +453,7 @@
         for run in list(self.runs.values()):
             if run.status is not RunStatus.STARTING:
                 self.drop_run(run)
+                self._events.on_lapse(self, run)
                 self._events.on_run_gone(self, run, "lease ended on a silent worker")
 
     def drop_ended(self) -> None:
