--- a/clementinespar/jobs/crash_counts.py
+++ b/clementinespar/jobs/crash_counts.py
@@ -9,8 +9,10 @@
 
 from clementinespar.jobs import state, worker_session
 
-PROBATION_CRASHES = 2  # workers that have died under a job before it is on probation
-# Of a task, before it starts only where no other task has just started.
+# A job is on probation after the deaths of this many workers, or of this many under one
+# of its tasks.
+PROBATION_CRASHES = 2
+# A task that has seen this many deaths starts only where no other has just started.
 ISOLATED_CRASHES = 2
 ISOLATION_LIMIT_S = 2.0  # a task is not isolated if that delays it longer than this
 MAX_CRASHES = 3  # of a task, if no other step was suspect of the last one
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -77,7 +77,7 @@
     paced_at: float | None  # when `pace` last changed
     pace: int  # share of its speed, in percent
     move_blocked_by: str  # why its last move was not possible; empty: none was tried
-    is_suspect: bool  # a worker has died under an earlier run of the task
+    is_suspect: bool  # a worker has died while an earlier run of the task was suspect
     session: "WorkerSession"
 
     def __init__(
