--- a/clementinespar/jobs/tests/test_crashing_tasks.py
+++ b/clementinespar/jobs/tests/test_crashing_tasks.py
@@ -317,3 +317,17 @@
         await asyncio.sleep(120.0)
         assert harness.owner.describe("bad") is model.JobState.FAILED
     assert count_deadly_starts(workers) <= MAX_STARTS
+
+
+@paused_clock.test
+async def test_deadly_task_without_a_list_of_hosts() -> None:
+    """Guards against deaths that count too late while the list is not answered."""
+    workers = fakes.FakeWorkers(6)
+    workers.deadly = {("bad", 0)}
+    workers.back_after_s = 8.0
+    workers.lists_hosts = False
+    harness = helpers.OwnerHarness(workers)
+    async with helpers.run_owner(harness):
+        await harness.submit(helpers.make_spec("bad", 1))
+        await asyncio.sleep(120.0)
+    assert count_deadly_starts(workers) <= MAX_STARTS
