--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -712,7 +712,9 @@
                         session.is_evacuating = False
             self._schedule_wanted.set()
             self._held_tasks.report(
-                self._active.values(), self._worker_use.find_unsettled(), self._has_room
+                self._active.values(),
+                self._worker_use.find_unsettled(),
+                self._run_watch.has_room,
             )
             await self._drop_finished(now_ms)
 
@@ -939,19 +941,6 @@
         for job in waiting:
             self._placer.place(job, free_capacity_by_pool[job.spec.pool], now)
 
-    def _has_room(self, job: state.JobProgress, step: state.StepState) -> bool:
-        """Whether a worker of the job's pool could take one more task of a step."""
-        now = asyncio.get_running_loop().time()
-        free_capacity = placement.FreeCapacity(
-            [
-                session
-                for session in self.sessions_by_id.values()
-                if session.can_take(now) and session.entry.pool == job.spec.pool
-            ]
-        )
-        counts = self._placer.count_per_worker(job, step)
-        return free_capacity.choose(step.spec, counts, set()) is not None
-
     # Workers.
 
     def _refresh_sessions(self) -> None:
--- a/clementinespar/jobs/run_watch.py
+++ b/clementinespar/jobs/run_watch.py
@@ -82,20 +82,30 @@
             if down >= max(1, may_miss):
                 self._report_blocked(run, "other tasks of its step are down")
                 return
-        counts = self._placer.count_per_worker(job, step)
+        if not self.has_room(job, step, leaving=run.session):
+            self._report_blocked(run, "no other worker has room")
+            return
+        run.session.stop(run, reason)
+
+    def has_room(
+        self,
+        job: state.JobProgress,
+        step: state.StepState,
+        leaving: worker_session.WorkerSession | None = None,
+    ) -> bool:
+        """Whether a worker other than a leaving one could take a task of a step."""
+        now = asyncio.get_running_loop().time()
         free_capacity = placement.FreeCapacity(
             [
                 session
                 for session in self._sessions_by_id.values()
                 if session.can_take(now)
-                and session is not run.session
+                and session is not leaving
                 and session.entry.pool == job.spec.pool
             ]
         )
-        if free_capacity.choose(step.spec, counts, set()) is None:
-            self._report_blocked(run, "no other worker has room")
-            return
-        run.session.stop(run, reason)
+        counts = self._placer.count_per_worker(job, step)
+        return free_capacity.choose(step.spec, counts, set()) is not None
 
     def _report_blocked(self, run: worker_session.Run, reason: str) -> None:
         """Log once for each reason that a run cannot be moved."""
