Send no request to a target that reports leaving after the slot was assigned

Cause: a slot was assigned in the same instant in which another attempt reported that its target was leaving; the attempt was started all the same and refused there. Change: a request whose target is no longer usable gives its slot back and waits in the queue for another one.

--- a/clementinespar/requests/dispatcher.py
+++ b/clementinespar/requests/dispatcher.py
@@ -389,17 +389,24 @@
         """Wait in the queue; returns a target with a slot, or the refusal."""
         loop = asyncio.get_running_loop()
         entry = in_flight.entry
-        if in_flight.assignment is None:
-            if in_flight.waiters == 0:
-                return _cancelled()
-            self._enqueue(in_flight)
-        assert in_flight.assignment is not None
-        assignment = await in_flight.assignment
-        in_flight.assignment = None
-        in_flight.waited_s += loop.time() - in_flight.queued_at
-        if isinstance(assignment, in_flight_requests.Assignment) and (
-            in_flight.waiters == 0 or loop.time() >= entry.deadline
-        ):
+        while True:
+            if in_flight.assignment is None:
+                if in_flight.waiters == 0:
+                    return _cancelled()
+                self._enqueue(in_flight)
+            assert in_flight.assignment is not None
+            assignment = await in_flight.assignment
+            in_flight.assignment = None
+            in_flight.waited_s += loop.time() - in_flight.queued_at
+            if isinstance(assignment, model.Outcome):
+                return assignment
+            if in_flight.waiters and loop.time() < entry.deadline:
+                if assignment.target in self._targets_of(in_flight.service.name):
+                    return assignment
+                # Another attempt has reported that the target is leaving after the
+                # slot was assigned, so the request waits for another target.
+                self._release_unused(in_flight, assignment)
+                continue
             # The caller left, or the deadline passed, after the slot was assigned.
             self._release_unused(in_flight, assignment)
             if in_flight.waiters == 0:
@@ -407,7 +414,6 @@
             return model.not_run(
                 codes.ResultCode.DEADLINE_PASSED, "the deadline has passed"
             )
-        return assignment
 
     def _enqueue(self, in_flight: in_flight_requests.InFlightRequest) -> None:
         """Add a request to the queue; `_dequeue` removes it."""
