--- /dev/null
+++ b/clementinespar/jobs/owner_loading.py
@@ -0,0 +1,103 @@
+"""Restores what previous owners of a partition have stored, and adopts their runs."""
+
+import asyncio
+from collections.abc import Iterable, Mapping
+
+from clementinespar.jobs import (
+    job_table,
+    model,
+    services,
+    state,
+    telemetry,
+    worker_session,
+    worker_use,
+)
+
+
+def restore_jobs(
+    progress: Mapping[str, bytes],
+    commands: Iterable[services.KeyedRecord],
+    log_event: services.EventLog,
+) -> list[state.JobProgress]:
+    """Return the jobs that previous owners had adopted.
+
+    Parameters
+    ----------
+    progress : mapping of str to bytes
+        The newest progress records by key.
+    commands : iterable of services.KeyedRecord
+        The newest commands, which hold the jobs as submitted.
+    """
+    specs = {
+        record.key[1:]: record.value
+        for record in commands
+        if record.key.startswith("j")
+    }
+    jobs = []
+    for key, value in progress.items():
+        if not key.startswith("p"):
+            continue
+        job_id = key[1:]
+        try:
+            spec = (
+                state.decode_spec(job_id, specs[job_id])
+                if job_id in specs
+                else model.JobSpec(job_id, "", "", "", ())
+            )
+            job = state.JobProgress(spec)
+            state.restore_progress(job, value)
+        except state.DECODING_ERRORS as error:
+            telemetry.log_invalid_entry(log_event, key, error)
+            continue
+        jobs.append(job)
+    return jobs
+
+
+def restore_worker_use(
+    use: worker_use.WorkerUse,
+    value: bytes,
+    fenced_at: float,
+    lease_s: float,
+    log_event: services.EventLog,
+) -> None:
+    """Restore which workers the previous owners may still have leases on.
+
+    Parameters
+    ----------
+    fenced_at : float
+        Event-loop time after which the previous owners could store nothing.
+    lease_s : float
+        Longest time for which their leases go on after that, in seconds.
+    """
+    try:
+        use.restore(value, fenced_at, lease_s)
+    except state.DECODING_ERRORS as error:
+        telemetry.log_invalid_entry(log_event, "workers", error)
+        use.wait_for_all(fenced_at, lease_s)
+
+
+def adopt_run(
+    jobs: job_table.JobTable,
+    session: worker_session.WorkerSession,
+    listed: model.RunningTask,
+) -> worker_session.Run | None:
+    """Return the run to track for one of a previous owner; None if unwanted."""
+    found = jobs.find_open_task(listed.task)
+    if found is None:
+        return None
+    job, task = found
+    step = job.find_step(listed.task)
+    task.last_run = max(task.last_run, listed.run)
+    if task.is_done or (task.open_runs and not step.spec.is_speculative):
+        return None
+    now = asyncio.get_running_loop().time()
+    run = worker_session.Run(listed.task, listed.run, step.spec, session, now)
+    run.status = worker_session.RunStatus.RUNNING
+    run.percent = listed.percent
+    run.is_suspect = bool(task.crashed_runs)
+    task.open_runs.add(listed.run)
+    if task.at_risk.pop(listed.run, None) is not None:
+        jobs.store_soon(job)
+    step.waiting.discard(listed.task.index)
+    job.mark_started()
+    return run
--- /dev/null
+++ b/clementinespar/jobs/owner_queries.py
@@ -0,0 +1,225 @@
+"""Answers of an owner about its jobs and workers, and requests to free a worker."""
+
+import asyncio
+import math
+from collections.abc import Mapping
+
+from clementinespar import codes, errors, explanation
+from clementinespar.jobs import (
+    command_intake,
+    demand,
+    job_table,
+    model,
+    placement,
+    run_watch,
+    services,
+    session_table,
+    state,
+    worker_session,
+    worker_use,
+)
+
+
+class OwnerQueries:
+    """Answers the requests of other nodes for the owner of a partition."""
+
+    def __init__(
+        self,
+        epoch: int,
+        jobs: job_table.JobTable,
+        sessions_by_id: Mapping[str, worker_session.WorkerSession],
+        sessions: session_table.SessionTable,
+        directory: services.WorkerDirectory,
+        use: worker_use.WorkerUse,
+        intake: command_intake.CommandIntake,
+        watch: run_watch.RunWatch,
+        run_times: demand.RunTimes,
+        arrivals_by_pool: Mapping[str, demand.ArrivalRate],
+        log_event: services.EventLog,
+    ) -> None:
+        self._epoch = epoch
+        self._jobs = jobs
+        self._sessions_by_id = sessions_by_id
+        self._sessions = sessions
+        self._directory = directory
+        self._worker_use = use
+        self._intake = intake
+        self._run_watch = watch
+        self._run_times = run_times
+        self._arrivals_by_pool = arrivals_by_pool
+        self._log_event = log_event
+
+    def describe(self, job_id: str) -> model.JobState | None:
+        """Return a job's state, or None if no job has this id.
+
+        Raises
+        ------
+        errors.ClementinesparError
+            The commands were not read recently enough to report a job as unknown.
+        """
+        job = self._jobs.by_id.get(job_id)
+        if job is not None:
+            if job.is_final and not job.is_final_stored:
+                return model.JobState.RUNNING
+            return job.state
+        if not self._intake.is_fresh():
+            raise errors.ClementinesparError(
+                codes.ResultCode.JOB_OWNER_UNKNOWN,
+                "the owner has not read the newest commands yet",
+            )
+        return None
+
+    def explain(self, job_id: str) -> explanation.Explanation | None:
+        """Return why a job is in its state, or None if no job has this id."""
+        if self.describe(job_id) is None:
+            return None
+        job = self._jobs.by_id[job_id]
+        now = asyncio.get_running_loop().time()
+        because = []
+        waits_for = None
+        if not job.is_adopted:
+            waits_for = "the store to append the record of its adoption"
+        elif job.adopted_epoch != self._epoch and not self._worker_use.is_settled():
+            waits_for = "unresponsive workers of the previous owner"
+        if not job.is_final and not job.is_lasting:
+            slack_s = job.deadline - now
+            because.append(f"its objective ends in {slack_s:.1f} s")
+        for occurrence in job.occurrences.values():
+            for number, step in enumerate(occurrence.steps):
+                because.append(
+                    f"occurrence {occurrence.number}, step {number}:"
+                    f" {step.done_count} of {len(step.tasks)} tasks done,"
+                    f" {len(step.waiting)} wait"
+                )
+                because.extend(
+                    f"{task.key.name_in_job}: {len(task.crashed_runs)} workers died"
+                    for task in step.tasks
+                    if task.crashed_runs
+                )
+        because.extend(
+            f"{run.key.name_in_job} run {run.number} is {run.status.value}"
+            f" on {session.entry.worker_id}"
+            for session in self._sessions_by_id.values()
+            for run in session.runs.values()
+            if run.key.job_id == job_id
+        )
+        return explanation.Explanation(
+            subject=f"job {job_id}",
+            state=job.state.value,
+            waits_for=waits_for,
+            because=tuple(because),
+            code=codes.ResultCode.OK,
+        )
+
+    def count_waiting(self, queue: str) -> int:
+        """Return the number of accepted jobs of a queue of which no task has started.
+
+        Jobs with occurrences are not counted.
+        """
+        return sum(
+            1
+            for job in self._jobs.active.values()
+            if job.spec.queue == queue
+            and not job.has_started
+            and not job.spec.occurrences
+        )
+
+    def describe_load(self, pool: str) -> dict[str, object]:
+        """Return the waiting work of a pool and the use of each of its workers."""
+        now = asyncio.get_running_loop().time()
+        sessions = [
+            session
+            for session in self._sessions_by_id.values()
+            if session.entry.pool == pool
+        ]
+        arrivals = self._arrivals_by_pool.get(pool)
+        estimate_ms = self._run_times.estimate_ms
+        return {
+            "arriving_cores": 0.0 if arrivals is None else arrivals.read(now),
+            "worker_cores": max(
+                (session.entry.cpu_millis / 1000 for session in sessions), default=0.0
+            ),
+            "waiting_cores": sum(
+                len(step.waiting) * step.spec.cpu_millis
+                for job in self._jobs.active.values()
+                if job.spec.pool == pool
+                and placement.rank(job, now, estimate_ms)[0] < placement.LATE
+                for occurrence in job.occurrences.values()
+                for step in occurrence.ready_steps()
+            )
+            / 1000,
+            "lasting_hosts": max(
+                (
+                    _count_hosts_of_lasting(step)
+                    for job in self._jobs.active.values()
+                    if job.spec.pool == pool and job.is_lasting
+                    for occurrence in job.occurrences.values()
+                    for step in occurrence.steps
+                ),
+                default=0,
+            ),
+            "workers": {
+                session.entry.worker_id: {
+                    "used_cores": (session.entry.cpu_millis - session.free_cpu) / 1000,
+                    "runs": len(session.runs),
+                    "lasting": sum(
+                        1 for run in session.runs.values() if run.spec.is_lasting
+                    ),
+                    "lasting_cores": sum(
+                        run.spec.cpu_millis / 1000
+                        for run in session.runs.values()
+                        if run.spec.is_lasting and not run.spec.is_filler
+                    ),
+                    "can_take": session.can_take(now),
+                    "is_leaving": session.entry.is_draining,
+                }
+                for session in sessions
+            },
+        }
+
+    def evacuate(
+        self, worker_id: str, kept_s: float, urgency: model.EvacuationUrgency
+    ) -> bool:
+        """Give a worker no new work for `kept_s`; True once its host may be taken away.
+
+        Lasting tasks are moved to other workers as far as `StepSpec.may_miss` allows.
+        """
+        loop = asyncio.get_running_loop()
+        session = self._sessions_by_id.get(worker_id)
+        is_if_idle = urgency is model.EvacuationUrgency.IF_IDLE
+        if is_if_idle and (session is None or session.runs):
+            return False
+        self._sessions.evacuating[worker_id] = loop.time() + kept_s
+        if session is None:
+            # After a change of owner, a worker without a session may still execute
+            # runs of the previous owner.
+            return (
+                self._directory.is_loaded
+                and worker_id not in self._directory.by_id
+                and self._worker_use.is_settled()
+            )
+        if not session.is_evacuating:
+            session.is_evacuating = True
+            self._log_event("evacuate", worker=worker_id, runs=len(session.runs))
+        for run in list(session.runs.values()):
+            if run.spec.is_lasting:
+                self._run_watch.move_lasting(run, "its host is to be taken away")
+            elif (
+                urgency is model.EvacuationUrgency.STOP
+                and run.status is worker_session.RunStatus.RUNNING
+            ):
+                session.stop(run, "its host is to be taken away")
+        is_known = session.has_answered or loop.time() > session.lease_bound
+        if session.runs or not is_known:
+            return False
+        self._sessions.release()
+        return True
+
+
+def _count_hosts_of_lasting(step: state.StepState) -> int:
+    """Return the smallest number of hosts that can hold the tasks of a lasting step."""
+    if not step.spec.is_lasting:
+        return 0
+    if not step.spec.max_per_worker:
+        return 1
+    return math.ceil(len(step.tasks) / step.spec.max_per_worker)
--- /dev/null
+++ b/clementinespar/jobs/progress_writer.py
@@ -0,0 +1,184 @@
+"""Stores the progress of the jobs of one partition under the epoch of its owner."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable, Iterable, Mapping
+
+from clementinespar import errors
+from clementinespar.jobs import (
+    command_intake,
+    fenced_log,
+    job_table,
+    services,
+    state,
+    worker_session,
+    worker_use,
+)
+
+FLUSH_INTERVAL_S = 0.6  # ends are acknowledged at least this often
+STATUS_RETENTION_MS = 150_000  # longer than callers may query a final state
+
+
+class ProgressWriter:
+    """Appends progress for the owner of a partition, one append at a time.
+
+    Parameters
+    ----------
+    on_fenced : callable
+        Called once the store has seen a later owner.
+    """
+
+    _fence_checks: int  # done; fewer than wanted: another owner may have begun
+    _wanted_fence_checks: int
+    _finished_commands: list[str]  # ids of jobs whose commands can be deleted
+
+    def __init__(
+        self,
+        partition: int,
+        epoch: int,
+        store: services.JobStore,
+        jobs: job_table.JobTable,
+        sessions_by_id: Mapping[str, worker_session.WorkerSession],
+        use: worker_use.WorkerUse,
+        on_fenced: Callable[[], None],
+        log_event: services.EventLog,
+    ) -> None:
+        self._partition = partition
+        self._epoch = epoch
+        self._store = store
+        self._jobs = jobs
+        self._sessions_by_id = sessions_by_id
+        self._worker_use = use
+        self._on_fenced = on_fenced
+        self._log = fenced_log.FencedLog(
+            store,
+            services.Topic.PROGRESS,
+            partition,
+            epoch,
+            command_intake.STORE_RETRY_S,
+            log_event,
+        )
+        self._fence_checks = 0
+        self._wanted_fence_checks = 0
+        self._finished_commands = []
+
+    @property
+    def is_fence_checked(self) -> bool:
+        """Whether all requested checks of the fence were done."""
+        return self._fence_checks == self._wanted_fence_checks
+
+    def check_fence(self) -> None:
+        """Append soon, to learn whether a later owner has begun."""
+        self._wanted_fence_checks += 1
+        self._jobs.flush_wanted.set()
+
+    async def fence_previous(self) -> None:
+        """Fence previous owners out of the partition."""
+        await self._append([self._owner_record()])
+
+    async def run(self) -> None:
+        """Store changed jobs, one append at a time, then acknowledge their ends."""
+        while True:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(FLUSH_INTERVAL_S):
+                    await self._jobs.flush_wanted.wait()
+            self._jobs.flush_wanted.clear()
+            await self._flush()
+
+    async def _flush(self) -> None:
+        dirty = list(self._jobs.dirty.values())
+        self._jobs.dirty.clear()
+        processed = [
+            (session, session.processed, session.born_ms)
+            for session in self._sessions_by_id.values()
+        ]
+        records = []
+        fence_checks = self._wanted_fence_checks
+        if fence_checks != self._fence_checks:
+            records.append(self._owner_record())
+        for job in dirty:
+            if not job.first_epoch:
+                job.first_epoch = self._epoch
+            records.append(
+                services.KeyedRecord("p" + job.spec.job_id, state.encode_progress(job))
+            )
+        # A worker may have got a run after it was released.
+        for worker_id, session in self._sessions_by_id.items():
+            if session.runs and session.has_answered and session.is_responsive():
+                self._worker_use.add(worker_id)
+        is_use_due = self._worker_use.is_due()
+        if is_use_due:
+            records.append(services.KeyedRecord("workers", self._worker_use.encode()))
+        crash_versions = [(job, job.crash_version) for job in dirty]
+        finals = [job for job in dirty if job.is_final]
+        if records:
+            await self._append(records)
+        if fence_checks != self._fence_checks:
+            self._fence_checks = fence_checks
+            self._jobs.schedule_wanted.set()
+        if is_use_due:
+            self._worker_use.mark_stored()
+            self._jobs.schedule_wanted.set()
+        for session, number, born_ms in processed:
+            if session.born_ms == born_ms:
+                session.acknowledged = max(session.acknowledged, number)
+        for job, crash_version in crash_versions:
+            if job.stored_crash_version != crash_version:
+                job.stored_crash_version = crash_version
+                self._jobs.schedule_wanted.set()
+        for job in finals:
+            job.is_final_stored = True
+            self._finished_commands.append(job.spec.job_id)
+        self._mark_adopted(dirty)
+
+    def _mark_adopted(self, stored: Iterable[state.JobProgress]) -> None:
+        for job in stored:
+            if not job.is_adopted:
+                job.is_adopted = True
+                job.adopted_epoch = self._epoch
+                self._jobs.schedule_wanted.set()
+
+    async def drop_finished(self, now_ms: float, forget: Callable[[str], None]) -> None:
+        """Delete the commands of finished jobs, and final states that are expired.
+
+        Parameters
+        ----------
+        now_ms : float
+            Unix ms.
+        forget : callable
+            Called with the id of each job whose final state is expired.
+        """
+        if self._finished_commands:
+            keys = self._finished_commands
+            self._finished_commands = []
+            try:
+                await self._store.append(
+                    services.Topic.COMMANDS,
+                    self._partition,
+                    [services.KeyedRecord("j" + job_id, b"") for job_id in keys],
+                )
+            except errors.ClementinesparError:
+                self._finished_commands.extend(keys)  # deleted with the next ones
+        expired = [
+            job_id
+            for job_id, job in self._jobs.by_id.items()
+            if job.is_final_stored and now_ms - job.final_ms > STATUS_RETENTION_MS
+        ]
+        for job_id in expired:
+            del self._jobs.by_id[job_id]
+            forget(job_id)
+        if expired:
+            await self._append(
+                [services.KeyedRecord("p" + job_id, b"") for job_id in expired]
+            )
+
+    def _owner_record(self) -> services.KeyedRecord:
+        return services.KeyedRecord("owner", b"%d" % self._epoch)
+
+    async def _append(self, records: list[services.KeyedRecord]) -> None:
+        """Append progress as the owner; never returns once the owner is fenced out."""
+        try:
+            await self._log.append(records)
+        except errors.ClementinesparError:
+            self._on_fenced()
+            await asyncio.Event().wait()  # until the tasks of this owner are cancelled
--- /dev/null
+++ b/clementinespar/jobs/run_ends.py
@@ -0,0 +1,205 @@
+"""Ends of runs: what they change in their tasks and jobs, and final states of jobs."""
+
+import asyncio
+import time
+from collections.abc import Mapping
+
+from clementinespar.jobs import (
+    crash_counts,
+    demand,
+    job_table,
+    model,
+    services,
+    state,
+    telemetry,
+    tickets,
+    worker_session,
+)
+
+FAILED_RETRY_DELAY_S = 0.08  # after a failed run, so that other tasks go first
+LOST_RETRY_DELAY_S = 0.02
+
+
+class RunEnds:
+    """Applies the ends of runs for the owner of a partition."""
+
+    _jobs: job_table.JobTable
+    _sessions_by_id: Mapping[str, worker_session.WorkerSession]
+    _tickets: tickets.TicketCache
+    _run_times: demand.RunTimes
+    _log_event: services.EventLog
+    _metrics: telemetry.JobMetrics
+
+    def __init__(
+        self,
+        jobs: job_table.JobTable,
+        sessions_by_id: Mapping[str, worker_session.WorkerSession],
+        ticket_cache: tickets.TicketCache,
+        run_times: demand.RunTimes,
+        log_event: services.EventLog,
+        metrics: telemetry.JobMetrics,
+    ) -> None:
+        self._jobs = jobs
+        self._sessions_by_id = sessions_by_id
+        self._tickets = ticket_cache
+        self._run_times = run_times
+        self._log_event = log_event
+        self._metrics = metrics
+
+    def on_end(
+        self,
+        session: worker_session.WorkerSession,
+        end: model.EndedTask,
+        run: worker_session.Run | None,
+    ) -> None:
+        """Apply the end of a run once, whichever owner started it."""
+        self._metrics.count_end(end.kind.value)
+        self._jobs.schedule_wanted.set()
+        found = self._jobs.find_open_task(end.task)
+        if found is None:
+            return  # nothing to store; the next flush acknowledges it
+        job, task = found
+        step = job.find_step(end.task)
+        task.open_runs.discard(end.run)
+        task.at_risk.pop(end.run, None)
+        task.last_run = max(task.last_run, end.run)
+        if end.saved:
+            task.saved = end.saved
+        is_failure = end.kind is model.EndKind.FAILED
+        if end.kind is model.EndKind.DONE:
+            session.record_outcome(job.spec.job_id, False)
+            if run is not None:
+                now = asyncio.get_running_loop().time()
+                self._run_times.add(step.spec, (now - run.started_at) * 1000)
+            crash_counts.acquit(job, task)
+            if step.spec.is_gang:
+                self._finish_gang(step, end.run)
+            else:
+                state.mark_done(step, task)
+                self._stop_copies(task)
+        elif is_failure:
+            self._record_failure(session, job, step, task, end)
+        if end.kind is not model.EndKind.DONE:
+            self._log_event(
+                "end",
+                job=job.spec.job_id,
+                task=end.task.name_in_job,
+                run=end.run,
+                worker=session.entry.worker_id,
+                kind=end.kind.value,
+            )
+            delay = FAILED_RETRY_DELAY_S if is_failure else LOST_RETRY_DELAY_S
+            self._requeue(step, task, 0.0 if step.spec.is_lasting else delay)
+        self._jobs.mark_dirty(job)
+        if not job.is_final:
+            self.finish_occurrences(job)
+
+    def on_run_gone(
+        self,
+        session: worker_session.WorkerSession,
+        run: worker_session.Run,
+        reason: str,
+    ) -> None:
+        """Requeue the task of a run that certainly does not execute."""
+        self._jobs.schedule_wanted.set()
+        self._log_event(
+            "run_gone",
+            job=run.key.job_id,
+            task=run.key.name_in_job,
+            run=run.number,
+            worker=session.entry.worker_id,
+            reason=reason,
+        )
+        found = self._jobs.find_open_task(run.key)
+        if found is None:
+            return
+        job, task = found
+        task.open_runs.discard(run.number)
+        self._requeue(job.find_step(run.key), task, LOST_RETRY_DELAY_S)
+
+    def finish_occurrences(self, job: state.JobProgress) -> None:
+        """Count the occurrences that are done, and finish the job after the last."""
+        for number, occurrence in list(job.occurrences.items()):
+            if occurrence.is_done and not job.is_lasting:
+                del job.occurrences[number]
+                job.finished_occurrences += 1
+        wanted = job.spec.occurrences or 1
+        if job.finished_occurrences >= wanted:
+            self.finish_job(job, model.JobState.DONE, "all tasks are done")
+
+    def finish_job(
+        self, job: state.JobProgress, final: model.JobState, reason: str
+    ) -> None:
+        """Set the final state of a job, and stop its runs unless it is done."""
+        job.state = final
+        job.final_ms = int(time.time() * 1000)
+        self._jobs.active.pop(job.spec.job_id, None)
+        self._log_event(
+            "job_final",
+            job=job.spec.job_id,
+            state=final.value,
+            reason=reason,
+            age_ms=job.final_ms - job.spec.accepted_ms,
+        )
+        self._metrics.observe_job(final.value, job.final_ms - job.spec.accepted_ms)
+        if final is not model.JobState.DONE:
+            for session in self._sessions_by_id.values():
+                for run in list(session.runs.values()):
+                    if run.key.job_id == job.spec.job_id:
+                        session.stop(run, f"its job is {final.value}")
+        job.occurrences.clear()
+        self._tickets.drop_job(job.spec.job_id)
+        self._jobs.store_soon(job)
+
+    def give_up(self, job: state.JobProgress) -> None:
+        """Fail a job whose task has crashed too many workers."""
+        self.finish_job(job, model.JobState.FAILED, "its task crashed too many workers")
+
+    def _record_failure(
+        self,
+        session: worker_session.WorkerSession,
+        job: state.JobProgress,
+        step: state.StepState,
+        task: state.TaskState,
+        end: model.EndedTask,
+    ) -> None:
+        if end.run in task.failed_runs:
+            return
+        task.failed_runs.add(end.run)
+        task.failed_on.add(session.entry.worker_id)
+        if session.record_outcome(job.spec.job_id, True):
+            self._log_event(
+                "worker_ejected", worker=session.entry.worker_id, reason="failures"
+            )
+        attempts = len(task.failed_runs)
+        if step.spec.is_gang:
+            attempts = len(set().union(*(t.failed_runs for t in step.tasks)))
+        if not step.spec.is_lasting and attempts >= job.spec.max_attempts:
+            self.finish_job(
+                job, model.JobState.FAILED, "a task reached its limit of attempts"
+            )
+
+    def _finish_gang(self, step: state.StepState, run: int) -> None:
+        """Mark all members as done after one member of the run has ended as done."""
+        for member in step.tasks:
+            state.mark_done(step, member)
+            self._stop_copies(member, keep_run=run)
+
+    def _requeue(
+        self, step: state.StepState, task: state.TaskState, delay_s: float
+    ) -> None:
+        if task.is_done or task.open_runs:
+            return
+        loop = asyncio.get_running_loop()
+        task.not_before = loop.time() + delay_s
+        step.waiting.add(task.key.index)
+        if delay_s:
+            loop.call_later(delay_s, self._jobs.schedule_wanted.set)
+
+    def _stop_copies(self, task: state.TaskState, keep_run: int = -1) -> None:
+        if not task.open_runs:
+            return
+        for session in self._sessions_by_id.values():
+            for run in list(session.runs.values()):
+                if run.key == task.key and run.number != keep_run:
+                    session.stop(run, "another copy of the task is done")
--- /dev/null
+++ b/clementinespar/jobs/session_table.py
@@ -0,0 +1,151 @@
+"""The sessions of an owner with the workers of its pools, and which may be in use."""
+
+import asyncio
+from collections.abc import Callable
+
+from clementinespar.jobs import (
+    job_table,
+    services,
+    worker_session,
+    worker_use,
+)
+
+
+class SessionTable:
+    """Opens, updates and closes the sessions of one partition for its owner.
+
+    Parameters
+    ----------
+    sessions_by_id : dict of str to worker_session.WorkerSession
+        The sessions by worker id; changed in place.
+    lease_s : float
+        Longest lease that owners grant, in seconds.
+    events : worker_session.RunEvents
+        Handles the events of the sessions.
+    """
+
+    evacuating: dict[str, float]  # worker id: event-loop time at which it expires
+    loaded_at: float  # event-loop time at which the owner has loaded its partition
+
+    def __init__(
+        self,
+        sessions_by_id: dict[str, worker_session.WorkerSession],
+        epoch: int,
+        lease_s: float,
+        owns_pool: Callable[[str], bool],
+        directory: services.WorkerDirectory,
+        workers: services.WorkerClient,
+        events: worker_session.RunEvents,
+        use: worker_use.WorkerUse,
+        jobs: job_table.JobTable,
+        log_event: services.EventLog,
+    ) -> None:
+        self._sessions_by_id = sessions_by_id
+        self._epoch = epoch
+        self._lease_s = lease_s
+        self._owns_pool = owns_pool
+        self._directory = directory
+        self._workers = workers
+        self._events = events
+        self._worker_use = use
+        self._jobs = jobs
+        self._log_event = log_event
+        self.evacuating = {}
+        self.loaded_at = 0.0
+
+    def refresh(self) -> None:
+        """Open a session with each listed worker, and close those that are gone."""
+        if not self._directory.is_loaded:
+            return
+        for entry in self._directory.by_id.values():
+            session = self._sessions_by_id.get(entry.worker_id)
+            if not self._owns_pool(entry.pool):
+                if session is not None:
+                    session.is_listed = False
+                continue
+            if session is None:
+                session = worker_session.WorkerSession(
+                    entry,
+                    self._epoch,
+                    self._lease_s,
+                    self._worker_use.previous_lease_end(entry.worker_id),
+                    self._workers,
+                    self._events,
+                    self._log_event,
+                )
+                session.is_evacuating = entry.worker_id in self.evacuating
+                self._sessions_by_id[entry.worker_id] = session
+                session.open()
+            elif session.entry is not entry:
+                session.update_entry(entry)
+            session.is_listed = True
+        now = asyncio.get_running_loop().time()
+        for worker_id, session in list(self._sessions_by_id.items()):
+            if worker_id in self._directory.by_id:
+                continue
+            session.is_listed = False
+            is_expired = now > session.lease_bound + worker_session.LEASE_MARGIN_S
+            is_unresponsive = (
+                now - session.last_contact > worker_session.UNRESPONSIVE_AFTER_S
+            )
+            if is_expired and is_unresponsive and not session.runs:
+                session.close()
+                del self._sessions_by_id[worker_id]
+                self._worker_use.remove(worker_id)
+
+    def release(self) -> None:
+        """Remove idle and unresponsive workers from those recorded as in use.
+
+        The host of an idle worker may be taken away, and the next owner would wait for
+        its lease although nothing runs there. The lease of an unresponsive worker is
+        not extended, so the next owner waits only for what is left of it.
+        """
+        released = {
+            worker_id
+            for worker_id, session in self._sessions_by_id.items()
+            if session.is_released()
+        }
+        for worker_id in released & self._worker_use.in_use:
+            self._worker_use.remove(worker_id)
+            self._jobs.flush_wanted.set()
+        for worker_id, session in self._sessions_by_id.items():
+            if worker_id in self._worker_use.in_use and not session.is_responsive():
+                end = session.lease_bound + worker_session.LEASE_MARGIN_S
+                self._worker_use.release_silent(worker_id, end)
+                self._jobs.flush_wanted.set()
+
+    def end_evacuations(self) -> None:
+        """Give work to workers again whose evacuation was not renewed."""
+        now = asyncio.get_running_loop().time()
+        for worker_id, until in list(self.evacuating.items()):
+            if now > until:
+                del self.evacuating[worker_id]
+                session = self._sessions_by_id.get(worker_id)
+                if session is not None:
+                    session.is_evacuating = False
+
+    def find_silent(self) -> dict[str, float]:
+        """Return the silent workers that hold up tasks, as the death watch needs it."""
+        known_since = dict.fromkeys(self._worker_use.find_unsettled(), self.loaded_at)
+        known_since.pop(worker_use.ANY_WORKER, None)
+        for worker_id, session in self._sessions_by_id.items():
+            if session.is_silent and not session.is_dead and session.runs:
+                known_since[worker_id] = session.born_seen_at
+        return known_since
+
+    def find_responsive(self) -> set[str]:
+        """Return the workers that answer."""
+        return {
+            worker_id
+            for worker_id, session in self._sessions_by_id.items()
+            if session.has_answered and not session.is_silent
+        }
+
+    def find_usable(self, now: float) -> list[worker_session.WorkerSession]:
+        """Return the sessions of the workers that may take work."""
+        return [
+            session
+            for session in self._sessions_by_id.values()
+            if session.can_take(now)
+            and session.entry.worker_id in self._worker_use.stored
+        ]
