Enforce quotas of teams by shares of each partition

Cause: caps of teams were not read, so a team's tasks could exceed them.

Change: weight and cap are decoded, a job carries the team of its key, and owners start a task only within their partition's share of the cap. A ledger with the fleet owner records the shares and moves free parts on request.

Without caps no message is sent.

--- a/clementinespar/jobs/model.py
+++ b/clementinespar/jobs/model.py
@@ -75,6 +75,7 @@
     stretch: float = 1.0
     objective_ms: int = 0
     needs_advice: bool = False  # runs only on workers with a ticket of the adviser
+    team: str = ""  # team of the call's key; empty: no team, so no cap applies
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -112,6 +113,7 @@
     max_body_bytes: int
     # None: the configuration has no teams, so calls need no key.
     teams_by_key_digest: Mapping[bytes, teams.Team] | None = None
+    teams_by_name: Mapping[str, teams.Team] = dataclasses.field(default_factory=dict)
 
     def needs_key(self, queue: Queue) -> bool:
         """Whether calls of a queue must carry the key of a team."""
@@ -125,11 +127,18 @@
         authorization : str
             The value of the Authorization header; empty if there is none.
         """
+        return (
+            not self.needs_key(queue)
+            or self.find_team(queue, authorization) is not None
+        )
+
+    def find_team(self, queue: Queue, authorization: str) -> teams.Team | None:
+        """Return the team of a call's key; None for a public queue or without one."""
         if not self.needs_key(queue):
-            return True
+            return None
         key = teams.parse_bearer(authorization)
         teams_by_key_digest = self.teams_by_key_digest or {}
-        return key is not None and teams.hash_key(key) in teams_by_key_digest
+        return None if key is None else teams_by_key_digest.get(teams.hash_key(key))
 
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Return the queue of the host with the longest prefix of the path."""
--- a/clementinespar/jobs/node.py
+++ b/clementinespar/jobs/node.py
@@ -13,6 +13,7 @@
     partitions,
     peer_server,
     pool_owner,
+    quota_exchange,
     service,
     services,
     telemetry,
@@ -41,6 +42,7 @@
     jobs: service.JobService
     ownership_manager: ownership.OwnershipManager
     metrics: telemetry.JobMetrics
+    quotas: quota_exchange.QuotaExchange
     is_stopping: bool
     _partition_map: partitions.PartitionMap
     _platform_services: PlatformServices
@@ -73,26 +75,26 @@
                 owner_settings,
                 log_event,
                 self.metrics,
+                self.quotas,
             )
 
-        def own_fleet(
-            epoch: int,
-        ) -> contextlib.AbstractAsyncContextManager[fleet.FleetOwner]:
-            return fleet.own_fleet(
-                fleet.FleetOwner(
-                    self._partition_map.fleet_partition,
-                    epoch,
-                    self.ownership_manager,
-                    self.jobs,
-                    platform_services.store,
-                    platform_services.hosts,
-                    platform_services.waves,
-                    platform_services.configuration,
-                    settings.hosts.holder_lease_ms / 1000,
-                    settings.hosts.upkeep_s,
-                    log_event,
-                )
+        @contextlib.asynccontextmanager
+        async def own_fleet(epoch: int) -> AsyncIterator[fleet.FleetOwner]:
+            fleet_owner = fleet.FleetOwner(
+                self._partition_map.fleet_partition,
+                epoch,
+                self.ownership_manager,
+                self.jobs,
+                platform_services.store,
+                platform_services.hosts,
+                platform_services.waves,
+                platform_services.configuration,
+                settings.hosts.holder_lease_ms / 1000,
+                settings.hosts.upkeep_s,
+                log_event,
             )
+            async with self.quotas.run_ledger(epoch), fleet.own_fleet(fleet_owner):
+                yield fleet_owner
 
         self.ownership_manager = ownership.OwnershipManager(
             platform_services.group,
@@ -103,6 +105,17 @@
             settings.node.core_millis,
             log_event,
         )
+        self.quotas = quota_exchange.QuotaExchange(
+            self.ownership_manager,
+            self._partition_map,
+            self.wanted_partitions,
+            platform_services.configuration,
+            http_client,
+            platform_services.group.ttl_s,
+            settings.jobs.keys_max_age_ms / 1000,
+            log_event,
+            self.metrics,
+        )
         self.jobs = service.JobService(
             self.ownership_manager,
             self._partition_map,
@@ -149,6 +162,7 @@
                 settings.node.address,
                 settings.node.first_internal_port,
                 node.jobs,
+                node.quotas,
                 node.metrics,
             )
         )
--- a/clementinespar/jobs/ownership.py
+++ b/clementinespar/jobs/ownership.py
@@ -57,6 +57,9 @@
     owners_by_partition: dict[int, pool_owner.PoolOwner]
     is_fleet_owner: bool
     generation: int
+    # Gaps between two confirmations so long that another member may have owned the
+    # partitions in between.
+    gap_count: int
     assigned: frozenset[int]
     reached_at: float | None  # event-loop time of the last answer of the store
     unanswered_since: float | None  # event-loop time of the first unanswered call
@@ -90,6 +93,7 @@
         self.owners_by_partition = {}
         self.is_fleet_owner = False
         self.generation = 0
+        self.gap_count = 0
         self.assigned = frozenset()
         self._group = group
         self._make_owner = make_owner
@@ -237,6 +241,7 @@
         now = asyncio.get_running_loop().time()
         if confirmed_at is None or now - confirmed_at < self._group.ttl_s:
             return
+        self.gap_count += 1
         for owner in self.owners_by_partition.values():
             owner.check_fence()
         if self._fleet_owner is not None:
--- a/clementinespar/jobs/peer_server.py
+++ b/clementinespar/jobs/peer_server.py
@@ -10,7 +10,7 @@
 import tornado.web
 
 from clementinespar import codes, errors
-from clementinespar.jobs import service, services, telemetry
+from clementinespar.jobs import quota_exchange, service, services, telemetry
 
 
 class _PeerRequestHandler(tornado.web.RequestHandler):
@@ -79,6 +79,53 @@
         self.finish(json.dumps(reply))
 
 
+class _QuotaRequestHandler(tornado.web.RequestHandler):
+    """Answers an owner that asks the ledger of the teams' caps for a share."""
+
+    def initialize(self, quotas: quota_exchange.QuotaExchange) -> None:
+        self._quotas = quotas
+
+    async def post(self) -> None:
+        """Answer 503 if this node is not the ledger, 400 if it is malformed."""
+        status, body = await self._quotas.answer_request(self.request.body)
+        self.set_status(status)
+        self.finish(body)
+
+
+class _QuotaRecallHandler(tornado.web.RequestHandler):
+    """Answers the ledger that recalls what a partition does not use."""
+
+    def initialize(self, quotas: quota_exchange.QuotaExchange) -> None:
+        self._quotas = quotas
+
+    def post(self, partition: str) -> None:
+        """Answer 409 to an earlier ledger, 503 if this node is not the owner."""
+        status, body = self._quotas.answer_recall(int(partition), self.request.body)
+        self.set_status(status)
+        self.finish(body)
+
+
+class _TeamHandler(tornado.web.RequestHandler):
+    """Shows the use of a team's cap to operators."""
+
+    def initialize(self, jobs: service.JobService) -> None:
+        self._jobs = jobs
+
+    async def get(self, name: str) -> None:
+        """Answer with cap, use, share and waiting tasks, or 404 or 503."""
+        try:
+            reply = await self._jobs.describe_team(urllib.parse.unquote(name))
+        except errors.ClementinesparError as error:
+            is_unknown = error.code is codes.ResultCode.TEAM_UNKNOWN
+            self.set_status(404 if is_unknown else 503)
+            reply = {
+                "code": int(error.code),
+                "name": error.code.name,
+                "message": error.message,
+            }
+        self.finish(json.dumps(reply))
+
+
 class _MetricsHandler(tornado.web.RequestHandler):
     """Serves the metrics of the node."""
 
@@ -93,13 +140,20 @@
 
 @contextlib.asynccontextmanager
 async def serve_peers(
-    address: str, port: int, jobs: service.JobService, metrics: telemetry.JobMetrics
+    address: str,
+    port: int,
+    jobs: service.JobService,
+    quotas: quota_exchange.QuotaExchange,
+    metrics: telemetry.JobMetrics,
 ) -> AsyncIterator[None]:
     """Serve peers inside the context."""
     application = tornado.web.Application(
         [
             (r"/metrics", _MetricsHandler, {"metrics": metrics}),
             (r"/v1/jobs/([0-9A-Za-z]+)", _JobHandler, {"jobs": jobs}),
+            (r"/v1/teams/([^/]+)", _TeamHandler, {"jobs": jobs}),
+            (r"/quota/request", _QuotaRequestHandler, {"quotas": quotas}),
+            (r"/(\d+)/quota/recall", _QuotaRecallHandler, {"quotas": quotas}),
             (r"/(\d+)/commands/([^/]+)", _CommandHandler, {"jobs": jobs}),
             (r"/(\d+)/.*", _PeerRequestHandler, {"jobs": jobs}),
         ],
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -25,6 +25,7 @@
     fenced_log,
     held_tasks,
     model,
+    owner_quotas,
     placement,
     run_watch,
     services,
@@ -81,6 +82,7 @@
     evacuating: dict[str, float]  # worker id: event-loop time at which it expires
     commands_read_at: float  # event-loop time of the last read of commands
     metrics: telemetry.JobMetrics
+    quotas: owner_quotas.OwnerQuotas
     _fence_checks: int  # done; fewer than wanted: another owner may have begun
     _wanted_fence_checks: int
     _lease_s: float  # longest lease that owners grant
@@ -117,6 +119,7 @@
         settings: OwnerSettings,
         log_event: services.EventLog,
         metrics: telemetry.JobMetrics,
+        quota_link: owner_quotas.QuotaLink | None = None,
     ) -> None:
         self.partition = partition
         self.epoch = epoch
@@ -151,8 +154,21 @@
         self._flush_wanted = asyncio.Event()
         self._schedule_wanted = asyncio.Event()
         self._tickets = tickets.TicketCache(adviser, log_event, self._schedule_wanted)
+        self.quotas = owner_quotas.OwnerQuotas(
+            partition,
+            epoch,
+            owner_quotas.NoQuotas() if quota_link is None else quota_link,
+            self.jobs_by_id,
+            self._active,
+            self.sessions_by_id,
+            self._worker_use.is_settled,
+            self.confirmed_at,
+            self._schedule_wanted.set,
+            log_event,
+            metrics,
+        )
         self._placer = task_placer.TaskPlacer(
-            epoch, self.sessions_by_id, self._tickets, log_event, metrics
+            epoch, self.sessions_by_id, self._tickets, log_event, metrics, self.quotas
         )
         self._run_watch = run_watch.RunWatch(
             self.jobs_by_id, self.sessions_by_id, self._placer, log_event
@@ -240,6 +256,11 @@
             return job.spec.steps[key.step]
         return UNKNOWN_STEP
 
+    def find_team(self, job_id: str) -> str:
+        """Return the team of a job; empty if it has none or is unknown."""
+        job = self.jobs_by_id.get(job_id)
+        return "" if job is None else job.spec.team
+
     def on_end(
         self,
         session: worker_session.WorkerSession,
@@ -339,7 +360,9 @@
         if task.is_done or (task.open_runs and not step.spec.is_speculative):
             return None
         now = asyncio.get_running_loop().time()
-        run = worker_session.Run(listed.task, listed.run, step.spec, session, now)
+        run = worker_session.Run(
+            listed.task, listed.run, step.spec, session, now, job.spec.team
+        )
         run.status = worker_session.RunStatus.RUNNING
         run.percent = listed.percent
         run.is_suspect = bool(task.crashed_runs)
@@ -719,9 +742,10 @@
             await self._drop_finished(now_ms)
 
     async def _drop_finished(self, now_ms: float) -> None:
-        if self._finished_commands:
-            keys = self._finished_commands
-            self._finished_commands = []
+        unended = self.quotas.find_unended(self._finished_commands)
+        keys = [job_id for job_id in self._finished_commands if job_id not in unended]
+        if keys:
+            self._finished_commands = sorted(unended)
             try:
                 await self._store.append(
                     services.Topic.COMMANDS,
@@ -890,6 +914,7 @@
                 for run in list(session.runs.values()):
                     if run.key.job_id == job.spec.job_id:
                         session.stop(run, f"its job is {final.value}")
+        self.quotas.record_leftover(job)
         job.occurrences.clear()
         self._tickets.drop_job(job.spec.job_id)
         self._mark_dirty(job)
@@ -915,6 +940,7 @@
         loop = asyncio.get_running_loop()
         now = loop.time()
         is_settled = self._worker_use.is_settled()
+        self.quotas.begin_round()
         usable = [
             session
             for session in self.sessions_by_id.values()
@@ -961,6 +987,7 @@
                     self._workers,
                     self,
                     self._log_event,
+                    self.quotas.use,
                 )
                 session.is_evacuating = entry.worker_id in self.evacuating
                 self.sessions_by_id[entry.worker_id] = session
@@ -1078,6 +1105,7 @@
                 group.create_task(self.schedule())
                 group.create_task(self.run_housekeeping())
                 group.create_task(self._death_watch.run())
+                group.create_task(self.quotas.run())
         except Exception as error:
             self.has_failed = True
             telemetry.log_failure(self._log_event, self.partition, error)
--- a/clementinespar/jobs/run_watch.py
+++ b/clementinespar/jobs/run_watch.py
@@ -85,6 +85,9 @@
         if not self.has_room(job, step, leaving=run.session):
             self._report_blocked(run, "no other worker has room")
             return
+        if not self._placer.has_share(job, step):
+            self._report_blocked(run, "its team is above its share")
+            return
         run.session.stop(run, reason)
 
     def has_room(
--- a/clementinespar/jobs/service.py
+++ b/clementinespar/jobs/service.py
@@ -192,6 +192,39 @@
             codes.ResultCode.JOB_UNKNOWN, "no pool has a job of this id"
         )
 
+    async def describe_team(self, name: str) -> dict[str, Any]:
+        """Return a team's cap, and its use and share in each partition.
+
+        Raises
+        ------
+        errors.ClementinesparError
+            With ``TEAM_UNKNOWN``: the configuration has no such team, and none of its
+            tasks run or wait.
+        """
+        configuration = self.configuration.current
+        pools = () if configuration is None else configuration.pools_by_name
+        team = None if configuration is None else configuration.teams_by_name.get(name)
+        found: dict[str, dict[str, Any]] = {}
+        for partition in sorted({self._partition_map.find(pool) for pool in pools}):
+            found[str(partition)] = await self._ask_owner(
+                partition, f"/team/{urllib.parse.quote(name, safe='')}", PEER_TIMEOUT_S
+            )
+        uses = [reply["use"] for reply in found.values()]
+        waiting = sum(reply["waiting"] for reply in found.values())
+        use = [sum(amounts) for amounts in zip(*uses, strict=True)] or [0, 0, 0]
+        if team is None and not any(use) and not waiting:
+            raise errors.ClementinesparError(
+                codes.ResultCode.TEAM_UNKNOWN, "the configuration has no such team"
+            )
+        return {
+            "team": name,
+            "weight": None if team is None else team.weight,
+            "cap": None if team is None else team.cap,
+            "use": use,
+            "waiting": waiting,
+            "partitions": found,
+        }
+
     def _other_partitions(self, pool: str) -> Iterable[int]:
         configuration = self.configuration.current
         if configuration is None:
@@ -404,8 +437,10 @@
             return {"is_free": owner.evacuate(name, kept_s, urgency)}
         if kind == "load":
             return owner.describe_load(name)
+        if kind == "team":
+            return owner.quotas.describe(name)
         raise errors.ClementinesparError(
             codes.ResultCode.REQUEST_INVALID,
-            f"unknown kind of query {kind}; expected jobs, explain, waiting, evacuate"
-            " or load",
+            f"unknown kind of query {kind}; expected jobs, explain, waiting, evacuate,"
+            " load or team",
         )
--- a/clementinespar/jobs/state.py
+++ b/clementinespar/jobs/state.py
@@ -9,7 +9,7 @@
 import json
 from collections.abc import Callable, Iterator
 
-from clementinespar.jobs import model
+from clementinespar.jobs import model, resources
 
 # Run numbers for each epoch. If a task has no more runs than this under one owner, all
 # its runs under the next owner have higher numbers.
@@ -132,6 +132,8 @@
         "crashed_workers",
         "crash_version",
         "stored_crash_version",
+        "leftover",
+        "leftover_team",
     )
 
     spec: model.JobSpec
@@ -148,6 +150,10 @@
     crashed_workers: set[str]  # that died under a task of the job
     crash_version: int  # increases with each death that counts
     stored_crash_version: int  # of the newest stored progress
+    # What runs that were being stopped used when the job reached its final state. It is
+    # stored with the team, as the job itself is not kept.
+    leftover: resources.Resources
+    leftover_team: str
 
     def __init__(self, spec: model.JobSpec) -> None:
         self.spec = spec
@@ -164,6 +170,8 @@
         self.crashed_workers = set()
         self.crash_version = 0
         self.stored_crash_version = 0
+        self.leftover = resources.ZERO
+        self.leftover_team = ""
         if not spec.occurrences:
             self.occurrences[0] = Occurrence(spec, 0)
 
@@ -246,6 +254,8 @@
     if job.is_final:
         fields["state"] = job.state.value
         fields["final_ms"] = job.final_ms
+        if any(job.leftover):
+            fields["leftover"] = [job.leftover_team, *job.leftover]
         return json.dumps(fields, separators=(",", ":")).encode()
     if job.has_started:
         fields["started"] = 1
@@ -295,6 +305,9 @@
         job.final_ms = int(fields["final_ms"])
         job.is_final_stored = True
         job.occurrences.clear()
+        if "leftover" in fields:
+            job.leftover_team, *amounts = fields["leftover"]
+            job.leftover = resources.Resources(*map(int, amounts))
         return
     job.has_started = bool(fields.get("started"))
     if job.has_started:
--- a/clementinespar/jobs/task_placer.py
+++ b/clementinespar/jobs/task_placer.py
@@ -5,9 +5,11 @@
 
 from clementinespar.jobs import (
     crash_counts,
+    owner_quotas,
     placement,
     services,
     state,
+    team_use,
     telemetry,
     tickets,
     worker_session,
@@ -22,6 +24,7 @@
     _tickets: tickets.TicketCache
     _log_event: services.EventLog
     _metrics: telemetry.JobMetrics
+    _quotas: owner_quotas.OwnerQuotas
 
     def __init__(
         self,
@@ -30,12 +33,14 @@
         ticket_cache: tickets.TicketCache,
         log_event: services.EventLog,
         metrics: telemetry.JobMetrics,
+        quotas: owner_quotas.OwnerQuotas,
     ) -> None:
         self._epoch = epoch
         self._sessions_by_id = sessions_by_id
         self._tickets = ticket_cache
         self._log_event = log_event
         self._metrics = metrics
+        self._quotas = quotas
 
     def place(
         self, job: state.JobProgress, free_capacity: placement.FreeCapacity, now: float
@@ -75,8 +80,14 @@
                 self._place_gang(job, step, free_capacity, tickets_by_worker_id)
             return
         counts = self.count_per_worker(job, step)
+        fits = self._quotas.shares.fits
+        left = len(indexes)
         for index in sorted(indexes):
             task = step.tasks[index]
+            if not fits(job.spec.team, step.spec):
+                if free_capacity.choose(step.spec, counts, set()) is not None:
+                    self._note_lack(job, step, left)
+                break
             is_isolated = crash_counts.is_isolated(task, now)
             choices = free_capacity
             if is_isolated:
@@ -93,6 +104,20 @@
             ticket = tickets_by_worker_id.get(session.entry.worker_id, "")
             number = job.next_run(task, self._epoch)
             self._start(job, step, task, number, session, ticket)
+            left -= 1
+
+    def _note_lack(
+        self, job: state.JobProgress, step: state.StepState, count: int
+    ) -> None:
+        """Ask for room in the team's share for tasks that a worker could take."""
+        need = team_use.needs(step.spec)
+        wanted = need.times(count)
+        least = wanted if step.spec.is_gang else need
+        self._quotas.note_lack(job.spec.team, wanted, least)
+
+    def has_share(self, job: state.JobProgress, step: state.StepState) -> bool:
+        """Whether a task that is stopped finds room in its team's share again."""
+        return self._quotas.shares.keeps_room(job.spec.team, step.spec)
 
     def _find_quiet(self, now: float) -> set[str]:
         """Return the workers on which no task has just started."""
@@ -132,6 +157,10 @@
         tickets_by_worker_id: dict[str, str],
     ) -> None:
         """Start all members under one run number, or none of them."""
+        if not self._quotas.shares.fits(job.spec.team, step.spec, len(step.tasks)):
+            if free_capacity.choose_gang(step.spec, len(step.tasks)) is not None:
+                self._note_lack(job, step, len(step.tasks))
+            return
         chosen = free_capacity.choose_gang(step.spec, len(step.tasks))
         if chosen is None:
             return
@@ -175,7 +204,9 @@
         ticket: str,
     ) -> None:
         now = asyncio.get_running_loop().time()
-        run = worker_session.Run(task.key, number, step.spec, session, now)
+        run = worker_session.Run(
+            task.key, number, step.spec, session, now, job.spec.team
+        )
         run.is_suspect = bool(task.crashed_runs)
         task.last_run = number
         task.open_runs.add(number)
--- a/clementinespar/jobs/telemetry.py
+++ b/clementinespar/jobs/telemetry.py
@@ -44,6 +44,9 @@
     _starts: prometheus_client.Counter
     _ends: prometheus_client.Counter
     _crashes: prometheus_client.Counter
+    _quota_requests: prometheus_client.Counter
+    _quota_recalls: prometheus_client.Counter
+    _quota_waits: prometheus_client.Counter
     _answers: prometheus_client.Counter
     _job_seconds: prometheus_client.Histogram
     _answer_seconds: prometheus_client.Histogram
@@ -66,6 +69,23 @@
             "Runs whose worker died under them.",
             registry=self.registry,
         )
+        self._quota_requests = prometheus_client.Counter(
+            "clementinespar_quota_requests",
+            "Requests of this node's owners to the ledger by result.",
+            ["result"],
+            registry=self.registry,
+        )
+        self._quota_recalls = prometheus_client.Counter(
+            "clementinespar_quota_recalls",
+            "Recalls of shares by this node's ledger by result.",
+            ["result"],
+            registry=self.registry,
+        )
+        self._quota_waits = prometheus_client.Counter(
+            "clementinespar_quota_waits",
+            "Reports of a team whose ready tasks wait for its share.",
+            registry=self.registry,
+        )
         self._answers = prometheus_client.Counter(
             "clementinespar_job_answers",
             "Answers to callers by call and status.",
@@ -99,6 +119,18 @@
         """Count a run whose worker died under it."""
         self._crashes.inc()
 
+    def count_quota_request(self, result: str) -> None:
+        """Count a request to the ledger."""
+        self._quota_requests.labels(result).inc()
+
+    def count_quota_recall(self, result: str) -> None:
+        """Count a recall of shares."""
+        self._quota_recalls.labels(result).inc()
+
+    def count_quota_wait(self) -> None:
+        """Count a report of a team that waits for its share."""
+        self._quota_waits.inc()
+
     def observe_job(self, state: str, age_ms: float) -> None:
         """Count a job that reached a final state, by the time since acceptance."""
         self._job_seconds.labels(state).observe(age_ms / 1000)
--- a/clementinespar/jobs/tests/fakes.py
+++ b/clementinespar/jobs/tests/fakes.py
@@ -206,6 +206,8 @@
         self.acknowledged_done: set[model.TaskKey] = set()
         self.cpu_by_step: dict[tuple[str, int], int] = {}
         self.lasting_jobs: set[str] = set()
+        # Called with each task that a worker starts, before it counts as running.
+        self.on_start: Callable[[model.TaskKey], None] = lambda task: None
         for number in range(count):
             self.add(f"{pool}-{number}", pool, cpu)
 
@@ -367,6 +369,7 @@
         if used > fake.entry.cpu_millis:
             self.violations.append(f"{fake.entry.worker_id} is over its capacity")
         self.starts.append((task, run, fake.entry.worker_id))
+        self.on_start(task)
 
     async def stop(
         self, worker: model.WorkerEntry, task: model.TaskKey, run: int, fence: int
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -11,7 +11,7 @@
 from typing import Protocol
 
 from clementinespar import codes, errors
-from clementinespar.jobs import model, services
+from clementinespar.jobs import model, services, team_use
 
 # A worker's clock may run 2% slow, so a lease lasts that much longer in real time.
 MIN_CLOCK_RATE = 0.98
@@ -60,6 +60,7 @@
         "move_blocked_by",
         "is_suspect",
         "session",
+        "team",
     )
 
     key: model.TaskKey
@@ -79,6 +80,7 @@
     move_blocked_by: str  # why its last move was not possible; empty: none was tried
     is_suspect: bool  # a worker has died while an earlier run of the task was suspect
     session: "WorkerSession"
+    team: str  # of its job; empty: none
 
     def __init__(
         self,
@@ -87,6 +89,7 @@
         spec: model.StepSpec,
         session: "WorkerSession",
         now: float,
+        team: str = "",
     ) -> None:
         self.key = key
         self.number = number
@@ -105,6 +108,7 @@
         self.move_blocked_by = ""
         self.is_suspect = False
         self.session = session
+        self.team = team
 
 
 class RunEvents(Protocol):
@@ -166,6 +170,10 @@
         """Return the spec of a run that this owner does not want and has to stop."""
         ...
 
+    def find_team(self, job_id: str) -> str:
+        """Return the team of a job; empty if it has none or is unknown."""
+        ...
+
 
 class WorkerSession:
     """State and connections of one worker for the owner of its pool."""
@@ -203,6 +211,7 @@
     _task: asyncio.Task[None] | None
     _orders: set[asyncio.Task[None]]
     _returns: list[float]  # event-loop times at which it became responsive again
+    _team_use: team_use.TeamUse  # of all workers of the partition
 
     def __init__(
         self,
@@ -213,6 +222,7 @@
         client: services.WorkerClient,
         events: RunEvents,
         log_event: services.EventLog,
+        use: team_use.TeamUse | None = None,
     ) -> None:
         self.entry = entry
         self.fence = fence
@@ -247,6 +257,7 @@
         self._task = None
         self._orders = set()
         self._returns = []
+        self._team_use = team_use.TeamUse() if use is None else use
 
     def open(self) -> None:
         """Start the background task that renews the lease."""
@@ -308,6 +319,7 @@
     def add_run(self, run: Run) -> None:
         """Track a run and count its capacity as in use."""
         self.runs[(run.key, run.number)] = run
+        self._team_use.add(run)
         if not run.spec.is_filler:
             self.free_cpu -= run.spec.cpu_millis
         self.free_memory -= run.spec.memory_mb
@@ -317,6 +329,7 @@
         """Stop tracking a run and free its capacity; False if it was not tracked."""
         if self.runs.pop((run.key, run.number), None) is None:
             return False
+        self._team_use.drop(run)
         if not run.spec.is_filler:
             self.free_cpu += run.spec.cpu_millis
         self.free_memory += run.spec.memory_mb
@@ -513,7 +526,8 @@
                 run = self._events.on_unknown_run(self, item)
                 if run is None:
                     spec = self._events.orphan_spec(item.task)
-                    run = Run(item.task, item.run, spec, self, now)
+                    team = self._events.find_team(item.task.job_id)
+                    run = Run(item.task, item.run, spec, self, now, team)
                     run.status = RunStatus.RUNNING
                     self.add_run(run)
                     self.stop(run, "not wanted by this owner")
