Merge the quotas of teams onto the split owner

The wiring of the quotas moves with the parts of the owner: begin_round in the round of placement, leftovers of final jobs in the handling of ends, the commands that are kept in the progress writer. 330 tests of jobs and platform pass, one known failure.

--- a/clementinespar/jobs/owner_loading.py
+++ b/clementinespar/jobs/owner_loading.py
@@ -91,7 +91,9 @@
     if task.is_done or (task.open_runs and not step.spec.is_speculative):
         return None
     now = asyncio.get_running_loop().time()
-    run = worker_session.Run(listed.task, listed.run, step.spec, session, now)
+    run = worker_session.Run(
+        listed.task, listed.run, step.spec, session, now, job.spec.team
+    )
     run.status = worker_session.RunStatus.RUNNING
     run.percent = listed.percent
     run.is_suspect = bool(task.crashed_runs)
--- a/clementinespar/jobs/placement_round.py
+++ b/clementinespar/jobs/placement_round.py
@@ -4,6 +4,7 @@
     crash_counts,
     demand,
     job_table,
+    owner_quotas,
     placement,
     session_table,
     task_placer,
@@ -22,6 +23,7 @@
         use: worker_use.WorkerUse,
         placer: task_placer.TaskPlacer,
         run_times: demand.RunTimes,
+        quotas: owner_quotas.OwnerQuotas,
     ) -> None:
         self._epoch = epoch
         self._jobs = jobs
@@ -29,10 +31,12 @@
         self._worker_use = use
         self._placer = placer
         self._run_times = run_times
+        self._quotas = quotas
 
     def run(self, now: float) -> None:
         """Start the tasks that are ready, as far as the free capacity allows."""
         is_settled = self._worker_use.is_settled()
+        self._quotas.begin_round()
         usable = self._sessions.find_usable(now)
         if not usable:
             return
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -26,6 +26,7 @@
     model,
     owner_loading,
     owner_queries,
+    owner_quotas,
     placement_round,
     progress_writer,
     run_ends,
@@ -71,6 +72,7 @@
     jobs_by_id: dict[str, state.JobProgress]
     sessions_by_id: dict[str, worker_session.WorkerSession]
     metrics: telemetry.JobMetrics
+    quotas: owner_quotas.OwnerQuotas
     _lease_s: float  # longest lease that owners grant
     _jobs: job_table.JobTable
     _worker_use: worker_use.WorkerUse
@@ -103,6 +105,7 @@
         settings: OwnerSettings,
         log_event: services.EventLog,
         metrics: telemetry.JobMetrics,
+        quota_link: owner_quotas.QuotaLink | None = None,
     ) -> None:
         self.partition = partition
         self.epoch = epoch
@@ -123,6 +126,19 @@
         self._unsubscribe = _do_nothing
         self._run_times = demand.RunTimes()
         arrivals_by_pool: dict[str, demand.ArrivalRate] = {}
+        self.quotas = owner_quotas.OwnerQuotas(
+            partition,
+            epoch,
+            owner_quotas.NoQuotas() if quota_link is None else quota_link,
+            self.jobs_by_id,
+            self._jobs.active,
+            self.sessions_by_id,
+            self._worker_use.is_settled,
+            self.confirmed_at,
+            self._jobs.schedule_wanted.set,
+            log_event,
+            metrics,
+        )
         self._sessions = session_table.SessionTable(
             self.sessions_by_id,
             epoch,
@@ -133,6 +149,7 @@
             self,
             self._worker_use,
             self._jobs,
+            self.quotas.use,
             log_event,
         )
         self._writer = progress_writer.ProgressWriter(
@@ -142,6 +159,7 @@
             self._jobs,
             self.sessions_by_id,
             self._worker_use,
+            self.quotas,
             lambda: self.mark_lost("the store has seen a later owner"),
             log_event,
         )
@@ -149,7 +167,7 @@
             adviser, log_event, self._jobs.schedule_wanted
         )
         placer = task_placer.TaskPlacer(
-            epoch, self.sessions_by_id, self._tickets, log_event, metrics
+            epoch, self.sessions_by_id, self._tickets, log_event, metrics, self.quotas
         )
         self._run_watch = run_watch.RunWatch(
             self.jobs_by_id, self.sessions_by_id, placer, log_event
@@ -161,6 +179,7 @@
             self._worker_use,
             placer,
             self._run_times,
+            self.quotas,
         )
         self._held_tasks = held_tasks.HeldTaskLog(log_event)
         self._ends = run_ends.RunEnds(
@@ -168,6 +187,7 @@
             self.sessions_by_id,
             self._tickets,
             self._run_times,
+            self.quotas,
             log_event,
             metrics,
         )
@@ -271,6 +291,11 @@
             return job.spec.steps[key.step]
         return UNKNOWN_STEP
 
+    def find_team(self, job_id: str) -> str:
+        """Return the team of a job; empty if it has none or is unknown."""
+        job = self.jobs_by_id.get(job_id)
+        return "" if job is None else job.spec.team
+
     def on_end(
         self,
         session: worker_session.WorkerSession,
@@ -453,6 +478,7 @@
                 group.create_task(self.schedule())
                 group.create_task(self.run_housekeeping())
                 group.create_task(self._death_watch.run())
+                group.create_task(self.quotas.run())
         except Exception as error:
             self.has_failed = True
             telemetry.log_failure(self._log_event, self.partition, error)
--- a/clementinespar/jobs/progress_writer.py
+++ b/clementinespar/jobs/progress_writer.py
@@ -9,6 +9,7 @@
     command_intake,
     fenced_log,
     job_table,
+    owner_quotas,
     services,
     state,
     worker_session,
@@ -40,6 +41,7 @@
         jobs: job_table.JobTable,
         sessions_by_id: Mapping[str, worker_session.WorkerSession],
         use: worker_use.WorkerUse,
+        quotas: owner_quotas.OwnerQuotas,
         on_fenced: Callable[[], None],
         log_event: services.EventLog,
     ) -> None:
@@ -49,6 +51,7 @@
         self._jobs = jobs
         self._sessions_by_id = sessions_by_id
         self._worker_use = use
+        self._quotas = quotas
         self._on_fenced = on_fenced
         self._log = fenced_log.FencedLog(
             store,
@@ -148,9 +151,10 @@
         forget : callable
             Called with the id of each job whose final state is expired.
         """
-        if self._finished_commands:
-            keys = self._finished_commands
-            self._finished_commands = []
+        unended = self._quotas.find_unended(self._finished_commands)
+        keys = [job_id for job_id in self._finished_commands if job_id not in unended]
+        if keys:
+            self._finished_commands = sorted(unended)
             try:
                 await self._store.append(
                     services.Topic.COMMANDS,
--- a/clementinespar/jobs/run_ends.py
+++ b/clementinespar/jobs/run_ends.py
@@ -9,6 +9,7 @@
     demand,
     job_table,
     model,
+    owner_quotas,
     services,
     state,
     telemetry,
@@ -27,6 +28,7 @@
     _sessions_by_id: Mapping[str, worker_session.WorkerSession]
     _tickets: tickets.TicketCache
     _run_times: demand.RunTimes
+    _quotas: owner_quotas.OwnerQuotas
     _log_event: services.EventLog
     _metrics: telemetry.JobMetrics
 
@@ -36,6 +38,7 @@
         sessions_by_id: Mapping[str, worker_session.WorkerSession],
         ticket_cache: tickets.TicketCache,
         run_times: demand.RunTimes,
+        quotas: owner_quotas.OwnerQuotas,
         log_event: services.EventLog,
         metrics: telemetry.JobMetrics,
     ) -> None:
@@ -43,6 +46,7 @@
         self._sessions_by_id = sessions_by_id
         self._tickets = ticket_cache
         self._run_times = run_times
+        self._quotas = quotas
         self._log_event = log_event
         self._metrics = metrics
 
@@ -147,6 +151,7 @@
                 for run in list(session.runs.values()):
                     if run.key.job_id == job.spec.job_id:
                         session.stop(run, f"its job is {final.value}")
+        self._quotas.record_leftover(job)
         job.occurrences.clear()
         self._tickets.drop_job(job.spec.job_id)
         self._jobs.store_soon(job)
--- a/clementinespar/jobs/session_table.py
+++ b/clementinespar/jobs/session_table.py
@@ -6,6 +6,7 @@
 from clementinespar.jobs import (
     job_table,
     services,
+    team_use,
     worker_session,
     worker_use,
 )
@@ -38,6 +39,7 @@
         events: worker_session.RunEvents,
         use: worker_use.WorkerUse,
         jobs: job_table.JobTable,
+        use_by_team: team_use.TeamUse,
         log_event: services.EventLog,
     ) -> None:
         self._sessions_by_id = sessions_by_id
@@ -49,6 +51,7 @@
         self._events = events
         self._worker_use = use
         self._jobs = jobs
+        self._use_by_team = use_by_team
         self._log_event = log_event
         self.evacuating = {}
         self.loaded_at = 0.0
@@ -72,6 +75,7 @@
                     self._workers,
                     self._events,
                     self._log_event,
+                    self._use_by_team,
                 )
                 session.is_evacuating = entry.worker_id in self.evacuating
                 self._sessions_by_id[entry.worker_id] = session
