Trial: drain busy hosts for a pool at its peak, pack tasks while a pool is full

Change: late work does not count as demand; surplus busy hosts get no new work while another pool lacks hosts; tasks are packed while some find no room.

--- a/clementinespar/jobs/capacity.py
+++ b/clementinespar/jobs/capacity.py
@@ -35,7 +35,13 @@
     lasting_cores: float = 0.0
     lasting_hosts: int = 0  # fewest that can hold the largest lasting step
     leaving_hosts: int = 0  # of `hosts`, those whose worker drains
+    # Of `used_cores`, those of jobs that miss their objective in any case.
+    late_cores: float = 0.0
     movable: list[str] = dataclasses.field(default_factory=list)  # ids of idle hosts
+    # Ids of hosts that run short tasks only, those with the fewest cores in use first.
+    drainable: list[str] = dataclasses.field(default_factory=list)
+    # Ids of busy hosts that get no new work, so that they can be lent.
+    draining: list[str] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
@@ -69,9 +75,10 @@
     """Return the number of cores that a pool needs now.
 
     The rate of arrivals counts, not the backlog: work that waits now is late before a
-    host arrives.
+    host arrives. Work that is late already takes what other pools leave free.
     """
-    return max(view.used_cores, view.lasting_cores + view.arriving_cores)
+    timely_cores = view.used_cores - view.late_cores
+    return max(timely_cores, view.lasting_cores + view.arriving_cores)
 
 
 def update_peak(peak: PeakState, view: PoolView, now: float) -> None:
@@ -209,3 +216,49 @@
             if host_id not in moved
         )
     return moves
+
+
+def plan_drains(
+    views: list[PoolView], peaks: dict[str, PeakState], moves: list[Move], now: float
+) -> list[str]:
+    """Return the ids of busy hosts that should get no new work, so that they can move.
+
+    The load it answers: one pool is at its peak with too few hosts while another,
+    whose peak is over, spreads little or late work over all the hosts that it still
+    has, so that none of them is ever idle. Hosts that drain already come first, so
+    that the choice stays the same until they are idle.
+
+    Parameters
+    ----------
+    views : list of PoolView
+        All pools.
+    peaks : dict of str to PeakState
+        State of the peaks by pool name, as updated by `plan_moves`.
+    moves : list of Move
+        Moves that are ordered now.
+    now : float
+        Event-loop time in seconds.
+    """
+    arriving: dict[str, int] = {}
+    leaving: dict[str, int] = {}
+    for move in moves:
+        arriving[move.destination] = arriving.get(move.destination, 0) + 1
+        leaving[move.source] = leaving.get(move.source, 0) + 1
+    lacking = 0
+    donors: list[tuple[int, PoolView]] = []
+    for view in views:
+        if view.is_spare:
+            continue
+        peak = peaks[view.name]
+        wanted = max(wanted_hosts(peak, view, now), hosts_for_lasting(view))
+        if view.waiting_cores > 0:
+            lacking += max(0, wanted - view.hosts - arriving.get(view.name, 0))
+            continue
+        excess = view.hosts - leaving.get(view.name, 0) - kept_hosts(peak, view)
+        if excess > 0:
+            donors.append((excess, view))
+    drains: list[str] = []
+    for excess, view in sorted(donors, key=lambda item: -item[0]):
+        count = min(excess, lacking - len(drains))
+        drains.extend([*view.draining, *view.drainable][: max(0, count)])
+    return drains
--- a/clementinespar/jobs/fleet.py
+++ b/clementinespar/jobs/fleet.py
@@ -29,6 +29,9 @@
 # An evacuation that is not requested again ends after this. A slow platform may carry
 # the order out seconds after the worker was found to be free.
 EVACUATION_TTL_S = 6.0
+# A busy host that another pool needs gets no new work for this long, unless it is asked
+# for again: the other pool's need may end before the host is idle.
+DRAIN_TTL_S = 2.0
 URGENT_AFTER_S = 3.0  # short runs are stopped when an evacuation takes this long
 # Share of a pool's hosts that may leave at once; doubled near the deadline of a wave.
 MAX_LEAVING_SHARE = 0.25
@@ -65,6 +68,7 @@
     _waves: dict[int, _WaveProgress]
     _peaks: dict[str, capacity.PeakState]
     _arriving: dict[str, tuple[str, float]]  # host id: its new pool and time of order
+    _drained_at: dict[str, float]  # host id: event-loop time of the newest request
     _logged_at: float
     _log: fenced_log.FencedLog
 
@@ -100,6 +104,7 @@
         self._waves = {}
         self._peaks = {}
         self._arriving = {}
+        self._drained_at = {}
         self._logged_at = 0.0
         self._log = fenced_log.FencedLog(
             store, services.Topic.HOSTS, partition, epoch, TICK_S, log_event
@@ -234,6 +239,9 @@
         async with asyncio.TaskGroup() as group:
             for move in moves:
                 group.create_task(self._move_host(move, hosts_by_id[move.host_id]))
+        await self._drain_hosts(
+            capacity.plan_drains(views, self._peaks, moves, now), hosts_by_id
+        )
         after = self._encode_peaks()
         if after != before:
             await self._store_record("turns", after)
@@ -269,6 +277,16 @@
             for host in up
             if not workers.get(host.worker_id, {}).get("is_leaving", False)
         ]
+        busy = sorted(
+            (
+                host
+                for host in staying
+                if host.host_id not in leaving
+                and workers.get(host.worker_id, {}).get("runs", 0)
+                and not workers[host.worker_id]["lasting"]
+            ),
+            key=lambda host: float(workers[host.worker_id]["used_cores"]),
+        )
         return capacity.PoolView(
             name=pool.name,
             is_spare=False,
@@ -280,6 +298,7 @@
             lasting_cores=sum(worker["lasting_cores"] for worker in workers.values()),
             lasting_hosts=load.get("lasting_hosts", 0),
             leaving_hosts=len(up) - len(staying),
+            late_cores=load.get("late_cores", 0.0),
             movable=[
                 host.host_id
                 for host in staying
@@ -287,8 +306,42 @@
                 and host.worker_id in workers
                 and not workers[host.worker_id]["runs"]
             ],
+            drainable=[
+                host.host_id for host in busy if host.host_id not in self._drained_at
+            ],
+            draining=[
+                host.host_id for host in busy if host.host_id in self._drained_at
+            ],
         )
 
+    async def _drain_hosts(
+        self, host_ids: list[str], hosts_by_id: dict[str, model.HostEntry]
+    ) -> None:
+        """Keep new work off busy hosts that another pool needs."""
+        now = asyncio.get_running_loop().time()
+        self._drained_at = {
+            host_id: at
+            for host_id, at in self._drained_at.items()
+            if now - at < DRAIN_TTL_S
+        }
+        due = [
+            host_id
+            for host_id in host_ids
+            if now - self._drained_at.get(host_id, -math.inf) >= DRAIN_TTL_S / 2
+        ]
+        if any(host_id not in self._drained_at for host_id in due):
+            self._log_event("hosts_drained", count=len(host_ids), hosts=due[:5])
+        async with asyncio.TaskGroup() as group:
+            for host_id in due:
+                self._drained_at[host_id] = now
+                group.create_task(
+                    self._evacuate(
+                        hosts_by_id[host_id],
+                        DRAIN_TTL_S,
+                        model.EvacuationUrgency.DRAIN,
+                    )
+                )
+
     async def _move_host(self, move: capacity.Move, host: model.HostEntry) -> None:
         loop = asyncio.get_running_loop()
         is_free = await self._is_free(host, model.EvacuationUrgency.IF_IDLE)
@@ -460,10 +513,14 @@
     ) -> bool:
         if not host.worker_id or self._is_spare(host.pool):
             return True
+        return await self._evacuate(host, EVACUATION_TTL_S, urgency)
+
+    async def _evacuate(
+        self, host: model.HostEntry, kept_s: float, urgency: model.EvacuationUrgency
+    ) -> bool:
+        """Keep new work off a host for some seconds; True once it is idle."""
         try:
-            return await self._jobs.evacuate(
-                host.pool, host.worker_id, EVACUATION_TTL_S, urgency
-            )
+            return await self._jobs.evacuate(host.pool, host.worker_id, kept_s, urgency)
         except errors.ClementinesparError as error:
             self._log_event(
                 "evacuation_unanswered", host=host.host_id, code=int(error.code)
--- a/clementinespar/jobs/placement.py
+++ b/clementinespar/jobs/placement.py
@@ -52,9 +52,24 @@
     """Free capacity of the workers that may take work in one round of placement."""
 
     _sessions: list[worker_session.WorkerSession]
+    _is_packed: bool
 
-    def __init__(self, sessions: list[worker_session.WorkerSession]) -> None:
+    def __init__(
+        self, sessions: list[worker_session.WorkerSession], is_packed: bool = False
+    ) -> None:
+        """Take the workers of one pool.
+
+        Parameters
+        ----------
+        sessions : list of WorkerSession
+            Workers that may take work.
+        is_packed : bool
+            Whether short tasks go where they leave the least room free, instead of
+            where most cores are free. While tasks wait for room, this leaves large
+            gaps for wide tasks instead of small ones on every worker.
+        """
         self._sessions = sessions
+        self._is_packed = is_packed
 
     def has_any(self) -> bool:
         """Whether there is any worker that may take work."""
@@ -89,7 +104,9 @@
                 -float(bool(spec.data_rack) and session.entry.rack != spec.data_rack),
                 *_lasting_score(session, spec, counts[worker_id]),
                 -_serving_count(session) if spec.is_filler else 0.0,
-                float(session.free_cpu),
+                -_free_share_after(session, spec)
+                if self._is_packed and not spec.is_lasting
+                else float(session.free_cpu),
             )
             if best is None or score > best_score:
                 best, best_score = session, score
@@ -98,7 +115,8 @@
     def restrict(self, worker_ids: Container[str]) -> "FreeCapacity":
         """Return the free capacity of some of the workers."""
         return FreeCapacity(
-            [s for s in self._sessions if s.entry.worker_id in worker_ids]
+            [s for s in self._sessions if s.entry.worker_id in worker_ids],
+            self._is_packed,
         )
 
     def worker_ids(self) -> list[str]:
@@ -175,6 +193,16 @@
     return (-float(max(0, count + 1 - shareable)), float(lasting_count))
 
 
+def _free_share_after(
+    session: worker_session.WorkerSession, spec: model.StepSpec
+) -> float:
+    """Return the shares of cores and memory left free beside one more task."""
+    entry = session.entry
+    free_cores = (session.free_cpu - spec.cpu_millis) / max(1, entry.cpu_millis)
+    free_memory = (session.free_memory - spec.memory_mb) / max(1, entry.memory_mb)
+    return free_cores + free_memory
+
+
 def _serving_count(session: worker_session.WorkerSession) -> float:
     return float(sum(1 for run in session.runs.values() if run.spec.latency_target_ms))
 
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -53,6 +53,8 @@
 STATUS_RETENTION_MS = 150_000  # longer than callers may query a final state
 HOUSEKEEPING_INTERVAL_S = 0.5
 UNKNOWN_STEP = model.StepSpec(1)
+# Tasks are packed this long after some found no room: a few run times of short tasks.
+PACKED_S = 3.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -101,6 +103,8 @@
     _arrivals_by_pool: dict[str, demand.ArrivalRate]
     _dirty: dict[str, state.JobProgress]  # changed since the last append
     _active: dict[str, state.JobProgress]  # not in a final state
+    # Event-loop time at which timely tasks of a pool last found no room.
+    _full_at_by_pool: dict[str, float]
 
     def __init__(
         self,
@@ -177,6 +181,7 @@
         self._loaded_at = 0.0
         self._run_times = demand.RunTimes()
         self._arrivals_by_pool = {}
+        self._full_at_by_pool = {}
 
     # Events of worker sessions; see `worker_session.RunEvents`.
 
@@ -472,9 +477,11 @@
                 ),
                 default=0,
             ),
+            "late_cores": self._count_late_cores(pool, now),
             "workers": {
                 session.entry.worker_id: {
                     "used_cores": (session.entry.cpu_millis - session.free_cpu) / 1000,
+                    "is_evacuating": session.is_evacuating,
                     "runs": len(session.runs),
                     "lasting": sum(
                         1 for run in session.runs.values() if run.spec.is_lasting
@@ -491,6 +498,26 @@
             },
         }
 
+    def _count_late_cores(self, pool: str, now: float) -> float:
+        """Return the cores in use by jobs that miss their objective in any case."""
+        cores_by_job: dict[str, float] = {}
+        for session in self.sessions_by_id.values():
+            if session.entry.pool == pool:
+                for run in session.runs.values():
+                    if not run.spec.is_lasting and not run.spec.is_filler:
+                        cores = run.spec.cpu_millis / 1000
+                        job_id = run.key.job_id
+                        cores_by_job[job_id] = cores_by_job.get(job_id, 0.0) + cores
+        return sum(
+            cores
+            for job_id, cores in cores_by_job.items()
+            if job_id in self._active
+            and placement.rank(self._active[job_id], now, self._run_times.estimate_ms)[
+                0
+            ]
+            == placement.LATE
+        )
+
     def evacuate(
         self, worker_id: str, kept_s: float, urgency: model.EvacuationUrgency
     ) -> bool:
@@ -932,14 +959,24 @@
             and any(s.waiting for o in job.occurrences.values() for s in o.steps)
         ]
         estimate_ms = self._run_times.estimate_ms
-        waiting.sort(key=lambda job: placement.rank(job, now, estimate_ms))
+        rank_by_id = {
+            job.spec.job_id: placement.rank(job, now, estimate_ms) for job in waiting
+        }
+        waiting.sort(key=lambda job: rank_by_id[job.spec.job_id])
         free_capacity_by_pool: dict[str, placement.FreeCapacity] = {}
         for pool in {job.spec.pool for job in waiting}:
+            full_at = self._full_at_by_pool.get(pool, -math.inf)
             free_capacity_by_pool[pool] = placement.FreeCapacity(
-                [session for session in usable if session.entry.pool == pool]
+                [session for session in usable if session.entry.pool == pool],
+                is_packed=now - full_at < PACKED_S,
             )
         for job in waiting:
             self._placer.place(job, free_capacity_by_pool[job.spec.pool], now)
+            if rank_by_id[job.spec.job_id][0] in (
+                placement.STARTED,
+                placement.NEW,
+            ) and job.has_ready_tasks(now):
+                self._full_at_by_pool[job.spec.pool] = now
 
     # Workers.
 
