--- a/clementinespar/jobs/capacity.py
+++ b/clementinespar/jobs/capacity.py
@@ -112,13 +112,18 @@
         first.is_resting = False
 
 
+def demanded_hosts(peak: PeakState, view: PoolView) -> int:
+    """Return the number of hosts for all work that arrives now, up to a limit."""
+    host_cores = max(1.0, view.host_cores)
+    demanded = math.ceil(demand_cores(view) * HEADROOM / host_cores)
+    return min(demanded, math.ceil(peak.home_hosts * MAX_PEAK_SHARE))
+
+
 def needed_hosts(peak: PeakState, view: PoolView) -> int:
     """Return the number of hosts that the demand of a pool keeps busy."""
     host_cores = max(1.0, view.host_cores)
-    needed = math.ceil(demand_cores(view) * HEADROOM / host_cores)
     waiting = math.ceil(view.waiting_cores * HEADROOM / host_cores)
-    needed = min(needed, view.hosts + waiting)
-    return min(needed, math.ceil(peak.home_hosts * MAX_PEAK_SHARE))
+    return min(demanded_hosts(peak, view), view.hosts + waiting)
 
 
 def wanted_hosts(peak: PeakState, view: PoolView, now: float) -> int:
@@ -250,9 +255,11 @@
         if view.is_spare:
             continue
         peak = peaks[view.name]
-        wanted = max(wanted_hosts(peak, view, now), hosts_for_lasting(view))
-        if view.waiting_cores > 0:
-            lacking += max(0, wanted - view.hosts - arriving.get(view.name, 0))
+        # A drain takes as long as the tasks that run, so it begins for the work that
+        # arrives, before that work waits.
+        demanded = demanded_hosts(peak, view) - arriving.get(view.name, 0)
+        if view.waiting_cores > 0 or demanded > view.hosts:
+            lacking += max(0, demanded - view.hosts)
             continue
         excess = view.hosts - leaving.get(view.name, 0) - kept_hosts(peak, view)
         if excess > 0:
--- a/clementinespar/jobs/fleet.py
+++ b/clementinespar/jobs/fleet.py
@@ -338,7 +338,7 @@
                     self._evacuate(
                         hosts_by_id[host_id],
                         DRAIN_TTL_S,
-                        model.EvacuationUrgency.DRAIN,
+                        model.EvacuationUrgency.LEND,
                     )
                 )
 
--- a/clementinespar/jobs/model.py
+++ b/clementinespar/jobs/model.py
@@ -267,6 +267,7 @@
     """What an evacuation of a worker may interrupt."""
 
     IF_IDLE = "if_idle"  # nothing: a worker with runs is not evacuated
+    LEND = "lend"  # nothing: the worker gets no new work, and late work waits
     DRAIN = "drain"  # no short runs: the worker gets no new work
     STOP = "stop"  # short runs as well; they start again from their checkpoints
 
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -52,9 +52,11 @@
 STALE_COMMANDS_S = 1.4
 STATUS_RETENTION_MS = 150_000  # longer than callers may query a final state
 HOUSEKEEPING_INTERVAL_S = 0.5
-UNKNOWN_STEP = model.StepSpec(1)
 # Tasks are packed this long after some found no room: a few run times of short tasks.
 PACKED_S = 3.0
+# Late work waits while its pool lends hosts, unless less than this share of the cores
+# of the other workers is in use: it must go on where there is room.
+LATE_WORK_MIN_USE = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -105,6 +107,8 @@
     _active: dict[str, state.JobProgress]  # not in a final state
     # Event-loop time at which timely tasks of a pool last found no room.
     _full_at_by_pool: dict[str, float]
+    # Event-loop time until which a pool gives busy hosts to a pool at its peak.
+    _lending_until_by_pool: dict[str, float]
 
     def __init__(
         self,
@@ -182,6 +186,7 @@
         self._run_times = demand.RunTimes()
         self._arrivals_by_pool = {}
         self._full_at_by_pool = {}
+        self._lending_until_by_pool = {}
 
     # Events of worker sessions; see `worker_session.RunEvents`.
 
@@ -238,12 +243,15 @@
         """Stop acting as the owner: a later owner has called a worker."""
         self.mark_lost("a worker has seen a later owner")
 
-    def orphan_spec(self, key: model.TaskKey) -> model.StepSpec:
-        """Return the spec of a run that this owner does not want and has to stop."""
+    def orphan_spec(self, key: model.TaskKey) -> model.StepSpec | None:
+        """Return the spec of a run that this owner does not want and has to stop.
+
+        None if the job is unknown, or final, so that its steps are no longer kept.
+        """
         job = self.jobs_by_id.get(key.job_id)
         if job is not None and 0 <= key.step < len(job.spec.steps):
             return job.spec.steps[key.step]
-        return UNKNOWN_STEP
+        return None
 
     def on_end(
         self,
@@ -542,6 +550,9 @@
         if not session.is_evacuating:
             session.is_evacuating = True
             self._log_event("evacuate", worker=worker_id, runs=len(session.runs))
+        if urgency is model.EvacuationUrgency.LEND:
+            self._lending_until_by_pool[session.entry.pool] = loop.time() + kept_s
+            return not session.runs
         for run in list(session.runs.values()):
             if run.spec.is_lasting:
                 self._run_watch.move_lasting(run, "its host is to be taken away")
@@ -971,12 +982,19 @@
                 is_packed=now - full_at < PACKED_S,
             )
         for job in waiting:
-            self._placer.place(job, free_capacity_by_pool[job.spec.pool], now)
-            if rank_by_id[job.spec.job_id][0] in (
-                placement.STARTED,
-                placement.NEW,
-            ) and job.has_ready_tasks(now):
-                self._full_at_by_pool[job.spec.pool] = now
+            pool = job.spec.pool
+            job_class = rank_by_id[job.spec.job_id][0]
+            free_capacity = free_capacity_by_pool[pool]
+            if (
+                job_class == placement.LATE
+                and now < self._lending_until_by_pool.get(pool, -math.inf)
+                and free_capacity.used_share() >= LATE_WORK_MIN_USE
+            ):
+                continue
+            self._placer.place(job, free_capacity, now)
+            is_timely = job_class in (placement.STARTED, placement.NEW)
+            if is_timely and job.has_ready_tasks(now):
+                self._full_at_by_pool[pool] = now
 
     # Workers.
 
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -162,8 +162,8 @@
         """Handle a start whose ticket the worker did not accept."""
         ...
 
-    def orphan_spec(self, key: model.TaskKey) -> model.StepSpec:
-        """Return the spec of a run that this owner does not want and has to stop."""
+    def orphan_spec(self, key: model.TaskKey) -> model.StepSpec | None:
+        """Return the spec of a run that this owner does not want; None if unknown."""
         ...
 
 
@@ -512,7 +512,7 @@
             if run is None:
                 run = self._events.on_unknown_run(self, item)
                 if run is None:
-                    spec = self._events.orphan_spec(item.task)
+                    spec = self._events.orphan_spec(item.task) or self._rest_step()
                     run = Run(item.task, item.run, spec, self, now)
                     run.status = RunStatus.RUNNING
                     self.add_run(run)
@@ -541,6 +541,18 @@
                 self._spawn(self._stop(run))
         self._events.on_contact(self)
 
+    def _rest_step(self) -> model.StepSpec:
+        """Return a step that takes all free capacity, for a run of unknown size.
+
+        Until the run has been stopped, another start could exceed the capacity.
+        """
+        return model.StepSpec(
+            1,
+            cpu_millis=max(0, self.free_cpu),
+            memory_mb=max(0, self.free_memory),
+            gpus=max(0, self.free_gpus),
+        )
+
     def _settle_unlisted(self, run: Run, sent_at: float) -> None:
         if run.status is RunStatus.OPEN and run.answered_at < sent_at:
             self.stop(run, "the start has no answer and is not listed")
