--- a/clementinespar/jobs/owner_queries.py
+++ b/clementinespar/jobs/owner_queries.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import math
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from clementinespar import codes, errors, explanation
 from clementinespar.jobs import (
@@ -10,11 +10,14 @@
     demand,
     job_table,
     model,
+    owner_quotas,
     placement,
+    pool_demand,
     run_watch,
     services,
     session_table,
     state,
+    team_use,
     worker_session,
     worker_use,
 )
@@ -35,6 +38,7 @@
         watch: run_watch.RunWatch,
         run_times: demand.RunTimes,
         arrivals_by_pool: Mapping[str, demand.ArrivalRate],
+        quotas: owner_quotas.OwnerQuotas,
         log_event: services.EventLog,
     ) -> None:
         self._epoch = epoch
@@ -47,6 +51,7 @@
         self._run_watch = watch
         self._run_times = run_times
         self._arrivals_by_pool = arrivals_by_pool
+        self._quotas = quotas
         self._log_event = log_event
 
     def describe(self, job_id: str) -> model.JobState | None:
@@ -133,21 +138,17 @@
             if session.entry.pool == pool
         ]
         arrivals = self._arrivals_by_pool.get(pool)
-        estimate_ms = self._run_times.estimate_ms
+        used_cores = sum(
+            (session.entry.cpu_millis - session.free_cpu) / 1000 for session in sessions
+        )
+        demand_now = self._find_demand(pool, used_cores, now)
+        arriving_cores = 0.0 if arrivals is None else arrivals.read(now)
         return {
-            "arriving_cores": 0.0 if arrivals is None else arrivals.read(now),
+            "arriving_cores": arriving_cores * demand_now.runnable_share,
             "worker_cores": max(
                 (session.entry.cpu_millis / 1000 for session in sessions), default=0.0
             ),
-            "waiting_cores": sum(
-                len(step.waiting) * step.spec.cpu_millis
-                for job in self._jobs.active.values()
-                if job.spec.pool == pool
-                and placement.rank(job, now, estimate_ms)[0] < placement.LATE
-                for occurrence in job.occurrences.values()
-                for step in occurrence.ready_steps()
-            )
-            / 1000,
+            "waiting_cores": demand_now.waiting_cores,
             "lasting_hosts": max(
                 (
                     _count_hosts_of_lasting(step)
@@ -158,6 +159,7 @@
                 ),
                 default=0,
             ),
+            "late_cores": self._count_late_cores(sessions, now),
             "workers": {
                 session.entry.worker_id: {
                     "used_cores": (session.entry.cpu_millis - session.free_cpu) / 1000,
@@ -177,6 +179,44 @@
             },
         }
 
+    def _find_demand(
+        self, pool: str, used_cores: float, now: float
+    ) -> pool_demand.Demand:
+        """Return the demand of work that can still meet its objective."""
+        estimate_ms = self._run_times.estimate_ms
+        waiting = [
+            (job.spec.team, team_use.needs(step.spec).times(len(step.waiting)))
+            for job in self._jobs.active.values()
+            if job.spec.pool == pool
+            and placement.rank(job, now, estimate_ms)[0] < placement.LATE
+            for occurrence in job.occurrences.values()
+            for step in occurrence.ready_steps()
+        ]
+        teams = {team for team, _ in waiting}
+        return pool_demand.limit_to_caps(
+            waiting, self._quotas.find_room(teams), used_cores
+        )
+
+    def _count_late_cores(
+        self, sessions: Iterable[worker_session.WorkerSession], now: float
+    ) -> float:
+        """Return the cores in use by jobs that miss their objective in any case."""
+        cores_by_job: dict[str, float] = {}
+        for session in sessions:
+            for run in session.runs.values():
+                if not run.spec.is_lasting and not run.spec.is_filler:
+                    cores = run.spec.cpu_millis / 1000
+                    job_id = run.key.job_id
+                    cores_by_job[job_id] = cores_by_job.get(job_id, 0.0) + cores
+        estimate_ms = self._run_times.estimate_ms
+        active = self._jobs.active
+        return sum(
+            cores
+            for job_id, cores in cores_by_job.items()
+            if job_id in active
+            and placement.rank(active[job_id], now, estimate_ms)[0] == placement.LATE
+        )
+
     def evacuate(
         self, worker_id: str, kept_s: float, urgency: model.EvacuationUrgency
     ) -> bool:
@@ -201,6 +241,9 @@
         if not session.is_evacuating:
             session.is_evacuating = True
             self._log_event("evacuate", worker=worker_id, runs=len(session.runs))
+        if urgency is model.EvacuationUrgency.LEND:
+            self._sessions.lending_until[session.entry.pool] = loop.time() + kept_s
+            return not session.runs
         for run in list(session.runs.values()):
             if run.spec.is_lasting:
                 self._run_watch.move_lasting(run, "its host is to be taken away")
--- a/clementinespar/jobs/owner_quotas.py
+++ b/clementinespar/jobs/owner_quotas.py
@@ -201,6 +201,19 @@
         if is_settled:
             self.shares.settle()
 
+    def find_room(self, teams: Collection[str]) -> dict[str, resources.Resources]:
+        """Return what the caps let teams start beside what they use here.
+
+        Teams without a cap are left out, and a negative amount has no limit.
+        """
+        return {
+            team: cap.minus(self.use.by_team.get(team, resources.ZERO))
+            .without_negative()
+            .restrict(cap, resources.UNLIMITED)
+            for team in teams
+            if (cap := self.shares.caps.get(team)) is not None
+        }
+
     # Jobs.
 
     def record_leftover(self, job: state.JobProgress) -> None:
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -45,7 +45,6 @@
 LEASE_SHARE = 0.9  # of the longest lease that workers grant
 SCHEDULE_SPACING_S = 0.004  # batches events into one round of placement
 HOUSEKEEPING_INTERVAL_S = 0.5
-UNKNOWN_STEP = model.StepSpec(1)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -227,6 +226,7 @@
             self._run_watch,
             self._run_times,
             arrivals_by_pool,
+            self.quotas,
             log_event,
         )
 
@@ -284,12 +284,15 @@
         """Stop acting as the owner: a later owner has called a worker."""
         self.mark_lost("a worker has seen a later owner")
 
-    def orphan_spec(self, key: model.TaskKey) -> model.StepSpec:
-        """Return the spec of a run that this owner does not want and has to stop."""
+    def orphan_spec(self, key: model.TaskKey) -> model.StepSpec | None:
+        """Return the spec of a run that this owner does not want and has to stop.
+
+        None if the job is unknown, or final, so that its steps are no longer kept.
+        """
         job = self.jobs_by_id.get(key.job_id)
         if job is not None and 0 <= key.step < len(job.spec.steps):
             return job.spec.steps[key.step]
-        return UNKNOWN_STEP
+        return None
 
     def find_team(self, job_id: str) -> str:
         """Return the team of a job; empty if it has none or is unknown."""
--- a/clementinespar/jobs/session_table.py
+++ b/clementinespar/jobs/session_table.py
@@ -26,6 +26,8 @@
     """
 
     evacuating: dict[str, float]  # worker id: event-loop time at which it expires
+    # By pool: event-loop time until which it gives busy hosts to a pool at its peak.
+    lending_until: dict[str, float]
     loaded_at: float  # event-loop time at which the owner has loaded its partition
 
     def __init__(
@@ -54,6 +56,7 @@
         self._use_by_team = use_by_team
         self._log_event = log_event
         self.evacuating = {}
+        self.lending_until = {}
         self.loaded_at = 0.0
 
     def refresh(self) -> None:
