Answer submissions as soon as their outcome is known

Cause: an append was repeated until the deadline as long as any other call of the store was answered, and a last attempt went past the deadline: callers waited for 3.2 s of their 3.0 s. A command whose first append had no answer never used the owner, and an owner did not notice that its batches had none.

Change: jobs/command_routes.py (from jobs/service.py) watches the appends of this node by partition and its calls to owners (jobs/store_health.py). A command takes the second route after 0.3 s or a failure. What no route can confirm is given up after 1.1 s. While both routes lack answers, a command is refused before it is sent, except for one probe at a time. An owner refuses what it has not sent after 0.5 s. A command that an owner has read is stored, with or without an answer. An id whose append was sent is never called refused. Retry-After is 1 to 4 s by a hash of the id (jobs/retry_after.py). DELETE uses the same code.

Two tests set a private attribute that is gone. One now makes the calls of the group silent instead; the other needs no such help any more.

--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -745,6 +745,11 @@
 
     # Commands.
 
+    def knows_command(self, record: services.KeyedRecord) -> bool:
+        """Whether this command was read from the store, so it certainly is there."""
+        known = self.jobs_by_id if record.key[:1] == "j" else self._cancelled_ids
+        return record.key[1:] in known
+
     def accept_stored_command(self, record: services.KeyedRecord) -> None:
         """Apply a command that was stored just now, before it is read back."""
         if self.is_loaded and not self.is_lost:
--- a/clementinespar/jobs/service.py
+++ b/clementinespar/jobs/service.py
@@ -7,17 +7,17 @@
 import asyncio
 import dataclasses
 import json
-import math
 import urllib.parse
 from collections.abc import Iterable
 from typing import Any
 
 from clementinespar import codes, errors, http_calls
 from clementinespar.jobs import (
-    command_writer,
+    command_routes,
     model,
     ownership,
     partitions,
+    retry_after,
     services,
     state,
 )
@@ -25,15 +25,6 @@
 PEER_TIMEOUT_S = 0.5
 OWNER_RETRY_S = 0.15  # a change of owner takes about a second
 WAITING_MAX_AGE_S = 1.0  # a count returned to callers may be up to 2 s old
-STORE_RETRY_S = 0.1
-# A store that has answered no call for this long counts as unavailable, and calls to it
-# are given up after the same time. A slow store may need most of it to answer.
-STORE_UNAVAILABLE_S = 1.0
-# Above this latency of the store's calls, commands go through the owner of their
-# partition, which appends many at a time. A call usually takes a few milliseconds.
-SLOW_STORE_S = 0.1
-# Shorter than `STORE_UNAVAILABLE_S`, so that a direct append can follow.
-FORWARD_TIMEOUT_S = 0.8
 
 
 class JobService:
@@ -42,14 +33,9 @@
     ownership_manager: ownership.OwnershipManager
     configuration: services.ConfigurationSource
     _partition_map: partitions.PartitionMap
-    _store: services.JobStore
     _http_client: http_calls.HttpClient
     _waiting_by_queue: dict[str, tuple[float, int]]
-    _sent_at: dict[str, float]  # job id: event-loop time of its pending append
-    _unanswered_since: float  # event-loop time of the first append without an answer
-    _answered_at: float  # event-loop time of the last answer to an append
-    _append_latency_s: float  # duration of the last answered append
-    _command_writer: command_writer.CommandWriter
+    _routes: command_routes.CommandRoutes
 
     def __init__(
         self,
@@ -62,14 +48,11 @@
         self.ownership_manager = ownership_manager
         self.configuration = configuration
         self._partition_map = partition_map
-        self._store = store
         self._http_client = http_client
         self._waiting_by_queue = {}
-        self._sent_at = {}
-        self._unanswered_since = -math.inf
-        self._answered_at = -math.inf
-        self._append_latency_s = 0.0
-        self._command_writer = command_writer.CommandWriter(store)
+        self._routes = command_routes.CommandRoutes(
+            ownership_manager, store, http_client
+        )
 
     async def submit(
         self, pool: str, spec: model.JobSpec, timeout_s: float
@@ -81,42 +64,26 @@
         store, returns before the timeout, so that the caller can retry later.
         """
         record = services.KeyedRecord("j" + spec.job_id, state.encode_spec(spec))
-        loop = asyncio.get_running_loop()
-        self._sent_at[spec.job_id] = loop.time()
-        command = asyncio.create_task(self._append_command(pool, record, timeout_s))
-        try:
-            while True:
-                done, _ = await asyncio.wait({command}, timeout=STORE_UNAVAILABLE_S)
-                if done:
-                    return command.result()
-                if self._is_store_unavailable():
-                    return codes.ResultCode.STORE_UNANSWERED
-        finally:
-            command.cancel()
-            self._sent_at.pop(spec.job_id, None)
-
-    def _is_store_unavailable(self) -> bool:
-        """Whether the store has left a call of this node unanswered for too long."""
-        now = asyncio.get_running_loop().time()
-        answered_at = self._store_answered_at()
-        unanswered = [self._unanswered_since, *self._sent_at.values()]
-        if self.ownership_manager.unanswered_since is not None:
-            unanswered.append(self.ownership_manager.unanswered_since)
-        return any(
-            sent_at > answered_at and now - sent_at >= STORE_UNAVAILABLE_S
-            for sent_at in unanswered
+        return await self._routes.store(
+            self._partition_map.find(pool), record, timeout_s
         )
 
-    def _store_answered_at(self) -> float:
-        reached_at = self.ownership_manager.reached_at
-        return max(self._answered_at, -math.inf if reached_at is None else reached_at)
-
     async def cancel(
         self, pool: str, job_id: str, timeout_s: float
     ) -> codes.ResultCode:
-        """Store a cancellation; the owner of the job stops its runs."""
+        """Store a cancellation; the owner of the job stops its runs.
+
+        Returns as `submit`.
+        """
         record = services.KeyedRecord("c" + job_id, b"1")
-        return await self._append_command(pool, record, timeout_s)
+        return await self._routes.store(
+            self._partition_map.find(pool), record, timeout_s
+        )
+
+    def suggest_return_s(self, pool: str, job_id: str) -> int:
+        """Return when a caller should return whose submission the store refused."""
+        outage_s = self._routes.outage_s(self._partition_map.find(pool))
+        return retry_after.after_outage(job_id, outage_s)
 
     async def describe(
         self, pool: str, job_id: str, timeout_s: float
@@ -201,108 +168,6 @@
             - {self._partition_map.find(pool)}
         )
 
-    async def _append_command(
-        self, pool: str, record: services.KeyedRecord, timeout_s: float
-    ) -> codes.ResultCode:
-        loop = asyncio.get_running_loop()
-        end = loop.time() + timeout_s
-        may_be_stored = False
-        while True:
-            sent_at = loop.time()
-            try:
-                await self._append_once(
-                    self._partition_map.find(pool), record, may_be_stored
-                )
-            except errors.ClementinesparError as error:
-                if error.code is codes.ResultCode.STORE_UNANSWERED:
-                    may_be_stored = True
-                    if self._unanswered_since <= self._store_answered_at():
-                        self._unanswered_since = sent_at
-            else:
-                self._answered_at = loop.time()
-                return codes.ResultCode.OK
-            if not may_be_stored:
-                return codes.ResultCode.STORE_REFUSED
-            if loop.time() + STORE_RETRY_S > end:
-                return codes.ResultCode.STORE_UNANSWERED
-            await asyncio.sleep(STORE_RETRY_S)
-
-    async def _append_once(
-        self, partition: int, record: services.KeyedRecord, is_repeated: bool
-    ) -> None:
-        """Append a command, or let the owner of its partition append it.
-
-        The owner does so while the store is slow, or turns this node away but not the
-        owner. A command whose first attempt had no answer does not depend on the owner
-        again.
-        """
-        is_unavailable = self._is_store_unavailable()
-        is_forwarded_first = is_unavailable or self._is_store_slow()
-        if is_forwarded_first and not is_repeated:
-            if partition in self.ownership_manager.owners_by_partition:
-                await self.append_for_peer(partition, record)
-                return
-            if await self._append_at_owner(partition, record):
-                return
-            if is_unavailable:
-                raise errors.ClementinesparError(
-                    codes.ResultCode.STORE_REFUSED, "the store does not answer"
-                )
-        loop = asyncio.get_running_loop()
-        sent_at = loop.time()
-        try:
-            await self._store.append(services.Topic.COMMANDS, partition, [record])
-        except errors.ClementinesparError as error:
-            is_refused = error.code is codes.ResultCode.STORE_REFUSED
-            if is_forwarded_first or is_repeated or not is_refused:
-                raise
-            if not await self._append_at_owner(partition, record):
-                raise
-        else:
-            self._append_latency_s = loop.time() - sent_at
-
-    def _is_store_slow(self) -> bool:
-        latency_s = max(self._append_latency_s, self.ownership_manager.store_latency_s)
-        return latency_s > SLOW_STORE_S
-
-    async def _append_at_owner(
-        self, partition: int, record: services.KeyedRecord
-    ) -> bool:
-        """Let the owner append a command; False if it certainly did not.
-
-        Raises
-        ------
-        errors.ClementinesparError
-            With ``STORE_UNANSWERED``: the command may be stored.
-        """
-        member = self.ownership_manager.known_owner(partition)
-        if member is None:
-            return False
-        try:
-            response = await self._http_client.call(
-                member.partition("/")[0],
-                "POST",
-                f"/{partition}/commands/{urllib.parse.quote(record.key, safe='')}",
-                record.value,
-                timeout_s=FORWARD_TIMEOUT_S,
-            )
-        except http_calls.CallNotSentError:
-            return False
-        except http_calls.CallUnansweredError as error:
-            raise errors.ClementinesparError(
-                codes.ResultCode.STORE_UNANSWERED, error.message
-            ) from error
-        # The next command finds out by its own append whether the store is still slow.
-        self._append_latency_s = 0.0
-        if response.status == 503:
-            return False
-        if response.status != 200:
-            raise errors.ClementinesparError(
-                codes.ResultCode.STORE_UNANSWERED,
-                f"the peer answered with status {response.status}, expected 200",
-            )
-        return True
-
     async def append_for_peer(
         self, partition: int, record: services.KeyedRecord
     ) -> None:
@@ -311,25 +176,19 @@
         Raises
         ------
         errors.ClementinesparError
-            As `services.JobStore.append`.
+            As `services.JobStore.append`. It is ``STORE_REFUSED`` only if no earlier
+            append of the command may have had an effect.
         ValueError
             It is not a command, or there is no such partition.
         """
         is_known = 0 <= partition < self._partition_map.count
         if not is_known or record.key[:1] not in ("j", "c") or not record.value:
             raise ValueError(f"no command for partition {partition}: {record.key!r}")
-        if self._is_store_unavailable():
-            raise errors.ClementinesparError(
-                codes.ResultCode.STORE_REFUSED, "the store does not answer"
-            )
-        await self._command_writer.append(partition, record)
-        owner = self.ownership_manager.owners_by_partition.get(partition)
-        if owner is not None:
-            owner.accept_stored_command(record)
+        await self._routes.append_for_peer(partition, record)
 
     def close(self) -> None:
         """Cancel the appends that are not answered."""
-        self._command_writer.close()
+        self._routes.close()
 
     async def _ask_owner(
         self, partition: int, path: str, timeout_s: float
--- a/clementinespar/jobs/tests/test_service.py
+++ b/clementinespar/jobs/tests/test_service.py
@@ -7,7 +7,13 @@
 import pytest
 
 from clementinespar import codes, http_calls
-from clementinespar.jobs import model, ownership, partitions, service
+from clementinespar.jobs import (
+    model,
+    ownership,
+    partitions,
+    service,
+    store_health,
+)
 from clementinespar.jobs.tests import fakes, helpers
 from clementinespar.tests import paused_clock
 
@@ -81,7 +87,7 @@
         harness.set_unavailable(True)
         code, took_s = await harness.submit("a")
         assert code is codes.ResultCode.STORE_UNANSWERED  # it may be stored
-        assert took_s <= 2 * service.STORE_UNAVAILABLE_S
+        assert took_s <= 2 * store_health.STORE_UNAVAILABLE_S
 
 
 @paused_clock.test
--- a/clementinespar/jobs/tests/test_slow_store.py
+++ b/clementinespar/jobs/tests/test_slow_store.py
@@ -217,8 +217,6 @@
         async with ownership.run_ownership_manager(node.ownership_manager):
             # The first submission without an answer may take until its time is up.
             await node.submit("0" * 16)
-            if fault == "drops_calls":
-                node.jobs._unanswered_since = asyncio.get_running_loop().time() - 2.0
             code, took_s = await node.submit("a" * 16)
         assert code is codes.ResultCode.OK
         assert took_s < 0.2
@@ -234,10 +232,10 @@
 async def test_owner_without_the_store_refuses_at_once() -> None:
     """Guards against callers that wait for an owner while the store is down."""
     harness = SlowStoreHarness()
-    owner = harness.nodes[0].jobs
-    owner._unanswered_since = asyncio.get_running_loop().time() - 2.0
+    unanswered_since = asyncio.get_running_loop().time() - 2.0
+    for node in harness.nodes:
+        node.ownership_manager.unanswered_since = unanswered_since
     node = harness.nodes[1]
-    node.jobs._unanswered_since = owner._unanswered_since
     code, took_s = await node.submit("a" * 16)
     assert code is codes.ResultCode.STORE_REFUSED
     assert took_s < 0.05
