--- a/clementinespar/jobs/command_intake.py
+++ b/clementinespar/jobs/command_intake.py
@@ -117,6 +117,11 @@
             if record.key[:1] == "c" and record.value:
                 self._cancel(record.key[1:])
 
+    def knows(self, record: services.KeyedRecord) -> bool:
+        """Whether this command was read from the store, so it certainly is there."""
+        known = self._jobs.by_id if record.key[:1] == "j" else self._cancelled_ids
+        return record.key[1:] in known
+
     def forget(self, job_id: str) -> None:
         """Forget a job whose final state is no longer kept."""
         self._cancelled_ids.discard(job_id)
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -362,6 +362,10 @@
         """Give a worker no new work; True once its host may be taken away."""
         return self._queries.evacuate(worker_id, kept_s, urgency)
 
+    def knows_command(self, record: services.KeyedRecord) -> bool:
+        """Whether this command was read from the store, so it certainly is there."""
+        return self._intake.knows(record)
+
     def accept_stored_command(self, record: services.KeyedRecord) -> None:
         """Apply a command that was stored just now, before it is read back."""
         if self.is_loaded and not self.is_lost:
