Close the connections of test servers and of the soak proxy

Cause: asyncio's server leaves the connections that it accepted open. The StreamWriter objects were left to the garbage collector after their loop was closed; StreamWriter.__del__ then raised 'Event loop is closed', and pytest reported it against whichever test was running. On arm64 this failed peers test_wire and log test_random_faults, and in other selections of tests log test_http and pools test_invariants.

Change: standins/stream_server.py serves connections and, on exit, cancels the handlers, closes the connections and waits until they are closed. test_wire, test_transport, log test_http and soak/proxy.py use it.

--- a/clementinespar/log/tests/test_http.py
+++ b/clementinespar/log/tests/test_http.py
@@ -14,7 +14,7 @@
 from clementinespar.log import follower as log_follower
 from clementinespar.log import http as log_http
 from clementinespar.tests import log_nodes
-from standins import fake_log, log_service
+from standins import fake_log, log_service, stream_server
 
 _ADDRESS = "127.0.0.1"
 
@@ -114,7 +114,6 @@
 
     async def main() -> None:
         received: list[bytes] = []
-        handlers: list[asyncio.Task[None]] = []
 
         async def serve(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -129,23 +128,16 @@
                         b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b"
                         % (len(reply), reply)
                     )
-            writer.close()
-
-        def start(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            handlers.append(asyncio.create_task(serve(reader, writer)))
-
-        server = await asyncio.start_server(start, _ADDRESS, 0)
-        port = server.sockets[0].getsockname()[1]
-        client = log_http.HttpLogService(f"http://{_ADDRESS}:{port}", 2.0)
-        assert await client.append([b"x"]) == 0
-        server.close()
-        with pytest.raises(errors.LogUnavailableError):
-            await client.append([b"x"])
-        assert len(received) == 1
-        client.close()
-        for handler in handlers:
-            handler.cancel()
-        await asyncio.gather(*handlers, return_exceptions=True)
+
+        async with stream_server.serving(serve) as server:
+            port = stream_server.port_of(server)
+            client = log_http.HttpLogService(f"http://{_ADDRESS}:{port}", 2.0)
+            assert await client.append([b"x"]) == 0
+            server.close()
+            with pytest.raises(errors.LogUnavailableError):
+                await client.append([b"x"])
+            assert len(received) == 1
+            client.close()
 
     asyncio.run(main())
 
--- a/clementinespar/peers/tests/test_wire.py
+++ b/clementinespar/peers/tests/test_wire.py
@@ -13,6 +13,7 @@
 from clementinespar.log import service as log_service
 from clementinespar.peers import client, membership, peer_pb2, server
 from clementinespar.requests import model
+from standins import stream_server
 
 _SETTINGS = options.PeersSettings(address="127.0.0.1", port=0)
 
@@ -265,11 +266,9 @@
         with contextlib.suppress(OSError):
             while await reader.read(65536):
                 pass
-        writer.close()
 
-    listener = await asyncio.start_server(serve, "127.0.0.1", 0)
-    async with listener:
-        yield f"127.0.0.1:{listener.sockets[0].getsockname()[1]}"
+    async with stream_server.serving(serve) as listener:
+        yield f"127.0.0.1:{stream_server.port_of(listener)}"
 
 
 def test_calls_on_an_unresponsive_connection_time_out() -> None:
--- a/clementinespar/requests/tests/test_transport.py
+++ b/clementinespar/requests/tests/test_transport.py
@@ -10,6 +10,7 @@
 
 from clementinespar import codes
 from clementinespar.requests import model, transport
+from standins import stream_server
 from standins import target as target_standin
 
 
@@ -118,11 +119,12 @@
         await reader.readuntil(b"\r\n\r\n")
         writer.write(answer)
         await writer.drain()
-        writer.close()
 
-    listener = await asyncio.start_server(serve, "127.0.0.1", 0)
-    async with listener, transport.open_transport() as curl:
-        await check_answer(listener.sockets[0].getsockname()[1], curl)
+    async with (
+        stream_server.serving(serve) as listener,
+        transport.open_transport() as curl,
+    ):
+        await check_answer(stream_server.port_of(listener), curl)
 
 
 @pytest.mark.parametrize(
@@ -164,14 +166,15 @@
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
         ) -> None:
             seen.append(await reader.readuntil(b"\r\n\r\n"))
-            writer.close()
 
-        listener = await asyncio.start_server(serve, "127.0.0.1", 0)
-        async with listener, transport.open_transport() as curl:
+        async with (
+            stream_server.serving(serve) as listener,
+            transport.open_transport() as curl,
+        ):
             request = _request("r1", service="../status")
             parent = f"00-{'ab' * 16}-{'cd' * 8}-01"
             request = dataclasses.replace(request, traceparent=parent)
-            port = listener.sockets[0].getsockname()[1]
+            port = stream_server.port_of(listener)
             await curl.send(_target(port), request, 1.0, False)
 
     asyncio.run(main())
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,6 +1,7 @@
 """Runs the soak: ``python -m soak --seed N``, or ``--seeds N`` for random seeds."""
 
 import asyncio
+import contextlib
 import pathlib
 import random
 import secrets
@@ -84,6 +85,8 @@
                 await asyncio.sleep(0.05)
             else:
                 writer.close()
+                with contextlib.suppress(OSError):
+                    await writer.wait_closed()
                 break
 
 
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -5,6 +5,8 @@
 import enum
 from collections.abc import AsyncIterator
 
+from standins import stream_server
+
 DELAY_S = 0.15  # one way
 CHUNK_BYTES = 65_536
 
@@ -65,10 +67,11 @@
         except* (OSError, asyncio.IncompleteReadError):
             pass  # the other side of a broken connection is aborted below
         finally:
-            for end in (writer, target_writer):
-                end.transport.abort()
-                self._writers.discard(end)
-                self._dropping_writers.discard(end)
+            ends = {writer, target_writer}
+            self._writers -= ends
+            self._dropping_writers -= ends
+            for end in ends:
+                await stream_server.abort(end)
 
     async def _forward(
         self,
@@ -95,9 +98,6 @@
 async def open_proxy(target: str) -> AsyncIterator[Proxy]:
     """Run a proxy to an ``IP:port`` inside the context."""
     proxy = Proxy(target)
-    server = await asyncio.start_server(proxy.handle, "127.0.0.1", 0)
-    proxy.port = server.sockets[0].getsockname()[1]
-    try:
+    async with stream_server.serving(proxy.handle) as server:
+        proxy.port = stream_server.port_of(server)
         yield proxy
-    finally:
-        server.close()
