--- a/bench/policy/cluster.py
+++ b/bench/policy/cluster.py
@@ -6,10 +6,11 @@
 
 import asyncio
 import collections
+import contextlib
 import dataclasses
 import math
 import random
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import AsyncIterator, Callable, Iterable, Mapping, Sequence
 from typing import Literal
 
 from bench.policy import workload
@@ -222,6 +223,8 @@
 
     routers: list[router.Router]
     targets_by_host_id: dict[str, fake_target.FakeTarget]
+    _transport: fake_target.FakeTargetTransport
+    _dispatchers: tuple[dispatcher.Dispatcher, ...]
 
     def __init__(
         self, user: workload.User, shape: workload.Shape, scheme: Scheme
@@ -234,7 +237,7 @@
             )
             for host_id in document.hosts
         }
-        transport = fake_target.FakeTargetTransport(
+        self._transport = fake_target.FakeTargetTransport(
             self.targets_by_host_id, user.link_delay_s
         )
         claims = SharedClaims()
@@ -242,11 +245,12 @@
             f"node-{index}": dispatcher.Dispatcher(
                 source,
                 targets.FleetTargetDirectory(source, StaticHostList(document)),
-                transport,
+                self._transport,
                 claims,
             )
             for index in range(scheme.nodes)
         }
+        self._dispatchers = tuple(dispatchers_by_node.values())
         self.routers = [
             router.Router(
                 _OwnerDirectory(
@@ -261,6 +265,15 @@
             for node in dispatchers_by_node
         ]
 
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator[None]:
+        """Handle requests while the context is entered; end all work on exit."""
+        async with contextlib.AsyncExitStack() as stack:
+            await stack.enter_async_context(self._transport.running())
+            for owner in self._dispatchers:
+                await stack.enter_async_context(owner.running())
+            yield
+
 
 async def run(
     user: workload.User,
@@ -270,9 +283,20 @@
     seed: int,
 ) -> Run:
     """Send all arrivals through random nodes and collect their outcomes."""
+    cluster = Cluster(user, shape, scheme)
+    async with cluster.running():
+        return await _send_all(cluster, shape, scheme, arrivals, seed)
+
+
+async def _send_all(
+    cluster: Cluster,
+    shape: workload.Shape,
+    scheme: Scheme,
+    arrivals: Sequence[workload.Arrival],
+    seed: int,
+) -> Run:
     loop = asyncio.get_running_loop()
     generator = random.Random(seed)
-    cluster = Cluster(user, shape, scheme)
     await asyncio.sleep(1.0)
     start = loop.time()
     if scheme.failed_share:
@@ -318,6 +342,7 @@
         if task.done():
             task.result()
         task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
     states = [target.state for target in cluster.targets_by_host_id.values()]
     runs: collections.Counter[str] = collections.Counter()
     for state in states:
--- a/bench/throughput.py
+++ b/bench/throughput.py
@@ -93,9 +93,10 @@
     client = curl_httpclient.CurlAsyncHTTPClient(
         force_instance=True, max_clients=callers
     )
-    results = await asyncio.gather(
-        *(_run_caller(client, urls, seconds, index) for index in range(callers))
-    )
+    with contextlib.closing(client):
+        results = await asyncio.gather(
+            *(_run_caller(client, urls, seconds, index) for index in range(callers))
+        )
     return [latency for latencies in results for latency in latencies]
 
 
--- a/clementinespar/commands/client.py
+++ b/clementinespar/commands/client.py
@@ -4,7 +4,6 @@
 changes something: `NoReply` says whether the node may have received it.
 """
 
-import asyncio
 import contextlib
 import dataclasses
 import json
@@ -14,7 +13,7 @@
 import pycurl
 from tornado import curl_httpclient, httpclient
 
-from clementinespar import codes
+from clementinespar import codes, curl_clients
 from clementinespar.commands import exits
 
 Json = Mapping[str, object]
@@ -91,7 +90,7 @@
 
     def close(self) -> None:
         """Close all connections."""
-        self._client.close()
+        curl_clients.close_client(self._client)
 
     def try_last(self, node: str) -> None:
         """Move a node that gave no reply to the end of the order.
@@ -183,20 +182,12 @@
 
 @contextlib.contextmanager
 def connect(nodes: Sequence[str], timeout_s: float) -> Iterator[AdminClient]:
-    """Yield a client and close it at the end.
-
-    It is not closed after a cancellation: calls are then in flight, and the next
-    callback of tornado's client would fail. The event loop ends with the command.
-    """
+    """Yield a client and close it at the end."""
     admin = AdminClient(nodes, timeout_s)
     try:
         yield admin
-    except asyncio.CancelledError:
-        raise
-    except BaseException:
+    finally:
         admin.close()
-        raise
-    admin.close()
 
 
 def _prepare_curl(curl: pycurl.Curl) -> None:
--- a/demo/load.py
+++ b/demo/load.py
@@ -10,7 +10,7 @@
 import pycurl
 from tornado import curl_httpclient, httpclient
 
-from clementinespar import identifiers
+from clementinespar import curl_clients, identifiers
 from clementinespar.documents import model
 from demo import deployment
 
@@ -75,12 +75,13 @@
 
     async def run(self, document: model.Document) -> None:
         """Run callers of all services until `stop`; wait for their last outcomes."""
-        async with asyncio.TaskGroup() as callers:
-            for name, service in document.services.items():
-                for _ in range(_CALLERS_PER_SERVICE):
-                    callers.create_task(self._run_caller(name, service, math.inf))
-        # Not closed after a cancellation, as in `clementinespar.commands.client`.
-        self._client.close()
+        try:
+            async with asyncio.TaskGroup() as callers:
+                for name, service in document.services.items():
+                    for _ in range(_CALLERS_PER_SERVICE):
+                        callers.create_task(self._run_caller(name, service, math.inf))
+        finally:
+            curl_clients.close_client(self._client)
 
     def stop(self) -> None:
         """Make the callers end after their current request."""
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -47,9 +47,11 @@
     async with (
         standin.serve(platform, POOLS) as store,
         fleet.run_nodes(node_count, folder, store) as nodes,
+        contextlib.AsyncExitStack() as stack,
     ):
         await wait_ready(nodes)
         load = callers.Callers(platform, nodes, random.Random(seed + 1))
+        stack.callback(load.close)
         injector = faults.Injector(platform, nodes, rng)
         watch = standstill.StandstillWatch(platform, load)
         async with background.running(watch.run()):
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -44,19 +44,19 @@
         self._nodes = nodes
         self._rng = rng
         self._http_client = http_calls.HttpClient()
-        self._tasks: set[asyncio.Task[None]] = set()
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._http_client.close()
 
     async def run(self, seconds: float) -> None:
         """Submit jobs for some seconds, then wait for the pending submissions."""
         loop = asyncio.get_running_loop()
         end = loop.time() + seconds
-        while loop.time() < end:
-            task = asyncio.create_task(self._submit())
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
-            await asyncio.sleep(SUBMIT_INTERVAL_S)
-        while self._tasks:
-            await asyncio.wait(self._tasks)
+        async with asyncio.TaskGroup() as submissions:
+            while loop.time() < end:
+                submissions.create_task(self._submit())
+                await asyncio.sleep(SUBMIT_INTERVAL_S)
 
     async def call_for_status(
         self, node: fleet.Node, method: str, path: str, body: bytes
