Fail a test that leaves a task, a connection or a thread behind

Cause: the garbage collector reported such faults later, against another test or not at all.

Change: conftest.py examines each event loop before it is closed, and the threads after the test, and fails the test with the names of what is left. It fails the teardown, so that a known failure cannot hide it. For asyncio's thread that waits for a child process, the check waits up to 1 s for the end of a thread.

--- /dev/null
+++ b/clementinespar/tests/leftovers.py
@@ -0,0 +1,68 @@
+"""Finds the tasks, connections and threads that a test has left behind.
+
+Otherwise the garbage collector closes them during a later test, or never.
+"""
+
+import asyncio
+import contextlib
+import threading
+from collections.abc import Iterator
+from typing import Any
+from unittest import mock
+
+# A thread that is waiting to end is not left behind: asyncio's thread that waits for a
+# child process reports its end to the loop before the thread itself has ended.
+_THREAD_END_S = 1.0
+
+
+@contextlib.contextmanager
+def recording() -> Iterator[list[str]]:
+    """Yield a list that names, after the exit, what was left behind in the context.
+
+    Event loops are examined when they are closed, or when their `asyncio.Runner` is,
+    which cancels the tasks that are left.
+    """
+    found: list[str] = []
+    examined: list[asyncio.AbstractEventLoop] = []
+    threads = set(threading.enumerate())
+    close_runner = asyncio.Runner.close
+    close_loop = asyncio.SelectorEventLoop.close
+
+    def examine(loop: asyncio.AbstractEventLoop) -> None:
+        if loop not in examined and not loop.is_closed():
+            examined.append(loop)
+            found.extend(find_open(loop))
+
+    def examine_and_close_runner(runner: asyncio.Runner) -> None:
+        with contextlib.suppress(RuntimeError):  # raised if the runner is closed
+            examine(runner.get_loop())
+        close_runner(runner)
+
+    def examine_and_close_loop(loop: asyncio.SelectorEventLoop) -> None:
+        examine(loop)
+        close_loop(loop)
+
+    with (
+        mock.patch.object(asyncio.Runner, "close", examine_and_close_runner),
+        mock.patch.object(asyncio.SelectorEventLoop, "close", examine_and_close_loop),
+    ):
+        yield found
+    for thread in set(threading.enumerate()) - threads:
+        thread.join(_THREAD_END_S)
+        if thread.is_alive():
+            found.append(repr(thread))
+
+
+def find_open(loop: Any) -> list[str]:
+    """Return descriptions of a loop's unfinished tasks and open connections."""
+    found = [repr(task) for task in asyncio.all_tasks(loop)]
+    transports_by_fd = dict(loop._transports)
+    for transport in transports_by_fd.values():
+        # The socket of a transport is open until `connection_lost` has been called.
+        if transport.get_extra_info("socket").fileno() != -1:
+            found.append(f"{transport!r} of {transport.get_protocol()!r}")
+    for key in loop._selector.get_map().values():
+        # The loop itself reads from one socket, which wakes it.
+        if key.fd not in transports_by_fd and key.fd != loop._ssock.fileno():
+            found.append(f"{key.fileobj!r}, watched by {key.data!r}")
+    return found
--- a/conftest.py
+++ b/conftest.py
@@ -1,11 +1,21 @@
-"""Known failures: tests listed in KNOWN-RED.txt must fail, and are printed."""
+"""Known failures, and what tests leave behind.
 
+Tests listed in KNOWN-RED.txt must fail, and are printed. A test that leaves a task, a
+connection or a thread behind fails.
+"""
+
+import contextlib
 import pathlib
+from collections.abc import Generator
 
 import pytest
 
+from clementinespar.tests import leftovers
+
 _LIST = pathlib.Path(__file__).with_name("KNOWN-RED.txt")
 _NODE_ID_PREFIX = "test: "
+_RECORDING = pytest.StashKey[contextlib.ExitStack]()
+_LEFT_BEHIND = pytest.StashKey[list[str]]()
 
 
 def _known_failures() -> list[str]:
@@ -30,3 +40,25 @@
     """Print the known failures, so that no run hides them."""
     for node_id in _known_failures():
         terminalreporter.write_line(f"KNOWN RED: {node_id}")
+
+
+@pytest.hookimpl(wrapper=True, tryfirst=True)
+def pytest_runtest_setup(item: pytest.Item) -> Generator[None, None, None]:
+    """Record what the test and its fixtures leave behind."""
+    item.stash[_RECORDING] = contextlib.ExitStack()
+    item.stash[_LEFT_BEHIND] = item.stash[_RECORDING].enter_context(
+        leftovers.recording()
+    )
+    return (yield)
+
+
+@pytest.hookimpl(wrapper=True, tryfirst=True)
+def pytest_runtest_teardown(item: pytest.Item) -> Generator[None, None, None]:
+    """Fail the test that left something behind, also if it is a known failure."""
+    try:
+        yield
+    finally:
+        item.stash[_RECORDING].close()
+    if item.stash[_LEFT_BEHIND]:
+        lines = "\n".join(item.stash[_LEFT_BEHIND])
+        pytest.fail(f"{item.nodeid} left behind:\n{lines}", pytrace=False)
