--- a/clementinespar/log/tests/test_http.py
+++ b/clementinespar/log/tests/test_http.py
@@ -14,7 +14,7 @@
 from clementinespar.log import follower as log_follower
 from clementinespar.log import http as log_http
 from clementinespar.tests import log_nodes
-from standins import fake_log, log_service
+from standins import fake_log, log_service, stream_server
 
 _ADDRESS = "127.0.0.1"
 
@@ -25,7 +25,7 @@
 
     async def main() -> None:
         log = fake_log.FakeLog()
-        with log_service.serving(log, _ADDRESS, 0) as port:
+        async with log_service.serving(log, _ADDRESS, 0) as port:
             client = log_http.HttpLogService(f"http://{_ADDRESS}:{port}", 5.0)
             assert await client.append(payloads[:1]) == 0
             assert await client.append(payloads[1:]) == 1
@@ -67,7 +67,7 @@
 
     async def main() -> None:
         log = fake_log.FakeLog()
-        with log_service.serving(log, _ADDRESS, 0) as port:
+        async with log_service.serving(log, _ADDRESS, 0) as port:
             client = log_http.HttpLogService(f"http://{_ADDRESS}:{port}", 0.2)
             faults.client_timeout_s = None
             log.faults = faults
@@ -114,7 +114,6 @@
 
     async def main() -> None:
         received: list[bytes] = []
-        handlers: list[asyncio.Task[None]] = []
 
         async def serve(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -129,23 +128,16 @@
                         b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b"
                         % (len(reply), reply)
                     )
-            writer.close()
-
-        def start(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            handlers.append(asyncio.create_task(serve(reader, writer)))
-
-        server = await asyncio.start_server(start, _ADDRESS, 0)
-        port = server.sockets[0].getsockname()[1]
-        client = log_http.HttpLogService(f"http://{_ADDRESS}:{port}", 2.0)
-        assert await client.append([b"x"]) == 0
-        server.close()
-        with pytest.raises(errors.LogUnavailableError):
-            await client.append([b"x"])
-        assert len(received) == 1
-        client.close()
-        for handler in handlers:
-            handler.cancel()
-        await asyncio.gather(*handlers, return_exceptions=True)
+
+        async with stream_server.serving(serve) as server:
+            port = stream_server.port_of(server)
+            client = log_http.HttpLogService(f"http://{_ADDRESS}:{port}", 2.0)
+            assert await client.append([b"x"]) == 0
+            server.close()
+            with pytest.raises(errors.LogUnavailableError):
+                await client.append([b"x"])
+            assert len(received) == 1
+            client.close()
 
     asyncio.run(main())
 
@@ -155,14 +147,14 @@
 
     async def main() -> None:
         log = fake_log.FakeLog()
-        with log_service.serving(log, _ADDRESS, 0) as port:
+        async with log_service.serving(log, _ADDRESS, 0) as port:
             client = log_http.HttpLogService(f"http://{_ADDRESS}:{port}", 5.0)
             follower = log_follower.Follower(client, None, poll_wait_s=5.0)
             appender = log_appender.Appender(client, follower, "node-a", 0.001)
             node = log_nodes.LogNode(
                 "node-a", fake_log.LogAccess(log), follower, appender
             )
-            async with follower.running():
+            async with follower.running(), appender.running():
                 log.faults.lose_replies = 1
                 results = [
                     await appender.append(node.duty_record(f"duty-{i}"), 30.0)
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,6 +1,7 @@
 """Runs the soak: ``python -m soak --seed N``, or ``--seeds N`` for random seeds."""
 
 import asyncio
+import contextlib
 import pathlib
 import random
 import secrets
@@ -46,9 +47,11 @@
     async with (
         standin.serve(platform, POOLS) as store,
         fleet.run_nodes(node_count, folder, store) as nodes,
+        contextlib.AsyncExitStack() as stack,
     ):
         await wait_ready(nodes)
         load = callers.Callers(platform, nodes, random.Random(seed + 1))
+        stack.callback(load.close)
         injector = faults.Injector(platform, nodes, rng)
         watch = standstill.StandstillWatch(platform, load)
         async with background.running(watch.run()):
@@ -84,6 +87,8 @@
                 await asyncio.sleep(0.05)
             else:
                 writer.close()
+                with contextlib.suppress(OSError):
+                    await writer.wait_closed()
                 break
 
 
