Reject jobs that would wait until they are worth nothing

Cause: under lasting overload every job was accepted, and late ones waited for capacity that was left over until they were worth nothing to their callers.

Change: the owner estimates how long a job that arrives now waits, by pool, priority and capped team (jobs/wait_estimate.py, jobs/wait_watch.py), at most every 100 ms. The estimate travels as 'load' in answers that are given anyway, and only while a wait is above 500 ms. A node rejects a job with 429, codes 627 and 628, if it would not start in time and would end after three times its objective (jobs/admission.py). 'explain job' says why a job waited, and clementinespar_wait_estimate_error_seconds compares estimates with waits. The owner of the fleet tells the number of hosts on their way with its query. Caps of teams are an argument (WaitWatch.caps_by_team), empty until quotas exist.

--- a/clementinespar/jobs/command_routes.py
+++ b/clementinespar/jobs/command_routes.py
@@ -11,7 +11,7 @@
 import enum
 import math
 import urllib.parse
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 
 from clementinespar import codes, errors, http_calls
 from clementinespar.jobs import command_writer, ownership, services, store_health
@@ -175,7 +175,14 @@
 
 
 class CommandRoutes:
-    """Brings commands of callers to the store."""
+    """Brings commands of callers to the store.
+
+    Parameters
+    ----------
+    note_answer : callable
+        Gets the partition, body and event-loop time of each answer of an owner that
+        has stored a command.
+    """
 
     _ownership_manager: ownership.OwnershipManager
     _http_client: http_calls.HttpClient
@@ -190,9 +197,11 @@
         ownership_manager: ownership.OwnershipManager,
         store: services.JobStore,
         http_client: http_calls.HttpClient,
+        note_answer: Callable[[int, bytes, float], None] = lambda *_: None,
     ) -> None:
         self._ownership_manager = ownership_manager
         self._http_client = http_client
+        self._note_answer = note_answer
         self._sent = store_health.SentCommands()
         self._store = TrackedStore(store, self._sent)
         self._writer = command_writer.CommandWriter(
@@ -205,6 +214,10 @@
         """Cancel the appends that are not answered."""
         self._writer.close()
 
+    def may_be_stored(self, key: str) -> bool:
+        """Whether an append of this command was sent that was not refused."""
+        return self._sent.may_be_stored(key)
+
     def outage_s(self, partition: int) -> float:
         """Return for how long the store is unavailable to this node, or 0."""
         now = asyncio.get_running_loop().time()
@@ -422,7 +435,9 @@
                     codes.ResultCode.STORE_UNANSWERED,
                     f"the peer answered with status {response.status}, expected 200",
                 )
-        self._owner_stored_at[partition] = asyncio.get_running_loop().time()
+        now = asyncio.get_running_loop().time()
+        self._owner_stored_at[partition] = now
+        self._note_answer(partition, response.body, now)
         # The next command finds out by its own append whether the store is still slow.
         self._store.find_health(partition).latency_s = 0.0
 
--- a/clementinespar/jobs/fleet.py
+++ b/clementinespar/jobs/fleet.py
@@ -258,7 +258,7 @@
                 pool.name, True, DEFAULT_HOST_CORES, len(up) + arriving, movable=movable
             )
         try:
-            load = await self._jobs.describe_load(pool.name)
+            load = await self._jobs.describe_load(pool.name, arriving)
         except errors.ClementinesparError as error:
             self._log_event("load_unknown", pool=pool.name, code=int(error.code))
             return None
--- a/clementinespar/jobs/peer_server.py
+++ b/clementinespar/jobs/peer_server.py
@@ -55,7 +55,8 @@
             self.set_status(400)
             self.finish(json.dumps({"message": str(error)}))
         else:
-            self.finish("{}")
+            load = self._jobs.describe_waits(int(partition))
+            self.finish(json.dumps({"load": load}) if load else "{}")
 
 
 class _JobHandler(tornado.web.RequestHandler):
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -32,6 +32,7 @@
     task_placer,
     telemetry,
     tickets,
+    wait_watch,
     worker_deaths,
     worker_session,
     worker_use,
@@ -81,6 +82,7 @@
     evacuating: dict[str, float]  # worker id: event-loop time at which it expires
     commands_read_at: float  # event-loop time of the last read of commands
     metrics: telemetry.JobMetrics
+    waits: wait_watch.WaitWatch
     _fence_checks: int  # done; fewer than wanted: another owner may have begun
     _wanted_fence_checks: int
     _lease_s: float  # longest lease that owners grant
@@ -177,6 +179,9 @@
         self._loaded_at = 0.0
         self._run_times = demand.RunTimes()
         self._arrivals_by_pool = {}
+        self.waits = wait_watch.WaitWatch(
+            self._active, self.sessions_by_id, self._run_times.estimate_ms, metrics
+        )
 
     # Events of worker sessions; see `worker_session.RunEvents`.
 
@@ -398,6 +403,9 @@
         if not job.is_final and not job.is_lasting:
             slack_s = job.deadline - now
             because.append(f"its objective ends in {slack_s:.1f} s")
+        wait = self.waits.explain(job, now)
+        if wait is not None:
+            because.append(wait)
         for occurrence in job.occurrences.values():
             for number, step in enumerate(occurrence.steps):
                 because.append(
@@ -737,6 +745,7 @@
         ]
         for job_id in expired:
             del self.jobs_by_id[job_id]
+            self.waits.forget(job_id)
             self._cancelled_ids.discard(job_id)
         if expired:
             await self._append(
@@ -773,6 +782,7 @@
             telemetry.log_invalid_entry(self._log_event, "j" + job_id, error)
             return
         self._set_deadline(job)
+        self.waits.note_arrival(job, asyncio.get_running_loop().time())
         self.jobs_by_id[job_id] = job
         self._active[job_id] = job
         if not job.is_lasting:
@@ -945,6 +955,8 @@
             )
         for job in waiting:
             self._placer.place(job, free_capacity_by_pool[job.spec.pool], now)
+            if job.has_started:
+                self.waits.note_start(job, now)
 
     # Workers.
 
--- a/clementinespar/jobs/retry_after.py
+++ b/clementinespar/jobs/retry_after.py
@@ -11,6 +11,10 @@
 # A job is worth little once it is later than its objective, about four seconds.
 OUTAGE_MAX_S = 4
 OUTAGE_SPREAD_S = 3.0
+OVERLOAD_MIN_S = 1
+OVERLOAD_MAX_S = 10
+# Overload lasts longer than an outage and refuses more callers at a time.
+OVERLOAD_SPREAD_S = 5.0
 
 
 def spread(job_id: str) -> float:
@@ -27,3 +31,15 @@
     """
     remaining_s = min(max(outage_s, 1.0), 2.0)
     return min(OUTAGE_MAX_S, math.floor(remaining_s + spread(job_id) * OUTAGE_SPREAD_S))
+
+
+def after_overload(job_id: str, excess_s: float) -> int:
+    """Return the seconds after which to return while a pool is overloaded.
+
+    Parameters
+    ----------
+    excess_s : float
+        Time until the wait falls below the objective, if no more work arrives.
+    """
+    wait_s = min(max(math.ceil(excess_s), OVERLOAD_MIN_S), OVERLOAD_MAX_S)
+    return wait_s + math.floor(spread(job_id) * OVERLOAD_SPREAD_S)
--- a/clementinespar/jobs/service.py
+++ b/clementinespar/jobs/service.py
@@ -13,10 +13,12 @@
 
 from clementinespar import codes, errors, http_calls
 from clementinespar.jobs import (
+    admission,
     command_routes,
     model,
     ownership,
     partitions,
+    pool_owner,
     retry_after,
     services,
     state,
@@ -36,6 +38,7 @@
     _http_client: http_calls.HttpClient
     _waiting_by_queue: dict[str, tuple[float, int]]
     _routes: command_routes.CommandRoutes
+    _load_views: admission.LoadViews
 
     def __init__(
         self,
@@ -50,8 +53,9 @@
         self._partition_map = partition_map
         self._http_client = http_client
         self._waiting_by_queue = {}
+        self._load_views = admission.LoadViews()
         self._routes = command_routes.CommandRoutes(
-            ownership_manager, store, http_client
+            ownership_manager, store, http_client, self._note_command_answer
         )
 
     async def submit(
@@ -68,6 +72,33 @@
             self._partition_map.find(pool), record, timeout_s
         )
 
+    def check_load(self, spec: model.JobSpec) -> admission.Rejection | None:
+        """Return why a job is not accepted for the load of its pool, or None."""
+        partition = self._partition_map.find(spec.pool)
+        now = asyncio.get_running_loop().time()
+        if partition in self.ownership_manager.owners_by_partition:
+            self._load_views.note_answer(partition, self.describe_waits(partition), now)
+        return admission.decide(
+            spec,
+            self._load_views.find(partition, spec.pool),
+            now,
+            self._routes.may_be_stored("j" + spec.job_id),
+        )
+
+    def describe_waits(self, partition: int) -> dict[str, object]:
+        """Return the long waits of the pools that are owned here, by pool."""
+        owner = self.ownership_manager.owners_by_partition.get(partition)
+        if owner is None or owner.is_lost or not owner.is_loaded:
+            return {}
+        return owner.waits.describe(asyncio.get_running_loop().time())
+
+    def _note_command_answer(self, partition: int, body: bytes, now: float) -> None:
+        try:
+            load = json.loads(body).get("load")
+        except (ValueError, AttributeError):
+            load = None
+        self._load_views.note_answer(partition, load, now)
+
     async def cancel(
         self, pool: str, job_id: str, timeout_s: float
     ) -> codes.ResultCode:
@@ -137,11 +168,17 @@
         )
         return bool(reply["is_free"])
 
-    async def describe_load(self, pool: str) -> dict[str, Any]:
-        """Return the demand and use of a pool, as its owner measures them."""
+    async def describe_load(self, pool: str, arriving_hosts: int = 0) -> dict[str, Any]:
+        """Return the demand and use of a pool, as its owner measures them.
+
+        Tells the owner how many hosts are on their way to the pool.
+        """
+        path = f"/load/{urllib.parse.quote(pool, safe='')}"
+        if arriving_hosts:
+            path += f"?arriving={arriving_hosts}"
         return await self._ask_owner(
             self._partition_map.find(pool),
-            f"/load/{urllib.parse.quote(pool, safe='')}",
+            path,
             PEER_TIMEOUT_S,
         )
 
@@ -227,6 +264,8 @@
                 f"the peer answered with status {response.status}, expected 200",
             )
         reply: dict[str, Any] = json.loads(response.body)
+        now = asyncio.get_running_loop().time()
+        self._load_views.note_answer(partition, reply.get("load"), now)
         return reply
 
     def answer_peer(self, partition: int, path: str) -> dict[str, Any]:
@@ -243,6 +282,11 @@
                 codes.ResultCode.JOB_OWNER_UNKNOWN,
                 "this node does not own the partition or has not loaded it yet",
             )
+        reply = self._answer_query(owner, path)
+        load = owner.waits.describe(asyncio.get_running_loop().time())
+        return {**reply, "load": load} if load else reply
+
+    def _answer_query(self, owner: pool_owner.PoolOwner, path: str) -> dict[str, Any]:
         parts = urllib.parse.urlsplit(path)
         _, kind, name = parts.path.split("/", 2)
         name = urllib.parse.unquote(name)
@@ -262,6 +306,10 @@
             urgency = model.EvacuationUrgency(query["urgency"][0])
             return {"is_free": owner.evacuate(name, kept_s, urgency)}
         if kind == "load":
+            query = urllib.parse.parse_qs(parts.query)
+            arriving = int(query.get("arriving", ["0"])[0])
+            now = asyncio.get_running_loop().time()
+            owner.waits.note_arriving_hosts(name, arriving, now)
             return owner.describe_load(name)
         raise errors.ClementinesparError(
             codes.ResultCode.REQUEST_INVALID,
--- a/clementinespar/jobs/telemetry.py
+++ b/clementinespar/jobs/telemetry.py
@@ -17,6 +17,8 @@
 
 _JOB_SECONDS = (0.25, 0.5, 1.0, 1.5, 2.0, 3.0, 5.0, 8.0, 15.0, 30.0)
 
+_ERROR_SECONDS = (-10.0, -3.0, -1.0, -0.5, 0.0, 0.5, 1.0, 3.0, 10.0)
+
 
 def log_invalid_entry(log_event: services.EventLog, key: str, error: Exception) -> None:
     """Log an entry of the store that cannot be decoded and is skipped."""
@@ -47,6 +49,7 @@
     _answers: prometheus_client.Counter
     _job_seconds: prometheus_client.Histogram
     _answer_seconds: prometheus_client.Histogram
+    _wait_error_seconds: prometheus_client.Histogram
 
     def __init__(self) -> None:
         self.registry = prometheus_client.CollectorRegistry()
@@ -87,6 +90,23 @@
             registry=self.registry,
         )
 
+        self._wait_error_seconds = prometheus_client.Histogram(
+            "clementinespar_wait_estimate_error_seconds",
+            "Wait of a job for its first start, less the estimate at its arrival.",
+            ["expected"],
+            buckets=_ERROR_SECONDS,
+            registry=self.registry,
+        )
+
+    def observe_wait_error(self, error_ms: float, was_in_time: bool) -> None:
+        """Count the first start of a job, by the error of its estimated wait.
+
+        The estimate for a job that was not expected to start in time is an upper bound:
+        it counts all work that waits, and such a job may still be the one that starts.
+        """
+        expected = "in_time" if was_in_time else "late"
+        self._wait_error_seconds.labels(expected).observe(error_ms / 1000)
+
     def count_start(self) -> None:
         """Count an ordered start of a task."""
         self._starts.inc()
