--- a/clementinespar/jobs/command_routes.py
+++ b/clementinespar/jobs/command_routes.py
@@ -11,10 +11,16 @@
 import enum
 import math
 import urllib.parse
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable
 
 from clementinespar import codes, errors, http_calls
-from clementinespar.jobs import command_writer, ownership, services, store_health
+from clementinespar.jobs import (
+    command_writer,
+    ownership,
+    services,
+    store_health,
+    tracked_store,
+)
 
 STORE_RETRY_S = 0.1
 # Above this latency of the store's calls, commands go through the owner of their
@@ -88,92 +94,6 @@
         return is_owner_final or self._refused == self._plan.delays_s.keys()
 
 
-class TrackedStore:
-    """Appends commands to the store and records which calls are answered."""
-
-    sent: store_health.SentCommands
-    _store: services.JobStore
-    _health_by_partition: dict[int, store_health.RouteHealth]
-
-    def __init__(
-        self, store: services.JobStore, sent: store_health.SentCommands
-    ) -> None:
-        self.sent = sent
-        self._store = store
-        self._health_by_partition = {}
-
-    def find_health(self, partition: int) -> store_health.RouteHealth:
-        """Return the state of this node's appends to a partition."""
-        return self._health_by_partition.setdefault(
-            partition, store_health.RouteHealth()
-        )
-
-    def stored_at(self) -> float:
-        """Return the event-loop time of the last successful append."""
-        healths = self._health_by_partition.values()
-        return max((health.stored_at for health in healths), default=-math.inf)
-
-    def is_losing(self, now: float) -> bool:
-        """Whether calls to any partition have no answer just now."""
-        return any(
-            health.is_losing(now, HEDGE_S)
-            for health in self._health_by_partition.values()
-        )
-
-    async def append(
-        self,
-        topic: services.Topic,
-        partition: int,
-        records: Sequence[services.KeyedRecord],
-    ) -> None:
-        """Append records; raises as `services.JobStore.append`."""
-        keys = [record.key for record in records]
-        with _tracking(self.find_health(partition), self.sent, keys):
-            await self._store.append(topic, partition, records)
-
-
-class _Call:
-    """A call that appends commands, from its sending to its outcome."""
-
-    __slots__ = ("is_answered", "is_unreachable")
-
-    is_answered: bool  # the peer answered, although the effect is unknown
-    is_unreachable: bool  # the call was not sent
-
-    def __init__(self) -> None:
-        self.is_answered = False
-        self.is_unreachable = False
-
-
-@contextlib.contextmanager
-def _tracking(
-    health: store_health.RouteHealth,
-    sent: store_health.SentCommands,
-    keys: Sequence[str],
-) -> Iterator[_Call]:
-    """Record the outcome of a call that appends the commands of some keys."""
-    loop = asyncio.get_running_loop()
-    call = _Call()
-    number = health.begin(loop.time())
-    for key in keys:
-        sent.begin(key, loop.time())
-    is_refused = is_stored = False
-    try:
-        yield call
-        is_stored = True
-    except errors.ClementinesparError as error:
-        is_refused = error.code is codes.ResultCode.STORE_REFUSED
-        raise
-    finally:
-        is_answered = is_stored or is_refused or call.is_answered
-        if is_answered and not call.is_unreachable:
-            health.note_answer(number, loop.time(), is_stored)
-        else:
-            health.note_loss(number, loop.time())
-        for key in keys:
-            sent.note_outcome(key, is_stored, is_refused)
-
-
 class CommandRoutes:
     """Brings commands of callers to the store.
 
@@ -187,7 +107,7 @@
     _ownership_manager: ownership.OwnershipManager
     _http_client: http_calls.HttpClient
     _sent: store_health.SentCommands
-    _store: TrackedStore
+    _store: tracked_store.TrackedStore
     _writer: command_writer.CommandWriter
     _health_by_member: dict[str, store_health.RouteHealth]  # of peers that are owners
     _owner_stored_at: dict[int, float]  # by partition: event-loop time
@@ -203,7 +123,7 @@
         self._http_client = http_client
         self._note_answer = note_answer
         self._sent = store_health.SentCommands()
-        self._store = TrackedStore(store, self._sent)
+        self._store = tracked_store.TrackedStore(store, self._sent)
         self._writer = command_writer.CommandWriter(
             self._store, self._may_send, self._is_known_here
         )
@@ -262,7 +182,7 @@
         """Return the routes of a command that arrives now."""
         direct = self._store.find_health(partition)
         is_direct_silent = self._direct_silent_since(partition, now) is not None
-        is_losing = self._store.is_losing(now)
+        is_losing = self._store.is_losing(now, HEDGE_S)
         # A silent group finds out by its own calls when the store is back.
         may_probe_direct = not self._is_group_silent(now) and (direct.may_probe(now))
         owner = self._find_owner_health(partition)
@@ -411,7 +331,7 @@
             raise errors.ClementinesparError(
                 codes.ResultCode.STORE_REFUSED, "no owner of the partition is known"
             )
-        with _tracking(health, self._sent, [record.key]) as call:
+        with tracked_store.tracking(health, self._sent, [record.key]) as call:
             try:
                 response = await self._http_client.call(
                     member.partition("/")[0],
