--- a/clementinespar/jobs/command_intake.py
+++ b/clementinespar/jobs/command_intake.py
@@ -13,6 +13,7 @@
     services,
     state,
     telemetry,
+    wait_watch,
 )
 
 STORE_RETRY_S = 0.1
@@ -52,6 +53,7 @@
         ends: run_ends.RunEnds,
         run_times: demand.RunTimes,
         arrivals_by_pool: dict[str, demand.ArrivalRate],
+        waits: wait_watch.WaitWatch,
         log_event: services.EventLog,
     ) -> None:
         self._partition = partition
@@ -60,6 +62,7 @@
         self._ends = ends
         self._run_times = run_times
         self._arrivals_by_pool = arrivals_by_pool
+        self._waits = waits
         self._log_event = log_event
         self._read_at = None
         self._next_command = 0
@@ -143,6 +146,7 @@
             telemetry.log_invalid_entry(self._log_event, "j" + job_id, error)
             return
         self.set_deadline(job)
+        self._waits.note_arrival(job, asyncio.get_running_loop().time())
         self._jobs.by_id[job_id] = job
         self._jobs.active[job_id] = job
         if not job.is_lasting:
--- a/clementinespar/jobs/owner_queries.py
+++ b/clementinespar/jobs/owner_queries.py
@@ -18,6 +18,7 @@
     session_table,
     state,
     team_use,
+    wait_watch,
     worker_session,
     worker_use,
 )
@@ -39,6 +40,7 @@
         run_times: demand.RunTimes,
         arrivals_by_pool: Mapping[str, demand.ArrivalRate],
         quotas: owner_quotas.OwnerQuotas,
+        waits: wait_watch.WaitWatch,
         log_event: services.EventLog,
     ) -> None:
         self._epoch = epoch
@@ -52,6 +54,7 @@
         self._run_times = run_times
         self._arrivals_by_pool = arrivals_by_pool
         self._quotas = quotas
+        self._waits = waits
         self._log_event = log_event
 
     def describe(self, job_id: str) -> model.JobState | None:
@@ -89,6 +92,9 @@
         if not job.is_final and not job.is_lasting:
             slack_s = job.deadline - now
             because.append(f"its objective ends in {slack_s:.1f} s")
+        wait = self._waits.explain(job, now)
+        if wait is not None:
+            because.append(wait)
         for occurrence in job.occurrences.values():
             for number, step in enumerate(occurrence.steps):
                 because.append(
--- a/clementinespar/jobs/owner_quotas.py
+++ b/clementinespar/jobs/owner_quotas.py
@@ -201,6 +201,10 @@
         if is_settled:
             self.shares.settle()
 
+    def find_caps(self) -> Mapping[str, resources.Resources]:
+        """Return the caps in force."""
+        return self._link.find_caps()
+
     def find_room(self, teams: Collection[str]) -> dict[str, resources.Resources]:
         """Return what the caps let teams start beside what they use here.
 
--- a/clementinespar/jobs/placement_round.py
+++ b/clementinespar/jobs/placement_round.py
@@ -10,6 +10,7 @@
     placement,
     session_table,
     task_placer,
+    wait_watch,
     worker_use,
 )
 
@@ -35,6 +36,7 @@
         placer: task_placer.TaskPlacer,
         run_times: demand.RunTimes,
         quotas: owner_quotas.OwnerQuotas,
+        waits: wait_watch.WaitWatch,
     ) -> None:
         self._epoch = epoch
         self._jobs = jobs
@@ -43,6 +45,7 @@
         self._placer = placer
         self._run_times = run_times
         self._quotas = quotas
+        self._waits = waits
         self._full_at_by_pool = {}
 
     def run(self, now: float) -> None:
@@ -83,6 +86,8 @@
             ):
                 continue
             self._placer.place(job, free_capacity, now)
+            if job.has_started:
+                self._waits.note_start(job, now)
             is_timely = job_class in (placement.STARTED, placement.NEW)
             if is_timely and job.has_ready_tasks(now):
                 self._full_at_by_pool[pool] = now
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -37,6 +37,7 @@
     task_placer,
     telemetry,
     tickets,
+    wait_watch,
     worker_deaths,
     worker_session,
     worker_use,
@@ -72,6 +73,7 @@
     sessions_by_id: dict[str, worker_session.WorkerSession]
     metrics: telemetry.JobMetrics
     quotas: owner_quotas.OwnerQuotas
+    waits: wait_watch.WaitWatch
     _lease_s: float  # longest lease that owners grant
     _jobs: job_table.JobTable
     _worker_use: worker_use.WorkerUse
@@ -138,6 +140,13 @@
             log_event,
             metrics,
         )
+        self.waits = wait_watch.WaitWatch(
+            self._jobs.active,
+            self.sessions_by_id,
+            self._run_times.estimate_ms,
+            self.quotas.find_caps,
+            metrics,
+        )
         self._sessions = session_table.SessionTable(
             self.sessions_by_id,
             epoch,
@@ -179,6 +188,7 @@
             placer,
             self._run_times,
             self.quotas,
+            self.waits,
         )
         self._held_tasks = held_tasks.HeldTaskLog(log_event)
         self._ends = run_ends.RunEnds(
@@ -197,6 +207,7 @@
             self._ends,
             self._run_times,
             arrivals_by_pool,
+            self.waits,
             log_event,
         )
         self._crash_watch = crash_watch.CrashWatch(
@@ -227,6 +238,7 @@
             self._run_times,
             arrivals_by_pool,
             self.quotas,
+            self.waits,
             log_event,
         )
 
@@ -441,7 +453,12 @@
                 self._worker_use.find_unsettled(),
                 self._run_watch.has_room,
             )
-            await self._writer.drop_finished(now_ms, self._intake.forget)
+            await self._writer.drop_finished(now_ms, self._forget_job)
+
+    def _forget_job(self, job_id: str) -> None:
+        """Forget a job whose final state is no longer kept."""
+        self._intake.forget(job_id)
+        self.waits.forget(job_id)
 
     # Workers.
 
