Wait for the calls of an owner and of the HTTP client that are cancelled

Cause: worker sessions, tickets and the command writer cancelled their calls and did not wait for them, so that a partition could be handed over, or the node's client closed, before the calls had ended. The end of a cancelled append started the next append. HttpClient.close left the connections in use open.

Change: PoolOwner.wait_closed, called by own_partition, waits for sessions and ticket requests. HttpClient.close closes all connections and waits until they are closed.

--- a/clementinespar/http_calls.py
+++ b/clementinespar/http_calls.py
@@ -45,14 +45,18 @@
 
     transport: asyncio.Transport | None
     is_closed: bool
+    lost: asyncio.Event  # set once the connection is closed
     idle_since: float  # event-loop time
     _parser: httptools.HttpResponseParser
     _waiter: "asyncio.Future[Response] | None"
     _chunks: list[bytes]
+    _open_connections: "set[_Connection]"
 
-    def __init__(self) -> None:
+    def __init__(self, open_connections: "set[_Connection]") -> None:
         self.transport = None
         self.is_closed = False
+        self.lost = asyncio.Event()
+        self._open_connections = open_connections
         self.idle_since = 0.0
         self._parser = httptools.HttpResponseParser(self)
         self._waiter = None
@@ -61,12 +65,15 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        self._open_connections.add(self)
         sock = transport.get_extra_info("socket")
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.is_closed = True
+        self.lost.set()
+        self._open_connections.discard(self)
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_exception(
                 CallUnansweredError(f"the connection was lost: {exc}")
@@ -130,10 +137,12 @@
     """Calls any address and pools the connections; needs a running event loop."""
 
     _idle_by_address: dict[str, list[_Connection]]
+    _open_connections: set[_Connection]  # idle or in use
     calls: int  # number of calls sent
 
     def __init__(self) -> None:
         self._idle_by_address = {}
+        self._open_connections = set()
         self.calls = 0
 
     async def call(
@@ -179,10 +188,13 @@
         for connection in self._idle_by_address.pop(address, ()):
             connection.close()
 
-    def close(self) -> None:
-        """Close all idle connections."""
-        for address in list(self._idle_by_address):
-            self.drop_idle(address)
+    async def close(self) -> None:
+        """Close all connections and wait until they are closed."""
+        self._idle_by_address.clear()
+        connections = list(self._open_connections)
+        for connection in connections:
+            connection.close()
+        await asyncio.gather(*(connection.lost.wait() for connection in connections))
 
     async def _acquire_connection(self, address: str) -> _Connection:
         loop = asyncio.get_running_loop()
@@ -196,7 +208,9 @@
         host, _, port = address.rpartition(":")
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, opened = await loop.create_connection(_Connection, host, int(port))
+                _, opened = await loop.create_connection(
+                    lambda: _Connection(self._open_connections), host, int(port)
+                )
         except (OSError, TimeoutError, ValueError) as error:
             raise CallNotSentError(f"no connection to {address}: {error!r}") from error
         return opened
--- a/clementinespar/jobs/command_writer.py
+++ b/clementinespar/jobs/command_writer.py
@@ -6,7 +6,7 @@
 
 import asyncio
 
-from clementinespar import errors
+from clementinespar import background, errors
 from clementinespar.jobs import services
 
 MAX_BATCH_BYTES = 200_000  # below the largest call that a store takes
@@ -47,11 +47,18 @@
         self._start_appends(partition)
         await waiting.stored
 
-    def close(self) -> None:
-        """Cancel the appends that are not answered."""
+    async def close(self) -> None:
+        """Cancel the appends that are not answered, and wait until they have ended.
+
+        Commands that wait for an append are cancelled as well: the end of an append
+        would start the next one.
+        """
+        for waiting in self._waiting_by_partition.values():
+            for item in waiting:
+                item.stored.cancel()
+        self._waiting_by_partition.clear()
         for appends in self._appends_by_partition.values():
-            for append in appends:
-                append.cancel()
+            await background.end_all(appends)
 
     def _start_appends(self, partition: int) -> None:
         appends = self._appends_by_partition.setdefault(partition, set())
--- a/clementinespar/jobs/node.py
+++ b/clementinespar/jobs/node.py
@@ -143,7 +143,7 @@
 ) -> AsyncIterator[None]:
     """Serve peers and run the ownership manager inside the context."""
     async with contextlib.AsyncExitStack() as stack:
-        stack.callback(node.jobs.close)
+        stack.push_async_callback(node.jobs.close)
         await stack.enter_async_context(
             peer_server.serve_peers(
                 settings.node.address,
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -90,6 +90,7 @@
     _placer: task_placer.TaskPlacer
     _run_watch: run_watch.RunWatch
     _held_tasks: held_tasks.HeldTaskLog
+    _closing_sessions: background.Tasks  # wait for sessions of workers that are gone
     _crash_watch: crash_watch.CrashWatch
     _death_watch: worker_deaths.WorkerDeathWatch
     _loaded_at: float  # event-loop time
@@ -158,6 +159,7 @@
             self.jobs_by_id, self.sessions_by_id, self._placer, log_event
         )
         self._held_tasks = held_tasks.HeldTaskLog(log_event)
+        self._closing_sessions = background.Tasks()
         self._crash_watch = crash_watch.CrashWatch(
             self._active,
             self.sessions_by_id,
@@ -979,6 +981,7 @@
             )
             if is_expired and is_unresponsive and not session.runs:
                 session.close()
+                self._closing_sessions.start(session.wait_closed())
                 del self.sessions_by_id[worker_id]
                 self._worker_use.remove(worker_id)
 
@@ -1094,6 +1097,14 @@
         for session in self.sessions_by_id.values():
             session.close()
 
+    async def wait_closed(self) -> None:
+        """Wait until the calls that `close` has cancelled have ended."""
+        await asyncio.gather(
+            self._tickets.wait_closed(),
+            *(session.wait_closed() for session in self.sessions_by_id.values()),
+            *self._closing_sessions.pending(),
+        )
+
 
 def _count_hosts_of_lasting(step: state.StepState) -> int:
     """Return the smallest number of hosts that can hold the tasks of a lasting step."""
@@ -1111,8 +1122,11 @@
 @contextlib.asynccontextmanager
 async def own_partition(owner: PoolOwner) -> AsyncIterator[None]:
     """Run an owner inside the context and close it at the end."""
-    async with background.running(owner.run()):
-        try:
-            yield
-        finally:
-            owner.close()
+    try:
+        async with background.running(owner.run()):
+            try:
+                yield
+            finally:
+                owner.close()
+    finally:
+        await owner.wait_closed()
--- a/clementinespar/jobs/service.py
+++ b/clementinespar/jobs/service.py
@@ -327,9 +327,9 @@
         if owner is not None:
             owner.accept_stored_command(record)
 
-    def close(self) -> None:
-        """Cancel the appends that are not answered."""
-        self._command_writer.close()
+    async def close(self) -> None:
+        """Cancel the appends that are not answered, and wait until they have ended."""
+        await self._command_writer.close()
 
     async def _ask_owner(
         self, partition: int, path: str, timeout_s: float
--- a/clementinespar/jobs/tickets.py
+++ b/clementinespar/jobs/tickets.py
@@ -79,6 +79,10 @@
         for request in self._requests:
             request.cancel()
 
+    async def wait_closed(self) -> None:
+        """Wait until the requests that `close` has cancelled have ended."""
+        await asyncio.gather(*self._requests, return_exceptions=True)
+
     async def _request(
         self, step_key: tuple[str, int, int], worker_ids: list[str]
     ) -> None:
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -259,6 +259,11 @@
         for order in self._orders:
             order.cancel()
 
+    async def wait_closed(self) -> None:
+        """Wait until the calls that `close` has cancelled have ended."""
+        renewals = () if self._task is None else (self._task,)
+        await asyncio.gather(*renewals, *self._orders, return_exceptions=True)
+
     def can_take(self, now: float) -> bool:
         """Whether the worker may get new work."""
         return (
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -51,7 +51,7 @@
     ):
         await wait_ready(nodes)
         load = callers.Callers(platform, nodes, random.Random(seed + 1))
-        stack.callback(load.close)
+        stack.push_async_callback(load.close)
         injector = faults.Injector(platform, nodes, rng)
         watch = standstill.StandstillWatch(platform, load)
         async with background.running(watch.run()):
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -45,9 +45,9 @@
         self._rng = rng
         self._http_client = http_calls.HttpClient()
 
-    def close(self) -> None:
+    async def close(self) -> None:
         """Close all connections."""
-        self._http_client.close()
+        await self._http_client.close()
 
     async def run(self, seconds: float) -> None:
         """Submit jobs for some seconds, then wait for the pending submissions."""
