Close the connections between nodes and wait until they are closed

Cause: PeerClient.close and Server.close only requested the end of their connections. One whose other side reads no more, or does not answer the end of TLS, stayed open until TCP or TLS gave up, or the process ended. The membership did not wait for heartbeat tasks of removed endpoints.

Change: OpenConnections watches the connections of a side. A node that stops waits until they are closed, and aborts them after 0.5 s.

--- a/clementinespar/peers/client.py
+++ b/clementinespar/peers/client.py
@@ -39,6 +39,8 @@
 # A connection whose ping is not answered within this time is closed, so the outcome of
 # requests in flight on it becomes unknown; they survive shorter pauses of a node.
 PING_TIMEOUT_S = 2.5
+# TLS waits for the other side to close a connection, which may be unresponsive.
+CLOSE_TIMEOUT_S = 0.5
 CONNECT_TIMEOUT_S = 1.0  # TCP and TLS, within one data centre or between nearby ones
 # The owner sends headers as soon as it has read a request, so an unresponsive
 # connection is detected long before the request's deadline.
@@ -89,15 +91,67 @@
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
 
 
+class OpenConnections:
+    """Connections of one side that are not closed yet."""
+
+    _lost_by_transport: dict[asyncio.BaseTransport, asyncio.Event]
+
+    def __init__(self) -> None:
+        self._lost_by_transport = {}
+
+    def watch(self, protocol: grpclib.protocol.H2Protocol) -> None:
+        """Add the connection of a protocol once it is open, until it is closed."""
+        connection_made = protocol.connection_made
+        connection_lost = protocol.connection_lost
+        lost = asyncio.Event()
+        transports: list[asyncio.BaseTransport] = []
+
+        def add(transport: asyncio.BaseTransport) -> None:
+            transports.append(transport)
+            self._lost_by_transport[transport] = lost
+            connection_made(transport)
+
+        def remove(exc: BaseException | None) -> None:
+            for transport in transports:
+                self._lost_by_transport.pop(transport, None)
+            lost.set()
+            connection_lost(exc)
+
+        protocol.connection_made = add  # type: ignore[method-assign]
+        protocol.connection_lost = remove  # type: ignore[method-assign]
+
+    async def wait_closed(self) -> None:
+        """Wait until all connections are closed, which their owner has requested.
+
+        A connection is aborted if the other side does not take part in closing it.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CLOSE_TIMEOUT_S):
+                await self._wait_lost()
+        for transport in self._lost_by_transport:
+            assert isinstance(transport, asyncio.WriteTransport)
+            transport.abort()
+        await self._wait_lost()
+
+    async def _wait_lost(self) -> None:
+        await asyncio.gather(
+            *(lost.wait() for lost in self._lost_by_transport.values())
+        )
+
+
 class _Channel(grpclib.client.Channel):
     """Channel whose connections end when the peer is unresponsive."""
 
+    connections: OpenConnections  # of all channels of a client
+
     def _protocol_factory(self) -> grpclib.protocol.H2Protocol:
-        return _Protocol(
+        protocol = _Protocol(
             grpclib.client.Handler(),
             self._config,
             self._h2_config,
         )
+        self.connections.watch(protocol)
+        return protocol
 
     def ping_now(self) -> None:
         """Send a ping now; without a reply in `PING_TIMEOUT_S` the connection ends."""
@@ -153,6 +207,7 @@
     _channel: _Channel | None  # for new calls
     _retired_channels: list[_Channel]  # closed once the calls on them have ended
     _calls_by_channel: dict[_Channel, int]
+    _connections: OpenConnections
     _heartbeats: Any  # grpclib stream of the heartbeats, None while none is open
     is_closed: bool  # accepts no new calls
 
@@ -168,6 +223,7 @@
         self._channel = None
         self._retired_channels = []
         self._calls_by_channel = {}
+        self._connections = OpenConnections()
         self._heartbeats = None
         self.is_closed = False
 
@@ -184,6 +240,7 @@
                 ssl=self._ssl_context,
                 config=make_configuration(self.max_message_bytes),
             )
+            self._channel.connections = self._connections
         channel = self._channel
         self._calls_by_channel[channel] = self._calls_by_channel.get(channel, 0) + 1
         try:
@@ -218,6 +275,10 @@
         self.is_closed = True
         self.reset_connection()
 
+    async def wait_closed(self) -> None:
+        """Wait, after `close` and the end of all calls, until nothing is open."""
+        await self._connections.wait_closed()
+
     async def heartbeat(
         self, message: peer_pb2.HeartbeatMessage, timeout_s: float
     ) -> peer_pb2.HeartbeatMessage:
--- a/clementinespar/peers/membership.py
+++ b/clementinespar/peers/membership.py
@@ -16,11 +16,11 @@
 import dataclasses
 import time
 from collections.abc import AsyncIterator, Callable, Iterable, Sequence
-from typing import Protocol
+from typing import Any, Protocol
 
 import logbook
 
-from clementinespar import errors, options
+from clementinespar import background, errors, options
 from clementinespar.capacity import demand
 from clementinespar.peers import peer_pb2
 
@@ -116,6 +116,10 @@
         """Close all connections."""
         ...
 
+    async def wait_closed(self) -> None:
+        """Wait until all connections are closed."""
+        ...
+
 
 @dataclasses.dataclass(slots=True)
 class _Endpoint:
@@ -154,6 +158,8 @@
     _peers_by_name: dict[str, PeerState]
     _endpoints_by_address: dict[str, _Endpoint]
     _tasks_by_address: dict[str, asyncio.Task[None]]
+    _removed_tasks: set[asyncio.Task[Any]]  # of removed endpoints, until they end
+    _closing_links: background.Tasks  # wait for links of removed endpoints
     _member: Member | None  # this node, once its endpoint is known
     _incarnation: int
     _started_at: float  # loop time
@@ -180,6 +186,8 @@
         self._peers_by_name = {}
         self._endpoints_by_address = {}
         self._tasks_by_address = {}
+        self._removed_tasks = set()
+        self._closing_links = background.Tasks()
         self._member = None
         if incarnation is None:
             incarnation = time.time_ns() // 1_000_000
@@ -214,8 +222,14 @@
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
-            for endpoint_state in self._endpoints_by_address.values():
-                endpoint_state.link.close()
+            links = [state.link for state in self._endpoints_by_address.values()]
+            for link in links:
+                link.close()
+            await background.end_all(self._removed_tasks)
+            await asyncio.gather(
+                *(link.wait_closed() for link in links),
+                *self._closing_links.pending(),
+            )
             self._endpoints_by_address.clear()
             self._tasks_by_address.clear()
 
@@ -515,7 +529,10 @@
             endpoint = self._endpoints_by_address.pop(address)
             if task is not current:
                 task.cancel()
+            self._removed_tasks.add(task)
+            task.add_done_callback(self._removed_tasks.discard)
             endpoint.link.close()
+            self._closing_links.start(endpoint.link.wait_closed())
         # Sorted, because the order of a set of strings differs between processes and
         # tests with a paused clock must be reproducible.
         for address in sorted(wanted):
--- a/clementinespar/peers/server.py
+++ b/clementinespar/peers/server.py
@@ -284,10 +284,12 @@
     """Server that ends unresponsive connections, and all connections on close."""
 
     _protocols: "weakref.WeakSet[grpclib.protocol.H2Protocol]"
+    _connections: client.OpenConnections
 
     def __init__(self, service: PeerService, max_message_bytes: int) -> None:
         super().__init__([service], config=client.make_configuration(max_message_bytes))
         self._protocols = weakref.WeakSet()
+        self._connections = client.OpenConnections()
 
     def _protocol_factory(self) -> grpclib.protocol.H2Protocol:
         protocol = super()._protocol_factory()
@@ -302,6 +304,7 @@
             protocol.connection.flush()
 
         protocol.connection_made = configured_connection_made  # type: ignore[method-assign]
+        self._connections.watch(protocol)
         return protocol
 
     def close(self) -> None:
@@ -315,6 +318,11 @@
             if hasattr(protocol, "processor"):
                 protocol.processor.close("the node stops")
 
+    async def wait_closed(self) -> None:
+        """Wait until all calls have ended and all connections are closed."""
+        await super().wait_closed()
+        await self._connections.wait_closed()
+
 
 @contextlib.asynccontextmanager
 async def serving(
--- a/clementinespar/peers/tests/memory_network.py
+++ b/clementinespar/peers/tests/memory_network.py
@@ -80,6 +80,9 @@
     def close(self) -> None:
         pass
 
+    async def wait_closed(self) -> None:
+        pass
+
 
 @dataclasses.dataclass
 class Node:
--- a/clementinespar/peers/tests/test_wire.py
+++ b/clementinespar/peers/tests/test_wire.py
@@ -108,6 +108,7 @@
             client_settings,
             server.make_ssl_context(client_settings, ssl.Purpose.SERVER_AUTH),
         )
+        stack.push_async_callback(peer_client.wait_closed)
         stack.callback(peer_client.close)
         yield Connection(owner, peer_client, grpc_server.close)
 
@@ -306,6 +307,31 @@
     asyncio.run(main())
 
 
+def test_closed_client_leaves_no_connection_to_a_node_that_does_not_read() -> None:
+    """Guards against a stop that leaves connections whose bytes are never sent."""
+
+    async def wait(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await asyncio.Event().wait()
+
+    async def main() -> None:
+        async with stream_server.serving(wait) as listener, asyncio.timeout(10):
+            endpoint = f"127.0.0.1:{stream_server.port_of(listener)}"
+            peer_client = client.PeerClient(endpoint, _SETTINGS)
+            body = bytes(_SETTINGS.max_message_bytes // 2)
+            task = asyncio.create_task(
+                _handle(peer_client, _request(body), asyncio.Event())
+            )
+            await asyncio.sleep(0.1)
+            (transport,) = peer_client._connections._lost_by_transport
+            peer_client.close()
+            async with asyncio.timeout(client.CLOSE_TIMEOUT_S + 1):
+                await peer_client.wait_closed()
+            assert transport.get_extra_info("socket").fileno() == -1
+            assert (await task).kind is not model.OutcomeKind.ANSWERED
+
+    asyncio.run(main())
+
+
 def test_connection_reset_does_not_interrupt_in_flight_requests() -> None:
     """Guards against a heartbeat timeout that makes outcomes of requests unknown."""
 
