--- a/clementinespar/tests/leftovers.py
+++ b/clementinespar/tests/leftovers.py
@@ -34,8 +34,11 @@
             found.extend(find_open(loop))
 
     def examine_and_close_runner(runner: asyncio.Runner) -> None:
-        with contextlib.suppress(RuntimeError):  # raised if the runner is closed
-            examine(runner.get_loop())
+        try:
+            loop = runner.get_loop()
+        except RuntimeError:  # the runner is closed
+            return
+        examine(loop)
         close_runner(runner)
 
     def examine_and_close_loop(loop: asyncio.SelectorEventLoop) -> None:
@@ -56,13 +59,13 @@
 def find_open(loop: Any) -> list[str]:
     """Return descriptions of a loop's unfinished tasks and open connections."""
     found = [repr(task) for task in asyncio.all_tasks(loop)]
-    transports_by_fd = dict(loop._transports)
-    for transport in transports_by_fd.values():
+    known_fds = {loop._ssock.fileno()}  # the loop's own, which wakes it
+    for fd, transport in loop._transports.items():
         # The socket of a transport is open until `connection_lost` has been called.
         if transport.get_extra_info("socket").fileno() != -1:
+            known_fds.add(fd)
             found.append(f"{transport!r} of {transport.get_protocol()!r}")
     for key in loop._selector.get_map().values():
-        # The loop itself reads from one socket, which wakes it.
-        if key.fd not in transports_by_fd and key.fd != loop._ssock.fileno():
+        if key.fd not in known_fds:
             found.append(f"{key.fileobj!r}, watched by {key.data!r}")
     return found
