--- a/clementinespar/jobs/command_routes.py
+++ b/clementinespar/jobs/command_routes.py
@@ -130,9 +130,9 @@
         self._health_by_member = {}
         self._owner_stored_at = {}
 
-    def close(self) -> None:
-        """Cancel the appends that are not answered."""
-        self._writer.close()
+    async def close(self) -> None:
+        """Cancel the appends that are not answered, and wait until they have ended."""
+        await self._writer.close()
 
     def may_be_stored(self, key: str) -> bool:
         """Whether an append of this command was sent that was not refused."""
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -519,6 +519,13 @@
         for session in self.sessions_by_id.values():
             session.close()
 
+    async def wait_closed(self) -> None:
+        """Wait until the calls that `close` has cancelled have ended."""
+        await asyncio.gather(
+            self._tickets.wait_closed(),
+            self._sessions.wait_closed(),
+        )
+
 
 def _do_nothing() -> None:
     """Stand in for `PoolOwner._unsubscribe` until the owner has subscribed."""
@@ -527,8 +534,11 @@
 @contextlib.asynccontextmanager
 async def own_partition(owner: PoolOwner) -> AsyncIterator[None]:
     """Run an owner inside the context and close it at the end."""
-    async with background.running(owner.run()):
-        try:
-            yield
-        finally:
-            owner.close()
+    try:
+        async with background.running(owner.run()):
+            try:
+                yield
+            finally:
+                owner.close()
+    finally:
+        await owner.wait_closed()
--- a/clementinespar/jobs/service.py
+++ b/clementinespar/jobs/service.py
@@ -256,9 +256,9 @@
             raise ValueError(f"no command for partition {partition}: {record.key!r}")
         await self._routes.append_for_peer(partition, record)
 
-    def close(self) -> None:
-        """Cancel the appends that are not answered."""
-        self._routes.close()
+    async def close(self) -> None:
+        """Cancel the appends that are not answered, and wait until they have ended."""
+        await self._routes.close()
 
     async def _ask_owner(
         self, partition: int, path: str, timeout_s: float
--- a/clementinespar/jobs/session_table.py
+++ b/clementinespar/jobs/session_table.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+from clementinespar import background
 from clementinespar.jobs import (
     job_table,
     services,
@@ -28,6 +29,7 @@
     evacuating: dict[str, float]  # worker id: event-loop time at which it expires
     # By pool: event-loop time until which it gives busy hosts to a pool at its peak.
     lending_until: dict[str, float]
+    _closing: background.Tasks  # wait for the calls of workers that are gone
     loaded_at: float  # event-loop time at which the owner has loaded its partition
 
     def __init__(
@@ -58,6 +60,7 @@
         self.evacuating = {}
         self.lending_until = {}
         self.loaded_at = 0.0
+        self._closing = background.Tasks()
 
     def refresh(self) -> None:
         """Open a session with each listed worker, and close those that are gone."""
@@ -97,9 +100,17 @@
             )
             if is_expired and is_unresponsive and not session.runs:
                 session.close()
+                self._closing.start(session.wait_closed())
                 del self._sessions_by_id[worker_id]
                 self._worker_use.remove(worker_id)
 
+    async def wait_closed(self) -> None:
+        """Wait until the calls of all closed sessions have ended."""
+        await asyncio.gather(
+            *(session.wait_closed() for session in self._sessions_by_id.values()),
+            *self._closing.pending(),
+        )
+
     def release(self) -> None:
         """Remove idle and unresponsive workers from those recorded as in use.
 
--- a/clementinespar/jobs/tests/test_store_outages.py
+++ b/clementinespar/jobs/tests/test_store_outages.py
@@ -170,7 +170,7 @@
             task.cancel()
         await asyncio.gather(*joins, owner_joins, return_exceptions=True)
         for node in self.nodes:
-            node.jobs.close()
+            await node.jobs.close()
         self.back_after_s = max(
             sent_at - ended_at
             for sent_at, _, code, _ in self.outcomes
