--- a/clementinespar/jobs/capacity.py
+++ b/clementinespar/jobs/capacity.py
@@ -250,7 +250,7 @@
         arriving[move.destination] = arriving.get(move.destination, 0) + 1
         leaving[move.source] = leaving.get(move.source, 0) + 1
     lacking = 0
-    donors: list[tuple[int, PoolView]] = []
+    donors: list[tuple[int, int, PoolView]] = []
     for view in views:
         if view.is_spare:
             continue
@@ -261,11 +261,17 @@
         if view.waiting_cores > 0 or demanded > view.hosts:
             lacking += max(0, demanded - view.hosts)
             continue
-        excess = view.hosts - leaving.get(view.name, 0) - kept_hosts(peak, view)
-        if excess > 0:
-            donors.append((excess, view))
+        hosts = view.hosts - leaving.get(view.name, 0)
+        lendable = hosts - kept_hosts(peak, view)
+        # Late work uses no more than the home size, so that hosts are idle when the
+        # next pool's peak begins.
+        wanted = max(peak.home_hosts, wanted_hosts(peak, view, now))
+        unneeded = hosts - wanted if view.late_cores > 0 else 0
+        if lendable > 0:
+            donors.append((lendable, max(0, min(lendable, unneeded)), view))
     drains: list[str] = []
-    for excess, view in sorted(donors, key=lambda item: -item[0]):
-        count = min(excess, lacking - len(drains))
+    for lendable, unneeded, view in sorted(donors, key=lambda item: -item[0]):
+        count = max(unneeded, min(lendable, lacking))
+        lacking = max(0, lacking - count)
         drains.extend([*view.draining, *view.drainable][: max(0, count)])
     return drains
