--- a/clementinespar/jobs/tests/test_placement.py
+++ b/clementinespar/jobs/tests/test_placement.py
@@ -188,3 +188,19 @@
     sessions = [make_session("w-0", 16_000)]
     spec = model.StepSpec(5, 1000, 10, is_lasting=True, may_miss=1)
     assert place_lasting(sessions, 1, spec) == {"w-0": 5}
+
+
+@paused_clock.test
+async def test_packed_tasks_leave_room_for_a_wide_one() -> None:
+    """Guards against small gaps on all workers while a wide task waits."""
+    narrow, wide = model.StepSpec(1, 1000, 10), model.StepSpec(1, 4000, 10)
+    for is_packed, has_room in ((False, False), (True, True)):
+        sessions = [make_session(str(number)) for number in range(4)]
+        free_capacity = placement.FreeCapacity(sessions, is_packed)
+        for number in range(4):
+            chosen = free_capacity.choose(narrow, collections.Counter(), set())
+            assert chosen is not None
+            key = model.TaskKey("a", 0, 0, number)
+            chosen.add_run(worker_session.Run(key, 1, narrow, chosen, 0.0))
+        found = free_capacity.choose(wide, collections.Counter(), set())
+        assert (found is not None) == has_room
