--- a/clementinespar/jobs/telemetry.py
+++ b/clementinespar/jobs/telemetry.py
@@ -44,6 +44,9 @@
     _starts: prometheus_client.Counter
     _ends: prometheus_client.Counter
     _crashes: prometheus_client.Counter
+    _verdicts: prometheus_client.Gauge
+    _verdict_changes: prometheus_client.Counter
+    _interference_moves: prometheus_client.Counter
     _answers: prometheus_client.Counter
     _job_seconds: prometheus_client.Histogram
     _answer_seconds: prometheus_client.Histogram
@@ -66,6 +69,22 @@
             "Runs whose worker died under them.",
             registry=self.registry,
         )
+        self._verdicts = prometheus_client.Gauge(
+            "clementinespar_interference_verdicts",
+            "Pairs of images of which one slows down the other.",
+            registry=self.registry,
+        )
+        self._verdict_changes = prometheus_client.Counter(
+            "clementinespar_interference_changes",
+            "Verdicts on interference that were reached or are gone.",
+            ["change"],
+            registry=self.registry,
+        )
+        self._interference_moves = prometheus_client.Counter(
+            "clementinespar_interference_moves",
+            "Lasting tasks that were moved away because of interference.",
+            registry=self.registry,
+        )
         self._answers = prometheus_client.Counter(
             "clementinespar_job_answers",
             "Answers to callers by call and status.",
@@ -99,6 +118,19 @@
         """Count a run whose worker died under it."""
         self._crashes.inc()
 
+    def count_verdict(self, is_reached: bool) -> None:
+        """Count a verdict on interference that was reached, or else is gone."""
+        self._verdict_changes.labels("reached" if is_reached else "gone").inc()
+        self._verdicts.inc(1 if is_reached else -1)
+
+    def forget_verdicts(self, count: int) -> None:
+        """Count off the verdicts of an owner that has stopped."""
+        self._verdicts.dec(count)
+
+    def count_interference_move(self) -> None:
+        """Count a lasting task that is moved away because of interference."""
+        self._interference_moves.inc()
+
     def observe_job(self, state: str, age_ms: float) -> None:
         """Count a job that reached a final state, by the time since acceptance."""
         self._job_seconds.labels(state).observe(age_ms / 1000)
--- a/clementinespar/jobs/tests/synthetic_workers.py
+++ b/clementinespar/jobs/tests/synthetic_workers.py
@@ -4,7 +4,7 @@
 import random
 from collections.abc import Callable
 
-from clementinespar.jobs import interference
+from clementinespar.jobs import interference, neighbours
 
 STEP_S = 0.05
 SLOTS = 4  # tasks that a worker runs at once
@@ -69,7 +69,8 @@
             for number in range(len(self._running)):
                 self._advance(number)
             self._place(effect)
-            self._tokens = min(50.0, self._tokens + 100 * STEP_S)
+            refill = neighbours.OBSERVATIONS_PER_S * STEP_S
+            self._tokens = min(neighbours.OBSERVATION_BURST, self._tokens + refill)
             if self.now >= self._refresh_at:
                 self._refresh_at = self.now + 0.5
                 self.changes += [(self.now, e) for e in self.model.refresh(self.now)]
