Use what is learnt of interference in placement, pacing and moves

Cause: tasks are placed beside images that slow them down, fillers are paced by fixed steps, and a lasting task stays beside neighbours that cost it more than a move. Change: the expected interference chooses between workers that have room, in steps of 0.05 and before the number of free cores. The pace of fillers is the one at which the predicted tail latency is 0.85 of its target; a tail above the target stops them at once, and after that the fixed steps are used for 5 s. A lasting task that is no serving task is moved if the gain over 10 s exceeds the interruption for 2 s on end, one task of a step at a time, and not again for 30 s. The owner takes the evidence from reports and ends. Without a verdict, every decision is as before.

--- a/clementinespar/jobs/placement.py
+++ b/clementinespar/jobs/placement.py
@@ -4,7 +4,7 @@
 import collections
 from collections.abc import Callable, Container
 
-from clementinespar.jobs import model, state, worker_session
+from clementinespar.jobs import interference, model, state, worker_session
 
 # A tail latency above this share of its target slows the fillers on the same worker,
 # before the target is exceeded.
@@ -12,6 +12,14 @@
 PACE_UP_SHARE = 0.6
 PACE_STEP = 20  # percent added at a time while the tail latency is low
 PACE_INTERVAL_S = 0.6  # the reported tail latency covers the last half second
+# A predicted pace is ordered only if it differs by this many percent, since each order
+# is a call.
+PACE_DIFFERENCE = 10
+# After a predicted pace that led to a tail latency above its target, the fixed steps
+# are used for this long.
+PREDICTION_PAUSE_S = 5.0
+# Workers whose expected slow-downs differ by less are equally good.
+SLOW_DOWN_STEP = 0.05
 
 # Classes of jobs, placed in this order.
 LASTING = 0
@@ -52,9 +60,15 @@
     """Free capacity of the workers that may take work in one round of placement."""
 
     _sessions: list[worker_session.WorkerSession]
+    _interference: interference.InterferenceModel | None  # None: nothing is learnt
 
-    def __init__(self, sessions: list[worker_session.WorkerSession]) -> None:
+    def __init__(
+        self,
+        sessions: list[worker_session.WorkerSession],
+        interference_model: interference.InterferenceModel | None = None,
+    ) -> None:
         self._sessions = sessions
+        self._interference = interference_model
 
     def has_any(self) -> bool:
         """Whether there is any worker that may take work."""
@@ -89,6 +103,9 @@
                 -float(bool(spec.data_rack) and session.entry.rack != spec.data_rack),
                 *_lasting_score(session, spec, counts[worker_id]),
                 -_serving_count(session) if spec.is_filler else 0.0,
+                0.0
+                if self._interference is None
+                else -slow_down_step(session, spec, self._interference),
                 float(session.free_cpu),
             )
             if best is None or score > best_score:
@@ -98,7 +115,8 @@
     def restrict(self, worker_ids: Container[str]) -> "FreeCapacity":
         """Return the free capacity of some of the workers."""
         return FreeCapacity(
-            [s for s in self._sessions if s.entry.worker_id in worker_ids]
+            [s for s in self._sessions if s.entry.worker_id in worker_ids],
+            self._interference,
         )
 
     def worker_ids(self) -> list[str]:
@@ -126,32 +144,160 @@
         return None
 
 
-def pace_fillers(session: worker_session.WorkerSession, now: float) -> None:
-    """Adjust the pace of fillers to the tail latency of serving tasks beside them."""
+def slow_down(
+    session: worker_session.WorkerSession,
+    spec: model.StepSpec,
+    learnt: interference.InterferenceModel,
+    leaving: worker_session.Run | None = None,
+) -> float:
+    """Return the expected interference of one more task with those on a worker.
+
+    It is the sum of what the task does to the others, as a share of their run time or
+    of their target, and of what they do to it.
+
+    Parameters
+    ----------
+    leaving : worker_session.Run, optional
+        A run on the worker that does not count.
+    """
+    if not spec.image:
+        return 0.0
+    measure = _find_measure(spec)
+    total = 0.0
+    for run in session.runs.values():
+        if run is leaving:
+            continue
+        image = run.spec.image
+        total += learnt.effect(measure, spec.image, image)
+        total += learnt.effect(_find_measure(run.spec), image, spec.image)
+    return total
+
+
+def slow_down_step(
+    session: worker_session.WorkerSession,
+    spec: model.StepSpec,
+    learnt: interference.InterferenceModel,
+) -> float:
+    """Return the expected interference in whole steps of `SLOW_DOWN_STEP`."""
+    return float(round(slow_down(session, spec, learnt) / SLOW_DOWN_STEP))
+
+
+def lasting_loss(
+    session: worker_session.WorkerSession,
+    run: worker_session.Run,
+    learnt: interference.InterferenceModel,
+) -> float:
+    """Return the work lost each second by a lasting run on a worker, in task-seconds.
+
+    A filler loses what its pace takes away because of a serving task that it disturbs.
+    A serving task counts as losing nothing, since the fillers beside it are paced.
+    """
+    spec = run.spec
+    if spec.latency_target_ms:
+        return 0.0
+    if not spec.is_filler:
+        return slow_down(session, spec, learnt, run)
+    is_disturbing = any(
+        learnt.effect(interference.Measure.TAIL, other.spec.image, spec.image)
+        for other in session.runs.values()
+        if other.spec.latency_target_ms
+    )
+    if not is_disturbing:
+        return 0.0
+    # Elsewhere, beside another serving task that it disturbs, it may gain nothing.
+    return 1.0 if session is not run.session else 1.0 - max(0, run.pace) / 100
+
+
+def pace_fillers(
+    session: worker_session.WorkerSession,
+    now: float,
+    learnt: interference.InterferenceModel | None = None,
+) -> None:
+    """Adjust the pace of fillers to the tail latency of serving tasks beside them.
+
+    With evidence, the pace is the one at which the predicted tail latency stays below
+    `PACE_DOWN_SHARE` of its target. Without, and for some time after a prediction that
+    was wrong, the pace changes by fixed steps. A tail latency above its target stops
+    the fillers in any case.
+    """
     fillers = []
+    serving = []
     worst = 0.0
     for run in session.runs.values():
         if run.spec.is_filler:
             fillers.append(run)
         elif run.spec.latency_target_ms:
+            serving.append(run)
             worst = max(worst, run.usage / run.spec.latency_target_ms)
+    predicted = None
+    if learnt is not None and fillers and now >= session.predictions_paused_until:
+        predicted = _predict_pace(fillers, serving, learnt)
     for run in fillers:
         if run.status is not worker_session.RunStatus.RUNNING:
             continue
-        if run.paced_at is not None and now - run.paced_at < PACE_INTERVAL_S:
+        is_recent = run.paced_at is not None and now - run.paced_at < PACE_INTERVAL_S
+        if worst > 1.0 and run.is_pace_predicted:
+            # The fixed steps might have given no order here within the interval.
+            is_recent = False
+            session.predictions_paused_until = now + PREDICTION_PAUSE_S
+        if is_recent:
             continue
         wanted = run.pace
+        is_predicted = False
         if worst > 1.0:
             wanted = 0
+        elif predicted is not None and run.pace >= 0:
+            is_predicted = True
+            if worst > PACE_DOWN_SHARE:
+                wanted = min(run.pace, predicted)
+            elif abs(predicted - run.pace) >= PACE_DIFFERENCE or predicted == 100:
+                wanted = predicted
         elif worst > PACE_DOWN_SHARE:
             wanted = run.pace // 2
         elif worst < PACE_UP_SHARE:
             wanted = min(100, run.pace + PACE_STEP)
         if wanted != run.pace:
             run.paced_at = now
+            run.is_pace_predicted = is_predicted
             session.pace(run, wanted)
 
 
+def _predict_pace(
+    fillers: list[worker_session.Run],
+    serving: list[worker_session.Run],
+    learnt: interference.InterferenceModel,
+) -> int | None:
+    """Return the pace at which all tail latencies are expected to stay low enough.
+
+    Returns None if there is no verdict on a filler and a serving task that meet here.
+    """
+    pace = 1.0
+    for run in serving:
+        if run.usage <= 0:
+            return None
+        harm = 0.0  # of all fillers at full speed, as a share of the target
+        present = 0.0  # at their present pace
+        for filler in fillers:
+            verdict = learnt.find_verdict(
+                interference.Measure.TAIL, run.spec.image, filler.spec.image
+            )
+            if verdict is None:
+                return None
+            # An estimate that is too low would lead to a pace that is too high.
+            effect = verdict[0] + verdict[1]
+            harm += effect
+            present += effect * max(0, filler.pace) / 100
+        share = run.usage / run.spec.latency_target_ms
+        pace = min(pace, (PACE_DOWN_SHARE - share + present) / harm)
+    return int(100 * max(0.0, pace)) if serving else None
+
+
+def _find_measure(spec: model.StepSpec) -> interference.Measure:
+    if spec.latency_target_ms:
+        return interference.Measure.TAIL
+    return interference.Measure.RUN_TIME
+
+
 def _lasting_score(
     session: worker_session.WorkerSession, spec: model.StepSpec, count: int
 ) -> tuple[float, float]:
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -25,6 +25,7 @@
     fenced_log,
     held_tasks,
     model,
+    neighbours,
     placement,
     run_watch,
     services,
@@ -98,6 +99,7 @@
     _unsubscribe: Callable[[], None]
     _tickets: tickets.TicketCache
     _run_times: demand.RunTimes
+    _neighbours: neighbours.Neighbours
     _arrivals_by_pool: dict[str, demand.ArrivalRate]
     _dirty: dict[str, state.JobProgress]  # changed since the last append
     _active: dict[str, state.JobProgress]  # not in a final state
@@ -154,8 +156,14 @@
         self._placer = task_placer.TaskPlacer(
             epoch, self.sessions_by_id, self._tickets, log_event, metrics
         )
+        self._neighbours = neighbours.Neighbours(log_event, metrics)
         self._run_watch = run_watch.RunWatch(
-            self.jobs_by_id, self.sessions_by_id, self._placer, log_event
+            self.jobs_by_id,
+            self.sessions_by_id,
+            self._placer,
+            self._neighbours,
+            log_event,
+            metrics,
         )
         self._held_tasks = held_tasks.HeldTaskLog(log_event)
         self._crash_watch = crash_watch.CrashWatch(
@@ -199,6 +207,7 @@
             self._worker_use.add(worker_id)
             if not self.may_lease(worker_id):
                 self._flush_wanted.set()
+        self._neighbours.add_report(session, asyncio.get_running_loop().time())
         self._run_watch.check(session)
         self._schedule_wanted.set()
 
@@ -249,6 +258,9 @@
         """Apply the end of a run once, whichever owner started it."""
         self.metrics.count_end(end.kind.value)
         self._schedule_wanted.set()
+        if run is not None:
+            now = asyncio.get_running_loop().time()
+            self._neighbours.add_end(session, run, end.kind, now)
         found = self._find_open_task(end.task)
         if found is None:
             return  # nothing to store; the next flush acknowledges it
@@ -425,6 +437,10 @@
             code=codes.ResultCode.OK,
         )
 
+    def explain_image(self, image: str) -> explanation.Explanation | None:
+        """Return what an image causes and suffers; None if nothing is known."""
+        return self._neighbours.explain_image(image)
+
     def count_waiting(self, queue: str) -> int:
         """Return the number of accepted jobs of a queue of which no task has started.
 
@@ -700,6 +716,8 @@
             self._refresh_sessions()
             self._release_workers()
             self._crash_watch.acquit_survivors()
+            self._neighbours.refresh(loop.time())
+            self._run_watch.move_where_it_pays()
             now_ms = time.time() * 1000
             for job in list(self._active.values()):
                 if job.spec.occurrences and job.open_due_occurrences(now_ms):
@@ -936,7 +954,8 @@
         free_capacity_by_pool: dict[str, placement.FreeCapacity] = {}
         for pool in {job.spec.pool for job in waiting}:
             free_capacity_by_pool[pool] = placement.FreeCapacity(
-                [session for session in usable if session.entry.pool == pool]
+                [session for session in usable if session.entry.pool == pool],
+                self._neighbours.find_model(pool),
             )
         for job in waiting:
             self._placer.place(job, free_capacity_by_pool[job.spec.pool], now)
@@ -1091,6 +1110,7 @@
         self.is_lost = True
         self._unsubscribe()
         self._tickets.close()
+        self._neighbours.close()
         for session in self.sessions_by_id.values():
             session.close()
 
--- a/clementinespar/jobs/task_placer.py
+++ b/clementinespar/jobs/task_placer.py
@@ -5,6 +5,7 @@
 
 from clementinespar.jobs import (
     crash_counts,
+    model,
     placement,
     services,
     state,
@@ -22,6 +23,8 @@
     _tickets: tickets.TicketCache
     _log_event: services.EventLog
     _metrics: telemetry.JobMetrics
+    # Worker from which a task was moved away, and the time until which it is avoided.
+    _left_by_task: dict[model.TaskKey, tuple[str, float]]
 
     def __init__(
         self,
@@ -36,6 +39,17 @@
         self._tickets = ticket_cache
         self._log_event = log_event
         self._metrics = metrics
+        self._left_by_task = {}
+
+    def avoid(self, key: model.TaskKey, worker_id: str, until: float) -> None:
+        """Place a task elsewhere than on the worker that it leaves, if possible."""
+        now = asyncio.get_running_loop().time()
+        self._left_by_task = {
+            left_key: left
+            for left_key, left in self._left_by_task.items()
+            if left[1] > now
+        }
+        self._left_by_task[key] = (worker_id, until)
 
     def place(
         self, job: state.JobProgress, free_capacity: placement.FreeCapacity, now: float
@@ -82,6 +96,10 @@
             if is_isolated:
                 choices = free_capacity.restrict(self._find_quiet(now))
             avoided = task.failed_on | self._find_endangered(step, task)
+            if task.key in self._left_by_task:
+                worker_id, until = self._left_by_task[task.key]
+                if now < until:
+                    avoided = avoided | {worker_id}
             session = choices.choose(step.spec, counts, avoided)
             if session is None:
                 if not task.failed_on and not is_isolated:
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -57,6 +57,7 @@
         "usage",
         "paced_at",
         "pace",
+        "is_pace_predicted",
         "move_blocked_by",
         "is_suspect",
         "session",
@@ -76,6 +77,7 @@
     usage: int  # as in `model.RunningTask`
     paced_at: float | None  # when `pace` last changed
     pace: int  # share of its speed, in percent
+    is_pace_predicted: bool  # by what is learnt of its image, not by fixed steps
     move_blocked_by: str  # why its last move was not possible; empty: none was tried
     is_suspect: bool  # a worker has died while an earlier run of the task was suspect
     session: "WorkerSession"
@@ -102,6 +104,7 @@
         self.usage = 0
         self.paced_at = None
         self.pace = 100
+        self.is_pace_predicted = False
         self.move_blocked_by = ""
         self.is_suspect = False
         self.session = session
@@ -195,6 +198,7 @@
     born_ms: int
     failed_jobs: set[str]
     ejected_until: float
+    predictions_paused_until: float  # event-loop time; paces change by fixed steps
     _client: services.WorkerClient
     _events: RunEvents
     _log_event: services.EventLog
@@ -239,6 +243,7 @@
         self.born_ms = 0
         self.failed_jobs = set()
         self.ejected_until = 0.0
+        self.predictions_paused_until = 0.0
         self._client = client
         self._events = events
         self._log_event = log_event
