Explain to operators which images interfere with each other

Cause: an operator who asks why a job is slower than yesterday cannot see what ran beside it and what was concluded from that. Change: `GET /v1/images/NAME` on the internal port asks the owners of all pools, and `clementinespar explain image NAME` shows the answer: each pair with its estimate, its evidence and whether there is a verdict, and the workers that are slow for all their tasks.

--- a/clementinespar/commands/status.py
+++ b/clementinespar/commands/status.py
@@ -15,6 +15,7 @@
     "wave": "/v1/waves",
     "request": "/v1/requests",
     "job": "/v1/jobs",
+    "image": "/v1/images",
 }
 
 
@@ -80,8 +81,9 @@
 ) -> None:
     """Explain why a host, pool, wave, request or job is in its state.
 
-    A wave is named by its pool. The outcome of a request is known only to the node to
-    which its caller sent it, so all given nodes are asked.
+    Of an image, it shows which others it slows down, and which slow it down. A wave
+    is named by its pool. The outcome of a request is known only to the node to which
+    its caller sent it, so all given nodes are asked.
     """
     # Ids of requests may contain characters that are not allowed in a path.
     path = f"{_PATH_BY_SUBJECT[subject]}/{client.quote(name)}"
--- a/clementinespar/jobs/neighbours.py
+++ b/clementinespar/jobs/neighbours.py
@@ -247,7 +247,7 @@
             return None
         return explanation.Explanation(
             subject=f"image {image}",
-            state=f"{verdict_count} verdicts" if verdict_count else "no verdict",
+            state=f"verdicts: {verdict_count}",
             waits_for=None,
             because=tuple(because),
             code=codes.ResultCode.OK,
--- a/clementinespar/jobs/peer_server.py
+++ b/clementinespar/jobs/peer_server.py
@@ -79,6 +79,26 @@
         self.finish(json.dumps(reply))
 
 
+class _ImageHandler(tornado.web.RequestHandler):
+    """Explains to operators which images interfere with each other."""
+
+    def initialize(self, jobs: service.JobService) -> None:
+        self._jobs = jobs
+
+    async def get(self, image: str) -> None:
+        """Answer with the explanation, or with the code of the failure."""
+        try:
+            reply = await self._jobs.explain_image(image)
+        except errors.ClementinesparError as error:
+            self.set_status(503)
+            reply = {
+                "code": int(error.code),
+                "name": error.code.name,
+                "message": error.message,
+            }
+        self.finish(json.dumps(reply))
+
+
 class _MetricsHandler(tornado.web.RequestHandler):
     """Serves the metrics of the node."""
 
@@ -100,6 +120,7 @@
         [
             (r"/metrics", _MetricsHandler, {"metrics": metrics}),
             (r"/v1/jobs/([0-9A-Za-z]+)", _JobHandler, {"jobs": jobs}),
+            (r"/v1/images/(.+)", _ImageHandler, {"jobs": jobs}),
             (r"/(\d+)/commands/([^/]+)", _CommandHandler, {"jobs": jobs}),
             (r"/(\d+)/.*", _PeerRequestHandler, {"jobs": jobs}),
         ],
--- a/clementinespar/jobs/service.py
+++ b/clementinespar/jobs/service.py
@@ -12,7 +12,7 @@
 from collections.abc import Iterable
 from typing import Any
 
-from clementinespar import codes, errors, http_calls
+from clementinespar import codes, errors, explanation, http_calls
 from clementinespar.jobs import (
     command_writer,
     model,
@@ -192,6 +192,34 @@
             codes.ResultCode.JOB_UNKNOWN, "no pool has a job of this id"
         )
 
+    async def explain_image(self, image: str) -> dict[str, Any]:
+        """Return what an image causes and suffers, as the owners have learnt it.
+
+        Raises
+        ------
+        errors.ClementinesparError
+            No owner answered in time.
+        """
+        configuration = self.configuration.current
+        pools = () if configuration is None else configuration.pools_by_name
+        name = urllib.parse.quote(image, safe="")
+        states = []
+        because: list[str] = []
+        for partition in sorted({self._partition_map.find(pool) for pool in pools}):
+            reply = await self._ask_owner(partition, f"/images/{name}", PEER_TIMEOUT_S)
+            if reply["state"] is not None:
+                states.append(reply["state"])
+                because += reply["because"]
+        return dataclasses.asdict(
+            explanation.Explanation(
+                subject=f"image {image}",
+                state=", ".join(states) or "no evidence",
+                waits_for=None,
+                because=tuple(because),
+                code=codes.ResultCode.OK,
+            )
+        )
+
     def _other_partitions(self, pool: str) -> Iterable[int]:
         configuration = self.configuration.current
         if configuration is None:
@@ -390,8 +418,10 @@
         if kind == "jobs":
             job_state = owner.describe(name)
             return {"state": None if job_state is None else job_state.value}
-        if kind == "explain":
-            explained = owner.explain(name)
+        if kind in ("explain", "images"):
+            explained = (
+                owner.explain(name) if kind == "explain" else owner.explain_image(name)
+            )
             if explained is None:
                 return {"state": None}
             return {**dataclasses.asdict(explained), "code": int(explained.code)}
@@ -406,6 +436,6 @@
             return owner.describe_load(name)
         raise errors.ClementinesparError(
             codes.ResultCode.REQUEST_INVALID,
-            f"unknown kind of query {kind}; expected jobs, explain, waiting, evacuate"
-            " or load",
+            f"unknown kind of query {kind}; expected jobs, explain, images, waiting,"
+            " evacuate or load",
         )
--- a/clementinespar/jobs/tests/test_neighbours.py
+++ b/clementinespar/jobs/tests/test_neighbours.py
@@ -15,7 +15,7 @@
     telemetry,
     worker_session,
 )
-from clementinespar.jobs.tests import fakes, helpers, test_placement
+from clementinespar.jobs.tests import fakes, helpers, test_placement, test_service
 from clementinespar.tests import paused_clock
 
 RUN_TIME = interference.Measure.RUN_TIME
@@ -132,6 +132,14 @@
     assert choose(dataclasses.replace(spec, cpu_millis=3850)) == "w1"
 
 
+@dataclasses.dataclass
+class FixedConfiguration:
+    """`services.ConfigurationSource` of one version."""
+
+    current: model.JobConfiguration | None
+    confirmed_at: float | None = None
+
+
 class MovableFleet:
     """An owner whose lasting fillers run at a low pace beside a serving task."""
 
@@ -206,3 +214,27 @@
             assert len(set(workers)) == 4
 
     scenario()
+
+
+@paused_clock.test
+async def test_image_is_explained_by_the_owners_of_all_pools() -> None:
+    """Guards against an explanation that knows only the pools of one node."""
+    harness = helpers.OwnerHarness(fakes.FakeWorkers(1))
+    name = "registry/shop:1"
+    async with helpers.run_owner(harness) as owner:
+        await asyncio.sleep(1.0)
+        learnt = interference.InterferenceModel()
+        add_verdict(learnt, TAIL, name, "bad")
+        owner._neighbours.models_by_pool["quotes"] = learnt
+        service_harness = test_service.ServiceHarness()
+        partition = test_service.PARTITION_MAP.find("quotes")
+        service_harness.ownership_manager.owners_by_partition[partition] = owner
+        configuration = model.JobConfiguration(
+            1, {}, {"quotes": model.Pool("quotes", False)}, 1
+        )
+        service_harness.jobs.configuration = FixedConfiguration(configuration)
+        reply = await service_harness.jobs.explain_image(name)
+        assert reply["state"] == "verdicts: 1"
+        assert "bad beside one of registry/shop:1 adds 0." in reply["because"][0]
+        reply = await service_harness.jobs.explain_image("other")
+        assert reply["state"] == "no evidence"
