Let tasks of the stand-in interfere with each other

Cause: the soak ran tasks without images, serving tasks or fillers, so what is learnt of interference never decided anything there.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -17,6 +17,9 @@
 DEADLY_SHARE = 0.02  # of the jobs; one task crashes each worker that starts it
 MAX_DEADLY_JOBS = 4  # in one seed, so that it becomes calm after the last fault
 LASTING_CPU = 50  # thousandths of a core
+# Of the sixteen kinds of lasting jobs; the kinds up to the second number are fillers.
+SERVING_KINDS = 5
+FILLER_KINDS = 10
 
 
 class Callers:
@@ -91,18 +94,39 @@
         job_id = f"{self._rng.getrandbits(64):016x}"
         is_lasting = self._rng.random() < LASTING_SHARE
         cpu = self._rng.choice([200, 500, 1200])
-        step = {"count": self._rng.randint(1, 4), "cpu": cpu, "memMb": 10}
+        count = self._rng.randint(1, 4)
+        step: dict[str, object] = {"count": count, "cpu": cpu, "memMb": 10}
+        # Taken from the id, so that a seed makes the same jobs as before.
+        kind = int(job_id[0], 16)
+        image = f"image-{kind % 4}"
+        self._platform.image_by_job_id[job_id] = image
+        step["image"] = image
         steps = [{**step, "estMs": 250}, {**step, "estMs": 250, "after": [0]}]
         if is_lasting:
-            steps = [{"count": 1, "cpu": LASTING_CPU, "longRunning": True}]
+            lasting: dict[str, object] = {
+                "count": 1,
+                "cpu": LASTING_CPU,
+                "longRunning": True,
+            }
+            if kind < SERVING_KINDS:
+                lasting |= {"image": "serving", "targetMs": standin.TARGET_MS}
+                self._platform.serving.add(job_id)
+            elif kind < FILLER_KINDS:
+                lasting |= {"image": "filler", "fills": True}
+                self._platform.fillers.add(job_id)
+            steps = [lasting]
             self._platform.lasting.add(job_id)
         elif (
             self._rng.random() < DEADLY_SHARE
             and len(self._platform.deadly) < MAX_DEADLY_JOBS
         ):
-            index = self._rng.randrange(int(step["count"]))
+            index = self._rng.randrange(count)
             self._platform.add_deadly(job_id, self._rng.randint(0, 1), index)
-        self._platform.task_cpu_by_job_id[job_id] = LASTING_CPU if is_lasting else cpu
+        if job_id in self._platform.fillers:
+            cpu = 0  # a filler uses what others leave free
+        elif is_lasting:
+            cpu = LASTING_CPU
+        self._platform.task_cpu_by_job_id[job_id] = cpu
         body = json.dumps({"spec": "x", "steps": steps}).encode()
         end = loop.time() + SUBMIT_TIMEOUT_S
         self.not_stored.add(job_id)
