--- /dev/null
+++ b/bench/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the measurements."""
