Reach verdicts on interference at 3.5 standard deviations

Cause: with 4, few of the pairs were found where there are many images. Change: MIN_SCORE 3.5 and KEPT_SCORE 1.75. Result: on synthetic workers, 48 of 62 true pairs have a verdict within 40 s (41 before), half of them after 16 s (21 s before), and none is wrong. Tasks take 1.157 times as long as alone (1.163 before). With 3, one of 16 runs without interference reached a wrong verdict.

--- a/clementinespar/jobs/interference.py
+++ b/clementinespar/jobs/interference.py
@@ -28,9 +28,10 @@
 CLIP = 0.7
 NOISE_SHARE = 0.01  # weight of the newest observation in the variance of all
 # A verdict holds for one of some thousand pairs that are tested every half second, so
-# its effect has to be this many standard deviations from none.
-MIN_SCORE = 4.0
-KEPT_SCORE = 2.0
+# its effect has to be this many standard deviations from none. With 3, one of 16 runs
+# without interference reached a wrong one; with 4, half as many right ones were found.
+MIN_SCORE = 3.5
+KEPT_SCORE = 1.75
 MIN_EFFECT = 0.1
 KEPT_EFFECT = 0.05
 MIN_EXPOSURE = 5.0  # observations beside one task for all of their time
--- a/clementinespar/jobs/tests/test_interference.py
+++ b/clementinespar/jobs/tests/test_interference.py
@@ -24,8 +24,8 @@
 def test_verdicts_are_right_and_follow_a_change() -> None:
     """Guards against images that are blamed wrongly, or for what is over.
 
-    Measured with these seeds: 41 of 62 pairs are found within 40 s, half of these after
-    21 s; no verdict is wrong.
+    Measured with these seeds: 48 of 62 pairs are found within 40 s, half of these after
+    16 s; no verdict is wrong.
     """
     true_count = found_count = wrong_count = 0
     onsets: list[float] = []
@@ -42,8 +42,8 @@
         workers.run(40)
         assert workers.verdicts() <= workers.truth.keys()
     assert wrong_count <= 0.05 * len(onsets)
-    assert found_count >= 0.55 * true_count
-    assert sorted(onsets)[len(onsets) // 2] <= 25.0
+    assert found_count >= 0.65 * true_count
+    assert sorted(onsets)[len(onsets) // 2] <= 20.0
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -64,7 +64,7 @@
     """Guards against estimates that place tasks no better than chance.
 
     Measured with these seeds: tasks take 1.317 times as long as alone if nothing is
-    known, 1.163 times with what is learnt, 1.147 times with full knowledge.
+    known, 1.157 times with what is learnt, 1.147 times with full knowledge.
     """
     sums = {"nothing": 0.0, "learnt": 0.0, "truth": 0.0}
     for seed in range(1, 5):
@@ -87,7 +87,7 @@
             workers.run(60, effect)
             sums[knowledge] += workers.mean_slow_down(20) / 4
     regret = (sums["learnt"] - sums["truth"]) / (sums["nothing"] - sums["truth"])
-    assert regret < 0.4
+    assert regret < 0.25
 
 
 def add_tails(
