Take no run time from runs that a previous owner started

Cause: a run that is adopted counts from the time at which it was first seen, so its run time looks short after each change of owner. Change: such runs are marked and give no evidence of interference.

--- a/clementinespar/jobs/neighbours.py
+++ b/clementinespar/jobs/neighbours.py
@@ -129,6 +129,7 @@
             kind is model.EndKind.DONE
             and now > started_at
             and not run.spec.is_filler
+            and not run.is_adopted
             and self._take_token(now)
         ):
             exposures = _find_exposures(session, ended, started_at, now, False)
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -352,6 +352,7 @@
             return None
         now = asyncio.get_running_loop().time()
         run = worker_session.Run(listed.task, listed.run, step.spec, session, now)
+        run.is_adopted = True
         run.status = worker_session.RunStatus.RUNNING
         run.percent = listed.percent
         run.is_suspect = bool(task.crashed_runs)
--- a/clementinespar/jobs/tests/test_neighbours.py
+++ b/clementinespar/jobs/tests/test_neighbours.py
@@ -72,6 +72,11 @@
         for run, at in ((early, 10.5), (victim, 12.0)):
             session.drop_run(run)
             evidence.add_end(session, run, model.EndKind.DONE, at)
+        adopted = start_run(session, "adopted", 11.0)
+        adopted.is_adopted = True  # its run time is not known
+        session.drop_run(adopted)
+        evidence.add_end(session, adopted, model.EndKind.DONE, 12.0)
+        assert not evidence.models_by_pool["p"].find_estimates("adopted")
         for item in evidence.models_by_pool["p"].find_estimates("victim"):
             if item.victim == "victim":
                 taken[item.neighbour] = item.exposure
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -48,6 +48,7 @@
         "spec",
         "status",
         "started_at",
+        "is_adopted",
         "answered_at",
         "is_start_settled",
         "stop_answered_at",
@@ -68,6 +69,7 @@
     spec: model.StepSpec
     status: RunStatus
     started_at: float  # event-loop time, as are the following
+    is_adopted: bool  # from a previous owner: `started_at` is when it was first seen
     answered_at: float  # when its start was answered, given up or first listed
     is_start_settled: bool  # its start was answered or it was listed
     stop_answered_at: float | None
@@ -95,6 +97,7 @@
         self.spec = spec
         self.status = RunStatus.STARTING
         self.started_at = now
+        self.is_adopted = False
         self.answered_at = now
         self.is_start_settled = False
         self.stop_answered_at = None
