--- a/clementinespar/jobs/owner_loading.py
+++ b/clementinespar/jobs/owner_loading.py
@@ -97,6 +97,7 @@
     run.status = worker_session.RunStatus.RUNNING
     run.percent = listed.percent
     run.is_suspect = bool(task.crashed_runs)
+    run.is_adopted = True
     task.open_runs.add(listed.run)
     if task.at_risk.pop(listed.run, None) is not None:
         jobs.store_soon(job)
--- a/clementinespar/jobs/peer_server.py
+++ b/clementinespar/jobs/peer_server.py
@@ -127,6 +127,26 @@
         self.finish(json.dumps(reply))
 
 
+class _ImageHandler(http_servers.Handler):
+    """Explains to operators which images interfere with each other."""
+
+    def initialize(self, jobs: service.JobService) -> None:
+        self._jobs = jobs
+
+    async def get(self, image: str) -> None:
+        """Answer with the explanation, or with the code of the failure."""
+        try:
+            reply = await self._jobs.explain_image(image)
+        except errors.ClementinesparError as error:
+            self.set_status(503)
+            reply = {
+                "code": int(error.code),
+                "name": error.code.name,
+                "message": error.message,
+            }
+        self.finish(json.dumps(reply))
+
+
 class _MetricsHandler(http_servers.Handler):
     """Serves the metrics of the node."""
 
@@ -155,6 +175,7 @@
             (r"/v1/teams/([^/]+)", _TeamHandler, {"jobs": jobs}),
             (r"/quota/request", _QuotaRequestHandler, {"quotas": quotas}),
             (r"/(\d+)/quota/recall", _QuotaRecallHandler, {"quotas": quotas}),
+            (r"/v1/images/(.+)", _ImageHandler, {"jobs": jobs}),
             (r"/(\d+)/commands/([^/]+)", _CommandHandler, {"jobs": jobs}),
             (r"/(\d+)/.*", _PeerRequestHandler, {"jobs": jobs}),
         ]
--- a/clementinespar/jobs/placement_round.py
+++ b/clementinespar/jobs/placement_round.py
@@ -6,6 +6,7 @@
     crash_counts,
     demand,
     job_table,
+    neighbours,
     owner_quotas,
     placement,
     session_table,
@@ -37,6 +38,7 @@
         run_times: demand.RunTimes,
         quotas: owner_quotas.OwnerQuotas,
         waits: wait_watch.WaitWatch,
+        neighbour_evidence: neighbours.Neighbours,
     ) -> None:
         self._epoch = epoch
         self._jobs = jobs
@@ -46,6 +48,7 @@
         self._run_times = run_times
         self._quotas = quotas
         self._waits = waits
+        self._neighbours = neighbour_evidence
         self._full_at_by_pool = {}
 
     def run(self, now: float) -> None:
@@ -73,6 +76,7 @@
             full_at = self._full_at_by_pool.get(pool, -math.inf)
             free_capacity_by_pool[pool] = placement.FreeCapacity(
                 [session for session in usable if session.entry.pool == pool],
+                self._neighbours.find_model(pool),
                 is_packed=now - full_at < PACKED_S,
             )
         for job in waiting:
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -24,6 +24,7 @@
     held_tasks,
     job_table,
     model,
+    neighbours,
     owner_loading,
     owner_queries,
     owner_quotas,
@@ -85,6 +86,7 @@
     _round: placement_round.PlacementRound
     _run_watch: run_watch.RunWatch
     _held_tasks: held_tasks.HeldTaskLog
+    _neighbours: neighbours.Neighbours
     _crash_watch: crash_watch.CrashWatch
     _death_watch: worker_deaths.WorkerDeathWatch
     _unsubscribe: Callable[[], None]
@@ -177,8 +179,14 @@
         placer = task_placer.TaskPlacer(
             epoch, self.sessions_by_id, self._tickets, log_event, metrics, self.quotas
         )
+        self._neighbours = neighbours.Neighbours(log_event, metrics)
         self._run_watch = run_watch.RunWatch(
-            self.jobs_by_id, self.sessions_by_id, placer, log_event
+            self.jobs_by_id,
+            self.sessions_by_id,
+            placer,
+            self._neighbours,
+            log_event,
+            metrics,
         )
         self._round = placement_round.PlacementRound(
             epoch,
@@ -189,6 +197,7 @@
             self._run_times,
             self.quotas,
             self.waits,
+            self._neighbours,
         )
         self._held_tasks = held_tasks.HeldTaskLog(log_event)
         self._ends = run_ends.RunEnds(
@@ -262,6 +271,7 @@
             self._worker_use.add(worker_id)
             if not self.may_lease(worker_id):
                 self._jobs.flush_wanted.set()
+        self._neighbours.add_report(session, asyncio.get_running_loop().time())
         self._run_watch.check(session)
         self._jobs.schedule_wanted.set()
 
@@ -318,6 +328,9 @@
         run: worker_session.Run | None,
     ) -> None:
         """Apply the end of a run once, whichever owner started it."""
+        if run is not None:
+            now = asyncio.get_running_loop().time()
+            self._neighbours.add_end(session, run, end.kind, now)
         self._ends.on_end(session, end, run)
 
     def on_start_unanswered(self, session: worker_session.WorkerSession) -> None:
@@ -360,6 +373,10 @@
         """Return why a job is in its state, or None if no job has this id."""
         return self._queries.explain(job_id)
 
+    def explain_image(self, image: str) -> explanation.Explanation | None:
+        """Return what an image causes and suffers; None if nothing is known."""
+        return self._neighbours.explain_image(image)
+
     def count_waiting(self, queue: str) -> int:
         """Return the number of jobs of a queue of which no task has started."""
         return self._queries.count_waiting(queue)
@@ -442,6 +459,8 @@
             self._refresh_sessions()
             self._sessions.release()
             self._crash_watch.acquit_survivors()
+            self._neighbours.refresh(asyncio.get_running_loop().time())
+            self._run_watch.move_where_it_pays()
             now_ms = time.time() * 1000
             for job in list(self._jobs.active.values()):
                 if job.spec.occurrences and job.open_due_occurrences(now_ms):
@@ -516,6 +535,7 @@
         self.is_lost = True
         self._unsubscribe()
         self._tickets.close()
+        self._neighbours.close()
         for session in self.sessions_by_id.values():
             session.close()
 
--- a/clementinespar/jobs/tests/test_placement.py
+++ b/clementinespar/jobs/tests/test_placement.py
@@ -196,7 +196,7 @@
     narrow, wide = model.StepSpec(1, 1000, 10), model.StepSpec(1, 4000, 10)
     for is_packed, has_room in ((False, False), (True, True)):
         sessions = [make_session(str(number)) for number in range(4)]
-        free_capacity = placement.FreeCapacity(sessions, is_packed)
+        free_capacity = placement.FreeCapacity(sessions, is_packed=is_packed)
         for number in range(4):
             chosen = free_capacity.choose(narrow, collections.Counter(), set())
             assert chosen is not None
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -48,6 +48,7 @@
         "spec",
         "status",
         "started_at",
+        "is_adopted",
         "answered_at",
         "is_start_settled",
         "stop_answered_at",
@@ -57,6 +58,7 @@
         "usage",
         "paced_at",
         "pace",
+        "is_pace_predicted",
         "move_blocked_by",
         "is_suspect",
         "session",
@@ -68,6 +70,7 @@
     spec: model.StepSpec
     status: RunStatus
     started_at: float  # event-loop time, as are the following
+    is_adopted: bool  # from a previous owner: `started_at` is when it was first seen
     answered_at: float  # when its start was answered, given up or first listed
     is_start_settled: bool  # its start was answered or it was listed
     stop_answered_at: float | None
@@ -77,6 +80,7 @@
     usage: int  # as in `model.RunningTask`
     paced_at: float | None  # when `pace` last changed
     pace: int  # share of its speed, in percent
+    is_pace_predicted: bool  # by what is learnt of its image, not by fixed steps
     move_blocked_by: str  # why its last move was not possible; empty: none was tried
     is_suspect: bool  # a worker has died while an earlier run of the task was suspect
     session: "WorkerSession"
@@ -96,6 +100,7 @@
         self.spec = spec
         self.status = RunStatus.STARTING
         self.started_at = now
+        self.is_adopted = False
         self.answered_at = now
         self.is_start_settled = False
         self.stop_answered_at = None
@@ -105,6 +110,7 @@
         self.usage = 0
         self.paced_at = None
         self.pace = 100
+        self.is_pace_predicted = False
         self.move_blocked_by = ""
         self.is_suspect = False
         self.session = session
@@ -203,6 +209,7 @@
     born_ms: int
     failed_jobs: set[str]
     ejected_until: float
+    predictions_paused_until: float  # event-loop time; paces change by fixed steps
     _client: services.WorkerClient
     _events: RunEvents
     _log_event: services.EventLog
@@ -249,6 +256,7 @@
         self.born_ms = 0
         self.failed_jobs = set()
         self.ejected_until = 0.0
+        self.predictions_paused_until = 0.0
         self._client = client
         self._events = events
         self._log_event = log_event
