Order jobs in a full pool by the shares and rates of teams

Cause: a flood of one team, or its wide jobs, made jobs of other teams late, since the owner ordered all jobs by slack alone.

Change: while the ready work of a pool does not fit, teams above their weighted max-min fair dominant share come after teams below it within a class and priority, and jobs above a team's rate come last (fair_share.py, team_rate.py; used by placement_round.py). PoolOwner gets weights by a callable, 1.0 without one; node.py does not pass one yet. JobSpec.team is new and not set yet. Without teams nothing is computed. New: decision line job_over_rate, two counters.

--- a/clementinespar/jobs/command_intake.py
+++ b/clementinespar/jobs/command_intake.py
@@ -12,6 +12,7 @@
     run_ends,
     services,
     state,
+    team_rate,
     telemetry,
 )
 
@@ -52,6 +53,7 @@
         ends: run_ends.RunEnds,
         run_times: demand.RunTimes,
         arrivals_by_pool: dict[str, demand.ArrivalRate],
+        team_rates: team_rate.TeamRates,
         log_event: services.EventLog,
     ) -> None:
         self._partition = partition
@@ -60,6 +62,7 @@
         self._ends = ends
         self._run_times = run_times
         self._arrivals_by_pool = arrivals_by_pool
+        self._team_rates = team_rates
         self._log_event = log_event
         self._read_at = None
         self._next_command = 0
@@ -107,12 +110,15 @@
 
     def apply(self, records: list[services.KeyedRecord]) -> None:
         """Add new jobs, then cancel."""
+        added = []
         for record in records:
             kind, job_id = record.key[:1], record.key[1:]
             if not record.value:
                 continue
             if kind == "j" and job_id not in self._jobs.by_id:
-                self._add_job(job_id, record.value)
+                added.extend(self._add_job(job_id, record.value))
+        if added:
+            self._team_rates.mark_all(added, time.time() * 1000)
         for record in records:
             if record.key[:1] == "c" and record.value:
                 self._cancel(record.key[1:])
@@ -131,12 +137,13 @@
         ) / 1000
         job.deadline = loop.time() - age_s + objective_s
 
-    def _add_job(self, job_id: str, value: bytes) -> None:
+    def _add_job(self, job_id: str, value: bytes) -> list[state.JobProgress]:
+        """Add a job; the result is empty if it cannot be decoded."""
         try:
             job = state.JobProgress(state.decode_spec(job_id, value))
         except state.DECODING_ERRORS as error:
             telemetry.log_invalid_entry(self._log_event, "j" + job_id, error)
-            return
+            return []
         self.set_deadline(job)
         self._jobs.by_id[job_id] = job
         self._jobs.active[job_id] = job
@@ -162,6 +169,7 @@
                 job, model.JobState.CANCELLED, "cancelled before it was submitted"
             )
         self._jobs.store_soon(job)
+        return [job]
 
     def _cancel(self, job_id: str) -> None:
         self._cancelled_ids.add(job_id)
--- a/clementinespar/jobs/model.py
+++ b/clementinespar/jobs/model.py
@@ -75,6 +75,7 @@
     stretch: float = 1.0
     objective_ms: int = 0
     needs_advice: bool = False  # runs only on workers with a ticket of the adviser
+    team: str = ""  # empty: no team
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/clementinespar/jobs/owner_queries.py
+++ b/clementinespar/jobs/owner_queries.py
@@ -84,6 +84,8 @@
         if not job.is_final and not job.is_lasting:
             slack_s = job.deadline - now
             because.append(f"its objective ends in {slack_s:.1f} s")
+        if job.is_over_rate:
+            because.append(f"team {job.spec.team} was above its rate at its submission")
         for occurrence in job.occurrences.values():
             for number, step in enumerate(occurrence.steps):
                 because.append(
--- a/clementinespar/jobs/placement_round.py
+++ b/clementinespar/jobs/placement_round.py
@@ -1,12 +1,20 @@
 """A round of placement: which jobs wait, in which order, and what is free."""
 
+import heapq
+from collections.abc import Iterable, Sequence
+
 from clementinespar.jobs import (
     crash_counts,
     demand,
+    fair_share,
     job_table,
     placement,
     session_table,
+    state,
     task_placer,
+    team_rate,
+    telemetry,
+    worker_session,
     worker_use,
 )
 
@@ -22,6 +30,8 @@
         use: worker_use.WorkerUse,
         placer: task_placer.TaskPlacer,
         run_times: demand.RunTimes,
+        team_rates: team_rate.TeamRates,
+        metrics: telemetry.JobMetrics,
     ) -> None:
         self._epoch = epoch
         self._jobs = jobs
@@ -29,6 +39,8 @@
         self._worker_use = use
         self._placer = placer
         self._run_times = run_times
+        self._team_rates = team_rates
+        self._metrics = metrics
 
     def run(self, now: float) -> None:
         """Start the tasks that are ready, as far as the free capacity allows."""
@@ -45,11 +57,104 @@
             and any(s.waiting for o in job.occurrences.values() for s in o.steps)
         ]
         estimate_ms = self._run_times.estimate_ms
-        waiting.sort(key=lambda job: placement.rank(job, now, estimate_ms))
-        free_capacity_by_pool: dict[str, placement.FreeCapacity] = {}
-        for pool in {job.spec.pool for job in waiting}:
-            free_capacity_by_pool[pool] = placement.FreeCapacity(
-                [session for session in usable if session.entry.pool == pool]
-            )
-        for job in waiting:
+        usable_by_pool: dict[str, list[worker_session.WorkerSession]] = {
+            pool: [session for session in usable if session.entry.pool == pool]
+            for pool in {job.spec.pool for job in waiting}
+        }
+        free_capacity_by_pool = {
+            pool: placement.FreeCapacity(sessions)
+            for pool, sessions in usable_by_pool.items()
+        }
+        work_by_id: dict[str, fair_share.Amount] = {}
+        shares_by_pool: dict[str, fair_share.PoolShares] = {}
+        if self._team_rates.has_teams:
+            work_by_id = {
+                job.spec.job_id: fair_share.ready_work(job) for job in waiting
+            }
+            for pool, sessions in usable_by_pool.items():
+                jobs = [
+                    (job, work_by_id[job.spec.job_id])
+                    for job in waiting
+                    if job.spec.pool == pool
+                ]
+                shares = self._find_shares(pool, sessions, jobs)
+                if shares is not None:
+                    shares_by_pool[pool] = shares
+        if not shares_by_pool:
+            waiting.sort(key=lambda job: placement.rank(job, now, estimate_ms))
+            for job in waiting:
+                self._placer.place(job, free_capacity_by_pool[job.spec.pool], now)
+            return
+        self._metrics.count_contended_round()
+        # The number keeps the order of jobs with equal keys.
+        queue = []
+        for number, job in enumerate(waiting):
+            rank = placement.rank(job, now, estimate_ms)
+            key = fair_share.order_key(job, rank, shares_by_pool.get(job.spec.pool))
+            queue.append((key, number, job))
+        heapq.heapify(queue)
+        while queue:
+            key, number, job = heapq.heappop(queue)
+            shares = shares_by_pool.get(job.spec.pool)
+            if shares and not key.is_above and job.spec.team in shares.above:
+                # Other jobs of the team have started in this round.
+                heapq.heappush(queue, (key._replace(is_above=True), number, job))
+                continue
+            had_started = job.has_started
             self._placer.place(job, free_capacity_by_pool[job.spec.pool], now)
+            if shares and job.has_started and not had_started:
+                shares.claim(job.spec.team, work_by_id[job.spec.job_id])
+
+    def _find_shares(
+        self,
+        pool: str,
+        usable: Iterable[worker_session.WorkerSession],
+        jobs: Sequence[tuple[state.JobProgress, fair_share.Amount]],
+    ) -> fair_share.PoolShares | None:
+        """Return the shares of teams; None if a pool is not contended or has no teams.
+
+        Parameters
+        ----------
+        usable : iterable of worker_session.WorkerSession
+            Sessions of the workers that may take work.
+        jobs : sequence of tuple of state.JobProgress and fair_share.Amount
+            Waiting jobs with their ready work.
+        """
+        if not any(job.spec.team for job, _ in jobs):
+            return None
+        free = fair_share.total(
+            (
+                float(session.free_cpu),
+                float(session.free_memory),
+                float(session.free_gpus),
+            )
+            for session in usable
+        )
+        if not fair_share.is_contended(
+            fair_share.total(work for _, work in jobs), free
+        ):
+            return None
+        return fair_share.PoolShares(
+            free, self._use_by_team(pool), jobs, self._team_rates.find_weight
+        )
+
+    def _use_by_team(self, pool: str) -> dict[str, fair_share.Amount]:
+        """Return what the runs of each team use in a pool; by "" those of no team."""
+        use_by_job_id: dict[str, list[int]] = {}
+        for session in self._sessions.in_pool(pool):
+            for run in session.runs.values():
+                spec = run.spec
+                used = use_by_job_id.setdefault(run.key.job_id, [0, 0, 0])
+                if not spec.is_filler:
+                    used[0] += spec.cpu_millis
+                used[1] += spec.memory_mb
+                used[2] += spec.gpus
+        use: dict[str, fair_share.Amount] = {}
+        for job_id, (cpu_millis, memory_mb, gpus) in use_by_job_id.items():
+            job = self._jobs.by_id.get(job_id)
+            team = "" if job is None else job.spec.team
+            use[team] = fair_share.add(
+                use.get(team, fair_share.NOTHING),
+                (float(cpu_millis), float(memory_mb), float(gpus)),
+            )
+        return use
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -34,6 +34,7 @@
     session_table,
     state,
     task_placer,
+    team_rate,
     telemetry,
     tickets,
     worker_deaths,
@@ -87,6 +88,7 @@
     _unsubscribe: Callable[[], None]
     _tickets: tickets.TicketCache
     _run_times: demand.RunTimes
+    _team_rates: team_rate.TeamRates
 
     def __init__(
         self,
@@ -103,6 +105,7 @@
         settings: OwnerSettings,
         log_event: services.EventLog,
         metrics: telemetry.JobMetrics,
+        find_weight: Callable[[str], float] = team_rate.default_weight,
     ) -> None:
         self.partition = partition
         self.epoch = epoch
@@ -123,6 +126,7 @@
         self._unsubscribe = _do_nothing
         self._run_times = demand.RunTimes()
         arrivals_by_pool: dict[str, demand.ArrivalRate] = {}
+        self._team_rates = team_rate.TeamRates(find_weight, log_event, metrics)
         self._sessions = session_table.SessionTable(
             self.sessions_by_id,
             epoch,
@@ -161,6 +165,8 @@
             self._worker_use,
             placer,
             self._run_times,
+            self._team_rates,
+            metrics,
         )
         self._held_tasks = held_tasks.HeldTaskLog(log_event)
         self._ends = run_ends.RunEnds(
@@ -178,6 +184,7 @@
             self._ends,
             self._run_times,
             arrivals_by_pool,
+            self._team_rates,
             log_event,
         )
         self._crash_watch = crash_watch.CrashWatch(
@@ -359,15 +366,15 @@
             owner_loading.restore_worker_use(
                 self._worker_use, values["workers"], fenced_at, lease_s, self._log_event
             )
-        for job in owner_loading.restore_jobs(
-            values, commands.records, self._log_event
-        ):
+        restored = owner_loading.restore_jobs(values, commands.records, self._log_event)
+        for job in restored:
             self._intake.set_deadline(job)
             self.jobs_by_id[job.spec.job_id] = job
             if not job.is_final:
                 self._jobs.active[job.spec.job_id] = job
                 self._crash_watch.restore(job)
                 self._ends.finish_occurrences(job)
+        self._team_rates.mark_all(restored, time.time() * 1000)
         self._intake.apply_page(commands)
         self._sessions.loaded_at = loop.time()
         self.is_loaded = True
--- a/clementinespar/jobs/session_table.py
+++ b/clementinespar/jobs/session_table.py
@@ -141,6 +141,10 @@
             if session.has_answered and not session.is_silent
         }
 
+    def in_pool(self, pool: str) -> list[worker_session.WorkerSession]:
+        """Return the sessions of the workers of a pool."""
+        return [s for s in self._sessions_by_id.values() if s.entry.pool == pool]
+
     def find_usable(self, now: float) -> list[worker_session.WorkerSession]:
         """Return the sessions of the workers that may take work."""
         return [
--- a/clementinespar/jobs/state.py
+++ b/clementinespar/jobs/state.py
@@ -125,6 +125,7 @@
         "adopted_epoch",
         "is_adopted",
         "has_started",
+        "is_over_rate",
         "final_ms",
         "deadline",
         "finished_occurrences",
@@ -141,6 +142,7 @@
     adopted_epoch: int  # this owner's epoch if it adopted the job, else `first_epoch`
     is_adopted: bool  # the adoption is stored, so tasks may start
     has_started: bool
+    is_over_rate: bool  # its team had submitted more than its rate
     final_ms: int  # Unix ms of the final state
     deadline: float  # event-loop time at which the objective of the job ends
     finished_occurrences: int
@@ -157,6 +159,7 @@
         self.adopted_epoch = 0
         self.is_adopted = False
         self.has_started = False
+        self.is_over_rate = False
         self.final_ms = 0
         self.deadline = 0.0
         self.finished_occurrences = 0
--- a/clementinespar/jobs/telemetry.py
+++ b/clementinespar/jobs/telemetry.py
@@ -44,6 +44,8 @@
     _starts: prometheus_client.Counter
     _ends: prometheus_client.Counter
     _crashes: prometheus_client.Counter
+    _over_rate: prometheus_client.Counter
+    _contended_rounds: prometheus_client.Counter
     _answers: prometheus_client.Counter
     _job_seconds: prometheus_client.Histogram
     _answer_seconds: prometheus_client.Histogram
@@ -66,6 +68,16 @@
             "Runs whose worker died under them.",
             registry=self.registry,
         )
+        self._over_rate = prometheus_client.Counter(
+            "clementinespar_jobs_over_rate",
+            "Jobs submitted above the rate of their team.",
+            registry=self.registry,
+        )
+        self._contended_rounds = prometheus_client.Counter(
+            "clementinespar_contended_rounds",
+            "Rounds of placement that were ordered by the shares of teams.",
+            registry=self.registry,
+        )
         self._answers = prometheus_client.Counter(
             "clementinespar_job_answers",
             "Answers to callers by call and status.",
@@ -99,6 +111,14 @@
         """Count a run whose worker died under it."""
         self._crashes.inc()
 
+    def count_over_rate(self) -> None:
+        """Count a job that was submitted above the rate of its team."""
+        self._over_rate.inc()
+
+    def count_contended_round(self) -> None:
+        """Count a round of placement that was ordered by the shares of teams."""
+        self._contended_rounds.inc()
+
     def observe_job(self, state: str, age_ms: float) -> None:
         """Count a job that reached a final state, by the time since acceptance."""
         self._job_seconds.labels(state).observe(age_ms / 1000)
--- a/clementinespar/jobs/tests/helpers.py
+++ b/clementinespar/jobs/tests/helpers.py
@@ -52,6 +52,7 @@
     owner: pool_owner.PoolOwner
     epoch: int
     events: list[tuple[str, dict[str, object]]]  # that the owners have logged
+    weights: dict[str, float]  # of teams; 1.0 for others
     _frozen_by_epoch: dict[int, float]
 
     def __init__(self, workers: fakes.FakeWorkers) -> None:
@@ -61,6 +62,7 @@
         self.confirmed_at = None
         self.epoch = 0
         self.events = []
+        self.weights = {}
         self._frozen_by_epoch = {}
 
     def make_owner(self) -> pool_owner.PoolOwner:
@@ -88,6 +90,7 @@
             pool_owner.OwnerSettings(LEASE_MAX_S),
             self._log_event,
             telemetry.JobMetrics(),
+            lambda team: self.weights.get(team, 1.0),
         )
         return self.owner
 
