--- a/clementinespar/jobs/node.py
+++ b/clementinespar/jobs/node.py
@@ -16,6 +16,7 @@
     quota_exchange,
     service,
     services,
+    team_rate,
     telemetry,
 )
 
@@ -76,6 +77,7 @@
                 log_event,
                 self.metrics,
                 self.quotas,
+                self._find_weight,
             )
 
         @contextlib.asynccontextmanager
@@ -136,6 +138,12 @@
             and now - reached < STORE_ANSWER_MAX_AGE_S
         )
 
+    def _find_weight(self, team: str) -> float:
+        """Return the weight of a team in the configuration in force."""
+        configuration = self._platform_services.configuration.current
+        known = {} if configuration is None else configuration.teams_by_name
+        return known[team].weight if team in known else team_rate.default_weight(team)
+
     def wanted_partitions(self) -> frozenset[int]:
         """Return the partitions to which pools of the configuration belong."""
         configuration = self._platform_services.configuration.current
--- a/clementinespar/jobs/owner_queries.py
+++ b/clementinespar/jobs/owner_queries.py
@@ -95,6 +95,8 @@
         wait = self._waits.explain(job, now)
         if wait is not None:
             because.append(wait)
+        if job.is_over_rate:
+            because.append(f"team {job.spec.team} was above its rate at its submission")
         for occurrence in job.occurrences.values():
             for number, step in enumerate(occurrence.steps):
                 because.append(
--- a/clementinespar/jobs/placement_round.py
+++ b/clementinespar/jobs/placement_round.py
@@ -1,17 +1,24 @@
 """A round of placement: which jobs wait, in which order, and what is free."""
 
+import heapq
 import math
+from collections.abc import Iterable, Sequence
 
 from clementinespar.jobs import (
     crash_counts,
     demand,
+    fair_share,
     job_table,
     neighbours,
     owner_quotas,
     placement,
     session_table,
+    state,
     task_placer,
+    team_rate,
+    telemetry,
     wait_watch,
+    worker_session,
     worker_use,
 )
 
@@ -39,6 +46,8 @@
         quotas: owner_quotas.OwnerQuotas,
         waits: wait_watch.WaitWatch,
         neighbour_evidence: neighbours.Neighbours,
+        team_rates: team_rate.TeamRates,
+        metrics: telemetry.JobMetrics,
     ) -> None:
         self._epoch = epoch
         self._jobs = jobs
@@ -49,6 +58,8 @@
         self._quotas = quotas
         self._waits = waits
         self._neighbours = neighbour_evidence
+        self._team_rates = team_rates
+        self._metrics = metrics
         self._full_at_by_pool = {}
 
     def run(self, now: float) -> None:
@@ -70,28 +81,137 @@
         rank_by_id = {
             job.spec.job_id: placement.rank(job, now, estimate_ms) for job in waiting
         }
-        waiting.sort(key=lambda job: rank_by_id[job.spec.job_id])
-        free_capacity_by_pool: dict[str, placement.FreeCapacity] = {}
-        for pool in {job.spec.pool for job in waiting}:
-            full_at = self._full_at_by_pool.get(pool, -math.inf)
-            free_capacity_by_pool[pool] = placement.FreeCapacity(
-                [session for session in usable if session.entry.pool == pool],
+        usable_by_pool: dict[str, list[worker_session.WorkerSession]] = {
+            pool: [session for session in usable if session.entry.pool == pool]
+            for pool in {job.spec.pool for job in waiting}
+        }
+        free_capacity_by_pool = {
+            pool: placement.FreeCapacity(
+                sessions,
                 self._neighbours.find_model(pool),
-                is_packed=now - full_at < PACKED_S,
+                is_packed=now - self._full_at_by_pool.get(pool, -math.inf) < PACKED_S,
             )
-        for job in waiting:
-            pool = job.spec.pool
-            job_class = rank_by_id[job.spec.job_id][0]
-            free_capacity = free_capacity_by_pool[pool]
-            if (
-                job_class == placement.LATE
-                and now < self._sessions.lending_until.get(pool, -math.inf)
-                and free_capacity.used_share() >= LATE_WORK_MIN_USE
-            ):
+            for pool, sessions in usable_by_pool.items()
+        }
+        work_by_id: dict[str, fair_share.Amount] = {}
+        shares_by_pool: dict[str, fair_share.PoolShares] = {}
+        if self._team_rates.has_teams:
+            work_by_id = {
+                job.spec.job_id: fair_share.ready_work(job) for job in waiting
+            }
+            for pool, sessions in usable_by_pool.items():
+                jobs = [
+                    (job, work_by_id[job.spec.job_id])
+                    for job in waiting
+                    if job.spec.pool == pool
+                ]
+                shares = self._find_shares(pool, sessions, jobs)
+                if shares is not None:
+                    shares_by_pool[pool] = shares
+        if not shares_by_pool:
+            waiting.sort(key=lambda job: rank_by_id[job.spec.job_id])
+            for job in waiting:
+                kind = rank_by_id[job.spec.job_id][0]
+                self._place(job, kind, free_capacity_by_pool[job.spec.pool], now)
+            return
+        self._metrics.count_contended_round()
+        # The number keeps the order of jobs with equal keys.
+        queue = []
+        for number, job in enumerate(waiting):
+            rank = rank_by_id[job.spec.job_id]
+            key = fair_share.order_key(job, rank, shares_by_pool.get(job.spec.pool))
+            queue.append((key, number, job))
+        heapq.heapify(queue)
+        while queue:
+            key, number, job = heapq.heappop(queue)
+            shares = shares_by_pool.get(job.spec.pool)
+            if shares and not key.is_above and job.spec.team in shares.above:
+                # Other jobs of the team have started in this round.
+                heapq.heappush(queue, (key._replace(is_above=True), number, job))
                 continue
-            self._placer.place(job, free_capacity, now)
-            if job.has_started:
-                self._waits.note_start(job, now)
-            is_timely = job_class in (placement.STARTED, placement.NEW)
-            if is_timely and job.has_ready_tasks(now):
-                self._full_at_by_pool[pool] = now
+            had_started = job.has_started
+            self._place(job, key.kind, free_capacity_by_pool[job.spec.pool], now)
+            if shares and job.has_started and not had_started:
+                shares.claim(job.spec.team, work_by_id[job.spec.job_id])
+
+    def _place(
+        self,
+        job: state.JobProgress,
+        kind: int,
+        free_capacity: placement.FreeCapacity,
+        now: float,
+    ) -> None:
+        """Place the ready tasks of a job, and record whether its pool is full.
+
+        Parameters
+        ----------
+        kind : int
+            The class of `placement.rank`.
+        """
+        pool = job.spec.pool
+        if (
+            kind == placement.LATE
+            and now < self._sessions.lending_until.get(pool, -math.inf)
+            and free_capacity.used_share() >= LATE_WORK_MIN_USE
+        ):
+            return
+        self._placer.place(job, free_capacity, now)
+        if job.has_started:
+            self._waits.note_start(job, now)
+        is_timely = kind in (placement.STARTED, placement.NEW)
+        if is_timely and job.has_ready_tasks(now):
+            self._full_at_by_pool[pool] = now
+
+    def _find_shares(
+        self,
+        pool: str,
+        usable: Iterable[worker_session.WorkerSession],
+        jobs: Sequence[tuple[state.JobProgress, fair_share.Amount]],
+    ) -> fair_share.PoolShares | None:
+        """Return the shares of teams; None if a pool is not contended or has no teams.
+
+        Parameters
+        ----------
+        usable : iterable of worker_session.WorkerSession
+            Sessions of the workers that may take work.
+        jobs : sequence of tuple of state.JobProgress and fair_share.Amount
+            Waiting jobs with their ready work.
+        """
+        if not any(job.spec.team for job, _ in jobs):
+            return None
+        free = fair_share.total(
+            (
+                float(session.free_cpu),
+                float(session.free_memory),
+                float(session.free_gpus),
+            )
+            for session in usable
+        )
+        if not fair_share.is_contended(
+            fair_share.total(work for _, work in jobs), free
+        ):
+            return None
+        return fair_share.PoolShares(
+            free, self._use_by_team(pool), jobs, self._team_rates.find_weight
+        )
+
+    def _use_by_team(self, pool: str) -> dict[str, fair_share.Amount]:
+        """Return what the runs of each team use in a pool; by "" those of no team."""
+        use_by_job_id: dict[str, list[int]] = {}
+        for session in self._sessions.in_pool(pool):
+            for run in session.runs.values():
+                spec = run.spec
+                used = use_by_job_id.setdefault(run.key.job_id, [0, 0, 0])
+                if not spec.is_filler:
+                    used[0] += spec.cpu_millis
+                used[1] += spec.memory_mb
+                used[2] += spec.gpus
+        use: dict[str, fair_share.Amount] = {}
+        for job_id, (cpu_millis, memory_mb, gpus) in use_by_job_id.items():
+            job = self._jobs.by_id.get(job_id)
+            team = "" if job is None else job.spec.team
+            use[team] = fair_share.add(
+                use.get(team, fair_share.NOTHING),
+                (float(cpu_millis), float(memory_mb), float(gpus)),
+            )
+        return use
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -36,6 +36,7 @@
     session_table,
     state,
     task_placer,
+    team_rate,
     telemetry,
     tickets,
     wait_watch,
@@ -90,6 +91,7 @@
     _crash_watch: crash_watch.CrashWatch
     _death_watch: worker_deaths.WorkerDeathWatch
     _unsubscribe: Callable[[], None]
+    _team_rates: team_rate.TeamRates
     _tickets: tickets.TicketCache
     _run_times: demand.RunTimes
 
@@ -109,6 +111,7 @@
         log_event: services.EventLog,
         metrics: telemetry.JobMetrics,
         quota_link: owner_quotas.QuotaLink | None = None,
+        find_weight: Callable[[str], float] = team_rate.default_weight,
     ) -> None:
         self.partition = partition
         self.epoch = epoch
@@ -128,6 +131,7 @@
         self._worker_use = worker_use.WorkerUse()
         self._unsubscribe = _do_nothing
         self._run_times = demand.RunTimes()
+        self._team_rates = team_rate.TeamRates(find_weight, log_event, metrics)
         arrivals_by_pool: dict[str, demand.ArrivalRate] = {}
         self.quotas = owner_quotas.OwnerQuotas(
             partition,
@@ -198,6 +202,8 @@
             self.quotas,
             self.waits,
             self._neighbours,
+            self._team_rates,
+            metrics,
         )
         self._held_tasks = held_tasks.HeldTaskLog(log_event)
         self._ends = run_ends.RunEnds(
@@ -217,6 +223,7 @@
             self._run_times,
             arrivals_by_pool,
             self.waits,
+            self._team_rates,
             log_event,
         )
         self._crash_watch = crash_watch.CrashWatch(
@@ -420,15 +427,15 @@
             owner_loading.restore_worker_use(
                 self._worker_use, values["workers"], fenced_at, lease_s, self._log_event
             )
-        for job in owner_loading.restore_jobs(
-            values, commands.records, self._log_event
-        ):
+        restored = owner_loading.restore_jobs(values, commands.records, self._log_event)
+        for job in restored:
             self._intake.set_deadline(job)
             self.jobs_by_id[job.spec.job_id] = job
             if not job.is_final:
                 self._jobs.active[job.spec.job_id] = job
                 self._crash_watch.restore(job)
                 self._ends.finish_occurrences(job)
+        self._team_rates.mark_all(restored, time.time() * 1000)
         self._intake.apply_page(commands)
         self._sessions.loaded_at = loop.time()
         self.is_loaded = True
--- a/clementinespar/jobs/telemetry.py
+++ b/clementinespar/jobs/telemetry.py
@@ -52,6 +52,8 @@
     _verdicts: prometheus_client.Gauge
     _verdict_changes: prometheus_client.Counter
     _interference_moves: prometheus_client.Counter
+    _over_rate: prometheus_client.Counter
+    _contended_rounds: prometheus_client.Counter
     _answers: prometheus_client.Counter
     _job_seconds: prometheus_client.Histogram
     _answer_seconds: prometheus_client.Histogram
@@ -108,6 +110,16 @@
             "Lasting tasks that were moved away because of interference.",
             registry=self.registry,
         )
+        self._over_rate = prometheus_client.Counter(
+            "clementinespar_jobs_over_rate",
+            "Jobs submitted above the rate of their team.",
+            registry=self.registry,
+        )
+        self._contended_rounds = prometheus_client.Counter(
+            "clementinespar_contended_rounds",
+            "Rounds of placement that were ordered by the shares of teams.",
+            registry=self.registry,
+        )
         self._answers = prometheus_client.Counter(
             "clementinespar_job_answers",
             "Answers to callers by call and status.",
@@ -159,6 +171,14 @@
         """Count a lasting task that is moved away because of interference."""
         self._interference_moves.inc()
 
+    def count_over_rate(self) -> None:
+        """Count a job that was submitted above the rate of its team."""
+        self._over_rate.inc()
+
+    def count_contended_round(self) -> None:
+        """Count a round of placement that was ordered by the shares of teams."""
+        self._contended_rounds.inc()
+
     def count_start(self) -> None:
         """Count an ordered start of a task."""
         self._starts.inc()
