Blame one worker only when a step of a team fails on several

Cause: failures of two jobs eject a worker, so a team whose jobs always fail takes the workers from all teams.

Change: for a job of a team, only the first worker on which a step fails is blamed. Jobs without a team, and lasting steps, count as before.

--- a/clementinespar/jobs/run_ends.py
+++ b/clementinespar/jobs/run_ends.py
@@ -167,7 +167,9 @@
             return
         task.failed_runs.add(end.run)
         task.failed_on.add(session.entry.worker_id)
-        if session.record_outcome(job.spec.job_id, True):
+        if _may_blame_worker(job, step, session.entry.worker_id) and (
+            session.record_outcome(job.spec.job_id, True)
+        ):
             self._log_event(
                 "worker_ejected", worker=session.entry.worker_id, reason="failures"
             )
@@ -203,3 +205,16 @@
             for run in list(session.runs.values()):
                 if run.key == task.key and run.number != keep_run:
                     session.stop(run, "another copy of the task is done")
+
+
+def _may_blame_worker(
+    job: state.JobProgress, step: state.StepState, worker_id: str
+) -> bool:
+    """Whether a failure counts against the worker.
+
+    A job of a team that fails on several workers would take them all from the other
+    teams, so only the first worker on which a step fails is blamed.
+    """
+    if not job.spec.team or step.spec.is_lasting:
+        return True
+    return all(task.failed_on <= {worker_id} for task in step.tasks)
