--- a/clementinespar/jobs/tests/test_fair_share.py
+++ b/clementinespar/jobs/tests/test_fair_share.py
@@ -85,6 +85,26 @@
     assert not any(mark([float(second) for second in range(40)]))
 
 
+@paused_clock.test
+async def test_next_owner_marks_the_same_jobs(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against marks that a change of owner drops or puts on other jobs."""
+    loop = asyncio.get_running_loop()
+    monkeypatch.setattr(time, "time", loop.time)
+    harness = helpers.OwnerHarness(fakes.FakeWorkers(1, cpu=100))  # too small
+    for _ in range(2):
+        async with helpers.run_owner(harness):
+            await asyncio.sleep(0.5)
+            for number in range(8 if harness.epoch == 1 else 0):
+                accepted_ms = int(loop.time() * 1000)
+                spec = helpers.make_spec(str(number))
+                await harness.submit(
+                    dataclasses.replace(spec, team="a", accepted_ms=accepted_ms)
+                )
+            await asyncio.sleep(0.5)
+    marked = [fields["job"] for event, fields in harness.events if "rate" in event]
+    assert marked == ["5", "6", "7"] * 2
+
+
 Arrival = tuple[float, str, int]  # second, team, number of tasks
 OBJECTIVE_MS = 1400.0  # of the specification of `helpers`, whose tasks take 0.5 s
 
