Let owners say that the store does not answer them

An owner that waited for the store looked lost to the others.

Change: an owner whose appends have had no answer for 0.3 s says so in its answers to queries (store_silent_ms), and nodes then use its route only. It answers a forwarded command within 0.7 s. A lost call counts for 10 s instead of 3 s, and is cleared by a direct append beside one that the owner stores.

--- a/clementinespar/jobs/command_routes.py
+++ b/clementinespar/jobs/command_routes.py
@@ -34,6 +34,10 @@
 OWNER_HEDGE_S = 0.6
 # Shorter than `store_health.STORE_UNAVAILABLE_S`, so that a direct append can follow.
 FORWARD_TIMEOUT_S = 0.8
+# An owner answers by then that the outcome is unknown, so that it does not look lost.
+PEER_ANSWER_S = 0.7
+# How long a node goes by an owner's word that the store does not answer it.
+REPORT_MAX_AGE_S = 1.5
 MAX_MEMBERS = 200  # a node gets another name at each start
 
 
@@ -110,7 +114,10 @@
     _store: tracked_store.TrackedStore
     _writer: command_writer.CommandWriter
     _health_by_member: dict[str, store_health.RouteHealth]  # of peers that are owners
+    _probes: set[asyncio.Task[None]]  # appends for peers to a silent store
     _owner_stored_at: dict[int, float]  # by partition: event-loop time
+    # By partition: when its owner last said that the store does not answer it.
+    _owner_reported_at: dict[int, float]
 
     def __init__(
         self,
@@ -128,11 +135,15 @@
             self._store, self._may_send, self._is_known_here
         )
         self._health_by_member = {}
+        self._probes = set()
         self._owner_stored_at = {}
+        self._owner_reported_at = {}
 
     def close(self) -> None:
         """Cancel the appends that are not answered."""
         self._writer.close()
+        for probe in self._probes:
+            probe.cancel()
 
     def may_be_stored(self, key: str) -> bool:
         """Whether an append of this command was sent that was not refused."""
@@ -144,6 +155,19 @@
         since = self._direct_silent_since(partition, now)
         return 0.0 if since is None else now - since
 
+    def note_report(self, partition: int, is_silent: bool, now: float) -> None:
+        """Record what an owner said about the answers of the store."""
+        if is_silent:
+            self._owner_reported_at[partition] = now
+        else:
+            self._owner_reported_at.pop(partition, None)
+
+    def stall_s(self, partition: int) -> float:
+        """Return for how long appends of this node have had no answer, or 0."""
+        now = asyncio.get_running_loop().time()
+        pending_s = self._store.find_health(partition).pending_s(now)
+        return max(self.outage_s(partition), pending_s if pending_s > HEDGE_S else 0.0)
+
     async def store(
         self, partition: int, record: services.KeyedRecord, timeout_s: float
     ) -> codes.ResultCode:
@@ -204,11 +228,15 @@
             return _Plan({})
         if is_owner_losing:
             return _Plan({_Route.DIRECT: 0.0})
+        reported_at = self._owner_reported_at.get(partition, -math.inf)
+        if now - reported_at <= REPORT_MAX_AGE_S:
+            return _Plan({_Route.OWNER: 0.0})
+        # Where the owner stores commands, a direct append beside it does not harm the
+        # caller and shows whether this node's calls are answered again.
+        is_harmless = owner.has_stored_last and may_probe_direct
+        if is_harmless and (is_direct_silent or is_losing):
+            return _Plan({_Route.OWNER: 0.0, _Route.DIRECT: 0.0}, probed=direct)
         if is_direct_silent:
-            # Where the owner stores commands, a direct append beside it does not harm
-            # the caller and shows whether this node's calls are answered again.
-            if owner.has_stored_last and may_probe_direct:
-                return _Plan({_Route.OWNER: 0.0, _Route.DIRECT: 0.0}, probed=direct)
             return _Plan({_Route.OWNER: 0.0})
         if is_losing:
             # Not sent directly after a refusal by the owner, which makes the refusal
@@ -304,11 +332,19 @@
         record: services.KeyedRecord,
         health: store_health.RouteHealth,
     ) -> None:
+        """Append one command; raises TimeoutError, but goes on, if that takes long."""
         health.begin_probe(asyncio.get_running_loop().time())
-        try:
-            await self._store.append(services.Topic.COMMANDS, partition, [record])
-        finally:
-            health.end_probe()
+        probe = asyncio.create_task(
+            self._store.append(services.Topic.COMMANDS, partition, [record])
+        )
+        self._probes.add(probe)
+        probe.add_done_callback(self._probes.discard)
+        probe.add_done_callback(lambda _: health.end_probe())
+        done, _ = await asyncio.wait({probe}, timeout=PEER_ANSWER_S)
+        if not done:
+            probe.add_done_callback(_ignore_outcome)
+            raise TimeoutError("the store has not answered yet")
+        probe.result()
 
     def _accept(self, partition: int, record: services.KeyedRecord) -> None:
         """Hand a stored command to the owner here, before it is read back."""
@@ -357,6 +393,7 @@
                 )
         now = asyncio.get_running_loop().time()
         self._owner_stored_at[partition] = now
+        self.note_report(partition, False, now)
         self._note_answer(partition, response.body, now)
         # The next command finds out by its own append whether the store is still slow.
         self._store.find_health(partition).latency_s = 0.0
@@ -385,16 +422,17 @@
             if is_probe:
                 await self._append_probe(partition, record, health)
             else:
-                await self._writer.append(partition, record)  # refuses while silent
+                async with asyncio.timeout(PEER_ANSWER_S):
+                    # Refused while the store is silent.
+                    await self._writer.append(partition, record)
             self._accept(partition, record)
-        except errors.ClementinesparError as error:
+        except (errors.ClementinesparError, TimeoutError) as error:
             if self._is_known_here(partition, record):
                 return
-            if self._sent.may_be_stored(record.key):
-                raise errors.ClementinesparError(
-                    codes.ResultCode.STORE_UNANSWERED, error.message
-                ) from error
-            raise
+            code = self._unstored_outcome(record.key)
+            raise errors.ClementinesparError(
+                code, f"the command is not known to be stored: {error}"
+            ) from error
 
     def _is_owner_here(self, partition: int) -> bool:
         return partition in self._ownership_manager.owners_by_partition
@@ -446,3 +484,9 @@
     def _is_slow(self, direct: store_health.RouteHealth) -> bool:
         store_latency_s = self._ownership_manager.store_latency_s
         return max(direct.latency_s, store_latency_s) > SLOW_STORE_S
+
+
+def _ignore_outcome(task: asyncio.Task[None]) -> None:
+    """Retrieve the error of an append for which nobody waits; its health has it."""
+    if not task.cancelled():
+        task.exception()
--- a/clementinespar/jobs/service.py
+++ b/clementinespar/jobs/service.py
@@ -266,6 +266,7 @@
         reply: dict[str, Any] = json.loads(response.body)
         now = asyncio.get_running_loop().time()
         self._load_views.note_answer(partition, reply.get("load"), now)
+        self._routes.note_report(partition, bool(reply.get("store_silent_ms")), now)
         return reply
 
     def answer_peer(self, partition: int, path: str) -> dict[str, Any]:
@@ -284,7 +285,12 @@
             )
         reply = self._answer_query(owner, path)
         load = owner.waits.describe(asyncio.get_running_loop().time())
-        return {**reply, "load": load} if load else reply
+        if load:
+            reply["load"] = load
+        stall_s = self._routes.stall_s(partition)
+        if stall_s:
+            reply["store_silent_ms"] = round(stall_s * 1000)
+        return reply
 
     def _answer_query(self, owner: pool_owner.PoolOwner, path: str) -> dict[str, Any]:
         parts = urllib.parse.urlsplit(path)
--- a/clementinespar/jobs/store_health.py
+++ b/clementinespar/jobs/store_health.py
@@ -11,8 +11,9 @@
 # silent, and calls are given up after the same time. A slow store may need most of it
 # to answer.
 STORE_UNAVAILABLE_S = 1.0
-# A call without an answer says nothing about a call that begins this much later.
-EVIDENCE_MAX_AGE_S = 3.0
+# A call without an answer says nothing about a call that begins this much later. A node
+# gets a submission every 3 s, so a shorter time would let each find out by itself.
+EVIDENCE_MAX_AGE_S = 10.0
 # Time between two probes of a silent route. The interval doubles with each probe that
 # has no answer: its caller may not repeat an unsafe job.
 PROBE_INTERVAL_S = 0.3
@@ -111,9 +112,13 @@
             return None
         return since
 
+    def pending_s(self, now: float) -> float:
+        """Return how long the oldest call in flight has had no answer."""
+        return now - next(iter(self._pending.values()), now)
+
     def is_losing(self, now: float, pending_s: float) -> bool:
         """Whether the last call had no answer, or one waits longer than `pending_s`."""
-        if self._pending and now - next(iter(self._pending.values())) > pending_s:
+        if self.pending_s(now) > pending_s:
             return True
         return now - self._unanswered_until <= EVIDENCE_MAX_AGE_S
 
--- a/clementinespar/jobs/tests/test_store_outages.py
+++ b/clementinespar/jobs/tests/test_store_outages.py
@@ -3,12 +3,20 @@
 import asyncio
 import collections
 import dataclasses
+import json
+import types
 from collections.abc import Coroutine, Sequence
 
 import pytest
 
-from clementinespar import codes, errors
-from clementinespar.jobs import command_writer, ownership, retry_after, services
+from clementinespar import codes, errors, http_calls
+from clementinespar.jobs import (
+    command_writer,
+    model,
+    ownership,
+    retry_after,
+    services,
+)
 from clementinespar.jobs.tests import fakes, helpers, test_service, test_slow_store
 from clementinespar.tests import paused_clock
 
@@ -62,6 +70,7 @@
 
     is_lost = False
     is_loaded = True
+    waits = types.SimpleNamespace(describe=lambda now: {})
 
     def __init__(self, store: FaultyStore, partition: int) -> None:
         self._store = store
@@ -72,6 +81,9 @@
         key = services.Topic.COMMANDS, self._partition
         return not is_cut and record.key in self._store._shared.values[key]
 
+    def describe(self, job_id: str) -> model.JobState:
+        return model.JobState.QUEUED
+
     def accept_stored_command(self, record: services.KeyedRecord) -> None:
         """Do nothing: `knows_command` finds the command in the store."""
 
@@ -104,6 +116,26 @@
     min_stored: int  # of 48 submissions during the outage
     partitions: Sequence[int] = tuple(PARTITIONS)
     owner: str = ""  # "is_silent" or "is_gone": the owner is lost meanwhile
+    poll_s: float = 0.0  # time between two queries for states at each node; 0: none
+
+
+class PollingClient(test_slow_store.PeerClient):
+    """Passes queries for states to the owner's service as well."""
+
+    async def call(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: str = "",
+        timeout_s: float = 1.0,
+    ) -> http_calls.Response:
+        if method != "GET" or self.is_silent or self.is_gone:
+            return await super().call(address, method, path, body, headers, timeout_s)
+        _, partition, rest = path.split("/", 2)
+        reply = self.owner.jobs.answer_peer(int(partition), "/" + rest)
+        return http_calls.Response(200, json.dumps(reply).encode())
 
 
 class OutageHarness:
@@ -111,10 +143,10 @@
 
     back_after_s: float
 
-    def __init__(self) -> None:
+    def __init__(self, node_count: int) -> None:
         self.shared = fakes.FakeStore()
-        self.peers = test_slow_store.PeerClient()
-        self.stores = [FaultyStore(self.shared) for _ in range(NODES)]
+        self.peers = PollingClient()
+        self.stores = [FaultyStore(self.shared) for _ in range(node_count)]
         self.nodes = []
         for store in self.stores:
             node = test_service.ServiceHarness(store, self.peers)
@@ -129,8 +161,10 @@
         """Submit a job to a node and record the outcome."""
         loop = asyncio.get_running_loop()
         began_at = loop.time()
-        spec = helpers.make_spec(f"{number:016x}", pool=POOLS[number // NODES % 2])
-        code = await self.nodes[number % NODES].jobs.submit(
+        index = number % len(self.nodes)
+        pool = POOLS[(number // len(self.nodes) + index) % 2]
+        spec = helpers.make_spec(f"{number:016x}", pool=pool)
+        code = await self.nodes[index].jobs.submit(
             spec.pool, spec, test_service.DEADLINE_S
         )
         took_s = loop.time() - began_at
@@ -152,6 +186,11 @@
             for node in self.nodes[0 if outage.owner else 1 :]
         ]
         owner_joins = asyncio.create_task(_keep_joining(self.nodes[0]))
+        if outage.poll_s:
+            joins += [
+                asyncio.create_task(_poll(node, outage.poll_s, index))
+                for index, node in enumerate(self.nodes[1:])
+            ]
         submissions = []
         count = int((1.0 + OUTAGE_S + 4.0) * RATE)
         began_at = ended_at = 0.0
@@ -205,6 +244,16 @@
                 assert "j" + job_id not in sent | stored
 
 
+async def _poll(
+    node: test_service.ServiceHarness, interval_s: float, index: int
+) -> None:
+    await asyncio.sleep(interval_s * index / 36)
+    while True:
+        await node.jobs.describe(POOLS[index % 2], "0" * 16, 1.0)
+        index += 1
+        await asyncio.sleep(interval_s)
+
+
 async def _keep_joining(node: test_service.ServiceHarness) -> None:
     """Join for the owner's node, whose assignment the fake group does not know."""
     manager = node.ownership_manager
@@ -226,29 +275,34 @@
 
 
 ALL = range(NODES)
+MANY = range(36)
 OTHERS = range(2, NODES)
 OWNER = range(1)
 # With direct appends that were repeated until the deadline, callers waited for 3.2 s in
-# six of these rows, and for 2.0 to 2.7 s in four others.
+# eight of these rows, and for 2.0 to 2.7 s in four others.
 OUTAGES = {
-    "silent": Outage("silent", ALL, True, 1.15, 12, 0),
-    "silent appends": Outage("silent", ALL, False, 1.15, 20, 0),
+    "silent": Outage("silent", ALL, True, 1.15, 11, 0),
+    "silent appends": Outage("silent", ALL, False, 1.15, 15, 0),
+    "silent appends, 36 nodes": Outage("silent", MANY, False, 1.15, 43, 0),
+    "silent appends, 36 nodes, queries": Outage(
+        "silent", MANY, False, 1.15, 22, 0, poll_s=0.5
+    ),
     "busy": Outage("busy", ALL, True, 0.05, 0, 0),
     "busy appends": Outage("busy", ALL, False, 0.05, 0, 0),
     "reset": Outage("reset", ALL, True, 1.15, 15, 0),
-    "reset appends": Outage("reset", ALL, False, 1.15, 20, 0),
+    "reset appends": Outage("reset", ALL, False, 1.15, 18, 0),
     "slow": Outage("slow", ALL, False, 0.45, 0, 48),
     "answers lost": Outage("lost", ALL, True, 0.35, 0, 12),
     "answers lost, appends": Outage("lost", ALL, False, 0.35, 0, 48),
-    "lost and late": Outage("late", ALL, True, 1.15, 12, 0),
-    "lost and late, appends": Outage("late", ALL, False, 1.15, 20, 0),
+    "lost and late": Outage("late", ALL, True, 1.15, 11, 0),
+    "lost and late, appends": Outage("late", ALL, False, 1.15, 15, 0),
     "some nodes silent": Outage("silent", OTHERS, True, 0.35, 0, 48),
     "some nodes silent, appends": Outage("silent", OTHERS, False, 0.35, 0, 48),
     "some nodes busy": Outage("busy", OTHERS, True, 0.05, 0, 48),
     "owner's node silent": Outage("silent", OWNER, True, 1.15, 4, 40),
     "owner's node busy": Outage("busy", OWNER, True, 0.05, 0, 40),
     "half of the partitions": Outage(
-        "silent", ALL, False, 1.15, 15, 24, PARTITIONS[:1]
+        "silent", ALL, False, 1.15, 12, 24, PARTITIONS[:1]
     ),
     "owner frozen": Outage("", ALL, False, 0.05, 0, 48, owner="is_silent"),
     "owner gone": Outage("", ALL, False, 0.05, 0, 48, owner="is_gone"),
@@ -268,7 +322,7 @@
     @paused_clock.test
     async def scenario() -> None:
         outage = OUTAGES[name]
-        harness = OutageHarness()
+        harness = OutageHarness(max(NODES, outage.nodes.stop))
         outcomes = await harness.run(outage)
         harness.check_truth()
         counts = collections.Counter(code for code, _ in outcomes)
@@ -346,6 +400,7 @@
         return failure.value.code, took_s
 
     assert (await append("ja"))[0] is codes.ResultCode.STORE_UNANSWERED
+    await asyncio.sleep(0.5)
     probe = asyncio.create_task(append("jb"))
     await asyncio.sleep(0.01)
     assert await append("ja") == (codes.ResultCode.STORE_UNANSWERED, 0.0)
