--- a/clementinespar/jobs/owner_quotas.py
+++ b/clementinespar/jobs/owner_quotas.py
@@ -40,6 +40,10 @@
         """Return the caps in force; the same object until they change."""
         ...
 
+    def find_version(self) -> int:
+        """Return the version of the configuration in force."""
+        ...
+
     def has_fresh_caps(self) -> bool:
         """Whether the caps were read recently enough to rely on them."""
         ...
@@ -65,6 +69,10 @@
         """Return no caps."""
         return self._caps
 
+    def find_version(self) -> int:
+        """Return 0, as there is no configuration."""
+        return 0
+
     def has_fresh_caps(self) -> bool:
         """Return True."""
         return True
@@ -167,7 +175,7 @@
         caps = self._link.find_caps()
         if caps is not self._caps:
             self._caps = caps
-            self.shares.set_caps(caps)
+            self.shares.set_caps(caps, self._link.find_version())
             self._pauses.clear()
             self._waits_logged_at.clear()
         self.shares.set_blocked(bool(caps) and not self._link.has_fresh_caps())
--- a/clementinespar/jobs/quota_exchange.py
+++ b/clementinespar/jobs/quota_exchange.py
@@ -117,6 +117,11 @@
                 self._caps = caps
         return self._caps
 
+    def find_version(self) -> int:
+        """Return the version of the configuration in force; 0 before the first."""
+        configuration = self._configuration.current
+        return 0 if configuration is None else configuration.version
+
     def has_fresh_caps(self) -> bool:
         """Whether the configuration was read recently enough to rely on the caps."""
         confirmed_at = self._configuration.confirmed_at
@@ -201,9 +206,7 @@
             ledger.end_request(request)
         if response is None:
             return _STALE, b"{}"
-        return 200, quota_messages.encode(
-            {"ledger_epoch": response.ledger_epoch, "shares": response.shares}
-        )
+        return 200, response.encode()
 
     def answer_recall(self, partition: int, body: bytes) -> tuple[int, bytes]:
         """Answer the ledger as the owner; returns the status and the body."""
@@ -220,13 +223,7 @@
             return _STALE, b"{}"
         if response is None:
             return _UNAVAILABLE, b"{}"
-        return 200, quota_messages.encode(
-            {
-                "epoch": response.epoch,
-                "shares": response.shares,
-                "is_settled": response.is_settled,
-            }
-        )
+        return 200, response.encode()
 
     # The ledger.
 
@@ -272,6 +269,7 @@
         wanted = self._wanted_partitions()
         if caps != ledger.caps or wanted != ledger.partitions:
             ledger.set_policy(caps, wanted)
+        ledger.version = self.find_version()
         ledger.is_frozen = not self.has_fresh_caps()
 
     async def _run_ledger(self) -> None:
@@ -342,7 +340,7 @@
         response: quota_messages.RecallResponse | None = None
         try:
             sent_at = loop.time()
-            body = quota_messages.encode({"ledger_epoch": ledger.epoch, "teams": names})
+            body = quota_messages.Recall(ledger.epoch, tuple(names)).encode()
             if partition in self._ownership_manager.owners_by_partition:
                 status, reply = self.answer_recall(partition, body)
             else:
--- a/clementinespar/jobs/quota_ledger.py
+++ b/clementinespar/jobs/quota_ledger.py
@@ -39,6 +39,7 @@
     """Shares of all partitions under one epoch of the ledger."""
 
     epoch: int
+    version: int  # of the configuration in force
     caps: Mapping[str, resources.Resources]  # of the teams that have one
     partitions: frozenset[int]  # those that have pools
     is_frozen: bool  # nothing is granted, since the caps may be outdated
@@ -46,6 +47,7 @@
 
     def __init__(self, epoch: int) -> None:
         self.epoch = epoch
+        self.version = 0
         self.caps = {}
         self.partitions = frozenset()
         self.is_frozen = False
@@ -194,10 +196,13 @@
         teams = request.wanted if request.held is not None else record.shares
         return quota_messages.Response(
             self.epoch,
+            self.version,
             {
                 team: record.shares[team].restrict(self.caps[team], resources.UNLIMITED)
                 for team in teams
-                if team in record.shares and team not in record.recalled
+                if team in record.shares
+                and team not in record.recalled
+                and min(self._free(team)) >= 0
             },
         )
 
--- a/clementinespar/jobs/quota_messages.py
+++ b/clementinespar/jobs/quota_messages.py
@@ -48,11 +48,30 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Response:
-    """The ledger's response: what it has recorded for the partition."""
+    """The ledger's response: what it has recorded for the partition.
+
+    Attributes
+    ----------
+    version : int
+        Version of the configuration of which the ledger knows the caps.
+    shares : mapping
+        Only of teams whose shares add up to no more than the cap.
+    """
 
     ledger_epoch: int
+    version: int
     shares: Shares
 
+    def encode(self) -> bytes:
+        """Return the response as it is sent."""
+        return encode(
+            {
+                "ledger_epoch": self.ledger_epoch,
+                "version": self.version,
+                "shares": self.shares,
+            }
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Recall:
@@ -61,6 +80,10 @@
     ledger_epoch: int
     teams: tuple[str, ...]
 
+    def encode(self) -> bytes:
+        """Return the recall as it is sent."""
+        return encode({"ledger_epoch": self.ledger_epoch, "teams": self.teams})
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RecallResponse:
@@ -70,6 +93,16 @@
     shares: Shares
     is_settled: bool
 
+    def encode(self) -> bytes:
+        """Return the response as it is sent."""
+        return encode(
+            {
+                "epoch": self.epoch,
+                "shares": self.shares,
+                "is_settled": self.is_settled,
+            }
+        )
+
 
 def encode(fields: Any) -> bytes:
     """Return compact JSON."""
@@ -94,6 +127,7 @@
     fields = _parse_object(body)
     return Response(
         _parse_number(fields.get("ledger_epoch"), 1),
+        _parse_number(fields.get("version"), 0),
         _parse_shares(fields.get("shares")),
     )
 
--- a/clementinespar/jobs/quota_shares.py
+++ b/clementinespar/jobs/quota_shares.py
@@ -48,6 +48,10 @@
     changed: set[str]  # teams whose share has changed since this was cleared last
     _use: team_use.TeamUse
     _limits: dict[str, resources.Resources]  # the lower of share and cap
+    # Teams whose cap was lowered, with the version of the configuration. Until the
+    # ledger has answered under that version, the shares may exceed the cap in sum.
+    _lowered: dict[str, int]
+    _has_caps: bool  # some configuration was applied
     _is_blocked: bool
     _number: int  # of the last request
     _in_flight: int  # number of the request that awaits its response; 0: none
@@ -63,6 +67,8 @@
         self.changed = set()
         self._use = use
         self._limits = {}
+        self._lowered = {}
+        self._has_caps = False
         self._is_blocked = False
         self._number = 0
         self._in_flight = 0
@@ -123,20 +129,31 @@
 
     # Policy and state of the owner.
 
-    def set_caps(self, caps: Mapping[str, resources.Resources]) -> None:
-        """Apply the caps of the configuration in force.
+    def set_caps(
+        self, caps: Mapping[str, resources.Resources], version: int = 0
+    ) -> None:
+        """Apply the caps of a version of the configuration.
 
         A share says nothing about a resource that had no limit, so a share is unknown
-        after the cap of its team limits one more resource.
+        after the cap of its team limits one more resource. After a cap was lowered, no
+        task of its team starts until the ledger has lowered the shares.
         """
-        for team in list(self.shares):
+        for team in {*self.caps, *caps}:
             cap = caps.get(team)
-            if cap is None or any(
-                new and not old
-                for new, old in zip(cap, self.caps.get(team, cap), strict=True)
-            ):
-                del self.shares[team]
+            if cap is None:
+                self.shares.pop(team, None)
+                self._lowered.pop(team, None)
+                continue
+            old_cap = self.caps.get(team, resources.ZERO)
+            pairs = list(zip(cap, old_cap, strict=True))
+            is_new = any(new and not old for new, old in pairs)
+            is_lower = any(new and new < old for new, old in pairs)
+            if is_new:
+                self.shares.pop(team, None)
+            if self._has_caps and (is_new or is_lower):
+                self._lowered[team] = version
         self.caps = dict(caps)
+        self._has_caps = True
         self._update_limits()
 
     def set_blocked(self, is_blocked: bool) -> None:
@@ -164,7 +181,7 @@
                     self.changed.add(team)
         self._limits = {
             team: _BLOCKED.restrict(cap, resources.UNLIMITED)
-            if self._is_blocked or team not in self.shares
+            if self._is_blocked or team in self._lowered or team not in self.shares
             else self.shares[team].min_with(cap).restrict(cap, resources.UNLIMITED)
             for team, cap in self.caps.items()
         }
@@ -189,7 +206,8 @@
             share = self.shares.get(team)
             missing = use.plus(need).min_with(cap).minus(share or resources.ZERO)
             missing = missing.without_negative().restrict(cap, 0)
-            if not any(missing) and share is not None:
+            is_confirmed = share is not None and team not in self._lowered
+            if is_confirmed and not any(missing):
                 continue
             wanted[team] = missing
             if share is not None:
@@ -220,6 +238,8 @@
             # what it may have granted before.
             if cap is None or team in self._recalled:
                 continue
+            if response.version >= self._lowered.get(team, 0):
+                self._lowered.pop(team, None)
             before = self.shares.get(team, resources.ZERO)
             share = resources.Resources(
                 *(
--- a/clementinespar/jobs/tests/quota_fleet.py
+++ b/clementinespar/jobs/tests/quota_fleet.py
@@ -29,11 +29,11 @@
 
 
 def make_configuration(
-    caps: Mapping[str, resources.Resources], pools: list[str]
+    caps: Mapping[str, resources.Resources], pools: list[str], version: int = 1
 ) -> model.JobConfiguration:
     """Return a configuration of teams and pools."""
     return model.JobConfiguration(
-        1,
+        version,
         {},
         {name: model.Pool(name, False) for name in pools},
         1_000,
@@ -325,7 +325,9 @@
         """Write a configuration, which each node reads with another delay."""
         loop = asyncio.get_running_loop()
         self._caps_log.append((loop.time(), dict(caps)))
-        self.configuration = make_configuration(caps, list(self.partitions.values()))
+        self.configuration = make_configuration(
+            caps, list(self.partitions.values()), len(self._caps_log)
+        )
         for node in self.nodes_by_address.values():
             delay_s = self._random.uniform(0.0, max_delay_s)
             loop.call_later(delay_s, self._apply_configuration, node)
