--- /dev/null
+++ b/clementinespar/jobs/host_moves.py
@@ -0,0 +1,282 @@
+"""Moves of hosts between pools, as the owner of the fleet orders them.
+
+`capacity.py` decides which hosts move, from the load that the owners of pools report.
+A busy host that another pool needs is drained first.
+"""
+
+import asyncio
+import math
+from collections.abc import Awaitable, Callable
+
+from clementinespar import errors
+from clementinespar.jobs import capacity, host_evacuation, model, service, services
+
+# A busy host that another pool needs gets no new work for this long, unless it is asked
+# for again: the other pool's need may end before the host is idle.
+DRAIN_TTL_S = 2.0
+ARRIVAL_LIMIT_S = 6.0  # a moved host that is not up by then is not counted
+LOG_INTERVAL_S = 2.0
+DEFAULT_HOST_CORES = 16.0  # until a worker of the pool is known
+
+
+class HostMoves:
+    """Moves and drains hosts for the owner of the fleet.
+
+    Parameters
+    ----------
+    epoch : int
+        Epoch of the owner, sent with each order.
+    may_act : callable
+        Whether the owner may give orders now.
+    store_record : callable
+        Stores a record under a key of the fleet partition.
+    """
+
+    _peaks: dict[str, capacity.PeakState]
+    _arriving: dict[str, tuple[str, float]]  # host id: its new pool and time of order
+    _drained_at: dict[str, float]  # host id: event-loop time of the newest request
+    _logged_at: float
+
+    def __init__(
+        self,
+        epoch: int,
+        jobs: service.JobService,
+        hosts: services.HostService,
+        configuration: services.ConfigurationSource,
+        evacuation: host_evacuation.HostEvacuation,
+        may_act: Callable[[], bool],
+        store_record: Callable[[str, object], Awaitable[None]],
+        log_event: services.EventLog,
+    ) -> None:
+        self._epoch = epoch
+        self._jobs = jobs
+        self._hosts = hosts
+        self._configuration = configuration
+        self._evacuation = evacuation
+        self._may_act = may_act
+        self._store_record = store_record
+        self._log_event = log_event
+        self._peaks = {}
+        self._arriving = {}
+        self._drained_at = {}
+        self._logged_at = 0.0
+
+    def restore(self, fields: dict[str, dict[str, int]], now: float) -> None:
+        """Take over the state of the peaks that the previous owner has stored."""
+        for name, stored in fields.items():
+            self._peaks[name] = capacity.PeakState(
+                home_hosts=int(stored["home"]),
+                is_peaking=bool(stored["peaking"]),
+                # Only the order in which the peaks ended matters.
+                peak_ended_at=now + 1e-3 * stored["rank"]
+                if stored["rank"] >= 0
+                else None,
+            )
+
+    async def move_to_demand(
+        self, hosts_by_id: dict[str, model.HostEntry], leaving: set[str]
+    ) -> None:
+        """Move idle hosts to pools that lack hosts, or to the spare pool.
+
+        Parameters
+        ----------
+        hosts_by_id : dict of str to model.HostEntry
+            All hosts, as the platform lists them.
+        leaving : set of str
+            Ids of hosts that are evacuated for maintenance, which do not move.
+        """
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        configuration = self._configuration.current
+        if configuration is None:
+            return
+        for host_id, (destination, since) in list(self._arriving.items()):
+            host = hosts_by_id.get(host_id)
+            is_there = (
+                host is not None and host.pool == destination and host.state == "up"
+            )
+            if is_there or now - since > ARRIVAL_LIMIT_S:
+                del self._arriving[host_id]
+        views = []
+        for pool in configuration.pools_by_name.values():
+            if not pool.is_spare and pool.name not in self._peaks:
+                home = sum(1 for host in hosts_by_id.values() if host.pool == pool.name)
+                self._peaks[pool.name] = capacity.PeakState(home)
+            view = await self._build_pool_view(pool, hosts_by_id, leaving)
+            if view is None:
+                return  # the owner of the pool did not answer
+            views.append(view)
+        before = self._encode_peaks()
+        moves = capacity.plan_moves(views, self._peaks, now)
+        if moves or now - self._logged_at >= LOG_INTERVAL_S:
+            self._logged_at = now
+            self._log_event(
+                "capacity",
+                pools={
+                    view.name: [
+                        view.hosts,
+                        round(view.used_cores, 1),
+                        round(view.waiting_cores, 1),
+                        round(view.arriving_cores, 1),
+                        len(view.movable),
+                        self._describe_peak(view.name),
+                    ]
+                    for view in views
+                },
+                moves=len(moves),
+            )
+        async with asyncio.TaskGroup() as group:
+            for move in moves:
+                group.create_task(self._move_host(move, hosts_by_id[move.host_id]))
+        await self._drain_hosts(
+            capacity.plan_drains(views, self._peaks, moves, now), hosts_by_id
+        )
+        after = self._encode_peaks()
+        if after != before:
+            await self._store_record("turns", after)
+
+    async def _build_pool_view(
+        self,
+        pool: model.Pool,
+        hosts_by_id: dict[str, model.HostEntry],
+        leaving: set[str],
+    ) -> capacity.PoolView | None:
+        hosts = [host for host in hosts_by_id.values() if host.pool == pool.name]
+        arriving = sum(1 for to, _ in self._arriving.values() if to == pool.name)
+        arriving += sum(1 for host in hosts if host.state == "upkeep")
+        up = [
+            host
+            for host in hosts
+            if host.state == "up" and host.host_id not in self._arriving
+        ]
+        if pool.is_spare:
+            movable = [host.host_id for host in up if host.host_id not in leaving]
+            return capacity.PoolView(
+                pool.name, True, DEFAULT_HOST_CORES, len(up) + arriving, movable=movable
+            )
+        try:
+            load = await self._jobs.describe_load(pool.name, arriving)
+        except errors.ClementinesparError as error:
+            self._log_event("load_unknown", pool=pool.name, code=int(error.code))
+            return None
+        workers = load["workers"]
+        # A draining worker leaves with its host, so its tasks need another one.
+        staying = [
+            host
+            for host in up
+            if not workers.get(host.worker_id, {}).get("is_leaving", False)
+        ]
+        busy = sorted(
+            (
+                host
+                for host in staying
+                if host.host_id not in leaving
+                and workers.get(host.worker_id, {}).get("runs", 0)
+                and not workers[host.worker_id]["lasting"]
+            ),
+            key=lambda host: float(workers[host.worker_id]["used_cores"]),
+        )
+        return capacity.PoolView(
+            name=pool.name,
+            is_spare=False,
+            host_cores=load["worker_cores"] or DEFAULT_HOST_CORES,
+            hosts=len(up) + arriving,
+            used_cores=sum(worker["used_cores"] for worker in workers.values()),
+            waiting_cores=load["waiting_cores"],
+            arriving_cores=load["arriving_cores"],
+            lasting_cores=sum(worker["lasting_cores"] for worker in workers.values()),
+            lasting_hosts=load.get("lasting_hosts", 0),
+            leaving_hosts=len(up) - len(staying),
+            late_cores=load.get("late_cores", 0.0),
+            movable=[
+                host.host_id
+                for host in staying
+                if host.host_id not in leaving
+                and host.worker_id in workers
+                and not workers[host.worker_id]["runs"]
+            ],
+            drainable=[
+                host.host_id for host in busy if host.host_id not in self._drained_at
+            ],
+            draining=[
+                host.host_id for host in busy if host.host_id in self._drained_at
+            ],
+        )
+
+    async def _drain_hosts(
+        self, host_ids: list[str], hosts_by_id: dict[str, model.HostEntry]
+    ) -> None:
+        """Keep new work off busy hosts that another pool needs."""
+        now = asyncio.get_running_loop().time()
+        self._drained_at = {
+            host_id: at
+            for host_id, at in self._drained_at.items()
+            if now - at < DRAIN_TTL_S
+        }
+        due = [
+            host_id
+            for host_id in host_ids
+            if now - self._drained_at.get(host_id, -math.inf) >= DRAIN_TTL_S / 2
+        ]
+        if any(host_id not in self._drained_at for host_id in due):
+            self._log_event("hosts_drained", count=len(host_ids), hosts=due[:5])
+        async with asyncio.TaskGroup() as group:
+            for host_id in due:
+                self._drained_at[host_id] = now
+                group.create_task(
+                    self._evacuation.evacuate(
+                        hosts_by_id[host_id],
+                        DRAIN_TTL_S,
+                        model.EvacuationUrgency.LEND,
+                    )
+                )
+
+    async def _move_host(self, move: capacity.Move, host: model.HostEntry) -> None:
+        loop = asyncio.get_running_loop()
+        is_free = await self._evacuation.is_free(host, model.EvacuationUrgency.IF_IDLE)
+        if not is_free or not self._may_act():
+            return
+        self._arriving[move.host_id] = (move.destination, loop.time())
+        try:
+            is_moved = await self._hosts.move(
+                move.host_id, move.destination, self._epoch
+            )
+        except errors.ClementinesparError as error:
+            # The move may have started; the next lists of hosts show whether it has.
+            self._log_event(
+                "host_move_unanswered", host=move.host_id, code=int(error.code)
+            )
+            return
+        self._log_event(
+            "host_move",
+            host=move.host_id,
+            source=move.source,
+            destination=move.destination,
+            is_begun=is_moved,
+        )
+        if not is_moved:
+            del self._arriving[move.host_id]
+
+    def _describe_peak(self, pool: str) -> str:
+        """Return the state of a pool in one word, for the log."""
+        peak = self._peaks.get(pool)
+        if peak is None:
+            return "spare"
+        if peak.is_peaking:
+            return "peak"
+        return "resting" if peak.is_resting else "home"
+
+    def _encode_peaks(self) -> dict[str, object]:
+        """Return the state of the peaks to store for the next owner."""
+        ended = sorted(
+            (n for n, peak in self._peaks.items() if peak.peak_ended_at is not None),
+            key=lambda n: self._peaks[n].peak_ended_at or 0.0,
+        )
+        return {
+            name: {
+                "home": peak.home_hosts,
+                "peaking": peak.is_peaking,
+                "rank": ended.index(name) if name in ended else -1,
+            }
+            for name, peak in sorted(self._peaks.items())
+        }
--- /dev/null
+++ b/clementinespar/jobs/tests/test_fleet.py
@@ -0,0 +1,186 @@
+"""Tests of the owner of the fleet: orders to hosts, waves and changes of owner."""
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import typing
+from collections.abc import Mapping
+
+from clementinespar.jobs import fleet, model, ownership, service, services
+from clementinespar.jobs.tests import fakes
+from clementinespar.tests import paused_clock
+
+PARTITION = 11
+HOLDER_LEASE_S = 1.0
+MAINTENANCE_S = 1.5
+MOVE_S = 1.5
+DRAIN_S = 0.6  # a busy worker is idle this long after it was first evacuated
+WAVE = model.MaintenanceWave(1, ("b-0", "b-1", "b-2"), 30.0, max_down=1)
+
+
+class FakeFleet:
+    """Hosts, waves, loads and ownership, with a trace of all calls that change them.
+
+    Pool `a` is at its peak and has waiting work; the hosts of pool `b` run late work.
+    """
+
+    by_number: Mapping[int, model.MaintenanceWave]
+    trace: list[tuple[object, ...]]  # event-loop time, name and arguments of each call
+
+    def __init__(self) -> None:
+        self.by_number = {WAVE.number: WAVE}
+        self.current = model.JobConfiguration(
+            1, {}, {name: model.Pool(name, name == "spare") for name in "ab"}, 1000
+        )
+        self.current.pools_by_name["spare"] = model.Pool("spare", True)
+        self.hosts = {
+            f"{pool}-{number}": model.HostEntry(
+                f"{pool}-{number}", pool, "up", "dc", "r1", f"worker-{pool}-{number}"
+            )
+            for pool, count in (("a", 4), ("b", 8), ("spare", 2))
+            for number in range(count)
+        }
+        self.trace = []
+        self.is_fleet_owner = True
+        self.evacuated_at: dict[str, float] = {}
+
+    def record(self, name: str, *arguments: object) -> None:
+        """Add a call to the trace."""
+        now = round(asyncio.get_running_loop().time(), 3)
+        self.trace.append((now, name, *arguments))
+
+    def log_event(self, event: str, **fields: object) -> None:
+        self.record("log", event, json.dumps(fields, sort_keys=True))
+
+    def named(self, name: str) -> list[tuple[object, ...]]:
+        """Return the calls with a name."""
+        return [call for call in self.trace if call[1] == name]
+
+    def confirmed_at(self) -> float | None:
+        return asyncio.get_running_loop().time()
+
+    async def describe_load(self, pool: str, arriving: int = 0) -> dict[str, object]:
+        await asyncio.sleep(0.002)
+        up = [host for host in self.hosts.values() if host.pool == pool]
+        workers = {
+            host.worker_id: {
+                "runs": 1 if self.is_busy(host.worker_id) else 0,
+                "lasting": 0,
+                "used_cores": 16.0 if self.is_busy(host.worker_id) else 0.0,
+                "lasting_cores": 0.0,
+                "is_leaving": False,
+            }
+            for host in up
+            if host.state == "up"
+        }
+        return {
+            "workers": workers,
+            "worker_cores": 16.0,
+            "waiting_cores": 100.0 if pool == "a" else 0.0,
+            "arriving_cores": 120.0 if pool == "a" else 0.0,
+            "late_cores": 16.0 * len(workers) if pool == "b" else 0.0,
+        }
+
+    def is_busy(self, worker_id: str) -> bool:
+        now = asyncio.get_running_loop().time()
+        return now - self.evacuated_at.get(worker_id, now) < DRAIN_S
+
+    async def evacuate(
+        self,
+        pool: str,
+        worker_id: str,
+        kept_s: float,
+        urgency: model.EvacuationUrgency,
+    ) -> bool:
+        await asyncio.sleep(0.002)
+        self.record("evacuate", pool, worker_id, kept_s, urgency.value)
+        if urgency is not model.EvacuationUrgency.IF_IDLE:
+            now = asyncio.get_running_loop().time()
+            self.evacuated_at.setdefault(worker_id, now)
+        return not self.is_busy(worker_id)
+
+    async def list_hosts(self) -> list[model.HostEntry]:
+        await asyncio.sleep(0.002)
+        return list(self.hosts.values())
+
+    async def move(self, host_id: str, pool: str, fence: int) -> bool:
+        self.record("move", host_id, pool, fence)
+        self._change(host_id, "moving", pool, MOVE_S)
+        return True
+
+    async def start_maintenance(self, host_id: str, wave: int, fence: int) -> bool:
+        self.record("start_maintenance", host_id, wave, fence)
+        self._change(host_id, "upkeep", self.hosts[host_id].pool, MAINTENANCE_S)
+        return True
+
+    def _change(self, host_id: str, state: str, pool: str, after_s: float) -> None:
+        """Set the state of a host now, and its pool when it is up again."""
+        host = self.hosts[host_id]
+        self.hosts[host_id] = dataclasses.replace(host, state=state)
+        back = dataclasses.replace(host, pool=pool, state="up")
+        asyncio.get_running_loop().call_later(
+            after_s, self.hosts.__setitem__, host_id, back
+        )
+
+    async def report(self, wave: model.MaintenanceWave, is_done: bool) -> None:
+        self.record("report", wave.number, is_done)
+
+    async def run_owner(
+        self, store: services.JobStore, epoch: int, for_s: float
+    ) -> None:
+        """Run an owner of the fleet for some seconds."""
+        owner = fleet.FleetOwner(
+            PARTITION,
+            epoch,
+            typing.cast(ownership.OwnershipManager, self),
+            typing.cast(service.JobService, self),
+            store,
+            self,
+            self,
+            typing.cast(services.ConfigurationSource, self),
+            HOLDER_LEASE_S,
+            MAINTENANCE_S,
+            self.log_event,
+        )
+        async with fleet.own_fleet(owner):
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(asyncio.Event().wait(), for_s)
+        assert not owner.has_failed
+
+
+@paused_clock.test
+async def test_orders_to_hosts_over_two_owners() -> None:
+    """Guards against orders beside a previous owner, and against waves begun anew."""
+    fake, store = FakeFleet(), fakes.FakeStore()
+    begun_at = asyncio.get_running_loop().time()
+    await fake.run_owner(store, 5, 6.0)
+    first = len(fake.trace)
+    moves = fake.named("move")
+    begun = fake.named("start_maintenance")
+    waited_s = HOLDER_LEASE_S + fleet.PREVIOUS_OWNER_MARGIN_S
+    assert min(typing.cast(float, call[0]) for call in moves) >= begun_at + waited_s
+    assert {call[3] for call in moves} == {"a"}
+    assert {"spare-0", "spare-1"} <= {call[2] for call in moves}
+    assert any(str(call[2]).startswith("b-") for call in moves)
+    assert any(call[5] == "lend" for call in fake.named("evacuate"))
+    assert len(begun) == 2
+    records = store.values[services.Topic.HOSTS, PARTITION]
+    assert json.loads(records["wave1"]) == sorted(str(call[2]) for call in begun)
+    assert json.loads(records["turns"])["a"] == {
+        "home": 4,
+        "peaking": True,
+        "rank": -1,
+    }
+    await fake.run_owner(store, 6, 8.0)
+    begun = fake.named("start_maintenance")
+    assert [call[2] for call in begun] == list(WAVE.host_ids)
+    times = [typing.cast(float, call[0]) for call in begun]
+    assert all(
+        later - earlier >= MAINTENANCE_S
+        for earlier, later in zip(times, times[1:], strict=False)
+    )
+    assert fake.named("report")[-1][2:] == (1, True)
+    later = [call for call in fake.trace[first:] if call[1] in ("move", "evacuate")]
+    second_begun_at = begun_at + 6.0
+    assert all(typing.cast(float, c[0]) >= second_begun_at + waited_s for c in later)
