Hand the orders to hosts over at a planned stop; start waves with lasting tasks

Waves left the hosts with lasting tasks, which take 4 to 10 s, to the end (1 to 3 of 97 hosts late). Change: an owner that stops as planned records the hosts with recent orders, and the next one waits for these only; a pool without an answer is left out; a pool with waiting work gets hosts for half of what arrives, and comes before pools that get their home size back; hosts with lasting tasks leave first, and as many at once as the deadline needs.

--- a/clementinespar/jobs/capacity.py
+++ b/clementinespar/jobs/capacity.py
@@ -18,6 +18,9 @@
 MAX_PEAK_SHARE = 2.5  # most hosts that a pool gets at its peak
 KEPT_SHARE = 0.5  # kept before its peak while another pool lacks hosts
 NEED_WINDOW_S = 3.0  # the need for hosts is the maximum over this time: arrivals vary
+# Share of the hosts for work that arrives, but does not wait yet, that a pool gets once
+# some work waits. The rate of arrivals varies, so not all of them are needed.
+ARRIVING_SHARE = 0.5
 SPARE_HOSTS = 1  # idle hosts that a pool keeps beyond its demand after its peak
 
 
@@ -121,9 +124,13 @@
 
 def needed_hosts(peak: PeakState, view: PoolView) -> int:
     """Return the number of hosts that the demand of a pool keeps busy."""
-    host_cores = max(1.0, view.host_cores)
-    waiting = math.ceil(view.waiting_cores * HEADROOM / host_cores)
-    return min(demanded_hosts(peak, view), view.hosts + waiting)
+    demanded = demanded_hosts(peak, view)
+    if view.waiting_cores <= 0:
+        return min(demanded, view.hosts)
+    waiting = math.ceil(view.waiting_cores * HEADROOM / max(1.0, view.host_cores))
+    # What arrives while the hosts move waits as well.
+    arriving = math.ceil(max(0, demanded - view.hosts) * ARRIVING_SHARE)
+    return min(demanded, view.hosts + waiting + arriving)
 
 
 def wanted_hosts(peak: PeakState, view: PoolView, now: float) -> int:
@@ -203,7 +210,10 @@
     sources = surplus + [
         (host_id, view.name) for view in spare_pools for host_id in view.movable
     ]
-    for count, view in sorted(lacking, key=lambda item: -item[0]):
+    # A pool that only gets its home size back comes after those with waiting work.
+    for count, view in sorted(
+        lacking, key=lambda item: (item[1].waiting_cores <= 0, -item[0])
+    ):
         is_short = view.waiting_cores > 0
         for _ in range(count):
             if sources:
--- a/clementinespar/jobs/fleet.py
+++ b/clementinespar/jobs/fleet.py
@@ -4,8 +4,9 @@
 to demand.
 
 The platform does not check fences on orders to hosts, so a new owner of the fleet waits
-until the previous one has certainly stopped before it gives its first order. An order
-is given only for a host whose worker the owner of its pool has freed.
+until the previous one has certainly stopped before it gives its first order, unless
+that one has recorded that it stopped (`host_orders.py`). An order is given only for a
+host whose worker the owner of its pool has freed.
 """
 
 import asyncio
@@ -18,6 +19,7 @@
     fenced_log,
     host_evacuation,
     host_moves,
+    host_orders,
     maintenance,
     ownership,
     service,
@@ -42,6 +44,8 @@
     _log: fenced_log.FencedLog
     _waves: maintenance.MaintenanceWaves
     _moves: host_moves.HostMoves
+    _orders: host_orders.HostOrders
+    _acts: bool  # the previous owner has certainly stopped
 
     def __init__(
         self,
@@ -67,27 +71,32 @@
         self._store = store
         self._hosts = hosts
         self._holder_lease_s = holder_lease_s
+        self._acts = False
         self._log_event = log_event
         self._log = fenced_log.FencedLog(
             store, services.Topic.HOSTS, partition, epoch, TICK_S, log_event
         )
         evacuation = host_evacuation.HostEvacuation(jobs, configuration, log_event)
-        self._waves = maintenance.MaintenanceWaves(
+        self._orders = host_orders.HostOrders(holder_lease_s + PREVIOUS_OWNER_MARGIN_S)
+        self._moves = host_moves.HostMoves(
             epoch,
+            jobs,
             hosts,
-            waves,
+            configuration,
             evacuation,
-            maintenance_s,
+            self._orders,
             self._may_act,
             self._store_record,
             log_event,
         )
-        self._moves = host_moves.HostMoves(
+        self._waves = maintenance.MaintenanceWaves(
             epoch,
-            jobs,
             hosts,
-            configuration,
+            waves,
             evacuation,
+            self._orders,
+            self._moves.count_lasting,
+            maintenance_s,
             self._may_act,
             self._store_record,
             log_event,
@@ -118,6 +127,13 @@
                         self._waves.restore(int(entry.key[4:]), begun)
                     elif entry.key == "turns":
                         self._moves.restore(json.loads(entry.value), loop.time())
+                    elif entry.key == host_orders.RELEASE_KEY and self._take_over(
+                        entry.value
+                    ):
+                        acts_from = loop.time()
+                await self._store_record(
+                    host_orders.RELEASE_KEY, host_orders.encode_acting()
+                )
                 break
             except errors.ClementinesparError as error:
                 if error.code is codes.ResultCode.STORE_FENCED:
@@ -126,6 +142,7 @@
                 self._log_event("fleet_load_retried", code=int(error.code))
             await asyncio.sleep(TICK_S)
         await asyncio.sleep(max(0.0, acts_from - loop.time()))
+        self._acts = True
         self._log_event("fleet_holder", epoch=self.epoch)
         while True:
             self._waves.add_new()
@@ -138,6 +155,29 @@
                     return
             await asyncio.sleep(TICK_S)
 
+    def _take_over(self, value: bytes) -> bool:
+        """Whether the previous owner has recorded that it gives no more orders."""
+        now = asyncio.get_running_loop().time()
+        try:
+            return self._orders.take_over(value, now)
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            telemetry.log_invalid_entry(self._log_event, host_orders.RELEASE_KEY, error)
+            return False
+
+    async def release(self) -> None:
+        """Record for the next owner that this one gives no more orders.
+
+        Call it after `run` has ended. Without the record the next owner waits.
+        """
+        if not self._acts or self.is_lost:
+            return
+        now = asyncio.get_running_loop().time()
+        with contextlib.suppress(TimeoutError, errors.ClementinesparError):
+            async with asyncio.timeout(host_orders.RELEASE_TIMEOUT_S):
+                await self._store_record(
+                    host_orders.RELEASE_KEY, self._orders.encode_release(now)
+                )
+
     def check_fence(self) -> None:
         """Stop acting until the store has confirmed that no later owner has begun."""
         self._wanted_fence_checks += 1
@@ -175,5 +215,8 @@
 @contextlib.asynccontextmanager
 async def own_fleet(owner: FleetOwner) -> AsyncIterator[FleetOwner]:
     """Run an owner of the fleet inside the context."""
-    async with background.running(owner.run()):
-        yield owner
+    try:
+        async with background.running(owner.run()):
+            yield owner
+    finally:
+        await owner.release()
--- a/clementinespar/jobs/host_moves.py
+++ b/clementinespar/jobs/host_moves.py
@@ -9,7 +9,14 @@
 from collections.abc import Awaitable, Callable
 
 from clementinespar import errors
-from clementinespar.jobs import capacity, host_evacuation, model, service, services
+from clementinespar.jobs import (
+    capacity,
+    host_evacuation,
+    host_orders,
+    model,
+    service,
+    services,
+)
 
 # A busy host that another pool needs gets no new work for this long, unless it is asked
 # for again: the other pool's need may end before the host is idle.
@@ -35,6 +42,7 @@
     _peaks: dict[str, capacity.PeakState]
     _arriving: dict[str, tuple[str, float]]  # host id: its new pool and time of order
     _drained_at: dict[str, float]  # host id: event-loop time of the newest request
+    _lasting_by_worker: dict[str, int]  # number of lasting tasks, as last reported
     _logged_at: float
 
     def __init__(
@@ -44,6 +52,7 @@
         hosts: services.HostService,
         configuration: services.ConfigurationSource,
         evacuation: host_evacuation.HostEvacuation,
+        orders: host_orders.HostOrders,
         may_act: Callable[[], bool],
         store_record: Callable[[str, object], Awaitable[None]],
         log_event: services.EventLog,
@@ -53,12 +62,14 @@
         self._hosts = hosts
         self._configuration = configuration
         self._evacuation = evacuation
+        self._orders = orders
         self._may_act = may_act
         self._store_record = store_record
         self._log_event = log_event
         self._peaks = {}
         self._arriving = {}
         self._drained_at = {}
+        self._lasting_by_worker = {}
         self._logged_at = 0.0
 
     def restore(self, fields: dict[str, dict[str, int]], now: float) -> None:
@@ -73,6 +84,10 @@
                 else None,
             )
 
+    def count_lasting(self, worker_id: str) -> int:
+        """Return the number of lasting tasks on a worker, as last reported."""
+        return self._lasting_by_worker.get(worker_id, 0)
+
     async def move_to_demand(
         self, hosts_by_id: dict[str, model.HostEntry], leaving: set[str]
     ) -> None:
@@ -103,9 +118,8 @@
                 home = sum(1 for host in hosts_by_id.values() if host.pool == pool.name)
                 self._peaks[pool.name] = capacity.PeakState(home)
             view = await self._build_pool_view(pool, hosts_by_id, leaving)
-            if view is None:
-                return  # the owner of the pool did not answer
-            views.append(view)
+            if view is not None:  # else the owner of the pool did not answer
+                views.append(view)
         before = self._encode_peaks()
         moves = capacity.plan_moves(views, self._peaks, now)
         if moves or now - self._logged_at >= LOG_INTERVAL_S:
@@ -160,6 +174,9 @@
             self._log_event("load_unknown", pool=pool.name, code=int(error.code))
             return None
         workers = load["workers"]
+        self._lasting_by_worker.update(
+            {worker_id: fields["lasting"] for worker_id, fields in workers.items()}
+        )
         # A draining worker leaves with its host, so its tasks need another one.
         staying = [
             host
@@ -234,9 +251,15 @@
     async def _move_host(self, move: capacity.Move, host: model.HostEntry) -> None:
         loop = asyncio.get_running_loop()
         is_free = await self._evacuation.is_free(host, model.EvacuationUrgency.IF_IDLE)
-        if not is_free or not self._may_act():
+        now = loop.time()
+        if (
+            not is_free
+            or not self._may_act()
+            or not self._orders.may_order(move.host_id, now)
+        ):
             return
-        self._arriving[move.host_id] = (move.destination, loop.time())
+        self._arriving[move.host_id] = (move.destination, now)
+        self._orders.note_order(move.host_id, now)
         try:
             is_moved = await self._hosts.move(
                 move.host_id, move.destination, self._epoch
--- a/clementinespar/jobs/maintenance.py
+++ b/clementinespar/jobs/maintenance.py
@@ -1,15 +1,19 @@
 """Waves of maintenance, as the owner of the fleet carries them out."""
 
 import asyncio
+import collections
 import dataclasses
-import math
 from collections.abc import Awaitable, Callable
 
-from clementinespar.jobs import host_evacuation, model, services
+from clementinespar.jobs import (
+    host_evacuation,
+    host_orders,
+    model,
+    services,
+    wave_plan,
+)
 
 URGENT_AFTER_S = 3.0  # short runs are stopped when an evacuation takes this long
-# Share of a pool's hosts that may leave at once; doubled near the deadline of a wave.
-MAX_LEAVING_SHARE = 0.25
 HOST_RETURN_S = 0.8  # a host's new worker registers this long after its maintenance
 
 
@@ -35,6 +39,8 @@
     ----------
     epoch : int
         Epoch of the owner of the fleet, sent with each order.
+    count_lasting : callable
+        Returns the number of lasting tasks on a worker, by its id.
     maintenance_s : float
         Time that the maintenance of a host takes, in seconds.
     may_act : callable
@@ -53,6 +59,8 @@
         hosts: services.HostService,
         waves: services.WaveSource,
         evacuation: host_evacuation.HostEvacuation,
+        orders: host_orders.HostOrders,
+        count_lasting: Callable[[str], int],
         maintenance_s: float,
         may_act: Callable[[], bool],
         store_record: Callable[[str, object], Awaitable[None]],
@@ -62,6 +70,8 @@
         self._hosts = hosts
         self._wave_source = waves
         self._evacuation = evacuation
+        self._orders = orders
+        self._count_lasting = count_lasting
         self._maintenance_s = maintenance_s
         self._may_act = may_act
         self._store_record = store_record
@@ -132,6 +142,8 @@
                 continue
             if len(down) >= wave.max_down or not self._may_act():
                 continue
+            if not self._orders.may_order(host.host_id, loop.time()):
+                continue
             down.add(host.host_id)
             await self._start_maintenance(progress, host)
 
@@ -170,18 +182,20 @@
         leaving = sum(
             1 for host in pending if host.host_id in progress.evacuating_since
         )
-        left_s = progress.first_seen_at + progress.wave.deadline_s - loop.time()
-        share = (
-            MAX_LEAVING_SHARE
-            if left_s > progress.wave.deadline_s / 3
-            else MAX_LEAVING_SHARE * 2
-        )
-        for host in pending:
+        deadline_s = progress.wave.deadline_s
+        left_s = progress.first_seen_at + deadline_s - loop.time()
+        pending_by_pool = collections.Counter(host.pool for host in pending)
+        for host in wave_plan.order_hosts(pending, self._count_lasting):
             if host.host_id in progress.evacuating_since or host.state != "up":
                 continue
             if leaving >= progress.wave.max_down:
                 return
-            limit = max(1, math.ceil(size_by_pool[host.pool] * share))
+            limit = wave_plan.leaving_limit(
+                size_by_pool[host.pool],
+                pending_by_pool[host.pool],
+                left_s,
+                deadline_s,
+            )
             if self._evacuation.is_spare(host.pool):
                 limit = size_by_pool[host.pool]
             if out_by_pool.get(host.pool, 0) >= limit:
@@ -203,6 +217,7 @@
         loop = asyncio.get_running_loop()
         number = progress.wave.number
         progress.ordered_at[host.host_id] = loop.time()
+        self._orders.note_order(host.host_id, loop.time())
         is_begun = await self._hosts.start_maintenance(
             host.host_id, number, self._epoch
         )
--- a/clementinespar/jobs/tests/test_capacity.py
+++ b/clementinespar/jobs/tests/test_capacity.py
@@ -178,3 +178,28 @@
     assert len(brought) >= wanted
     if wanted == 0:
         assert not brought
+
+
+def test_peak_gets_hosts_for_work_that_arrives_before_it_waits() -> None:
+    """Guards against a peak that gets a host only for each task that waits already."""
+    view = make_view(
+        "a",
+        hosts=8,
+        used_cores=120.0,
+        waiting_cores=10.0,
+        arriving_cores=250.0,
+        movable=[],
+    )
+    moves = capacity.plan_moves([view, make_spare(20)], {}, 0.0)
+    assert len(moves) == 1 + 5  # for what waits, and half of what arrives
+
+
+def test_peak_comes_before_a_pool_that_gets_its_home_size_back() -> None:
+    """Guards against hosts for a pool without work while another has work waiting."""
+    peaks = make_resting_peaks("b")
+    peaks["b"].home_hosts = 20
+    peaks["b"].is_resting = False
+    peaking = make_view("a", used_cores=128.0, waiting_cores=60.0, movable=[])
+    views = [make_view("b", hosts=4, movable=[]), peaking, make_spare(3)]
+    moves = capacity.plan_moves(views, peaks, 10.0)
+    assert {move.destination for move in moves} == {"a"}
--- a/clementinespar/jobs/tests/test_fleet.py
+++ b/clementinespar/jobs/tests/test_fleet.py
@@ -7,7 +7,18 @@
 import typing
 from collections.abc import Mapping
 
-from clementinespar.jobs import fleet, model, ownership, service, services
+import pytest
+
+from clementinespar import background
+from clementinespar.jobs import (
+    fleet,
+    host_orders,
+    model,
+    ownership,
+    service,
+    services,
+    wave_plan,
+)
 from clementinespar.jobs.tests import fakes
 from clementinespar.tests import paused_clock
 
@@ -127,9 +138,13 @@
         self.record("report", wave.number, is_done)
 
     async def run_owner(
-        self, store: services.JobStore, epoch: int, for_s: float
+        self,
+        store: services.JobStore,
+        epoch: int,
+        for_s: float,
+        is_stop_planned: bool = True,
     ) -> None:
-        """Run an owner of the fleet for some seconds."""
+        """Run an owner of the fleet for some seconds; otherwise it is killed."""
         owner = fleet.FleetOwner(
             PARTITION,
             epoch,
@@ -143,7 +158,10 @@
             MAINTENANCE_S,
             self.log_event,
         )
-        async with fleet.own_fleet(owner):
+        running: contextlib.AbstractAsyncContextManager[object] = fleet.own_fleet(owner)
+        if not is_stop_planned:
+            running = background.running(owner.run())
+        async with running:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(asyncio.Event().wait(), for_s)
         assert not owner.has_failed
@@ -154,7 +172,7 @@
     """Guards against orders beside a previous owner, and against waves begun anew."""
     fake, store = FakeFleet(), fakes.FakeStore()
     begun_at = asyncio.get_running_loop().time()
-    await fake.run_owner(store, 5, 6.0)
+    await fake.run_owner(store, 5, 6.0, is_stop_planned=False)
     first = len(fake.trace)
     moves = fake.named("move")
     begun = fake.named("start_maintenance")
@@ -184,3 +202,68 @@
     later = [call for call in fake.trace[first:] if call[1] in ("move", "evacuate")]
     second_begun_at = begun_at + 6.0
     assert all(typing.cast(float, c[0]) >= second_begun_at + waited_s for c in later)
+
+
+@paused_clock.test
+async def test_planned_stop_hands_the_orders_over_at_once() -> None:
+    """Guards against a restart that stops moves and waves, and against two holders.
+
+    Only the hosts with orders of the first owner just before its end have to wait.
+    """
+    fake, store = FakeFleet(), fakes.FakeStore()
+    begun_at = asyncio.get_running_loop().time()
+    waited_s = HOLDER_LEASE_S + fleet.PREVIOUS_OWNER_MARGIN_S
+    await fake.run_owner(store, 5, waited_s + 0.3)
+    ordered_at = {call[2]: call[0] for call in fake.named("move")}
+    assert ordered_at
+    first = len(fake.trace)
+    # The platform lists all hosts as they were, so that each could get an order again.
+    fake.hosts = FakeFleet().hosts
+    await fake.run_owner(store, 6, waited_s + 3.0)
+    later = [c for c in fake.trace[first:] if c[1] in ("move", "start_maintenance")]
+    assert min(typing.cast(float, c[0]) for c in later) < begun_at + 2 * waited_s
+    for call in later:
+        if call[2] in ordered_at:
+            pause_s = typing.cast(float, call[0]) - typing.cast(
+                float, ordered_at[call[2]]
+            )
+            assert pause_s >= waited_s
+
+
+@paused_clock.test
+async def test_release_of_an_earlier_owner_is_not_used_twice() -> None:
+    """Guards against an owner that acts beside one that was killed after a release."""
+    fake, store = FakeFleet(), fakes.FakeStore()
+    waited_s = HOLDER_LEASE_S + fleet.PREVIOUS_OWNER_MARGIN_S
+    await fake.run_owner(store, 5, waited_s + 0.3)
+    await fake.run_owner(store, 6, 0.5, is_stop_planned=False)
+    first = len(fake.trace)
+    began_at = asyncio.get_running_loop().time()
+    await fake.run_owner(store, 7, waited_s + 3.0)
+    later = [c for c in fake.trace[first:] if c[1] in ("move", "start_maintenance")]
+    assert min(typing.cast(float, c[0]) for c in later) >= began_at + waited_s
+
+
+@pytest.mark.parametrize("value", [b"", b"[]", b"{}", b'{"is_released": 1}'])
+def test_unreadable_release_is_none(value: bytes) -> None:
+    """Guards against a malformed record that counts as a planned stop."""
+    orders = host_orders.HostOrders(1.0)
+    with contextlib.suppress(ValueError, KeyError, TypeError, AttributeError):
+        assert not orders.take_over(value, 0.0)
+
+
+@pytest.mark.parametrize(
+    ("hosts", "pending", "left_s", "wanted"),
+    [
+        (32, 6, 24.0, 8),  # a quarter of the pool
+        (32, 20, 24.0, 10),  # two rounds of evacuations are left
+        (16, 16, 20.0, 8),  # at most half of the pool
+        (32, 6, 8.0, 16),  # near the deadline
+        (1, 1, 24.0, 1),
+    ],
+)
+def test_hosts_that_leave_at_once(
+    hosts: int, pending: int, left_s: float, wanted: int
+) -> None:
+    """Guards against a wave that is late since a pool lets its hosts go too slowly."""
+    assert wave_plan.leaving_limit(hosts, pending, left_s, 24.0) == wanted
--- a/clementinespar/jobs/tests/test_store_outages.py
+++ b/clementinespar/jobs/tests/test_store_outages.py
@@ -406,6 +406,7 @@
     assert await append("ja") == (codes.ResultCode.STORE_UNANSWERED, 0.0)
     assert await append("jc") == (codes.ResultCode.STORE_REFUSED, 0.0)
     assert (await probe)[0] is codes.ResultCode.STORE_UNANSWERED
+    await owner.jobs.close()
 
 
 @paused_clock.test
