--- a/clementinespar/commands/status.py
+++ b/clementinespar/commands/status.py
@@ -15,6 +15,7 @@
     "wave": "/v1/waves",
     "request": "/v1/requests",
     "job": "/v1/jobs",
+    "team": "/v1/teams",
 }
 
 
@@ -78,7 +79,7 @@
     timeout_s: float,
     as_json: bool,
 ) -> None:
-    """Explain why a host, pool, wave, request or job is in its state.
+    """Explain why a host, pool, wave, request, job or team is in its state.
 
     A wave is named by its pool. The outcome of a request is known only to the node to
     which its caller sent it, so all given nodes are asked.
--- a/clementinespar/jobs/service.py
+++ b/clementinespar/jobs/service.py
@@ -217,7 +217,15 @@
                 codes.ResultCode.TEAM_UNKNOWN, "the configuration has no such team"
             )
         return {
-            "team": name,
+            "subject": f"team {name}",
+            "state": "waiting" if waiting else "idle" if not any(use) else "running",
+            "waits_for": None,
+            "because": [
+                f"partition {partition}: uses {reply['use']}, share {reply['share']},"
+                f" {reply['waiting']} tasks wait"
+                for partition, reply in found.items()
+            ],
+            "code": int(codes.ResultCode.OK),
             "weight": None if team is None else team.weight,
             "cap": None if team is None else team.cap,
             "use": use,
--- a/clementinespar/jobs/tests/test_quota_decisions.py
+++ b/clementinespar/jobs/tests/test_quota_decisions.py
@@ -218,6 +218,7 @@
     ledger = make_ledger(0, 0)
     assert ask(ledger, 3, held=None, epoch=4) == 10
     assert ask(ledger, number, held=1, epoch=epoch) is None
+    assert ask(ledger, 4, held=None, epoch=4) == 10
     assert ledger.share_by_partition("a")[0].cpu_millis == 10
 
 
