Confirm what a successor claims before it starts tasks

Change: a claimed share is used once the ledger has confirmed that all shares are known and fit the cap.

--- a/clementinespar/jobs/quota_ledger.py
+++ b/clementinespar/jobs/quota_ledger.py
@@ -200,9 +200,7 @@
             {
                 team: record.shares[team].restrict(self.caps[team], resources.UNLIMITED)
                 for team in teams
-                if team in record.shares
-                and team not in record.recalled
-                and min(self._free(team)) >= 0
+                if team in record.shares and self._is_confirmed(request.partition, team)
             },
         )
 
@@ -227,10 +225,16 @@
             record.wanted.clear()
 
     def _may_grant(self, partition: int, team: str) -> bool:
+        return not self.is_frozen and self._is_known(partition, team)
+
+    def _is_confirmed(self, partition: int, team: str) -> bool:
+        """Whether the shares of a team certainly fit its cap in sum."""
+        return self._is_known(partition, team) and min(self._free(team)) >= 0
+
+    def _is_known(self, partition: int, team: str) -> bool:
         """Whether the shares of a team are known, and no answer is outstanding."""
         return (
             team in self.caps
-            and not self.is_frozen
             and team not in self._record(partition).recalled
             and all(
                 team in self._record(other).shares
--- a/clementinespar/jobs/quota_messages.py
+++ b/clementinespar/jobs/quota_messages.py
@@ -55,7 +55,7 @@
     version : int
         Version of the configuration of which the ledger knows the caps.
     shares : mapping
-        Only of teams whose shares add up to no more than the cap.
+        Only of teams whose shares are all known and add up to no more than the cap.
     """
 
     ledger_epoch: int
--- a/clementinespar/jobs/quota_shares.py
+++ b/clementinespar/jobs/quota_shares.py
@@ -48,10 +48,11 @@
     changed: set[str]  # teams whose share has changed since this was cleared last
     _use: team_use.TeamUse
     _limits: dict[str, resources.Resources]  # the lower of share and cap
-    # Teams whose cap was lowered, with the version of the configuration. Until the
-    # ledger has answered under that version, the shares may exceed the cap in sum.
-    _lowered: dict[str, int]
-    _has_caps: bool  # some configuration was applied
+    # Teams whose shares may exceed the cap in sum, since the cap was lowered or the
+    # owner does not know under which cap its share was granted. Nothing of them starts
+    # until the ledger has answered under this version of the configuration.
+    _unconfirmed: dict[str, int]
+    _version: int | None  # of the configuration; None: none was applied yet
     _is_blocked: bool
     _number: int  # of the last request
     _in_flight: int  # number of the request that awaits its response; 0: none
@@ -67,8 +68,8 @@
         self.changed = set()
         self._use = use
         self._limits = {}
-        self._lowered = {}
-        self._has_caps = False
+        self._unconfirmed = {}
+        self._version = None
         self._is_blocked = False
         self._number = 0
         self._in_flight = 0
@@ -142,7 +143,7 @@
             cap = caps.get(team)
             if cap is None:
                 self.shares.pop(team, None)
-                self._lowered.pop(team, None)
+                self._unconfirmed.pop(team, None)
                 continue
             old_cap = self.caps.get(team, resources.ZERO)
             pairs = list(zip(cap, old_cap, strict=True))
@@ -150,10 +151,10 @@
             is_lower = any(new and new < old for new, old in pairs)
             if is_new:
                 self.shares.pop(team, None)
-            if self._has_caps and (is_new or is_lower):
-                self._lowered[team] = version
+            if self._version is not None and (is_new or is_lower):
+                self._unconfirmed[team] = version
         self.caps = dict(caps)
-        self._has_caps = True
+        self._version = version
         self._update_limits()
 
     def set_blocked(self, is_blocked: bool) -> None:
@@ -178,10 +179,11 @@
                 if team not in self.shares:
                     use = self._use.by_team.get(team, resources.ZERO)
                     self.shares[team] = use.restrict(cap, resources.UNLIMITED)
+                    self._unconfirmed[team] = self._version or 0
                     self.changed.add(team)
         self._limits = {
             team: _BLOCKED.restrict(cap, resources.UNLIMITED)
-            if self._is_blocked or team in self._lowered or team not in self.shares
+            if self._is_blocked or team in self._unconfirmed or team not in self.shares
             else self.shares[team].min_with(cap).restrict(cap, resources.UNLIMITED)
             for team, cap in self.caps.items()
         }
@@ -206,7 +208,7 @@
             share = self.shares.get(team)
             missing = use.plus(need).min_with(cap).minus(share or resources.ZERO)
             missing = missing.without_negative().restrict(cap, 0)
-            is_confirmed = share is not None and team not in self._lowered
+            is_confirmed = share is not None and team not in self._unconfirmed
             if is_confirmed and not any(missing):
                 continue
             wanted[team] = missing
@@ -238,8 +240,8 @@
             # what it may have granted before.
             if cap is None or team in self._recalled:
                 continue
-            if response.version >= self._lowered.get(team, 0):
-                self._lowered.pop(team, None)
+            if response.version >= self._unconfirmed.get(team, 0):
+                self._unconfirmed.pop(team, None)
             before = self.shares.get(team, resources.ZERO)
             share = resources.Resources(
                 *(
