--- a/clementinespar/commands/status.py
+++ b/clementinespar/commands/status.py
@@ -16,6 +16,7 @@
     "request": "/v1/requests",
     "job": "/v1/jobs",
     "image": "/v1/images",
+    "team": "/v1/teams",
 }
 
 
@@ -79,7 +80,7 @@
     timeout_s: float,
     as_json: bool,
 ) -> None:
-    """Explain why a host, pool, wave, request or job is in its state.
+    """Explain why a host, pool, wave, request, job or team is in its state.
 
     Of an image, it shows which others it slows down, and which slow it down. A wave
     is named by its pool. The outcome of a request is known only to the node to which
