--- a/clementinespar/jobs/crash_counts.py
+++ b/clementinespar/jobs/crash_counts.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Iterable, Iterator
 
-from clementinespar.jobs import state, worker_session
+from clementinespar.jobs import state, worker_run
 
 # A job is on probation after the deaths of this many workers, or of this many under one
 # of its tasks.
@@ -27,8 +27,8 @@
 
 
 def find_suspects(
-    runs: Iterable[worker_session.Run], silent_at: float, alive_at: float
-) -> list[worker_session.Run]:
+    runs: Iterable[worker_run.Run], silent_at: float, alive_at: float
+) -> list[worker_run.Run]:
     """Return the runs that may have crashed their worker.
 
     Parameters
@@ -63,7 +63,7 @@
     return True
 
 
-def has_survived(run: worker_session.Run, now: float) -> bool:
+def has_survived(run: worker_run.Run, now: float) -> bool:
     """Whether a run has gone on for too long to be suspect of a later death."""
     return now - run.started_at > SUSPECT_S
 
--- a/clementinespar/jobs/crash_watch.py
+++ b/clementinespar/jobs/crash_watch.py
@@ -13,6 +13,7 @@
     services,
     state,
     telemetry,
+    worker_run,
     worker_session,
     worker_use,
 )
@@ -93,7 +94,7 @@
             self.clear_risk(tracked.key, tracked.number)
 
     def on_lapse(
-        self, session: worker_session.WorkerSession, run: worker_session.Run
+        self, session: worker_session.WorkerSession, run: worker_run.Run
     ) -> None:
         """Keep a run at risk until its worker answers in the same life or another."""
         found = self._find(run.key)
@@ -103,7 +104,7 @@
             )
 
     def on_run_gone(
-        self, session: worker_session.WorkerSession, run: worker_session.Run
+        self, session: worker_session.WorkerSession, run: worker_run.Run
     ) -> None:
         """Forget that a run was at risk, unless its worker may have died."""
         unresolved = self._unresolved.get(session.entry.worker_id, ())
--- a/clementinespar/jobs/neighbours.py
+++ b/clementinespar/jobs/neighbours.py
@@ -13,6 +13,7 @@
     model,
     services,
     telemetry,
+    worker_run,
     worker_session,
 )
 
@@ -97,7 +98,7 @@
         )
         pool_model = self._make_model(session.entry.pool)
         for run in serving:
-            if run.status is not worker_session.RunStatus.RUNNING:
+            if run.status is not worker_run.RunStatus.RUNNING:
                 continue
             pool_model.add_tail(
                 run.spec.image,
@@ -114,7 +115,7 @@
     def add_end(
         self,
         session: worker_session.WorkerSession,
-        run: worker_session.Run,
+        run: worker_run.Run,
         kind: model.EndKind,
         now: float,
     ) -> None:
--- a/clementinespar/jobs/owner_loading.py
+++ b/clementinespar/jobs/owner_loading.py
@@ -9,6 +9,7 @@
     services,
     state,
     telemetry,
+    worker_run,
     worker_session,
     worker_use,
 )
@@ -80,7 +81,7 @@
     jobs: job_table.JobTable,
     session: worker_session.WorkerSession,
     listed: model.RunningTask,
-) -> worker_session.Run | None:
+) -> worker_run.Run | None:
     """Return the run to track for one of a previous owner; None if unwanted."""
     found = jobs.find_open_task(listed.task)
     if found is None:
@@ -91,10 +92,10 @@
     if task.is_done or (task.open_runs and not step.spec.is_speculative):
         return None
     now = asyncio.get_running_loop().time()
-    run = worker_session.Run(
+    run = worker_run.Run(
         listed.task, listed.run, step.spec, session, now, job.spec.team
     )
-    run.status = worker_session.RunStatus.RUNNING
+    run.status = worker_run.RunStatus.RUNNING
     run.percent = listed.percent
     run.is_suspect = bool(task.crashed_runs)
     run.is_adopted = True
--- a/clementinespar/jobs/owner_queries.py
+++ b/clementinespar/jobs/owner_queries.py
@@ -19,6 +19,7 @@
     state,
     team_use,
     wait_watch,
+    worker_run,
     worker_session,
     worker_use,
 )
@@ -257,7 +258,7 @@
                 self._run_watch.move_lasting(run, "its host is to be taken away")
             elif (
                 urgency is model.EvacuationUrgency.STOP
-                and run.status is worker_session.RunStatus.RUNNING
+                and run.status is worker_run.RunStatus.RUNNING
             ):
                 session.stop(run, "its host is to be taken away")
         is_known = session.has_answered or loop.time() > session.lease_bound
--- a/clementinespar/jobs/placement.py
+++ b/clementinespar/jobs/placement.py
@@ -4,7 +4,7 @@
 import collections
 from collections.abc import Callable, Container
 
-from clementinespar.jobs import interference, model, state, worker_session
+from clementinespar.jobs import interference, model, state, worker_run, worker_session
 
 # A tail latency above this share of its target slows the fillers on the same worker,
 # before the target is exceeded.
@@ -173,7 +173,7 @@
     session: worker_session.WorkerSession,
     spec: model.StepSpec,
     learnt: interference.InterferenceModel,
-    leaving: worker_session.Run | None = None,
+    leaving: worker_run.Run | None = None,
 ) -> float:
     """Return the expected interference of one more task with those on a worker.
 
@@ -182,7 +182,7 @@
 
     Parameters
     ----------
-    leaving : worker_session.Run, optional
+    leaving : worker_run.Run, optional
         A run on the worker that does not count.
     """
     if not spec.image:
@@ -209,7 +209,7 @@
 
 def lasting_loss(
     session: worker_session.WorkerSession,
-    run: worker_session.Run,
+    run: worker_run.Run,
     learnt: interference.InterferenceModel,
 ) -> float:
     """Return the work lost each second by a lasting run on a worker, in task-seconds.
@@ -258,7 +258,7 @@
     if learnt is not None and fillers and now >= session.predictions_paused_until:
         predicted = _predict_pace(fillers, serving, learnt)
     for run in fillers:
-        if run.status is not worker_session.RunStatus.RUNNING:
+        if run.status is not worker_run.RunStatus.RUNNING:
             continue
         is_recent = run.paced_at is not None and now - run.paced_at < PACE_INTERVAL_S
         if worst > 1.0 and run.is_pace_predicted:
@@ -288,8 +288,8 @@
 
 
 def _predict_pace(
-    fillers: list[worker_session.Run],
-    serving: list[worker_session.Run],
+    fillers: list[worker_run.Run],
+    serving: list[worker_run.Run],
     learnt: interference.InterferenceModel,
 ) -> int | None:
     """Return the pace at which all tail latencies are expected to stay low enough.
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -41,6 +41,7 @@
     tickets,
     wait_watch,
     worker_deaths,
+    worker_run,
     worker_session,
     worker_use,
 )
@@ -258,7 +259,7 @@
             log_event,
         )
 
-    # Events of worker sessions; see `worker_session.RunEvents`.
+    # Events of worker sessions; see `worker_run.RunEvents`.
 
     def confirmed_at(self) -> float | None:
         """Return when the last call that confirmed ownership was sent."""
@@ -304,7 +305,7 @@
                 self._jobs.schedule_wanted.set()
 
     def on_ticket_rejected(
-        self, session: worker_session.WorkerSession, run: worker_session.Run
+        self, session: worker_session.WorkerSession, run: worker_run.Run
     ) -> None:
         """Drop the ticket, so that the adviser is asked for a new one."""
         self._tickets.drop(run.key, session.entry.worker_id)
@@ -332,7 +333,7 @@
         self,
         session: worker_session.WorkerSession,
         end: model.EndedTask,
-        run: worker_session.Run | None,
+        run: worker_run.Run | None,
     ) -> None:
         """Apply the end of a run once, whichever owner started it."""
         if run is not None:
@@ -345,7 +346,7 @@
         self._crash_watch.mark_at_risk(session)
 
     def on_lapse(
-        self, session: worker_session.WorkerSession, run: worker_session.Run
+        self, session: worker_session.WorkerSession, run: worker_run.Run
     ) -> None:
         """Keep a run at risk until its worker shows whether it died."""
         self._crash_watch.on_lapse(session, run)
@@ -357,7 +358,7 @@
     def on_run_gone(
         self,
         session: worker_session.WorkerSession,
-        run: worker_session.Run,
+        run: worker_run.Run,
         reason: str,
     ) -> None:
         """Requeue the task of a run that certainly does not execute."""
@@ -366,7 +367,7 @@
 
     def on_unknown_run(
         self, session: worker_session.WorkerSession, listed: model.RunningTask
-    ) -> worker_session.Run | None:
+    ) -> worker_run.Run | None:
         """Adopt a run of a previous owner if its task still needs it."""
         return owner_loading.adopt_run(self._jobs, session, listed)
 
--- a/clementinespar/jobs/run_ends.py
+++ b/clementinespar/jobs/run_ends.py
@@ -14,6 +14,7 @@
     state,
     telemetry,
     tickets,
+    worker_run,
     worker_session,
 )
 
@@ -54,7 +55,7 @@
         self,
         session: worker_session.WorkerSession,
         end: model.EndedTask,
-        run: worker_session.Run | None,
+        run: worker_run.Run | None,
     ) -> None:
         """Apply the end of a run once, whichever owner started it."""
         self._metrics.count_end(end.kind.value)
@@ -101,7 +102,7 @@
     def on_run_gone(
         self,
         session: worker_session.WorkerSession,
-        run: worker_session.Run,
+        run: worker_run.Run,
         reason: str,
     ) -> None:
         """Requeue the task of a run that certainly does not execute."""
--- a/clementinespar/jobs/run_watch.py
+++ b/clementinespar/jobs/run_watch.py
@@ -11,6 +11,7 @@
     state,
     task_placer,
     telemetry,
+    worker_run,
     worker_session,
 )
 
@@ -59,7 +60,7 @@
         """Stop stuck runs, move lasting ones off a draining worker, pace fillers."""
         now = asyncio.get_running_loop().time()
         for run in list(session.runs.values()):
-            if run.status is not worker_session.RunStatus.RUNNING:
+            if run.status is not worker_run.RunStatus.RUNNING:
                 continue
             limit = STUCK_LASTING_S if run.spec.is_lasting else STUCK_AFTER_S
             is_stuck = run.percent < 100 and now - run.percent_at > limit
@@ -72,13 +73,13 @@
             session, now, self._neighbours.find_model(session.entry.pool)
         )
 
-    def move_lasting(self, run: worker_session.Run, reason: str) -> None:
+    def move_lasting(self, run: worker_run.Run, reason: str) -> None:
         """Stop a lasting run, so that its task starts on another worker.
 
         Does nothing if `StepSpec.may_miss` tasks of the step are down already, unless
         the worker is draining, or if no other worker has enough free capacity.
         """
-        if run.status is not worker_session.RunStatus.RUNNING:
+        if run.status is not worker_run.RunStatus.RUNNING:
             return
         job = self._jobs_by_id.get(run.key.job_id)
         if job is None or job.is_final:
@@ -138,7 +139,7 @@
                 if (
                     other.key.job_id == key.job_id
                     and other.key.step == key.step
-                    and other.status is worker_session.RunStatus.RUNNING
+                    and other.status is worker_run.RunStatus.RUNNING
                     and other.percent >= 100
                     and now - session.last_contact < worker_session.UNRESPONSIVE_AFTER_S
                 ):
@@ -170,7 +171,7 @@
 
     def _pays(
         self,
-        run: worker_session.Run,
+        run: worker_run.Run,
         learnt: interference.InterferenceModel,
         now: float,
     ) -> bool:
@@ -179,7 +180,7 @@
         if (
             job is None
             or job.is_final
-            or run.status is not worker_session.RunStatus.RUNNING
+            or run.status is not worker_run.RunStatus.RUNNING
             or run.percent < 100
             or run.key in self._moved_at
         ):
@@ -194,21 +195,21 @@
         gain = loss - placement.lasting_loss(destination, run, learnt)
         return gain * GAIN_TIME_S > cost_s
 
-    def _move_away(self, run: worker_session.Run, now: float) -> None:
+    def _move_away(self, run: worker_run.Run, now: float) -> None:
         """Move a task unless others of its step are down or it may not miss any."""
         step = self._jobs_by_id[run.key.job_id].find_step(run.key)
         is_whole = self._count_working(run.key) == len(step.tasks)
         if step.spec.may_miss == 0 or step.spec.is_gang or not is_whole:
             return
         self.move_lasting(run, "interference with its neighbours")
-        if run.status is worker_session.RunStatus.STOPPING:
+        if run.status is worker_run.RunStatus.STOPPING:
             self._moved_at[run.key] = now
             self._placer.avoid(
                 run.key, run.session.entry.worker_id, now + MOVE_INTERVAL_S
             )
             self._metrics.count_interference_move()
 
-    def _report_blocked(self, run: worker_session.Run, reason: str) -> None:
+    def _report_blocked(self, run: worker_run.Run, reason: str) -> None:
         """Log once for each reason that a run cannot be moved."""
         if run.move_blocked_by == reason:
             return
--- a/clementinespar/jobs/session_table.py
+++ b/clementinespar/jobs/session_table.py
@@ -8,6 +8,7 @@
     job_table,
     services,
     team_use,
+    worker_run,
     worker_session,
     worker_use,
 )
@@ -22,7 +23,7 @@
         The sessions by worker id; changed in place.
     lease_s : float
         Longest lease that owners grant, in seconds.
-    events : worker_session.RunEvents
+    events : worker_run.RunEvents
         Handles the events of the sessions.
     """
 
@@ -40,7 +41,7 @@
         owns_pool: Callable[[str], bool],
         directory: services.WorkerDirectory,
         workers: services.WorkerClient,
-        events: worker_session.RunEvents,
+        events: worker_run.RunEvents,
         use: worker_use.WorkerUse,
         jobs: job_table.JobTable,
         use_by_team: team_use.TeamUse,
--- a/clementinespar/jobs/task_placer.py
+++ b/clementinespar/jobs/task_placer.py
@@ -13,6 +13,7 @@
     team_use,
     telemetry,
     tickets,
+    worker_run,
     worker_session,
 )
 
@@ -222,9 +223,7 @@
         ticket: str,
     ) -> None:
         now = asyncio.get_running_loop().time()
-        run = worker_session.Run(
-            task.key, number, step.spec, session, now, job.spec.team
-        )
+        run = worker_run.Run(task.key, number, step.spec, session, now, job.spec.team)
         run.is_suspect = bool(task.crashed_runs)
         task.last_run = number
         task.open_runs.add(number)
--- a/clementinespar/jobs/team_use.py
+++ b/clementinespar/jobs/team_use.py
@@ -15,7 +15,7 @@
 
 
 class TrackedRun(Protocol):
-    """A run as `worker_session.Run` has it."""
+    """A run as `worker_run.Run` has it."""
 
     key: model.TaskKey
     spec: model.StepSpec
--- a/clementinespar/jobs/tests/test_neighbours.py
+++ b/clementinespar/jobs/tests/test_neighbours.py
@@ -13,6 +13,7 @@
     neighbours,
     placement,
     telemetry,
+    worker_run,
     worker_session,
 )
 from clementinespar.jobs.tests import fakes, helpers, test_placement, test_service
@@ -46,11 +47,11 @@
 
 def start_run(
     session: worker_session.WorkerSession, image: str, since: float, pace: int = 100
-) -> worker_session.Run:
+) -> worker_run.Run:
     key = model.TaskKey(f"{image}-{since}", 0, 0, 0)
     spec = model.StepSpec(1, 100, 10, image=image, is_filler=pace != 100)
-    run = worker_session.Run(key, 1, spec, session, since)
-    run.status = worker_session.RunStatus.RUNNING
+    run = worker_run.Run(key, 1, spec, session, since)
+    run.status = worker_run.RunStatus.RUNNING
     run.pace = pace
     session.add_run(run)
     return run
@@ -180,10 +181,10 @@
             sessions = list(owner.sessions_by_id.values())
             for session in [s for s in sessions if s.runs]:
                 key = model.TaskKey(session.entry.worker_id, 0, 0, 0)
-                run = worker_session.Run(key, 1, serving, session, loop.time())
+                run = worker_run.Run(key, 1, serving, session, loop.time())
                 run.usage = 70  # neither more nor less pace
                 session.add_run(run)
-                session.runs[(key, 1)].status = worker_session.RunStatus.OPEN
+                session.runs[(key, 1)].status = worker_run.RunStatus.OPEN
                 run.answered_at = loop.time() + 1000.0  # stays although not listed
             known = len(self.harness.workers.starts)
             end = loop.time() + seconds
--- a/clementinespar/jobs/tests/test_pacing.py
+++ b/clementinespar/jobs/tests/test_pacing.py
@@ -7,7 +7,14 @@
 
 import pytest
 
-from clementinespar.jobs import model, neighbours, placement, telemetry, worker_session
+from clementinespar.jobs import (
+    model,
+    neighbours,
+    placement,
+    telemetry,
+    worker_run,
+    worker_session,
+)
 from clementinespar.jobs.tests import fakes, test_placement
 
 STEP_S = 0.05
@@ -29,9 +36,9 @@
 
 def start_run(
     session: worker_session.WorkerSession, job: str, spec: model.StepSpec
-) -> worker_session.Run:
-    run = worker_session.Run(model.TaskKey(job, 0, 0, 0), 1, spec, session, 0.0)
-    run.status = worker_session.RunStatus.RUNNING
+) -> worker_run.Run:
+    run = worker_run.Run(model.TaskKey(job, 0, 0, 0), 1, spec, session, 0.0)
+    run.status = worker_run.RunStatus.RUNNING
     session.add_run(run)
     return run
 
@@ -45,10 +52,10 @@
     outcome = Outcome(0.0, 0.0, 0.0, set())
     # Session, serving run, filler, phase of the load, tails, start of the excess.
     workers = []
-    orders: list[tuple[float, worker_session.Run, int]] = []
+    orders: list[tuple[float, worker_run.Run, int]] = []
     now = 0.0
 
-    def order_pace(run: worker_session.Run, percent: int) -> None:
+    def order_pace(run: worker_run.Run, percent: int) -> None:
         run.pace = percent
         orders.append((now + PACE_DELAY_S, run, percent))
 
--- a/clementinespar/jobs/tests/test_placement.py
+++ b/clementinespar/jobs/tests/test_placement.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from clementinespar.jobs import model, placement, state, worker_session
+from clementinespar.jobs import model, placement, state, worker_run, worker_session
 from clementinespar.jobs.tests import fakes, helpers
 from clementinespar.tests import paused_clock
 
@@ -125,8 +125,8 @@
             )
         ):
             key = model.TaskKey("j", 0, 0, number)
-            run = worker_session.Run(key, 1, spec, session, 0.0)
-            run.status = worker_session.RunStatus.RUNNING
+            run = worker_run.Run(key, 1, spec, session, 0.0)
+            run.status = worker_run.RunStatus.RUNNING
             run.usage = tail_ms
             run.pace = pace
             session.add_run(run)
@@ -145,7 +145,7 @@
         chosen = placement.FreeCapacity(sessions).choose(spec, counts, set())
         assert chosen is not None
         key = model.TaskKey(f"job-{number}", 0, 0, index)
-        chosen.add_run(worker_session.Run(key, 1, spec, chosen, 0.0))
+        chosen.add_run(worker_run.Run(key, 1, spec, chosen, 0.0))
         counts[chosen.entry.worker_id] += 1
     return counts
 
@@ -201,6 +201,6 @@
             chosen = free_capacity.choose(narrow, collections.Counter(), set())
             assert chosen is not None
             key = model.TaskKey("a", 0, 0, number)
-            chosen.add_run(worker_session.Run(key, 1, narrow, chosen, 0.0))
+            chosen.add_run(worker_run.Run(key, 1, narrow, chosen, 0.0))
         found = free_capacity.choose(wide, collections.Counter(), set())
         assert (found is not None) == has_room
--- /dev/null
+++ b/clementinespar/jobs/worker_orders.py
@@ -0,0 +1,174 @@
+"""Orders to one worker: starts, stops and paces of runs, and what their answers mean.
+
+A start without an answer leaves its run open; the session settles it by later reports.
+"""
+
+import asyncio
+import typing
+from collections.abc import Coroutine
+
+from clementinespar import codes, errors
+from clementinespar.jobs import model, services, worker_run
+
+if typing.TYPE_CHECKING:
+    from clementinespar.jobs import worker_session
+
+
+class WorkerOrders:
+    """Sends the orders of a session to its worker, each in a task of its own."""
+
+    _pending: set[asyncio.Task[None]]
+
+    def __init__(
+        self,
+        session: "worker_session.WorkerSession",
+        client: services.WorkerClient,
+        events: worker_run.RunEvents,
+        log_event: services.EventLog,
+    ) -> None:
+        self._session = session
+        self._client = client
+        self._events = events
+        self._log_event = log_event
+        self._pending = set()
+
+    def close(self) -> None:
+        """Cancel the calls that have no answer yet."""
+        for order in self._pending:
+            order.cancel()
+
+    def pending(self) -> frozenset[asyncio.Task[None]]:
+        """Return the tasks of the calls that have not ended."""
+        return frozenset(self._pending)
+
+    def start(
+        self, run: worker_run.Run, payload: str, saved: str, ticket: str = ""
+    ) -> None:
+        """Send the order to start a run, which must be tracked already."""
+        self._spawn(self._start(run, payload, saved, ticket))
+
+    def stop(self, run: worker_run.Run, reason: str) -> None:
+        """Send the order to stop a run, unless it is being stopped already."""
+        if run.status is worker_run.RunStatus.STOPPING:
+            return
+        self._log_event(
+            "stop",
+            job=run.key.job_id,
+            task=run.key.name_in_job,
+            run=run.number,
+            worker=self._session.entry.worker_id,
+            reason=reason,
+        )
+        run.status = worker_run.RunStatus.STOPPING
+        run.stop_answered_at = None
+        self._spawn(self._stop(run))
+
+    def resend_unanswered_stops(self) -> None:
+        """Send the stops again that have no answer."""
+        for run in self._session.runs.values():
+            if (
+                run.status is worker_run.RunStatus.STOPPING
+                and run.stop_answered_at is None
+                and not run.is_stop_in_flight
+            ):
+                self._spawn(self._stop(run))
+
+    def pace(self, run: worker_run.Run, percent: int) -> None:
+        """Send the order to limit a run to a share of its speed, in percent."""
+        run.pace = percent
+        self._spawn(self._pace(run, percent))
+
+    def _spawn(self, order: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(order)
+        self._pending.add(task)
+        task.add_done_callback(self._pending.discard)
+
+    async def _start(
+        self, run: worker_run.Run, payload: str, saved: str, ticket: str
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        until = self._session.lease_until_ms()
+        if until is None:
+            self._abandon(run, "ownership is not confirmed")
+            return
+        order = model.StartOrder(
+            run.key, run.number, payload, until, self._session.fence, saved, ticket
+        )
+        try:
+            answer = await self._client.start(self._session.entry, order)
+        except errors.ClementinesparError as error:
+            if error.code is codes.ResultCode.CALL_NOT_SENT:
+                self._session.mark_unresponsive()
+                self._abandon(run, error.message)
+                return
+            run.answered_at = loop.time()
+            if run.status is worker_run.RunStatus.STARTING:
+                run.status = worker_run.RunStatus.OPEN
+            self._log_event(
+                "start_unanswered",
+                job=run.key.job_id,
+                task=run.key.name_in_job,
+                run=run.number,
+                worker=self._session.entry.worker_id,
+                code=int(error.code),
+            )
+            self._events.on_start_unanswered(self._session)
+            return
+        if answer.clock_ms is not None:
+            self._session.set_clock(answer.clock_ms)
+        run.answered_at = loop.time()
+        run.percent_at = run.answered_at
+        self._session.alive_at = run.answered_at
+        if answer.result is model.StartResult.STARTED:
+            run.is_start_settled = True
+            if run.status is worker_run.RunStatus.STARTING:
+                run.status = worker_run.RunStatus.RUNNING
+            return
+        if answer.result is model.StartResult.FENCED:
+            self._events.on_fenced()
+        if answer.result is model.StartResult.NO_TICKET:
+            self._events.on_ticket_rejected(self._session, run)
+        if answer.result in (model.StartResult.UNHEALTHY, model.StartResult.NO_ROOM):
+            self._session.eject()
+        if run.status is worker_run.RunStatus.STARTING:
+            self._abandon(run, f"refused: {answer.result.value}")
+
+    def _abandon(self, run: worker_run.Run, reason: str) -> None:
+        if self._session.drop_run(run):
+            self._events.on_run_gone(self._session, run, reason)
+
+    async def _stop(self, run: worker_run.Run) -> None:
+        run.is_stop_in_flight = True
+        try:
+            if await self._client.stop(
+                self._session.entry, run.key, run.number, self._session.fence
+            ):
+                run.stop_answered_at = asyncio.get_running_loop().time()
+            else:
+                self._events.on_fenced()
+        except errors.ClementinesparError as error:
+            self._log_event(
+                "stop_unanswered",
+                job=run.key.job_id,
+                run=run.number,
+                worker=self._session.entry.worker_id,
+                code=int(error.code),
+            )
+        finally:
+            run.is_stop_in_flight = False
+
+    async def _pace(self, run: worker_run.Run, percent: int) -> None:
+        try:
+            await self._client.pace(
+                self._session.entry, run.key, run.number, percent, self._session.fence
+            )
+        except errors.ClementinesparError as error:
+            # The worker's pace is unknown now. -1 is not a valid pace, so that a later
+            # report leads to an order again.
+            run.pace = -1
+            self._log_event(
+                "pace_unanswered",
+                job=run.key.job_id,
+                worker=self._session.entry.worker_id,
+                code=int(error.code),
+            )
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -1,17 +1,15 @@
-"""Session with one worker: renews its lease, reads its reports and sends its orders.
+"""Session with one worker: renews its lease, reads its reports and tracks its runs.
 
-A start without an answer has not failed: its run counts as executing until the worker
-lists it, or until a stop of the same run was answered and a later report does not list
-it, or until the worker's lease has certainly ended.
+`worker_orders.py` sends its orders. A start without an answer has not failed: its run
+counts as executing until the worker lists it, or until a stop of the same run was
+answered and a later report does not list it, or until the worker's lease has certainly
+ended.
 """
 
 import asyncio
-import enum
-from collections.abc import Coroutine
-from typing import Protocol
 
-from clementinespar import codes, errors
-from clementinespar.jobs import model, services, team_use
+from clementinespar import errors
+from clementinespar.jobs import model, services, team_use, worker_orders, worker_run
 
 # A worker's clock may run 2% slow, so a lease lasts that much longer in real time.
 MIN_CLOCK_RATE = 0.98
@@ -30,164 +28,13 @@
 FLAP_PAUSE_MAX_S = 4.0
 
 
-class RunStatus(enum.Enum):
-    """State of a run, as its owner knows it."""
-
-    STARTING = "starting"
-    OPEN = "open"  # the start was sent and has no answer
-    RUNNING = "running"
-    STOPPING = "stopping"
-
-
-class Run:
-    """One run of a task on one worker."""
-
-    __slots__ = (
-        "key",
-        "number",
-        "spec",
-        "status",
-        "started_at",
-        "is_adopted",
-        "answered_at",
-        "is_start_settled",
-        "stop_answered_at",
-        "is_stop_in_flight",
-        "percent",
-        "percent_at",
-        "usage",
-        "paced_at",
-        "pace",
-        "is_pace_predicted",
-        "move_blocked_by",
-        "is_suspect",
-        "session",
-        "team",
-    )
-
-    key: model.TaskKey
-    number: int
-    spec: model.StepSpec
-    status: RunStatus
-    started_at: float  # event-loop time, as are the following
-    is_adopted: bool  # from a previous owner: `started_at` is when it was first seen
-    answered_at: float  # when its start was answered, given up or first listed
-    is_start_settled: bool  # its start was answered or it was listed
-    stop_answered_at: float | None
-    is_stop_in_flight: bool
-    percent: int
-    percent_at: float  # when `percent` last changed
-    usage: int  # as in `model.RunningTask`
-    paced_at: float | None  # when `pace` last changed
-    pace: int  # share of its speed, in percent
-    is_pace_predicted: bool  # by what is learnt of its image, not by fixed steps
-    move_blocked_by: str  # why its last move was not possible; empty: none was tried
-    is_suspect: bool  # a worker has died while an earlier run of the task was suspect
-    session: "WorkerSession"
-    team: str  # of its job; empty: none
-
-    def __init__(
-        self,
-        key: model.TaskKey,
-        number: int,
-        spec: model.StepSpec,
-        session: "WorkerSession",
-        now: float,
-        team: str = "",
-    ) -> None:
-        self.key = key
-        self.number = number
-        self.spec = spec
-        self.status = RunStatus.STARTING
-        self.started_at = now
-        self.is_adopted = False
-        self.answered_at = now
-        self.is_start_settled = False
-        self.stop_answered_at = None
-        self.is_stop_in_flight = False
-        self.percent = 0
-        self.percent_at = now
-        self.usage = 0
-        self.paced_at = None
-        self.pace = 100
-        self.is_pace_predicted = False
-        self.move_blocked_by = ""
-        self.is_suspect = False
-        self.session = session
-        self.team = team
-
-
-class RunEvents(Protocol):
-    """Events and queries of a session, handled by the owner of its pool."""
-
-    def confirmed_at(self) -> float | None:
-        """Return when the last call that confirmed ownership was sent."""
-        ...
-
-    def may_lease(self, worker_id: str) -> bool:
-        """Whether the next owner will wait for a lease on the worker to end."""
-        ...
-
-    def on_contact(self, session: "WorkerSession") -> None:
-        """Handle the report of an answered renewal."""
-        ...
-
-    def on_unresponsive(self, session: "WorkerSession") -> None:
-        """Handle a renewal without an answer."""
-        ...
-
-    def on_end(
-        self, session: "WorkerSession", end: model.EndedTask, run: Run | None
-    ) -> None:
-        """Apply the end of a run that the worker lists."""
-        ...
-
-    def on_start_unanswered(self, session: "WorkerSession") -> None:
-        """Handle a start whose effect is open."""
-        ...
-
-    def on_crash(self, session: "WorkerSession") -> None:
-        """Handle the death of a worker, before its runs are dropped."""
-        ...
-
-    def on_lapse(self, session: "WorkerSession", run: Run) -> None:
-        """Handle the end of the lease of a run, before `on_run_gone`."""
-        ...
-
-    def on_run_gone(self, session: "WorkerSession", run: Run, reason: str) -> None:
-        """Handle a run that certainly does not execute although no end was listed."""
-        ...
-
-    def on_unknown_run(
-        self, session: "WorkerSession", listed: model.RunningTask
-    ) -> Run | None:
-        """Return the run to track for one of a previous owner; None if unwanted."""
-        ...
-
-    def on_fenced(self) -> None:
-        """Handle a refused order: the worker has seen a later owner."""
-        ...
-
-    def on_ticket_rejected(self, session: "WorkerSession", run: Run) -> None:
-        """Handle a start whose ticket the worker did not accept."""
-        ...
-
-    def orphan_spec(self, key: model.TaskKey) -> model.StepSpec | None:
-        """Return the spec of a run that this owner does not want; None if unknown."""
-        ...
-
-    def find_team(self, job_id: str) -> str:
-        """Return the team of a job; empty if it has none or is unknown."""
-        ...
-
-
 class WorkerSession:
     """State and connections of one worker for the owner of its pool."""
 
     entry: model.WorkerEntry
     fence: int
     lease_s: float  # longest lease, counted from the confirmation of ownership
-    runs: dict[tuple[model.TaskKey, int], Run]
+    runs: dict[tuple[model.TaskKey, int], worker_run.Run]
     free_cpu: int
     free_memory: int
     free_gpus: int
@@ -211,12 +58,12 @@
     ejected_until: float
     predictions_paused_until: float  # event-loop time; paces change by fixed steps
     _client: services.WorkerClient
-    _events: RunEvents
+    _events: worker_run.RunEvents
     _log_event: services.EventLog
     _clock_ms: int | None
     _clock_at: float
     _task: asyncio.Task[None] | None
-    _orders: set[asyncio.Task[None]]
+    _orders: worker_orders.WorkerOrders
     _returns: list[float]  # event-loop times at which it became responsive again
     _team_use: team_use.TeamUse  # of all workers of the partition
 
@@ -227,7 +74,7 @@
         lease_s: float,
         previous_lease_bound: float,
         client: services.WorkerClient,
-        events: RunEvents,
+        events: worker_run.RunEvents,
         log_event: services.EventLog,
         use: team_use.TeamUse | None = None,
     ) -> None:
@@ -263,7 +110,7 @@
         self._clock_ms = None
         self._clock_at = 0.0
         self._task = None
-        self._orders = set()
+        self._orders = worker_orders.WorkerOrders(self, client, events, log_event)
         self._returns = []
         self._team_use = team_use.TeamUse() if use is None else use
 
@@ -275,13 +122,21 @@
         """Stop calling the worker; its runs go on until the lease ends."""
         if self._task is not None:
             self._task.cancel()
-        for order in self._orders:
-            order.cancel()
+        self._orders.close()
 
     async def wait_closed(self) -> None:
         """Wait until the calls that `close` has cancelled have ended."""
         renewals = () if self._task is None else (self._task,)
-        await asyncio.gather(*renewals, *self._orders, return_exceptions=True)
+        await asyncio.gather(*renewals, *self._orders.pending(), return_exceptions=True)
+
+    def mark_unresponsive(self) -> None:
+        """Give the worker no new work until its next report."""
+        now = asyncio.get_running_loop().time()
+        self.last_contact = min(self.last_contact, now - UNRESPONSIVE_AFTER_S)
+
+    def eject(self) -> None:
+        """Give the worker no new work for some seconds."""
+        self.ejected_until = asyncio.get_running_loop().time() + EJECT_S
 
     def can_take(self, now: float) -> bool:
         """Whether the worker may get new work."""
@@ -329,7 +184,7 @@
             and (not spec.label or spec.label in self.entry.labels)
         )
 
-    def add_run(self, run: Run) -> None:
+    def add_run(self, run: worker_run.Run) -> None:
         """Track a run and count its capacity as in use."""
         self.runs[(run.key, run.number)] = run
         self._team_use.add(run)
@@ -338,7 +193,7 @@
         self.free_memory -= run.spec.memory_mb
         self.free_gpus -= run.spec.gpus
 
-    def drop_run(self, run: Run) -> bool:
+    def drop_run(self, run: worker_run.Run) -> bool:
         """Stop tracking a run and free its capacity; False if it was not tracked."""
         if self.runs.pop((run.key, run.number), None) is None:
             return False
@@ -349,30 +204,19 @@
         self.free_gpus += run.spec.gpus
         return True
 
-    def start(self, run: Run, payload: str, saved: str, ticket: str = "") -> None:
+    def start(
+        self, run: worker_run.Run, payload: str, saved: str, ticket: str = ""
+    ) -> None:
         """Send the order to start a run, which must be tracked already."""
-        self._spawn(self._start(run, payload, saved, ticket))
+        self._orders.start(run, payload, saved, ticket)
 
-    def stop(self, run: Run, reason: str) -> None:
+    def stop(self, run: worker_run.Run, reason: str) -> None:
         """Send the order to stop a run, unless it is being stopped already."""
-        if run.status is RunStatus.STOPPING:
-            return
-        self._log_event(
-            "stop",
-            job=run.key.job_id,
-            task=run.key.name_in_job,
-            run=run.number,
-            worker=self.entry.worker_id,
-            reason=reason,
-        )
-        run.status = RunStatus.STOPPING
-        run.stop_answered_at = None
-        self._spawn(self._stop(run))
+        self._orders.stop(run, reason)
 
-    def pace(self, run: Run, percent: int) -> None:
+    def pace(self, run: worker_run.Run, percent: int) -> None:
         """Send the order to limit a run to a share of its speed, in percent."""
-        run.pace = percent
-        self._spawn(self._pace(run, percent))
+        self._orders.pace(run, percent)
 
     def lease_until_ms(self) -> int | None:
         """Return the end of the next lease on the worker's clock, in ms.
@@ -407,7 +251,7 @@
             if not self.has_answered:
                 wait_ms = 0
             elif any(
-                run.status in (RunStatus.OPEN, RunStatus.STOPPING)
+                run.status in (worker_run.RunStatus.OPEN, worker_run.RunStatus.STOPPING)
                 for run in self.runs.values()
             ) or (self.runs and not self._events.may_lease(self.entry.worker_id)):
                 wait_ms = SETTLE_WAIT_MS
@@ -477,7 +321,7 @@
         if now < self.lease_bound + LEASE_MARGIN_S:
             return
         for run in list(self.runs.values()):
-            if run.status is not RunStatus.STARTING:
+            if run.status is not worker_run.RunStatus.STARTING:
                 self.drop_run(run)
                 self._events.on_lapse(self, run)
                 self._events.on_run_gone(self, run, "lease ended on a silent worker")
@@ -540,15 +384,15 @@
                 if run is None:
                     spec = self._events.orphan_spec(item.task) or self._rest_step()
                     team = self._events.find_team(item.task.job_id)
-                    run = Run(item.task, item.run, spec, self, now, team)
-                    run.status = RunStatus.RUNNING
+                    run = worker_run.Run(item.task, item.run, spec, self, now, team)
+                    run.status = worker_run.RunStatus.RUNNING
                     self.add_run(run)
                     self.stop(run, "not wanted by this owner")
                 else:
                     self.add_run(run)
             run.is_start_settled = True
-            if run.status is RunStatus.OPEN:
-                run.status = RunStatus.RUNNING
+            if run.status is worker_run.RunStatus.OPEN:
+                run.status = worker_run.RunStatus.RUNNING
                 run.answered_at = now
             if run.percent != item.percent:
                 run.percent = item.percent
@@ -559,13 +403,7 @@
                 if (run.key, run.number) not in listed:
                     self._settle_unlisted(run, sent_at)
         self.has_answered = True
-        for run in self.runs.values():
-            if (
-                run.status is RunStatus.STOPPING
-                and run.stop_answered_at is None
-                and not run.is_stop_in_flight
-            ):
-                self._spawn(self._stop(run))
+        self._orders.resend_unanswered_stops()
         self._events.on_contact(self)
 
     def _rest_step(self) -> model.StepSpec:
@@ -580,113 +418,20 @@
             gpus=max(0, self.free_gpus),
         )
 
-    def _settle_unlisted(self, run: Run, sent_at: float) -> None:
-        if run.status is RunStatus.OPEN and run.answered_at < sent_at:
+    def _settle_unlisted(self, run: worker_run.Run, sent_at: float) -> None:
+        if run.status is worker_run.RunStatus.OPEN and run.answered_at < sent_at:
             self.stop(run, "the start has no answer and is not listed")
-        elif run.status is RunStatus.RUNNING and run.answered_at < sent_at:
+        elif run.status is worker_run.RunStatus.RUNNING and run.answered_at < sent_at:
             self.drop_run(run)
             self._events.on_run_gone(self, run, "no longer listed")
         elif (
-            run.status is RunStatus.STOPPING
+            run.status is worker_run.RunStatus.STOPPING
             and run.stop_answered_at is not None
             and run.stop_answered_at < sent_at
         ):
             self.drop_run(run)
             self._events.on_run_gone(self, run, "stopped before it started")
 
-    def _spawn(self, order: Coroutine[None, None, None]) -> None:
-        task = asyncio.create_task(order)
-        self._orders.add(task)
-        task.add_done_callback(self._orders.discard)
-
-    async def _start(self, run: Run, payload: str, saved: str, ticket: str) -> None:
-        loop = asyncio.get_running_loop()
-        until = self.lease_until_ms()
-        if until is None:
-            self._abandon(run, "ownership is not confirmed")
-            return
-        order = model.StartOrder(
-            run.key, run.number, payload, until, self.fence, saved, ticket
-        )
-        try:
-            answer = await self._client.start(self.entry, order)
-        except errors.ClementinesparError as error:
-            if error.code is codes.ResultCode.CALL_NOT_SENT:
-                self.last_contact = min(
-                    self.last_contact, loop.time() - UNRESPONSIVE_AFTER_S
-                )
-                self._abandon(run, error.message)
-                return
-            run.answered_at = loop.time()
-            if run.status is RunStatus.STARTING:
-                run.status = RunStatus.OPEN
-            self._log_event(
-                "start_unanswered",
-                job=run.key.job_id,
-                task=run.key.name_in_job,
-                run=run.number,
-                worker=self.entry.worker_id,
-                code=int(error.code),
-            )
-            self._events.on_start_unanswered(self)
-            return
-        if answer.clock_ms is not None:
-            self.set_clock(answer.clock_ms)
-        run.answered_at = loop.time()
-        run.percent_at = run.answered_at
-        self.alive_at = run.answered_at
-        if answer.result is model.StartResult.STARTED:
-            run.is_start_settled = True
-            if run.status is RunStatus.STARTING:
-                run.status = RunStatus.RUNNING
-            return
-        if answer.result is model.StartResult.FENCED:
-            self._events.on_fenced()
-        if answer.result is model.StartResult.NO_TICKET:
-            self._events.on_ticket_rejected(self, run)
-        if answer.result in (model.StartResult.UNHEALTHY, model.StartResult.NO_ROOM):
-            self.ejected_until = loop.time() + EJECT_S
-        if run.status is RunStatus.STARTING:
-            self._abandon(run, f"refused: {answer.result.value}")
-
-    def _abandon(self, run: Run, reason: str) -> None:
-        if self.drop_run(run):
-            self._events.on_run_gone(self, run, reason)
-
-    async def _stop(self, run: Run) -> None:
-        run.is_stop_in_flight = True
-        try:
-            if await self._client.stop(self.entry, run.key, run.number, self.fence):
-                run.stop_answered_at = asyncio.get_running_loop().time()
-            else:
-                self._events.on_fenced()
-        except errors.ClementinesparError as error:
-            self._log_event(
-                "stop_unanswered",
-                job=run.key.job_id,
-                run=run.number,
-                worker=self.entry.worker_id,
-                code=int(error.code),
-            )
-        finally:
-            run.is_stop_in_flight = False
-
-    async def _pace(self, run: Run, percent: int) -> None:
-        try:
-            await self._client.pace(
-                self.entry, run.key, run.number, percent, self.fence
-            )
-        except errors.ClementinesparError as error:
-            # The worker's pace is unknown now. -1 is not a valid pace, so that a later
-            # report leads to an order again.
-            run.pace = -1
-            self._log_event(
-                "pace_unanswered",
-                job=run.key.job_id,
-                worker=self.entry.worker_id,
-                code=int(error.code),
-            )
-
     def record_outcome(self, job_id: str, is_failure: bool) -> bool:
         """Record the outcome of a run; True if a failure ejects the worker."""
         if not is_failure:
@@ -697,5 +442,5 @@
             return False
         # One job stays counted, so that a failure of another job ejects again.
         self.failed_jobs = {job_id}
-        self.ejected_until = asyncio.get_running_loop().time() + EJECT_S
+        self.eject()
         return True
