Split the owner of a partition: events of sessions have a module of their own

Change: jobs/session_events.py handles the events of the sessions with workers. The owner constructs it from the parts that the events reach, so the session table and the round of placement are constructed after them.

--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -33,6 +33,7 @@
     run_ends,
     run_watch,
     services,
+    session_events,
     session_table,
     state,
     task_placer,
@@ -41,7 +42,6 @@
     tickets,
     wait_watch,
     worker_deaths,
-    worker_run,
     worker_session,
     worker_use,
 )
@@ -154,19 +154,6 @@
             self.quotas.find_caps,
             metrics,
         )
-        self._sessions = session_table.SessionTable(
-            self.sessions_by_id,
-            epoch,
-            self._lease_s,
-            owns_pool,
-            directory,
-            workers,
-            self,
-            self._worker_use,
-            self._jobs,
-            self.quotas.use,
-            log_event,
-        )
         self._writer = progress_writer.ProgressWriter(
             partition,
             epoch,
@@ -193,19 +180,6 @@
             log_event,
             metrics,
         )
-        self._round = placement_round.PlacementRound(
-            epoch,
-            self._jobs,
-            self._sessions,
-            self._worker_use,
-            placer,
-            self._run_times,
-            self.quotas,
-            self.waits,
-            self._neighbours,
-            self._team_rates,
-            metrics,
-        )
         self._held_tasks = held_tasks.HeldTaskLog(log_event)
         self._ends = run_ends.RunEnds(
             self._jobs,
@@ -236,6 +210,43 @@
             log_event,
             metrics,
         )
+        events = session_events.SessionEvents(
+            self._jobs,
+            self._worker_use,
+            self._ends,
+            self._crash_watch,
+            self._neighbours,
+            self._run_watch,
+            self._tickets,
+            self.confirmed_at,
+            self.mark_lost,
+        )
+        self._sessions = session_table.SessionTable(
+            self.sessions_by_id,
+            epoch,
+            self._lease_s,
+            owns_pool,
+            directory,
+            workers,
+            events,
+            self._worker_use,
+            self._jobs,
+            self.quotas.use,
+            log_event,
+        )
+        self._round = placement_round.PlacementRound(
+            epoch,
+            self._jobs,
+            self._sessions,
+            self._worker_use,
+            placer,
+            self._run_times,
+            self.quotas,
+            self.waits,
+            self._neighbours,
+            self._team_rates,
+            metrics,
+        )
         self._death_watch = worker_deaths.WorkerDeathWatch(
             hosts,
             self._sessions.find_silent,
@@ -259,8 +270,6 @@
             log_event,
         )
 
-    # Events of worker sessions; see `worker_run.RunEvents`.
-
     def confirmed_at(self) -> float | None:
         """Return when the last call that confirmed ownership was sent."""
         is_checked = self._writer.is_fence_checked
@@ -270,107 +279,6 @@
         """Stop acting until the store has confirmed that no later owner has begun."""
         self._writer.check_fence()
 
-    def on_contact(self, session: worker_session.WorkerSession) -> None:
-        """Record that the worker has answered and request a round of placement."""
-        worker_id = session.entry.worker_id
-        self._worker_use.answered.add(worker_id)
-        self._crash_watch.on_contact(session)
-        if worker_id not in self._worker_use.in_use and not session.is_released():
-            self._worker_use.add(worker_id)
-            if not self.may_lease(worker_id):
-                self._jobs.flush_wanted.set()
-        self._neighbours.add_report(session, asyncio.get_running_loop().time())
-        self._run_watch.check(session)
-        self._jobs.schedule_wanted.set()
-
-    def may_lease(self, worker_id: str) -> bool:
-        """Whether the next owner will wait for a lease on the worker to end.
-
-        It will if the stored record lists the worker as in use.
-        """
-        return worker_id in self._worker_use.stored
-
-    def on_unresponsive(self, session: worker_session.WorkerSession) -> None:
-        """Queue copies of the speculative tasks that run on an unresponsive worker."""
-        self._crash_watch.mark_at_risk(session)
-        for run in session.runs.values():
-            if not run.spec.is_speculative:
-                continue
-            found = self._jobs.find_open_task(run.key)
-            if found is None:
-                continue
-            job, task = found
-            if not task.is_done and len(task.open_runs) == 1:
-                job.find_step(run.key).waiting.add(run.key.index)
-                self._jobs.schedule_wanted.set()
-
-    def on_ticket_rejected(
-        self, session: worker_session.WorkerSession, run: worker_run.Run
-    ) -> None:
-        """Drop the ticket, so that the adviser is asked for a new one."""
-        self._tickets.drop(run.key, session.entry.worker_id)
-
-    def on_fenced(self) -> None:
-        """Stop acting as the owner: a later owner has called a worker."""
-        self.mark_lost("a worker has seen a later owner")
-
-    def orphan_spec(self, key: model.TaskKey) -> model.StepSpec | None:
-        """Return the spec of a run that this owner does not want and has to stop.
-
-        None if the job is unknown, or final, so that its steps are no longer kept.
-        """
-        job = self.jobs_by_id.get(key.job_id)
-        if job is not None and 0 <= key.step < len(job.spec.steps):
-            return job.spec.steps[key.step]
-        return None
-
-    def find_team(self, job_id: str) -> str:
-        """Return the team of a job; empty if it has none or is unknown."""
-        job = self.jobs_by_id.get(job_id)
-        return "" if job is None else job.spec.team
-
-    def on_end(
-        self,
-        session: worker_session.WorkerSession,
-        end: model.EndedTask,
-        run: worker_run.Run | None,
-    ) -> None:
-        """Apply the end of a run once, whichever owner started it."""
-        if run is not None:
-            now = asyncio.get_running_loop().time()
-            self._neighbours.add_end(session, run, end.kind, now)
-        self._ends.on_end(session, end, run)
-
-    def on_start_unanswered(self, session: worker_session.WorkerSession) -> None:
-        """Store where the run may execute, in case its worker has died."""
-        self._crash_watch.mark_at_risk(session)
-
-    def on_lapse(
-        self, session: worker_session.WorkerSession, run: worker_run.Run
-    ) -> None:
-        """Keep a run at risk until its worker shows whether it died."""
-        self._crash_watch.on_lapse(session, run)
-
-    def on_crash(self, session: worker_session.WorkerSession) -> None:
-        """Count the death of a worker against the tasks that ran there."""
-        self._crash_watch.count_crash(session)
-
-    def on_run_gone(
-        self,
-        session: worker_session.WorkerSession,
-        run: worker_run.Run,
-        reason: str,
-    ) -> None:
-        """Requeue the task of a run that certainly does not execute."""
-        self._ends.on_run_gone(session, run, reason)
-        self._crash_watch.on_run_gone(session, run)
-
-    def on_unknown_run(
-        self, session: worker_session.WorkerSession, listed: model.RunningTask
-    ) -> worker_run.Run | None:
-        """Adopt a run of a previous owner if its task still needs it."""
-        return owner_loading.adopt_run(self._jobs, session, listed)
-
     # Requests of other nodes; see `owner_queries.OwnerQueries`.
 
     def describe(self, job_id: str) -> model.JobState | None:
