Look for a worker once a round for a team without room

Cause: each waiting step of a team at its cap looked at all workers in each round of placement, only to decide whether to ask for more.

Change: after the first such step of a round, the others are noted without it.

--- a/clementinespar/jobs/task_placer.py
+++ b/clementinespar/jobs/task_placer.py
@@ -85,7 +85,10 @@
         for index in sorted(indexes):
             task = step.tasks[index]
             if not fits(job.spec.team, step.spec):
-                if free_capacity.choose(step.spec, counts, set()) is not None:
+                if (
+                    self._is_lacking(job)
+                    or free_capacity.choose(step.spec, counts, set()) is not None
+                ):
                     self._note_lack(job, step, left)
                 break
             is_isolated = crash_counts.is_isolated(task, now)
@@ -106,6 +109,13 @@
             self._start(job, step, task, number, session, ticket)
             left -= 1
 
+    def _is_lacking(self, job: state.JobProgress) -> bool:
+        """Whether the team lacks room in this round, as an earlier step has shown.
+
+        A look for a worker for each step that waits would cost too much.
+        """
+        return job.spec.team in self._quotas.shares.lack
+
     def _note_lack(
         self, job: state.JobProgress, step: state.StepState, count: int
     ) -> None:
@@ -158,7 +168,10 @@
     ) -> None:
         """Start all members under one run number, or none of them."""
         if not self._quotas.shares.fits(job.spec.team, step.spec, len(step.tasks)):
-            if free_capacity.choose_gang(step.spec, len(step.tasks)) is not None:
+            if (
+                self._is_lacking(job)
+                or free_capacity.choose_gang(step.spec, len(step.tasks)) is not None
+            ):
                 self._note_lack(job, step, len(step.tasks))
             return
         chosen = free_capacity.choose_gang(step.spec, len(step.tasks))
--- a/clementinespar/jobs/tests/test_quota_machine.py
+++ b/clementinespar/jobs/tests/test_quota_machine.py
@@ -131,6 +131,7 @@
 
         The next one cannot reach some workers.
         """
+        self.count += 1
 
         async def change() -> None:
             fleet = self.fleet
@@ -141,10 +142,8 @@
             )
             await fleet.start_owner(partition)
             await asyncio.sleep(0.1 * len(unreached))
-            await fleet.submit(
-                partition,
-                quota_fleet.make_job(f"after{self.count}", "cores", pool, (4,)),
-            )
+            job = quota_fleet.make_job(f"job{self.count}", "cores", pool, (4,))
+            await fleet.submit(partition, job)
             await asyncio.sleep(0.5)
 
         self.call(change())
