--- a/clementinespar/jobs/maintenance.py
+++ b/clementinespar/jobs/maintenance.py
@@ -184,22 +184,28 @@
         )
         deadline_s = progress.wave.deadline_s
         left_s = progress.first_seen_at + deadline_s - loop.time()
-        pending_by_pool = collections.Counter(host.pool for host in pending)
+        lasting_by_pool = collections.Counter(
+            host.pool
+            for host in pending
+            if host.host_id in progress.evacuating_since
+            and self._count_lasting(host.worker_id)
+        )
         for host in wave_plan.order_hosts(pending, self._count_lasting):
             if host.host_id in progress.evacuating_since or host.state != "up":
                 continue
             if leaving >= progress.wave.max_down:
                 return
-            limit = wave_plan.leaving_limit(
-                size_by_pool[host.pool],
-                pending_by_pool[host.pool],
-                left_s,
-                deadline_s,
-            )
+            limit = wave_plan.leaving_limit(size_by_pool[host.pool], left_s, deadline_s)
             if self._evacuation.is_spare(host.pool):
                 limit = size_by_pool[host.pool]
             if out_by_pool.get(host.pool, 0) >= limit:
                 continue
+            if self._count_lasting(host.worker_id):
+                if lasting_by_pool[host.pool] >= wave_plan.leaving_lasting_limit(
+                    left_s, deadline_s
+                ):
+                    continue
+                lasting_by_pool[host.pool] += 1
             progress.evacuating_since[host.host_id] = loop.time()
             out_by_pool[host.pool] = out_by_pool.get(host.pool, 0) + 1
             leaving += 1
--- a/clementinespar/jobs/wave_plan.py
+++ b/clementinespar/jobs/wave_plan.py
@@ -2,7 +2,8 @@
 
 The load it answers: hosts with lasting tasks take several seconds to evacuate, since
 their tasks move one after another as far as their steps may miss some. If these hosts
-are left for the end, the wave is late.
+are left for the end, the wave is late; if all of them leave at once, they get no short
+work for as long as they wait for each other.
 """
 
 import math
@@ -12,31 +13,29 @@
 
 # Share of a pool's hosts that may leave at once; doubled near the deadline of a wave.
 MAX_LEAVING_SHARE = 0.25
-URGENT_SHARE = 2.0  # of `MAX_LEAVING_SHARE`
-# Evacuations of hosts with lasting tasks took 4 to 10 s on days with failures.
-EVACUATION_S = 8.0
+# Hosts of a pool with lasting tasks that may leave at once; doubled as well. One
+# evacuation took 4 to 10 s, so a wave of 24 s reaches a dozen hosts of each pool.
+MAX_LEAVING_LASTING = 3
+URGENT_FACTOR = 2
 
 
-def leaving_limit(
-    pool_hosts: int, pending_hosts: int, left_s: float, deadline_s: float
-) -> int:
+def leaving_limit(pool_hosts: int, left_s: float, deadline_s: float) -> int:
     """Return how many hosts of a pool may leave or be in maintenance at once.
 
     Parameters
     ----------
     pool_hosts : int
         Hosts of the pool.
-    pending_hosts : int
-        Hosts of the pool whose maintenance has not begun.
     left_s, deadline_s : float
         Time until the deadline of the wave, and from its start, in seconds.
     """
-    most = max(1, math.ceil(pool_hosts * MAX_LEAVING_SHARE * URGENT_SHARE))
-    if left_s <= deadline_s / 3:
-        return most
-    rounds = max(1.0, (left_s - EVACUATION_S) / EVACUATION_S)
-    needed = math.ceil(pending_hosts / rounds)
-    return min(most, max(1, math.ceil(pool_hosts * MAX_LEAVING_SHARE), needed))
+    share = MAX_LEAVING_SHARE * _factor(left_s, deadline_s)
+    return max(1, math.ceil(pool_hosts * share))
+
+
+def leaving_lasting_limit(left_s: float, deadline_s: float) -> int:
+    """Return how many hosts of a pool with lasting tasks may leave at once."""
+    return MAX_LEAVING_LASTING * _factor(left_s, deadline_s)
 
 
 def order_hosts(
@@ -50,3 +49,7 @@
         Returns the number of lasting tasks on a worker, by its id.
     """
     return sorted(pending, key=lambda host: -count_lasting(host.worker_id))
+
+
+def _factor(left_s: float, deadline_s: float) -> int:
+    return 1 if left_s > deadline_s / 3 else URGENT_FACTOR
