--- a/clementinespar/jobs/tests/test_fleet.py
+++ b/clementinespar/jobs/tests/test_fleet.py
@@ -259,7 +259,7 @@
 def test_hosts_that_leave_at_once(
     hosts: int, left_s: float, wanted: int, wanted_lasting: int
 ) -> None:
-    """Guards against a late wave, and against hosts that idle until others have left."""
+    """Guards against a late wave, and hosts that idle until others have left."""
     assert wave_plan.leaving_limit(hosts, left_s, 24.0) == wanted
     assert wave_plan.leaving_lasting_limit(left_s, 24.0) == wanted_lasting
 
