Revert "Learn run times of tasks without an image, and of the longest task of a step"

With later objectives more jobs count as able to meet theirs, and under overload more of them end just too late.

--- a/clementinespar/jobs/command_intake.py
+++ b/clementinespar/jobs/command_intake.py
@@ -12,7 +12,6 @@
     run_ends,
     services,
     state,
-    task_durations,
     team_rate,
     telemetry,
     wait_watch,
@@ -53,7 +52,7 @@
         store: services.JobStore,
         jobs: job_table.JobTable,
         ends: run_ends.RunEnds,
-        run_times: task_durations.RunTimes,
+        run_times: demand.RunTimes,
         arrivals_by_pool: dict[str, demand.ArrivalRate],
         waits: wait_watch.WaitWatch,
         team_rates: team_rate.TeamRates,
@@ -141,7 +140,7 @@
         loop = asyncio.get_running_loop()
         age_s = max(0.0, time.time() - job.spec.accepted_ms / 1000)
         objective_s = (
-            job.spec.stretch * job.remaining_ms(self._run_times.estimate_step_ms)
+            job.spec.stretch * job.remaining_ms(self._run_times.estimate_ms)
             + job.spec.objective_ms
         ) / 1000
         job.deadline = loop.time() - age_s + objective_s
--- a/clementinespar/jobs/owner_queries.py
+++ b/clementinespar/jobs/owner_queries.py
@@ -17,7 +17,6 @@
     services,
     session_table,
     state,
-    task_durations,
     team_use,
     wait_watch,
     worker_run,
@@ -39,7 +38,7 @@
         use: worker_use.WorkerUse,
         intake: command_intake.CommandIntake,
         watch: run_watch.RunWatch,
-        run_times: task_durations.RunTimes,
+        run_times: demand.RunTimes,
         arrivals_by_pool: Mapping[str, demand.ArrivalRate],
         quotas: owner_quotas.OwnerQuotas,
         waits: wait_watch.WaitWatch,
@@ -193,12 +192,12 @@
         self, pool: str, used_cores: float, now: float
     ) -> pool_demand.Demand:
         """Return the demand of work that can still meet its objective."""
-        estimate_step_ms = self._run_times.estimate_step_ms
+        estimate_ms = self._run_times.estimate_ms
         waiting = [
             (job.spec.team, team_use.needs(step.spec).times(len(step.waiting)))
             for job in self._jobs.active.values()
             if job.spec.pool == pool
-            and placement.rank(job, now, estimate_step_ms)[0] < placement.LATE
+            and placement.rank(job, now, estimate_ms)[0] < placement.LATE
             for occurrence in job.occurrences.values()
             for step in occurrence.ready_steps()
         ]
@@ -218,13 +217,13 @@
                     cores = run.spec.cpu_millis / 1000
                     job_id = run.key.job_id
                     cores_by_job[job_id] = cores_by_job.get(job_id, 0.0) + cores
-        step_ms = self._run_times.estimate_step_ms
+        estimate_ms = self._run_times.estimate_ms
         active = self._jobs.active
         return sum(
             cores
             for job_id, cores in cores_by_job.items()
             if job_id in active
-            and placement.rank(active[job_id], now, step_ms)[0] == placement.LATE
+            and placement.rank(active[job_id], now, estimate_ms)[0] == placement.LATE
         )
 
     def evacuate(
--- a/clementinespar/jobs/placement.py
+++ b/clementinespar/jobs/placement.py
@@ -34,7 +34,7 @@
 def rank(
     job: state.JobProgress,
     now: float,
-    estimate_step_ms: Callable[[model.StepSpec], float],
+    estimate_ms: Callable[[model.StepSpec], float],
 ) -> tuple[int, int, float]:
     """Return the sorting key of a job; the lowest is placed first.
 
@@ -46,7 +46,7 @@
     """
     if job.is_lasting:
         return (LASTING, job.spec.priority, 0.0)
-    chain_s = job.remaining_ms(estimate_step_ms) / 1000
+    chain_s = job.remaining_ms(estimate_ms) / 1000
     slack_s = job.deadline - now - chain_s
     if job.has_started:
         if slack_s >= -STARTED_TOLERANCE * chain_s:
--- a/clementinespar/jobs/placement_round.py
+++ b/clementinespar/jobs/placement_round.py
@@ -6,6 +6,7 @@
 
 from clementinespar.jobs import (
     crash_counts,
+    demand,
     fair_share,
     job_table,
     neighbours,
@@ -13,7 +14,6 @@
     placement,
     session_table,
     state,
-    task_durations,
     task_placer,
     team_rate,
     telemetry,
@@ -42,7 +42,7 @@
         sessions: session_table.SessionTable,
         use: worker_use.WorkerUse,
         placer: task_placer.TaskPlacer,
-        run_times: task_durations.RunTimes,
+        run_times: demand.RunTimes,
         quotas: owner_quotas.OwnerQuotas,
         waits: wait_watch.WaitWatch,
         neighbour_evidence: neighbours.Neighbours,
@@ -77,9 +77,9 @@
             and crash_counts.may_start(job)
             and any(s.waiting for o in job.occurrences.values() for s in o.steps)
         ]
-        step_ms = self._run_times.estimate_step_ms
+        estimate_ms = self._run_times.estimate_ms
         rank_by_id = {
-            job.spec.job_id: placement.rank(job, now, step_ms) for job in waiting
+            job.spec.job_id: placement.rank(job, now, estimate_ms) for job in waiting
         }
         usable_by_pool: dict[str, list[worker_session.WorkerSession]] = {
             pool: [session for session in usable if session.entry.pool == pool]
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -36,7 +36,6 @@
     session_events,
     session_table,
     state,
-    task_durations,
     task_placer,
     team_rate,
     telemetry,
@@ -95,7 +94,7 @@
     _unsubscribe: Callable[[], None]
     _team_rates: team_rate.TeamRates
     _tickets: tickets.TicketCache
-    _run_times: task_durations.RunTimes
+    _run_times: demand.RunTimes
 
     def __init__(
         self,
@@ -132,7 +131,7 @@
         self._lease_s = settings.lease_max_s * LEASE_SHARE
         self._worker_use = worker_use.WorkerUse()
         self._unsubscribe = _do_nothing
-        self._run_times = task_durations.RunTimes()
+        self._run_times = demand.RunTimes()
         self._team_rates = team_rate.TeamRates(find_weight, log_event, metrics)
         arrivals_by_pool: dict[str, demand.ArrivalRate] = {}
         self.quotas = owner_quotas.OwnerQuotas(
@@ -152,7 +151,6 @@
             self._jobs.active,
             self.sessions_by_id,
             self._run_times.estimate_ms,
-            self._run_times.estimate_step_ms,
             self.quotas.find_caps,
             metrics,
         )
--- a/clementinespar/jobs/run_ends.py
+++ b/clementinespar/jobs/run_ends.py
@@ -6,12 +6,12 @@
 
 from clementinespar.jobs import (
     crash_counts,
+    demand,
     job_table,
     model,
     owner_quotas,
     services,
     state,
-    task_durations,
     telemetry,
     tickets,
     worker_run,
@@ -28,7 +28,7 @@
     _jobs: job_table.JobTable
     _sessions_by_id: Mapping[str, worker_session.WorkerSession]
     _tickets: tickets.TicketCache
-    _run_times: task_durations.RunTimes
+    _run_times: demand.RunTimes
     _quotas: owner_quotas.OwnerQuotas
     _log_event: services.EventLog
     _metrics: telemetry.JobMetrics
@@ -38,7 +38,7 @@
         jobs: job_table.JobTable,
         sessions_by_id: Mapping[str, worker_session.WorkerSession],
         ticket_cache: tickets.TicketCache,
-        run_times: task_durations.RunTimes,
+        run_times: demand.RunTimes,
         quotas: owner_quotas.OwnerQuotas,
         log_event: services.EventLog,
         metrics: telemetry.JobMetrics,
@@ -75,7 +75,7 @@
             session.record_outcome(job.spec.job_id, False)
             if run is not None:
                 now = asyncio.get_running_loop().time()
-                self._run_times.add(end.task, step.spec, (now - run.started_at) * 1000)
+                self._run_times.add(step.spec, (now - run.started_at) * 1000)
             crash_counts.acquit(job, task)
             if step.spec.is_gang:
                 self._finish_gang(step, end.run)
--- a/clementinespar/jobs/state.py
+++ b/clementinespar/jobs/state.py
@@ -236,16 +236,14 @@
         base = (epoch - self.first_epoch) * RUNS_PER_EPOCH
         return max(base, task.last_run) + 1
 
-    def remaining_ms(
-        self, estimate_step_ms: Callable[[model.StepSpec], float]
-    ) -> float:
+    def remaining_ms(self, estimate_ms: Callable[[model.StepSpec], float]) -> float:
         """Return the estimated duration of the longest chain of remaining steps."""
         total = 0.0
         for occurrence in self.occurrences.values():
             lengths: list[float] = []
             for step in occurrence.steps:
                 before = max((lengths[i] for i in step.spec.after), default=0.0)
-                own = 0.0 if step.is_done else estimate_step_ms(step.spec)
+                own = 0.0 if step.is_done else estimate_ms(step.spec)
                 lengths.append(before + own)
             total = max(total, max(lengths, default=0.0))
         return total
--- a/clementinespar/jobs/wait_watch.py
+++ b/clementinespar/jobs/wait_watch.py
@@ -42,8 +42,7 @@
 
     _active: Mapping[str, state.JobProgress]
     _sessions_by_id: Mapping[str, worker_session.WorkerSession]
-    _estimate_ms: Callable[[model.StepSpec], float]  # of one task
-    _estimate_step_ms: Callable[[model.StepSpec], float]
+    _estimate_ms: Callable[[model.StepSpec], float]
     _metrics: telemetry.JobMetrics
     _waits_by_pool: dict[str, wait_estimate.PoolWaits]
     _made_at: float
@@ -56,7 +55,6 @@
         active: Mapping[str, state.JobProgress],
         sessions_by_id: Mapping[str, worker_session.WorkerSession],
         estimate_ms: Callable[[model.StepSpec], float],
-        estimate_step_ms: Callable[[model.StepSpec], float],
         find_caps: Callable[[], Mapping[str, resources.Resources]],
         metrics: telemetry.JobMetrics,
     ) -> None:
@@ -64,7 +62,6 @@
         self._active = active
         self._sessions_by_id = sessions_by_id
         self._estimate_ms = estimate_ms
-        self._estimate_step_ms = estimate_step_ms
         self._metrics = metrics
         self._waits_by_pool = {}
         self._made_at = 0.0
@@ -90,7 +87,7 @@
             return
         self._refresh(now)
         waits = self._waits_by_pool.get(job.spec.pool, wait_estimate.NO_WAITS)
-        chain_ms = job.remaining_ms(self._estimate_step_ms)
+        chain_ms = job.remaining_ms(self._estimate_ms)
         slack_ms = (job.deadline - now) * 1000 - chain_ms
         window_ms = slack_ms - placement.NEW_MARGIN * chain_ms
         estimated_ms = 0.0
@@ -189,7 +186,7 @@
         return wait_estimate.Amount(cpu, memory)
 
     def _find_slack_ms(self, job: state.JobProgress, now: float) -> float:
-        kind, _, slack_s = placement.rank(job, now, self._estimate_step_ms)
+        kind, _, slack_s = placement.rank(job, now, self._estimate_ms)
         if kind == placement.NEW:
             return max(0.0, slack_s * 1000)
         return -1.0 if kind == placement.STARTED else float("inf")
