Give the reason why a worker is passed over from the code that places

Cause: an operator cannot ask where a job would go, and a second implementation of the choice would drift from the first. Change: FreeCapacity.choose and explain_choice judge a worker by the same function, which returns its score or the reason why it cannot take the task. can_take, fits and find_usable are defined by functions that return the reason. WaitWatch.estimate and TeamRates.would_exceed tell what a new job would get without recording it. No behaviour of placement changes. Result: the tests of placement, pool owner, lasting recovery, neighbours, pacing, fair share and early rejection pass.

--- a/clementinespar/jobs/placement.py
+++ b/clementinespar/jobs/placement.py
@@ -2,9 +2,16 @@
 
 import asyncio
 import collections
-from collections.abc import Callable, Container
+import dataclasses
+from collections.abc import Callable, Container, Set
 
-from clementinespar.jobs import interference, model, state, worker_session
+from clementinespar.jobs import (
+    interference,
+    model,
+    passed_over,
+    state,
+    worker_session,
+)
 
 # A tail latency above this share of its target slows the fillers on the same worker,
 # before the target is exceeded.
@@ -26,6 +33,7 @@
 STARTED = 1
 NEW = 2
 LATE = 3
+CLASS_NAMES = ("lasting", "started", "new", "late")
 # Shares of the duration of the remaining chain of steps.
 STARTED_TOLERANCE = 0.3  # estimates are off by half
 NEW_MARGIN = 0.15  # for the time that later steps wait
@@ -56,6 +64,32 @@
     return (LATE, job.spec.priority, -slack_s)
 
 
+# What the parts of the score of a worker stand for; the last is the room.
+SCORE_REASONS = (
+    passed_over.Reason.FAILED_THERE,
+    passed_over.Reason.OTHER_RACK,
+    passed_over.Reason.SPREAD,
+    passed_over.Reason.SHARED,
+    passed_over.Reason.SERVING,
+    passed_over.Reason.SLOWER,
+    passed_over.Reason.ROOM,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """A worker that was considered for a task.
+
+    Attributes
+    ----------
+    reason : passed_over.Reason or None
+        Why it is passed over; None: it is the chosen one.
+    """
+
+    session: worker_session.WorkerSession
+    reason: passed_over.Reason | None
+
+
 class FreeCapacity:
     """Free capacity of the workers that may take work in one round of placement."""
 
@@ -115,27 +149,99 @@
         best: worker_session.WorkerSession | None = None
         best_score: tuple[float, ...] = ()
         for session in self._sessions:
-            worker_id = session.entry.worker_id
-            if now < session.isolated_until or not session.fits(spec):
-                continue
-            if spec.max_per_worker and counts[worker_id] >= spec.max_per_worker:
+            score = self._judge(session, spec, counts, avoided, now)
+            if isinstance(score, passed_over.Reason):
                 continue
-            score = (
-                -float(worker_id in avoided),
-                -float(bool(spec.data_rack) and session.entry.rack != spec.data_rack),
-                *_lasting_score(session, spec, counts[worker_id]),
-                -_serving_count(session) if spec.is_filler else 0.0,
-                0.0
-                if self._interference is None
-                else -slow_down_step(session, spec, self._interference),
-                -_free_share_after(session, spec)
-                if self._is_packed and not spec.is_lasting
-                else float(session.free_cpu),
-            )
             if best is None or score > best_score:
                 best, best_score = session, score
         return best
 
+    def _judge(
+        self,
+        session: worker_session.WorkerSession,
+        spec: model.StepSpec,
+        counts: collections.Counter[str],
+        avoided: Set[str],
+        now: float,
+    ) -> passed_over.Reason | tuple[float, ...]:
+        """Return the score of a worker, or why it cannot take one more task."""
+        worker_id = session.entry.worker_id
+        if now < session.isolated_until:
+            return passed_over.Reason.ISOLATED
+        lack = session.find_lack(spec)
+        if lack is not None:
+            return lack
+        if spec.max_per_worker and counts[worker_id] >= spec.max_per_worker:
+            return passed_over.Reason.LIMIT
+        return (
+            -float(worker_id in avoided),
+            -float(bool(spec.data_rack) and session.entry.rack != spec.data_rack),
+            *_lasting_score(session, spec, counts[worker_id]),
+            -_serving_count(session) if spec.is_filler else 0.0,
+            0.0
+            if self._interference is None
+            else -slow_down_step(session, spec, self._interference),
+            -_free_share_after(session, spec)
+            if self._is_packed and not spec.is_lasting
+            else float(session.free_cpu),
+        )
+
+    def explain_choice(
+        self,
+        spec: model.StepSpec,
+        counts: collections.Counter[str],
+        avoided: set[str],
+    ) -> list[Candidate]:
+        """Return all workers, the one that `choose` returns first, and best first."""
+        now = asyncio.get_running_loop().time()
+        chosen = self.choose(spec, counts, avoided)
+        scored: list[tuple[tuple[float, ...], worker_session.WorkerSession]] = []
+        unable: list[Candidate] = []
+        for session in self._sessions:
+            score = self._judge(session, spec, counts, avoided, now)
+            if isinstance(score, passed_over.Reason):
+                unable.append(Candidate(session, score))
+            else:
+                scored.append((score, session))
+        scored.sort(key=lambda item: item[0], reverse=True)  # equal ones keep the order
+        candidates = []
+        for score, session in scored:
+            reason = None
+            if session is not chosen:
+                reason = self._compare(score, scored[0][0], spec)
+            candidates.append(Candidate(session, reason))
+        return candidates + unable
+
+    def _compare(
+        self, score: tuple[float, ...], best: tuple[float, ...], spec: model.StepSpec
+    ) -> passed_over.Reason:
+        for own, other, reason in zip(score, best, SCORE_REASONS, strict=True):
+            if own != other:
+                is_packing = self._is_packed and not spec.is_lasting
+                if reason is passed_over.Reason.ROOM and is_packing:
+                    return passed_over.Reason.PACKED
+                return reason
+        return passed_over.Reason.EQUAL
+
+    def explain_gang(self, spec: model.StepSpec, size: int) -> list[Candidate]:
+        """Return all workers, those that `choose_gang` returns first."""
+        now = asyncio.get_running_loop().time()
+        chosen = self.choose_gang(spec, size)
+        members = {} if chosen is None else {id(s): s for s in chosen}
+        candidates = [Candidate(session, None) for session in members.values()]
+        for session in self._sessions:
+            if id(session) in members:
+                continue
+            reason = self._judge(session, spec, collections.Counter(), set(), now)
+            if isinstance(reason, tuple):
+                reason = passed_over.Reason.ROOM
+                if chosen is None:
+                    reason = passed_over.Reason.WHOLE_GANG
+                elif spec.is_same_rack and session.entry.rack != chosen[0].entry.rack:
+                    reason = passed_over.Reason.OTHER_RACK
+            candidates.append(Candidate(session, reason))
+        return candidates
+
     def restrict(self, worker_ids: Container[str]) -> "FreeCapacity":
         """Return the free capacity of some of the workers."""
         return FreeCapacity(
--- a/clementinespar/jobs/session_table.py
+++ b/clementinespar/jobs/session_table.py
@@ -6,6 +6,7 @@
 from clementinespar import background
 from clementinespar.jobs import (
     job_table,
+    passed_over,
     services,
     team_use,
     worker_session,
@@ -168,6 +169,14 @@
         return [
             session
             for session in self._sessions_by_id.values()
-            if session.can_take(now)
-            and session.entry.worker_id in self._worker_use.stored
+            if self.find_absence(session, now) is None
         ]
+
+    def find_absence(
+        self, session: worker_session.WorkerSession, now: float
+    ) -> passed_over.Reason | None:
+        """Return why a worker may not take work, or None if it may."""
+        absence = session.find_absence(now)
+        if absence is None and session.entry.worker_id not in self._worker_use.stored:
+            return passed_over.Reason.UNRECORDED
+        return absence
--- a/clementinespar/jobs/task_placer.py
+++ b/clementinespar/jobs/task_placer.py
@@ -106,11 +106,7 @@
             choices = free_capacity
             if is_isolated:
                 choices = free_capacity.restrict(self._find_quiet(now))
-            avoided = task.failed_on | self._find_endangered(step, task)
-            if task.key in self._left_by_task:
-                worker_id, until = self._left_by_task[task.key]
-                if now < until:
-                    avoided = avoided | {worker_id}
+            avoided = self._find_avoided(step, task, now)
             session = choices.choose(step.spec, counts, avoided)
             if session is None:
                 if not task.failed_on and not is_isolated:
@@ -124,6 +120,42 @@
             self._start(job, step, task, number, session, ticket)
             left -= 1
 
+    def _find_avoided(
+        self, step: state.StepState, task: state.TaskState, now: float
+    ) -> set[str]:
+        """Return the workers that get a task only if no other can take it."""
+        avoided = task.failed_on | self._find_endangered(step, task)
+        if task.key in self._left_by_task:
+            worker_id, until = self._left_by_task[task.key]
+            if now < until:
+                avoided = avoided | {worker_id}
+        return avoided
+
+    def explain_choice(
+        self,
+        job: state.JobProgress,
+        step: state.StepState,
+        free_capacity: placement.FreeCapacity,
+        now: float,
+    ) -> list[placement.Candidate]:
+        """Return the workers for the first task of a step that has not started.
+
+        Nothing is changed or sent, so tickets of the adviser are left out.
+        """
+        if step.spec.is_gang:
+            return free_capacity.explain_gang(step.spec, len(step.tasks))
+        task = step.tasks[min(step.waiting)]
+        return free_capacity.explain_choice(
+            step.spec,
+            self.count_per_worker(job, step),
+            self._find_avoided(step, task, now),
+        )
+
+    def share_fits(self, job: state.JobProgress, step: state.StepState) -> bool:
+        """Whether the team's share has room for the next start of a step."""
+        count = len(step.tasks) if step.spec.is_gang else 1
+        return self._quotas.shares.fits(job.spec.team, step.spec, count)
+
     def _note_lack(
         self, job: state.JobProgress, step: state.StepState, count: int
     ) -> None:
--- a/clementinespar/jobs/team_rate.py
+++ b/clementinespar/jobs/team_rate.py
@@ -80,6 +80,13 @@
         for job in sorted(jobs, key=lambda job: job.spec.accepted_ms):
             self._mark(job, now_ms)
 
+    def would_exceed(self, team: str, now_ms: float) -> bool:
+        """Whether a job that a team submits now would be above its rate."""
+        bucket = self._buckets_by_team.get(team)
+        if not team or bucket is None:
+            return False
+        return not dataclasses.replace(bucket).take(self.find_weight(team), now_ms)
+
     def _mark(self, job: state.JobProgress, now_ms: float) -> None:
         team = job.spec.team
         if not team:
--- a/clementinespar/jobs/wait_watch.py
+++ b/clementinespar/jobs/wait_watch.py
@@ -85,6 +85,19 @@
         """Record the estimate for a job that has just arrived."""
         if job.is_lasting or job.spec.occurrences or job.has_started:
             return
+        estimated_ms, was_in_time = self.estimate(job, now)
+        self._job_waits[job.spec.job_id] = _JobWait(now, estimated_ms, was_in_time)
+
+    def estimate(self, job: state.JobProgress, now: float) -> tuple[float, bool]:
+        """Return the wait of a job that arrives now, and whether it starts in time.
+
+        Returns
+        -------
+        float
+            The wait in ms until its first start.
+        bool
+            Whether it is expected to start before it is late.
+        """
         self._refresh(now)
         waits = self._waits_by_pool.get(job.spec.pool, wait_estimate.NO_WAITS)
         chain_ms = job.remaining_ms(self._estimate_ms)
@@ -99,7 +112,7 @@
                 was_in_time = was_in_time and not is_late
                 own_ms = wait.wait_ms if is_late else ahead_ms
                 estimated_ms = max(estimated_ms, own_ms)
-        self._job_waits[job.spec.job_id] = _JobWait(now, estimated_ms, was_in_time)
+        return estimated_ms, was_in_time
 
     def note_start(self, job: state.JobProgress, now: float) -> None:
         """Compare the estimate for a job with its wait, at its first start."""
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -11,7 +11,7 @@
 from typing import Protocol
 
 from clementinespar import codes, errors
-from clementinespar.jobs import model, services, team_use
+from clementinespar.jobs import model, passed_over, services, team_use
 
 # A worker's clock may run 2% slow, so a lease lasts that much longer in real time.
 MIN_CLOCK_RATE = 0.98
@@ -285,16 +285,20 @@
 
     def can_take(self, now: float) -> bool:
         """Whether the worker may get new work."""
-        return (
-            self.has_answered
-            and self.is_listed
-            and not self.is_silent
-            and not self.is_dead
-            and not self.is_evacuating
-            and not self.entry.is_draining
-            and now - self.last_contact < UNRESPONSIVE_AFTER_S
-            and now >= self.ejected_until
-        )
+        return self.find_absence(now) is None
+
+    def find_absence(self, now: float) -> passed_over.Reason | None:
+        """Return why the worker gets no new work, or None if it may."""
+        if not self.is_listed:
+            return passed_over.Reason.UNLISTED
+        if self.is_evacuating:
+            return passed_over.Reason.EVACUATED
+        if self.entry.is_draining:
+            return passed_over.Reason.DRAINING
+        is_unresponsive = now - self.last_contact >= UNRESPONSIVE_AFTER_S
+        if not self.has_answered or self.is_silent or self.is_dead or is_unresponsive:
+            return passed_over.Reason.SILENT
+        return passed_over.Reason.EJECTED if now < self.ejected_until else None
 
     def is_responsive(self) -> bool:
         """Whether the worker has answered recently."""
@@ -322,12 +326,17 @@
 
     def fits(self, spec: model.StepSpec) -> bool:
         """Whether the free capacity is enough for one more task of a step."""
-        return (
-            (spec.is_filler or spec.cpu_millis <= self.free_cpu)
-            and spec.memory_mb <= self.free_memory
-            and spec.gpus <= self.free_gpus
-            and (not spec.label or spec.label in self.entry.labels)
-        )
+        return self.find_lack(spec) is None
+
+    def find_lack(self, spec: model.StepSpec) -> passed_over.Reason | None:
+        """Return what the worker lacks for one more task of a step, or None."""
+        if spec.label and spec.label not in self.entry.labels:
+            return passed_over.Reason.LABEL
+        if not spec.is_filler and spec.cpu_millis > self.free_cpu:
+            return passed_over.Reason.CORES
+        if spec.memory_mb > self.free_memory:
+            return passed_over.Reason.MEMORY
+        return passed_over.Reason.ACCELERATORS if spec.gpus > self.free_gpus else None
 
     def add_run(self, run: Run) -> None:
         """Track a run and count its capacity as in use."""
