Keep the choice of a worker as fast as before reasons

Cause: a call for each worker and the look-up of members of an enumeration (180 ns on Python 3.11) made a choice among 43 workers without room take 22.6 us instead of 8.2 us. Change: FreeCapacity judges all workers in one loop, and collects the obstacles only for an explanation; the members are bound once.

--- a/clementinespar/jobs/placement.py
+++ b/clementinespar/jobs/placement.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import dataclasses
+import operator
 from collections.abc import Callable, Container, Set
 
 from clementinespar.jobs import (
@@ -74,6 +75,7 @@
     passed_over.Reason.SLOWER,
     passed_over.Reason.ROOM,
 )
+_SCORE_OF = operator.itemgetter(1)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -145,46 +147,54 @@
         avoided : set of str
             Workers on which the task failed; chosen only if no other can take it.
         """
-        now = asyncio.get_running_loop().time()
-        best: worker_session.WorkerSession | None = None
-        best_score: tuple[float, ...] = ()
-        for session in self._sessions:
-            score = self._judge(session, spec, counts, avoided, now)
-            if isinstance(score, passed_over.Reason):
-                continue
-            if best is None or score > best_score:
-                best, best_score = session, score
-        return best
+        scored = self._judge(spec, counts, avoided)
+        return max(scored, key=_SCORE_OF, default=(None, ()))[0]
 
     def _judge(
         self,
-        session: worker_session.WorkerSession,
         spec: model.StepSpec,
         counts: collections.Counter[str],
         avoided: Set[str],
-        now: float,
-    ) -> passed_over.Reason | tuple[float, ...]:
-        """Return the score of a worker, or why it cannot take one more task."""
-        worker_id = session.entry.worker_id
-        if now < session.isolated_until:
-            return passed_over.Reason.ISOLATED
-        lack = session.find_lack(spec)
-        if lack is not None:
-            return lack
-        if spec.max_per_worker and counts[worker_id] >= spec.max_per_worker:
-            return passed_over.Reason.LIMIT
-        return (
-            -float(worker_id in avoided),
-            -float(bool(spec.data_rack) and session.entry.rack != spec.data_rack),
-            *_lasting_score(session, spec, counts[worker_id]),
-            -_serving_count(session) if spec.is_filler else 0.0,
-            0.0
-            if self._interference is None
-            else -slow_down_step(session, spec, self._interference),
-            -_free_share_after(session, spec)
-            if self._is_packed and not spec.is_lasting
-            else float(session.free_cpu),
-        )
+        unable: list[Candidate] | None = None,
+    ) -> list[tuple[worker_session.WorkerSession, tuple[float, ...]]]:
+        """Return the workers that can take one more task of a step, with their scores.
+
+        Parameters
+        ----------
+        unable : list of Candidate, optional
+            Gets the other workers with what is against them.
+        """
+        now = asyncio.get_running_loop().time()
+        limit = spec.max_per_worker
+        scored: list[tuple[worker_session.WorkerSession, tuple[float, ...]]] = []
+        for session in self._sessions:
+            worker_id = session.entry.worker_id
+            obstacle: passed_over.Reason | None
+            if now < session.isolated_until:
+                obstacle = passed_over.Reason.ISOLATED
+            else:
+                obstacle = session.find_lack(spec)
+                if obstacle is None and limit and counts[worker_id] >= limit:
+                    obstacle = passed_over.Reason.LIMIT
+            if obstacle is not None:
+                if unable is not None:
+                    unable.append(Candidate(session, obstacle))
+                continue
+            is_elsewhere = bool(spec.data_rack) and session.entry.rack != spec.data_rack
+            score = (
+                -float(worker_id in avoided),
+                -float(is_elsewhere),
+                *_lasting_score(session, spec, counts[worker_id]),
+                -_serving_count(session) if spec.is_filler else 0.0,
+                0.0
+                if self._interference is None
+                else -slow_down_step(session, spec, self._interference),
+                -_free_share_after(session, spec)
+                if self._is_packed and not spec.is_lasting
+                else float(session.free_cpu),
+            )
+            scored.append((session, score))
+        return scored
 
     def explain_choice(
         self,
@@ -193,22 +203,15 @@
         avoided: set[str],
     ) -> list[Candidate]:
         """Return all workers, the one that `choose` returns first, and best first."""
-        now = asyncio.get_running_loop().time()
         chosen = self.choose(spec, counts, avoided)
-        scored: list[tuple[tuple[float, ...], worker_session.WorkerSession]] = []
         unable: list[Candidate] = []
-        for session in self._sessions:
-            score = self._judge(session, spec, counts, avoided, now)
-            if isinstance(score, passed_over.Reason):
-                unable.append(Candidate(session, score))
-            else:
-                scored.append((score, session))
-        scored.sort(key=lambda item: item[0], reverse=True)  # equal ones keep the order
+        scored = self._judge(spec, counts, avoided, unable)
+        scored.sort(key=_SCORE_OF, reverse=True)  # equal ones keep their order
         candidates = []
-        for score, session in scored:
+        for session, score in scored:
             reason = None
             if session is not chosen:
-                reason = self._compare(score, scored[0][0], spec)
+                reason = self._compare(score, scored[0][1], spec)
             candidates.append(Candidate(session, reason))
         return candidates + unable
 
@@ -225,22 +228,20 @@
 
     def explain_gang(self, spec: model.StepSpec, size: int) -> list[Candidate]:
         """Return all workers, those that `choose_gang` returns first."""
-        now = asyncio.get_running_loop().time()
         chosen = self.choose_gang(spec, size)
         members = {} if chosen is None else {id(s): s for s in chosen}
         candidates = [Candidate(session, None) for session in members.values()]
-        for session in self._sessions:
+        unable: list[Candidate] = []
+        for session, _ in self._judge(spec, collections.Counter(), set(), unable):
             if id(session) in members:
                 continue
-            reason = self._judge(session, spec, collections.Counter(), set(), now)
-            if isinstance(reason, tuple):
-                reason = passed_over.Reason.ROOM
-                if chosen is None:
-                    reason = passed_over.Reason.WHOLE_GANG
-                elif spec.is_same_rack and session.entry.rack != chosen[0].entry.rack:
-                    reason = passed_over.Reason.OTHER_RACK
+            reason = passed_over.Reason.ROOM
+            if chosen is None:
+                reason = passed_over.Reason.WHOLE_GANG
+            elif spec.is_same_rack and session.entry.rack != chosen[0].entry.rack:
+                reason = passed_over.Reason.OTHER_RACK
             candidates.append(Candidate(session, reason))
-        return candidates
+        return candidates + unable
 
     def restrict(self, worker_ids: Container[str]) -> "FreeCapacity":
         """Return the free capacity of some of the workers."""
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -28,6 +28,12 @@
 # for 1, 2, then 4 s. Being idle, it would otherwise attract work at each return.
 FLAP_WINDOW_S = 15.0
 FLAP_PAUSE_MAX_S = 4.0
+# Looking up a member of an enumeration costs as much as the comparison before it, and
+# a round of placement makes thousands of these comparisons.
+_CORES = passed_over.Reason.CORES
+_MEMORY = passed_over.Reason.MEMORY
+_ACCELERATORS = passed_over.Reason.ACCELERATORS
+_LABEL = passed_over.Reason.LABEL
 
 
 class RunStatus(enum.Enum):
@@ -330,13 +336,15 @@
 
     def find_lack(self, spec: model.StepSpec) -> passed_over.Reason | None:
         """Return what the worker lacks for one more task of a step, or None."""
-        if spec.label and spec.label not in self.entry.labels:
-            return passed_over.Reason.LABEL
-        if not spec.is_filler and spec.cpu_millis > self.free_cpu:
-            return passed_over.Reason.CORES
+        if spec.cpu_millis > self.free_cpu and not spec.is_filler:
+            return _CORES
         if spec.memory_mb > self.free_memory:
-            return passed_over.Reason.MEMORY
-        return passed_over.Reason.ACCELERATORS if spec.gpus > self.free_gpus else None
+            return _MEMORY
+        if spec.gpus > self.free_gpus:
+            return _ACCELERATORS
+        if spec.label and spec.label not in self.entry.labels:
+            return _LABEL
+        return None
 
     def add_run(self, run: Run) -> None:
         """Track a run and count its capacity as in use."""
