Show where a job would be placed, without submitting it

Cause: an operator could only learn where a job goes, and why it waits or is rejected, by submitting it. Change: 'explain placement' sends a job to any node (POST /v1/placement), which asks the owner of the queue's pool. The owner answers from the code that places: the order, the work before it, the estimated wait, the rejection, the room in the team's share, and the workers for the first ready task, the chosen one first, with the reason against each other one. Nothing is kept or sent. PlacementRound is split into the functions that both use.

--- a/clementinespar/commands/client.py
+++ b/clementinespar/commands/client.py
@@ -114,11 +114,17 @@
         path: str,
         query: Mapping[str, str] | None = None,
         limit: int | None = None,
+        question: Json | None = None,
     ) -> list[Reply]:
         """Return the replies of the first ``limit`` nodes that reply (default: all).
 
         Replies with a server error (5xx) are returned only if there are no others.
 
+        Parameters
+        ----------
+        question : Json, optional
+            Body of a POST that changes nothing, so that it may be sent to any node.
+
         Raises
         ------
         exits.UnreachableError
@@ -128,7 +134,8 @@
         errors: list[Reply] = []
         failures: list[NoReply] = []
         for node in self.nodes:
-            result = await self.call(node, "GET", path, query)
+            method = "GET" if question is None else "POST"
+            result = await self.call(node, method, path, query, question)
             if isinstance(result, NoReply):
                 failures.append(result)
                 self.try_last(node)
--- a/clementinespar/commands/status.py
+++ b/clementinespar/commands/status.py
@@ -4,7 +4,7 @@
 
 import click
 
-from clementinespar.commands import client, replies, shared, tables
+from clementinespar.commands import client, exits, placement, replies, shared, tables
 
 _SECTIONS = ("peers", "pools", "waves", "services")
 _MIN_TIMESTAMP_MS = 10**12  # larger values are timestamps, others are durations
@@ -18,6 +18,7 @@
     "image": "/v1/images",
     "team": "/v1/teams",
 }
+_PLACEMENT_SUBJECT = "placement"
 
 
 @click.command("status")
@@ -70,12 +71,18 @@
 
 
 @click.command("explain")
-@click.argument("subject", type=click.Choice(sorted(_PATH_BY_SUBJECT)))
-@click.argument("name")
+@click.argument(
+    "subject", type=click.Choice(sorted((*_PATH_BY_SUBJECT, _PLACEMENT_SUBJECT)))
+)
+@click.argument("name", default="", metavar="NAME|FILE|-")
+@click.option("--queue", default="", metavar="NAME", help="With placement: the queue.")
+@click.option("--team", default="", metavar="NAME", help="With placement: the team.")
 @shared.client_options
 def explain_subject(
     subject: str,
     name: str,
+    queue: str,
+    team: str,
     nodes: tuple[str, ...],
     timeout_s: float,
     as_json: bool,
@@ -85,7 +92,17 @@
     Of an image, it shows which others it slows down, and which slow it down. A wave
     is named by its pool. The outcome of a request is known only to the node to which
     its caller sent it, so all given nodes are asked.
+
+    With placement, it shows where a job from a file or standard input would be placed
+    now, without submitting it.
     """
+    if subject == _PLACEMENT_SUBJECT:
+        _explain_placement(name or "-", queue, team, nodes, timeout_s, as_json)
+        return
+    if not name:
+        raise click.UsageError("Missing argument 'NAME'.")
+    if queue or team:
+        raise click.UsageError("--queue and --team are options of placement.")
     # Ids of requests may contain characters that are not allowed in a path.
     path = f"{_PATH_BY_SUBJECT[subject]}/{client.quote(name)}"
 
@@ -111,6 +128,34 @@
         click.echo(f"code: {client.code_text(reply.code)}")
 
 
+def _explain_placement(
+    path: str,
+    queue: str,
+    team: str,
+    nodes: tuple[str, ...],
+    timeout_s: float,
+    as_json: bool,
+) -> None:
+    if not queue:
+        raise click.UsageError("Missing option '--queue'.")
+    try:
+        with click.open_file(path) as stream:
+            question = placement.read_question(stream, queue, team)
+    except OSError as error:
+        raise exits.BadInputError(str(error)) from error
+
+    async def action(admin: client.AdminClient) -> client.Reply:
+        return (await admin.get_all(placement.PATH, limit=1, question=question))[0]
+
+    reply = shared.with_client(nodes, timeout_s, action)
+    placement.check_reply(reply)
+    if as_json:
+        shared.print_json(reply.values)
+        return
+    for line in placement.lines(reply.values):
+        click.echo(line)
+
+
 def plan_lines(plan: client.Json) -> list[str]:
     """Return the next actions of a plan, followed by the explanation of each pool."""
     lines = []
--- a/clementinespar/commands/tests/test_commands.py
+++ b/clementinespar/commands/tests/test_commands.py
@@ -217,6 +217,10 @@
         (("status", "--node", "localhost:1"), exits.ExitStatus.BAD_INPUT),
         (("status",), exits.ExitStatus.BAD_INPUT),
         (("explain", "rack", "r1", "--node", "NODE"), exits.ExitStatus.BAD_INPUT),
+        (("explain", "job", "--node", "NODE"), exits.ExitStatus.BAD_INPUT),
+        (("explain", "placement", "--node", "NODE"), exits.ExitStatus.BAD_INPUT),
+        (("explain", "placement", "x", "--queue", "q", "--node", "NODE"), 2),
+        (("explain", "job", "1", "--queue", "q", "--node", "NODE"), 2),
         (("publish", "x.toml", "--env", "trial", "--node", "NODE"), 2),
         (("diff", "--env", "trial", "--node", "NODE"), exits.ExitStatus.BAD_INPUT),
         (("check", "README.md"), exits.ExitStatus.BAD_INPUT),
@@ -254,6 +258,54 @@
     assert result.exit_code == exits.ExitStatus.BAD_INPUT
 
 
+_PLACEMENT = {
+    "subject": "a job of queue q in pool p",
+    "state": "would wait for room",
+    "owner": {"node": "10.0.0.1:1", "partition": 3, "epoch": 5},
+    "order": {"class": "new", "priority": 0, "slack_ms": 80, "is_over_rate": True},
+    "before": {"jobs": 2, "cpu_millis": 4000.0, "memory_mb": 10.0, "gpus": 0.0},
+    "wait": {"wait_ms": 900, "start_ms": 1_700_000_000_000, "is_in_time": True},
+    "rejection": {"code": 627, "retry_after_s": 4, "wait_ms": 9000},
+    "team": {"name": "t", "use": [1, 2, 0], "share": None, "has_room": False},
+    "step": 0,
+    "workers": [{"worker": "w1", "verdict": "no_cores", "free_gpus": 1}],
+    "code": 0,
+}
+
+
+@pytest.mark.parametrize(
+    ("stdin", "reply", "status", "shown"),
+    [
+        ("{}", (200, _PLACEMENT), 0, "627 POOL_OVERLOADED, Retry-After 4 s"),
+        ("{}", (200, _PLACEMENT), 0, "slack 80 ms, above its team's rate"),
+        ("{}", (200, _PLACEMENT), 0, "team t: its share has no room"),
+        ("{}", (200, _PLACEMENT), 0, "w1      no_cores"),
+        ("{", None, 2, "620 JOB_INVALID"),
+        ("[]", None, 2, "620 JOB_INVALID"),
+        ("{}", (400, {"code": 620, "message": "steps"}), 2, "620 JOB_INVALID: steps"),
+        ("{}", (404, {"code": 622, "message": "no"}), 1, "622 QUEUE_UNKNOWN"),
+        ("{}", (503, {"code": 624, "message": "no"}), 3, "624 JOB_OWNER_UNKNOWN"),
+    ],
+)
+def test_explain_placement(
+    stdin: str, reply: tuple[int, dict[str, Any]] | None, status: int, shown: str
+) -> None:
+    """Guards against an answer that is not shown, or the wrong exit status."""
+    bodies = []
+
+    def handle(method: str, path: str, body: Any) -> tuple[int, dict[str, Any]] | None:
+        bodies.append((method, path, body))
+        return reply
+
+    with fake_admin.serve(handle) as admin:
+        arguments = ("explain", "placement", "--queue", "q", "--node", admin.node)
+        result = testing.CliRunner().invoke(cli.main, arguments, input=stdin)
+        assert result.exit_code == status, result.output
+        assert shown in result.output
+    question = {"queue": "q", "team": "", "job": {}}
+    assert bodies == ([("POST", "/v1/placement", question)] if reply else [])
+
+
 def test_explain_asks_every_node_about_a_request() -> None:
     """Guards against "not known" from a node that did not receive the request."""
     explanation = {
--- a/clementinespar/jobs/peer_server.py
+++ b/clementinespar/jobs/peer_server.py
@@ -26,7 +26,7 @@
         """Answer as the owner; with 503 if this node is not, 400 if it is malformed."""
         path = (self.request.uri or "")[len(partition) + 1 :]
         try:
-            reply = self._jobs.answer_peer(int(partition), path)
+            reply = self._jobs.answer_peer(int(partition), path, self.request.body)
         except errors.ClementinesparError as error:
             self.set_status(503)
             reply = {"code": int(error.code), "message": error.message}
@@ -35,6 +35,10 @@
             reply = {"message": repr(error)}
         self.finish(json.dumps(reply))
 
+    def post(self, partition: str) -> None:
+        """Answer a question that has a body, as `get`."""
+        self.get(partition)
+
 
 class _CommandHandler(http_servers.Handler):
     """Appends a command of a caller that reached a peer."""
@@ -147,6 +151,41 @@
         self.finish(json.dumps(reply))
 
 
+_INVALID_CODES = frozenset(
+    {
+        codes.ResultCode.JOB_INVALID,
+        codes.ResultCode.JOB_TOO_LARGE,
+        codes.ResultCode.KEY_UNKNOWN,
+    }
+)
+_UNKNOWN_CODES = frozenset(
+    {codes.ResultCode.QUEUE_UNKNOWN, codes.ResultCode.TEAM_UNKNOWN}
+)
+
+
+class _PlacementHandler(http_servers.Handler):
+    """Shows to operators where a job would be placed, without submitting it."""
+
+    def initialize(self, jobs: service.JobService) -> None:
+        self._jobs = jobs
+
+    async def post(self) -> None:
+        """Answer 400 if it is malformed, 404 for an unknown queue or team, or 503."""
+        try:
+            reply = await self._jobs.explain_placement(
+                self.request.body, self.request.host
+            )
+        except errors.ClementinesparError as error:
+            status = 404 if error.code in _UNKNOWN_CODES else 503
+            self.set_status(400 if error.code in _INVALID_CODES else status)
+            reply = {
+                "code": int(error.code),
+                "name": error.code.name,
+                "message": error.message,
+            }
+        self.finish(json.dumps(reply))
+
+
 class _MetricsHandler(http_servers.Handler):
     """Serves the metrics of the node."""
 
@@ -176,6 +215,7 @@
             (r"/quota/request", _QuotaRequestHandler, {"quotas": quotas}),
             (r"/(\d+)/quota/recall", _QuotaRecallHandler, {"quotas": quotas}),
             (r"/v1/images/(.+)", _ImageHandler, {"jobs": jobs}),
+            (r"/v1/placement", _PlacementHandler, {"jobs": jobs}),
             (r"/(\d+)/commands/([^/]+)", _CommandHandler, {"jobs": jobs}),
             (r"/(\d+)/.*", _PeerRequestHandler, {"jobs": jobs}),
         ]
--- a/clementinespar/jobs/placement_round.py
+++ b/clementinespar/jobs/placement_round.py
@@ -1,5 +1,6 @@
 """A round of placement: which jobs wait, in which order, and what is free."""
 
+import dataclasses
 import heapq
 import math
 from collections.abc import Iterable, Sequence
@@ -29,6 +30,30 @@
 LATE_WORK_MIN_USE = 0.5
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Preview:
+    """What a round of placement would do with a job that arrives now.
+
+    Attributes
+    ----------
+    kind : int
+        The class of `placement.rank`.
+    before : Sequence of state.JobProgress
+        Waiting jobs of the pool that are placed first.
+    is_contended : bool
+        Whether the fair shares of teams count.
+    is_held_back : bool
+        Whether it is late and its pool lends hosts.
+    """
+
+    kind: int
+    key: fair_share.OrderKey
+    before: Sequence[state.JobProgress]
+    is_contended: bool
+    is_held_back: bool
+    free_capacity: placement.FreeCapacity
+
+
 class PlacementRound:
     """Places the waiting tasks of one partition for its owner."""
 
@@ -64,19 +89,11 @@
 
     def run(self, now: float) -> None:
         """Start the tasks that are ready, as far as the free capacity allows."""
-        is_settled = self._worker_use.is_settled()
         self._quotas.begin_round()
         usable = self._sessions.find_usable(now)
         if not usable:
             return
-        waiting = [
-            job
-            for job in self._jobs.active.values()
-            if job.is_adopted
-            and (is_settled or job.adopted_epoch == self._epoch)
-            and crash_counts.may_start(job)
-            and any(s.waiting for o in job.occurrences.values() for s in o.steps)
-        ]
+        waiting = self._find_waiting()
         estimate_ms = self._run_times.estimate_ms
         rank_by_id = {
             job.spec.job_id: placement.rank(job, now, estimate_ms) for job in waiting
@@ -86,11 +103,7 @@
             for pool in {job.spec.pool for job in waiting}
         }
         free_capacity_by_pool = {
-            pool: placement.FreeCapacity(
-                sessions,
-                self._neighbours.find_model(pool),
-                is_packed=now - self._full_at_by_pool.get(pool, -math.inf) < PACKED_S,
-            )
+            pool: self._make_free_capacity(pool, sessions, now)
             for pool, sessions in usable_by_pool.items()
         }
         work_by_id: dict[str, fair_share.Amount] = {}
@@ -134,6 +147,68 @@
             if shares and job.has_started and not had_started:
                 shares.claim(job.spec.team, work_by_id[job.spec.job_id])
 
+    def preview(self, job: state.JobProgress, now: float) -> Preview:
+        """Return what a round would do now with a job that is not part of it yet."""
+        pool = job.spec.pool
+        usable = [s for s in self._sessions.find_usable(now) if s.entry.pool == pool]
+        free_capacity = self._make_free_capacity(pool, usable, now)
+        waiting = [other for other in self._find_waiting() if other.spec.pool == pool]
+        shares = None
+        if usable and (self._team_rates.has_teams or job.spec.team):
+            work = [(other, fair_share.ready_work(other)) for other in (*waiting, job)]
+            shares = self._find_shares(pool, usable, work)
+        estimate_ms = self._run_times.estimate_ms
+        rank = placement.rank(job, now, estimate_ms)
+        key = fair_share.order_key(job, rank, shares)
+        before = [
+            other
+            for other in waiting
+            if other.has_ready_tasks(now)
+            and fair_share.order_key(
+                other, placement.rank(other, now, estimate_ms), shares
+            )
+            <= key  # jobs of equal keys are placed in the order of their arrival
+        ]
+        return Preview(
+            rank[0],
+            key,
+            before,
+            shares is not None,
+            self._is_held_back(pool, rank[0], free_capacity, now),
+            free_capacity,
+        )
+
+    def _find_waiting(self) -> list[state.JobProgress]:
+        """Return the jobs with waiting tasks that may start."""
+        is_settled = self._worker_use.is_settled()
+        return [
+            job
+            for job in self._jobs.active.values()
+            if job.is_adopted
+            and (is_settled or job.adopted_epoch == self._epoch)
+            and crash_counts.may_start(job)
+            and any(s.waiting for o in job.occurrences.values() for s in o.steps)
+        ]
+
+    def _make_free_capacity(
+        self, pool: str, usable: list[worker_session.WorkerSession], now: float
+    ) -> placement.FreeCapacity:
+        return placement.FreeCapacity(
+            usable,
+            self._neighbours.find_model(pool),
+            is_packed=now - self._full_at_by_pool.get(pool, -math.inf) < PACKED_S,
+        )
+
+    def _is_held_back(
+        self, pool: str, kind: int, free_capacity: placement.FreeCapacity, now: float
+    ) -> bool:
+        """Whether late work waits because its pool lends hosts."""
+        return (
+            kind == placement.LATE
+            and now < self._sessions.lending_until.get(pool, -math.inf)
+            and free_capacity.used_share() >= LATE_WORK_MIN_USE
+        )
+
     def _place(
         self,
         job: state.JobProgress,
@@ -149,11 +224,7 @@
             The class of `placement.rank`.
         """
         pool = job.spec.pool
-        if (
-            kind == placement.LATE
-            and now < self._sessions.lending_until.get(pool, -math.inf)
-            and free_capacity.used_share() >= LATE_WORK_MIN_USE
-        ):
+        if self._is_held_back(pool, kind, free_capacity, now):
             return
         self._placer.place(job, free_capacity, now)
         if job.has_started:
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -28,6 +28,7 @@
     owner_loading,
     owner_queries,
     owner_quotas,
+    placement_preview,
     placement_round,
     progress_writer,
     run_ends,
@@ -84,6 +85,7 @@
     _intake: command_intake.CommandIntake
     _ends: run_ends.RunEnds
     _queries: owner_queries.OwnerQueries
+    preview: placement_preview.PlacementPreview
     _round: placement_round.PlacementRound
     _run_watch: run_watch.RunWatch
     _held_tasks: held_tasks.HeldTaskLog
@@ -258,6 +260,17 @@
             log_event,
         )
 
+        self.preview = placement_preview.PlacementPreview(
+            self._round,
+            placer,
+            self._sessions,
+            self._intake,
+            self._run_times,
+            self.quotas,
+            self.waits,
+            self._team_rates,
+        )
+
     # Events of worker sessions; see `worker_session.RunEvents`.
 
     def confirmed_at(self) -> float | None:
--- a/clementinespar/jobs/service.py
+++ b/clementinespar/jobs/service.py
@@ -18,6 +18,7 @@
     model,
     ownership,
     partitions,
+    placement_preview,
     pool_owner,
     retry_after,
     services,
@@ -265,6 +266,45 @@
             )
         )
 
+    async def explain_placement(self, body: bytes, own_address: str) -> dict[str, Any]:
+        """Return where a job would be placed, as the owner of its pool tells it.
+
+        Parameters
+        ----------
+        body : bytes
+            JSON of ``queue``, ``team`` and ``job``; see `placement_preview`.
+        own_address : str
+            ``IP:port`` of this node.
+
+        Raises
+        ------
+        errors.ClementinesparError
+            The question is malformed, or no owner answered in time.
+        """
+        spec = placement_preview.parse_request(body, self.configuration.current)
+        partition = self._partition_map.find(spec.pool)
+        reply = await self._ask_owner(partition, "/placement/", PEER_TIMEOUT_S, body)
+        if partition in self.ownership_manager.owners_by_partition:
+            reply["owner"]["node"] = own_address
+        else:
+            member = self.ownership_manager.known_owner(partition) or ""
+            reply["owner"]["node"] = member.partition("/")[0]
+        for name in ("load", "store_silent_ms"):  # meant for this node
+            reply.pop(name, None)
+        return reply
+
+    def _preview_placement(
+        self, owner: pool_owner.PoolOwner, body: bytes
+    ) -> dict[str, Any]:
+        spec = placement_preview.parse_request(body, self.configuration.current)
+        reply = owner.preview.describe(spec)
+        reply["owner"] = {"partition": owner.partition, "epoch": owner.epoch}
+        reply["rejection"] = placement_preview.describe_rejection(self.check_load(spec))
+        reply["subject"] = f"a job of queue {spec.queue} in pool {spec.pool}"
+        reply["state"] = placement_preview.find_state(reply)
+        reply["code"] = int(codes.ResultCode.OK)
+        return reply
+
     def _other_partitions(self, pool: str) -> Iterable[int]:
         configuration = self.configuration.current
         if configuration is None:
@@ -297,14 +337,14 @@
         await self._routes.close()
 
     async def _ask_owner(
-        self, partition: int, path: str, timeout_s: float
+        self, partition: int, path: str, timeout_s: float, body: bytes = b""
     ) -> dict[str, Any]:
         loop = asyncio.get_running_loop()
         end = loop.time() + timeout_s
         is_fresh = False
         while True:
             try:
-                return await self._ask_once(partition, path, is_fresh)
+                return await self._ask_once(partition, path, is_fresh, body)
             except errors.ClementinesparError as error:
                 if loop.time() + OWNER_RETRY_S > end:
                     raise errors.ClementinesparError(
@@ -314,10 +354,10 @@
             await asyncio.sleep(OWNER_RETRY_S)
 
     async def _ask_once(
-        self, partition: int, path: str, is_fresh: bool
+        self, partition: int, path: str, is_fresh: bool, body: bytes
     ) -> dict[str, Any]:
         if partition in self.ownership_manager.owners_by_partition:
-            return self.answer_peer(partition, path)
+            return self.answer_peer(partition, path, body)
         member = await self.ownership_manager.find_owner(partition, is_fresh)
         if member is None:
             raise errors.ClementinesparError(
@@ -325,7 +365,11 @@
             )
         address = member.partition("/")[0]
         response = await self._http_client.call(
-            address, "GET", f"/{partition}{path}", timeout_s=PEER_TIMEOUT_S
+            address,
+            "POST" if body else "GET",
+            f"/{partition}{path}",
+            body=body,
+            timeout_s=PEER_TIMEOUT_S,
         )
         if response.status != 200:
             raise errors.ClementinesparError(
@@ -338,7 +382,9 @@
         self._routes.note_report(partition, bool(reply.get("store_silent_ms")), now)
         return reply
 
-    def answer_peer(self, partition: int, path: str) -> dict[str, Any]:
+    def answer_peer(
+        self, partition: int, path: str, body: bytes = b""
+    ) -> dict[str, Any]:
         """Answer a query of a peer, or of this node, as the owner of a partition.
 
         Raises
@@ -352,7 +398,7 @@
                 codes.ResultCode.JOB_OWNER_UNKNOWN,
                 "this node does not own the partition or has not loaded it yet",
             )
-        reply = self._answer_query(owner, path)
+        reply = self._answer_query(owner, path, body)
         load = owner.waits.describe(asyncio.get_running_loop().time())
         if load:
             reply["load"] = load
@@ -361,7 +407,9 @@
             reply["store_silent_ms"] = round(stall_s * 1000)
         return reply
 
-    def _answer_query(self, owner: pool_owner.PoolOwner, path: str) -> dict[str, Any]:
+    def _answer_query(
+        self, owner: pool_owner.PoolOwner, path: str, body: bytes
+    ) -> dict[str, Any]:
         parts = urllib.parse.urlsplit(path)
         _, kind, name = parts.path.split("/", 2)
         name = urllib.parse.unquote(name)
@@ -390,8 +438,10 @@
             return owner.describe_load(name)
         if kind == "team":
             return owner.quotas.describe(name)
+        if kind == "placement":
+            return self._preview_placement(owner, body)
         raise errors.ClementinesparError(
             codes.ResultCode.REQUEST_INVALID,
             f"unknown kind of query {kind}; expected jobs, explain, images, waiting,"
-            " evacuate, load or team",
+            " evacuate, load, team or placement",
         )
