Tell that placement waits for the ownership to be confirmed

Cause: an owner whose ownership is unconfirmed starts nothing, while 'explain placement' named a worker. Change: the answer has owner.is_confirmed, and its state says what it waits for.

--- a/clementinespar/jobs/placement_preview.py
+++ b/clementinespar/jobs/placement_preview.py
@@ -272,6 +272,8 @@
         return f"would be rejected with {rejection['code']} {rejection['name']}"
     if reply["step"] is None:
         return "would be accepted; no occurrence is due now"
+    if not reply["owner"]["is_confirmed"]:
+        return "would wait until the ownership of the pool is confirmed"
     if team is not None and not team["has_room"]:
         return "would wait for its team's share"
     if order["is_held_back"]:
--- a/clementinespar/jobs/service.py
+++ b/clementinespar/jobs/service.py
@@ -298,7 +298,11 @@
     ) -> dict[str, Any]:
         spec = placement_preview.parse_request(body, self.configuration.current)
         reply = owner.preview.describe(spec)
-        reply["owner"] = {"partition": owner.partition, "epoch": owner.epoch}
+        reply["owner"] = {
+            "partition": owner.partition,
+            "epoch": owner.epoch,
+            "is_confirmed": owner.confirmed_at() is not None,
+        }
         reply["rejection"] = placement_preview.describe_rejection(self.check_load(spec))
         reply["subject"] = f"a job of queue {spec.queue} in pool {spec.pool}"
         reply["state"] = placement_preview.find_state(reply)
--- a/clementinespar/jobs/tests/test_placement_preview.py
+++ b/clementinespar/jobs/tests/test_placement_preview.py
@@ -182,7 +182,11 @@
                 "node": "10.0.0.2:1",
                 "partition": helpers.PARTITION,
                 "epoch": 1,
+                "is_confirmed": True,
             }
+            harness.owner.mark_lost("test")
+            with pytest.raises(errors.ClementinesparError):
+                await harness.ask({"steps": [STEP]})
 
     scenario()
 
@@ -259,6 +263,9 @@
         assert reply["step"] is None and reply["workers"] == []
         due = {"steps": [STEP], "occurrences": 10**9}
         assert find_verdicts(await harness.ask(due)) == {"w0": "chosen"}
+        harness.owner.check_fence()  # starts wait until the store has answered
+        reply = await harness.ask({"steps": [STEP]})
+        assert "until the ownership of the pool is confirmed" in reply["state"]
 
 
 @paused_clock.test
@@ -271,7 +278,8 @@
         specs = [quota_fleet.make_job(f"j{n}", "a", "pool0", (4,)) for n in range(2)]
         await fleet.submit(0, specs[0])
         await asyncio.sleep(0.5)
-        reply = {**owner.preview.describe(specs[1]), "rejection": None}
+        confirmed = {"owner": {"is_confirmed": True}, "rejection": None}
+        reply = {**owner.preview.describe(specs[1]), **confirmed}
         assert not reply["team"]["has_room"]
         assert placement_preview.find_state(reply) == "would wait for its team's share"
         await fleet.submit(0, specs[1])
