Show the rate of a team in 'explain placement' without contention too

Cause: the mark was taken from the sorting key, which has it only while the pool is contended. Change: the mark of the job is shown; two tests.

--- a/clementinespar/jobs/placement_preview.py
+++ b/clementinespar/jobs/placement_preview.py
@@ -199,7 +199,7 @@
                 "priority": spec.priority,
                 "slack_ms": round((job.deadline - now) * 1000)
                 - round(job.remaining_ms(self._run_times.estimate_ms)),
-                "is_over_rate": preview.key.is_over_rate,
+                "is_over_rate": job.is_over_rate,
                 "is_above_share": preview.key.is_above,
                 "is_contended": preview.is_contended,
                 "is_held_back": preview.is_held_back,
--- a/clementinespar/jobs/tests/test_placement_preview.py
+++ b/clementinespar/jobs/tests/test_placement_preview.py
@@ -268,6 +268,38 @@
         assert "until the ownership of the pool is confirmed" in reply["state"]
 
 
+@paused_clock.test
+async def test_questions_do_not_count_against_the_rate_of_a_team() -> None:
+    """Guards against questions that use up the rate, or an answer that ignores it."""
+    async with run((4000,)) as harness:
+        for number, is_over_rate in enumerate((False,) * 5 + (True,) * 2):
+            job = {"job_id": f"{number:016x}", "steps": [STEP]}
+            for _ in range(4):
+                reply = await harness.ask(job, "keyed")
+                assert reply["order"]["is_over_rate"] is is_over_rate
+            await harness.fake.submit(
+                placement_preview.parse_request(
+                    encode(job, "keyed", "t"), CONFIGURATION
+                )
+            )
+            await asyncio.sleep(0.05)
+            kept = harness.owner.jobs_by_id[f"{number:016x}"]
+            assert kept.is_over_rate is is_over_rate
+
+
+@paused_clock.test
+async def test_lasting_task_stays_away_from_suspects() -> None:
+    """Guards against an answer that leaves out the workers that are avoided."""
+    async with run((4000, 8000)) as harness:
+        spec = placement_preview.parse_request(encode({"steps": [STEP]}), CONFIGURATION)
+        await harness.fake.submit(spec)
+        await asyncio.sleep(0.1)
+        (suspect,) = harness.owner.sessions_by_id["w1"].runs.values()
+        suspect.is_suspect = True
+        reply = await harness.ask({"steps": [{**STEP, "is_lasting": True}]})
+        assert find_verdicts(reply) == {"w0": "chosen", "w1": "failed_there"}
+
+
 @paused_clock.test
 async def test_team_without_room_is_told() -> None:
     """Guards against a free worker that hides the cap of a team."""
