--- a/clementinespar/jobs/placement.py
+++ b/clementinespar/jobs/placement.py
@@ -2,9 +2,18 @@
 
 import asyncio
 import collections
-from collections.abc import Callable, Container
-
-from clementinespar.jobs import interference, model, state, worker_run, worker_session
+import dataclasses
+import operator
+from collections.abc import Callable, Container, Set
+
+from clementinespar.jobs import (
+    interference,
+    model,
+    passed_over,
+    state,
+    worker_run,
+    worker_session,
+)
 
 # A tail latency above this share of its target slows the fillers on the same worker,
 # before the target is exceeded.
@@ -26,6 +35,7 @@
 STARTED = 1
 NEW = 2
 LATE = 3
+CLASS_NAMES = ("lasting", "started", "new", "late")
 # Shares of the duration of the remaining chain of steps.
 STARTED_TOLERANCE = 0.3  # estimates are off by half
 NEW_MARGIN = 0.15  # for the time that later steps wait
@@ -56,6 +66,33 @@
     return (LATE, job.spec.priority, -slack_s)
 
 
+# What the parts of the score of a worker stand for; the last is the room.
+SCORE_REASONS = (
+    passed_over.Reason.FAILED_THERE,
+    passed_over.Reason.OTHER_RACK,
+    passed_over.Reason.SPREAD,
+    passed_over.Reason.SHARED,
+    passed_over.Reason.SERVING,
+    passed_over.Reason.SLOWER,
+    passed_over.Reason.ROOM,
+)
+_SCORE_OF = operator.itemgetter(1)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """A worker that was considered for a task.
+
+    Attributes
+    ----------
+    reason : passed_over.Reason or None
+        Why it is passed over; None: it is the chosen one.
+    """
+
+    session: worker_session.WorkerSession
+    reason: passed_over.Reason | None
+
+
 class FreeCapacity:
     """Free capacity of the workers that may take work in one round of placement."""
 
@@ -111,18 +148,43 @@
         avoided : set of str
             Workers on which the task failed; chosen only if no other can take it.
         """
+        scored = self._judge(spec, counts, avoided)
+        return max(scored, key=_SCORE_OF, default=(None, ()))[0]
+
+    def _judge(
+        self,
+        spec: model.StepSpec,
+        counts: collections.Counter[str],
+        avoided: Set[str],
+        unable: list[Candidate] | None = None,
+    ) -> list[tuple[worker_session.WorkerSession, tuple[float, ...]]]:
+        """Return the workers that can take one more task of a step, with their scores.
+
+        Parameters
+        ----------
+        unable : list of Candidate, optional
+            Gets the other workers with what is against them.
+        """
         now = asyncio.get_running_loop().time()
-        best: worker_session.WorkerSession | None = None
-        best_score: tuple[float, ...] = ()
+        limit = spec.max_per_worker
+        scored: list[tuple[worker_session.WorkerSession, tuple[float, ...]]] = []
         for session in self._sessions:
             worker_id = session.entry.worker_id
-            if now < session.isolated_until or not session.fits(spec):
-                continue
-            if spec.max_per_worker and counts[worker_id] >= spec.max_per_worker:
+            obstacle: passed_over.Reason | None
+            if now < session.isolated_until:
+                obstacle = passed_over.Reason.ISOLATED
+            else:
+                obstacle = session.find_lack(spec)
+                if obstacle is None and limit and counts[worker_id] >= limit:
+                    obstacle = passed_over.Reason.LIMIT
+            if obstacle is not None:
+                if unable is not None:
+                    unable.append(Candidate(session, obstacle))
                 continue
+            is_elsewhere = bool(spec.data_rack) and session.entry.rack != spec.data_rack
             score = (
                 -float(worker_id in avoided),
-                -float(bool(spec.data_rack) and session.entry.rack != spec.data_rack),
+                -float(is_elsewhere),
                 *_lasting_score(session, spec, counts[worker_id]),
                 -_serving_count(session) if spec.is_filler else 0.0,
                 0.0
@@ -132,9 +194,55 @@
                 if self._is_packed and not spec.is_lasting
                 else float(session.free_cpu),
             )
-            if best is None or score > best_score:
-                best, best_score = session, score
-        return best
+            scored.append((session, score))
+        return scored
+
+    def explain_choice(
+        self,
+        spec: model.StepSpec,
+        counts: collections.Counter[str],
+        avoided: set[str],
+    ) -> list[Candidate]:
+        """Return all workers, the one that `choose` returns first, and best first."""
+        chosen = self.choose(spec, counts, avoided)
+        unable: list[Candidate] = []
+        scored = self._judge(spec, counts, avoided, unable)
+        scored.sort(key=_SCORE_OF, reverse=True)  # equal ones keep their order
+        candidates = []
+        for session, score in scored:
+            reason = None
+            if session is not chosen:
+                reason = self._compare(score, scored[0][1], spec)
+            candidates.append(Candidate(session, reason))
+        return candidates + unable
+
+    def _compare(
+        self, score: tuple[float, ...], best: tuple[float, ...], spec: model.StepSpec
+    ) -> passed_over.Reason:
+        for own, other, reason in zip(score, best, SCORE_REASONS, strict=True):
+            if own != other:
+                is_packing = self._is_packed and not spec.is_lasting
+                if reason is passed_over.Reason.ROOM and is_packing:
+                    return passed_over.Reason.PACKED
+                return reason
+        return passed_over.Reason.EQUAL
+
+    def explain_gang(self, spec: model.StepSpec, size: int) -> list[Candidate]:
+        """Return all workers, those that `choose_gang` returns first."""
+        chosen = self.choose_gang(spec, size)
+        members = {} if chosen is None else {id(s): s for s in chosen}
+        candidates = [Candidate(session, None) for session in members.values()]
+        unable: list[Candidate] = []
+        for session, _ in self._judge(spec, collections.Counter(), set(), unable):
+            if id(session) in members:
+                continue
+            reason = passed_over.Reason.ROOM
+            if chosen is None:
+                reason = passed_over.Reason.WHOLE_GANG
+            elif spec.is_same_rack and session.entry.rack != chosen[0].entry.rack:
+                reason = passed_over.Reason.OTHER_RACK
+            candidates.append(Candidate(session, reason))
+        return candidates + unable
 
     def restrict(self, worker_ids: Container[str]) -> "FreeCapacity":
         """Return the free capacity of some of the workers."""
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -9,7 +9,14 @@
 import asyncio
 
 from clementinespar import errors
-from clementinespar.jobs import model, services, team_use, worker_orders, worker_run
+from clementinespar.jobs import (
+    model,
+    passed_over,
+    services,
+    team_use,
+    worker_orders,
+    worker_run,
+)
 
 # A worker's clock may run 2% slow, so a lease lasts that much longer in real time.
 MIN_CLOCK_RATE = 0.98
@@ -26,6 +33,12 @@
 # for 1, 2, then 4 s. Being idle, it would otherwise attract work at each return.
 FLAP_WINDOW_S = 15.0
 FLAP_PAUSE_MAX_S = 4.0
+# Looking up a member of an enumeration costs as much as the comparison before it, and
+# a round of placement makes thousands of these comparisons.
+_CORES = passed_over.Reason.CORES
+_MEMORY = passed_over.Reason.MEMORY
+_ACCELERATORS = passed_over.Reason.ACCELERATORS
+_LABEL = passed_over.Reason.LABEL
 
 
 class WorkerSession:
@@ -140,16 +153,20 @@
 
     def can_take(self, now: float) -> bool:
         """Whether the worker may get new work."""
-        return (
-            self.has_answered
-            and self.is_listed
-            and not self.is_silent
-            and not self.is_dead
-            and not self.is_evacuating
-            and not self.entry.is_draining
-            and now - self.last_contact < UNRESPONSIVE_AFTER_S
-            and now >= self.ejected_until
-        )
+        return self.find_absence(now) is None
+
+    def find_absence(self, now: float) -> passed_over.Reason | None:
+        """Return why the worker gets no new work, or None if it may."""
+        if not self.is_listed:
+            return passed_over.Reason.UNLISTED
+        if self.is_evacuating:
+            return passed_over.Reason.EVACUATED
+        if self.entry.is_draining:
+            return passed_over.Reason.DRAINING
+        is_unresponsive = now - self.last_contact >= UNRESPONSIVE_AFTER_S
+        if not self.has_answered or self.is_silent or self.is_dead or is_unresponsive:
+            return passed_over.Reason.SILENT
+        return passed_over.Reason.EJECTED if now < self.ejected_until else None
 
     def is_responsive(self) -> bool:
         """Whether the worker has answered recently."""
@@ -177,12 +194,19 @@
 
     def fits(self, spec: model.StepSpec) -> bool:
         """Whether the free capacity is enough for one more task of a step."""
-        return (
-            (spec.is_filler or spec.cpu_millis <= self.free_cpu)
-            and spec.memory_mb <= self.free_memory
-            and spec.gpus <= self.free_gpus
-            and (not spec.label or spec.label in self.entry.labels)
-        )
+        return self.find_lack(spec) is None
+
+    def find_lack(self, spec: model.StepSpec) -> passed_over.Reason | None:
+        """Return what the worker lacks for one more task of a step, or None."""
+        if spec.cpu_millis > self.free_cpu and not spec.is_filler:
+            return _CORES
+        if spec.memory_mb > self.free_memory:
+            return _MEMORY
+        if spec.gpus > self.free_gpus:
+            return _ACCELERATORS
+        if spec.label and spec.label not in self.entry.labels:
+            return _LABEL
+        return None
 
     def add_run(self, run: worker_run.Run) -> None:
         """Track a run and count its capacity as in use."""
