--- a/clementinespar/jobs/tests/test_quota_exchange.py
+++ b/clementinespar/jobs/tests/test_quota_exchange.py
@@ -344,7 +344,9 @@
             for partition, node in fleet.owner_nodes.items()
         }
         jobs = service.JobService(
-            types.SimpleNamespace(owners_by_partition=owners),  # type: ignore[arg-type]
+            types.SimpleNamespace(  # type: ignore[arg-type]
+                owners_by_partition=owners, unanswered_since=None
+            ),
             types.SimpleNamespace(find=lambda pool: int(pool[4:])),  # type: ignore[arg-type]
             fleet.owner_nodes[0].configuration,  # type: ignore[arg-type]
             fleet.store,
