Keep a host's pause over two hand-overs; one handler for operators' queries

Cause: an owner of the fleet that stopped soon after it had begun named only its own orders, so the next one could order a host within the pause of the owner before. Late work could wait for more than three seconds while draining hosts were nearly empty. Three handlers repeated the answer with a code. Change: a release names the hosts that still wait; the use of the whole pool counts; one handler answers. Result: the new test fails without the change.

--- a/clementinespar/jobs/host_orders.py
+++ b/clementinespar/jobs/host_orders.py
@@ -38,13 +38,20 @@
         return now >= self._held_until.get(host_id, now)
 
     def encode_release(self, now: float) -> dict[str, object]:
-        """Return the record of an owner that gives no more orders."""
-        recent = [
+        """Return the record of an owner that gives no more orders.
+
+        It names the hosts with recent orders of this owner, and those of the previous
+        one for which this owner still waits.
+        """
+        recent = {
             host_id
-            for host_id, at in sorted(self._ordered_at.items())
+            for host_id, at in self._ordered_at.items()
             if now - at < self._lease_s
-        ]
-        return {"is_released": True, "recent": recent}
+        }
+        recent |= {
+            host_id for host_id, until in self._held_until.items() if now < until
+        }
+        return {"is_released": True, "recent": sorted(recent)}
 
     def take_over(self, value: bytes, now: float) -> bool:
         """Apply the newest record of a release; False if there was none.
--- a/clementinespar/jobs/peer_server.py
+++ b/clementinespar/jobs/peer_server.py
@@ -3,7 +3,8 @@
 import contextlib
 import json
 import urllib.parse
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any
 
 import tornado.httpserver
 import tornado.netutil
@@ -12,6 +13,21 @@
 from clementinespar import codes, errors, http_servers
 from clementinespar.jobs import quota_exchange, service, services, telemetry
 
+_INVALID_CODES = frozenset(
+    {
+        codes.ResultCode.JOB_INVALID,
+        codes.ResultCode.JOB_TOO_LARGE,
+        codes.ResultCode.KEY_UNKNOWN,
+    }
+)
+_UNKNOWN_CODES = frozenset(
+    {
+        codes.ResultCode.JOB_UNKNOWN,
+        codes.ResultCode.QUEUE_UNKNOWN,
+        codes.ResultCode.TEAM_UNKNOWN,
+    }
+)
+
 
 class _PeerRequestHandler(http_servers.Handler):
     """Answers a query of a peer about a partition that this node owns."""
@@ -63,19 +79,16 @@
             self.finish(json.dumps({"load": load}) if load else "{}")
 
 
-class _JobHandler(http_servers.Handler):
-    """Explains a job to operators, whichever node owns it."""
-
-    def initialize(self, jobs: service.JobService) -> None:
-        self._jobs = jobs
+class _OperatorHandler(http_servers.Handler):
+    """Answers a query of operators, whichever node owns what it is about."""
 
-    async def get(self, job_id: str) -> None:
-        """Answer with the explanation, or with the code of the failure."""
+    async def answer(self, query: Awaitable[dict[str, Any]]) -> None:
+        """Answer with the result, or with the code of the failure."""
         try:
-            reply = await self._jobs.explain(job_id)
+            reply = await query
         except errors.ClementinesparError as error:
-            is_unknown = error.code is codes.ResultCode.JOB_UNKNOWN
-            self.set_status(404 if is_unknown else 503)
+            status = 404 if error.code in _UNKNOWN_CODES else 503
+            self.set_status(400 if error.code in _INVALID_CODES else status)
             reply = {
                 "code": int(error.code),
                 "name": error.code.name,
@@ -84,6 +97,30 @@
         self.finish(json.dumps(reply))
 
 
+class _ExplanationHandler(_OperatorHandler):
+    """Explains a job, a team or an image."""
+
+    def initialize(self, explain: Callable[[str], Awaitable[dict[str, Any]]]) -> None:
+        self._explain = explain
+
+    async def get(self, name: str) -> None:
+        """Answer with the explanation of what the path names."""
+        await self.answer(self._explain(name))
+
+
+class _PlacementHandler(_OperatorHandler):
+    """Shows where a job would be placed, without submitting it."""
+
+    def initialize(self, jobs: service.JobService) -> None:
+        self._jobs = jobs
+
+    async def post(self) -> None:
+        """Answer with what would become of the job in the body."""
+        await self.answer(
+            self._jobs.explain_placement(self.request.body, self.request.host)
+        )
+
+
 class _QuotaRequestHandler(http_servers.Handler):
     """Answers an owner that asks the ledger of the teams' caps for a share."""
 
@@ -110,82 +147,6 @@
         self.finish(body)
 
 
-class _TeamHandler(http_servers.Handler):
-    """Shows the use of a team's cap to operators."""
-
-    def initialize(self, jobs: service.JobService) -> None:
-        self._jobs = jobs
-
-    async def get(self, name: str) -> None:
-        """Answer with cap, use, share and waiting tasks, or 404 or 503."""
-        try:
-            reply = await self._jobs.describe_team(urllib.parse.unquote(name))
-        except errors.ClementinesparError as error:
-            is_unknown = error.code is codes.ResultCode.TEAM_UNKNOWN
-            self.set_status(404 if is_unknown else 503)
-            reply = {
-                "code": int(error.code),
-                "name": error.code.name,
-                "message": error.message,
-            }
-        self.finish(json.dumps(reply))
-
-
-class _ImageHandler(http_servers.Handler):
-    """Explains to operators which images interfere with each other."""
-
-    def initialize(self, jobs: service.JobService) -> None:
-        self._jobs = jobs
-
-    async def get(self, image: str) -> None:
-        """Answer with the explanation, or with the code of the failure."""
-        try:
-            reply = await self._jobs.explain_image(image)
-        except errors.ClementinesparError as error:
-            self.set_status(503)
-            reply = {
-                "code": int(error.code),
-                "name": error.code.name,
-                "message": error.message,
-            }
-        self.finish(json.dumps(reply))
-
-
-_INVALID_CODES = frozenset(
-    {
-        codes.ResultCode.JOB_INVALID,
-        codes.ResultCode.JOB_TOO_LARGE,
-        codes.ResultCode.KEY_UNKNOWN,
-    }
-)
-_UNKNOWN_CODES = frozenset(
-    {codes.ResultCode.QUEUE_UNKNOWN, codes.ResultCode.TEAM_UNKNOWN}
-)
-
-
-class _PlacementHandler(http_servers.Handler):
-    """Shows to operators where a job would be placed, without submitting it."""
-
-    def initialize(self, jobs: service.JobService) -> None:
-        self._jobs = jobs
-
-    async def post(self) -> None:
-        """Answer 400 if it is malformed, 404 for an unknown queue or team, or 503."""
-        try:
-            reply = await self._jobs.explain_placement(
-                self.request.body, self.request.host
-            )
-        except errors.ClementinesparError as error:
-            status = 404 if error.code in _UNKNOWN_CODES else 503
-            self.set_status(400 if error.code in _INVALID_CODES else status)
-            reply = {
-                "code": int(error.code),
-                "name": error.code.name,
-                "message": error.message,
-            }
-        self.finish(json.dumps(reply))
-
-
 class _MetricsHandler(http_servers.Handler):
     """Serves the metrics of the node."""
 
@@ -210,11 +171,23 @@
     application = http_servers.Application(
         [
             (r"/metrics", _MetricsHandler, {"metrics": metrics}),
-            (r"/v1/jobs/([0-9A-Za-z]+)", _JobHandler, {"jobs": jobs}),
-            (r"/v1/teams/([^/]+)", _TeamHandler, {"jobs": jobs}),
+            (
+                r"/v1/jobs/([0-9A-Za-z]+)",
+                _ExplanationHandler,
+                {"explain": jobs.explain},
+            ),
+            (
+                r"/v1/teams/([^/]+)",
+                _ExplanationHandler,
+                {"explain": jobs.describe_team},
+            ),
+            (
+                r"/v1/images/(.+)",
+                _ExplanationHandler,
+                {"explain": jobs.explain_image},
+            ),
             (r"/quota/request", _QuotaRequestHandler, {"quotas": quotas}),
             (r"/(\d+)/quota/recall", _QuotaRecallHandler, {"quotas": quotas}),
-            (r"/v1/images/(.+)", _ImageHandler, {"jobs": jobs}),
             (r"/v1/placement", _PlacementHandler, {"jobs": jobs}),
             (r"/(\d+)/commands/([^/]+)", _CommandHandler, {"jobs": jobs}),
             (r"/(\d+)/.*", _PeerRequestHandler, {"jobs": jobs}),
--- a/clementinespar/jobs/placement.py
+++ b/clementinespar/jobs/placement.py
@@ -127,12 +127,6 @@
         """Whether there is any worker that may take work."""
         return bool(self._sessions)
 
-    def used_share(self) -> float:
-        """Return the share of the cores of the workers that is in use."""
-        cores = sum(session.entry.cpu_millis for session in self._sessions)
-        free = sum(session.free_cpu for session in self._sessions)
-        return 1.0 - free / cores if cores else 1.0
-
     def choose(
         self,
         spec: model.StepSpec,
--- a/clementinespar/jobs/placement_round.py
+++ b/clementinespar/jobs/placement_round.py
@@ -25,8 +25,8 @@
 
 # Tasks are packed this long after some found no room: a few run times of short tasks.
 PACKED_S = 3.0
-# Late work waits while its pool lends hosts, unless less than this share of the cores
-# of the other workers is in use: it must go on where there is room.
+# Late work waits while its pool lends hosts, unless less than this share of the pool's
+# cores is in use: it must go on where there is room.
 LATE_WORK_MIN_USE = 0.5
 
 
@@ -206,7 +206,7 @@
         return (
             kind == placement.LATE
             and now < self._sessions.lending_until.get(pool, -math.inf)
-            and free_capacity.used_share() >= LATE_WORK_MIN_USE
+            and self._find_used_share(pool) >= LATE_WORK_MIN_USE
         )
 
     def _place(
@@ -233,6 +233,13 @@
         if is_timely and job.has_ready_tasks(now):
             self._full_at_by_pool[pool] = now
 
+    def _find_used_share(self, pool: str) -> float:
+        """Return the share of the cores of all workers of a pool that is in use."""
+        sessions = self._sessions.in_pool(pool)
+        cores = sum(session.entry.cpu_millis for session in sessions)
+        free = sum(session.free_cpu for session in sessions)
+        return 1.0 - free / cores if cores else 1.0
+
     def _find_shares(
         self,
         pool: str,
--- a/clementinespar/jobs/tests/test_fleet.py
+++ b/clementinespar/jobs/tests/test_fleet.py
@@ -244,6 +244,19 @@
     assert min(typing.cast(float, c[0]) for c in later) >= began_at + waited_s
 
 
+def test_pause_for_a_host_survives_a_second_hand_over() -> None:
+    """Guards against two owners' orders for one host when a short one lies between."""
+    first, second, third = (host_orders.HostOrders(3.0) for _ in range(3))
+    first.note_order("a", 10.0)
+    assert second.take_over(json.dumps(first.encode_release(10.5)).encode(), 11.0)
+    second.note_order("b", 11.5)
+    assert third.take_over(json.dumps(second.encode_release(12.0)).encode(), 12.5)
+    assert not third.may_order("a", 13.0)
+    assert not third.may_order("b", 14.0)
+    assert third.may_order("c", 12.5)
+    assert third.may_order("a", 15.5)
+
+
 @pytest.mark.parametrize("value", [b"", b"[]", b"{}", b'{"is_released": 1}'])
 def test_unreadable_release_is_none(value: bytes) -> None:
     """Guards against a malformed record that counts as a planned stop."""
