Send an acknowledgement again only after the worker has answered

A worker that had restarted under its id meanwhile forgot an end of its new life that its owner had not read, and the task ran again. Change: after a call without an answer, the next renewal acknowledges nothing.

--- a/clementinespar/jobs/tests/test_pool_owner.py
+++ b/clementinespar/jobs/tests/test_pool_owner.py
@@ -754,3 +754,34 @@
         await harness.wait_state("b", model.JobState.DONE)
     assert len(workers.starts) == 4
     assert not workers.violations
+
+
+@paused_clock.test
+async def test_acknowledgement_without_an_answer_is_not_sent_to_a_new_life() -> None:
+    """Guards against an end that a worker forgets before its owner has read it.
+
+    The worker dies after an acknowledgement without an answer. Its next life carries a
+    start out, and numbers its ends from one again.
+    """
+    workers = fakes.FakeWorkers(1)
+    harness = helpers.OwnerHarness(workers)
+    workers.task_s = 60.0
+    await harness.submit(helpers.make_spec("b", 1))
+    async with helpers.run_owner(harness) as owner:
+        while not workers.starts:
+            await asyncio.sleep(0.01)
+        task, run, worker_id = workers.starts[0]
+        workers.task_s = 0.3
+        await harness.submit(helpers.make_spec("a", 1))
+        while not owner.sessions_by_id[worker_id].processed:
+            await asyncio.sleep(0.001)
+        workers.workers[worker_id].loses_answers = True
+        while not owner.sessions_by_id[worker_id].is_silent:
+            await asyncio.sleep(0.001)
+        workers.crash(worker_id)
+        reborn = workers.workers[worker_id]
+        reborn.ended.append(model.EndedTask(1, task, run, model.EndKind.DONE, ""))
+        reborn.next_number = 2
+        await harness.wait_state("b", model.JobState.DONE)
+    assert len(workers.starts) == 2
+    assert not workers.violations
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -279,10 +279,10 @@
                 for run in self.runs.values()
             ) or (self.runs and not self._events.may_lease(self.entry.worker_id)):
                 wait_ms = SETTLE_WAIT_MS
-            # Sent until it is answered, and not again: a worker that has restarted
+            # Sent once, and again only after another answer: a worker that has restarted
             # numbers its ends anew and would forget the first ones.
             acknowledged = self.acknowledged
-            if acknowledged <= self._acknowledgement_seen:
+            if failures or acknowledged <= self._acknowledgement_seen:
                 acknowledged = 0
             try:
                 report = await self._client.renew(
