--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -279,8 +279,8 @@
                 for run in self.runs.values()
             ) or (self.runs and not self._events.may_lease(self.entry.worker_id)):
                 wait_ms = SETTLE_WAIT_MS
-            # Sent once, and again only after another answer: a worker that has restarted
-            # numbers its ends anew and would forget the first ones.
+            # Sent once, and again only after another answer: a worker that has
+            # restarted numbers its ends anew and would forget the first ones.
             acknowledged = self.acknowledged
             if failures or acknowledged <= self._acknowledgement_seen:
                 acknowledged = 0
