Let an owner claim what may run before all its workers have answered

Change: an unsettled owner that does not know its share claims what it knows to run and what earlier owners may have started; the ledger gives the rest of the caps to others.

--- a/clementinespar/jobs/quota_shares.py
+++ b/clementinespar/jobs/quota_shares.py
@@ -177,10 +177,7 @@
         if self.is_settled:
             for team, cap in self.caps.items():
                 if team not in self.shares:
-                    use = self._use.by_team.get(team, resources.ZERO)
-                    self.shares[team] = use.restrict(cap, resources.UNLIMITED)
-                    self._unconfirmed[team] = self._version or 0
-                    self.changed.add(team)
+                    self._claim(team, cap)
         self._limits = {
             team: _BLOCKED.restrict(cap, resources.UNLIMITED)
             if self._is_blocked or team in self._unconfirmed or team not in self.shares
@@ -188,6 +185,20 @@
             for team, cap in self.caps.items()
         }
 
+    def _claim(self, team: str, cap: resources.Resources) -> resources.Resources:
+        """Hold what may be running here, until the ledger has confirmed it.
+
+        Before all runs are known, this counts what earlier owners may have started. A
+        new ledger needs to know no more to give the rest of the cap to others, so one
+        partition with unresponsive workers does not hold up the starts of all.
+        """
+        use = self._use.by_team.get(team, resources.ZERO)
+        share = use.restrict(cap, resources.UNLIMITED)
+        self.shares[team] = share
+        self._unconfirmed[team] = self._version or 0
+        self.changed.add(team)
+        return share
+
     # Messages.
 
     def make_request(
@@ -290,8 +301,10 @@
         for team in recall.teams:
             cap = self.caps.get(team)
             share = self.shares.get(team)
-            if cap is None or share is None:
-                continue  # this owner does not know what the partition holds
+            if cap is None:
+                continue
+            if share is None:
+                share = self._claim(team, cap)
             self._recalled.add(team)
             waiting = waiting_by_team.get(team, NOTHING_WAITS)
             kept = self._use.by_team.get(team, resources.ZERO).plus(waiting.lasting)
--- a/clementinespar/jobs/tests/test_quota_decisions.py
+++ b/clementinespar/jobs/tests/test_quota_decisions.py
@@ -256,6 +256,28 @@
     assert ledger.share_by_partition("a")[0].cpu_millis == 1
 
 
+def test_unsettled_owner_claims_what_may_run_for_a_new_ledger() -> None:
+    """Guards against one silent worker that stops the starts of all partitions.
+
+    After a power failure, ledger and owners have lost what they knew. The claim counts
+    what earlier owners may have started, so the rest of the cap is free.
+    """
+    use = team_use.TeamUse()
+    use.rebuild([], {"job": ("a", resources.Resources(6, 60, 0))})
+    shares = quota_shares.QuotaShares(use)
+    shares.set_caps({"a": CAP}, 1)
+    ledger = make_ledger(0)
+    ledger.set_policy({"a": CAP}, frozenset({0, 1}))
+    assert ask(ledger, 1) is None
+    teams = ledger.begin_recall(1, ledger.find_unknown(1))
+    recall = quota_messages.Recall(ledger.epoch, tuple(teams))
+    response = shares.recall(2, recall, {})
+    assert not response.is_settled
+    ledger.end_recall(1, teams, response)
+    assert ask(ledger, 2) == CAP.cpu_millis - 6
+    assert not shares.fits("a", SPEC)
+
+
 def test_request_beside_an_open_recall_changes_nothing() -> None:
     """Guards against two answers of one owner that are read in the wrong order."""
     ledger = make_ledger(2, 3)
