Tell which request was given up in the test of many streams

Seen once, at a load average of 22: the test waited 30 s for 300 requests to arrive and ended with a TimeoutError that did not say why.

Traced on a scratch copy by holding the event loop in each round, which client and owner share in this test: from 20 ms a round on, requests pass the 1.5 s of ACCEPT_TIMEOUT_S and end as not run (314, owner unreachable) before all have arrived (256 of 300 at 20 ms, 299 at 300 ms). The outcome is safe, none has run. The test now fails at once with the outcome of such a request; what it expects is unchanged.

--- a/clementinespar/peers/tests/test_wire.py
+++ b/clementinespar/peers/tests/test_wire.py
@@ -160,6 +160,8 @@
             async with asyncio.timeout(30):
                 while connection.owner.arrivals < len(tasks):
                     await asyncio.sleep(0.01)
+                    early = [task.result() for task in tasks if task.done()]
+                    assert not early, f"given up before all arrived: {early[0]}"
             connection.owner.before_start.set()
             connection.owner.before_end.set()
             outcomes = await asyncio.gather(*tasks)
