--- a/clementinespar/tests/test_leftovers.py
+++ b/clementinespar/tests/test_leftovers.py
@@ -78,8 +78,10 @@
     """Guards against a check that finds nothing, or that blames another test."""
     path = tmp_path / "test_leaving.py"
     path.write_text(_TESTS)
+    # Without the short summary: where the variable CI is set, pytest repeats each
+    # message there in full.
     result = subprocess.run(
-        [sys.executable, "-m", "pytest", "-p", "conftest", "-rE", str(path)],
+        [sys.executable, "-m", "pytest", "-p", "conftest", "-rN", str(path)],
         cwd=tmp_path,
         env={**os.environ, "PYTHONPATH": str(_ROOT)},
         capture_output=True,
