--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -270,6 +270,7 @@
             self.quotas,
             self.waits,
             log_event,
+            metrics,
         )
 
         self.preview = placement_preview.PlacementPreview(
