Revert stopping late runs with checkpoints for tasks that can be in time

Cause: after an overload, late jobs hold room and hosts that newer jobs lack. Change, reverted: runs of late jobs with checkpoints were stopped while timely tasks of their pool found no room (and, on request, for another pool's peak; the owner of the fleet did not ask for that yet). The room went to new jobs that became late as well, and jobs that had begun ended too late for a late answer.

--- a/clementinespar/jobs/model.py
+++ b/clementinespar/jobs/model.py
@@ -277,8 +277,6 @@
 
     IF_IDLE = "if_idle"  # nothing: a worker with runs is not evacuated
     LEND = "lend"  # nothing: the worker gets no new work, and late work waits
-    # As LEND, but runs of late jobs with checkpoints are stopped.
-    PREEMPT = "preempt"
     DRAIN = "drain"  # no short runs: the worker gets no new work
     STOP = "stop"  # short runs as well; they start again from their checkpoints
 
--- a/clementinespar/jobs/owner_queries.py
+++ b/clementinespar/jobs/owner_queries.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import math
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterable, Mapping
 
 from clementinespar import codes, errors, explanation
 from clementinespar.jobs import (
@@ -13,13 +13,11 @@
     owner_quotas,
     placement,
     pool_demand,
-    preemption,
     run_watch,
     services,
     session_table,
     state,
     team_use,
-    telemetry,
     wait_watch,
     worker_run,
     worker_session,
@@ -45,7 +43,6 @@
         quotas: owner_quotas.OwnerQuotas,
         waits: wait_watch.WaitWatch,
         log_event: services.EventLog,
-        metrics: telemetry.JobMetrics,
     ) -> None:
         self._epoch = epoch
         self._jobs = jobs
@@ -60,7 +57,6 @@
         self._quotas = quotas
         self._waits = waits
         self._log_event = log_event
-        self._metrics = metrics
 
     def describe(self, job_id: str) -> model.JobState | None:
         """Return a job's state, or None if no job has this id.
@@ -185,10 +181,6 @@
                         for run in session.runs.values()
                         if run.spec.is_lasting and not run.spec.is_filler
                     ),
-                    "yielding_cores": sum(
-                        run.spec.cpu_millis / 1000
-                        for run in self._find_yielding(session, now)
-                    ),
                     "can_take": session.can_take(now),
                     "is_leaving": session.entry.is_draining,
                 }
@@ -225,25 +217,13 @@
                     cores = run.spec.cpu_millis / 1000
                     job_id = run.key.job_id
                     cores_by_job[job_id] = cores_by_job.get(job_id, 0.0) + cores
+        estimate_ms = self._run_times.estimate_ms
+        active = self._jobs.active
         return sum(
             cores
             for job_id, cores in cores_by_job.items()
-            if self._is_late(job_id, now)
-        )
-
-    def _is_late(self, job_id: str, now: float) -> bool:
-        """Whether an open job misses its objective in any case."""
-        job = self._jobs.active.get(job_id)
-        return job is not None and placement.is_late(
-            job, now, self._run_times.estimate_ms
-        )
-
-    def _find_yielding(
-        self, session: worker_session.WorkerSession, now: float
-    ) -> Iterator[worker_run.Run]:
-        """Yield the runs on a worker that may be stopped for another pool."""
-        return preemption.find_yielding(
-            session, lambda job_id: self._is_late(job_id, now), now
+            if job_id in active
+            and placement.rank(active[job_id], now, estimate_ms)[0] == placement.LATE
         )
 
     def evacuate(
@@ -270,13 +250,8 @@
         if not session.is_evacuating:
             session.is_evacuating = True
             self._log_event("evacuate", worker=worker_id, runs=len(session.runs))
-        if urgency in _LENDING:
+        if urgency is model.EvacuationUrgency.LEND:
             self._sessions.lending_until[session.entry.pool] = loop.time() + kept_s
-            if urgency is model.EvacuationUrgency.PREEMPT:
-                yielding = list(self._find_yielding(session, loop.time()))
-                for run in yielding:
-                    session.stop(run, "its job is late, and another pool lacks hosts")
-                self._metrics.count_preemptions(len(yielding))
             return not session.runs
         for run in list(session.runs.values()):
             if run.spec.is_lasting:
@@ -293,9 +268,6 @@
         return True
 
 
-_LENDING = (model.EvacuationUrgency.LEND, model.EvacuationUrgency.PREEMPT)
-
-
 def _count_hosts_of_lasting(step: state.StepState) -> int:
     """Return the smallest number of hosts that can hold the tasks of a lasting step."""
     if not step.spec.is_lasting:
--- a/clementinespar/jobs/placement.py
+++ b/clementinespar/jobs/placement.py
@@ -66,15 +66,6 @@
     return (LATE, job.spec.priority, -slack_s)
 
 
-def is_late(
-    job: state.JobProgress,
-    now: float,
-    estimate_ms: Callable[[model.StepSpec], float],
-) -> bool:
-    """Whether a job is expected to miss its objective in any case."""
-    return rank(job, now, estimate_ms)[0] == LATE
-
-
 # What the parts of the score of a worker stand for; the last is the room.
 SCORE_REASONS = (
     passed_over.Reason.FAILED_THERE,
--- a/clementinespar/jobs/placement_round.py
+++ b/clementinespar/jobs/placement_round.py
@@ -3,7 +3,7 @@
 import dataclasses
 import heapq
 import math
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Sequence
 
 from clementinespar.jobs import (
     crash_counts,
@@ -13,16 +13,12 @@
     neighbours,
     owner_quotas,
     placement,
-    preemption,
-    resources,
     session_table,
     state,
     task_placer,
     team_rate,
-    team_use,
     telemetry,
     wait_watch,
-    worker_run,
     worker_session,
     worker_use,
 )
@@ -32,7 +28,6 @@
 # Late work waits while its pool lends hosts, unless less than this share of the pool's
 # cores is in use: it must go on where there is room.
 LATE_WORK_MIN_USE = 0.5
-TIMELY = (placement.STARTED, placement.NEW)  # classes of jobs that can be in time
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,8 +59,6 @@
 
     # Event-loop time at which timely tasks of a pool last found no room.
     _full_at_by_pool: dict[str, float]
-    # Event-loop time at which late runs of a pool were last stopped for other tasks.
-    _preempted_at_by_pool: dict[str, float]
 
     def __init__(
         self,
@@ -93,7 +86,6 @@
         self._team_rates = team_rates
         self._metrics = metrics
         self._full_at_by_pool = {}
-        self._preempted_at_by_pool = {}
 
     def run(self, now: float) -> None:
         """Start the tasks that are ready, as far as the free capacity allows."""
@@ -129,40 +121,12 @@
                 shares = self._find_shares(pool, sessions, jobs)
                 if shares is not None:
                     shares_by_pool[pool] = shares
-        if shares_by_pool:
-            self._place_by_shares(
-                waiting,
-                rank_by_id,
-                free_capacity_by_pool,
-                shares_by_pool,
-                work_by_id,
-                now,
-            )
-        else:
+        if not shares_by_pool:
             waiting.sort(key=lambda job: rank_by_id[job.spec.job_id])
             for job in waiting:
                 kind = rank_by_id[job.spec.job_id][0]
                 self._place(job, kind, free_capacity_by_pool[job.spec.pool], now)
-        for pool, sessions in usable_by_pool.items():
-            if self._full_at_by_pool.get(pool) == now:
-                timely = [
-                    job
-                    for job in waiting
-                    if job.spec.pool == pool
-                    and rank_by_id[job.spec.job_id][0] in TIMELY
-                ]
-                self._preempt_late_runs(pool, sessions, timely, now)
-
-    def _place_by_shares(
-        self,
-        waiting: Sequence[state.JobProgress],
-        rank_by_id: Mapping[str, tuple[int, int, float]],
-        free_capacity_by_pool: Mapping[str, placement.FreeCapacity],
-        shares_by_pool: Mapping[str, fair_share.PoolShares],
-        work_by_id: Mapping[str, fair_share.Amount],
-        now: float,
-    ) -> None:
-        """Place jobs in the order of the fair shares of their teams."""
+            return
         self._metrics.count_contended_round()
         # The number keeps the order of jobs with equal keys.
         queue = []
@@ -183,54 +147,6 @@
             if shares and job.has_started and not had_started:
                 shares.claim(job.spec.team, work_by_id[job.spec.job_id])
 
-    def _preempt_late_runs(
-        self,
-        pool: str,
-        sessions: Sequence[worker_session.WorkerSession],
-        timely: Iterable[state.JobProgress],
-        now: float,
-    ) -> None:
-        """Stop runs of late jobs where tasks that can be in time found no room.
-
-        Parameters
-        ----------
-        sessions : sequence of worker_session.WorkerSession
-            Sessions of the workers of the pool that may take work.
-        timely : iterable of state.JobProgress
-            Waiting jobs of the pool that can meet their objective.
-        """
-        last_at = self._preempted_at_by_pool.get(pool, -math.inf)
-        if now - last_at < preemption.PREEMPTION_INTERVAL_S:
-            return
-        lacking = resources.ZERO
-        for job in timely:
-            for occurrence in job.occurrences.values():
-                for step in occurrence.ready_steps():
-                    if self._placer.share_fits(job, step):
-                        count = sum(
-                            step.tasks[index].not_before <= now
-                            for index in step.waiting
-                        )
-                        lacking = lacking.plus(team_use.needs(step.spec).times(count))
-        for session in sessions:
-            for run in session.runs.values():
-                if run.status is worker_run.RunStatus.STOPPING:
-                    lacking = lacking.minus(team_use.needs(run.spec))
-        chosen = preemption.choose_runs(
-            lacking, sessions, lambda job_id: self._is_late(job_id, now), now
-        )
-        for run in chosen:
-            run.session.stop(run, "its job is late, and others can be in time")
-        if chosen:
-            self._preempted_at_by_pool[pool] = now
-            self._metrics.count_preemptions(len(chosen))
-
-    def _is_late(self, job_id: str, now: float) -> bool:
-        job = self._jobs.active.get(job_id)
-        return job is not None and placement.is_late(
-            job, now, self._run_times.estimate_ms
-        )
-
     def preview(self, job: state.JobProgress, now: float) -> Preview:
         """Return what a round would do now with a job that is not part of it yet."""
         pool = job.spec.pool
@@ -313,7 +229,8 @@
         self._placer.place(job, free_capacity, now)
         if job.has_started:
             self._waits.note_start(job, now)
-        if kind in TIMELY and job.has_ready_tasks(now):
+        is_timely = kind in (placement.STARTED, placement.NEW)
+        if is_timely and job.has_ready_tasks(now):
             self._full_at_by_pool[pool] = now
 
     def _find_used_share(self, pool: str) -> float:
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -270,7 +270,6 @@
             self.quotas,
             self.waits,
             log_event,
-            metrics,
         )
 
         self.preview = placement_preview.PlacementPreview(
--- a/clementinespar/jobs/telemetry.py
+++ b/clementinespar/jobs/telemetry.py
@@ -54,7 +54,6 @@
     _interference_moves: prometheus_client.Counter
     _over_rate: prometheus_client.Counter
     _contended_rounds: prometheus_client.Counter
-    _preemptions: prometheus_client.Counter
     _answers: prometheus_client.Counter
     _job_seconds: prometheus_client.Histogram
     _answer_seconds: prometheus_client.Histogram
@@ -121,11 +120,6 @@
             "Rounds of placement that were ordered by the shares of teams.",
             registry=self.registry,
         )
-        self._preemptions = prometheus_client.Counter(
-            "clementinespar_preempted_runs",
-            "Runs of late jobs that were stopped for tasks that can be in time.",
-            registry=self.registry,
-        )
         self._answers = prometheus_client.Counter(
             "clementinespar_job_answers",
             "Answers to callers by call and status.",
@@ -185,10 +179,6 @@
         """Count a round of placement that was ordered by the shares of teams."""
         self._contended_rounds.inc()
 
-    def count_preemptions(self, count: int) -> None:
-        """Count runs of late jobs that were stopped for other tasks."""
-        self._preemptions.inc(count)
-
     def count_start(self) -> None:
         """Count an ordered start of a task."""
         self._starts.inc()
