Record the hosts of orders before sending, and take over from the record

Cause: after the loss of the fleet owner, the next one waited for the lease of the holder plus 0.6 s before it gave any order, since it did not know for which hosts the previous one had given orders.

Change: the orders of a tick, moves and maintenance, are collected and their hosts stored in one record under the epoch (the record `release`, with the kind of each order in fields that older builds ignore). They are sent after that append has returned, at most 0.5 s after its call, and only while ownership is confirmed. This is checked once more when the connection is open (`HttpClient.call`, `may_send`), since a process may be frozen meanwhile. A new owner fences out the previous one by its first record, reads the record and waits only for the hosts that it names. Hosts stay in the record until the lease after the end of their call, and those still waited for are carried over. Once no host is left, that is stored, so that old orders hold up no host. An owner without a readable record waits for all hosts and stores nothing meanwhile. The evacuation requests of waves run concurrently, with one record of begun maintenance a tick; hosts with orders of the previous owner count as down.

--- a/clementinespar/http_calls.py
+++ b/clementinespar/http_calls.py
@@ -8,6 +8,7 @@
 import asyncio
 import dataclasses
 import socket
+from collections.abc import Callable
 
 import httptools
 
@@ -153,6 +154,7 @@
         body: bytes = b"",
         headers: str = "",
         timeout_s: float = 1.0,
+        may_send: Callable[[], bool] | None = None,
     ) -> Response:
         """Make one call and return its response.
 
@@ -165,15 +167,21 @@
         timeout_s : float
             Longest wait for the complete response in seconds, from the moment at which
             the connection is open.
+        may_send : callable, optional
+            Asked once the connection is open, right before the call is sent. Opening it
+            takes time, after which an order may no longer be valid.
 
         Raises
         ------
         CallNotSentError
-            No connection could be opened.
+            No connection could be opened, or `may_send` has returned False.
         CallUnansweredError
             The call may have been executed.
         """
         connection = await self._acquire_connection(address)
+        if may_send is not None and not may_send():
+            self._release_connection(address, connection)
+            raise CallNotSentError("the call was no longer valid")
         self.calls += 1
         request = (
             f"{method} {path} HTTP/1.1\r\nHost: {address}\r\n"
--- a/clementinespar/jobs/fleet.py
+++ b/clementinespar/jobs/fleet.py
@@ -3,16 +3,16 @@
 `maintenance.py` carries out the waves of maintenance, and `host_moves.py` moves hosts
 to demand.
 
-The platform does not check fences on orders to hosts, so a new owner of the fleet waits
-until the previous one has certainly stopped before it gives its first order, unless
-that one has recorded that it stopped (`host_orders.py`). An order is given only for a
-host whose worker the owner of its pool has freed.
+The platform does not check fences on orders to hosts. An owner therefore records which
+hosts it gives orders for (`host_orders.py`), and the next one waits for these until
+the lease of the previous holder has ended. Without a readable record it waits for all
+hosts. An order is given only for a host whose worker the owner of its pool has freed.
 """
 
 import asyncio
 import contextlib
 import json
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 
 from clementinespar import background, codes, errors
 from clementinespar.jobs import (
@@ -28,7 +28,9 @@
 )
 
 TICK_S = 0.25
-PREVIOUS_OWNER_MARGIN_S = 0.6  # the previous owner notices its loss by its next join
+# A new owner waits this much longer than the lease, counted from its first record. The
+# previous one sends orders up to `host_orders.SEND_LIMIT_S` after its last record.
+PREVIOUS_OWNER_MARGIN_S = 0.6
 CONFIRMATION_MAX_AGE_S = 1.2  # no order without a recent confirmation of ownership
 
 
@@ -45,7 +47,9 @@
     _waves: maintenance.MaintenanceWaves
     _moves: host_moves.HostMoves
     _orders: host_orders.HostOrders
-    _acts: bool  # the previous owner has certainly stopped
+    _sender: host_orders.OrderSender
+    _has_listed_hosts: bool
+    _acts: bool  # it may give orders, at least for some hosts
 
     def __init__(
         self,
@@ -72,19 +76,23 @@
         self._hosts = hosts
         self._holder_lease_s = holder_lease_s
         self._acts = False
+        self._has_listed_hosts = False
         self._log_event = log_event
         self._log = fenced_log.FencedLog(
             store, services.Topic.HOSTS, partition, epoch, TICK_S, log_event
         )
         evacuation = host_evacuation.HostEvacuation(jobs, configuration, log_event)
         self._orders = host_orders.HostOrders(holder_lease_s + PREVIOUS_OWNER_MARGIN_S)
+        self._sender = host_orders.OrderSender(
+            self._orders, self._may_act, self._store_record
+        )
         self._moves = host_moves.HostMoves(
             epoch,
             jobs,
             hosts,
             configuration,
             evacuation,
-            self._orders,
+            self._sender,
             self._may_act,
             self._store_record,
             log_event,
@@ -95,10 +103,10 @@
             waves,
             evacuation,
             self._orders,
+            self._sender,
             self._moves.count_lasting,
             maintenance_s,
-            self._may_act,
-            self._store_record,
+            self._store_records,
             log_event,
         )
 
@@ -112,12 +120,15 @@
             telemetry.log_failure(self._log_event, self._partition, error)
 
     async def _run(self) -> None:
-        """Load stored state, wait until the previous owner has stopped, then act."""
+        """Fence out the previous owner, load stored state, then act."""
         loop = asyncio.get_running_loop()
-        acts_from = loop.time() + self._holder_lease_s + PREVIOUS_OWNER_MARGIN_S
         while True:
             try:
                 await self._store_holder()
+                # The previous owner can record no more hosts from here on, and the
+                # record that is read next names all hosts that it has orders for.
+                fenced_at = loop.time()
+                acts_from = fenced_at + self._holder_lease_s + PREVIOUS_OWNER_MARGIN_S
                 page = await self._store.list_newest(
                     services.Topic.HOSTS, self._partition
                 )
@@ -128,12 +139,9 @@
                     elif entry.key == "turns":
                         self._moves.restore(json.loads(entry.value), loop.time())
                     elif entry.key == host_orders.RELEASE_KEY and self._take_over(
-                        entry.value
+                        entry.value, fenced_at
                     ):
-                        acts_from = loop.time()
-                await self._store_record(
-                    host_orders.RELEASE_KEY, host_orders.encode_acting()
-                )
+                        acts_from = fenced_at
                 break
             except errors.ClementinesparError as error:
                 if error.code is codes.ResultCode.STORE_FENCED:
@@ -143,7 +151,8 @@
             await asyncio.sleep(TICK_S)
         await asyncio.sleep(max(0.0, acts_from - loop.time()))
         self._acts = True
-        self._log_event("fleet_holder", epoch=self.epoch)
+        held = self._orders.find_held(loop.time())
+        self._log_event("fleet_holder", epoch=self.epoch, held=len(held))
         while True:
             self._waves.add_new()
             try:
@@ -155,19 +164,18 @@
                     return
             await asyncio.sleep(TICK_S)
 
-    def _take_over(self, value: bytes) -> bool:
-        """Whether the previous owner has recorded that it gives no more orders."""
-        now = asyncio.get_running_loop().time()
+    def _take_over(self, value: bytes, fenced_at: float) -> bool:
+        """Whether the previous owner has recorded which hosts it had orders for."""
         try:
-            return self._orders.take_over(value, now)
+            return self._orders.take_over(value, fenced_at)
         except (ValueError, KeyError, TypeError, AttributeError) as error:
             telemetry.log_invalid_entry(self._log_event, host_orders.RELEASE_KEY, error)
             return False
 
     async def release(self) -> None:
-        """Record for the next owner that this one gives no more orders.
+        """Record for the next owner which hosts have recent orders of this one.
 
-        Call it after `run` has ended. Without the record the next owner waits.
+        Call it after `run` has ended. The record of the last orders names more hosts.
         """
         if not self._acts or self.is_lost:
             return
@@ -199,17 +207,41 @@
             self._fence_checks = wanted
         if not self._may_act():
             return
+        self._sender.drop_planned()  # of a tick that has failed
         hosts_by_id = {host.host_id: host for host in await self._hosts.list_hosts()}
         await self._waves.advance(hosts_by_id)
-        await self._moves.move_to_demand(hosts_by_id, self._waves.find_leaving())
+        # Hosts that must wait for the lease of the previous holder are not chosen for a
+        # move, which would keep others from being chosen.
+        now = asyncio.get_running_loop().time()
+        held = self._orders.find_held(now)
+        if not self._has_listed_hosts:
+            self._has_listed_hosts = True
+            self._moves.restore_arriving(
+                {
+                    host_id: pool
+                    for host_id, pool in self._orders.find_held_moves(now).items()
+                    if host_id in hosts_by_id and hosts_by_id[host_id].state == "moving"
+                },
+                now,
+            )
+        await self._moves.move_to_demand(hosts_by_id, self._waves.find_leaving() | held)
+        await self._sender.send()
+        await self._waves.store_begun()
 
     async def _store_holder(self) -> None:
         await self._store_record("holder", {"epoch": self.epoch})
 
     async def _store_record(self, key: str, value: object) -> None:
-        """Store a record under the epoch of this owner; retries until it is stored."""
-        entry = services.KeyedRecord(key, json.dumps(value).encode())
-        await self._log.append([entry])
+        await self._store_records({key: value})
+
+    async def _store_records(self, values: Mapping[str, object]) -> None:
+        """Store records under the epoch of this owner, retried until stored."""
+        await self._log.append(
+            [
+                services.KeyedRecord(key, json.dumps(value).encode())
+                for key, value in values.items()
+            ]
+        )
 
 
 @contextlib.asynccontextmanager
--- a/clementinespar/jobs/host_moves.py
+++ b/clementinespar/jobs/host_moves.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import functools
 import math
 from collections.abc import Awaitable, Callable
 
@@ -52,7 +53,7 @@
         hosts: services.HostService,
         configuration: services.ConfigurationSource,
         evacuation: host_evacuation.HostEvacuation,
-        orders: host_orders.HostOrders,
+        orders: host_orders.OrderSender,
         may_act: Callable[[], bool],
         store_record: Callable[[str, object], Awaitable[None]],
         log_event: services.EventLog,
@@ -141,7 +142,8 @@
             )
         async with asyncio.TaskGroup() as group:
             for move in moves:
-                group.create_task(self._move_host(move, hosts_by_id[move.host_id]))
+                group.create_task(self._plan_order(move, hosts_by_id[move.host_id]))
+        await self._orders.send()
         await self._drain_hosts(
             capacity.plan_drains(views, self._peaks, moves, now), hosts_by_id
         )
@@ -248,21 +250,32 @@
                     )
                 )
 
-    async def _move_host(self, move: capacity.Move, host: model.HostEntry) -> None:
-        loop = asyncio.get_running_loop()
+    def restore_arriving(self, pool_by_host: dict[str, str], now: float) -> None:
+        """Count hosts that the previous owner has moved as on their way."""
+        for host_id, pool in pool_by_host.items():
+            self._arriving[host_id] = (pool, now)
+
+    async def _plan_order(self, move: capacity.Move, host: model.HostEntry) -> None:
+        queried_at = asyncio.get_running_loop().time()
         is_free = await self._evacuation.is_free(host, model.EvacuationUrgency.IF_IDLE)
-        now = loop.time()
-        if (
-            not is_free
-            or not self._may_act()
-            or not self._orders.may_order(move.host_id, now)
-        ):
-            return
+        if is_free and self._may_act() and self._orders.may_order(move.host_id):
+            self._orders.plan(
+                host_orders.HostOrder(
+                    move.host_id,
+                    queried_at,
+                    functools.partial(self._move_host, move),
+                    pool=move.destination,
+                )
+            )
+
+    async def _move_host(
+        self, move: capacity.Move, may_send: Callable[[], bool]
+    ) -> None:
+        now = asyncio.get_running_loop().time()
         self._arriving[move.host_id] = (move.destination, now)
-        self._orders.note_order(move.host_id, now)
         try:
             is_moved = await self._hosts.move(
-                move.host_id, move.destination, self._epoch
+                move.host_id, move.destination, self._epoch, may_send
             )
         except errors.ClementinesparError as error:
             # The move may have started; the next lists of hosts show whether it has.
--- a/clementinespar/jobs/maintenance.py
+++ b/clementinespar/jobs/maintenance.py
@@ -3,8 +3,10 @@
 import asyncio
 import collections
 import dataclasses
-from collections.abc import Awaitable, Callable
+import functools
+from collections.abc import Awaitable, Callable, Mapping
 
+from clementinespar import errors
 from clementinespar.jobs import (
     host_evacuation,
     host_orders,
@@ -28,8 +30,20 @@
     # By host id.
     ordered_at: dict[str, float] = dataclasses.field(default_factory=dict)
     evacuating_since: dict[str, float] = dataclasses.field(default_factory=dict)
+    # Ids of hosts in maintenance, or with an order for it, as of this tick.
+    down: set[str] = dataclasses.field(default_factory=set)
     is_reported: bool = False
     is_done: bool = False
+    is_stored: bool = True  # the stored record has all of `begun`
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Evacuation:
+    """A request to free a host of a wave."""
+
+    progress: _WaveProgress
+    host: model.HostEntry
+    urgency: model.EvacuationUrgency
 
 
 class MaintenanceWaves:
@@ -43,10 +57,8 @@
         Returns the number of lasting tasks on a worker, by its id.
     maintenance_s : float
         Time that the maintenance of a host takes, in seconds.
-    may_act : callable
-        Whether the owner may give orders now.
-    store_record : callable
-        Stores a record under a key of the fleet partition.
+    store_records : callable
+        Stores records by their key in the fleet partition, in one append.
     """
 
     _waves: dict[int, _WaveProgress]
@@ -60,10 +72,10 @@
         waves: services.WaveSource,
         evacuation: host_evacuation.HostEvacuation,
         orders: host_orders.HostOrders,
+        sender: host_orders.OrderSender,
         count_lasting: Callable[[str], int],
         maintenance_s: float,
-        may_act: Callable[[], bool],
-        store_record: Callable[[str, object], Awaitable[None]],
+        store_records: Callable[[Mapping[str, object]], Awaitable[None]],
         log_event: services.EventLog,
     ) -> None:
         self._epoch = epoch
@@ -71,10 +83,10 @@
         self._wave_source = waves
         self._evacuation = evacuation
         self._orders = orders
+        self._sender = sender
         self._count_lasting = count_lasting
         self._maintenance_s = maintenance_s
-        self._may_act = may_act
-        self._store_record = store_record
+        self._store_records = store_records
         self._log_event = log_event
         self._waves = {}
         self._begun_by_wave = {}
@@ -93,10 +105,36 @@
                 self._waves[number] = progress
 
     async def advance(self, hosts_by_id: dict[str, model.HostEntry]) -> None:
-        """Evacuate hosts of the open waves, and start maintenance of those free."""
-        for wave in self._waves.values():
-            if not wave.is_done:
-                await self._advance_wave(wave, hosts_by_id)
+        """Evacuate hosts of the open waves, and plan the maintenance of those free."""
+        queried_at = asyncio.get_running_loop().time()
+        evacuations: list[_Evacuation] = []
+        for progress in self._waves.values():
+            if not progress.is_done:
+                evacuations += await self._choose_hosts(progress, hosts_by_id)
+        async with asyncio.TaskGroup() as group:
+            queries = [
+                group.create_task(
+                    self._evacuation.is_free(evacuation.host, evacuation.urgency)
+                )
+                for evacuation in evacuations
+            ]
+        for evacuation, query in zip(evacuations, queries, strict=True):
+            if query.result():
+                self._plan_maintenance(evacuation, queried_at)
+
+    async def store_begun(self) -> None:
+        """Store for all waves which hosts are in maintenance or have had it.
+
+        Call it once the orders of a tick have ended, before more are sent.
+        """
+        changed = [p for p in self._waves.values() if not p.is_stored]
+        if not changed:
+            return
+        await self._store_records(
+            {f"wave{p.wave.number}": sorted(p.begun) for p in changed}
+        )
+        for progress in changed:
+            progress.is_stored = True
 
     def find_leaving(self) -> set[str]:
         """Return the ids of hosts that are evacuated and not in maintenance yet."""
@@ -107,11 +145,13 @@
             if host_id not in wave.begun
         }
 
-    async def _advance_wave(
+    async def _choose_hosts(
         self, progress: _WaveProgress, hosts_by_id: dict[str, model.HostEntry]
-    ) -> None:
+    ) -> list[_Evacuation]:
+        """Return the evacuations to request now, in the order of the wave."""
         loop = asyncio.get_running_loop()
         wave = progress.wave
+        self._note_begun(progress, hosts_by_id)
         if not progress.is_reported:
             await self._wave_source.report(wave, is_done=False)
             progress.is_reported = True
@@ -124,13 +164,18 @@
             await self._wave_source.report(wave, is_done=True)
             progress.is_done = True
             self._log_event("wave_done", wave=wave.number, begun=len(progress.begun))
-            return
-        down = {
+            return []
+        progress.down = {
             host_id
             for host_id in wave.host_ids
             if self._is_down(progress, hosts_by_id.get(host_id), loop.time())
         }
-        self._choose_evacuations(progress, pending, down, hosts_by_id)
+        # Orders of the previous owner may not show in the list yet.
+        for number in (wave.number, host_orders.NO_WAVE):
+            held = self._orders.find_held_for_wave(number, loop.time())
+            progress.down |= held.intersection(wave.host_ids)
+        self._choose_evacuations(progress, pending, progress.down, hosts_by_id)
+        evacuations = []
         for host in pending:
             since = progress.evacuating_since.get(host.host_id)
             if since is None or host.state != "up":
@@ -138,14 +183,42 @@
             urgency = model.EvacuationUrgency.DRAIN
             if loop.time() - since > URGENT_AFTER_S:
                 urgency = model.EvacuationUrgency.STOP
-            if not await self._evacuation.is_free(host, urgency):
-                continue
-            if len(down) >= wave.max_down or not self._may_act():
-                continue
-            if not self._orders.may_order(host.host_id, loop.time()):
-                continue
-            down.add(host.host_id)
-            await self._start_maintenance(progress, host)
+            evacuations.append(_Evacuation(progress, host, urgency))
+        return evacuations
+
+    def _plan_maintenance(self, evacuation: _Evacuation, queried_at: float) -> None:
+        """Plan the maintenance of a host that is free, unless too many are down."""
+        progress, host = evacuation.progress, evacuation.host
+        if len(progress.down) >= progress.wave.max_down:
+            return
+        if not self._sender.may_order(host.host_id):
+            return
+        progress.down.add(host.host_id)
+        self._sender.plan(
+            host_orders.HostOrder(
+                host.host_id,
+                queried_at,
+                functools.partial(self._start_maintenance, progress, host),
+                wave=progress.wave.number,
+            )
+        )
+
+    def _note_begun(
+        self, progress: _WaveProgress, hosts_by_id: dict[str, model.HostEntry]
+    ) -> None:
+        """Note the hosts in maintenance whose order got no answer.
+
+        The order may be of the previous owner, which was lost before it could record
+        that the maintenance has begun.
+        """
+        now = asyncio.get_running_loop().time()
+        ordered = self._orders.find_held_for_wave(progress.wave.number, now)
+        ordered.update(progress.ordered_at)
+        for host_id in ordered - progress.begun:
+            host = hosts_by_id.get(host_id)
+            if host is not None and host.state == "upkeep":
+                progress.begun.add(host_id)
+                progress.is_stored = False
 
     def _is_down(
         self, progress: _WaveProgress, host: model.HostEntry | None, now: float
@@ -218,15 +291,26 @@
             )
 
     async def _start_maintenance(
-        self, progress: _WaveProgress, host: model.HostEntry
+        self,
+        progress: _WaveProgress,
+        host: model.HostEntry,
+        may_send: Callable[[], bool],
     ) -> None:
-        loop = asyncio.get_running_loop()
         number = progress.wave.number
-        progress.ordered_at[host.host_id] = loop.time()
-        self._orders.note_order(host.host_id, loop.time())
-        is_begun = await self._hosts.start_maintenance(
-            host.host_id, number, self._epoch
-        )
+        progress.ordered_at[host.host_id] = asyncio.get_running_loop().time()
+        try:
+            is_begun = await self._hosts.start_maintenance(
+                host.host_id, number, self._epoch, may_send
+            )
+        except errors.ClementinesparError as error:
+            # It may have begun; the next lists of hosts show whether it has.
+            self._log_event(
+                "host_upkeep_unanswered",
+                host=host.host_id,
+                wave=number,
+                code=int(error.code),
+            )
+            return
         self._log_event(
             "host_upkeep",
             host=host.host_id,
@@ -238,4 +322,4 @@
             del progress.ordered_at[host.host_id]
             return
         progress.begun.add(host.host_id)
-        await self._store_record(f"wave{number}", sorted(progress.begun))
+        progress.is_stored = False
--- a/clementinespar/jobs/services.py
+++ b/clementinespar/jobs/services.py
@@ -199,12 +199,20 @@
         """Return all hosts."""
         ...
 
-    async def move(self, host_id: str, pool: str, fence: int) -> bool:
-        """Move a host to another pool; False if the platform refused."""
+    async def move(
+        self, host_id: str, pool: str, fence: int, may_send: Callable[[], bool]
+    ) -> bool:
+        """Move a host to another pool.
+
+        `may_send` is asked when nothing is left to wait for before the order is sent.
+        False if the platform refused, or if the order was not sent.
+        """
         ...
 
-    async def start_maintenance(self, host_id: str, wave: int, fence: int) -> bool:
-        """Take a host down for maintenance; False if the platform refused."""
+    async def start_maintenance(
+        self, host_id: str, wave: int, fence: int, may_send: Callable[[], bool]
+    ) -> bool:
+        """Take a host down for maintenance; otherwise as `move`."""
         ...
 
 
--- a/clementinespar/jobs/tests/test_slow_store.py
+++ b/clementinespar/jobs/tests/test_slow_store.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import urllib.parse
+from collections.abc import Callable
 
 import pytest
 
@@ -37,6 +38,7 @@
         body: bytes = b"",
         headers: str = "",
         timeout_s: float = 1.0,
+        may_send: Callable[[], bool] | None = None,
     ) -> http_calls.Response:
         assert (address, method) == ("10.0.0.1:1", "POST")
         if self.is_gone:
