Order hosts in the tick in which a peak begins, by learnt heights

Cause: the arrival rate needs 2 to 3 s to show a peak, and moves waited for tasks that wait, so hosts reached a pool 3 to 5 s after its peak had begun. The height of each peak (upper quartile of its readings, at most 2.5 home sizes) is learnt and expected for the first 2.5 s of the pool's next peak, or of the first peak of another pool. Moves and drains for it are planned in the same tick. The expectation ends at once when the demand turns quiet, and a burst of less than a second is not a peak. Pool owners report the number of recent jobs, so that a peak of a known height is seen at 0.35 of the home size instead of 0.55, unless it is one large job. Heights and starts are stored in the record `turns`; the start of a current peak is stored with `peaking`, in the same append as before. A test of the record `turns` compared all its fields; it now checks the new field `began_ms` against the clock and the others as before.

--- a/clementinespar/jobs/capacity.py
+++ b/clementinespar/jobs/capacity.py
@@ -2,15 +2,23 @@
 
 The queues peak one after another: each demands several times its mean for some seconds.
 A move takes a few seconds, longer than the slack of short jobs, so a pool keeps its
-home size until its peak. After its peak the other pools have priority, and its idle
-hosts move to them or to the spare pool, where they cost nothing.
+home size until its peak. When a peak begins, the pool gets the hosts that its earlier
+peaks have needed (`peaks.py`). After its peak the other pools have priority, and its
+idle hosts move to them or to the spare pool, where they cost nothing.
 """
 
 import dataclasses
+import enum
 import math
 
+from clementinespar.jobs import peaks
+
 # Shares of the capacity of a pool's home size.
 PEAK_SHARE = 0.55  # use above which a peak begins
+# Use above which more demand is expected if several jobs have arrived: one large job
+# raises the rate as much as the start of a peak does.
+ONSET_SHARE = 0.35
+ONSET_JOBS = 1.5  # the second one within 0.5 s
 QUIET_SHARE = 0.3  # use below which a peak ends after `QUIET_S`
 QUIET_S = 1.2
 HEADROOM = 1.15  # capacity for each unit of demand, since tasks do not pack fully
@@ -35,6 +43,7 @@
     used_cores: float = 0.0
     waiting_cores: float = 0.0  # of work that can still meet its objective
     arriving_cores: float = 0.0  # core-seconds of work that arrive per second
+    arriving_jobs: float | None = None  # recent jobs; None if not reported
     lasting_cores: float = 0.0
     lasting_hosts: int = 0  # fewest that can hold the largest lasting step
     leaving_hosts: int = 0  # of `hosts`, those whose worker drains
@@ -53,10 +62,12 @@
 
     home_hosts: int
     is_peaking: bool = False
+    peaking_since: float | None = None
     quiet_since: float | None = None
     peak_ended_at: float | None = None
     is_resting: bool = False  # its peak is over, so the other pools have priority
     needs: list[tuple[float, int]] = dataclasses.field(default_factory=list)
+    height: peaks.PeakHeight = dataclasses.field(default_factory=peaks.PeakHeight)
 
     def max_recent_need(self, needed: int, now: float) -> int:
         """Add a need; return the largest number needed within `NEED_WINDOW_S`."""
@@ -65,6 +76,15 @@
         return max(n for _, n in self.needs)
 
 
+class Rank(enum.IntEnum):
+    """Why a pool lacks hosts; lower ranks get hosts first."""
+
+    WAITING = 0  # work waits
+    EXPECTED = 1  # a peak has begun, and earlier ones needed more hosts
+    HOME = 2  # it gets its home size back, or work arrives but does not wait
+    FORECAST = 3  # a peak is about to begin
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Move:
     """A move of a host to another pool."""
@@ -84,11 +104,17 @@
     return max(timely_cores, view.lasting_cores + view.arriving_cores)
 
 
+def find_use(peak: PeakState, view: PoolView) -> float:
+    """Return the demand of a pool as a share of the cores of its home size."""
+    return demand_cores(view) / max(1.0, peak.home_hosts * view.host_cores)
+
+
 def update_peak(peak: PeakState, view: PoolView, now: float) -> None:
     """Update whether a pool is at its peak."""
-    home_cores = max(1.0, peak.home_hosts * view.host_cores)
-    use = demand_cores(view) / home_cores
+    use = find_use(peak, view)
     if use > PEAK_SHARE:
+        if not peak.is_peaking:
+            peak.peaking_since = now
         peak.is_peaking = True
         peak.quiet_since = None
     elif peak.is_peaking and use < QUIET_SHARE:
@@ -96,23 +122,93 @@
             peak.quiet_since = now
         if now - peak.quiet_since >= QUIET_S:
             peak.is_peaking = False
-            peak.peak_ended_at = now
+            since = peak.peaking_since
+            if since is None or peak.quiet_since - since >= peaks.BURST_S:
+                peak.peak_ended_at = now
     elif peak.is_peaking:
         peak.quiet_since = None
+    update_onset(peak, use, view.arriving_jobs, now)
+
+
+def update_onset(
+    peak: PeakState, use: float, arriving_jobs: float | None, now: float
+) -> None:
+    """Update whether a peak whose height may be known has begun."""
+    height = peak.height
+    if height.began_at is not None:
+        if not peak.is_peaking and use < QUIET_SHARE:
+            height.is_over = True
+    elif arriving_jobs is None:
+        if use > PEAK_SHARE:
+            height.begin(now)
+    elif use > ONSET_SHARE and arriving_jobs >= ONSET_JOBS:
+        height.begin(now)
 
 
-def update_resting(peaks: dict[str, PeakState]) -> None:
+def update_resting(states: dict[str, PeakState]) -> str | None:
     """Update which pools are resting and may lend hosts of their home size.
 
     A pool rests after its peak. Once every pool is at its peak or has had it, the one
     whose peak ended first is expected to peak next, and gets its home size back.
+
+    Returns
+    -------
+    str or None
+        The pool that is expected to peak next.
     """
-    for peak in peaks.values():
+    for peak in states.values():
         peak.is_resting = not peak.is_peaking and peak.peak_ended_at is not None
-    resting = [peak for peak in peaks.values() if peak.is_resting]
-    if resting and all(peak.is_resting or peak.is_peaking for peak in peaks.values()):
-        first = min(resting, key=lambda peak: peak.peak_ended_at or 0.0)
-        first.is_resting = False
+    resting = [name for name, peak in states.items() if peak.is_resting]
+    if resting and all(peak.is_resting or peak.is_peaking for peak in states.values()):
+        first = min(resting, key=lambda name: states[name].peak_ended_at or 0.0)
+        states[first].is_resting = False
+        return first
+    return None
+
+
+def update_expectations(
+    views: list[PoolView],
+    states: dict[str, PeakState],
+    next_pool: str | None,
+    turns: peaks.Turns,
+    now: float,
+) -> None:
+    """Update the heights and starts of peaks that are learnt and expected."""
+    heights = {name: state.height for name, state in states.items()}
+    for view in views:
+        if view.is_spare:
+            continue
+        state = states[view.name]
+        home_hosts = max(1, state.home_hosts)
+        peaks.update_height(
+            view.name,
+            heights,
+            demanded_hosts(state, view) / home_hosts,
+            find_use(state, view) < QUIET_SHARE,
+            turns,
+            now,
+        )
+    peaks.update_forecast(heights, next_pool, turns, now)
+
+
+def expected_hosts(peak: PeakState, now: float) -> int:
+    """Return the number of hosts that the earlier peaks let expect.
+
+    It is 0 unless a peak has just begun, so that measured demand is not reliable yet.
+    """
+    share = min(peak.height.expected_now(now), MAX_PEAK_SHARE)
+    return math.ceil(share * peak.home_hosts)
+
+
+def forecast_hosts(
+    name: str, states: dict[str, PeakState], turns: peaks.Turns, now: float
+) -> int:
+    """Return the number of hosts that a pool gets before its peak begins."""
+    if not turns.is_due(name, now):
+        return 0
+    others = (state.height for key, state in states.items() if key != name)
+    share = peaks.expected_height(states[name].height, others)
+    return math.ceil(min(share, MAX_PEAK_SHARE) * states[name].home_hosts)
 
 
 def demanded_hosts(peak: PeakState, view: PoolView) -> int:
@@ -153,20 +249,27 @@
     return view.lasting_hosts + view.leaving_hosts if view.lasting_hosts else 0
 
 
-def kept_hosts(peak: PeakState, view: PoolView) -> int:
+def kept_hosts(peak: PeakState, view: PoolView, now: float) -> int:
     """Return the number of hosts that a pool keeps while another lacks some.
 
     A pool before its peak lends a part of its home size: what another pool lacks now
     counts more than a slower start of its own peak.
     """
-    needed = max(needed_hosts(peak, view) + SPARE_HOSTS, hosts_for_lasting(view))
+    needed = max(
+        needed_hosts(peak, view) + SPARE_HOSTS,
+        hosts_for_lasting(view),
+        expected_hosts(peak, now),
+    )
     if peak.is_peaking or peak.is_resting:
         return needed
     return max(needed, math.ceil(peak.home_hosts * KEPT_SHARE))
 
 
 def plan_moves(
-    views: list[PoolView], peaks: dict[str, PeakState], now: float
+    views: list[PoolView],
+    states: dict[str, PeakState],
+    now: float,
+    turns: peaks.Turns | None = None,
 ) -> list[Move]:
     """Return the moves to order now.
 
@@ -174,30 +277,42 @@
     ----------
     views : list of PoolView
         All pools.
-    peaks : dict of str to PeakState
+    states : dict of str to PeakState
         State of the peaks by pool name; changed in place.
     now : float
         Event-loop time in seconds.
+    turns : peaks.Turns, optional
+        Starts of the peaks; changed in place. Without it, no start is forecast.
     """
     surplus: list[tuple[str, str]] = []
     spare_pools = [view for view in views if view.is_spare]
-    lacking: list[tuple[int, PoolView]] = []
+    lacking: list[tuple[Rank, int, PoolView]] = []  # rank, number of hosts, pool
     moves: list[Move] = []
+    turns = turns or peaks.Turns()
     for view in views:
         if view.is_spare:
             continue
-        peak = peaks.setdefault(view.name, PeakState(view.hosts))
+        peak = states.setdefault(view.name, PeakState(view.hosts))
         update_peak(peak, view, now)
-    update_resting(peaks)
+    update_expectations(views, states, update_resting(states), turns, now)
     lent: list[tuple[str, str]] = []
     for view in views:
         if view.is_spare:
             continue
-        peak = peaks[view.name]
+        peak = states[view.name]
         wanted = max(wanted_hosts(peak, view, now), hosts_for_lasting(view))
-        kept = kept_hosts(peak, view)
-        if wanted > view.hosts:
-            lacking.append((wanted - view.hosts, view))
+        kept = kept_hosts(peak, view, now)
+        reasons = [
+            (Rank.WAITING if view.waiting_cores > 0 else Rank.HOME, wanted),
+            (Rank.EXPECTED, expected_hosts(peak, now)),
+            (Rank.FORECAST, forecast_hosts(view.name, states, turns, now)),
+        ]
+        found = view.hosts
+        for rank, hosts in reasons:
+            if hosts > found:
+                lacking.append((rank, hosts - found, view))
+                found = hosts
+            wanted = max(wanted, hosts)
         surplus_count = max(0, view.hosts - wanted)
         surplus.extend((host_id, view.name) for host_id in view.movable[:surplus_count])
         if view.waiting_cores <= 0:
@@ -210,15 +325,12 @@
     sources = surplus + [
         (host_id, view.name) for view in spare_pools for host_id in view.movable
     ]
-    # A pool that only gets its home size back comes after those with waiting work.
-    for count, view in sorted(
-        lacking, key=lambda item: (item[1].waiting_cores <= 0, -item[0])
-    ):
-        is_short = view.waiting_cores > 0
+    for rank, count, view in sorted(lacking, key=lambda item: (item[0], -item[1])):
+        may_borrow = rank in (Rank.WAITING, Rank.EXPECTED)
         for _ in range(count):
             if sources:
                 host_id, source = sources.pop(0)
-            elif is_short and lent:
+            elif may_borrow and lent:
                 host_id, source = lent.pop(0)
             else:
                 break
@@ -234,7 +346,7 @@
 
 
 def plan_drains(
-    views: list[PoolView], peaks: dict[str, PeakState], moves: list[Move], now: float
+    views: list[PoolView], states: dict[str, PeakState], moves: list[Move], now: float
 ) -> list[str]:
     """Return the ids of busy hosts that should get no new work, so that they can move.
 
@@ -247,7 +359,7 @@
     ----------
     views : list of PoolView
         All pools.
-    peaks : dict of str to PeakState
+    states : dict of str to PeakState
         State of the peaks by pool name, as updated by `plan_moves`.
     moves : list of Move
         Moves that are ordered now.
@@ -264,15 +376,16 @@
     for view in views:
         if view.is_spare:
             continue
-        peak = peaks[view.name]
+        peak = states[view.name]
         # A drain takes as long as the tasks that run, so it begins for the work that
         # arrives, before that work waits.
-        demanded = demanded_hosts(peak, view) - arriving.get(view.name, 0)
+        demanded = max(demanded_hosts(peak, view), expected_hosts(peak, now))
+        demanded -= arriving.get(view.name, 0)
         if view.waiting_cores > 0 or demanded > view.hosts:
             lacking += max(0, demanded - view.hosts)
             continue
         hosts = view.hosts - leaving.get(view.name, 0)
-        lendable = hosts - kept_hosts(peak, view)
+        lendable = hosts - kept_hosts(peak, view, now)
         # Late work uses no more than the home size, so that hosts are idle when the
         # next pool's peak begins.
         wanted = max(peak.home_hosts, wanted_hosts(peak, view, now))
--- a/clementinespar/jobs/demand.py
+++ b/clementinespar/jobs/demand.py
@@ -32,17 +32,27 @@
     """Exponentially decaying rate of arriving work, in core-seconds per second."""
 
     _rate: float
+    _jobs: float
     _updated_at: float
 
     def __init__(self) -> None:
         self._rate = 0.0
+        self._jobs = 0.0
         self._updated_at = 0.0
 
     def add(self, core_seconds: float, now: float) -> None:
-        """Add work that arrives now."""
+        """Add the work of a job that arrives now."""
         self._rate = self.read(now) + core_seconds / RATE_WINDOW_S
+        self._jobs = self.read_jobs(now) + 1
         self._updated_at = now
 
     def read(self, now: float) -> float:
         """Return the rate at an event-loop time."""
         return self._rate * math.exp((self._updated_at - now) / RATE_WINDOW_S)
+
+    def read_jobs(self, now: float) -> float:
+        """Return the number of recent jobs, which decays as the rate does.
+
+        A single large job raises the rate as much as the start of a peak does.
+        """
+        return self._jobs * math.exp((self._updated_at - now) / RATE_WINDOW_S)
--- a/clementinespar/jobs/host_moves.py
+++ b/clementinespar/jobs/host_moves.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import math
+import time
 from collections.abc import Awaitable, Callable
 
 from clementinespar import errors
@@ -14,8 +15,11 @@
     host_evacuation,
     host_orders,
     model,
+    peak_records,
+    peaks,
     service,
     services,
+    telemetry,
 )
 
 # A busy host that another pool needs gets no new work for this long, unless it is asked
@@ -40,6 +44,8 @@
     """
 
     _peaks: dict[str, capacity.PeakState]
+    _turns: peaks.Turns
+    _unix_offset_s: float  # Unix time at which the event-loop clock was 0
     _arriving: dict[str, tuple[str, float]]  # host id: its new pool and time of order
     _drained_at: dict[str, float]  # host id: event-loop time of the newest request
     _lasting_by_worker: dict[str, int]  # number of lasting tasks, as last reported
@@ -67,22 +73,29 @@
         self._store_record = store_record
         self._log_event = log_event
         self._peaks = {}
+        self._turns = peaks.Turns()
+        self._unix_offset_s = time.time() - asyncio.get_running_loop().time()
         self._arriving = {}
         self._drained_at = {}
         self._lasting_by_worker = {}
         self._logged_at = 0.0
 
-    def restore(self, fields: dict[str, dict[str, int]], now: float) -> None:
-        """Take over the state of the peaks that the previous owner has stored."""
+    def restore(self, fields: dict[str, dict[str, object]], now: float) -> None:
+        """Take over the state of the peaks that the previous owner has stored.
+
+        An entry that is unreadable is skipped: nothing has been learnt of its pool.
+        """
+        offset_s = self._unix_offset_s
         for name, stored in fields.items():
-            self._peaks[name] = capacity.PeakState(
-                home_hosts=int(stored["home"]),
-                is_peaking=bool(stored["peaking"]),
-                # Only the order in which the peaks ended matters.
-                peak_ended_at=now + 1e-3 * stored["rank"]
-                if stored["rank"] >= 0
-                else None,
-            )
+            try:
+                state = peak_records.restore_state(stored, now, offset_s)
+                starts = peak_records.restore_starts(stored, now, offset_s)
+            except peak_records.DECODING_ERRORS as error:
+                telemetry.log_invalid_entry(self._log_event, f"turns {name}", error)
+                continue
+            self._peaks[name] = state
+            self._turns.starts += [(at, name) for at in starts]
+        self._turns.starts.sort()
 
     def count_lasting(self, worker_id: str) -> int:
         """Return the number of lasting tasks on a worker, as last reported."""
@@ -121,7 +134,8 @@
             if view is not None:  # else the owner of the pool did not answer
                 views.append(view)
         before = self._encode_peaks()
-        moves = capacity.plan_moves(views, self._peaks, now)
+        moves = capacity.plan_moves(views, self._peaks, now, self._turns)
+        self._log_peaks()
         if moves or now - self._logged_at >= LOG_INTERVAL_S:
             self._logged_at = now
             self._log_event(
@@ -134,6 +148,7 @@
                         round(view.arriving_cores, 1),
                         len(view.movable),
                         self._describe_peak(view.name),
+                        *self._describe_expected(view.name, now),
                     ]
                     for view in views
                 },
@@ -201,6 +216,7 @@
             used_cores=sum(worker["used_cores"] for worker in workers.values()),
             waiting_cores=load["waiting_cores"],
             arriving_cores=load["arriving_cores"],
+            arriving_jobs=load.get("arriving_jobs"),
             lasting_cores=sum(worker["lasting_cores"] for worker in workers.values()),
             lasting_hosts=load.get("lasting_hosts", 0),
             leaving_hosts=len(up) - len(staying),
@@ -289,17 +305,27 @@
             return "peak"
         return "resting" if peak.is_resting else "home"
 
+    def _describe_expected(self, pool: str, now: float) -> tuple[int, str]:
+        """Return the number of hosts that a pool is expected to need, and why."""
+        if pool not in self._peaks:
+            return 0, ""
+        expected = capacity.expected_hosts(self._peaks[pool], now)
+        if expected:
+            return expected, "height"
+        forecast = capacity.forecast_hosts(pool, self._peaks, self._turns, now)
+        return forecast, "forecast" if forecast else ""
+
+    def _log_peaks(self) -> None:
+        """Log what has been learnt or forecast of peaks, and what was wrong."""
+        for event in self._turns.take_events():
+            self._log_event(
+                f"peak_{event.subject}",
+                pool=event.pool,
+                outcome=event.outcome,
+                value=round(event.value, 2),
+                error=None if event.error is None else round(event.error, 2),
+            )
+
     def _encode_peaks(self) -> dict[str, object]:
         """Return the state of the peaks to store for the next owner."""
-        ended = sorted(
-            (n for n, peak in self._peaks.items() if peak.peak_ended_at is not None),
-            key=lambda n: self._peaks[n].peak_ended_at or 0.0,
-        )
-        return {
-            name: {
-                "home": peak.home_hosts,
-                "peaking": peak.is_peaking,
-                "rank": ended.index(name) if name in ended else -1,
-            }
-            for name, peak in sorted(self._peaks.items())
-        }
+        return peak_records.encode(self._peaks, self._turns, self._unix_offset_s)
--- a/clementinespar/jobs/owner_queries.py
+++ b/clementinespar/jobs/owner_queries.py
@@ -154,6 +154,7 @@
         arriving_cores = 0.0 if arrivals is None else arrivals.read(now)
         return {
             "arriving_cores": arriving_cores * demand_now.runnable_share,
+            "arriving_jobs": 0.0 if arrivals is None else arrivals.read_jobs(now),
             "worker_cores": max(
                 (session.entry.cpu_millis / 1000 for session in sessions), default=0.0
             ),
--- a/clementinespar/jobs/tests/test_fleet.py
+++ b/clementinespar/jobs/tests/test_fleet.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import json
+import time
 import typing
 from collections.abc import Mapping
 
@@ -171,7 +172,7 @@
 async def test_orders_to_hosts_over_two_owners() -> None:
     """Guards against orders beside a previous owner, and against waves begun anew."""
     fake, store = FakeFleet(), fakes.FakeStore()
-    begun_at = asyncio.get_running_loop().time()
+    begun_at, unix_begun_at = asyncio.get_running_loop().time(), time.time()
     await fake.run_owner(store, 5, 6.0, is_stop_planned=False)
     first = len(fake.trace)
     moves = fake.named("move")
@@ -185,11 +186,10 @@
     assert len(begun) == 2
     records = store.values[services.Topic.HOSTS, PARTITION]
     assert json.loads(records["wave1"]) == sorted(str(call[2]) for call in begun)
-    assert json.loads(records["turns"])["a"] == {
-        "home": 4,
-        "peaking": True,
-        "rank": -1,
-    }
+    stored = json.loads(records["turns"])["a"]
+    began_s = stored.pop("began_ms") / 1000 - unix_begun_at
+    assert waited_s <= began_s < waited_s + 1.0
+    assert stored == {"home": 4, "peaking": True, "rank": -1}
     await fake.run_owner(store, 6, 8.0)
     begun = fake.named("start_maintenance")
     assert [call[2] for call in begun] == list(WAVE.host_ids)
