Use the end of bursts as before, and learn from confirmed peaks only

Change: bursts end as before; a burst only leaves no height and no start. The pool that peaks next is found from the confirmed starts.

--- a/clementinespar/jobs/capacity.py
+++ b/clementinespar/jobs/capacity.py
@@ -62,7 +62,6 @@
 
     home_hosts: int
     is_peaking: bool = False
-    peaking_since: float | None = None
     quiet_since: float | None = None
     peak_ended_at: float | None = None
     is_resting: bool = False  # its peak is over, so the other pools have priority
@@ -113,8 +112,6 @@
     """Update whether a pool is at its peak."""
     use = find_use(peak, view)
     if use > PEAK_SHARE:
-        if not peak.is_peaking:
-            peak.peaking_since = now
         peak.is_peaking = True
         peak.quiet_since = None
     elif peak.is_peaking and use < QUIET_SHARE:
@@ -122,9 +119,7 @@
             peak.quiet_since = now
         if now - peak.quiet_since >= QUIET_S:
             peak.is_peaking = False
-            since = peak.peaking_since
-            if since is None or peak.quiet_since - since >= peaks.BURST_S:
-                peak.peak_ended_at = now
+            peak.peak_ended_at = now
     elif peak.is_peaking:
         peak.quiet_since = None
     update_onset(peak, use, view.arriving_jobs, now)
@@ -145,31 +140,23 @@
         height.begin(now)
 
 
-def update_resting(states: dict[str, PeakState]) -> str | None:
+def update_resting(states: dict[str, PeakState]) -> None:
     """Update which pools are resting and may lend hosts of their home size.
 
     A pool rests after its peak. Once every pool is at its peak or has had it, the one
     whose peak ended first is expected to peak next, and gets its home size back.
-
-    Returns
-    -------
-    str or None
-        The pool that is expected to peak next.
     """
     for peak in states.values():
         peak.is_resting = not peak.is_peaking and peak.peak_ended_at is not None
-    resting = [name for name, peak in states.items() if peak.is_resting]
+    resting = [peak for peak in states.values() if peak.is_resting]
     if resting and all(peak.is_resting or peak.is_peaking for peak in states.values()):
-        first = min(resting, key=lambda name: states[name].peak_ended_at or 0.0)
-        states[first].is_resting = False
-        return first
-    return None
+        first = min(resting, key=lambda peak: peak.peak_ended_at or 0.0)
+        first.is_resting = False
 
 
 def update_expectations(
     views: list[PoolView],
     states: dict[str, PeakState],
-    next_pool: str | None,
     turns: peaks.Turns,
     now: float,
 ) -> None:
@@ -188,7 +175,7 @@
             turns,
             now,
         )
-    peaks.update_forecast(heights, next_pool, turns, now)
+    peaks.update_forecast(heights, turns, now)
 
 
 def expected_hosts(peak: PeakState, now: float) -> int:
@@ -294,7 +281,8 @@
             continue
         peak = states.setdefault(view.name, PeakState(view.hosts))
         update_peak(peak, view, now)
-    update_expectations(views, states, update_resting(states), turns, now)
+    update_resting(states)
+    update_expectations(views, states, turns, now)
     lent: list[tuple[str, str]] = []
     for view in views:
         if view.is_spare:
--- a/clementinespar/jobs/peak_records.py
+++ b/clementinespar/jobs/peak_records.py
@@ -77,8 +77,7 @@
         state.height.last = _read_number(fields["height"])
     if state.is_peaking and "began_ms" in fields:
         began_at = _read_number(fields["began_ms"]) / 1000 - offset_s
-        state.peaking_since = min(began_at, now)
-        state.height.begin(state.peaking_since)
+        state.height.begin(min(began_at, now))
     return state
 
 
--- a/clementinespar/jobs/peaks.py
+++ b/clementinespar/jobs/peaks.py
@@ -9,9 +9,9 @@
 import statistics
 from collections.abc import Iterable
 
-# Measured demand shows a peak in full after this time. Shorter peaks are not learnt.
+# Measured demand shows a peak in full after this time. What is over sooner is a burst:
+# the rate shows a burst of a second for up to 2 s.
 RELIABLE_S = 2.5
-BURST_S = 1.0  # a burst that is over sooner is not a peak
 RAMP_S = 1.5  # readings since the start of a peak that are too low, since the rate lags
 MIN_READINGS = 4  # a second, for a height
 LOW_SHARE = 0.6  # measured demand below this share of the expected is a wrong height
@@ -154,7 +154,7 @@
     if began_at is None:
         return
     if height.is_over:
-        _end_peak(name, height, turns)
+        _end_peak(name, heights, turns)
         return
     if not height.is_expectation_set:
         height.is_expectation_set = True
@@ -182,19 +182,12 @@
         _add_start(name, began_at, turns)
 
 
-def update_forecast(
-    heights: dict[str, PeakHeight], next_pool: str | None, turns: Turns, now: float
-) -> None:
-    """Forecast the start of the next peak, or drop a forecast that was wrong.
-
-    Parameters
-    ----------
-    next_pool : str or None
-        Pool whose peak ended first, once every pool has had one.
-    """
+def update_forecast(heights: dict[str, PeakHeight], turns: Turns, now: float) -> None:
+    """Forecast the start of the next peak, or drop a forecast that was wrong."""
     forecast = turns.forecast
     if forecast is not None and now > forecast.start_at + MAX_START_ERROR_S:
         _drop_forecast(turns, now)
+    next_pool = _find_next_pool(heights, turns)
     if turns.forecast is not None or next_pool is None:
         return
     # The start of a peak that is not confirmed yet may be the newest one.
@@ -209,8 +202,21 @@
         turns.events.append(PeakEvent("start", "made", next_pool, start_at - now))
 
 
-def _end_peak(name: str, height: PeakHeight, turns: Turns) -> None:
+def _find_next_pool(heights: dict[str, PeakHeight], turns: Turns) -> str | None:
+    """Return the pool that has not peaked for longest, once each has had a peak.
+
+    The ends of peaks in `capacity.PeakState` include those of bursts.
+    """
+    newest = {pool: at for at, pool in turns.starts if pool in heights}
+    if len(newest) < len(heights):
+        return None
+    pool = min(newest, key=lambda pool: newest[pool])
+    return None if heights[pool].began_at is not None else pool
+
+
+def _end_peak(name: str, heights: dict[str, PeakHeight], turns: Turns) -> None:
     """Learn the height of a peak that has ended, unless it was a burst."""
+    height = heights[name]
     if height.is_confirmed and len(height.readings) >= MIN_READINGS:
         height.last = _find_height(height.readings)
         error = height.last - height.expected if height.expected else None
@@ -218,7 +224,7 @@
     height.began_at = None
     height.is_confirmed = False
     height.readings = []
-    del turns.starts[: -MIN_GAPS - 1]
+    del turns.starts[: -max(MIN_GAPS + 1, len(heights))]
 
 
 def _find_height(readings: list[float]) -> float:
