--- a/clementinespar/jobs/peaks.py
+++ b/clementinespar/jobs/peaks.py
@@ -14,6 +14,7 @@
 RELIABLE_S = 2.5
 RAMP_S = 1.5  # readings since the start of a peak that are too low, since the rate lags
 MIN_READINGS = 4  # a second, for a height
+MAX_READINGS = 120  # 30 s; the demand of lasting tasks may end no more
 LOW_SHARE = 0.6  # measured demand below this share of the expected is a wrong height
 
 MIN_GAPS = 3  # between starts of peaks, for a forecast
@@ -163,6 +164,7 @@
         _check_start(name, began_at, turns)
     if now - began_at >= RAMP_S and not is_quiet:
         height.readings.append(reading)
+        del height.readings[:-MAX_READINGS]
     is_reliable = now - began_at >= RELIABLE_S
     # Arrivals of a real peak do not pause, so a quiet reading shows a burst.
     is_low = is_quiet or (
