Test running heights, early starts and lending during an expectation

Change: tests for the height of a peak that goes on, for a peak that begins too soon for its forecast, for one high reading, for another pool that begins first, and for a pool that keeps its idle hosts while a height is expected. A check for unconfirmed peaks before a forecast is made was without effect (the next pool is never one whose peak has begun) and is removed.

--- a/clementinespar/jobs/peaks.py
+++ b/clementinespar/jobs/peaks.py
@@ -192,9 +192,6 @@
     next_pool = _find_next_pool(heights, turns)
     if turns.forecast is not None or next_pool is None:
         return
-    # The start of a peak that is not confirmed yet may be the newest one.
-    if any(h.began_at is not None and not h.is_confirmed for h in heights.values()):
-        return
     gap = _find_gap(turns.starts)
     if gap is None:
         return
--- a/clementinespar/jobs/tests/test_peaks.py
+++ b/clementinespar/jobs/tests/test_peaks.py
@@ -170,6 +170,9 @@
     moves = capacity.plan_moves(views, states, 0.0)
     assert moves == [capacity.Move("b0", "b", "a")]
     assert capacity.plan_drains(views, states, moves, 0.0) == ["b1", "b2"]
+    waiting = make_view("b", movable=[], waiting_cores=640.0, arriving_cores=2560.0)
+    views = [waiting, make_view("a", hosts=60, **ONSET)]
+    assert not capacity.plan_moves(views, states, 0.25)
 
 
 @pytest.mark.parametrize(
@@ -178,7 +181,8 @@
         ([0.6, 1.0], True),
         ([0.6, 0.2], False),
         ([0.6, 0.2, 0.5], False),
-        ([0.6] * 11, False),  # measured demand is reliable
+        # Measured demand is reliable. One high reading is not the height.
+        ([*[0.6] * 6, 1.8, *[0.6] * 13], False),
     ],
 )
 def test_end_of_an_expectation(uses: list[float], is_expected: bool) -> None:
@@ -194,14 +198,24 @@
         assert states["a"].height.last == pytest.approx(0.7)  # learnt anew
 
 
-def test_burst_is_no_peak() -> None:
-    """Guards against heights and starts that are learnt from a burst."""
+@pytest.mark.parametrize(
+    ("uses", "height", "starts"),
+    [
+        ([0.6] * 7 + [0.1] * 8, 0.0, []),  # a burst
+        ([0.6] * 8 + [0.2] + [0.6] * 8, 0.7, [(0.0, "a")]),  # a peak that goes on
+    ],
+)
+def test_height_for_other_pools(
+    uses: list[float], height: float, starts: list[tuple[float, str]]
+) -> None:
+    """Guards against learning from bursts, and only when the next peak has begun."""
     states, turns = make_states(height=None), peaks.Turns()
-    for tick, use in enumerate([0.6] * 7 + [0.1] * 8):
+    for tick, use in enumerate(uses):
         view = make_view("a", arriving_cores=use * HOME * CORES)
         capacity.plan_moves([view], states, tick * TICK_S, turns)
-    assert states["a"].height.last is None
-    assert not turns.starts
+    found = peaks.expected_height(states["b"].height, [states["a"].height])
+    assert found == pytest.approx(height)
+    assert turns.starts == starts
 
 
 def test_record_is_restored_by_the_next_owner() -> None:
@@ -252,7 +266,8 @@
         (REGULAR, 30, [MADE]),
         ([*REGULAR, (31, "a")], 33, [MADE, MET]),
         (REGULAR, 60, [MADE, DROPPED]),
-        ([*REGULAR, (32, "b")], 55, [MADE, DROPPED]),  # another pool is next
+        ([*REGULAR, (28, "a")], 31, [MADE, DROPPED]),  # too soon
+        ([*REGULAR, (28, "b")], 31, [MADE, DROPPED]),  # another pool is next
         # Again after three gaps that fit.
         (
             [*REGULAR, (36, "a"), (44, "b"), (52, "c"), (60, "d")],
