--- a/clementinespar/jobs/peaks.py
+++ b/clementinespar/jobs/peaks.py
@@ -14,7 +14,7 @@
 RELIABLE_S = 2.5
 RAMP_S = 1.5  # readings since the start of a peak that are too low, since the rate lags
 MIN_READINGS = 4  # a second, for a height
-MAX_READINGS = 120  # 30 s; the demand of lasting tasks may end no more
+MAX_READINGS = 120  # 30 s: with many lasting tasks, a peak may not end for long
 LOW_SHARE = 0.6  # measured demand below this share of the expected is a wrong height
 
 MIN_GAPS = 3  # between starts of peaks, for a forecast
@@ -258,7 +258,7 @@
 
 def _add_start(name: str, began_at: float, turns: Turns) -> None:
     """Add the start of a peak that is not a burst."""
-    if turns.forecast is not None:  # for another pool or time
+    if turns.forecast is not None:  # it was for another pool or another time
         _drop_forecast(turns, began_at)
     turns.starts.append((began_at, name))
     turns.starts.sort()
