--- a/clementinespar/jobs/tests/test_fleet.py
+++ b/clementinespar/jobs/tests/test_fleet.py
@@ -4,6 +4,8 @@
 import contextlib
 import dataclasses
 import json
+import math
+import time
 import typing
 from collections.abc import Callable, Mapping
 
@@ -17,6 +19,7 @@
     ownership,
     service,
     services,
+    telemetry,
     wave_plan,
 )
 from clementinespar.jobs.tests import fakes
@@ -55,6 +58,8 @@
         self.trace = []
         self.is_fleet_owner = True
         self.evacuated_at: dict[str, float] = {}
+        self.calm_from = math.inf  # end of the peak of pool `a`
+        self.metrics = telemetry.JobMetrics()
 
     def record(self, name: str, *arguments: object) -> None:
         """Add a call to the trace."""
@@ -74,11 +79,14 @@
     async def describe_load(self, pool: str, arriving: int = 0) -> dict[str, object]:
         await asyncio.sleep(0.002)
         up = [host for host in self.hosts.values() if host.pool == pool]
+        is_peak = pool == "a" and asyncio.get_running_loop().time() < self.calm_from
         workers = {
             host.worker_id: {
                 "runs": 1 if self.is_busy(host.worker_id) else 0,
                 "lasting": 0,
-                "used_cores": 16.0 if self.is_busy(host.worker_id) else 0.0,
+                "used_cores": 16.0
+                if self.is_busy(host.worker_id) and (is_peak or pool != "a")
+                else 0.0,
                 "lasting_cores": 0.0,
                 "is_leaving": False,
             }
@@ -88,8 +96,8 @@
         return {
             "workers": workers,
             "worker_cores": 16.0,
-            "waiting_cores": 100.0 if pool == "a" else 0.0,
-            "arriving_cores": 120.0 if pool == "a" else 0.0,
+            "waiting_cores": 100.0 if is_peak else 0.0,
+            "arriving_cores": 120.0 if is_peak else 0.0,
             "late_cores": 16.0 * len(workers) if pool == "b" else 0.0,
         }
 
@@ -161,6 +169,7 @@
             HOLDER_LEASE_S,
             MAINTENANCE_S,
             self.log_event,
+            self.metrics,
         )
         running: contextlib.AbstractAsyncContextManager[object] = fleet.own_fleet(owner)
         if not is_stop_planned:
@@ -191,7 +200,7 @@
 async def test_orders_to_hosts_over_two_owners() -> None:
     """Guards against orders beside a previous owner, and against waves begun anew."""
     fake, store = FakeFleet(), fakes.FakeStore()
-    begun_at = asyncio.get_running_loop().time()
+    begun_at, unix_begun_at = asyncio.get_running_loop().time(), time.time()
     await fake.run_owner(store, 5, 6.0, is_stop_planned=False)
     first = len(fake.trace)
     moves = fake.named("move")
@@ -205,11 +214,10 @@
     assert len(begun) == 2
     records = store.values[services.Topic.HOSTS, PARTITION]
     assert json.loads(records["wave1"]) == sorted(str(call[2]) for call in begun)
-    assert json.loads(records["turns"])["a"] == {
-        "home": 4,
-        "peaking": True,
-        "rank": -1,
-    }
+    stored = json.loads(records["turns"])["a"]
+    began_s = stored.pop("began_ms") / 1000 - unix_begun_at
+    assert waited_s <= began_s < waited_s + 1.0
+    assert stored == {"home": 4, "peaking": True, "rank": -1}
     await fake.run_owner(store, 6, 8.0)
     begun = fake.named("start_maintenance")
     assert [call[2] for call in begun] == list(WAVE.host_ids)
@@ -299,6 +307,72 @@
     assert third.may_order("a", 15.5)
 
 
+@paused_clock.test
+async def test_height_is_used_by_the_next_owner() -> None:
+    """Guards against a next owner that has to learn the heights of peaks anew."""
+    fake, store = FakeFleet(), fakes.FakeStore()
+    loop = asyncio.get_running_loop()
+    reasons: list[set[str]] = []
+    for epoch in (5, 6):
+        first, fake.calm_from = len(fake.trace), loop.time() + 6.0
+        await fake.run_owner(store, epoch, 8.5)
+        logged = [
+            (call[2], json.loads(str(call[3])))
+            for call in fake.trace[first:]
+            if call[1] == "log"
+        ]
+        assert [line["outcome"] for name, line in logged if name == "peak_height"] == [
+            "learnt"
+        ]
+        reasons.append(
+            {line["pools"]["a"][-1] for name, line in logged if name == "capacity"}
+        )
+    assert reasons == [{""}, {"", "height"}]
+    assert b"clementinespar_peak_height_error_count 1.0" in fake.metrics.render()
+
+
+@pytest.mark.parametrize(
+    ("stored", "wanted_from"),
+    [
+        pytest.param(None, 5.0, id="start of a deployment"),
+        pytest.param({"home": 8, "peaking": False, "rank": 0}, 0.0, id="failed hosts"),
+    ],
+)
+@paused_clock.test
+async def test_hosts_that_have_not_been_up(
+    stored: dict[str, object] | None, wanted_from: float
+) -> None:
+    """Guards against spare hosts that replace hosts that are still starting.
+
+    Unreadable entries of the record are skipped; that of pool `b` is of an older build.
+    """
+    fake, store = FakeFleet(), fakes.FakeStore()
+    for number in range(4):
+        host = fake.hosts[f"b-{number}"]
+        fake.hosts[host.host_id] = dataclasses.replace(host, state="down")
+    del fake.current.pools_by_name["a"]
+    if stored:
+        turns = {"b": stored, "c": stored | {"rank": 1}, "list": []}
+        for key, value in [
+            ("home", "many"),
+            ("height", math.nan),
+            ("starts_ms", [{}]),
+            ("began_ms", None),
+        ]:
+            turns[key] = stored | {"peaking": True, key: value}
+        store.values[services.Topic.HOSTS, PARTITION] = {
+            "turns": json.dumps(turns).encode()
+        }
+    await fake.run_owner(store, 5, 8.0)
+    brought = [call for call in fake.named("move") if call[3] == "b"]
+    assert len(brought) == 2
+    acts_from = next(c[0] for c in fake.named("log") if c[2] == "fleet_holder")
+    invalid = [call for call in fake.named("log") if call[2] == "entry_invalid"]
+    assert len(invalid) == (5 if stored else 0)
+    first = typing.cast(float, brought[0][0]) - typing.cast(float, acts_from)
+    assert wanted_from <= first < wanted_from + 1.0
+
+
 @pytest.mark.parametrize(
     "value",
     [b"", b"[]", b"{}", b'{"is_released": 1}', b'{"is_released": true, "recent": "b"}'],
