Hold a task near its limit of crashes until its runs are resolved

Cause: without the list of hosts a death is known only when the worker is back (8 s), after the lease of the run has ended (5.4 s). The task was started elsewhere meanwhile, six times in test_deadly_task_without_a_list_of_hosts.

Change: a task that has seen a death waits while its counted deaths and its unresolved runs at risk reach the limit of five. Its job is still given up for counted deaths only. So that the wait ends, the death watch also looks for workers that hold such a task and whose runs have lapsed. A task that has seen no death is never held.

Without the check the test fails with six starts; without the death watch the new test of the list that comes back times out.

--- a/clementinespar/jobs/crash_counts.py
+++ b/clementinespar/jobs/crash_counts.py
@@ -87,6 +87,33 @@
     )
 
 
+def is_held(task: state.TaskState) -> bool:
+    """Whether a task waits until it is known which workers have died under it.
+
+    Near the limit, a worker that may have died counts like one that has. A task that
+    has seen no death is never held: its workers may only be cut off.
+    """
+    return (
+        bool(task.crashed_runs)
+        and len(task.crashed_runs) + len(task.at_risk) >= MAX_SHARED_CRASHES
+    )
+
+
+def is_ready(task: state.TaskState, now: float) -> bool:
+    """Whether a waiting task could start now if there was room for it."""
+    return task.not_before <= now and not is_held(task)
+
+
+def has_ready_tasks(job: state.JobProgress, now: float) -> bool:
+    """Whether a task of a job could start now if there was room for it."""
+    return any(
+        is_ready(step.tasks[index], now)
+        for occurrence in job.occurrences.values()
+        for step in occurrence.ready_steps()
+        for index in step.waiting
+    )
+
+
 def is_on_probation(job: state.JobProgress) -> bool:
     """Whether only one task of a job may run at a time."""
     if job.crash_version == 0 or job.is_lasting:
--- a/clementinespar/jobs/crash_watch.py
+++ b/clementinespar/jobs/crash_watch.py
@@ -163,12 +163,28 @@
                     found = self._find(run.key)
                     if found is not None and crash_counts.acquit(*found):
                         self._store_soon(found[0])
+        self._mark_awaited()
         silent = {*self._worker_use.find_unsettled(), *self._sessions_by_id}
         for worker_id in set(self._unresolved) - silent:
             # The worker is gone, and it is not known to have died under the run.
             for key, number, _ in self._unresolved.pop(worker_id):
                 self.clear_risk(key, number)
 
+    def _mark_awaited(self) -> None:
+        """Have the workers looked for in the list of hosts that a held task awaits."""
+        awaited = set()
+        for worker_id, at_risk in self._unresolved.items():
+            for key, run, _ in at_risk:
+                found = self._find(key)
+                if (
+                    found is not None
+                    and run in found[1].at_risk
+                    and crash_counts.is_held(found[1])
+                ):
+                    awaited.add(worker_id)
+        for worker_id, session in self._sessions_by_id.items():
+            session.is_awaited = worker_id in awaited
+
     def _count(
         self,
         job: state.JobProgress,
--- a/clementinespar/jobs/placement_round.py
+++ b/clementinespar/jobs/placement_round.py
@@ -163,7 +163,7 @@
         before = [
             other
             for other in waiting
-            if other.has_ready_tasks(now)
+            if crash_counts.has_ready_tasks(other, now)
             and fair_share.order_key(
                 other, placement.rank(other, now, estimate_ms), shares
             )
@@ -230,7 +230,7 @@
         if job.has_started:
             self._waits.note_start(job, now)
         is_timely = kind in (placement.STARTED, placement.NEW)
-        if is_timely and job.has_ready_tasks(now):
+        if is_timely and crash_counts.has_ready_tasks(job, now):
             self._full_at_by_pool[pool] = now
 
     def _find_used_share(self, pool: str) -> float:
--- a/clementinespar/jobs/session_table.py
+++ b/clementinespar/jobs/session_table.py
@@ -149,7 +149,8 @@
         known_since = dict.fromkeys(self._worker_use.find_unsettled(), self.loaded_at)
         known_since.pop(worker_use.ANY_WORKER, None)
         for worker_id, session in self._sessions_by_id.items():
-            if session.is_silent and not session.is_dead and session.runs:
+            holds_up = session.runs or session.is_awaited
+            if session.is_silent and not session.is_dead and holds_up:
                 known_since[worker_id] = session.born_seen_at
         return known_since
 
--- a/clementinespar/jobs/state.py
+++ b/clementinespar/jobs/state.py
@@ -194,15 +194,6 @@
             self.has_started = True
             self.state = model.JobState.RUNNING
 
-    def has_ready_tasks(self, now: float) -> bool:
-        """Whether a task could start now if there was room for it."""
-        return any(
-            step.tasks[index].not_before <= now
-            for occurrence in self.occurrences.values()
-            for step in occurrence.ready_steps()
-            for index in step.waiting
-        )
-
     def find_task(self, key: model.TaskKey) -> TaskState | None:
         """Return a task, or None if the job has no task with this key."""
         occurrence = self.occurrences.get(key.occurrence)
--- a/clementinespar/jobs/task_placer.py
+++ b/clementinespar/jobs/task_placer.py
@@ -69,7 +69,7 @@
                 indexes = {
                     index
                     for index in step.waiting
-                    if step.tasks[index].not_before <= now
+                    if crash_counts.is_ready(step.tasks[index], now)
                 }
                 if indexes and is_on_probation and not step.spec.is_gang:
                     indexes = crash_counts.choose_alone(job, step, indexes)
--- a/clementinespar/jobs/tests/test_crashing_tasks.py
+++ b/clementinespar/jobs/tests/test_crashing_tasks.py
@@ -319,6 +319,41 @@
     assert count_deadly_starts(workers) <= MAX_STARTS
 
 
+@pytest.mark.parametrize(
+    ("crashes", "at_risk", "is_held"),
+    [(0, 6, False), (3, 1, False), (4, 0, False), (1, 4, True), (4, 1, True)],
+)
+def test_unresolved_runs_hold_only_a_task_that_has_seen_a_death(
+    crashes: int, at_risk: int, is_held: bool
+) -> None:
+    """Guards against tasks that wait although no worker has died under them."""
+    job = state.JobProgress(helpers.make_spec("a", 1))
+    task = job.occurrences[0].steps[0].tasks[0]
+    task.crashed_runs = set(range(crashes))
+    task.at_risk = {10 + run: ("w", 1) for run in range(at_risk)}
+    assert crash_counts.is_held(task) is is_held
+    assert crash_counts.has_ready_tasks(job, 1.0) is not is_held
+
+
+@paused_clock.test
+async def test_held_task_goes_on_once_the_list_of_hosts_is_back() -> None:
+    """Guards against a job that waits for good for workers that never come back."""
+    workers = fakes.FakeWorkers(6)
+    workers.deadly = {("bad", 0)}
+    workers.back_after_s = 600.0
+    workers.lists_hosts = False
+    harness = helpers.OwnerHarness(workers)
+    async with helpers.run_owner(harness):
+        await harness.submit(helpers.make_spec("bad", 1))
+        while len(workers.starts) < MAX_STARTS:
+            await asyncio.sleep(0.1)
+        workers.crash(workers.starts[0][2])
+        await asyncio.sleep(20.0)
+        assert len(workers.starts) == MAX_STARTS
+        workers.lists_hosts = True
+        await harness.wait_state("bad", model.JobState.FAILED, timeout_s=10.0)
+
+
 @paused_clock.test
 async def test_deadly_task_without_a_list_of_hosts() -> None:
     """Guards against deaths that count too late while the list is not answered."""
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -57,6 +57,7 @@
     _silent_since: float  # event-loop time, if it is silent
     is_dead: bool  # reported as ended since its last answer
     has_runs_at_risk: bool  # some are stored as such
+    is_awaited: bool  # a task waits until it is known whether the worker has died
     isolated_until: float  # event-loop time before which it gets no other task
     born_seen_at: float  # event-loop time at which this life of it was first seen
     is_evacuating: bool
@@ -104,6 +105,7 @@
         self._silent_since = 0.0
         self.is_dead = False
         self.has_runs_at_risk = False
+        self.is_awaited = False
         self.isolated_until = 0.0
         self.born_seen_at = asyncio.get_running_loop().time()
         self.is_evacuating = False
