Store the start of a task that has seen a death before it is sent

Cause: a task that had crashed a worker was started again without a record.

Change: RecordedStarts keeps the start of a task that has seen a death until its run and worker are stored as at risk. Starts of other tasks are sent at once without a record.

A run now has survived only if its worker lists it. The earlier rule cleared a lasting task whose unanswered start was being stopped on a worker that was back, so it was started five times alone instead of three; the changed timing showed this in test_task_that_crashes_its_workers_is_given_up.

--- a/clementinespar/jobs/crash_counts.py
+++ b/clementinespar/jobs/crash_counts.py
@@ -38,7 +38,11 @@
     alive_at : float
         Event-loop time of its last answer before that.
     """
-    suspects = [run for run in runs if silent_at - run.started_at <= SUSPECT_S]
+    suspects = [
+        run
+        for run in runs
+        if not run.is_unsent and silent_at - run.started_at <= SUSPECT_S
+    ]
     unheard = [run.started_at for run in suspects if run.started_at > alive_at]
     # Starts after the first one that got no answer may have met a dead worker.
     first_until = min(unheard, default=alive_at) + SAME_ROUND_S
@@ -64,8 +68,13 @@
 
 
 def has_survived(run: worker_run.Run, now: float) -> bool:
-    """Whether a run has gone on for too long to be suspect of a later death."""
-    return now - run.started_at > SUSPECT_S
+    """Whether a run has gone on for too long to be suspect of a later death.
+
+    A start without an answer, or a run that is being stopped, may have ended with its
+    worker before that worker was back.
+    """
+    is_running = run.status is worker_run.RunStatus.RUNNING
+    return is_running and now - run.started_at > SUSPECT_S
 
 
 def is_exceeded(task: state.TaskState, is_sole: bool) -> bool:
@@ -99,15 +108,22 @@
     )
 
 
-def is_ready(task: state.TaskState, now: float) -> bool:
-    """Whether a waiting task could start now if there was room for it."""
-    return task.not_before <= now and not is_held(task)
+def is_ready(job: state.JobProgress, task: state.TaskState, now: float) -> bool:
+    """Whether a waiting task could start now if there was room for it.
+
+    The starts of tasks that have seen a death are stored before they are sent. None is
+    planned while an earlier one of the job is not stored.
+    """
+    if task.not_before > now:
+        return False
+    is_stored = job.stored_risk_version == job.risk_version
+    return not task.crashed_runs or (is_stored and not is_held(task))
 
 
 def has_ready_tasks(job: state.JobProgress, now: float) -> bool:
     """Whether a task of a job could start now if there was room for it."""
     return any(
-        is_ready(step.tasks[index], now)
+        is_ready(job, step.tasks[index], now)
         for occurrence in job.occurrences.values()
         for step in occurrence.ready_steps()
         for index in step.waiting
--- a/clementinespar/jobs/crash_watch.py
+++ b/clementinespar/jobs/crash_watch.py
@@ -78,7 +78,10 @@
                 self._store_soon(job)
 
     def on_contact(self, session: worker_session.WorkerSession) -> None:
-        """Handle a worker that answers: its runs are no longer at risk."""
+        """Handle a worker that answers: its runs are no longer at risk.
+
+        Those of tasks that have seen a death stay at risk until they have survived.
+        """
         for key, run, born_ms in self._unresolved.pop(session.entry.worker_id, ()):
             found = self._find(key)
             if found is None or run not in found[1].at_risk:
@@ -89,9 +92,13 @@
                 self._count(*found, run, session.entry.worker_id, is_sole=False)
         if not session.has_runs_at_risk:
             return
+        now = asyncio.get_running_loop().time()
         session.has_runs_at_risk = False
         for tracked in session.runs.values():
-            self.clear_risk(tracked.key, tracked.number)
+            if tracked.is_suspect and not crash_counts.has_survived(tracked, now):
+                session.has_runs_at_risk = True
+            else:
+                self.clear_risk(tracked.key, tracked.number)
 
     def on_lapse(
         self, session: worker_session.WorkerSession, run: worker_run.Run
--- a/clementinespar/jobs/placement_round.py
+++ b/clementinespar/jobs/placement_round.py
@@ -89,6 +89,7 @@
 
     def run(self, now: float) -> None:
         """Start the tasks that are ready, as far as the free capacity allows."""
+        self._placer.send_stored(now)
         self._quotas.begin_round()
         usable = self._sessions.find_usable(now)
         if not usable:
@@ -226,7 +227,10 @@
         pool = job.spec.pool
         if self._is_held_back(pool, kind, free_capacity, now):
             return
+        risk_version = job.risk_version
         self._placer.place(job, free_capacity, now)
+        if job.risk_version != risk_version:
+            self._jobs.store_soon(job)
         if job.has_started:
             self._waits.note_start(job, now)
         is_timely = kind in (placement.STARTED, placement.NEW)
--- a/clementinespar/jobs/progress_writer.py
+++ b/clementinespar/jobs/progress_writer.py
@@ -112,7 +112,7 @@
         is_use_due = self._worker_use.is_due()
         if is_use_due:
             records.append(services.KeyedRecord("workers", self._worker_use.encode()))
-        crash_versions = [(job, job.crash_version) for job in dirty]
+        versions = [(job, job.crash_version, job.risk_version) for job in dirty]
         finals = [job for job in dirty if job.is_final]
         if records:
             await self._append(records)
@@ -125,9 +125,12 @@
         for session, number, born_ms in processed:
             if session.born_ms == born_ms:
                 session.acknowledged = max(session.acknowledged, number)
-        for job, crash_version in crash_versions:
-            if job.stored_crash_version != crash_version:
+        for job, crash_version, risk_version in versions:
+            is_crash_stored = job.stored_crash_version == crash_version
+            is_risk_stored = job.stored_risk_version == risk_version
+            if not (is_crash_stored and is_risk_stored):
                 job.stored_crash_version = crash_version
+                job.stored_risk_version = risk_version
                 self._jobs.schedule_wanted.set()
         for job in finals:
             job.is_final_stored = True
--- a/clementinespar/jobs/state.py
+++ b/clementinespar/jobs/state.py
@@ -38,7 +38,8 @@
     is_done: bool
     failed_runs: set[int]
     crashed_runs: set[int]  # under which a worker died
-    # Runs on workers that do not answer: the worker's id, and its start in Unix ms.
+    # Runs whose worker may be dead, or may die before the owner can store that: the
+    # worker's id, and its start in Unix ms.
     at_risk: dict[int, tuple[str, int]]
     open_runs: set[int]  # numbers of runs that may be executing
     last_run: int
@@ -133,6 +134,8 @@
         "crashed_workers",
         "crash_version",
         "stored_crash_version",
+        "risk_version",
+        "stored_risk_version",
         "leftover",
         "leftover_team",
     )
@@ -152,6 +155,8 @@
     crashed_workers: set[str]  # that died under a task of the job
     crash_version: int  # increases with each death that counts
     stored_crash_version: int  # of the newest stored progress
+    risk_version: int  # increases with each start that is stored before it is sent
+    stored_risk_version: int  # of the newest stored progress
     # What runs that were being stopped used when the job reached its final state. It is
     # stored with the team, as the job itself is not kept.
     leftover: resources.Resources
@@ -173,6 +178,8 @@
         self.crashed_workers = set()
         self.crash_version = 0
         self.stored_crash_version = 0
+        self.risk_version = 0
+        self.stored_risk_version = 0
         self.leftover = resources.ZERO
         self.leftover_team = ""
         if not spec.occurrences:
--- a/clementinespar/jobs/task_placer.py
+++ b/clementinespar/jobs/task_placer.py
@@ -8,6 +8,7 @@
     model,
     owner_quotas,
     placement,
+    recorded_starts,
     services,
     state,
     team_use,
@@ -24,9 +25,8 @@
     _epoch: int
     _sessions_by_id: dict[str, worker_session.WorkerSession]
     _tickets: tickets.TicketCache
-    _log_event: services.EventLog
-    _metrics: telemetry.JobMetrics
     _quotas: owner_quotas.OwnerQuotas
+    _starts: recorded_starts.RecordedStarts
     # Worker from which a task was moved away, and the time until which it is avoided.
     _left_by_task: dict[model.TaskKey, tuple[str, float]]
 
@@ -42,8 +42,7 @@
         self._epoch = epoch
         self._sessions_by_id = sessions_by_id
         self._tickets = ticket_cache
-        self._log_event = log_event
-        self._metrics = metrics
+        self._starts = recorded_starts.RecordedStarts(log_event, metrics)
         self._quotas = quotas
         self._left_by_task = {}
 
@@ -57,6 +56,10 @@
         }
         self._left_by_task[key] = (worker_id, until)
 
+    def send_stored(self, now: float) -> None:
+        """Send the starts that had to be stored first, as far as they are."""
+        self._starts.send_stored(now)
+
     def place(
         self, job: state.JobProgress, free_capacity: placement.FreeCapacity, now: float
     ) -> None:
@@ -69,7 +72,7 @@
                 indexes = {
                     index
                     for index in step.waiting
-                    if crash_counts.is_ready(step.tasks[index], now)
+                    if crash_counts.is_ready(job, step.tasks[index], now)
                 }
                 if indexes and is_on_probation and not step.spec.is_gang:
                     indexes = crash_counts.choose_alone(job, step, indexes)
@@ -120,8 +123,12 @@
                 session.isolated_until = now + crash_counts.PRIME_SUSPECT_S
             counts[session.entry.worker_id] += 1
             ticket = tickets_by_worker_id.get(session.entry.worker_id, "")
-            number = job.next_run(task, self._epoch)
-            self._start(job, step, task, number, session, ticket)
+            run = self._add_run(
+                job, step, task, job.next_run(task, self._epoch), session
+            )
+            self._starts.submit(
+                job, [recorded_starts.Start(task, run, ticket, is_isolated)]
+            )
             left -= 1
 
     def _is_lacking(self, job: state.JobProgress) -> bool:
@@ -230,10 +237,13 @@
             return
         number = max(job.next_run(task, self._epoch) for task in step.tasks)
         saved = max((task.saved for task in step.tasks), default="")
+        starts = []
         for task, session in zip(step.tasks, chosen, strict=True):
             task.saved = saved
             ticket = tickets_by_worker_id.get(session.entry.worker_id, "")
-            self._start(job, step, task, number, session, ticket)
+            run = self._add_run(job, step, task, number, session)
+            starts.append(recorded_starts.Start(task, run, ticket))
+        self._starts.submit(job, starts)
 
     def count_per_worker(
         self, job: state.JobProgress, step: state.StepState
@@ -258,15 +268,15 @@
                     counts[session.entry.worker_id] += 1
         return counts
 
-    def _start(
+    def _add_run(
         self,
         job: state.JobProgress,
         step: state.StepState,
         task: state.TaskState,
         number: int,
         session: worker_session.WorkerSession,
-        ticket: str,
-    ) -> None:
+    ) -> worker_run.Run:
+        """Track a run whose start is to be sent."""
         now = asyncio.get_running_loop().time()
         run = worker_run.Run(task.key, number, step.spec, session, now, job.spec.team)
         run.is_suspect = bool(task.crashed_runs)
@@ -275,13 +285,4 @@
         step.waiting.discard(task.key.index)
         session.add_run(run)
         job.mark_started()
-        self._metrics.count_start()
-        self._log_event(
-            "start",
-            job=job.spec.job_id,
-            task=task.key.name_in_job,
-            run=number,
-            worker=session.entry.worker_id,
-            slack_ms=int((job.deadline - now) * 1000),
-        )
-        session.start(run, job.spec.payload, task.saved, ticket)
+        return run
--- a/clementinespar/jobs/tests/test_crashing_tasks.py
+++ b/clementinespar/jobs/tests/test_crashing_tasks.py
@@ -193,6 +193,60 @@
     assert crash_counts.may_start(job) is may_start
 
 
+@paused_clock.test
+async def test_suspect_task_waits_while_appends_fail() -> None:
+    """Guards against deaths that are lost with an owner whose appends fail.
+
+    Only a task that has seen a death waits; the others start without a record.
+    """
+    workers = fakes.FakeWorkers(6)
+    workers.deadly = {("bad", 0)}
+    workers.back_after_s = 1.0
+    harness = helpers.OwnerHarness(workers)
+    await harness.submit(helpers.make_spec("bad", 1))
+    await harness.submit(helpers.make_spec("good", 600))
+    async with helpers.run_owner(harness) as owner:
+        while not any(event == "task_crash" for event, _ in harness.events):
+            await asyncio.sleep(0.001)
+        job = owner.jobs_by_id["bad"]
+        while job.stored_crash_version != job.crash_version:
+            await asyncio.sleep(0.001)
+        harness.store.is_down = True
+        before = count_starts(workers)
+        good_starts = sum(key.job_id == "good" for key, _, _ in workers.starts)
+        await asyncio.sleep(6.0)
+        assert count_starts(workers)["bad", 0] == before["bad", 0]
+        starts = sum(key.job_id == "good" for key, _, _ in workers.starts)
+        assert starts > good_starts
+    harness.store.is_down = False
+    async with helpers.run_owner(harness):
+        await harness.wait_state("bad", model.JobState.FAILED, timeout_s=60.0)
+    assert count_deadly_starts(workers) <= MAX_STARTS
+
+
+@paused_clock.test
+async def test_deaths_count_that_their_owner_did_not_survive() -> None:
+    """Guards against starts without a limit if each owner is lost with the worker."""
+    workers = fakes.FakeWorkers(6)
+    workers.deadly = {("bad", 0)}
+    started = asyncio.Event()
+    harness = helpers.OwnerHarness(workers)
+    await harness.submit(helpers.make_spec("bad", 1))
+    async with helpers.run_owner(harness) as owner:
+        while not any(event == "task_crash" for event, _ in harness.events):
+            await asyncio.sleep(0.001)
+        await asyncio.sleep(0.01)
+        assert owner.jobs_by_id["bad"].stored_crash_version
+    workers.on_start = lambda task: started.set()
+    for _ in range(6):
+        started.clear()
+        async with helpers.run_owner(harness):
+            while not started.is_set() and not is_failed(harness):
+                await asyncio.sleep(0.001)
+    assert is_failed(harness)
+    assert len(workers.starts) <= MAX_STARTS
+
+
 @paused_clock.test
 async def test_crashes_of_a_job_that_goes_on_become_stored() -> None:
     """Guards against a job that never starts again since its count is not stored."""
--- a/clementinespar/jobs/worker_orders.py
+++ b/clementinespar/jobs/worker_orders.py
@@ -89,7 +89,7 @@
         loop = asyncio.get_running_loop()
         until = self._session.lease_until_ms()
         if until is None:
-            self._abandon(run, "ownership is not confirmed")
+            self._session.abandon(run, "ownership is not confirmed")
             return
         order = model.StartOrder(
             run.key, run.number, payload, until, self._session.fence, saved, ticket
@@ -99,7 +99,7 @@
         except errors.ClementinesparError as error:
             if error.code is codes.ResultCode.CALL_NOT_SENT:
                 self._session.mark_unresponsive()
-                self._abandon(run, error.message)
+                self._session.abandon(run, error.message)
                 return
             run.answered_at = loop.time()
             if run.status is worker_run.RunStatus.STARTING:
@@ -131,11 +131,7 @@
         if answer.result in (model.StartResult.UNHEALTHY, model.StartResult.NO_ROOM):
             self._session.eject()
         if run.status is worker_run.RunStatus.STARTING:
-            self._abandon(run, f"refused: {answer.result.value}")
-
-    def _abandon(self, run: worker_run.Run, reason: str) -> None:
-        if self._session.drop_run(run):
-            self._events.on_run_gone(self._session, run, reason)
+            self._session.abandon(run, f"refused: {answer.result.value}")
 
     async def _stop(self, run: worker_run.Run) -> None:
         run.is_stop_in_flight = True
--- a/clementinespar/jobs/worker_run.py
+++ b/clementinespar/jobs/worker_run.py
@@ -40,6 +40,7 @@
         "is_pace_predicted",
         "move_blocked_by",
         "is_suspect",
+        "is_unsent",
         "session",
         "team",
     )
@@ -62,6 +63,7 @@
     is_pace_predicted: bool  # by what is learnt of its image, not by fixed steps
     move_blocked_by: str  # why its last move was not possible; empty: none was tried
     is_suspect: bool  # a worker has died while an earlier run of the task was suspect
+    is_unsent: bool  # its start has to be stored first
     session: "worker_session.WorkerSession"
     team: str  # of its job; empty: none
 
@@ -92,6 +94,7 @@
         self.is_pace_predicted = False
         self.move_blocked_by = ""
         self.is_suspect = False
+        self.is_unsent = False
         self.session = session
         self.team = team
 
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -236,6 +236,11 @@
         """Send the order to start a run, which must be tracked already."""
         self._orders.start(run, payload, saved, ticket)
 
+    def abandon(self, run: worker_run.Run, reason: str) -> None:
+        """Drop a run whose start was not sent or not carried out."""
+        if self.drop_run(run):
+            self._events.on_run_gone(self, run, reason)
+
     def stop(self, run: worker_run.Run, reason: str) -> None:
         """Send the order to stop a run, unless it is being stopped already."""
         self._orders.stop(run, reason)
