Read KNOWN-RED.txt with one reader

Cause: conftest.py and soak/__main__.py each searched the lines of the list for a prefix of their own.

Change: clementinespar/tests/known_failures.py returns the entries of a kind to both.

--- a/conftest.py
+++ b/conftest.py
@@ -5,32 +5,19 @@
 """
 
 import contextlib
-import pathlib
 from collections.abc import Generator
 
 import pytest
 
-from clementinespar.tests import leftovers
+from clementinespar.tests import known_failures, leftovers
 
-_LIST = pathlib.Path(__file__).with_name("KNOWN-RED.txt")
-_NODE_ID_PREFIX = "test: "
 _RECORDING = pytest.StashKey[contextlib.ExitStack]()
 _LEFT_BEHIND = pytest.StashKey[list[str]]()
 
 
-def _known_failures() -> list[str]:
-    """Return the test ids of the list, empty without a list."""
-    lines = _LIST.read_text().splitlines() if _LIST.exists() else []
-    return [
-        line.removeprefix(_NODE_ID_PREFIX).strip()
-        for line in lines
-        if line.startswith(_NODE_ID_PREFIX)
-    ]
-
-
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
     """Expect exactly the listed tests to fail; one that passes fails the run."""
-    known = set(_known_failures())
+    known = set(known_failures.read("test"))
     for item in items:
         if item.nodeid in known:
             item.add_marker(pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt"))
@@ -38,7 +25,7 @@
 
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
     """Print the known failures, so that no run hides them."""
-    for node_id in _known_failures():
+    for node_id in known_failures.read("test"):
         terminalreporter.write_line(f"KNOWN RED: {node_id}")
 
 
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -12,6 +12,7 @@
 import click
 
 from clementinespar import background
+from clementinespar.tests import known_failures
 from clementinespar_adapter import standin
 from soak import callers, faults, fleet, standstill
 
@@ -20,8 +21,6 @@
 POOLS = {"work": 4}
 FINAL_STATES = ("done", "failed", "cancelled")
 MIN_DEATHS = 2  # of workers under one task of a job before the job may fail
-KNOWN_FAILURES = pathlib.Path(__file__).parents[1] / "KNOWN-RED.txt"
-KNOWN_FAILURE_PREFIX = "soak: "
 REGRESSION_SEEDS = pathlib.Path(__file__).with_name("regression_seeds.txt")
 CONFIGURATION = {
     "version": 1,
@@ -165,14 +164,10 @@
     return [int(line.split()[0]) for line in lines if line and line[0] != "#"]
 
 
-def read_known_failures(path: pathlib.Path, seed: int) -> list[str]:
-    """Return the patterns of the problems that are listed for a seed."""
-    prefix = f"{KNOWN_FAILURE_PREFIX}{seed} "
-    return [
-        line.removeprefix(prefix).strip()
-        for line in path.read_text().splitlines()
-        if line.startswith(prefix)
-    ]
+def find_known_patterns(seed: int) -> list[str]:
+    """Return the patterns of the problems that KNOWN-RED.txt lists for a seed."""
+    entries = (entry.partition(" ") for entry in known_failures.read("soak"))
+    return [pattern for number, _, pattern in entries if number == str(seed)]
 
 
 @click.command()
@@ -209,7 +204,7 @@
             )
         except TimeoutError:
             problems = ["the seed did not end in time"]
-        known = read_known_failures(KNOWN_FAILURES, number)
+        known = find_known_patterns(number)
         unknown = [p for p in problems if not any(re.search(k, p) for k in known)]
         for problem in problems[:10]:
             click.echo(f"  {'' if problem in unknown else 'KNOWN RED: '}{problem}")
