Count crashes of workers that were to leave, if they come back

Cause: the death of a worker that was draining or being evacuated counted for none of its tasks, so a task that crashed such workers was started without a limit.

Change: suspect runs on such a worker stay at risk. They count once the worker is back under its id in another life, and are cleared once its entry is gone: then it has left as planned.

Measured: the new test fails without the change (the job is not given up in 60 s) and passes with it; clementinespar/jobs: 466 tests pass.

--- a/clementinespar/jobs/crash_watch.py
+++ b/clementinespar/jobs/crash_watch.py
@@ -106,9 +106,7 @@
         """Keep a run at risk until its worker answers in the same life or another."""
         found = self._find(run.key)
         if found is not None and run.number in found[1].at_risk:
-            self._unresolved.setdefault(session.entry.worker_id, []).append(
-                (run.key, run.number, session.born_ms)
-            )
+            self._add_unresolved(session, run)
 
     def on_run_gone(
         self, session: worker_session.WorkerSession, run: worker_run.Run
@@ -126,15 +124,20 @@
 
     def on_death(self, worker_id: str) -> None:
         """Count the runs of previous owners on a worker that has ended."""
+        session = self._sessions_by_id.get(worker_id)
+        if session is not None and _is_leaving(session):
+            return
         for key, run, _ in self._unresolved.pop(worker_id, ()):
             found = self._find(key)
             if found is not None and run in found[1].at_risk:
                 self._count(*found, run, worker_id, is_sole=False)
 
     def count_crash(self, session: worker_session.WorkerSession) -> None:
-        """Count the suspect runs on a worker that has died, unless it was to leave."""
-        if session.entry.is_draining or session.is_evacuating:
-            return
+        """Count the suspect runs on a worker that has died.
+
+        One that was to leave may have left. Its runs count if it comes back under its
+        id.
+        """
         suspects = crash_counts.find_suspects(
             session.runs.values(), session.silent_since(), session.alive_at
         )
@@ -147,13 +150,15 @@
         }
         for run in suspects:
             found = self._find(run.key)
-            if found is not None and run.number in found[1].open_runs:
-                self._count(
-                    *found,
-                    run.number,
-                    session.entry.worker_id,
-                    is_sole=len(steps) == 1,
-                )
+            if found is None or run.number not in found[1].open_runs:
+                continue
+            worker_id = session.entry.worker_id
+            if _is_leaving(session):
+                found[1].at_risk[run.number] = (worker_id, session.born_ms)
+                self._add_unresolved(session, run)
+                self._store_soon(found[0])
+            else:
+                self._count(*found, run.number, worker_id, is_sole=len(steps) == 1)
 
     def acquit_survivors(self) -> None:
         """Clear lasting tasks that have survived, and runs on workers that are gone."""
@@ -171,12 +176,26 @@
                     if found is not None and crash_counts.acquit(*found):
                         self._store_soon(found[0])
         self._mark_awaited()
-        silent = {*self._worker_use.find_unsettled(), *self._sessions_by_id}
+        silent = {
+            *self._worker_use.find_unsettled(),
+            *(
+                worker_id
+                for worker_id, session in self._sessions_by_id.items()
+                if session.is_listed or not session.is_dead
+            ),
+        }
         for worker_id in set(self._unresolved) - silent:
             # The worker is gone, and it is not known to have died under the run.
             for key, number, _ in self._unresolved.pop(worker_id):
                 self.clear_risk(key, number)
 
+    def _add_unresolved(
+        self, session: worker_session.WorkerSession, run: worker_run.Run
+    ) -> None:
+        self._unresolved.setdefault(session.entry.worker_id, []).append(
+            (run.key, run.number, session.born_ms)
+        )
+
     def _mark_awaited(self) -> None:
         """Have the workers looked for in the list of hosts that a held task awaits."""
         awaited = set()
@@ -222,3 +241,8 @@
         job = self._active.get(key.job_id)
         task = None if job is None else job.find_task(key)
         return None if job is None or task is None else (job, task)
+
+
+def _is_leaving(session: worker_session.WorkerSession) -> bool:
+    """Whether a worker that has ended may have left as planned."""
+    return session.entry.is_draining or session.is_evacuating
--- a/clementinespar/jobs/tests/test_crashing_tasks.py
+++ b/clementinespar/jobs/tests/test_crashing_tasks.py
@@ -172,10 +172,38 @@
             owner.evacuate(worker_id, 10.0, model.EvacuationUrgency.DRAIN)
             workers.end(worker_id)
         await asyncio.sleep(10.0)
+        task = owner.jobs_by_id["a"].occurrences[0].steps[0].tasks[0]
+        assert not task.crashed_runs
+        # A worker that has left is no longer waited for.
+        del workers.by_id[worker_id]
+        await asyncio.sleep(10.0)
+        assert not task.at_risk
     assert len(workers.starts) == 2
     assert not [event for event, _ in harness.events if event == "task_crash"]
 
 
+@pytest.mark.parametrize("fault", ["drained", "evacuated"])
+@paused_clock.test
+async def test_crashes_count_of_workers_that_were_to_leave(fault: str) -> None:
+    """Guards against starts without a limit if crashed workers were about to leave."""
+    workers = fakes.FakeWorkers(12)
+    workers.deadly = {("bad", 0)}
+    harness = helpers.OwnerHarness(workers)
+
+    def take_away(task: model.TaskKey) -> None:
+        worker_id = workers.starts[-1][2]
+        if fault == "drained":
+            workers.drain(worker_id)
+        else:
+            harness.owner.evacuate(worker_id, 60.0, model.EvacuationUrgency.DRAIN)
+
+    workers.on_start = take_away
+    async with helpers.run_owner(harness):
+        await harness.submit(helpers.make_spec("bad", 1))
+        await harness.wait_state("bad", model.JobState.FAILED, timeout_s=60.0)
+    assert len(workers.starts) <= MAX_STARTS
+
+
 @pytest.mark.parametrize(
     ("crashes", "is_stored", "may_start"),
     [(1, False, True), (2, False, False), (2, True, True)],
