--- a/clementinespar/jobs/placement_round.py
+++ b/clementinespar/jobs/placement_round.py
@@ -89,6 +89,7 @@
 
     def run(self, now: float) -> None:
         """Start the tasks that are ready, as far as the free capacity allows."""
+        self._placer.send_stored(now)
         self._quotas.begin_round()
         usable = self._sessions.find_usable(now)
         if not usable:
@@ -163,7 +164,7 @@
         before = [
             other
             for other in waiting
-            if other.has_ready_tasks(now)
+            if crash_counts.has_ready_tasks(other, now)
             and fair_share.order_key(
                 other, placement.rank(other, now, estimate_ms), shares
             )
@@ -226,11 +227,14 @@
         pool = job.spec.pool
         if self._is_held_back(pool, kind, free_capacity, now):
             return
+        risk_version = job.risk_version
         self._placer.place(job, free_capacity, now)
+        if job.risk_version != risk_version:
+            self._jobs.store_soon(job)
         if job.has_started:
             self._waits.note_start(job, now)
         is_timely = kind in (placement.STARTED, placement.NEW)
-        if is_timely and job.has_ready_tasks(now):
+        if is_timely and crash_counts.has_ready_tasks(job, now):
             self._full_at_by_pool[pool] = now
 
     def _find_used_share(self, pool: str) -> float:
--- a/clementinespar/jobs/tests/test_crashing_tasks.py
+++ b/clementinespar/jobs/tests/test_crashing_tasks.py
@@ -172,10 +172,38 @@
             owner.evacuate(worker_id, 10.0, model.EvacuationUrgency.DRAIN)
             workers.end(worker_id)
         await asyncio.sleep(10.0)
+        task = owner.jobs_by_id["a"].occurrences[0].steps[0].tasks[0]
+        assert not task.crashed_runs
+        # A worker that has left is no longer waited for.
+        del workers.by_id[worker_id]
+        await asyncio.sleep(10.0)
+        assert not task.at_risk
     assert len(workers.starts) == 2
     assert not [event for event, _ in harness.events if event == "task_crash"]
 
 
+@pytest.mark.parametrize("fault", ["drained", "evacuated"])
+@paused_clock.test
+async def test_crashes_count_of_workers_that_were_to_leave(fault: str) -> None:
+    """Guards against starts without a limit if crashed workers were about to leave."""
+    workers = fakes.FakeWorkers(12)
+    workers.deadly = {("bad", 0)}
+    harness = helpers.OwnerHarness(workers)
+
+    def take_away(task: model.TaskKey) -> None:
+        worker_id = workers.starts[-1][2]
+        if fault == "drained":
+            workers.drain(worker_id)
+        else:
+            harness.owner.evacuate(worker_id, 60.0, model.EvacuationUrgency.DRAIN)
+
+    workers.on_start = take_away
+    async with helpers.run_owner(harness):
+        await harness.submit(helpers.make_spec("bad", 1))
+        await harness.wait_state("bad", model.JobState.FAILED, timeout_s=60.0)
+    assert len(workers.starts) <= MAX_STARTS
+
+
 @pytest.mark.parametrize(
     ("crashes", "is_stored", "may_start"),
     [(1, False, True), (2, False, False), (2, True, True)],
@@ -193,6 +221,60 @@
     assert crash_counts.may_start(job) is may_start
 
 
+@paused_clock.test
+async def test_suspect_task_waits_while_appends_fail() -> None:
+    """Guards against deaths that are lost with an owner whose appends fail.
+
+    Only a task that has seen a death waits; the others start without a record.
+    """
+    workers = fakes.FakeWorkers(6)
+    workers.deadly = {("bad", 0)}
+    workers.back_after_s = 1.0
+    harness = helpers.OwnerHarness(workers)
+    await harness.submit(helpers.make_spec("bad", 1))
+    await harness.submit(helpers.make_spec("good", 600))
+    async with helpers.run_owner(harness) as owner:
+        while not any(event == "task_crash" for event, _ in harness.events):
+            await asyncio.sleep(0.001)
+        job = owner.jobs_by_id["bad"]
+        while job.stored_crash_version != job.crash_version:
+            await asyncio.sleep(0.001)
+        harness.store.is_down = True
+        before = count_starts(workers)
+        good_starts = sum(key.job_id == "good" for key, _, _ in workers.starts)
+        await asyncio.sleep(6.0)
+        assert count_starts(workers)["bad", 0] == before["bad", 0]
+        starts = sum(key.job_id == "good" for key, _, _ in workers.starts)
+        assert starts > good_starts
+    harness.store.is_down = False
+    async with helpers.run_owner(harness):
+        await harness.wait_state("bad", model.JobState.FAILED, timeout_s=60.0)
+    assert count_deadly_starts(workers) <= MAX_STARTS
+
+
+@paused_clock.test
+async def test_deaths_count_that_their_owner_did_not_survive() -> None:
+    """Guards against starts without a limit if each owner is lost with the worker."""
+    workers = fakes.FakeWorkers(6)
+    workers.deadly = {("bad", 0)}
+    started = asyncio.Event()
+    harness = helpers.OwnerHarness(workers)
+    await harness.submit(helpers.make_spec("bad", 1))
+    async with helpers.run_owner(harness) as owner:
+        while not any(event == "task_crash" for event, _ in harness.events):
+            await asyncio.sleep(0.001)
+        await asyncio.sleep(0.01)
+        assert owner.jobs_by_id["bad"].stored_crash_version
+    workers.on_start = lambda task: started.set()
+    for _ in range(6):
+        started.clear()
+        async with helpers.run_owner(harness):
+            while not started.is_set() and not is_failed(harness):
+                await asyncio.sleep(0.001)
+    assert is_failed(harness)
+    assert len(workers.starts) <= MAX_STARTS
+
+
 @paused_clock.test
 async def test_crashes_of_a_job_that_goes_on_become_stored() -> None:
     """Guards against a job that never starts again since its count is not stored."""
@@ -319,6 +401,41 @@
     assert count_deadly_starts(workers) <= MAX_STARTS
 
 
+@pytest.mark.parametrize(
+    ("crashes", "at_risk", "is_held"),
+    [(0, 6, False), (3, 1, False), (4, 0, False), (1, 4, True), (4, 1, True)],
+)
+def test_unresolved_runs_hold_only_a_task_that_has_seen_a_death(
+    crashes: int, at_risk: int, is_held: bool
+) -> None:
+    """Guards against tasks that wait although no worker has died under them."""
+    job = state.JobProgress(helpers.make_spec("a", 1))
+    task = job.occurrences[0].steps[0].tasks[0]
+    task.crashed_runs = set(range(crashes))
+    task.at_risk = {10 + run: ("w", 1) for run in range(at_risk)}
+    assert crash_counts.is_held(task) is is_held
+    assert crash_counts.has_ready_tasks(job, 1.0) is not is_held
+
+
+@paused_clock.test
+async def test_held_task_goes_on_once_the_list_of_hosts_is_back() -> None:
+    """Guards against a job that waits for good for workers that never come back."""
+    workers = fakes.FakeWorkers(6)
+    workers.deadly = {("bad", 0)}
+    workers.back_after_s = 600.0
+    workers.lists_hosts = False
+    harness = helpers.OwnerHarness(workers)
+    async with helpers.run_owner(harness):
+        await harness.submit(helpers.make_spec("bad", 1))
+        while len(workers.starts) < MAX_STARTS:
+            await asyncio.sleep(0.1)
+        workers.crash(workers.starts[0][2])
+        await asyncio.sleep(20.0)
+        assert len(workers.starts) == MAX_STARTS
+        workers.lists_hosts = True
+        await harness.wait_state("bad", model.JobState.FAILED, timeout_s=10.0)
+
+
 @paused_clock.test
 async def test_deadly_task_without_a_list_of_hosts() -> None:
     """Guards against deaths that count too late while the list is not answered."""
