Take an unanswered maintenance for begun only while it can last

Cause: a host listed in maintenance counted as begun for each wave that had ever ordered it without an answer, although it may be in maintenance for another wave. The age of the answers to evacuations counted from before the append of a tick.

Change: such an order counts for the time of a maintenance and the return of the host. The age counts from right before the requests.

--- a/clementinespar/jobs/maintenance.py
+++ b/clementinespar/jobs/maintenance.py
@@ -198,12 +198,12 @@
 
     async def advance(self, hosts_by_id: dict[str, model.HostEntry]) -> None:
         """Evacuate hosts of the open waves, and plan the maintenance of those free."""
-        queried_at = asyncio.get_running_loop().time()
         evacuations: list[_Evacuation] = []
         for progress in self._waves.values():
             if not progress.is_done:
                 evacuations += await self._choose_hosts(progress, hosts_by_id)
         await self.store_changes()
+        queried_at = asyncio.get_running_loop().time()
         async with asyncio.TaskGroup() as group:
             queries = [
                 group.create_task(
@@ -311,7 +311,12 @@
         """
         now = asyncio.get_running_loop().time()
         ordered = self._orders.find_held_for_wave(progress.wave.number, now)
-        ordered.update(progress.ordered_at)
+        # Later, a host may be in maintenance for another wave.
+        ordered.update(
+            host_id
+            for host_id, at in progress.ordered_at.items()
+            if now - at < self._maintenance_s + HOST_RETURN_S
+        )
         for host_id in ordered - progress.begun:
             host = hosts_by_id.get(host_id)
             if host is not None and host.state == "upkeep":
--- a/clementinespar/jobs/tests/test_fleet.py
+++ b/clementinespar/jobs/tests/test_fleet.py
@@ -308,6 +308,15 @@
     assert third.may_order("a", 15.5)
 
 
+def test_release_of_an_older_build() -> None:
+    """Guards against hosts of unknown orders that do not count as in maintenance."""
+    orders = host_orders.HostOrders(3.0)
+    assert orders.take_over(b'{"is_released": true, "recent": ["a"]}', 10.0)
+    assert orders.find_held_for_wave(host_orders.NO_WAVE, 12.9) == {"a"}
+    assert orders.find_held_moves(10.0) == {}
+    assert orders.find_held(13.0) == set()
+
+
 @pytest.mark.parametrize(
     "value",
     [b"", b"[]", b"{}", b'{"is_released": 1}', b'{"is_released": true, "recent": "b"}'],
