Test that the record is read after the previous owner is fenced out

Change: a test that stores such a record right before the first one of the next owner, and one assertion that the limit for orders is below the margin.

--- a/clementinespar/jobs/tests/test_fleet.py
+++ b/clementinespar/jobs/tests/test_fleet.py
@@ -295,6 +295,32 @@
     assert min(typing.cast(float, c[0]) for c in orders) >= began_at + waited_s
 
 
+@paused_clock.test
+async def test_record_that_is_stored_just_before_the_next_owner_begins() -> None:
+    """Guards against a record that is read before the previous owner is fenced out."""
+
+    class LateStore(fakes.FakeStore):
+        async def append_fenced(self, *arguments: typing.Any) -> None:
+            if arguments[2:4] == (6, 0):
+                value = json.dumps({"is_released": True, "recent": list(fake.hosts)})
+                record = services.KeyedRecord(host_orders.RELEASE_KEY, value.encode())
+                topic, partition = arguments[:2]
+                await super().append_fenced(topic, partition, 5, 0, [record])
+            await super().append_fenced(*arguments)
+
+    fake, store = FakeFleet(), LateStore()
+    record = services.KeyedRecord(
+        host_orders.RELEASE_KEY, b'{"is_released": true, "recent": []}'
+    )
+    await store.append_fenced(services.Topic.HOSTS, PARTITION, 4, 0, [record])
+    began_at = asyncio.get_running_loop().time()
+    await fake.run_owner(store, 6, 4.0)
+    waited_s = HOLDER_LEASE_S + fleet.PREVIOUS_OWNER_MARGIN_S
+    first_at = typing.cast(float, find_orders(fake)[0][0])
+    assert began_at + waited_s <= first_at <= began_at + waited_s + 1.0
+    assert host_orders.SEND_LIMIT_S < fleet.PREVIOUS_OWNER_MARGIN_S
+
+
 def test_pause_for_a_host_survives_a_second_hand_over() -> None:
     """Guards against two owners' orders for one host when a short one lies between."""
     first, second, third = (host_orders.HostOrders(3.0) for _ in range(3))
