--- a/clementinespar/jobs/tests/test_fleet.py
+++ b/clementinespar/jobs/tests/test_fleet.py
@@ -15,6 +15,7 @@
 from clementinespar.jobs import (
     fleet,
     host_orders,
+    maintenance,
     model,
     ownership,
     service,
@@ -26,8 +27,10 @@
 from clementinespar.tests import paused_clock
 
 PARTITION = 11
+UNIX_S = 1.7e9  # Unix time at the start of the event loop's clock
 HOLDER_LEASE_S = 1.0
 MAINTENANCE_S = 1.5
+WAVE_TIME_S = 14.0
 MOVE_S = 1.5
 DRAIN_S = 0.6  # a busy worker is idle this long after it was first evacuated
 WAVE = model.MaintenanceWave(1, ("b-0", "b-1", "b-2"), 30.0, max_down=1)
@@ -60,6 +63,9 @@
         self.evacuated_at: dict[str, float] = {}
         self.calm_from = math.inf  # end of the peak of pool `a`
         self.metrics = telemetry.JobMetrics()
+        self.drain_s = DRAIN_S
+        self.call_s = 0.002  # time that a call takes
+        self.clock_lead_s = 0.0  # of Unix time on the node of the next owner
 
     def record(self, name: str, *arguments: object) -> None:
         """Add a call to the trace."""
@@ -103,7 +109,7 @@
 
     def is_busy(self, worker_id: str) -> bool:
         now = asyncio.get_running_loop().time()
-        return now - self.evacuated_at.get(worker_id, now) < DRAIN_S
+        return now - self.evacuated_at.get(worker_id, now) < self.drain_s
 
     async def evacuate(
         self,
@@ -112,7 +118,7 @@
         kept_s: float,
         urgency: model.EvacuationUrgency,
     ) -> bool:
-        await asyncio.sleep(0.002)
+        await asyncio.sleep(self.call_s)
         self.record("evacuate", pool, worker_id, kept_s, urgency.value)
         if urgency is not model.EvacuationUrgency.IF_IDLE:
             now = asyncio.get_running_loop().time()
@@ -133,6 +139,7 @@
     async def start_maintenance(
         self, host_id: str, wave: int, fence: int, may_send: Callable[[], bool]
     ) -> bool:
+        await asyncio.sleep(self.call_s)
         self.record("start_maintenance", host_id, wave, fence)
         self._change(host_id, "upkeep", self.hosts[host_id].pool, MAINTENANCE_S)
         return True
@@ -157,6 +164,7 @@
         is_stop_planned: bool = True,
     ) -> None:
         """Run an owner of the fleet for some seconds; otherwise it is killed."""
+        loop = asyncio.get_running_loop()
         owner = fleet.FleetOwner(
             PARTITION,
             epoch,
@@ -170,6 +178,7 @@
             MAINTENANCE_S,
             self.log_event,
             self.metrics,
+            lambda lead_s=self.clock_lead_s: UNIX_S + lead_s + loop.time(),  # type: ignore[misc]
         )
         running: contextlib.AbstractAsyncContextManager[object] = fleet.own_fleet(owner)
         if not is_stop_planned:
@@ -294,6 +303,32 @@
     assert min(typing.cast(float, c[0]) for c in orders) >= began_at + waited_s
 
 
+@paused_clock.test
+async def test_record_that_is_stored_just_before_the_next_owner_begins() -> None:
+    """Guards against a record that is read before the previous owner is fenced out."""
+
+    class LateStore(fakes.FakeStore):
+        async def append_fenced(self, *arguments: typing.Any) -> None:
+            if arguments[2:4] == (6, 0):
+                value = json.dumps({"is_released": True, "recent": list(fake.hosts)})
+                record = services.KeyedRecord(host_orders.RELEASE_KEY, value.encode())
+                topic, partition = arguments[:2]
+                await super().append_fenced(topic, partition, 5, 0, [record])
+            await super().append_fenced(*arguments)
+
+    fake, store = FakeFleet(), LateStore()
+    record = services.KeyedRecord(
+        host_orders.RELEASE_KEY, b'{"is_released": true, "recent": []}'
+    )
+    await store.append_fenced(services.Topic.HOSTS, PARTITION, 4, 0, [record])
+    began_at = asyncio.get_running_loop().time()
+    await fake.run_owner(store, 6, 4.0)
+    waited_s = HOLDER_LEASE_S + fleet.PREVIOUS_OWNER_MARGIN_S
+    first_at = typing.cast(float, find_orders(fake)[0][0])
+    assert began_at + waited_s <= first_at <= began_at + waited_s + 1.0
+    assert host_orders.SEND_LIMIT_S < fleet.PREVIOUS_OWNER_MARGIN_S
+
+
 def test_pause_for_a_host_survives_a_second_hand_over() -> None:
     """Guards against two owners' orders for one host when a short one lies between."""
     first, second, third = (host_orders.HostOrders(3.0) for _ in range(3))
@@ -373,6 +408,15 @@
     assert wanted_from <= first < wanted_from + 1.0
 
 
+def test_release_of_an_older_build() -> None:
+    """Guards against hosts of unknown orders that do not count as in maintenance."""
+    orders = host_orders.HostOrders(3.0)
+    assert orders.take_over(b'{"is_released": true, "recent": ["a"]}', 10.0)
+    assert orders.find_held_for_wave(host_orders.NO_WAVE, 12.9) == {"a"}
+    assert orders.find_held_moves(10.0) == {}
+    assert orders.find_held(13.0) == set()
+
+
 @pytest.mark.parametrize(
     "value",
     [b"", b"[]", b"{}", b'{"is_released": 1}', b'{"is_released": true, "recent": "b"}'],
@@ -384,6 +428,71 @@
         assert not orders.take_over(value, 0.0)
 
 
+@pytest.mark.parametrize("clock_lead_s", [0.3, -0.3, 0.0])
+@paused_clock.test
+async def test_waves_continue_after_a_change_of_owner(clock_lead_s: float) -> None:
+    """Guards against a deadline and evacuations that begin anew with each owner."""
+    fake, store = FakeFleet(), fakes.FakeStore()
+    fake.drain_s = 100.0
+    loop = asyncio.get_running_loop()
+    begun_at = loop.time()
+    waited_s = HOLDER_LEASE_S + fleet.PREVIOUS_OWNER_MARGIN_S
+    await fake.run_owner(store, 5, waited_s + 2.0, is_stop_planned=False)
+    records = store.values[services.Topic.HOSTS, PARTITION]
+    stored = json.loads(records[maintenance.EVACUATIONS_KEY])["1"]
+    assert stored["first_seen_ms"] == pytest.approx((UNIX_S + begun_at) * 1e3, abs=50)
+    assert len(stored["since_ms"]) == WAVE.max_down
+    fake.clock_lead_s = clock_lead_s
+    await fake.run_owner(store, 6, 3.0)
+    (host_id, since_ms), *_ = stored["since_ms"].items()
+    stops = [c for c in fake.named("evacuate") if c[5] == "stop"]
+    assert {call[3] for call in stops} == {f"worker-{host_id}"}
+    stop_at = typing.cast(float, stops[0][0])
+    urgent_at = since_ms / 1e3 - UNIX_S + maintenance.URGENT_AFTER_S - clock_lead_s
+    assert urgent_at <= stop_at <= urgent_at + 2 * fleet.TICK_S + 0.1
+    assert json.loads(records[maintenance.EVACUATIONS_KEY])["1"] == stored
+
+
+@pytest.mark.parametrize("value", [b"", b"[]", b'{"1": 5}', b'{"x": {}}'])
+@paused_clock.test
+async def test_unreadable_records_of_the_previous_owner(value: bytes) -> None:
+    """Guards against an owner that fails on a record of another build."""
+    fake, store = FakeFleet(), fakes.FakeStore()
+    records = store.values[services.Topic.HOSTS, PARTITION]
+    records[maintenance.EVACUATIONS_KEY] = records["turns"] = value
+    records["wave1"] = b'["b-0"]'
+    await fake.run_owner(store, 5, 14.0)
+    begun = [call[2] for call in fake.named("start_maintenance")]
+    assert begun == ["b-1", "b-2"]
+    assert json.loads(records["wave1"]) == ["b-0", "b-1", "b-2"]
+
+
+@paused_clock.test
+async def test_wave_of_many_hosts_ends_in_time() -> None:
+    """Guards against evacuations and orders that wait for each other.
+
+    Each call takes 50 ms, so 80 hosts took most of the time of a tick one by one.
+    """
+    fake, store = FakeFleet(), fakes.FakeStore()
+    fake.call_s = 0.05
+    for number in range(80):
+        host_id = f"b-{number}"
+        fake.hosts[host_id] = model.HostEntry(
+            host_id, "b", "up", "dc", "r1", f"worker-{host_id}"
+        )
+    host_ids = tuple(f"b-{number}" for number in range(80))
+    fake.by_number = {1: model.MaintenanceWave(1, host_ids, 30.0, max_down=16)}
+    await fake.run_owner(store, 5, 60.0)
+    begun = fake.named("start_maintenance")
+    times = [typing.cast(float, call[0]) for call in begun]
+    print(f"{len(begun)} orders within {times[-1] - times[0]:.2f} s")
+    assert sorted(str(call[2]) for call in begun) == sorted(host_ids)
+    for at in times:
+        down_s = MAINTENANCE_S
+        assert sum(at - down_s < other <= at for other in times) <= 16
+    assert times[-1] - times[0] < WAVE_TIME_S
+
+
 @pytest.mark.parametrize(
     ("hosts", "left_s", "wanted", "wanted_lasting"),
     [(32, 24.0, 8, 3), (32, 8.0, 16, 6), (1, 24.0, 1, 3)],
