Let nodes stand by while enough owners are present

Cause: each node joined the group at its start and after a cut, and small nodes joined until three larger ones owned something. Each join redistributes the partitions: after a power failure of 39 nodes, all of them changed their owner twice. Change: a node that starts, or whose membership has lapsed, stands by while four owners are at least as large, and joins once fewer are left. A small node that sees some larger owners waits up to 1.5 s for more. A member is not affected by an unreadable list of owners any longer; a node that starts joins if the list is refused.

--- a/clementinespar/jobs/ownership.py
+++ b/clementinespar/jobs/ownership.py
@@ -6,37 +6,21 @@
 
 import asyncio
 import contextlib
+import random
 from collections.abc import AsyncIterator, Callable
 from typing import Protocol
 
 from clementinespar import background, codes, errors
-from clementinespar.jobs import pool_owner, services
+from clementinespar.jobs import pool_owner, services, standby
 
 JOIN_INTERVAL_S = 0.4
 OWNERS_MAX_AGE_S = 2.0
-# A node owns nothing while at least this many larger nodes own partitions: the owner of
-# a busy pool needs about a whole core.
-MIN_LARGER_NODES = 3
-LARGER_NODE_FACTOR = 1.5  # a larger node has more than this many times the cores
-STANDBY_INTERVAL_S = 1.0
 # Time between checks of the sizes of other nodes while no larger node owns a partition.
-# Otherwise, and for this long after the start, it is `STANDBY_INTERVAL_S`.
+# Otherwise, and for this long after the start, it is `standby.STANDBY_INTERVAL_S`.
 SIZE_CHECK_INTERVAL_S = 5.0
-
-
-def format_member(address: str, born_ms: int, core_millis: int) -> str:
-    """Return the name of a member: its address, time of start and size.
-
-    A process gets a new name at each start, so that it cannot be taken for the previous
-    process, whose orders may still arrive.
-    """
-    return f"{address}/{born_ms}/{core_millis}"
-
-
-def parse_core_millis(member: str) -> int:
-    """Return the size in the name of a member, or 0 if the name has none."""
-    size = member.rpartition("/")[2]
-    return int(size) if size.isdigit() else 0
+# A node that stands by joins if the store has refused the list for this long; others do
+# so at once. One start of the store takes less.
+REFUSED_LIST_LIMIT_S = 5.0
 
 
 class FleetOwnerHandle(Protocol):
@@ -75,7 +59,9 @@
     _owner_names: dict[int, str]
     _owners_read_at: float  # event-loop time
     _larger_node_count: int  # larger owners at the last check
-    _sizes_read_at: float  # event-loop time
+    _listed_at: float  # event-loop time of the last check of the owners
+    _candidacy: standby.Candidacy
+    _reason: standby.Reason | None  # why this node is not a member
     _started_at: float  # event-loop time
 
     def __init__(
@@ -89,6 +75,7 @@
         wanted_partitions: Callable[[], frozenset[int]],
         core_millis: int,
         log_event: services.EventLog,
+        draw: Callable[[], float] = random.random,
     ) -> None:
         self.owners_by_partition = {}
         self.is_fleet_owner = False
@@ -104,7 +91,9 @@
         self.unanswered_since = None
         self.store_latency_s = 0.0
         self._larger_node_count = 0
-        self._sizes_read_at = 0.0
+        self._listed_at = 0.0
+        self._candidacy = standby.Candidacy(draw)
+        self._reason = None
         self._started_at = 0.0
         self._log_event = log_event
         self._confirmed_at = None
@@ -126,18 +115,16 @@
         """Join at intervals until cancelled."""
         loop = asyncio.get_running_loop()
         is_reached = True
-        # The first check of the sizes comes before the first join: owning a pool for a
-        # second would cost two changes of owner.
-        self._started_at = loop.time()
-        self._sizes_read_at = self._started_at - SIZE_CHECK_INTERVAL_S
+        self._started_at = self._listed_at = loop.time()
         while True:
             sent_at = loop.time()
             if self.unanswered_since is None:
                 self.unanswered_since = sent_at
             try:
-                if await self._yield_to_larger_nodes():
+                wait = await self._review()
+                if wait is not None:
                     self._mark_reached()
-                    await asyncio.sleep(STANDBY_INTERVAL_S)
+                    await asyncio.sleep(wait.wait_s)
                     continue
                 assignment = await self._group.join(self.generation)
             except errors.ClementinesparError as error:
@@ -159,32 +146,82 @@
         self.reached_at = asyncio.get_running_loop().time()
         self.unanswered_since = None
 
-    async def _yield_to_larger_nodes(self) -> bool:
-        """Whether enough larger nodes own partitions; if so, leave the group."""
+    async def _review(self) -> standby.Wait | None:
+        """Return how long to stay out of the group, or None to join or stay in it."""
+        if self.generation and not self._has_lapsed():
+            return await self._review_as_member()
+        loop = asyncio.get_running_loop()
+        try:
+            owners = await self._count_owners()
+        except errors.ClementinesparError as error:
+            # Without an answer, a join would not be answered either.
+            if error.code is not codes.ResultCode.STORE_REFUSED or (
+                self._candidacy.is_standby
+                and loop.time() - self._listed_at < REFUSED_LIST_LIMIT_S
+            ):
+                raise
+            return None
+        wait = None
+        if self._group.member not in self._owner_names.values():
+            wait = self._candidacy.review(owners, loop.time())
+        reason = None if wait is None else wait.reason
+        if reason is not self._reason:
+            self._log_event(
+                "ownership_joining" if reason is None else "ownership_standby",
+                reason="" if reason is None else reason.value,
+                larger=owners.larger,
+                as_large=owners.as_large,
+            )
+            self._reason = reason
+        if wait is None:
+            self._candidacy.end()
+        elif self.generation and self._candidacy.is_standby:
+            await self._leave()
+        return wait
+
+    def _has_lapsed(self) -> bool:
+        """Whether the store may have ended the membership of this node."""
+        now = asyncio.get_running_loop().time()
+        return (
+            self._confirmed_at is not None
+            and now - self._confirmed_at >= self._group.ttl_s
+        )
+
+    async def _review_as_member(self) -> standby.Wait | None:
+        """Leave the group if there are enough larger nodes; other members stay."""
         loop = asyncio.get_running_loop()
-        interval_s = STANDBY_INTERVAL_S
+        interval_s = standby.STANDBY_INTERVAL_S
         if (
             self._larger_node_count == 0
             and loop.time() - self._started_at > SIZE_CHECK_INTERVAL_S
         ):
             interval_s = SIZE_CHECK_INTERVAL_S
-        if loop.time() - self._sizes_read_at >= interval_s:
-            read_at = loop.time()
-            await self._read_owners()
-            self._sizes_read_at = loop.time()
-            self.store_latency_s = self._sizes_read_at - read_at
-            self._larger_node_count = sum(
-                parse_core_millis(member) > LARGER_NODE_FACTOR * self._core_millis
-                for member in set(self._owner_names.values())
-            )
-        if self._larger_node_count < MIN_LARGER_NODES:
-            return False
-        if self.generation:
-            self._log_event(
-                "ownership_left_to_larger_nodes", count=self._larger_node_count
-            )
-            await self._leave()
-        return True
+        if loop.time() - self._listed_at < interval_s:
+            return None
+        try:
+            owners = await self._count_owners()
+        except errors.ClementinesparError:
+            self._listed_at = loop.time()  # the membership is more urgent
+            return None
+        if owners.larger < standby.MIN_LARGER_NODES:
+            return None
+        self._log_event("ownership_left_to_larger_nodes", count=owners.larger)
+        wait = self._candidacy.review(owners, loop.time())
+        self._reason = None if wait is None else wait.reason
+        await self._leave()
+        return wait
+
+    async def _count_owners(self) -> standby.Owners:
+        loop = asyncio.get_running_loop()
+        read_at = loop.time()
+        await self._read_owners()
+        self._listed_at = loop.time()
+        self.store_latency_s = self._listed_at - read_at
+        owners = standby.count_owners(
+            self._owner_names.values(), self._group.member, self._core_millis
+        )
+        self._larger_node_count = owners.larger
+        return owners
 
     async def _leave(self) -> None:
         """Give up all partitions; the next join begins anew."""
--- a/clementinespar/jobs/services.py
+++ b/clementinespar/jobs/services.py
@@ -85,6 +85,7 @@
 class OwnershipGroup(Protocol):
     """Assigns each partition to one live node."""
 
+    member: str  # name of this node in the group
     ttl_s: float  # a member that joins later than this may have lost its partitions
 
     async def join(self, generation: int) -> Assignment:
--- a/clementinespar/jobs/tests/fakes.py
+++ b/clementinespar/jobs/tests/fakes.py
@@ -473,6 +473,7 @@
 class FakeGroup:
     """`services.OwnershipGroup` with one member, whose assignment the test sets."""
 
+    member: str
     assignment: services.Assignment
     ttl_s: float
     is_down: bool
@@ -481,6 +482,7 @@
     leaves: int  # calls of `leave`
 
     def __init__(self, partitions: frozenset[int], generation: int = 1) -> None:
+        self.member = "10.0.0.100:1/1/1000"
         self.assignment = services.Assignment(generation, partitions)
         self.ttl_s = 1.5
         self.is_down = False
--- a/clementinespar/jobs/tests/test_ownership.py
+++ b/clementinespar/jobs/tests/test_ownership.py
@@ -3,9 +3,10 @@
 import asyncio
 import contextlib
 import dataclasses
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 
-from clementinespar.jobs import ownership, pool_owner, services, telemetry
+from clementinespar import codes, errors
+from clementinespar.jobs import ownership, pool_owner, services, standby, telemetry
 from clementinespar.jobs.tests import fakes
 from clementinespar.tests import paused_clock
 
@@ -193,7 +194,7 @@
     """Guards against a busy pool whose owner runs on a host with half a core."""
     harness = ManagerHarness(frozenset({PARTITION}))
     harness.group.owners = {
-        number: ownership.format_member(f"10.0.0.{number}:1", 5, 2_000)
+        number: standby.format_member(f"10.0.0.{number}:1", 5, 2_000)
         for number in range(3)
     }
     async with ownership.run_ownership_manager(harness.ownership_manager):
@@ -206,8 +207,26 @@
         assert PARTITION in harness.ownership_manager.owners_by_partition
 
 
+@paused_clock.test
+async def test_node_joins_although_the_list_of_owners_is_refused() -> None:
+    """Guards against pools without an owner, and a membership lost for a list."""
+    harness = ManagerHarness(frozenset({PARTITION}))
+
+    async def refuse() -> Mapping[int, str]:
+        raise errors.ClementinesparError(codes.ResultCode.STORE_REFUSED, "busy")
+
+    harness.group.list_owners = refuse  # type: ignore[method-assign]
+    async with ownership.run_ownership_manager(harness.ownership_manager):
+        for _ in range(40):
+            await asyncio.sleep(0.2)
+            confirmed_at = harness.ownership_manager.confirmed_at()
+            assert confirmed_at is not None
+            assert asyncio.get_running_loop().time() - confirmed_at < 1.0
+        assert harness.epochs == [1]
+
+
 def test_member_names() -> None:
     """Guards against a size that is parsed from another part of the name."""
-    member = ownership.format_member("10.0.0.1:7060", 1_790_000_000_000, 516)
-    assert ownership.parse_core_millis(member) == 516
-    assert ownership.parse_core_millis("") == 0
+    member = standby.format_member("10.0.0.1:7060", 1_790_000_000_000, 516)
+    assert standby.parse_core_millis(member) == 516
+    assert standby.parse_core_millis("") == 0
