Count crashes of leaving workers that are back at once

A worker that drains or is evacuated and crashes under a run may be back under its id before the list of hosts shows its death. Its session then has the new start of the worker when it drops the run, which therefore was no longer found among the unresolved runs: its risk was cleared and the death was never counted. A task that crashes such workers started without a limit (test: no end within 60 s, drained and evacuated).

The run is now found by its task and number, which are unique.

--- a/clementinespar/jobs/crash_watch.py
+++ b/clementinespar/jobs/crash_watch.py
@@ -111,9 +111,12 @@
     def on_run_gone(
         self, session: worker_session.WorkerSession, run: worker_run.Run
     ) -> None:
-        """Forget that a run was at risk, unless its worker may have died."""
+        """Forget that a run was at risk, unless its worker may have died.
+
+        A worker that is back has its new `born_ms` before its runs are dropped.
+        """
         unresolved = self._unresolved.get(session.entry.worker_id, ())
-        if (run.key, run.number, session.born_ms) not in unresolved:
+        if not any((run.key, run.number) == item[:2] for item in unresolved):
             self.clear_risk(run.key, run.number)
 
     def clear_risk(self, key: model.TaskKey, run: int) -> None:
--- a/clementinespar/jobs/tests/test_crashing_tasks.py
+++ b/clementinespar/jobs/tests/test_crashing_tasks.py
@@ -182,12 +182,22 @@
     assert not [event for event, _ in harness.events if event == "task_crash"]
 
 
+@pytest.mark.parametrize(
+    ("after_s", "back_after_s"), [(0.0, 3.0), (0.0, 0.2), (0.2, 0.2)]
+)
 @pytest.mark.parametrize("fault", ["drained", "evacuated"])
 @paused_clock.test
-async def test_crashes_count_of_workers_that_were_to_leave(fault: str) -> None:
-    """Guards against starts without a limit if crashed workers were about to leave."""
+async def test_crashes_count_of_workers_that_were_to_leave(
+    fault: str, after_s: float, back_after_s: float
+) -> None:
+    """Guards against starts without a limit if crashed workers were about to leave.
+
+    A worker may be back before the list of hosts shows that it has ended.
+    """
     workers = fakes.FakeWorkers(12)
     workers.deadly = {("bad", 0)}
+    workers.deadly_after_s = after_s
+    workers.back_after_s = back_after_s
     harness = helpers.OwnerHarness(workers)
 
     def take_away(task: model.TaskKey) -> None:
