Plan no forecast if there are no pools

With no pool but spare ones, the search for the next pool took the minimum of nothing. The error ended the owner of the fleet in each of its ticks (test: ValueError).

--- a/clementinespar/jobs/peaks.py
+++ b/clementinespar/jobs/peaks.py
@@ -208,7 +208,7 @@
     The ends of peaks in `capacity.PeakState` include those of bursts.
     """
     newest = {pool: at for at, pool in turns.starts if pool in heights}
-    if len(newest) < len(heights):
+    if not newest or len(newest) < len(heights):
         return None
     pool = min(newest, key=lambda pool: newest[pool])
     return None if heights[pool].began_at is not None else pool
--- a/clementinespar/jobs/tests/test_peaks.py
+++ b/clementinespar/jobs/tests/test_peaks.py
@@ -239,6 +239,11 @@
     assert peak_records.restore_starts(record["b"], now, offset_s) == [5.0]
 
 
+def test_no_pools_to_move_hosts_between() -> None:
+    """Guards against an error that ends the owner of the fleet."""
+    assert not capacity.plan_moves([make_spare()], {}, 0.0)
+
+
 REGULAR = [(8.0 * n, POOLS[n]) for n in range(4)]
 MADE, MET, DROPPED = (("a", outcome) for outcome in ("made", "met", "dropped"))
 
