Tell a lasting low load from the peak that follows it

An expectation begins at 0.35 of the home size, a peak at 0.55. A load in between that lasted was taken for the peak: its low readings were learnt as the height, its start was used for forecasts, and a real peak after it had no expectation, as the earlier one had not ended (test: height 0.475 instead of 1.5, no host expected).

Nothing is learnt before 0.55 is exceeded, and a peak that exceeds it later than 2.5 s after the onset begins anew.

--- a/clementinespar/jobs/capacity.py
+++ b/clementinespar/jobs/capacity.py
@@ -131,6 +131,10 @@
     """Update whether a peak whose height may be known has begun."""
     height = peak.height
     if height.began_at is not None:
+        is_late = now - height.began_at >= peaks.RELIABLE_S
+        if height.is_low and peak.is_peaking and is_late:
+            height.begin(now)  # what lasted since the onset was not a peak
+        height.is_low = not peak.is_peaking
         if not peak.is_peaking and use < QUIET_SHARE:
             height.is_over = True
     elif arriving_jobs is None:
--- a/clementinespar/jobs/peaks.py
+++ b/clementinespar/jobs/peaks.py
@@ -58,6 +58,7 @@
     expected: float = 0.0  # of the current peak; 0 if no height is known
     is_dropped: bool = False  # measured demand has shown that `expected` is wrong
     is_confirmed: bool = False  # the current peak is not a burst
+    is_low: bool = False  # measured demand has not been that of a peak
     is_over: bool = False
     readings: list[float] = dataclasses.field(default_factory=list)
 
@@ -68,6 +69,7 @@
         self.expected = 0.0
         self.is_dropped = False
         self.is_confirmed = False
+        self.is_low = False
         self.is_over = False
         self.readings = []
 
@@ -171,7 +173,7 @@
     found = _find_height(height.readings or [reading])
     if is_quiet or (is_reliable and found < LOW_SHARE * height.expected):
         _drop_height(name, height, reading, turns)
-    if is_reliable and not is_quiet and not height.is_confirmed:
+    if is_reliable and not (is_quiet or height.is_low or height.is_confirmed):
         height.is_confirmed = True
         _add_start(name, began_at, turns)
 
--- a/clementinespar/jobs/tests/test_peaks.py
+++ b/clementinespar/jobs/tests/test_peaks.py
@@ -201,6 +201,18 @@
         assert states["a"].height.last == pytest.approx(0.7)  # learnt anew
 
 
+def test_peak_after_a_load_that_is_too_low_for_one() -> None:
+    """Guards against a lasting load that is taken for the peak that follows it."""
+    states, turns = make_states(), peaks.Turns()
+    for tick, use in enumerate([0.4] * 20 + [0.6] * 2):
+        load = ONSET | {"arriving_cores": use * HOME * CORES}
+        capacity.plan_moves([make_view("a", **load)], states, tick * TICK_S, turns)
+        if tick == 19:
+            assert states["a"].height.newest() == 1.5
+    assert capacity.expected_hosts(states["a"], 5.25) == 60
+    assert not turns.starts
+
+
 @pytest.mark.parametrize(
     ("uses", "height", "starts"),
     [
