Give hosts of late work away while some timely work waits

After an overload, a pool kept all its hosts and lent none as long as any timely work waited, although late work occupied most of them and the next pool lacked hosts (seen: 110 hosts, nearly all with late work, 96 to 850 of 6487 cores waited, for 4 s).

Hosts of late work beyond what the waiting work needs no longer count as needed, at a peak or after it. The pool keeps its home size while work waits. Without late work nothing changes, nor does the case of test_choice_of_hosts_to_drain in which a pool with waiting work gives nothing: it has its home size only.

--- a/clementinespar/jobs/capacity.py
+++ b/clementinespar/jobs/capacity.py
@@ -220,13 +220,23 @@
     return min(demanded, view.hosts + waiting + arriving)
 
 
+def hosts_of_late_work(view: PoolView) -> int:
+    """Return the number of hosts with late work that waiting work will not need.
+
+    Late work has the lowest order, so the room that it frees goes to waiting work.
+    """
+    host_cores = max(1.0, view.host_cores)
+    waiting = math.ceil(view.waiting_cores * HEADROOM / host_cores)
+    return max(0, int(view.late_cores / host_cores) - waiting)
+
+
 def wanted_hosts(peak: PeakState, view: PoolView, now: float) -> int:
     """Return the number of hosts that a pool should have if no other lacks any."""
     needed = needed_hosts(peak, view)
     if peak.is_peaking:
         recent_need = peak.max_recent_need(needed, now)
         if view.waiting_cores > 0:
-            recent_need = max(recent_need, view.hosts)
+            recent_need = max(recent_need, view.hosts - hosts_of_late_work(view))
         return max(peak.home_hosts, recent_need)
     if not peak.is_resting:
         return max(peak.home_hosts, needed)
@@ -244,13 +254,17 @@
     """Return the number of hosts that a pool keeps while another lacks some.
 
     A pool before its peak lends a part of its home size: what another pool lacks now
-    counts more than a slower start of its own peak.
+    counts more than a slower start of its own peak. A pool with waiting work gives only
+    hosts beyond its home size that late work occupies.
     """
     needed = max(
         needed_hosts(peak, view) + SPARE_HOSTS,
         hosts_for_lasting(view),
         expected_hosts(peak, now),
     )
+    if view.waiting_cores > 0:
+        timely = view.hosts - hosts_of_late_work(view)
+        return max(needed, peak.home_hosts, timely)
     if peak.is_peaking or peak.is_resting:
         return needed
     return max(needed, math.ceil(peak.home_hosts * KEPT_SHARE))
@@ -373,15 +387,16 @@
         # arrives, before that work waits.
         demanded = max(demanded_hosts(peak, view), expected_hosts(peak, now))
         demanded -= arriving.get(view.name, 0)
-        if view.waiting_cores > 0 or demanded > view.hosts:
-            lacking += max(0, demanded - view.hosts)
+        if demanded > view.hosts:
+            lacking += demanded - view.hosts
             continue
         hosts = view.hosts - leaving.get(view.name, 0)
         lendable = hosts - kept_hosts(peak, view, now)
         # Late work uses no more than the home size, so that hosts are idle when the
         # next pool's peak begins.
         wanted = max(peak.home_hosts, wanted_hosts(peak, view, now))
-        unneeded = hosts - wanted if view.late_cores > 0 else 0
+        has_only_late = view.late_cores > 0 and view.waiting_cores <= 0
+        unneeded = hosts - wanted if has_only_late else 0
         if lendable > 0:
             donors.append((lendable, max(0, min(lendable, unneeded)), view))
     drains: list[str] = []
--- a/clementinespar/jobs/tests/test_lending_hosts.py
+++ b/clementinespar/jobs/tests/test_lending_hosts.py
@@ -57,6 +57,34 @@
     assert drains == drainable[:wanted]
 
 
+@pytest.mark.parametrize(
+    ("home_hosts", "late_cores", "waiting_cores", "wanted", "drained"),
+    [
+        (10, 300.0, 20.0, 10, 8),
+        (15, 300.0, 20.0, 15, 5),  # its home size
+        (4, 100.0, 20.0, 16, 4),  # work that can meet its objective
+        (10, 100.0, 100.0, 20, 0),  # late work frees no more than what waits
+        (10, 0.0, 20.0, 23, 0),
+    ],
+)
+def test_hosts_of_late_work_at_a_peak(
+    home_hosts: int, late_cores: float, waiting_cores: float, wanted: int, drained: int
+) -> None:
+    """Guards against an overloaded pool that keeps all its hosts for late work.
+
+    Without late work, tasks wait since they do not pack, so no host is given.
+    """
+    hosts = [f"host-{number}" for number in range(20)]
+    view = make_view("over", 20, drainable=hosts, used_cores=320.0)
+    view.late_cores, view.waiting_cores = late_cores, waiting_cores
+    peak = capacity.PeakState(home_hosts, is_peaking=True)
+    assert capacity.wanted_hosts(peak, view, 0.0) == wanted
+    lacking = make_view("next", 10, arriving_cores=250.0, waiting_cores=160.0)
+    states = {"over": peak, "next": capacity.PeakState(10, is_peaking=True)}
+    assert capacity.plan_drains([view, lacking], states, [], 0.0) == hosts[:drained]
+    assert capacity.plan_drains([view], states, [], 0.0) == []
+
+
 def test_draining_hosts_stay_chosen() -> None:
     """Guards against a new choice each round, by which no host ever becomes idle."""
     rested = make_view(
