--- a/clementinespar/jobs/tests/test_peaks.py
+++ b/clementinespar/jobs/tests/test_peaks.py
@@ -201,6 +201,18 @@
         assert states["a"].height.last == pytest.approx(0.7)  # learnt anew
 
 
+def test_peak_after_a_load_that_is_too_low_for_one() -> None:
+    """Guards against a lasting load that is taken for the peak that follows it."""
+    states, turns = make_states(), peaks.Turns()
+    for tick, use in enumerate([0.4] * 20 + [0.6] * 2):
+        load = ONSET | {"arriving_cores": use * HOME * CORES}
+        capacity.plan_moves([make_view("a", **load)], states, tick * TICK_S, turns)
+        if tick == 19:
+            assert states["a"].height.newest() == 1.5
+    assert capacity.expected_hosts(states["a"], 5.25) == 60
+    assert not turns.starts
+
+
 @pytest.mark.parametrize(
     ("uses", "height", "starts"),
     [
@@ -239,6 +251,11 @@
     assert peak_records.restore_starts(record["b"], now, offset_s) == [5.0]
 
 
+def test_no_pools_to_move_hosts_between() -> None:
+    """Guards against an error that ends the owner of the fleet."""
+    assert not capacity.plan_moves([make_spare()], {}, 0.0)
+
+
 REGULAR = [(8.0 * n, POOLS[n]) for n in range(4)]
 MADE, MET, DROPPED = (("a", outcome) for outcome in ("made", "met", "dropped"))
 
