Count a worker as new from its first answer

The age of a worker's life was counted from the opening of its session, also if the worker was down then and came back later. In the first moments of its life, while the list of hosts may not show it yet, it could be declared dead and its tasks started again although it ran on. Its record did not name it as new either, so the next owner could make the same mistake.

The age now counts from the first answer of each life.

--- a/clementinespar/jobs/tests/test_worker_deaths.py
+++ b/clementinespar/jobs/tests/test_worker_deaths.py
@@ -135,6 +135,24 @@
     assert not workers.violations
 
 
+@paused_clock.test
+async def test_worker_that_answers_late_for_the_first_time_is_not_dead() -> None:
+    """Guards against two runs: the worker was down when its session opened."""
+    workers = fakes.FakeWorkers(3)
+    workers.list_lag_s = worker_deaths.LIST_LAG_S
+    workers.end("quotes-0")
+    harness = helpers.OwnerHarness(workers)
+    async with helpers.run_owner(harness):
+        await asyncio.sleep(4.3)
+        workers.crash("quotes-0")
+        await harness.submit(helpers.make_spec("a", 3, is_lasting=True))
+        await _wait_starts(workers, 3)
+        workers.add("new", "quotes")
+        workers.workers["quotes-0"].is_unresponsive = True  # cut off, runs on
+        await asyncio.sleep(3.0)
+    assert not workers.violations
+
+
 @pytest.mark.parametrize("is_lasting", [True, False])
 @paused_clock.test
 async def test_tasks_of_a_dead_worker_run_again_before_its_lease_ends(
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -387,7 +387,8 @@
                     open_runs=len(self.runs),
                 )
                 self._events.on_crash(self)
-                self.born_seen_at = now
+            # A worker that was down when the session opened is new at its first answer.
+            self.born_seen_at = now
             self.born_ms = report.born_ms
             self.processed = 0
             self.acknowledged = 0
