Give the nodes of the tests of host orders a member name

All 26 tests of test_host_orders.py failed after the merge of the parts with an AttributeError: the ownership manager compares the name of the group's member with the list of owners, and the nodes of these tests had none. They have it now, and the list of owners is a call to the store with the same faults as the others instead of an empty answer.

--- a/clementinespar/jobs/tests/test_host_orders.py
+++ b/clementinespar/jobs/tests/test_host_orders.py
@@ -77,6 +77,9 @@
         owned = {PARTITION} if self.owner == name else set()
         return services.Assignment(self.generation, frozenset(owned))
 
+    async def list_owners(self) -> Mapping[int, str]:
+        return {PARTITION: self.owner}
+
     def order(self, host_id: str, epoch: int, pool: str, wave: int = 0) -> bool:
         """Check an order that has arrived, and carry it out."""
         for at, _, earlier in [o for o in self.orders if o[1] == host_id][-1:]:
@@ -139,7 +142,7 @@
 
     def __init__(self, world: World, name: str) -> None:
         self.world = world
-        self.name = name
+        self.name = self.member = name
         self.by_number = world.waves
         self.current = model.JobConfiguration(
             1, {}, {name: model.Pool(name, name == "spare") for name in POOLS}, 1000
@@ -235,7 +238,8 @@
             self.world.joined_at.pop(self.name, None)
 
     async def list_owners(self) -> Mapping[int, str]:
-        return {}
+        owners: Mapping[int, str] = await self.call_store(self.world.list_owners)
+        return owners
 
     async def append_fenced(self, *arguments: typing.Any) -> None:
         async def append() -> None:
