Keep the time of an unanswered maintenance order over a refusal

After an order without an answer, the host is ordered again while the list of hosts still shows it as up. The platform refuses that order, since the maintenance goes on, and the refusal removed the time of the first order. The maintenance was then never noted: the host was not counted as down until the list showed it, and was maintained once more after it was back. The refusal now keeps the time of the earlier order.

Test with a list that is three ticks old: the host was maintained twice before, once after.

--- a/clementinespar/jobs/maintenance.py
+++ b/clementinespar/jobs/maintenance.py
@@ -400,6 +400,7 @@
         may_send: Callable[[], bool],
     ) -> None:
         number = progress.wave.number
+        earlier_at = progress.ordered_at.get(host.host_id)
         progress.ordered_at[host.host_id] = asyncio.get_running_loop().time()
         try:
             is_begun = await self._hosts.start_maintenance(
@@ -423,6 +424,10 @@
         )
         if not is_begun:
             del progress.ordered_at[host.host_id]
+            if earlier_at is not None:
+                # An earlier order got no answer. Its maintenance may be the reason of
+                # the refusal, and the list of hosts may not show it yet.
+                progress.ordered_at[host.host_id] = earlier_at
             return
         progress.begun.add(host.host_id)
         progress.is_stored = False
--- a/clementinespar/jobs/tests/test_fleet.py
+++ b/clementinespar/jobs/tests/test_fleet.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from clementinespar import background
+from clementinespar import background, errors
 from clementinespar.jobs import (
     fleet,
     host_orders,
@@ -493,6 +493,44 @@
     assert times[-1] - times[0] < WAVE_TIME_S
 
 
+@paused_clock.test
+async def test_refused_order_after_an_unanswered_one() -> None:
+    """Guards against a host that is maintained twice.
+
+    The first order gets no answer, and the list of hosts lags behind it. The second is
+    refused, since the maintenance goes on.
+    """
+
+    class LaggingFleet(FakeFleet):
+        async def list_hosts(self) -> list[model.HostEntry]:
+            return self.lists[-4]
+
+        async def take_lists(self) -> None:
+            """Take a list in the time of each tick, returned three ticks later."""
+            self.lists = [list(self.hosts.values())] * 4
+            while True:
+                await asyncio.sleep(fleet.TICK_S)
+                self.lists.append(list(self.hosts.values()))
+
+        async def start_maintenance(
+            self, host_id: str, wave: int, fence: int, may_send: Callable[[], bool]
+        ) -> bool:
+            if self.hosts[host_id].state != "up":
+                return False
+            await super().start_maintenance(host_id, wave, fence, may_send)
+            if len(self.named("start_maintenance")) == 1:
+                raise errors.PlatformUnavailableError("no answer")
+            return True
+
+    fake = LaggingFleet()
+    fake.drain_s = 0.0
+    fake.by_number = {1: model.MaintenanceWave(1, WAVE.host_ids, 30.0, max_down=4)}
+    async with background.running(fake.take_lists()):
+        await fake.run_owner(fakes.FakeStore(), 5, 30.0)
+    begun = [str(call[2]) for call in fake.named("start_maintenance")]
+    assert sorted(begun) == sorted(WAVE.host_ids)
+
+
 @pytest.mark.parametrize(
     ("hosts", "left_s", "wanted", "wanted_lasting"),
     [(32, 24.0, 8, 3), (32, 8.0, 16, 6), (1, 24.0, 1, 3)],
