Store no record of workers in use for a silent worker without a lease

A worker that answered while an append was on its way, and fell silent before the next one, stayed among the workers whose life is not stored after its lease had ended and its time of first answer was dropped. It then counted as new for good, so that each append of progress, one in 0.6 s at least, carried the record of all workers until it answered or left the list. It is dropped from both now; its next answer makes the record due again.

Test: the record was still due 5 s later before, and is not after.

--- a/clementinespar/jobs/tests/test_worker_deaths.py
+++ b/clementinespar/jobs/tests/test_worker_deaths.py
@@ -295,3 +295,21 @@
     assert use.may_start("a")
     assert use.is_due()  # without new workers
     assert json.loads(use.encode())["new"] == []
+
+
+@paused_clock.test
+async def test_silent_worker_without_a_lease_makes_no_record_due() -> None:
+    """Guards against a record with each append for as long as a worker is silent."""
+    now = asyncio.get_running_loop().time()
+    use = worker_use.WorkerUse()
+    use.encode()
+    use.add("a", now)  # while the append is on its way
+    use.release_silent("a", now - 1.0)
+    use.mark_stored()
+    for _ in range(2):
+        await asyncio.sleep(worker_deaths.LIST_LAG_S + 1.0)
+        use.encode()
+        use.mark_stored()
+    assert not use.is_due()
+    use.add("a", now)  # it answers again, in the same life
+    assert use.is_due()
--- a/clementinespar/jobs/worker_use.py
+++ b/clementinespar/jobs/worker_use.py
@@ -226,6 +226,8 @@
             if worker_id in named or worker_id in lease_ends
         }
         self._known_since = dict(self._recorded_lives)
+        # A worker that is not named counts as unstored again with its next answer.
+        self._unstored_lives &= set(self._known_since)
         self._recorded_new = {
             worker_id
             for worker_id in named
