Go on with waves and moves while the report of a wave fails

A report that the store refused or did not answer ended the tick of the fleet owner before any evacuation, maintenance or move, in each tick until it was accepted. It is logged as wave_report_failed now and repeated in the next tick.

--- a/clementinespar/jobs/maintenance.py
+++ b/clementinespar/jobs/maintenance.py
@@ -251,16 +251,16 @@
         wave = progress.wave
         self._note_begun(progress, hosts_by_id)
         if not progress.is_reported:
-            await self._wave_source.report(wave, is_done=False)
-            progress.is_reported = True
+            progress.is_reported = await self._report(wave, is_done=False)
         pending = [
             hosts_by_id[host_id]
             for host_id in wave.host_ids
             if host_id in hosts_by_id and host_id not in progress.begun
         ]
         if not pending:
-            await self._wave_source.report(wave, is_done=True)
-            progress.is_done = True
+            progress.is_done = await self._report(wave, is_done=True)
+            if not progress.is_done:
+                return []
             self._log_event("wave_done", wave=wave.number, begun=len(progress.begun))
             return []
         progress.down = {
@@ -284,6 +284,20 @@
             evacuations.append(_Evacuation(progress, host, urgency))
         return evacuations
 
+    async def _report(self, wave: model.MaintenanceWave, is_done: bool) -> bool:
+        """Report the state of a wave; False if that has failed.
+
+        The report is repeated in the next tick. It must not stop other waves and moves.
+        """
+        try:
+            await self._wave_source.report(wave, is_done)
+        except errors.ClementinesparError as error:
+            self._log_event(
+                "wave_report_failed", wave=wave.number, code=int(error.code)
+            )
+            return False
+        return True
+
     def _plan_maintenance(self, evacuation: _Evacuation, queried_at: float) -> None:
         """Plan the maintenance of a host that is free, unless too many are down."""
         progress, host = evacuation.progress, evacuation.host
--- a/clementinespar/jobs/tests/test_fleet.py
+++ b/clementinespar/jobs/tests/test_fleet.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from clementinespar import background, errors
+from clementinespar import background, codes, errors
 from clementinespar.jobs import (
     fleet,
     host_orders,
@@ -531,6 +531,34 @@
     assert sorted(begun) == sorted(WAVE.host_ids)
 
 
+@paused_clock.test
+async def test_failed_reports_of_waves_stop_neither_waves_nor_moves() -> None:
+    """Guards against ticks without orders while the operators' topic refuses appends.
+
+    The reports are written once they are accepted again.
+    """
+    fake = FakeFleet()
+    report, loop = fake.report, asyncio.get_running_loop()
+    refused_until = loop.time() + WAVE_TIME_S
+
+    async def refuse(wave: model.MaintenanceWave, is_done: bool) -> None:
+        if loop.time() < refused_until:
+            raise errors.ClementinesparError(codes.ResultCode.STORE_REFUSED, "refused")
+        await report(wave, is_done)
+
+    fake.report = refuse  # type: ignore[method-assign]
+    await fake.run_owner(fakes.FakeStore(), 5, WAVE_TIME_S + 2.0)
+    orders = [
+        call
+        for call in find_orders(fake)
+        if typing.cast(float, call[0]) < refused_until
+    ]
+    begun = [call[2] for call in orders if call[1] == "start_maintenance"]
+    assert begun == list(WAVE.host_ids)
+    assert len(orders) > len(begun)
+    assert [call[2:] for call in fake.named("report")] == [(1, False), (1, True)]
+
+
 @pytest.mark.parametrize(
     ("hosts", "left_s", "wanted", "wanted_lasting"),
     [(32, 24.0, 8, 3), (32, 8.0, 16, 6), (1, 24.0, 1, 3)],
