--- a/clementinespar/jobs/tests/test_worker_deaths.py
+++ b/clementinespar/jobs/tests/test_worker_deaths.py
@@ -135,6 +135,24 @@
     assert not workers.violations
 
 
+@paused_clock.test
+async def test_worker_that_answers_late_for_the_first_time_is_not_dead() -> None:
+    """Guards against two runs: the worker was down when its session opened."""
+    workers = fakes.FakeWorkers(3)
+    workers.list_lag_s = worker_deaths.LIST_LAG_S
+    workers.end("quotes-0")
+    harness = helpers.OwnerHarness(workers)
+    async with helpers.run_owner(harness):
+        await asyncio.sleep(4.3)
+        workers.crash("quotes-0")
+        await harness.submit(helpers.make_spec("a", 3, is_lasting=True))
+        await _wait_starts(workers, 3)
+        workers.add("new", "quotes")
+        workers.workers["quotes-0"].is_unresponsive = True  # cut off, runs on
+        await asyncio.sleep(3.0)
+    assert not workers.violations
+
+
 @pytest.mark.parametrize("is_lasting", [True, False])
 @paused_clock.test
 async def test_tasks_of_a_dead_worker_run_again_before_its_lease_ends(
@@ -277,3 +295,21 @@
     assert use.may_start("a")
     assert use.is_due()  # without new workers
     assert json.loads(use.encode())["new"] == []
+
+
+@paused_clock.test
+async def test_silent_worker_without_a_lease_makes_no_record_due() -> None:
+    """Guards against a record with each append for as long as a worker is silent."""
+    now = asyncio.get_running_loop().time()
+    use = worker_use.WorkerUse()
+    use.encode()
+    use.add("a", now)  # while the append is on its way
+    use.release_silent("a", now - 1.0)
+    use.mark_stored()
+    for _ in range(2):
+        await asyncio.sleep(worker_deaths.LIST_LAG_S + 1.0)
+        use.encode()
+        use.mark_stored()
+    assert not use.is_due()
+    use.add("a", now)  # it answers again, in the same life
+    assert use.is_due()
