Give the nodes of the tests of host orders a name in the group

Since the merge of the changes of owner, the ownership manager reads the member name of its group (services.OwnershipGroup.member). The nodes of test_host_orders.py stand in for the group and had none, so each test with a whole node failed (AttributeError). They have the name of the node now; all 26 tests pass.

--- a/clementinespar/jobs/tests/test_host_orders.py
+++ b/clementinespar/jobs/tests/test_host_orders.py
@@ -139,7 +139,7 @@
 
     def __init__(self, world: World, name: str) -> None:
         self.world = world
-        self.name = name
+        self.name = self.member = name
         self.by_number = world.waves
         self.current = model.JobConfiguration(
             1, {}, {name: model.Pool(name, name == "spare") for name in POOLS}, 1000
