Ask the owners of all pools for their load at once

The fleet owner asked one owner after another, and each that does not answer took the whole time limit (0.5 s or more). A lost node may own several pools, so ticks became so long that peaks of the other pools got their hosts late, and orders of waves exceeded the 3 s for which a host counts as free.

The shorter tick keeps one phase to the joins in test_late_answer_to_the_record, so its fault never began; it delays each answer by 50 ms until then.

--- a/clementinespar/jobs/host_moves.py
+++ b/clementinespar/jobs/host_moves.py
@@ -146,14 +146,19 @@
                 self._starting_since[host.host_id] = -math.inf
             else:
                 self._starting_since.setdefault(host.host_id, now)
-        views = []
         for pool in configuration.pools_by_name.values():
             if not pool.is_spare and pool.name not in self._peaks:
                 home = sum(1 for host in hosts_by_id.values() if host.pool == pool.name)
                 self._peaks[pool.name] = capacity.PeakState(home)
-            view = await self._build_pool_view(pool, hosts_by_id, leaving)
-            if view is not None:  # else the owner of the pool did not answer
-                views.append(view)
+        # At once: a node that is lost may own several pools, and each call to it takes
+        # the whole time limit.
+        async with asyncio.TaskGroup() as group:
+            tasks = [
+                group.create_task(self._build_pool_view(pool, hosts_by_id, leaving))
+                for pool in configuration.pools_by_name.values()
+            ]
+        # None: the owner of the pool did not answer.
+        views = [view for task in tasks if (view := task.result()) is not None]
         before = self._encode_peaks()
         moves = capacity.plan_moves(views, self._peaks, now, self._turns)
         self._log_peaks()
--- a/clementinespar/jobs/tests/test_fleet.py
+++ b/clementinespar/jobs/tests/test_fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import itertools
 import json
 import math
 import time
@@ -559,6 +560,29 @@
     assert [call[2:] for call in fake.named("report")] == [(1, False), (1, True)]
 
 
+@paused_clock.test
+async def test_silent_owners_of_pools_delay_moves_once() -> None:
+    """Guards against a tick that waits for each of the pools of a lost node in turn."""
+    fake = FakeFleet()
+    describe_load, loop = fake.describe_load, asyncio.get_running_loop()
+    silent = {f"c{n}": model.Pool(f"c{n}", False) for n in range(4)}
+    fake.current.pools_by_name.update(silent)
+    asked_at: list[float] = []
+
+    async def describe(pool: str, arriving: int = 0) -> dict[str, object]:
+        if pool not in silent:
+            asked_at.append(loop.time())
+            return await describe_load(pool, arriving)
+        await asyncio.sleep(service.PEER_TIMEOUT_S)
+        raise errors.ClementinesparError(codes.ResultCode.JOB_OWNER_UNKNOWN, "silent")
+
+    fake.describe_load = describe  # type: ignore[method-assign]
+    await fake.run_owner(fakes.FakeStore(), 5, 8.0)
+    pauses = [later - at for at, later in itertools.pairwise(asked_at)]
+    assert len(find_orders(fake)) > 4
+    assert max(pauses) < fleet.TICK_S + service.PEER_TIMEOUT_S + 0.1
+
+
 @pytest.mark.parametrize(
     ("hosts", "left_s", "wanted", "wanted_lasting"),
     [(32, 24.0, 8, 3), (32, 8.0, 16, 6), (1, 24.0, 1, 3)],
--- a/clementinespar/jobs/tests/test_host_orders.py
+++ b/clementinespar/jobs/tests/test_host_orders.py
@@ -424,6 +424,8 @@
             node.no_joins_until = now() + 5.0
             world.assign("n1.0")  # joins 0.1 s later than the first node
             await asyncio.sleep(1.0)
+        elif not late:
+            await asyncio.sleep(0.05)  # else ticks and joins may keep one phase
 
     world.on_record = answer_late
     paused_clock.run(run_nodes(world, 30.0))
