--- a/clementinespar/admin/server.py
+++ b/clementinespar/admin/server.py
@@ -4,7 +4,7 @@
 import json
 import socket
 import urllib.parse
-from collections.abc import Awaitable, Callable, Iterator, Mapping
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from typing import Any
 
 import logbook
@@ -12,7 +12,7 @@
 import tornado.httpserver
 import tornado.web
 
-from clementinespar import codes, errors, options
+from clementinespar import codes, errors, http_servers, options
 from clementinespar.admin import publishing, views
 from clementinespar.documents import messages
 from clementinespar.telemetry import metrics
@@ -60,7 +60,7 @@
     return pydantic_core.to_json(value, fallback=str)
 
 
-class _Handler(tornado.web.RequestHandler):
+class _Handler(http_servers.Handler):
     """Base of all handlers: JSON replies and errors."""
 
     def initialize(self, admin: "AdminServer") -> None:
@@ -313,11 +313,11 @@
         self.publisher = publisher
         self.refresh_metrics = refresh_metrics
 
-    @contextlib.contextmanager
-    def serving(self, listener: socket.socket) -> Iterator[None]:
+    @contextlib.asynccontextmanager
+    async def serving(self, listener: socket.socket) -> AsyncIterator[None]:
         """Serve on a bound socket while the context is entered."""
         shared = {"admin": self}
-        application = tornado.web.Application(
+        application = http_servers.Application(
             [
                 (r"/livez", _Live, shared),
                 (r"/readyz", _Ready, shared),
@@ -331,7 +331,6 @@
             ],
             default_handler_class=_NotFound,
             default_handler_args=shared,
-            log_function=lambda handler: None,
         )
         server = tornado.httpserver.HTTPServer(
             application,
@@ -341,8 +340,5 @@
             body_timeout=_BODY_TIMEOUT_S,
         )
         listener.listen(128)
-        server.add_socket(listener)
-        try:
+        async with http_servers.serving(server, application, [listener]):
             yield
-        finally:
-            server.stop()
--- a/clementinespar/background.py
+++ b/clementinespar/background.py
@@ -1,9 +1,11 @@
-"""Runs a coroutine in the background of a context."""
+"""Runs coroutines in the background of a context or of a component."""
 
 import asyncio
 import contextlib
 from collections.abc import AsyncIterator, Coroutine
-from typing import Any
+from typing import Any, TypeVar
+
+_T = TypeVar("_T")
 
 
 @contextlib.asynccontextmanager
@@ -24,3 +26,47 @@
         task.cancel()
         with contextlib.suppress(asyncio.CancelledError):
             await task
+
+
+class Tasks:
+    """Tasks that a component has started and that nothing else waits for."""
+
+    _tasks: set[asyncio.Task[Any]]
+
+    def __init__(self) -> None:
+        self._tasks = set()
+
+    def __len__(self) -> int:
+        """Return the number of tasks that have not ended."""
+        return len(self._tasks)
+
+    def start(
+        self, work: Coroutine[Any, Any, _T], name: str | None = None
+    ) -> asyncio.Task[_T]:
+        """Run a coroutine as a task."""
+        task = asyncio.create_task(work, name=name)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    def pending(self) -> set[asyncio.Task[Any]]:
+        """Return the tasks that have not ended."""
+        return set(self._tasks)
+
+    async def end(self) -> None:
+        """Cancel all tasks and wait until they have ended."""
+        await end_all(self._tasks)
+
+
+async def end_all(tasks: set[asyncio.Task[Any]]) -> None:
+    """Cancel tasks and wait until they, and the tasks that they start, have ended.
+
+    Parameters
+    ----------
+    tasks : set of asyncio.Task
+        Tasks are removed from it when they end, and added when they start.
+    """
+    while tasks:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
--- a/clementinespar/claims/claimer.py
+++ b/clementinespar/claims/claimer.py
@@ -2,13 +2,15 @@
 
 import asyncio
 import collections
+import contextlib
 import dataclasses
 import secrets
+from collections.abc import AsyncIterator
 from typing import Final
 
 import logbook
 
-from clementinespar import codes, errors, identifiers
+from clementinespar import background, codes, errors, identifiers
 from clementinespar.claims import messages, state
 from clementinespar.fleet import source as fleet_source
 from clementinespar.fleet import state as fleet_state
@@ -66,7 +68,8 @@
     _releasing_claim_ids: set[str]  # claims whose releases are not yet in the log
     _flush_task: "asyncio.Task[None] | None"
     _sweep_task: "asyncio.Task[None] | None"
-    _append_tasks: "set[asyncio.Task[None]]"
+    _append_tasks: background.Tasks  # the flush as well, but not the sweep
+    _sweep_tasks: background.Tasks
 
     def __init__(
         self,
@@ -84,7 +87,17 @@
         self._releasing_claim_ids = set()
         self._flush_task = None
         self._sweep_task = None
-        self._append_tasks = set()
+        self._append_tasks = background.Tasks()
+        self._sweep_tasks = background.Tasks()
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator[None]:
+        """Make claims while the context is entered; end all background work on exit."""
+        try:
+            yield
+        finally:
+            await self._sweep_tasks.end()
+            await self._append_tasks.end()
 
     async def claim(self, request_id: str, timeout_s: float) -> codes.ResultCode:
         """Claim a request id for this node; see `claims.service.ClaimService`."""
@@ -133,9 +146,7 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout_s
         while loop.time() < deadline:
-            tasks = set(self._append_tasks)
-            if self._flush_task is not None and not self._flush_task.done():
-                tasks.add(self._flush_task)
+            tasks = self._append_tasks.pending()
             if not tasks:
                 return
             await asyncio.wait(tasks, timeout=deadline - loop.time())
@@ -172,7 +183,7 @@
         )
         self._abandoned_by_claim_id[claim.claim_id] = (claim, expires_at)
         if self._sweep_task is None or self._sweep_task.done():
-            self._sweep_task = asyncio.create_task(self._sweep(), name="claim sweep")
+            self._sweep_task = self._sweep_tasks.start(self._sweep(), "claim sweep")
 
     async def _sweep(self) -> None:
         """Release claims that won although their append had no result."""
@@ -197,7 +208,7 @@
 
     def _start_flush(self) -> None:
         if self._flush_task is None or self._flush_task.done():
-            self._flush_task = asyncio.create_task(self._flush(), name="claim flush")
+            self._flush_task = self._append_tasks.start(self._flush(), "claim flush")
 
     async def _flush(self) -> None:
         """Append the queued releases, then the queued claims.
@@ -209,18 +220,11 @@
         while self._pending_releases:
             releases = self._pending_releases[:_MAX_BATCH_CLAIMS]
             del self._pending_releases[:_MAX_BATCH_CLAIMS]
-            self._start_append(self._append_releases(releases))
+            self._append_tasks.start(self._append_releases(releases))
         while self._pending_claims:
             batch = self._pending_claims[:_MAX_BATCH_CLAIMS]
             del self._pending_claims[:_MAX_BATCH_CLAIMS]
-            self._start_append(self._append_claims(batch))
-
-    def _start_append(
-        self, work: "collections.abc.Coroutine[object, object, None]"
-    ) -> None:
-        task = asyncio.create_task(work)
-        self._append_tasks.add(task)
-        task.add_done_callback(self._append_tasks.discard)
+            self._append_tasks.start(self._append_claims(batch))
 
     async def _append_claims(self, batch: list[_PendingClaim]) -> None:
         now = asyncio.get_running_loop().time()
--- a/clementinespar/jobs/peer_server.py
+++ b/clementinespar/jobs/peer_server.py
@@ -9,11 +9,11 @@
 import tornado.netutil
 import tornado.web
 
-from clementinespar import codes, errors
+from clementinespar import codes, errors, http_servers
 from clementinespar.jobs import service, services, telemetry
 
 
-class _PeerRequestHandler(tornado.web.RequestHandler):
+class _PeerRequestHandler(http_servers.Handler):
     """Answers a query of a peer about a partition that this node owns."""
 
     def initialize(self, jobs: service.JobService) -> None:
@@ -36,7 +36,7 @@
         self.finish(json.dumps(reply))
 
 
-class _CommandHandler(tornado.web.RequestHandler):
+class _CommandHandler(http_servers.Handler):
     """Appends a command of a caller that reached a peer."""
 
     def initialize(self, jobs: service.JobService) -> None:
@@ -58,7 +58,7 @@
             self.finish("{}")
 
 
-class _JobHandler(tornado.web.RequestHandler):
+class _JobHandler(http_servers.Handler):
     """Explains a job to operators, whichever node owns it."""
 
     def initialize(self, jobs: service.JobService) -> None:
@@ -79,7 +79,7 @@
         self.finish(json.dumps(reply))
 
 
-class _MetricsHandler(tornado.web.RequestHandler):
+class _MetricsHandler(http_servers.Handler):
     """Serves the metrics of the node."""
 
     def initialize(self, metrics: telemetry.JobMetrics) -> None:
@@ -96,19 +96,15 @@
     address: str, port: int, jobs: service.JobService, metrics: telemetry.JobMetrics
 ) -> AsyncIterator[None]:
     """Serve peers inside the context."""
-    application = tornado.web.Application(
+    application = http_servers.Application(
         [
             (r"/metrics", _MetricsHandler, {"metrics": metrics}),
             (r"/v1/jobs/([0-9A-Za-z]+)", _JobHandler, {"jobs": jobs}),
             (r"/(\d+)/commands/([^/]+)", _CommandHandler, {"jobs": jobs}),
             (r"/(\d+)/.*", _PeerRequestHandler, {"jobs": jobs}),
-        ],
-        log_function=lambda handler: None,
+        ]
     )
     server = tornado.httpserver.HTTPServer(application)
-    server.add_sockets(tornado.netutil.bind_sockets(port, address))
-    try:
+    sockets = tornado.netutil.bind_sockets(port, address)
+    async with http_servers.serving(server, application, sockets):
         yield
-    finally:
-        server.stop()
-        await server.close_all_connections()
--- a/clementinespar/log/appender.py
+++ b/clementinespar/log/appender.py
@@ -2,14 +2,15 @@
 
 import asyncio
 import collections
+import contextlib
 import dataclasses
 import random
 import time
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 
 import logbook
 
-from clementinespar import codes, errors
+from clementinespar import background, codes, errors
 from clementinespar.fleet import source as fleet_source
 from clementinespar.fleet import state as fleet_state
 from clementinespar.log import base, records, service
@@ -76,9 +77,9 @@
     _wall_ms: Callable[[], int]
     _queue: "collections.deque[_PendingRecord]"  # records that wait for an append call
     _flush_task: "asyncio.Task[None] | None"  # runs while records wait
-    _calls: "set[asyncio.Task[None]]"  # in-flight append calls
+    _calls: background.Tasks  # in-flight append calls
     _refresh_task: "asyncio.Task[bool] | None"  # in-flight read that results wait for
-    _result_tasks: "set[asyncio.Task[None]]"  # wait until appended records are folded
+    _tasks: background.Tasks  # all tasks but the append calls
     _is_clock_refused: bool  # the latest record was refused for its issue time
     _backoff_s: float  # extra delay after refusals
     # Seeded by the author: differs between nodes, and tests are reproducible.
@@ -99,13 +100,27 @@
         self._wall_ms = _read_wall_clock if wall_ms is None else wall_ms
         self._queue = collections.deque()
         self._flush_task = None
-        self._calls = set()
+        self._calls = background.Tasks()
         self._refresh_task = None
-        self._result_tasks = set()
+        self._tasks = background.Tasks()
         self._is_clock_refused = False
         self._backoff_s = 0.0
         self._random = random.Random(author)
 
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator[None]:
+        """Append while the context is entered; end all calls on exit.
+
+        Records that have no result by then get none, as after a lost reply.
+        """
+        try:
+            yield
+        finally:
+            # The flush starts calls, and a call that fails starts a flush.
+            while len(self._tasks) or len(self._calls):
+                await self._tasks.end()
+                await self._calls.end()
+
     def now_ms(self) -> int:
         """Return the time for ``issued_ms`` of a new record.
 
@@ -160,7 +175,7 @@
 
     def _start_flush(self) -> None:
         if self._flush_task is None or self._flush_task.done():
-            self._flush_task = asyncio.create_task(self._flush(), name="log appender")
+            self._flush_task = self._tasks.start(self._flush(), "log appender")
 
     async def _flush(self) -> None:
         """Append the queued records in batches until the queue is empty."""
@@ -172,12 +187,12 @@
             if delay_s > 0:
                 await asyncio.sleep(delay_s)
             while len(self._calls) >= _MAX_CALLS_IN_FLIGHT:
-                await asyncio.wait(self._calls, return_when=asyncio.FIRST_COMPLETED)
+                await asyncio.wait(
+                    self._calls.pending(), return_when=asyncio.FIRST_COMPLETED
+                )
             batch = self._dequeue_batch()
             if batch:
-                call = asyncio.create_task(self._append_batch(batch))
-                self._calls.add(call)
-                call.add_done_callback(self._calls.discard)
+                call = self._calls.start(self._append_batch(batch))
                 await asyncio.wait({call}, timeout=_PARALLEL_CALL_DELAY_S)
 
     def _dequeue_batch(self) -> list[_PendingRecord]:
@@ -241,9 +256,7 @@
             self._backoff_s *= _BACKOFF_DECAY
             if self._backoff_s < _MIN_BACKOFF_S:
                 self._backoff_s = 0.0
-            task = asyncio.create_task(self._set_results(first_offset, batch))
-            self._result_tasks.add(task)
-            task.add_done_callback(self._result_tasks.discard)
+            self._tasks.start(self._set_results(first_offset, batch))
 
     def _back_off(self) -> None:
         self._backoff_s = min(
@@ -300,7 +313,7 @@
             except TimeoutError:
                 # All waiting batches share one read, to limit the load on a slow log.
                 if self._refresh_task is None or self._refresh_task.done():
-                    self._refresh_task = asyncio.create_task(
+                    self._refresh_task = self._tasks.start(
                         self._source.refresh(_READ_BACK_TIMEOUT_S)
                     )
                 await asyncio.wait({self._refresh_task})
--- a/clementinespar/log/tests/test_appender.py
+++ b/clementinespar/log/tests/test_appender.py
@@ -66,7 +66,8 @@
         )
         node = Node("node-a", fake_log.LogAccess(log), follower, appender)
         log.faults.lose_replies = 1
-        result = await appender.append(node.duty_record("waves"), 5.0)
+        async with appender.running():
+            result = await appender.append(node.duty_record("waves"), 5.0)
         assert result.code == codes.ResultCode.OK
         assert log.end_offset == 1
 
--- a/clementinespar/node.py
+++ b/clementinespar/node.py
@@ -264,6 +264,10 @@
                 self.claimer,
             )
             self.router = _ObservedRouter(self.peers, self.follower)
+            # Their tasks end after the servers, whose requests start tasks, and before
+            # the connections that they use.
+            for component in (self.appender, self.claimer, self.dispatcher):
+                await stack.enter_async_context(component.running())
             self.ports["peers"] = await stack.enter_async_context(
                 self.peers.running(self.follower, self.dispatcher, self._has_targets)
             )
@@ -288,7 +292,7 @@
                 self.peers,
                 self.name,
             )
-            self._serve_admin(stack, operations, waves, capacity)
+            await self._serve_admin(stack, operations, waves, capacity)
             self.callers = await stack.enter_async_context(
                 _serving_callers(self.router, self.follower, settings.callers)
             )
@@ -298,7 +302,7 @@
             ):
                 yield
 
-    def _serve_admin(
+    async def _serve_admin(
         self,
         stack: contextlib.AsyncExitStack,
         operations: pool_operations.HostOperations,
@@ -326,7 +330,7 @@
         server = admin_server.AdminServer(
             self.settings.admin, admin_views, publisher, self._refresh_metrics
         )
-        stack.enter_context(server.serving(listener))
+        await stack.enter_async_context(server.serving(listener))
 
     @contextlib.asynccontextmanager
     async def _running_duties(
--- a/clementinespar/requests/claiming.py
+++ b/clementinespar/requests/claiming.py
@@ -1,12 +1,10 @@
 """Claims of requests that are not repeatable, and the outcomes of failed claims."""
 
 import asyncio
-from collections.abc import Coroutine
-from typing import Any
 
 import logbook
 
-from clementinespar import codes
+from clementinespar import background, codes
 from clementinespar.claims import service as claim_service
 from clementinespar.claims import state as claims_state
 from clementinespar.fleet import source as fleet_source
@@ -33,14 +31,18 @@
 
     _source: fleet_source.FleetSource
     _claims: claim_service.ClaimService
-    _tasks: set[asyncio.Task[Any]]  # prevents garbage collection of running tasks
+    _tasks: background.Tasks  # claims, also those whose request no longer waits
 
     def __init__(
         self, source: fleet_source.FleetSource, claims: claim_service.ClaimService
     ) -> None:
         self._source = source
         self._claims = claims
-        self._tasks = set()
+        self._tasks = background.Tasks()
+
+    async def end(self) -> None:
+        """End all claims and releases that are in progress."""
+        await self._tasks.end()
 
     def is_claimed(self, request_id: str) -> bool:
         """Whether the fold contains a claim of a request id."""
@@ -52,11 +54,11 @@
         """Claim a request; returns the refusal if it must not be sent, else None."""
         request_id = request.request_id
         timeout_s = max(0.001, timeout_s)
-        task = self._spawn(self._claims.claim(request_id, timeout_s))
+        task = self._tasks.start(self._claims.claim(request_id, timeout_s))
         await asyncio.wait({task}, timeout=timeout_s + CLAIM_GRACE_S)
         if not task.done():
             # The claim may still succeed later, and would then block a retry.
-            self._spawn(self._release_when_won(task, request_id))
+            self._tasks.start(self._release_when_won(task, request_id))
             code = codes.ResultCode.CLAIM_UNAVAILABLE
         elif task.exception() is not None:
             _log.warning("claim of {} failed: {}", request_id, task.exception())
@@ -84,7 +86,7 @@
 
     async def release(self, request: model.Request) -> None:
         """Release a claim; waits at most `RELEASE_WAIT_S` or until the deadline."""
-        task = self._spawn(self._try_release(request.request_id))
+        task = self._tasks.start(self._try_release(request.request_id))
         remaining_s = request.deadline - asyncio.get_running_loop().time()
         await asyncio.wait({task}, timeout=max(0.0, min(RELEASE_WAIT_S, remaining_s)))
 
@@ -117,9 +119,3 @@
         await asyncio.wait({task})
         if task.exception() is None and task.result() == codes.ResultCode.OK:
             await self._try_release(request_id)
-
-    def _spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
--- a/clementinespar/requests/dispatcher.py
+++ b/clementinespar/requests/dispatcher.py
@@ -8,14 +8,15 @@
 
 import asyncio
 import collections
+import contextlib
 import dataclasses
 import math
-from collections.abc import Callable, Coroutine
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 import logbook
 
-from clementinespar import codes
+from clementinespar import background, codes
 from clementinespar.capacity import demand
 from clementinespar.claims import service as claim_service
 from clementinespar.documents import model as document_model
@@ -84,7 +85,7 @@
     _in_flight_by_request_id: dict[str, in_flight_requests.InFlightRequest]
     # Outcomes of requests that failed on several targets, oldest first.
     _refused_by_request_id: collections.OrderedDict[str, model.Outcome]
-    _tasks: set[asyncio.Task[Any]]  # prevents garbage collection of running tasks
+    _tasks: background.Tasks  # requests, attempts and hedges
     _buffered_bytes: int  # bodies of all requests that wait or are in flight
     _is_draining: bool
     _idle: asyncio.Event  # set while no request is queued or in flight
@@ -106,12 +107,26 @@
         )
         self._in_flight_by_request_id = {}
         self._refused_by_request_id = collections.OrderedDict()
-        self._tasks = set()
+        self._tasks = background.Tasks()
         self._buffered_bytes = 0
         self._is_draining = False
         self._idle = asyncio.Event()
         self._idle.set()
 
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator[None]:
+        """Handle requests while the context is entered; end those in flight on exit.
+
+        Attempts end although their targets may still run them, so a planned stop calls
+        `begin_drain` and `wait_idle` first.
+        """
+        try:
+            yield
+        finally:
+            await self._tasks.end()
+            await self._claimer.end()
+            await self._target_pool.end()
+
     # Request handling.
 
     async def handle(
@@ -262,7 +277,7 @@
         self._in_flight_by_request_id[request.request_id] = in_flight
         self._buffered_bytes += len(request.body)
         self._idle.clear()
-        in_flight.task = asyncio.get_running_loop().create_task(self._run(in_flight))
+        in_flight.task = self._tasks.start(self._run(in_flight))
         # Counted now, not when the task runs: the admission of requests that arrive in
         # the same iteration of the event loop must count this one.
         if in_flight.is_repeatable:
@@ -433,7 +448,7 @@
         in_flight.attempts += 1
         in_flight.tried_host_ids.add(assignment.target.host_id)
         in_flight.mark_started()
-        task = self._spawn(self._attempt(in_flight, assignment))
+        task = self._tasks.start(self._attempt(in_flight, assignment))
         in_flight.running.add(task)
 
     async def _attempt(
@@ -533,7 +548,7 @@
                 hedge_at = began_at + self._hedge_delay_s(in_flight)
                 if now >= hedge_at:
                     hedge_at = math.inf
-                    check = self._spawn(self._hedge_if_unresponsive(in_flight))
+                    check = self._tasks.start(self._hedge_if_unresponsive(in_flight))
             waits_for: set[asyncio.Task[Any]] = set(in_flight.running)
             if check is not None:
                 waits_for.add(check)
@@ -855,12 +870,6 @@
             service.is_long_by_kind[kind] = is_long
             service.queue.reclassify(kind, is_long, expected_s)
 
-    def _spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
-
 
 def _is_same_request(first: model.Request, second: model.Request) -> bool:
     return (
--- a/clementinespar/requests/server.py
+++ b/clementinespar/requests/server.py
@@ -21,7 +21,7 @@
 from opentelemetry import trace
 from opentelemetry.trace.propagation import tracecontext
 
-from clementinespar import codes, identifiers, options
+from clementinespar import codes, http_servers, identifiers, options
 from clementinespar.fleet import source as fleet_source
 from clementinespar.requests import model
 from clementinespar.requests import router as request_router
@@ -134,11 +134,10 @@
     `CallersServer.wait_idle` first and cancel the task.
     """
     server = CallersServer(router, source, settings)
-    application = tornado.web.Application(
+    application = http_servers.Application(
         [(r"/v1/([^/]+)/([^/]+)", _RequestHandler, {"server": server})],
         default_handler_class=_UnknownPathHandler,
         default_handler_args={"server": server},
-        log_function=lambda handler: None,
     )
     http_server = _LimitedHttpServer(
         application,
@@ -151,16 +150,13 @@
     )
     sockets = tornado.netutil.bind_sockets(settings.port, settings.address)
     server.port = sockets[0].getsockname()[1]
-    http_server.add_sockets(sockets)
-    try:
-        yield server
-    finally:
-        server.begin_drain()
-        http_server.stop()
+    async with http_servers.serving(http_server, application, sockets):
         try:
-            await server._idle.wait()
+            yield server
         finally:
-            await http_server.close_all_connections()
+            server.begin_drain()
+            http_server.stop()
+            await server._idle.wait()
 
 
 class _LimitedHttpServer(tornado.httpserver.HTTPServer):
@@ -190,7 +186,7 @@
         super().on_close(server_conn)
 
 
-class _JsonHandler(tornado.web.RequestHandler):
+class _JsonHandler(http_servers.Handler):
     """Base of handlers that answer with outcomes; errors are JSON."""
 
     server: CallersServer
--- a/clementinespar/requests/target_pool.py
+++ b/clementinespar/requests/target_pool.py
@@ -2,9 +2,9 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Callable, Coroutine, Iterable, Sequence
-from typing import Any
+from collections.abc import Callable, Iterable, Sequence
 
+from clementinespar import background
 from clementinespar.documents import model as document_model
 from clementinespar.requests import model, slots
 
@@ -59,7 +59,7 @@
     # targets lent to it.
     _host_ids_by_listing: dict[str, set[str]]
     _leaving_host_ids: set[str]  # leaving targets that are polled until they return
-    _tasks: set[asyncio.Task[Any]]  # prevents garbage collection of running tasks
+    _tasks: background.Tasks  # status reads and watches of leaving targets
 
     def __init__(
         self,
@@ -73,7 +73,11 @@
         self._on_free_slots = on_free_slots
         self._host_ids_by_listing = {}
         self._leaving_host_ids = set()
-        self._tasks = set()
+        self._tasks = background.Tasks()
+
+    async def end(self) -> None:
+        """End all status reads."""
+        await self._tasks.end()
 
     def members(
         self, service: str, declared: document_model.Service, now: float
@@ -144,7 +148,7 @@
                 and now >= target_slots.next_read_at
             ):
                 target_slots.is_reading = True
-                self._spawn(self._read_status(service, target, target_slots))
+                self._tasks.start(self._read_status(service, target, target_slots))
             targets_with_slots.append((target, target_slots))
         return targets_with_slots
 
@@ -158,7 +162,7 @@
         self._directory.mark_leaving(target)
         if target.host_id not in self._leaving_host_ids:
             self._leaving_host_ids.add(target.host_id)
-            self._spawn(self._watch_leaving(target, service))
+            self._tasks.start(self._watch_leaving(target, service))
 
     async def _read_status(
         self, service: str, target: model.Target, target_slots: slots.TargetSlots
@@ -215,9 +219,3 @@
                     return
         finally:
             self._leaving_host_ids.discard(target.host_id)
-
-    def _spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
--- a/standins/fake_target.py
+++ b/standins/fake_target.py
@@ -5,9 +5,11 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
+from collections.abc import AsyncIterator
 
-from clementinespar import codes
+from clementinespar import background, codes
 from clementinespar.requests import model
 from standins import target as target_standin
 
@@ -53,6 +55,15 @@
         self.targets_by_host_id = targets_by_host_id
         self.latency_s = latency_s
 
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator[None]:
+        """Connect to targets while the context is entered; end their work on exit."""
+        try:
+            yield
+        finally:
+            for fake in self.targets_by_host_id.values():
+                await background.end_all(fake.tasks)
+
     async def send(
         self,
         target: model.Target,
