--- a/review/1/case.py
+++ b/review/1/case.py
@@ -15,9 +15,9 @@
 JOBS = 6
 PERIOD_MS = 2_000
 WORK_S = 0.5
-KILLS_AT_S = (8.0, 18.0, 28.0)
+KILLS_AT_S = (8.0, 15.0, 22.0, 29.0, 36.0)
 DOWN_S = 3.0
-END_S = 38.0
+END_S = 46.0
 
 
 async def play() -> list[str] | None:
@@ -34,7 +34,7 @@
                 "steps": [{"count": 3, "cpu": 500, "memMb": 256, "estMs": 500}],
                 "firstMs": first_ms + number * PERIOD_MS // JOBS,
                 "periodMs": PERIOD_MS,
-                "repeatCount": 15,
+                "repeatCount": 20,
             }
             if not await scene.submit(
                 PREFIX, f"{number:016x}", body, WORK_S, POOL, number
