--- a/review/harness/system.py
+++ b/review/harness/system.py
@@ -1,8 +1,10 @@
 """Starts the project's nodes as separate processes, as the deploy file says."""
 
 import asyncio
+import contextlib
 import os
 import pathlib
+import random
 import re
 import signal
 import socket
@@ -14,18 +16,23 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 RESTART_DELAY_S = 0.5
+PORTS = (12_000, 30_000)
 
 
 def free_ports(count: int) -> list[int]:
-    """Return free ports of the loopback address."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for bound in sockets:
-            bound.bind((web.LOOPBACK, 0))
-        return [int(bound.getsockname()[1]) for bound in sockets]
-    finally:
-        for bound in sockets:
-            bound.close()
+    """Return free ports of the loopback address.
+
+    They lie below those that the kernel gives to outgoing connections, so that a node
+    finds its own free again when it restarts.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = random.randrange(*PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((web.LOOPBACK, port))
+            if port not in ports:
+                ports.append(port)
+    return ports
 
 
 def render(template: str, fields: dict[str, object]) -> str:
