Keep the directory of workers alive beside an unreadable entry

What callers saw: after one odd entry of another writer among those of the workers, accepted jobs stayed queued beside idle workers, also after a restart.

Cause: OverflowError and RecursionError left the decoding of the entry and ended the task that follows the entries; nothing noticed that.

All other places that decode bytes of others use the decoder.

--- a/clementinespar/background.py
+++ b/clementinespar/background.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Coroutine
+from collections.abc import AsyncIterator, Callable, Coroutine
 from typing import Any, TypeVar
 
 _T = TypeVar("_T")
@@ -28,6 +28,30 @@
             await task
 
 
+async def keep_running(
+    make_work: Callable[[], Coroutine[Any, Any, None]],
+    on_failure: Callable[[Exception], None],
+    pause_s: float,
+) -> None:
+    """Run a coroutine, and run it anew whenever an unexpected error has ended it.
+
+    Parameters
+    ----------
+    make_work : callable
+        Returns the coroutine to run next.
+    on_failure : callable
+        Gets the error, before the pause.
+    pause_s : float
+        Time between an error and the next run, in seconds.
+    """
+    while True:
+        try:
+            return await make_work()
+        except Exception as error:
+            on_failure(error)
+        await asyncio.sleep(pause_s)
+
+
 class Tasks:
     """Tasks that a component has started and that nothing else waits for."""
 
--- a/clementinespar/jobs/admission.py
+++ b/clementinespar/jobs/admission.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 
+from clementinespar import decoding
 from clementinespar.jobs import model, placement, retry_after, wait_estimate
 
 ESTIMATE_MAX_AGE_S = 1.5
@@ -64,7 +65,7 @@
                 for pool, fields in load.items():
                     made_at = now - float(fields["at_age_ms"]) / 1000
                     views[pool] = LoadView(wait_estimate.decode(fields), made_at)
-            except wait_estimate.DECODING_ERRORS:
+            except decoding.ERRORS:
                 views = {}
         known = self._views.get(partition, {})
         if not all(
--- a/clementinespar/jobs/command_intake.py
+++ b/clementinespar/jobs/command_intake.py
@@ -4,7 +4,7 @@
 import time
 from collections.abc import Awaitable, Callable
 
-from clementinespar import codes, errors
+from clementinespar import codes, decoding, errors
 from clementinespar.jobs import (
     demand,
     job_table,
@@ -149,7 +149,7 @@
         """Add a job; the result is empty if it cannot be decoded."""
         try:
             job = state.JobProgress(state.decode_spec(job_id, value))
-        except state.DECODING_ERRORS as error:
+        except decoding.ERRORS as error:
             telemetry.log_invalid_entry(self._log_event, "j" + job_id, error)
             return []
         self.set_deadline(job)
--- a/clementinespar/jobs/fleet.py
+++ b/clementinespar/jobs/fleet.py
@@ -15,7 +15,7 @@
 import time
 from collections.abc import AsyncIterator, Callable, Mapping
 
-from clementinespar import background, codes, errors
+from clementinespar import background, codes, decoding, errors
 from clementinespar.jobs import (
     fenced_log,
     host_evacuation,
@@ -174,14 +174,14 @@
     def _restore_waves(self, entry: services.KeyedRecord) -> None:
         try:
             self._waves.restore(entry.key, entry.value)
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
+        except decoding.ERRORS as error:
             telemetry.log_invalid_entry(self._log_event, entry.key, error)
 
     def _restore_peaks(self, value: bytes) -> None:
         """Take over what the previous owner has learnt of peaks, if it is readable."""
         try:
-            fields = json.loads(value)
-        except ValueError as error:
+            fields = decoding.parse_json(value)
+        except decoding.DecodingError as error:
             telemetry.log_invalid_entry(self._log_event, "turns", error)
             return
         self._moves.restore(fields, asyncio.get_running_loop().time())
@@ -190,7 +190,7 @@
         """Whether the previous owner has recorded which hosts it had orders for."""
         try:
             return self._orders.take_over(value, fenced_at)
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
+        except decoding.ERRORS as error:
             telemetry.log_invalid_entry(self._log_event, host_orders.RELEASE_KEY, error)
             return False
 
--- a/clementinespar/jobs/host_moves.py
+++ b/clementinespar/jobs/host_moves.py
@@ -10,7 +10,7 @@
 import time
 from collections.abc import Awaitable, Callable
 
-from clementinespar import errors
+from clementinespar import decoding, errors
 from clementinespar.jobs import (
     capacity,
     host_evacuation,
@@ -105,7 +105,7 @@
             try:
                 state = peak_records.restore_state(stored, now, offset_s)
                 starts = peak_records.restore_starts(stored, now, offset_s)
-            except peak_records.DECODING_ERRORS as error:
+            except decoding.ERRORS as error:
                 telemetry.log_invalid_entry(self._log_event, f"turns {name}", error)
                 continue
             self._peaks[name] = state
--- a/clementinespar/jobs/host_orders.py
+++ b/clementinespar/jobs/host_orders.py
@@ -9,9 +9,10 @@
 
 import asyncio
 import dataclasses
-import json
 from collections.abc import Awaitable, Callable, Iterable
 
+from clementinespar import decoding
+
 RELEASE_KEY = "release"  # of the record in the partition of the fleet
 RELEASE_TIMEOUT_S = 0.4  # a planned stop does not wait longer for a slow store
 # Orders are not sent later than this after the call that records their hosts. Shorter
@@ -172,10 +173,10 @@
 
         Raises
         ------
-        ValueError, KeyError, TypeError, AttributeError
+        decoding.ERRORS
             The record is unreadable.
         """
-        fields = json.loads(value)
+        fields = decoding.parse_object(value)
         if fields["is_released"] is not True:
             return False
         recent = fields["recent"]
--- a/clementinespar/jobs/maintenance.py
+++ b/clementinespar/jobs/maintenance.py
@@ -12,10 +12,9 @@
 import collections
 import dataclasses
 import functools
-import json
 from collections.abc import Awaitable, Callable, Mapping
 
-from clementinespar import errors
+from clementinespar import decoding, errors
 from clementinespar.jobs import (
     host_evacuation,
     host_orders,
@@ -124,14 +123,16 @@
 
         Raises
         ------
-        ValueError, KeyError, TypeError, AttributeError
+        decoding.ERRORS
             The record is unreadable.
         """
         if key != EVACUATIONS_KEY:
             number = int(key.removeprefix(WAVE_KEY_PREFIX))
-            self._begun_by_wave[number] = {str(host) for host in json.loads(value)}
+            self._begun_by_wave[number] = {
+                str(host) for host in decoding.parse_json(value)
+            }
             return
-        fields = json.loads(value)
+        fields = decoding.parse_json(value)
         self._evacuations_by_wave = {
             int(number): _StoredEvacuations(
                 self._decode_time(stored["first_seen_ms"]),
--- a/clementinespar/jobs/owner_loading.py
+++ b/clementinespar/jobs/owner_loading.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Iterable, Mapping
 
+from clementinespar import decoding
 from clementinespar.jobs import (
     job_table,
     model,
@@ -47,7 +48,7 @@
             )
             job = state.JobProgress(spec)
             state.restore_progress(job, value)
-        except state.DECODING_ERRORS as error:
+        except decoding.ERRORS as error:
             telemetry.log_invalid_entry(log_event, key, error)
             continue
         jobs.append(job)
@@ -72,7 +73,7 @@
     """
     try:
         use.restore(value, fenced_at, lease_s)
-    except state.DECODING_ERRORS as error:
+    except decoding.ERRORS as error:
         telemetry.log_invalid_entry(log_event, "workers", error)
         use.wait_for_all(fenced_at, lease_s)
 
--- a/clementinespar/jobs/ownership.py
+++ b/clementinespar/jobs/ownership.py
@@ -11,7 +11,7 @@
 from typing import Protocol
 
 from clementinespar import background, codes, errors
-from clementinespar.jobs import pool_owner, services, standby
+from clementinespar.jobs import pool_owner, services, standby, telemetry
 
 JOIN_INTERVAL_S = 0.4
 OWNERS_MAX_AGE_S = 2.0
@@ -316,6 +316,10 @@
         owner.is_lost = True
         await self._stacks.pop(partition).aclose()
 
+    def log_failure(self, error: Exception) -> None:
+        """Log an unexpected error in the run of this manager."""
+        telemetry.log_unexpected(self._log_event, "ownership", error)
+
     def known_owner(self, partition: int) -> str | None:
         """Return the owner of a partition by the last list, whatever its age."""
         return self._owner_names.get(partition)
@@ -359,7 +363,11 @@
 ) -> AsyncIterator[None]:
     """Run an ownership manager inside the context and close it at the end."""
     try:
-        async with background.running(ownership_manager.run()):
+        async with background.running(
+            background.keep_running(
+                ownership_manager.run, ownership_manager.log_failure, JOIN_INTERVAL_S
+            )
+        ):
             yield
     finally:
         await ownership_manager.close()
--- a/clementinespar/jobs/peak_records.py
+++ b/clementinespar/jobs/peak_records.py
@@ -10,7 +10,6 @@
 
 from clementinespar.jobs import capacity, peaks
 
-DECODING_ERRORS = (ValueError, KeyError, TypeError, AttributeError)
 MAX_CLOCK_SKEW_S = 1.0  # a start further in the future is not used
 
 
--- a/clementinespar/jobs/service.py
+++ b/clementinespar/jobs/service.py
@@ -6,12 +6,11 @@
 
 import asyncio
 import dataclasses
-import json
 import urllib.parse
 from collections.abc import Iterable
 from typing import Any
 
-from clementinespar import codes, errors, explanation, http_calls
+from clementinespar import codes, decoding, errors, explanation, http_calls
 from clementinespar.jobs import (
     admission,
     command_routes,
@@ -95,8 +94,8 @@
 
     def _note_command_answer(self, partition: int, body: bytes, now: float) -> None:
         try:
-            load = json.loads(body).get("load")
-        except (ValueError, AttributeError):
+            load = decoding.parse_object(body).get("load")
+        except decoding.DecodingError:
             load = None
         self._load_views.note_answer(partition, load, now)
 
@@ -380,7 +379,13 @@
                 codes.ResultCode.JOB_OWNER_UNKNOWN,
                 f"the peer answered with status {response.status}, expected 200",
             )
-        reply: dict[str, Any] = json.loads(response.body)
+        try:
+            reply = decoding.parse_object(response.body)
+        except decoding.DecodingError as error:
+            raise errors.ClementinesparError(
+                codes.ResultCode.JOB_OWNER_UNKNOWN,
+                f"the answer of the peer cannot be decoded: {error}",
+            ) from error
         now = asyncio.get_running_loop().time()
         self._load_views.note_answer(partition, reply.get("load"), now)
         self._routes.note_report(partition, bool(reply.get("store_silent_ms")), now)
--- a/clementinespar/jobs/state.py
+++ b/clementinespar/jobs/state.py
@@ -9,13 +9,15 @@
 import json
 from collections.abc import Callable, Iterator
 
+import pydantic
+
+from clementinespar import decoding
 from clementinespar.jobs import model, resources
 
 # Run numbers for each epoch. If a task has no more runs than this under one owner, all
 # its runs under the next owner have higher numbers.
 RUNS_PER_EPOCH = 1000
-# What decoding a stored value raises if another writer or a fault has changed it.
-DECODING_ERRORS = (ValueError, KeyError, TypeError, IndexError, AttributeError)
+_SPECS = pydantic.TypeAdapter(model.JobSpec)
 
 
 class TaskState:
@@ -305,8 +307,8 @@
 
 
 def restore_progress(job: JobProgress, value: bytes) -> None:
-    """Apply stored progress to a new job; raises one of `DECODING_ERRORS`."""
-    fields = json.loads(value)
+    """Apply stored progress to a new job; raises one of `decoding.ERRORS`."""
+    fields = decoding.parse_object(value)
     job.first_epoch = int(fields["epoch"])
     job.adopted_epoch = job.first_epoch
     job.is_adopted = True
@@ -376,19 +378,8 @@
 
 
 def decode_spec(job_id: str, value: bytes) -> model.JobSpec:
-    """Return the job of a stored form; raises one of `DECODING_ERRORS`."""
-    fields = json.loads(value)
-    steps = tuple(
-        model.StepSpec(**{**step, "after": tuple(step.get("after", ()))})
-        for step in fields.pop("steps")
-    )
-    return model.JobSpec(
-        **{
-            "queue": "",
-            "pool": "",
-            "payload": "",
-            **fields,
-            "job_id": job_id,
-            "steps": steps,
-        }
+    """Return the job of a stored form; raises one of `decoding.ERRORS`."""
+    fields = decoding.parse_object(value)
+    return _SPECS.validate_python(
+        {"queue": "", "pool": "", "payload": "", **fields, "job_id": job_id}
     )
--- a/clementinespar/jobs/telemetry.py
+++ b/clementinespar/jobs/telemetry.py
@@ -7,7 +7,7 @@
 
 import prometheus_client
 
-from clementinespar import codes
+from clementinespar import codes, decoding
 from clementinespar.jobs import services
 
 LINES_PER_S = 400.0  # above this rate, lines are dropped and counted
@@ -28,17 +28,31 @@
         "entry_invalid",
         code=int(codes.ResultCode.ENTRY_INVALID),
         key=key,
-        error=repr(error),
+        error=decoding.describe_error(error),
     )
 
 
+def log_unexpected(
+    log_event: services.EventLog, subject: str, error: Exception, **fields: object
+) -> None:
+    """Log an unexpected error that ended only the work on one subject."""
+    log_event("unexpected_error", subject=subject, **fields, **_describe_failure(error))
+
+
 def log_failure(log_event: services.EventLog, partition: int, error: Exception) -> None:
     """Log an unexpected error that has ended the owner of a partition."""
-    log_event(
-        "owner_failed",
-        partition=partition,
-        error=traceback.format_exception(error)[-MAX_ERROR_LINES:],
-    )
+    log_event("owner_failed", partition=partition, **_describe_failure(error))
+
+
+def _describe_failure(error: Exception) -> dict[str, object]:
+    """Return the fields of an unexpected error; the traceback, often cut, is last."""
+    frames = traceback.extract_tb(error.__traceback__)
+    at = [f"{os.path.basename(f.filename)}:{f.lineno} {f.name}" for f in frames[-1:]]
+    return {
+        "cause": decoding.describe_error(error),
+        "at": at,
+        "error": traceback.format_exception(error)[-MAX_ERROR_LINES:],
+    }
 
 
 class JobMetrics:
--- a/clementinespar/jobs/wait_estimate.py
+++ b/clementinespar/jobs/wait_estimate.py
@@ -217,7 +217,7 @@
 
 
 def decode(fields: Mapping[str, Mapping[str, object]]) -> PoolWaits:
-    """Return the waits that another node told; raises one of `DECODING_ERRORS`."""
+    """Return the waits that another node told; raises one of `decoding.ERRORS`."""
     return PoolWaits(
         {
             int(priority): wait
@@ -227,9 +227,6 @@
     )
 
 
-DECODING_ERRORS = (ValueError, KeyError, TypeError, AttributeError)
-
-
 def _decode_waits(
     fields: Mapping[str, Mapping[str, object]], wait_name: str, ahead_name: str
 ) -> dict[str, PriorityWait]:
--- a/clementinespar/jobs/worker_use.py
+++ b/clementinespar/jobs/worker_use.py
@@ -11,6 +11,7 @@
 import json
 import math
 
+from clementinespar import decoding
 from clementinespar.jobs import worker_deaths
 
 ANY_WORKER = ""  # stands for all workers if the record is unreadable
@@ -169,10 +170,10 @@
 
         Raises
         ------
-        ValueError, KeyError, TypeError, AttributeError
+        decoding.ERRORS
             The record is unreadable.
         """
-        fields = json.loads(value)
+        fields = decoding.parse_object(value)
         ends = {
             str(worker_id): fenced_at + float(left_s)
             for worker_id, left_s in fields["former"].items()
