Let a partition go on without the worker or job that raises

What callers saw: partitions without an owner for seconds on end; nothing started, and requests for states got 503 (code 624).

Cause: an entry whose service is a lone surrogate raised UnicodeEncodeError in the lookup of its partition, in the housekeeping of each owner and in load() of each next one, and ended the reader of the entries as well.

Change: the lookup is defined for every string; one listener, job, report or order that raises an unexpected error costs only itself and is logged; owner_failed names the error and the line first.

--- a/clementinespar/jobs/command_intake.py
+++ b/clementinespar/jobs/command_intake.py
@@ -146,15 +146,29 @@
         job.deadline = loop.time() - age_s + objective_s
 
     def _add_job(self, job_id: str, value: bytes) -> list[state.JobProgress]:
-        """Add a job; the result is empty if it cannot be decoded."""
+        """Add a job; the result is empty if it cannot be decoded or admitted.
+
+        A job that cannot be admitted stays known, but does not run under this owner.
+        """
         try:
             job = state.JobProgress(state.decode_spec(job_id, value))
         except decoding.ERRORS as error:
             telemetry.log_invalid_entry(self._log_event, "j" + job_id, error)
             return []
+        self._jobs.by_id[job_id] = job
+        try:
+            self._admit(job)
+        except Exception as error:
+            self._jobs.active.pop(job_id, None)
+            telemetry.log_unexpected(self._log_event, "job", error, job=job_id)
+            return []
+        return [job]
+
+    def _admit(self, job: state.JobProgress) -> None:
+        """Make a new job ready to be stored as adopted."""
+        job_id = job.spec.job_id
         self.set_deadline(job)
         self._waits.note_arrival(job, asyncio.get_running_loop().time())
-        self._jobs.by_id[job_id] = job
         self._jobs.active[job_id] = job
         if not job.is_lasting:
             rate = self._arrivals_by_pool.setdefault(
@@ -178,7 +192,6 @@
                 job, model.JobState.CANCELLED, "cancelled before it was submitted"
             )
         self._jobs.store_soon(job)
-        return [job]
 
     def _cancel(self, job_id: str) -> None:
         self._cancelled_ids.add(job_id)
--- a/clementinespar/jobs/partitions.py
+++ b/clementinespar/jobs/partitions.py
@@ -30,4 +30,6 @@
 
     def find(self, pool: str) -> int:
         """Return the partition of a pool."""
-        return zlib.crc32(pool.encode()) % max(1, self.count - 1)
+        # Total on all strings: a name that UTF-8 cannot encode has a partition too.
+        encoded = pool.encode(errors="surrogatepass")
+        return zlib.crc32(encoded) % max(1, self.count - 1)
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -351,12 +351,14 @@
             )
         restored = owner_loading.restore_jobs(values, commands.records, self._log_event)
         for job in restored:
-            self._intake.set_deadline(job)
             self.jobs_by_id[job.spec.job_id] = job
-            if not job.is_final:
-                self._jobs.active[job.spec.job_id] = job
-                self._crash_watch.restore(job)
-                self._ends.finish_occurrences(job)
+            try:
+                self._restore_job(job)
+            except Exception as error:
+                self._jobs.active.pop(job.spec.job_id, None)
+                telemetry.log_unexpected(
+                    self._log_event, "job", error, job=job.spec.job_id
+                )
         self._team_rates.mark_all(restored, time.time() * 1000)
         self._intake.apply_page(commands)
         self.is_loaded = True
@@ -371,6 +373,14 @@
             former_workers=self._worker_use.previous_worker_count,
         )
 
+    def _restore_job(self, job: state.JobProgress) -> None:
+        """Go on with a job that a previous owner has stored."""
+        self._intake.set_deadline(job)
+        if not job.is_final:
+            self._jobs.active[job.spec.job_id] = job
+            self._crash_watch.restore(job)
+            self._ends.finish_occurrences(job)
+
     async def schedule(self) -> None:
         """Run a round of placement after each change that may allow a start."""
         while True:
--- a/clementinespar/jobs/telemetry.py
+++ b/clementinespar/jobs/telemetry.py
@@ -46,10 +46,13 @@
 
 def _describe_failure(error: Exception) -> dict[str, object]:
     """Return the fields of an unexpected error; the traceback, often cut, is last."""
-    frames = traceback.extract_tb(error.__traceback__)
+    cause: BaseException = error
+    while isinstance(cause, BaseExceptionGroup):
+        cause = cause.exceptions[0]
+    frames = traceback.extract_tb(cause.__traceback__)
     at = [f"{os.path.basename(f.filename)}:{f.lineno} {f.name}" for f in frames[-1:]]
     return {
-        "cause": decoding.describe_error(error),
+        "cause": decoding.describe_error(cause),
         "at": at,
         "error": traceback.format_exception(error)[-MAX_ERROR_LINES:],
     }
--- a/clementinespar/jobs/tests/helpers.py
+++ b/clementinespar/jobs/tests/helpers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 from clementinespar.jobs import model, pool_owner, services, state, telemetry
 from clementinespar.jobs.tests import fakes
@@ -67,6 +67,7 @@
     owner: pool_owner.PoolOwner
     epoch: int
     events: list[tuple[str, dict[str, object]]]  # that the owners have logged
+    owns_pool: Callable[[str], bool]
     weights: dict[str, float]  # of teams; 1.0 for others
     _frozen_by_epoch: dict[int, float]
 
@@ -77,6 +78,7 @@
         self.confirmed_at = None
         self.epoch = 0
         self.events = []
+        self.owns_pool = lambda pool: True
         self.weights = {}
         self._frozen_by_epoch = {}
 
@@ -94,7 +96,7 @@
         self.owner = pool_owner.PoolOwner(
             PARTITION,
             self.epoch,
-            lambda pool: True,
+            self.owns_pool,
             confirmed_at,
             lambda owner: None,
             self.store,
--- a/clementinespar/jobs/worker_orders.py
+++ b/clementinespar/jobs/worker_orders.py
@@ -8,7 +8,7 @@
 from collections.abc import Coroutine
 
 from clementinespar import codes, errors
-from clementinespar.jobs import model, services, worker_run
+from clementinespar.jobs import model, services, telemetry, worker_run
 
 if typing.TYPE_CHECKING:
     from clementinespar.jobs import worker_session
@@ -45,7 +45,7 @@
         self, run: worker_run.Run, payload: str, saved: str, ticket: str = ""
     ) -> None:
         """Send the order to start a run, which must be tracked already."""
-        self._spawn(self._start(run, payload, saved, ticket))
+        self._spawn(self._start(run, payload, saved, ticket), run)
 
     def stop(self, run: worker_run.Run, reason: str) -> None:
         """Send the order to stop a run, unless it is being stopped already."""
@@ -61,7 +61,7 @@
         )
         run.status = worker_run.RunStatus.STOPPING
         run.stop_answered_at = None
-        self._spawn(self._stop(run))
+        self._spawn(self._stop(run), run)
 
     def resend_unanswered_stops(self) -> None:
         """Send the stops again that have no answer."""
@@ -71,18 +71,37 @@
                 and run.stop_answered_at is None
                 and not run.is_stop_in_flight
             ):
-                self._spawn(self._stop(run))
+                self._spawn(self._stop(run), run)
 
     def pace(self, run: worker_run.Run, percent: int) -> None:
         """Send the order to limit a run to a share of its speed, in percent."""
         run.pace = percent
-        self._spawn(self._pace(run, percent))
+        self._spawn(self._pace(run, percent), run)
 
-    def _spawn(self, order: Coroutine[None, None, None]) -> None:
-        task = asyncio.create_task(order)
+    def _spawn(self, order: Coroutine[None, None, None], run: worker_run.Run) -> None:
+        task = asyncio.create_task(self._guard(order, run))
         self._pending.add(task)
         task.add_done_callback(self._pending.discard)
 
+    async def _guard(
+        self, order: Coroutine[None, None, None], run: worker_run.Run
+    ) -> None:
+        """Send an order; after an unexpected error its outcome counts as unknown."""
+        try:
+            await order
+        except Exception as error:
+            telemetry.log_unexpected(
+                self._log_event,
+                "order",
+                error,
+                worker=self._session.entry.worker_id,
+                job=run.key.job_id,
+                task=run.key.name_in_job,
+            )
+            if run.status is worker_run.RunStatus.STARTING:
+                run.answered_at = asyncio.get_running_loop().time()
+                run.status = worker_run.RunStatus.OPEN
+
     async def _start(
         self, run: worker_run.Run, payload: str, saved: str, ticket: str
     ) -> None:
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -8,12 +8,13 @@
 
 import asyncio
 
-from clementinespar import errors
+from clementinespar import background, errors
 from clementinespar.jobs import (
     model,
     passed_over,
     services,
     team_use,
+    telemetry,
     worker_orders,
     worker_run,
 )
@@ -26,6 +27,7 @@
 RENEW_SPACING_S = 0.025  # batches ends, since each renewal has a cost
 RETRY_DELAY_S = 0.15  # after a renewal without an answer
 UNRESPONSIVE_AFTER_S = 1.6  # no new work for a worker without contact for this long
+FAILURE_PAUSE_S = 0.5  # after an unexpected error, which may come again
 # A worker is ejected after failures of this many jobs without a success in between.
 EJECT_FAILED_JOBS = 2
 EJECT_S = 2.5
@@ -131,7 +133,11 @@
 
     def open(self) -> None:
         """Start the background task that renews the lease."""
-        self._task = asyncio.create_task(self._renew_lease())
+        self._task = asyncio.create_task(
+            background.keep_running(
+                self._renew_lease, self._on_failure, FAILURE_PAUSE_S
+            )
+        )
 
     def close(self) -> None:
         """Stop calling the worker; its runs go on until the lease ends."""
@@ -273,6 +279,14 @@
         self._clock_ms = clock_ms
         self._clock_at = asyncio.get_running_loop().time()
 
+    def _on_failure(self, error: Exception) -> None:
+        """Give the worker no new work after an error in the handling of its report."""
+        telemetry.log_unexpected(
+            self._log_event, "renewal", error, worker=self.entry.worker_id
+        )
+        self.mark_unresponsive()
+        self._drop_lapsed_runs()
+
     async def _renew_lease(self) -> None:
         loop = asyncio.get_running_loop()
         failures = 0
