--- a/clementinespar/http_calls.py
+++ b/clementinespar/http_calls.py
@@ -219,7 +219,7 @@
                 _, opened = await loop.create_connection(
                     lambda: _Connection(self._open_connections), host, int(port)
                 )
-        except (OSError, TimeoutError, ValueError) as error:
+        except (OSError, TimeoutError, ValueError, OverflowError) as error:
             raise CallNotSentError(f"no connection to {address}: {error!r}") from error
         return opened
 
