Store an occurrence before its first task starts

What callers saw: tasks of scheduled jobs that had ended ran again after the loss or the planned stop of their owner.

Cause: an occurrence that became due was stored with the next append, up to 0.6 s after its tasks had started. The next owner did not know it, acknowledged the ends of its tasks without an effect, and opened it anew half a second later.

Change: an occurrence has ready steps only once the record that lists it is stored, and that is written at once. The next owner opens what is due before it calls the workers.

--- a/clementinespar/jobs/placement_preview.py
+++ b/clementinespar/jobs/placement_preview.py
@@ -176,6 +176,7 @@
         if spec.occurrences and spec.first_due_ms <= now_ms:
             # One is enough to show; a job may have any number of due ones.
             job.occurrences[0] = state.Occurrence(spec, 0)
+            job.occurrences[0].is_stored = True
         job.is_over_rate = self._team_rates.would_exceed(spec.team, now_ms)
         team: dict[str, object] | None = None
         if spec.team:
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -380,6 +380,8 @@
             self._jobs.active[job.spec.job_id] = job
             self._crash_watch.restore(job)
             self._ends.finish_occurrences(job)
+            if job.open_due_occurrences(time.time() * 1000):
+                self._jobs.store_soon(job)
 
     async def schedule(self) -> None:
         """Run a round of placement after each change that may allow a start."""
@@ -401,8 +403,8 @@
             self._run_watch.move_where_it_pays()
             now_ms = time.time() * 1000
             for job in list(self._jobs.active.values()):
-                if job.spec.occurrences and job.open_due_occurrences(now_ms):
-                    self._jobs.mark_dirty(job)
+                if job.open_due_occurrences(now_ms):
+                    self._jobs.store_soon(job)
             self._sessions.end_evacuations()
             self._jobs.schedule_wanted.set()
             self._held_tasks.report(
--- a/clementinespar/jobs/progress_writer.py
+++ b/clementinespar/jobs/progress_writer.py
@@ -112,6 +112,12 @@
         is_use_due = self._worker_use.is_due()
         if is_use_due:
             records.append(services.KeyedRecord("workers", self._worker_use.encode()))
+        opened = [
+            occurrence
+            for job in dirty
+            for occurrence in job.occurrences.values()
+            if not occurrence.is_stored
+        ]
         versions = [(job, job.crash_version, job.risk_version) for job in dirty]
         finals = [job for job in dirty if job.is_final]
         if records:
@@ -132,6 +138,9 @@
                 job.stored_crash_version = crash_version
                 job.stored_risk_version = risk_version
                 self._jobs.schedule_wanted.set()
+        for occurrence in opened:
+            occurrence.is_stored = True
+            self._jobs.schedule_wanted.set()
         for job in finals:
             job.is_final_stored = True
             self._finished_commands.append(job.spec.job_id)
--- a/clementinespar/jobs/state.py
+++ b/clementinespar/jobs/state.py
@@ -87,13 +87,17 @@
 class Occurrence:
     """One execution of all steps of a job."""
 
-    __slots__ = ("number", "steps")
+    __slots__ = ("number", "steps", "is_stored")
 
     number: int
     steps: list[StepState]
+    # The store lists the occurrence, so the next owner knows its tasks. Where a job
+    # runs once, its adoption says so.
+    is_stored: bool
 
     def __init__(self, job: model.JobSpec, number: int) -> None:
         self.number = number
+        self.is_stored = not job.occurrences
         self.steps = [
             StepState(
                 spec,
@@ -111,7 +115,13 @@
         return all(step.is_done for step in self.steps)
 
     def ready_steps(self) -> Iterator[StepState]:
-        """Yield steps with waiting tasks whose predecessors are done."""
+        """Yield steps with waiting tasks that may start: all before them are done.
+
+        Before the occurrence is stored, none may. The next owner would take the end of
+        such a task for that of a finished job, and would run the task again.
+        """
+        if not self.is_stored:
+            return
         for step in self.steps:
             if step.waiting and all(self.steps[i].is_done for i in step.spec.after):
                 yield step
@@ -328,6 +338,7 @@
     for name, occurrence_fields in fields.get("occurrences", {}).items():
         number = int(name)
         occurrence = job.occurrences.setdefault(number, Occurrence(job.spec, number))
+        occurrence.is_stored = True
         for step_name, mask_text in occurrence_fields["done"].items():
             step = occurrence.steps[int(step_name)]
             mask = int(mask_text, 16)
