Find jobs whose queue was sent to another pool

What callers saw: after a configuration had sent a path to another service, a repeated submission ran the job there too, and a cancelled job ran on.

Cause: a command goes to the partition of the queue's present pool; only the query for a state looked at the others. A command that one partition had stored counted as stored in each.

Change: a queue carries its earlier names and pools. A submission asks their owners first, a cancellation goes to the partition that has the job as well, and waiting jobs are counted in both. A node that has just started asks the owners whether they hold moved jobs.

--- a/clementinespar/jobs/command_routes.py
+++ b/clementinespar/jobs/command_routes.py
@@ -148,6 +148,10 @@
         """Whether an append of this command was sent that was not refused."""
         return self._sent.may_be_stored(key)
 
+    def has_stored(self, key: str) -> bool:
+        """Whether this node has stored the command, in whichever partition."""
+        return bool(self._sent.find_stored(key))
+
     def outage_s(self, partition: int) -> float:
         """Return for how long the store is unavailable to this node, or 0."""
         now = asyncio.get_running_loop().time()
@@ -175,7 +179,7 @@
         Returns ``STORE_REFUSED`` if it certainly is not stored and ``STORE_UNANSWERED``
         if it may be, as soon as either is known.
         """
-        if self._sent.is_stored(record.key) or self._is_known_here(partition, record):
+        if self._is_stored(partition, record):
             return codes.ResultCode.OK
         now = asyncio.get_running_loop().time()
         plan = self._plan(partition, now)
@@ -280,9 +284,7 @@
                     timeout=wake_at - now,
                     return_when=asyncio.FIRST_COMPLETED,
                 )
-                if self._sent.is_stored(record.key) or self._is_known_here(
-                    partition, record
-                ):
+                if self._is_stored(partition, record):
                     return codes.ResultCode.OK
                 for task in done:
                     return task.result()
@@ -366,7 +368,9 @@
             raise errors.ClementinesparError(
                 codes.ResultCode.STORE_REFUSED, "no owner of the partition is known"
             )
-        with tracked_store.tracking(health, self._sent, [record.key]) as call:
+        with tracked_store.tracking(
+            health, self._sent, partition, [record.key]
+        ) as call:
             try:
                 response = await self._http_client.call(
                     member.partition("/")[0],
@@ -408,7 +412,7 @@
             As `services.JobStore.append`. It is ``STORE_REFUSED`` only if no earlier
             append of the command may have had an effect.
         """
-        if self._sent.is_stored(record.key) or self._is_known_here(partition, record):
+        if self._is_stored(partition, record):
             return
         now = asyncio.get_running_loop().time()
         health = self._store.find_health(partition)
@@ -436,6 +440,11 @@
     def _is_owner_here(self, partition: int) -> bool:
         return partition in self._ownership_manager.owners_by_partition
 
+    def _is_stored(self, partition: int, record: services.KeyedRecord) -> bool:
+        """Whether the partition certainly has the command."""
+        is_confirmed = partition in self._sent.find_stored(record.key)
+        return is_confirmed or self._is_known_here(partition, record)
+
     def _is_known_here(self, partition: int, record: services.KeyedRecord) -> bool:
         """Whether the owner at this node has read the command from the store."""
         owner = self._ownership_manager.owners_by_partition.get(partition)
--- a/clementinespar/jobs/model.py
+++ b/clementinespar/jobs/model.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import enum
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from clementinespar.jobs import teams
 
@@ -93,6 +93,15 @@
     stretch: float
     needs_advice: bool = False
     is_public: bool = False  # calls need no key
+    # Names and pools that the queue of this host and path prefix had before, as far as
+    # this node has seen them. Jobs of that time are still in those pools.
+    former: frozenset[tuple[str, str]] = frozenset()
+
+
+def with_former(queue: Queue, names_and_pools: Iterable[tuple[str, str]]) -> Queue:
+    """Return a queue with the names and pools that it had, less its present one."""
+    former = frozenset(names_and_pools) - {(queue.name, queue.pool)}
+    return dataclasses.replace(queue, former=former)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/clementinespar/jobs/moved_queues.py
@@ -0,0 +1,116 @@
+"""Where jobs may be whose queue the configuration has sent to another pool since.
+
+A job stays in the partition of the pool that its queue had when it was submitted. A
+repeated submission or a cancellation has to find it there. Each node remembers the
+earlier pools of a queue; see `model.Queue.former`. A node that has just started asks
+the owners instead, which compare their jobs with the configuration.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Iterable, Mapping
+
+from clementinespar import errors
+from clementinespar.jobs import model, partitions, state
+
+RETRY_S = 2.0  # between requests; a list of owners is used for as long
+# A partition without an owner for longer is not asked any more.
+ASK_LIMIT_S = 15.0
+# How long a submission may be repeated: final states are kept for as long.
+REPEAT_MAX_S = 150.0
+
+
+def trace_former(
+    queues: Iterable[model.Queue], known: Mapping[tuple[str, str], set[tuple[str, str]]]
+) -> dict[str, model.Queue]:
+    """Return queues by name, with the names and pools that they had before.
+
+    Parameters
+    ----------
+    known : mapping of tuple to set of tuple
+        Names and pools by the host and the path prefix, which identify a queue for its
+        callers.
+    """
+    return {
+        queue.name: model.with_former(
+            queue, known.get((queue.host, queue.path_prefix), set())
+        )
+        for queue in queues
+    }
+
+
+def holds_moved_jobs(
+    jobs: Iterable[state.JobProgress], configuration: model.JobConfiguration | None
+) -> bool:
+    """Whether the queue of a job is in another pool than the job."""
+    if configuration is None:
+        return False
+    queues = configuration.queues_by_name
+    return any(
+        job.spec.queue not in queues or queues[job.spec.queue].pool != job.spec.pool
+        for job in jobs
+        if job.spec.queue  # unknown once the command of a final job is deleted
+    )
+
+
+class MovedQueues:
+    """The partitions that a node has to ask for a job before it stores it.
+
+    Parameters
+    ----------
+    ask : callable
+        Returns whether the owner of a partition holds moved jobs; raises
+        `errors.ClementinesparError` if no owner has answered.
+    """
+
+    _stray_partitions: frozenset[int]  # that held moved jobs when this node started
+    _strays_until: float  # event-loop time
+
+    def __init__(
+        self,
+        partition_map: partitions.PartitionMap,
+        ask: Callable[[int], Awaitable[bool]],
+    ) -> None:
+        self._partition_map = partition_map
+        self._ask = ask
+        self._stray_partitions = frozenset()
+        self._strays_until = 0.0
+
+    def find_partitions(
+        self, pool: str, former: Iterable[tuple[str, str]]
+    ) -> frozenset[int]:
+        """Return the partitions beside that of `pool` that may have a job.
+
+        Parameters
+        ----------
+        former : iterable of tuple of str
+            Earlier names and pools of the queue.
+        """
+        found = {self._partition_map.find(former_pool) for _, former_pool in former}
+        if asyncio.get_running_loop().time() < self._strays_until:
+            found |= self._stray_partitions
+        return frozenset(found - {self._partition_map.find(pool)})
+
+    async def learn(self, wanted: Callable[[], frozenset[int]]) -> None:
+        """Ask all owners once for jobs that were moved before this node started.
+
+        Parameters
+        ----------
+        wanted : callable
+            Returns the partitions with pools; empty before the first configuration.
+        """
+        loop = asyncio.get_running_loop()
+        while not wanted():
+            await asyncio.sleep(RETRY_S)
+        end = loop.time() + ASK_LIMIT_S
+        unasked = set(wanted())
+        while unasked and loop.time() < end:
+            for partition in sorted(unasked):
+                try:
+                    has_moved = await self._ask(partition)
+                except errors.ClementinesparError:
+                    continue
+                unasked.discard(partition)
+                if has_moved:
+                    self._stray_partitions |= {partition}
+                    self._strays_until = loop.time() + REPEAT_MAX_S
+            await asyncio.sleep(RETRY_S)
--- a/clementinespar/jobs/node.py
+++ b/clementinespar/jobs/node.py
@@ -5,7 +5,7 @@
 import dataclasses
 from collections.abc import AsyncIterator
 
-from clementinespar import http_calls
+from clementinespar import background, http_calls
 from clementinespar.jobs import (
     fleet,
     options,
@@ -178,4 +178,7 @@
         await stack.enter_async_context(
             ownership.run_ownership_manager(node.ownership_manager)
         )
+        await stack.enter_async_context(
+            background.running(node.jobs.moved_queues.learn(node.wanted_partitions))
+        )
         yield
--- a/clementinespar/jobs/service.py
+++ b/clementinespar/jobs/service.py
@@ -15,6 +15,7 @@
     admission,
     command_routes,
     model,
+    moved_queues,
     ownership,
     partitions,
     placement_preview,
@@ -39,6 +40,7 @@
     _waiting_by_queue: dict[str, tuple[float, int]]
     _routes: command_routes.CommandRoutes
     _load_views: admission.LoadViews
+    moved_queues: moved_queues.MovedQueues
 
     def __init__(
         self,
@@ -54,24 +56,50 @@
         self._http_client = http_client
         self._waiting_by_queue = {}
         self._load_views = admission.LoadViews()
+        self.moved_queues = moved_queues.MovedQueues(partition_map, self._ask_for_moved)
         self._routes = command_routes.CommandRoutes(
             ownership_manager, store, http_client, self._note_command_answer
         )
 
     async def submit(
-        self, pool: str, spec: model.JobSpec, timeout_s: float
+        self,
+        pool: str,
+        spec: model.JobSpec,
+        timeout_s: float,
+        former: Iterable[tuple[str, str]] = (),
     ) -> codes.ResultCode:
         """Store a job; returns ``OK`` once it is durable.
 
         Returns ``STORE_REFUSED`` if it certainly is not stored and ``STORE_UNANSWERED``
         if it may be. While neither this node nor the owner of the pool reaches the
         store, returns before the timeout, so that the caller can retry later.
+
+        Parameters
+        ----------
+        former : iterable of tuple of str
+            Earlier names and pools of the queue. A job that is there already remains
+            one job.
         """
+        loop = asyncio.get_running_loop()
+        end = loop.time() + timeout_s
+        moved = self.moved_queues.find_partitions(pool, former)
+        if moved:
+            if self._routes.has_stored("j" + spec.job_id):
+                return codes.ResultCode.OK
+            try:
+                if await self._find_job(moved, spec.job_id, timeout_s) is not None:
+                    return codes.ResultCode.OK
+            except errors.ClementinesparError:
+                return codes.ResultCode.STORE_UNANSWERED
         record = services.KeyedRecord("j" + spec.job_id, state.encode_spec(spec))
         return await self._routes.store(
-            self._partition_map.find(pool), record, timeout_s
+            self._partition_map.find(pool), record, end - loop.time()
         )
 
+    async def _ask_for_moved(self, partition: int) -> bool:
+        reply = await self._ask_once(partition, "/moved/", False, b"")
+        return bool(reply["has_moved"])
+
     def check_load(self, spec: model.JobSpec) -> admission.Rejection | None:
         """Return why a job is not accepted for the load of its pool, or None."""
         partition = self._partition_map.find(spec.pool)
@@ -100,16 +128,92 @@
         self._load_views.note_answer(partition, load, now)
 
     async def cancel(
-        self, pool: str, job_id: str, timeout_s: float
+        self,
+        pool: str,
+        job_id: str,
+        timeout_s: float,
+        former: Iterable[tuple[str, str]] = (),
     ) -> codes.ResultCode:
         """Store a cancellation; the owner of the job stops its runs.
 
-        Returns as `submit`.
+        Takes and returns the same as `submit`.
         """
+        loop = asyncio.get_running_loop()
+        end = loop.time() + timeout_s
         record = services.KeyedRecord("c" + job_id, b"1")
-        return await self._routes.store(
+        code = await self._routes.store(
             self._partition_map.find(pool), record, timeout_s
         )
+        if code is not codes.ResultCode.OK:
+            return code
+        try:
+            partition = await self._find_elsewhere(pool, former, job_id, end)
+        except errors.ClementinesparError:
+            return codes.ResultCode.STORE_UNANSWERED
+        if partition is None:
+            return code
+        return await self._routes.store(partition, record, end - loop.time())
+
+    async def _find_elsewhere(
+        self, pool: str, former: Iterable[tuple[str, str]], job_id: str, end: float
+    ) -> int | None:
+        """Return the partition of a job that that of its queue does not have, or None.
+
+        Raises
+        ------
+        errors.ClementinesparError
+            A partition that probably has the job has not answered in time.
+        """
+        loop = asyncio.get_running_loop()
+        present = self._partition_map.find(pool)
+        moved = self.moved_queues.find_partitions(pool, former)
+        try:
+            if await self._find_job({present}, job_id, PEER_TIMEOUT_S) is not None:
+                return None
+        except errors.ClementinesparError:
+            if not moved:
+                return None
+        if moved:
+            found = await self._find_job(moved, job_id, end - loop.time())
+            if found is not None:
+                return found
+        others = {*self._other_partitions(pool)} - moved
+        try:
+            return await self._find_job(others, job_id, PEER_TIMEOUT_S)
+        except errors.ClementinesparError:
+            return None
+
+    async def _find_job(
+        self, asked: Iterable[int], job_id: str, timeout_s: float
+    ) -> int | None:
+        """Return the first of some partitions that has a job, or None.
+
+        Raises
+        ------
+        errors.ClementinesparError
+            No partition that answered has it, and the owner of one did not answer.
+        """
+        failure: errors.ClementinesparError | None = None
+        replies = {
+            partition: asyncio.create_task(
+                self._ask_owner(partition, f"/jobs/{job_id}", timeout_s)
+            )
+            for partition in sorted(asked)
+        }
+        try:
+            for partition, reply in replies.items():
+                try:
+                    if (await reply)["state"] is not None:
+                        return partition
+                except errors.ClementinesparError as error:
+                    failure = error
+        finally:
+            for reply in replies.values():
+                reply.cancel()
+            await asyncio.gather(*replies.values(), return_exceptions=True)
+        if failure is not None:
+            raise failure
+        return None
 
     def suggest_return_s(self, pool: str, job_id: str) -> int:
         """Return when a caller should return whose submission the store refused."""
@@ -117,7 +221,11 @@
         return retry_after.after_outage(job_id, outage_s)
 
     async def describe(
-        self, pool: str, job_id: str, timeout_s: float
+        self,
+        pool: str,
+        job_id: str,
+        timeout_s: float,
+        former: Iterable[tuple[str, str]] = (),
     ) -> model.JobState | None:
         """Return a job's state, or None if no pool has this job.
 
@@ -132,7 +240,8 @@
         if reply["state"] is not None:
             return model.JobState(reply["state"])
         # The queue may have moved to another pool since the job was submitted.
-        for partition in self._other_partitions(pool):
+        moved = self.moved_queues.find_partitions(pool, former)
+        for partition in sorted(moved.union(self._other_partitions(pool))):
             reply = await self._ask_owner(partition, f"/jobs/{job_id}", timeout_s)
             if reply["state"] is not None:
                 return model.JobState(reply["state"])
@@ -144,11 +253,14 @@
         cached = self._waiting_by_queue.get(queue.name)
         if cached is not None and loop.time() - cached[0] < WAITING_MAX_AGE_S:
             return cached[1]
-        name = urllib.parse.quote(queue.name, safe="")
-        reply = await self._ask_owner(
-            self._partition_map.find(queue.pool), f"/waiting/{name}", timeout_s
-        )
-        count = int(reply["waiting"])
+        count = 0
+        # Jobs that were submitted before the queue was moved still wait there.
+        for queue_name, pool in sorted({(queue.name, queue.pool), *queue.former}):
+            name = urllib.parse.quote(queue_name, safe="")
+            reply = await self._ask_owner(
+                self._partition_map.find(pool), f"/waiting/{name}", timeout_s
+            )
+            count += int(reply["waiting"])
         self._waiting_by_queue[queue.name] = (loop.time(), count)
         return count
 
@@ -432,6 +544,11 @@
             if explained is None:
                 return {"state": None}
             return {**dataclasses.asdict(explained), "code": int(explained.code)}
+        if kind == "moved":
+            has_moved = moved_queues.holds_moved_jobs(
+                owner.jobs_by_id.values(), self.configuration.current
+            )
+            return {"has_moved": has_moved}
         if kind == "waiting":
             return {"waiting": owner.count_waiting(name)}
         if kind == "evacuate":
@@ -451,6 +568,6 @@
             return self._preview_placement(owner, body)
         raise errors.ClementinesparError(
             codes.ResultCode.REQUEST_INVALID,
-            f"unknown kind of query {kind}; expected jobs, explain, images, waiting,"
-            " evacuate, load, team or placement",
+            f"unknown kind of query {kind}; expected jobs, explain, images, moved,"
+            " waiting, evacuate, load, team or placement",
         )
--- a/clementinespar/jobs/store_health.py
+++ b/clementinespar/jobs/store_health.py
@@ -145,7 +145,7 @@
     sent_at: float
     pending: int = 0
     is_lost: bool = False  # an append had no answer
-    is_stored: bool = False
+    stored_in: set[int] = dataclasses.field(default_factory=set)  # partitions
 
 
 class SentCommands:
@@ -168,25 +168,28 @@
         self._fates.move_to_end(key)
         self._drop_old(now)
 
-    def note_outcome(self, key: str, is_stored: bool, is_refused: bool) -> None:
+    def note_outcome(
+        self, key: str, partition: int, is_stored: bool, is_refused: bool
+    ) -> None:
         """Record what is known of an append; neither of both: it may have an effect."""
         fate = self._fates.get(key)
         if fate is None:
             return
         fate.pending -= 1
-        fate.is_stored |= is_stored
+        if is_stored:
+            fate.stored_in.add(partition)
         fate.is_lost |= not is_stored and not is_refused
-        if not (fate.pending or fate.is_lost or fate.is_stored):
+        if not (fate.pending or fate.is_lost or fate.stored_in):
             del self._fates[key]
 
     def may_be_stored(self, key: str) -> bool:
         """Whether an append was sent that was not refused."""
         return key in self._fates
 
-    def is_stored(self, key: str) -> bool:
-        """Whether the command is certainly stored."""
+    def find_stored(self, key: str) -> frozenset[int]:
+        """Return the partitions in which the command is certainly stored."""
         fate = self._fates.get(key)
-        return fate is not None and fate.is_stored
+        return frozenset() if fate is None else frozenset(fate.stored_in)
 
     def _drop_old(self, now: float) -> None:
         while self._fates:
--- a/clementinespar/jobs/tracked_store.py
+++ b/clementinespar/jobs/tracked_store.py
@@ -49,7 +49,7 @@
     ) -> None:
         """Append records; raises as `services.JobStore.append`."""
         keys = [record.key for record in records]
-        with tracking(self.find_health(partition), self.sent, keys):
+        with tracking(self.find_health(partition), self.sent, partition, keys):
             await self._store.append(topic, partition, records)
 
 
@@ -70,6 +70,7 @@
 def tracking(
     health: store_health.RouteHealth,
     sent: store_health.SentCommands,
+    partition: int,
     keys: Sequence[str],
 ) -> Iterator[Call]:
     """Record the outcome of a call that appends the commands of some keys."""
@@ -92,4 +93,4 @@
         else:
             health.note_loss(number, loop.time())
         for key in keys:
-            sent.note_outcome(key, is_stored, is_refused)
+            sent.note_outcome(key, partition, is_stored, is_refused)
