Soak: leave odd entries of another writer among those of the workers

Seven entries that have broken a reader of the entries before, each for some seconds, beside the other faults.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -15,6 +15,20 @@
 REPLACE_RANGE_S = (0.2, 1.5)  # until another worker registers for one that has left
 SHRINK_RANGE_S = (3.0, 7.0)  # some shrinks outlast the notice that owners get
 SHRUNK_SHARES = (0.25, 0.5)
+_ENTRY = (
+    b'{"service":%s,"addr":"127.0.0.1:%s","zone":"a","state":"ready","labels":%s,'
+    b'"capacity":{"cpu":%s,"memMb":32768}}'
+)
+# Entries of another writer; each has broken a reader of the entries before.
+ODD_ENTRIES = (
+    b"[" * 100_000,
+    b"\xff",
+    _ENTRY % (b'"work"', b"9", b"[" * 900 + b"]" * 900, b"16000"),
+    _ENTRY % (b'"work"', b"9", b"[]", b"Infinity"),
+    _ENTRY % (b'"work"', b"9", b"[]", b"1e999"),
+    _ENTRY % (b'"work"', b"99999", b"[]", b"16000"),
+    _ENTRY % (b'"\\ud800"', b"9", b"[]", b"16000"),
+)
 
 
 class Injector:
@@ -45,6 +59,7 @@
             self._drain_worker,
             self._shrink_worker,
             self._lose_worker_and_node,
+            self._leave_odd_entry,
         ]
 
     async def run(self, seconds: float) -> None:
@@ -170,6 +185,13 @@
         end_worker = self._rng.choice([self._kill_worker, self._drain_worker])
         await asyncio.gather(end_node(), end_worker())
 
+    async def _leave_odd_entry(self) -> None:
+        """Let another writer leave an entry among those of the workers for a while."""
+        key = f"i-odd-{self._rng.randrange(100)}"
+        self._platform.put_raw("keyed.servers", key, self._rng.choice(ODD_ENTRIES))
+        await self._wait_duration()
+        self._platform.delete("keyed.servers", key)
+
     async def _make_worker_unresponsive(self) -> None:
         port = self._choose_worker_port()
         self._platform.workers_by_port[port].is_unresponsive = True
