Delete the command of a finished job whenever it is read again

What callers saw: a job that was submitted again after its end ran again minutes later, at the next change of owner.

Cause: the repeated command was stored and skipped, but never deleted. After 150 s the final state was gone, and the next owner took the command for a new job.

Change: an owner that reads the command of a job with a stored final state deletes it, also while it loads; the state is kept until that is done.

--- a/clementinespar/jobs/command_intake.py
+++ b/clementinespar/jobs/command_intake.py
@@ -118,8 +118,14 @@
             kind, job_id = record.key[:1], record.key[1:]
             if not record.value:
                 continue
-            if kind == "j" and job_id not in self._jobs.by_id:
+            if kind != "j":
+                continue
+            known = self._jobs.by_id.get(job_id)
+            if known is None:
                 added.extend(self._add_job(job_id, record.value))
+            elif known.is_final_stored:
+                # Without its state, the next owner would take it for a new job.
+                self._jobs.finished_commands.add(job_id)
         if added:
             self._team_rates.mark_all(added, time.time() * 1000)
         for record in records:
--- a/clementinespar/jobs/job_table.py
+++ b/clementinespar/jobs/job_table.py
@@ -11,6 +11,9 @@
     by_id: dict[str, state.JobProgress]
     active: dict[str, state.JobProgress]  # not in a final state, by id
     dirty: dict[str, state.JobProgress]  # changed since the last append, by id
+    # Ids of jobs with a stored final state whose commands have to be deleted. A caller
+    # may submit such a job again, which stores another one.
+    finished_commands: set[str]
     flush_wanted: asyncio.Event  # requests an append
     schedule_wanted: asyncio.Event  # requests a round of placement
 
@@ -18,6 +21,7 @@
         self.by_id = {}
         self.active = {}
         self.dirty = {}
+        self.finished_commands = set()
         self.flush_wanted = asyncio.Event()
         self.schedule_wanted = asyncio.Event()
 
--- a/clementinespar/jobs/progress_writer.py
+++ b/clementinespar/jobs/progress_writer.py
@@ -31,7 +31,6 @@
 
     _fence_checks: int  # done; fewer than wanted: another owner may have begun
     _wanted_fence_checks: int
-    _finished_commands: list[str]  # ids of jobs whose commands can be deleted
 
     def __init__(
         self,
@@ -63,7 +62,6 @@
         )
         self._fence_checks = 0
         self._wanted_fence_checks = 0
-        self._finished_commands = []
 
     @property
     def is_fence_checked(self) -> bool:
@@ -143,7 +141,7 @@
             self._jobs.schedule_wanted.set()
         for job in finals:
             job.is_final_stored = True
-            self._finished_commands.append(job.spec.job_id)
+            self._jobs.finished_commands.add(job.spec.job_id)
         self._mark_adopted(dirty)
 
     def _mark_adopted(self, stored: Iterable[state.JobProgress]) -> None:
@@ -156,6 +154,8 @@
     async def drop_finished(self, now_ms: float, forget: Callable[[str], None]) -> None:
         """Delete the commands of finished jobs, and final states that are expired.
 
+        A final state is kept until the command is certainly deleted.
+
         Parameters
         ----------
         now_ms : float
@@ -163,10 +163,10 @@
         forget : callable
             Called with the id of each job whose final state is expired.
         """
-        unended = self._quotas.find_unended(self._finished_commands)
-        keys = [job_id for job_id in self._finished_commands if job_id not in unended]
+        finished = self._jobs.finished_commands
+        keys = sorted(finished - self._quotas.find_unended(finished))
         if keys:
-            self._finished_commands = sorted(unended)
+            finished.difference_update(keys)
             try:
                 await self._store.append(
                     services.Topic.COMMANDS,
@@ -174,11 +174,13 @@
                     [services.KeyedRecord("j" + job_id, b"") for job_id in keys],
                 )
             except errors.ClementinesparError:
-                self._finished_commands.extend(keys)  # deleted with the next ones
+                finished.update(keys)  # deleted with the next ones
         expired = [
             job_id
             for job_id, job in self._jobs.by_id.items()
-            if job.is_final_stored and now_ms - job.final_ms > STATUS_RETENTION_MS
+            if job.is_final_stored
+            and now_ms - job.final_ms > STATUS_RETENTION_MS
+            and job_id not in finished
         ]
         for job_id in expired:
             del self._jobs.by_id[job_id]
--- a/clementinespar/jobs/tests/test_scheduled_jobs.py
+++ b/clementinespar/jobs/tests/test_scheduled_jobs.py
@@ -14,12 +14,6 @@
 OCCURRENCES = 12
 
 
-@pytest.fixture
-def clock_of_the_loop(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Let the wall clock follow the event loop's, so that occurrences become due."""
-    monkeypatch.setattr(time, "time", lambda: asyncio.get_running_loop().time())
-
-
 def make_scheduled(job_id: str = "a", first_due_s: float = 1.0) -> model.JobSpec:
     """Return a job whose first occurrence is due after some time."""
     return dataclasses.replace(
@@ -30,7 +24,7 @@
     )
 
 
-@pytest.mark.usefixtures("clock_of_the_loop")
+@pytest.mark.usefixtures("loop_wall_clock")
 @pytest.mark.parametrize("task_s", [0.05, 0.3, 1.5])
 @pytest.mark.parametrize("owner_s", [0.65, 1.1, 1.25, 1.4, 1.85])
 def test_owners_lost_in_series(owner_s: float, task_s: float) -> None:
@@ -58,7 +52,7 @@
     play()
 
 
-@pytest.mark.usefixtures("clock_of_the_loop")
+@pytest.mark.usefixtures("loop_wall_clock")
 @paused_clock.test
 async def test_occurrence_starts_only_once_it_is_stored() -> None:
     """Guards against a start that the store does not know of."""
@@ -74,7 +68,7 @@
         assert harness.workers.starts
 
 
-@pytest.mark.usefixtures("clock_of_the_loop")
+@pytest.mark.usefixtures("loop_wall_clock")
 @paused_clock.test
 async def test_next_owner_opens_what_is_due_before_it_calls_workers() -> None:
     """Guards against the end of an occurrence that an earlier build did not store."""
