Check the numbers of a message by one walk over it

The search for large numbers matched task names, as they hold hexadecimal digits, and so each report of a worker was walked as well.

--- a/clementinespar/decoding.py
+++ b/clementinespar/decoding.py
@@ -5,15 +5,12 @@
 and compared without an error beyond `ERRORS`.
 """
 
-import re
 from typing import Any
 
 import pydantic_core
 
 MAX_NUMBER = 2.0**128  # products of seven such numbers are finite as floats
 _MAX_ERROR_LENGTH = 300  # characters of an error in a log line
-# Text without a match has no number that is infinite or above `MAX_NUMBER`.
-_MAY_HAVE_LARGE_NUMBER = re.compile(rb"\d{38}|\d[eE]")
 
 
 class DecodingError(ValueError):
@@ -45,8 +42,7 @@
         value = pydantic_core.from_json(data, allow_inf_nan=False)
     except ValueError as error:
         raise DecodingError(str(error)) from error
-    if _MAY_HAVE_LARGE_NUMBER.search(data):
-        _check_numbers(value)
+    _check_numbers(value)
     return value
 
 
@@ -67,11 +63,13 @@
 
 
 def _check_numbers(value: object) -> None:
-    if isinstance(value, dict):
-        for item in value.values():
+    # Compares types, as most reports of workers pass here: twice as fast as isinstance.
+    kind = type(value)
+    if kind is list:
+        for item in value:  # type: ignore[attr-defined]
             _check_numbers(item)
-    elif isinstance(value, list):
-        for item in value:
+    elif kind is dict:
+        for item in value.values():  # type: ignore[attr-defined]
             _check_numbers(item)
-    elif isinstance(value, int | float) and abs(value) > MAX_NUMBER:
+    elif (kind is int or kind is float) and abs(value) > MAX_NUMBER:  # type: ignore[arg-type]
         raise DecodingError(f"a number is above {MAX_NUMBER:.0e}")
