Wait for a page of the store as long as parts of it arrive

What callers saw: after the loss of an owner behind narrow links, no job of its queue ran, and each request for a state got 503, for good.

Cause: each page of a list had to arrive within 1.0 s, whatever its size.

--- a/clementinespar/http_calls.py
+++ b/clementinespar/http_calls.py
@@ -48,6 +48,8 @@
     is_closed: bool
     lost: asyncio.Event  # set once the connection is closed
     idle_since: float  # event-loop time
+    _received_at: float  # event-loop time of the newest data
+    _timer: asyncio.TimerHandle | None  # ends the call in flight
     _parser: httptools.HttpResponseParser
     _waiter: "asyncio.Future[Response] | None"
     _chunks: list[bytes]
@@ -59,6 +61,8 @@
         self.lost = asyncio.Event()
         self._open_connections = open_connections
         self.idle_since = 0.0
+        self._received_at = 0.0
+        self._timer = None
         self._parser = httptools.HttpResponseParser(self)
         self._waiter = None
         self._chunks = []
@@ -81,6 +85,7 @@
             )
 
     def data_received(self, data: bytes) -> None:
+        self._received_at = asyncio.get_running_loop().time()
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -103,23 +108,52 @@
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(Response(self._parser.get_status_code(), body))
 
-    async def call(self, request: bytes, timeout_s: float) -> Response:
-        """Send one request and wait for its response."""
+    async def call(
+        self, request: bytes, timeout_s: float, limit_s: float | None
+    ) -> Response:
+        """Send one request and wait for its response; see `HttpClient.call`."""
         assert self.transport is not None
         loop = asyncio.get_running_loop()
         waiter: asyncio.Future[Response] = loop.create_future()
         self._waiter = waiter
         self.transport.write(request)
-        timer = loop.call_later(timeout_s, _set_timeout, waiter, timeout_s)
+        began_at = self._received_at = loop.time()
+        end = began_at + (timeout_s if limit_s is None else limit_s)
+        self._watch(waiter, timeout_s, began_at, end)
         try:
             return await waiter
         except BaseException:
             self.close()
             raise
         finally:
-            timer.cancel()
+            if self._timer is not None:
+                self._timer.cancel()
             self._waiter = None
 
+    def _watch(
+        self,
+        waiter: "asyncio.Future[Response]",
+        timeout_s: float,
+        began_at: float,
+        end: float,
+    ) -> None:
+        """End the call once its response is overdue; else look again when it may be."""
+        if waiter.done():
+            return
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        due = min(end, self._received_at + timeout_s)
+        if now < due:
+            self._timer = loop.call_at(
+                due, self._watch, waiter, timeout_s, began_at, end
+            )
+            return
+        waiter.set_exception(
+            CallUnansweredError(
+                f"no complete response in {(now - began_at) * 1000:.0f} ms"
+            )
+        )
+
     def close(self) -> None:
         """Abort the connection; bytes not yet sent are lost."""
         self.is_closed = True
@@ -127,13 +161,6 @@
             self.transport.abort()
 
 
-def _set_timeout(waiter: "asyncio.Future[Response]", timeout_s: float) -> None:
-    if not waiter.done():
-        waiter.set_exception(
-            CallUnansweredError(f"no complete response in {timeout_s * 1000:.0f} ms")
-        )
-
-
 class HttpClient:
     """Calls any address and pools the connections; needs a running event loop."""
 
@@ -155,6 +182,7 @@
         headers: str = "",
         timeout_s: float = 1.0,
         may_send: Callable[[], bool] | None = None,
+        limit_s: float | None = None,
     ) -> Response:
         """Make one call and return its response.
 
@@ -170,6 +198,9 @@
         may_send : callable, optional
             Asked once the connection is open, right before the call is sent. Opening it
             takes time, after which an order may no longer be valid.
+        limit_s : float, optional
+            For a large response on a narrow link: the longest wait for all of it, in
+            seconds. Then `timeout_s` is the longest time without a further part.
 
         Raises
         ------
@@ -187,7 +218,7 @@
             f"{method} {path} HTTP/1.1\r\nHost: {address}\r\n"
             f"Content-Length: {len(body)}\r\n{headers}\r\n"
         ).encode() + body
-        response = await connection.call(request, timeout_s)
+        response = await connection.call(request, timeout_s, limit_s)
         self._release_connection(address, connection)
         return response
 
--- a/clementinespar/jobs/tests/test_moved_queues.py
+++ b/clementinespar/jobs/tests/test_moved_queues.py
@@ -77,6 +77,7 @@
         headers: str = "",
         timeout_s: float = 1.0,
         may_send: Callable[[], bool] | None = None,
+        limit_s: float | None = None,
     ) -> http_calls.Response:
         await asyncio.sleep(0.001)
         if self.is_silent:
--- a/clementinespar/jobs/tests/test_slow_store.py
+++ b/clementinespar/jobs/tests/test_slow_store.py
@@ -39,6 +39,7 @@
         headers: str = "",
         timeout_s: float = 1.0,
         may_send: Callable[[], bool] | None = None,
+        limit_s: float | None = None,
     ) -> http_calls.Response:
         assert (address, method) == ("10.0.0.1:1", "POST")
         if self.is_gone:
--- a/clementinespar/jobs/tests/test_store_outages.py
+++ b/clementinespar/jobs/tests/test_store_outages.py
@@ -131,6 +131,7 @@
         headers: str = "",
         timeout_s: float = 1.0,
         may_send: Callable[[], bool] | None = None,
+        limit_s: float | None = None,
     ) -> http_calls.Response:
         if method != "GET" or self.is_silent or self.is_gone:
             return await super().call(
