Ask the adviser about all workers of a large pool

What callers saw: no job of a queue with advice started in a pool of more than 100 workers, if the policy allows none of the 100 with the most free cores.

Cause: each request named the same 100 workers.

Change: workers that got no ticket for a step are asked about again only after all others.

Not played with processes.

--- a/clementinespar/jobs/tests/fakes.py
+++ b/clementinespar/jobs/tests/fakes.py
@@ -453,17 +453,20 @@
     allowed_ids: set[str]
     is_busy: bool
     calls: int
+    asked: list[int]  # numbers of workers in the calls
 
     def __init__(self) -> None:
         self.allowed_ids = set()
         self.is_busy = False
         self.calls = 0
+        self.asked = []
 
     async def request_tickets(
         self, job_id: str, occurrence: int, step: int, worker_ids: Sequence[str]
     ) -> model.IssuedTickets:
         await asyncio.sleep(0.02)
         self.calls += 1
+        self.asked.append(len(worker_ids))
         if self.is_busy:
             raise errors.ClementinesparError(
                 codes.ResultCode.PLATFORM_UNAVAILABLE, "busy"
--- a/clementinespar/jobs/tests/test_pool_owner.py
+++ b/clementinespar/jobs/tests/test_pool_owner.py
@@ -317,6 +317,33 @@
     assert harness.adviser.calls < 10
 
 
+@pytest.mark.parametrize("count", [100, 106, 250])
+@paused_clock.test
+async def test_advice_in_a_large_pool(count: int) -> None:
+    """Guards against a step for whose only workers the adviser is never asked.
+
+    A request names at most 100 workers, those with the most free cores.
+    """
+    workers = fakes.FakeWorkers(count - 2)
+    for number in range(2):
+        workers.add(f"small-{number}", "quotes", 2_000)
+    harness = helpers.OwnerHarness(workers)
+    harness.adviser.allowed_ids = {"small-0", "small-1"}
+    spec = dataclasses.replace(helpers.make_spec("a", 6), needs_advice=True)
+    async with helpers.run_owner(harness):
+        await harness.submit(spec)
+        await harness.wait_state("a", model.JobState.DONE, 10.0)
+        # Workers may appear later, or come back as others under their ids.
+        workers.workers["small-0"].is_unresponsive = True
+        workers.workers["small-1"].is_unresponsive = True
+        await asyncio.sleep(2.0)
+        harness.adviser.allowed_ids.add("quotes-0")
+        await harness.submit(dataclasses.replace(spec, job_id="b"))
+        await harness.wait_state("b", model.JobState.DONE, 15.0)
+    assert {w for _, _, w in workers.starts} == {"small-0", "small-1", "quotes-0"}
+    assert max(harness.adviser.asked) <= 100
+
+
 @paused_clock.test
 async def test_cancelled_job_stops_and_stays_cancelled() -> None:
     """Guards against tasks of a cancelled job that go on or start again."""
--- a/clementinespar/jobs/tickets.py
+++ b/clementinespar/jobs/tickets.py
@@ -21,6 +21,9 @@
 
     _tickets: dict[tuple[str, int, int], dict[str, tuple[str, float]]]
     _next_request_at: dict[tuple[str, int, int], float]
+    # Workers that got no ticket, by step. Other workers are asked about first; once all
+    # got none, the requests begin anew.
+    _denied: dict[tuple[str, int, int], set[str]]
     _lock: asyncio.Lock
     _requests: set[asyncio.Task[None]]
 
@@ -35,6 +38,7 @@
         self._schedule_wanted = schedule_wanted
         self._tickets = {}
         self._next_request_at = {}
+        self._denied = {}
         self._lock = asyncio.Lock()
         self._requests = set()
 
@@ -56,8 +60,17 @@
             and worker_ids
         ):
             self._next_request_at[step_key] = float("inf")
+            denied = self._denied.setdefault(step_key, set())
+            unasked = [worker_id for worker_id in worker_ids if worker_id not in denied]
+            if not unasked:
+                denied.clear()
+                unasked = worker_ids
             request = asyncio.create_task(
-                self._request(step_key, worker_ids[:MAX_WORKERS_PER_REQUEST])
+                self._request(
+                    step_key,
+                    unasked[:MAX_WORKERS_PER_REQUEST],
+                    has_more=len(unasked) > MAX_WORKERS_PER_REQUEST,
+                )
             )
             self._requests.add(request)
             request.add_done_callback(self._requests.discard)
@@ -70,7 +83,7 @@
 
     def drop_job(self, job_id: str) -> None:
         """Drop all tickets of a job."""
-        for cache in (self._tickets, self._next_request_at):
+        for cache in (self._tickets, self._next_request_at, self._denied):
             for step_key in [step_key for step_key in cache if step_key[0] == job_id]:
                 cache.pop(step_key, None)
 
@@ -84,8 +97,15 @@
         await asyncio.gather(*self._requests, return_exceptions=True)
 
     async def _request(
-        self, step_key: tuple[str, int, int], worker_ids: list[str]
+        self, step_key: tuple[str, int, int], worker_ids: list[str], has_more: bool
     ) -> None:
+        """Request tickets for some workers.
+
+        Parameters
+        ----------
+        has_more : bool
+            Whether other workers are left to ask about.
+        """
         loop = asyncio.get_running_loop()
         try:
             async with self._lock:
@@ -100,8 +120,14 @@
                 worker_id: (ticket, until)
                 for worker_id, ticket in issued.tickets_by_worker.items()
             }
+            self._denied.setdefault(step_key, set()).update(
+                worker_id
+                for worker_id in worker_ids
+                if worker_id not in issued.tickets_by_worker
+            )
+            is_final = not issued.tickets_by_worker and not has_more
             self._next_request_at[step_key] = now + (
-                0.0 if issued.tickets_by_worker else NO_WORKER_RETRY_S
+                NO_WORKER_RETRY_S if is_final else 0.0
             )
             self._log_event(
                 "advice",
