Move the search for moved jobs out of the service

No change of behaviour, except that the other partitions are asked for a state at once instead of one by one.

--- a/clementinespar/decoding.py
+++ b/clementinespar/decoding.py
@@ -63,7 +63,7 @@
 
 
 def _check_numbers(value: object) -> None:
-    # Compares types, as most reports of workers pass here: twice as fast as isinstance.
+    # Exact types are enough for what the parser returns; a bool is not a number.
     kind = type(value)
     if kind is list:
         for item in value:  # type: ignore[attr-defined]
--- a/clementinespar/jobs/moved_queues.py
+++ b/clementinespar/jobs/moved_queues.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Iterable, Mapping
+from typing import Any
 
 from clementinespar import errors
 from clementinespar.jobs import model, partitions, state
@@ -58,8 +59,8 @@
     Parameters
     ----------
     ask : callable
-        Returns whether the owner of a partition holds moved jobs; raises
-        `errors.ClementinesparError` if no owner has answered.
+        Returns the answer of the owner of a partition to a query; takes the partition
+        and the path.
     """
 
     _stray_partitions: frozenset[int]  # that held moved jobs when this node started
@@ -68,7 +69,7 @@
     def __init__(
         self,
         partition_map: partitions.PartitionMap,
-        ask: Callable[[int], Awaitable[bool]],
+        ask: Callable[[int, str], Awaitable[dict[str, Any]]],
     ) -> None:
         self._partition_map = partition_map
         self._ask = ask
@@ -106,11 +107,11 @@
         while unasked and loop.time() < end:
             for partition in sorted(unasked):
                 try:
-                    has_moved = await self._ask(partition)
+                    reply = await self._ask(partition, "/moved/")
                 except errors.ClementinesparError:
                     continue
                 unasked.discard(partition)
-                if has_moved:
+                if reply["has_moved"]:
                     self._stray_partitions |= {partition}
                     self._strays_until = loop.time() + REPEAT_MAX_S
             await asyncio.sleep(RETRY_S)
--- a/clementinespar/jobs/owner_loading.py
+++ b/clementinespar/jobs/owner_loading.py
@@ -1,7 +1,7 @@
 """Restores what previous owners of a partition have stored, and adopts their runs."""
 
 import asyncio
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from clementinespar import decoding
 from clementinespar.jobs import (
@@ -55,6 +55,32 @@
     return jobs
 
 
+def take_over_jobs(
+    restored: Iterable[state.JobProgress],
+    jobs: job_table.JobTable,
+    take_over: Callable[[state.JobProgress], None],
+    log_event: services.EventLog,
+) -> None:
+    """Go on with jobs of previous owners.
+
+    One that raises an error stays known, so that it is not taken for a new job, but
+    does not run under this owner.
+
+    Parameters
+    ----------
+    take_over : callable
+        Makes a job active unless it is final.
+    """
+    for job in restored:
+        job_id = job.spec.job_id
+        jobs.by_id[job_id] = job
+        try:
+            take_over(job)
+        except Exception as error:
+            jobs.active.pop(job_id, None)
+            telemetry.log_unexpected(log_event, "job", error, job=job_id)
+
+
 def restore_worker_use(
     use: worker_use.WorkerUse,
     value: bytes,
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -350,15 +350,9 @@
                 self._worker_use, values["workers"], fenced_at, lease_s, self._log_event
             )
         restored = owner_loading.restore_jobs(values, commands.records, self._log_event)
-        for job in restored:
-            self.jobs_by_id[job.spec.job_id] = job
-            try:
-                self._restore_job(job)
-            except Exception as error:
-                self._jobs.active.pop(job.spec.job_id, None)
-                telemetry.log_unexpected(
-                    self._log_event, "job", error, job=job.spec.job_id
-                )
+        owner_loading.take_over_jobs(
+            restored, self._jobs, self._restore_job, self._log_event
+        )
         self._team_rates.mark_all(restored, time.time() * 1000)
         self._intake.apply_page(commands)
         self.is_loaded = True
--- a/clementinespar/jobs/service.py
+++ b/clementinespar/jobs/service.py
@@ -14,6 +14,7 @@
 from clementinespar.jobs import (
     admission,
     command_routes,
+    job_location,
     model,
     moved_queues,
     ownership,
@@ -41,6 +42,7 @@
     _routes: command_routes.CommandRoutes
     _load_views: admission.LoadViews
     moved_queues: moved_queues.MovedQueues
+    _locator: job_location.JobLocator
 
     def __init__(
         self,
@@ -56,7 +58,10 @@
         self._http_client = http_client
         self._waiting_by_queue = {}
         self._load_views = admission.LoadViews()
-        self.moved_queues = moved_queues.MovedQueues(partition_map, self._ask_for_moved)
+        self.moved_queues = moved_queues.MovedQueues(partition_map, self._ask_once)
+        self._locator = job_location.JobLocator(
+            partition_map, self.moved_queues, configuration, self._ask_owner
+        )
         self._routes = command_routes.CommandRoutes(
             ownership_manager, store, http_client, self._note_command_answer
         )
@@ -77,8 +82,7 @@
         Parameters
         ----------
         former : iterable of tuple of str
-            Earlier names and pools of the queue. A job that is there already remains
-            one job.
+            Earlier names and pools of the queue; a job that is there remains one job.
         """
         loop = asyncio.get_running_loop()
         end = loop.time() + timeout_s
@@ -87,7 +91,7 @@
             if self._routes.has_stored("j" + spec.job_id):
                 return codes.ResultCode.OK
             try:
-                if await self._find_job(moved, spec.job_id, timeout_s) is not None:
+                if await self._locator.find(moved, spec.job_id, timeout_s) is not None:
                     return codes.ResultCode.OK
             except errors.ClementinesparError:
                 return codes.ResultCode.STORE_UNANSWERED
@@ -96,10 +100,6 @@
             self._partition_map.find(pool), record, end - loop.time()
         )
 
-    async def _ask_for_moved(self, partition: int) -> bool:
-        reply = await self._ask_once(partition, "/moved/", False, b"")
-        return bool(reply["has_moved"])
-
     def check_load(self, spec: model.JobSpec) -> admission.Rejection | None:
         """Return why a job is not accepted for the load of its pool, or None."""
         partition = self._partition_map.find(spec.pool)
@@ -147,73 +147,14 @@
         if code is not codes.ResultCode.OK:
             return code
         try:
-            partition = await self._find_elsewhere(pool, former, job_id, end)
+            found = await self._locator.find_elsewhere(
+                pool, former, job_id, end - loop.time()
+            )
         except errors.ClementinesparError:
             return codes.ResultCode.STORE_UNANSWERED
-        if partition is None:
+        if found is None:
             return code
-        return await self._routes.store(partition, record, end - loop.time())
-
-    async def _find_elsewhere(
-        self, pool: str, former: Iterable[tuple[str, str]], job_id: str, end: float
-    ) -> int | None:
-        """Return the partition of a job that that of its queue does not have, or None.
-
-        Raises
-        ------
-        errors.ClementinesparError
-            A partition that probably has the job has not answered in time.
-        """
-        loop = asyncio.get_running_loop()
-        present = self._partition_map.find(pool)
-        moved = self.moved_queues.find_partitions(pool, former)
-        try:
-            if await self._find_job({present}, job_id, PEER_TIMEOUT_S) is not None:
-                return None
-        except errors.ClementinesparError:
-            if not moved:
-                return None
-        if moved:
-            found = await self._find_job(moved, job_id, end - loop.time())
-            if found is not None:
-                return found
-        others = {*self._other_partitions(pool)} - moved
-        try:
-            return await self._find_job(others, job_id, PEER_TIMEOUT_S)
-        except errors.ClementinesparError:
-            return None
-
-    async def _find_job(
-        self, asked: Iterable[int], job_id: str, timeout_s: float
-    ) -> int | None:
-        """Return the first of some partitions that has a job, or None.
-
-        Raises
-        ------
-        errors.ClementinesparError
-            No partition that answered has it, and the owner of one did not answer.
-        """
-        failure: errors.ClementinesparError | None = None
-        replies = {
-            partition: asyncio.create_task(
-                self._ask_owner(partition, f"/jobs/{job_id}", timeout_s)
-            )
-            for partition in sorted(asked)
-        }
-        try:
-            for partition, reply in replies.items():
-                try:
-                    if (await reply)["state"] is not None:
-                        return partition
-                except errors.ClementinesparError as error:
-                    failure = error
-        finally:
-            for reply in replies.values():
-                reply.cancel()
-            await asyncio.gather(*replies.values(), return_exceptions=True)
-        if failure is not None:
-            raise failure
-        return None
+        return await self._routes.store(found.partition, record, end - loop.time())
 
     def suggest_return_s(self, pool: str, job_id: str) -> int:
         """Return when a caller should return whose submission the store refused."""
@@ -240,12 +181,9 @@
         if reply["state"] is not None:
             return model.JobState(reply["state"])
         # The queue may have moved to another pool since the job was submitted.
-        moved = self.moved_queues.find_partitions(pool, former)
-        for partition in sorted(moved.union(self._other_partitions(pool))):
-            reply = await self._ask_owner(partition, f"/jobs/{job_id}", timeout_s)
-            if reply["state"] is not None:
-                return model.JobState(reply["state"])
-        return None
+        others = self._locator.other_partitions(pool, former)
+        found = await self._locator.find(others, job_id, timeout_s)
+        return None if found is None else found.state
 
     async def count_waiting(self, queue: model.Queue, timeout_s: float) -> int:
         """Return the number of accepted jobs of a queue with no started task."""
@@ -420,15 +358,6 @@
         reply["code"] = int(codes.ResultCode.OK)
         return reply
 
-    def _other_partitions(self, pool: str) -> Iterable[int]:
-        configuration = self.configuration.current
-        if configuration is None:
-            return ()
-        return sorted(
-            {self._partition_map.find(name) for name in configuration.pools_by_name}
-            - {self._partition_map.find(pool)}
-        )
-
     async def append_for_peer(
         self, partition: int, record: services.KeyedRecord
     ) -> None:
@@ -469,7 +398,7 @@
             await asyncio.sleep(OWNER_RETRY_S)
 
     async def _ask_once(
-        self, partition: int, path: str, is_fresh: bool, body: bytes
+        self, partition: int, path: str, is_fresh: bool = False, body: bytes = b""
     ) -> dict[str, Any]:
         if partition in self.ownership_manager.owners_by_partition:
             return self.answer_peer(partition, path, body)
@@ -545,10 +474,8 @@
                 return {"state": None}
             return {**dataclasses.asdict(explained), "code": int(explained.code)}
         if kind == "moved":
-            has_moved = moved_queues.holds_moved_jobs(
-                owner.jobs_by_id.values(), self.configuration.current
-            )
-            return {"has_moved": has_moved}
+            jobs, configuration = owner.jobs_by_id.values(), self.configuration.current
+            return {"has_moved": moved_queues.holds_moved_jobs(jobs, configuration)}
         if kind == "waiting":
             return {"waiting": owner.count_waiting(name)}
         if kind == "evacuate":
