Read the record of peaks entry by entry again

Cause: since the change of the decoder, one entry with NaN made the whole record unreadable, and all pools lost what was learnt of their peaks.

--- a/clementinespar/jobs/fleet.py
+++ b/clementinespar/jobs/fleet.py
@@ -180,8 +180,9 @@
     def _restore_peaks(self, value: bytes) -> None:
         """Take over what the previous owner has learnt of peaks, if it is readable."""
         try:
-            fields = decoding.parse_json(value)
-        except decoding.DecodingError as error:
+            # Numbers are checked entry by entry, so that an odd one costs only its own.
+            fields = json.loads(value)
+        except decoding.ERRORS as error:
             telemetry.log_invalid_entry(self._log_event, "turns", error)
             return
         self._moves.restore(fields, asyncio.get_running_loop().time())
