--- a/clementinespar/jobs/tests/test_pool_owner.py
+++ b/clementinespar/jobs/tests/test_pool_owner.py
@@ -333,7 +333,6 @@
     async with helpers.run_owner(harness):
         await harness.submit(spec)
         await harness.wait_state("a", model.JobState.DONE, 10.0)
-        # Workers may appear later, or come back as others under their ids.
         workers.workers["small-0"].is_unresponsive = True
         workers.workers["small-1"].is_unresponsive = True
         await asyncio.sleep(2.0)
