Test: owners go on beside stored records with odd fields

Jobs, progress and workers in use whose fields have odd types and sizes, with a sound job beside them.

--- a/clementinespar/jobs/tests/test_isolation.py
+++ b/clementinespar/jobs/tests/test_isolation.py
@@ -1,12 +1,16 @@
 """Tests that one odd worker or job costs its partition no other one."""
 
 import asyncio
+import dataclasses
+import json
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import hypothesis
 import pytest
+from hypothesis import strategies
 
-from clementinespar.jobs import command_intake, model, partitions, state
+from clementinespar.jobs import command_intake, model, partitions, services, state
 from clementinespar.jobs.tests import fakes, helpers
 from clementinespar.tests import paused_clock
 
@@ -114,3 +118,71 @@
             assert "unexpected_error" in {name for name, _ in harness.events}
 
     play()
+
+
+ODD_VALUES = (
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers(-(2**70), 2**70)
+    | strategies.floats(-1e30, 1e30)
+    | strategies.sampled_from(["", "x", "1e999", "-1", "0.0", "9" * 40])
+    | strategies.lists(strategies.integers(-2, 3), max_size=2)
+    | strategies.dictionaries(
+        strategies.sampled_from(["0", "0.0", "0.9", "-1", "x"]),
+        strategies.integers(-2, 10**6) | strategies.lists(strategies.integers(0, 3)),
+        max_size=2,
+    )
+)
+
+
+@strategies.composite
+def odd_records(draw: strategies.DrawFn) -> dict[str, dict[str, bytes]]:
+    """Return records of jobs, by topic and key, some of whose fields are odd."""
+    records: dict[str, dict[str, bytes]] = {"commands": {}, "progress": {}}
+    for number in range(draw(strategies.integers(1, 4))):
+        spec = dataclasses.replace(
+            helpers.make_spec(f"odd{number}", is_lasting=draw(strategies.booleans())),
+            occurrences=draw(strategies.sampled_from([0, 0, 3])),
+        )
+        command = json.loads(state.encode_spec(spec))
+        job = state.JobProgress(spec)
+        job.first_epoch = 1
+        job.open_due_occurrences(1e15)
+        progress = json.loads(state.encode_progress(job))
+        for fields in (command, command["steps"][0], progress):
+            for name in draw(strategies.lists(strategies.sampled_from(sorted(fields)))):
+                if name != "steps":
+                    fields[name] = draw(ODD_VALUES)
+        if draw(strategies.booleans()):
+            progress |= {"state": "done", "final_ms": draw(ODD_VALUES)}
+        records["commands"][f"jodd{number}"] = json.dumps(command).encode()
+        if draw(strategies.booleans()):
+            records["progress"][f"podd{number}"] = json.dumps(progress).encode()
+        if draw(strategies.booleans()):
+            records["commands"][f"codd{number}"] = b"1"
+    if draw(strategies.booleans()):
+        workers = {"former": draw(ODD_VALUES), "used": draw(ODD_VALUES)}
+        records["progress"]["workers"] = json.dumps(workers).encode()
+    return records
+
+
+@hypothesis.settings(max_examples=150, deadline=None, derandomize=True)
+@hypothesis.given(odd_records())
+def test_owner_goes_on_beside_odd_records(
+    records: dict[str, dict[str, bytes]],
+) -> None:
+    """Guards against a partition that stands still because of one stored record."""
+
+    @paused_clock.test
+    async def play() -> None:
+        harness = helpers.OwnerHarness(fakes.FakeWorkers(3))
+        for topic in (services.Topic.COMMANDS, services.Topic.PROGRESS):
+            stored = harness.store.values[topic, helpers.PARTITION]
+            stored.update(records[topic.value])
+        await harness.submit(helpers.make_spec("sound", task_count=1, cpu=1))
+        async with helpers.run_owner(harness) as owner:
+            await asyncio.sleep(12.0)  # beyond the leases of previous owners
+            assert not owner.has_failed
+            assert owner.describe("sound") is model.JobState.DONE
+
+    play()
