--- a/clementinespar/jobs/command_intake.py
+++ b/clementinespar/jobs/command_intake.py
@@ -9,6 +9,7 @@
     demand,
     job_table,
     model,
+    owner_loading,
     run_ends,
     services,
     state,
@@ -116,9 +117,7 @@
         added = []
         for record in records:
             kind, job_id = record.key[:1], record.key[1:]
-            if not record.value:
-                continue
-            if kind != "j":
+            if kind != "j" or not record.value:
                 continue
             known = self._jobs.by_id.get(job_id)
             if known is None:
@@ -161,14 +160,9 @@
         except decoding.ERRORS as error:
             telemetry.log_invalid_entry(self._log_event, "j" + job_id, error)
             return []
-        self._jobs.by_id[job_id] = job
-        try:
-            self._admit(job)
-        except Exception as error:
-            self._jobs.active.pop(job_id, None)
-            telemetry.log_unexpected(self._log_event, "job", error, job=job_id)
-            return []
-        return [job]
+        return owner_loading.take_over_jobs(
+            [job], self._jobs, self._admit, self._log_event
+        )
 
     def _admit(self, job: state.JobProgress) -> None:
         """Make a new job ready to be stored as adopted."""
--- a/clementinespar/jobs/owner_loading.py
+++ b/clementinespar/jobs/owner_loading.py
@@ -56,12 +56,12 @@
 
 
 def take_over_jobs(
-    restored: Iterable[state.JobProgress],
+    found: Iterable[state.JobProgress],
     jobs: job_table.JobTable,
     take_over: Callable[[state.JobProgress], None],
     log_event: services.EventLog,
-) -> None:
-    """Go on with jobs of previous owners.
+) -> list[state.JobProgress]:
+    """Take over jobs one by one, and return those that raised no error.
 
     One that raises an error stays known, so that it is not taken for a new job, but
     does not run under this owner.
@@ -71,7 +71,8 @@
     take_over : callable
         Makes a job active unless it is final.
     """
-    for job in restored:
+    taken = []
+    for job in found:
         job_id = job.spec.job_id
         jobs.by_id[job_id] = job
         try:
@@ -79,6 +80,9 @@
         except Exception as error:
             jobs.active.pop(job_id, None)
             telemetry.log_unexpected(log_event, "job", error, job=job_id)
+        else:
+            taken.append(job)
+    return taken
 
 
 def restore_worker_use(
