Log what starts and ends of runs rely on, and adopted runs

One reason stood for four states in which a worker gets no lease, no line had the epoch, the age of the confirmation or the end of the lease, and nothing was logged when an owner found a run of its predecessor and began to renew its lease.

start, start_unanswered, run_gone, worker_reborn and worker_dead have epoch, born_ms, lease_ms and confirmed_age_ms now; run_adopted is new; each obstacle has a reason of its own. No decision changes.

--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -43,6 +43,7 @@
     tickets,
     wait_watch,
     worker_deaths,
+    worker_lease,
     worker_session,
     worker_use,
 )
@@ -345,7 +346,7 @@
         if "workers" in values:
             # Leases of previous owners end at most this long after a confirmation that
             # preceded the fence.
-            lease_s = self._lease_s + worker_session.LEASE_MARGIN_S
+            lease_s = self._lease_s + worker_lease.LEASE_MARGIN_S
             owner_loading.restore_worker_use(
                 self._worker_use, values["workers"], fenced_at, lease_s, self._log_event
             )
@@ -426,6 +427,7 @@
             "worker_dead",
             worker=worker_id,
             open_runs=0 if session is None else len(session.runs),
+            **({} if session is None else session.describe_lease()),
         )
         self._worker_use.settle(worker_id)
         self._crash_watch.on_death(worker_id)
--- a/clementinespar/jobs/recorded_starts.py
+++ b/clementinespar/jobs/recorded_starts.py
@@ -114,6 +114,7 @@
                 run=run.number,
                 worker=run.session.entry.worker_id,
                 slack_ms=int((job.deadline - now) * 1000),
+                **run.session.describe_lease(),
             )
             run.session.start(run, job.spec.payload, start.task.saved, start.ticket)
 
--- a/clementinespar/jobs/run_ends.py
+++ b/clementinespar/jobs/run_ends.py
@@ -114,6 +114,7 @@
             run=run.number,
             worker=session.entry.worker_id,
             reason=reason,
+            **session.describe_lease(),
         )
         found = self._jobs.find_open_task(run.key)
         if found is None:
--- a/clementinespar/jobs/session_table.py
+++ b/clementinespar/jobs/session_table.py
@@ -9,6 +9,7 @@
     passed_over,
     services,
     team_use,
+    worker_lease,
     worker_run,
     worker_session,
     worker_use,
@@ -94,7 +95,7 @@
             if worker_id in self._directory.by_id:
                 continue
             session.is_listed = False
-            is_expired = now > session.lease_bound + worker_session.LEASE_MARGIN_S
+            is_expired = session.lease.has_ended()
             is_unresponsive = (
                 now - session.last_contact > worker_session.UNRESPONSIVE_AFTER_S
             )
@@ -128,7 +129,7 @@
             self._jobs.flush_wanted.set()
         for worker_id, session in self._sessions_by_id.items():
             if worker_id in self._worker_use.in_use and not session.is_responsive():
-                end = session.lease_bound + worker_session.LEASE_MARGIN_S
+                end = session.lease.end + worker_lease.LEASE_MARGIN_S
                 self._worker_use.release_silent(worker_id, end)
                 self._jobs.flush_wanted.set()
 
--- a/clementinespar/jobs/tests/test_pool_owner.py
+++ b/clementinespar/jobs/tests/test_pool_owner.py
@@ -6,7 +6,7 @@
 import pytest
 
 from clementinespar import errors
-from clementinespar.jobs import model, pool_owner, services, worker_session
+from clementinespar.jobs import model, pool_owner, services, worker_lease
 from clementinespar.jobs.tests import fakes, helpers
 from clementinespar.tests import paused_clock
 
@@ -704,7 +704,7 @@
     used = workers.starts[0][2]
     workers.workers[used].is_unresponsive = True
     granted_s = helpers.LEASE_MAX_S * pool_owner.LEASE_SHARE
-    margin_s = worker_session.LEASE_MARGIN_S + pool_owner.HOUSEKEEPING_INTERVAL_S
+    margin_s = worker_lease.LEASE_MARGIN_S + pool_owner.HOUSEKEEPING_INTERVAL_S
     async with helpers.run_owner(harness):
         await asyncio.sleep(granted_s + margin_s + 0.1)
         assert len(workers.starts) == 2
--- a/clementinespar/jobs/worker_orders.py
+++ b/clementinespar/jobs/worker_orders.py
@@ -106,10 +106,12 @@
         self, run: worker_run.Run, payload: str, saved: str, ticket: str
     ) -> None:
         loop = asyncio.get_running_loop()
-        until = self._session.lease_until_ms()
-        if until is None:
-            self._session.abandon(run, "ownership is not confirmed")
+        obstacle = self._session.lease.find_obstacle()
+        if obstacle is not None:
+            self._session.abandon(run, obstacle.value)
             return
+        until = self._session.lease.grant_until_ms()
+        assert until is not None
         order = model.StartOrder(
             run.key, run.number, payload, until, self._session.fence, saved, ticket
         )
@@ -130,11 +132,12 @@
                 run=run.number,
                 worker=self._session.entry.worker_id,
                 code=int(error.code),
+                **self._session.describe_lease(),
             )
             self._events.on_start_unanswered(self._session)
             return
         if answer.clock_ms is not None:
-            self._session.set_clock(answer.clock_ms)
+            self._session.lease.set_clock(answer.clock_ms)
         run.answered_at = loop.time()
         run.percent_at = run.answered_at
         self._session.alive_at = run.answered_at
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -15,13 +15,11 @@
     services,
     team_use,
     telemetry,
+    worker_lease,
     worker_orders,
     worker_run,
 )
 
-# A worker's clock may run 2% slow, so a lease lasts that much longer in real time.
-MIN_CLOCK_RATE = 0.98
-LEASE_MARGIN_S = 0.15  # network and timer delay beyond the end of a lease
 RENEW_WAIT_MS = 800  # a renewal waits at the worker this long for a run to end
 SETTLE_WAIT_MS = 60  # shorter wait while a start or a stop has no answer
 RENEW_SPACING_S = 0.025  # batches ends, since each renewal has a cost
@@ -48,7 +46,7 @@
 
     entry: model.WorkerEntry
     fence: int
-    lease_s: float  # longest lease, counted from the confirmation of ownership
+    lease: worker_lease.WorkerLease
     runs: dict[tuple[model.TaskKey, int], worker_run.Run]
     free_cpu: int
     free_memory: int
@@ -63,7 +61,6 @@
     isolated_until: float  # event-loop time before which it gets no other task
     born_seen_at: float  # event-loop time at which this life of it was first seen
     is_evacuating: bool
-    lease_bound: float  # event-loop time after which none of our runs executes there
     last_contact: float  # event-loop time of the last report
     alive_at: float  # event-loop time of the last report or answer to a start
     acknowledged: int  # number of the last end that is stored
@@ -76,8 +73,6 @@
     _client: services.WorkerClient
     _events: worker_run.RunEvents
     _log_event: services.EventLog
-    _clock_ms: int | None
-    _clock_at: float
     _task: asyncio.Task[None] | None
     _orders: worker_orders.WorkerOrders
     _returns: list[float]  # event-loop times at which it became responsive again
@@ -88,7 +83,7 @@
         entry: model.WorkerEntry,
         fence: int,
         lease_s: float,
-        previous_lease_bound: float,
+        previous_lease_end: float,
         client: services.WorkerClient,
         events: worker_run.RunEvents,
         log_event: services.EventLog,
@@ -96,7 +91,12 @@
     ) -> None:
         self.entry = entry
         self.fence = fence
-        self.lease_s = lease_s
+        self.lease = worker_lease.WorkerLease(
+            lease_s,
+            previous_lease_end,
+            events.confirmed_at,
+            lambda: events.may_lease(entry.worker_id),
+        )
         self.runs = {}
         self.free_cpu = entry.cpu_millis
         self.free_memory = entry.memory_mb
@@ -111,7 +111,6 @@
         self.isolated_until = 0.0
         self.born_seen_at = asyncio.get_running_loop().time()
         self.is_evacuating = False
-        self.lease_bound = previous_lease_bound
         self.last_contact = 0.0
         self.alive_at = 0.0
         self.acknowledged = 0
@@ -124,8 +123,6 @@
         self._client = client
         self._events = events
         self._log_event = log_event
-        self._clock_ms = None
-        self._clock_at = 0.0
         self._task = None
         self._orders = worker_orders.WorkerOrders(self, client, events, log_event)
         self._returns = []
@@ -255,29 +252,13 @@
         """Send the order to limit a run to a share of its speed, in percent."""
         self._orders.pace(run, percent)
 
-    def lease_until_ms(self) -> int | None:
-        """Return the end of the next lease on the worker's clock, in ms.
-
-        Returns None if the worker's clock is unknown, if ownership is not confirmed for
-        long enough, or if the store does not know the worker to be in use. Otherwise
-        also advances `lease_bound`.
-        """
-        confirmed = self._events.confirmed_at()
-        if self._clock_ms is None or confirmed is None:
-            return None
-        if not self._events.may_lease(self.entry.worker_id):
-            return None
-        end = confirmed + self.lease_s
-        left_s = end - self._clock_at
-        if end - asyncio.get_running_loop().time() < LEASE_MARGIN_S:
-            return None
-        self.lease_bound = max(self.lease_bound, end)
-        return self._clock_ms + int(MIN_CLOCK_RATE * left_s * 1000)
-
-    def set_clock(self, clock_ms: int) -> None:
-        """Set the worker's clock to the time in a response."""
-        self._clock_ms = clock_ms
-        self._clock_at = asyncio.get_running_loop().time()
+    def describe_lease(self) -> dict[str, object]:
+        """Return the fields of a log line that show what a decision relies on."""
+        return {
+            "epoch": self.fence,
+            "born_ms": self.born_ms,
+            **self.lease.describe(),
+        }
 
     def _on_failure(self, error: Exception) -> None:
         """Give the worker no new work after an error in the handling of its report."""
@@ -312,7 +293,7 @@
                     acknowledged,
                     # An unresponsive worker gets no lease: a renewal without an answer
                     # may still arrive, and the lease would never certainly end.
-                    None if failures else self.lease_until_ms(),
+                    None if failures else self.lease.grant_until_ms(),
                     0 if failures else wait_ms,
                 )
             except errors.ClementinesparError as error:
@@ -362,8 +343,7 @@
 
     def _drop_lapsed_runs(self) -> None:
         """Drop runs of an unresponsive worker once its lease has certainly ended."""
-        now = asyncio.get_running_loop().time()
-        if now < self.lease_bound + LEASE_MARGIN_S:
+        if not self.lease.has_ended():
             return
         for run in list(self.runs.values()):
             if run.status is not worker_run.RunStatus.STARTING:
@@ -384,12 +364,10 @@
                 self.drop_run(run)
                 self._events.on_run_gone(self, run, "its worker has ended")
         if not self.runs:
-            self.lease_bound = min(
-                self.lease_bound, asyncio.get_running_loop().time() - LEASE_MARGIN_S
-            )
+            self.lease.end_now()
 
     def _apply(self, report: model.WorkerReport, sent_at: float) -> None:
-        self.set_clock(report.clock_ms)
+        self.lease.set_clock(report.clock_ms)
         now = asyncio.get_running_loop().time()
         self.last_contact = now
         if report.born_ms != self.born_ms:
@@ -397,8 +375,9 @@
                 self._log_event(
                     "worker_reborn",
                     worker=self.entry.worker_id,
-                    born_ms=report.born_ms,
+                    former_born_ms=self.born_ms,
                     open_runs=len(self.runs),
+                    **{**self.describe_lease(), "born_ms": report.born_ms},
                 )
                 self._events.on_crash(self)
             # A worker that was down when the session opened is new at its first answer.
@@ -436,6 +415,14 @@
                     self.stop(run, "not wanted by this owner")
                 else:
                     self.add_run(run)
+                    self._log_event(
+                        "run_adopted",
+                        job=run.key.job_id,
+                        task=run.key.name_in_job,
+                        run=run.number,
+                        worker=self.entry.worker_id,
+                        **self.describe_lease(),
+                    )
             run.is_start_settled = True
             if run.status is worker_run.RunStatus.OPEN:
                 run.status = worker_run.RunStatus.RUNNING
