Test: a run whose lease the next owner renews is started again

Two workers; the previous owner is cut off from the store and from the worker of the run, the next one from the other worker. The next owner adopts the run and renews its lease. The previous one takes that lease for ended, as the last renewal that it sent has ended, and starts the task on the other worker: its own lease there, from a newer confirmation, has some tenths of a second left.

--- a/clementinespar/jobs/tests/test_two_owners.py
+++ b/clementinespar/jobs/tests/test_two_owners.py
@@ -44,6 +44,35 @@
     assert not workers.violations
 
 
+@paused_clock.test
+async def test_run_whose_lease_the_next_owner_renews_is_not_started_again() -> None:
+    """Guards against two runs of a task after its owner was cut off from its worker.
+
+    The previous owner is also cut off from the store, and still has a worker that the
+    next one cannot reach.
+    """
+    workers = fakes.FakeWorkers(2)
+    harness = helpers.OwnerHarness(workers)
+    await harness.submit(helpers.make_spec("a", 1, is_lasting=True))
+    previous = harness.make_owner()
+    previous_task = asyncio.ensure_future(previous.run())
+    await asyncio.sleep(3.0)
+    used = workers.starts[0][2]
+    other = next(worker_id for worker_id in workers.workers if worker_id != used)
+    workers.cut_for |= {(used, 1), (other, 2)}
+    # The last renewal of the other worker follows a later confirmation.
+    await asyncio.sleep(1.0)
+    harness.freeze_confirmation(asyncio.get_running_loop().time())
+    harness.store.cut_epochs.add(1)
+    await asyncio.sleep(1.5)
+    async with helpers.run_owner(harness):
+        await asyncio.sleep(6.0)
+    previous_task.cancel()
+    previous.close()
+    await asyncio.sleep(0.01)
+    assert not workers.violations
+
+
 @paused_clock.test
 async def test_owner_whose_partition_was_another_ones_in_between_does_not_act() -> None:
     """Guards against two owners: one that has missed its loss is confirmed again.
