--- a/clementinespar/jobs/worker_lease.py
+++ b/clementinespar/jobs/worker_lease.py
@@ -6,7 +6,8 @@
 
 import asyncio
 import enum
-from collections.abc import Callable
+
+from clementinespar.jobs import worker_run
 
 # A worker's clock may run 2% slow, so a lease lasts that much longer in real time.
 MIN_CLOCK_RATE = 0.98
@@ -31,11 +32,6 @@
         Longest lease in seconds, counted from the confirmation of ownership.
     previous_end : float
         Event-loop time at which the leases of previous owners have ended.
-    confirmed_at : callable
-        Returns the event-loop time at which the last call that confirmed ownership was
-        sent; None if it is not confirmed.
-    may_lease : callable
-        Whether the next owner will wait for a lease on the worker to end.
     """
 
     end: float  # event-loop time by which all leases granted so far have ended
@@ -44,15 +40,15 @@
 
     def __init__(
         self,
+        worker_id: str,
         lease_s: float,
         previous_end: float,
-        confirmed_at: Callable[[], float | None],
-        may_lease: Callable[[], bool],
+        events: worker_run.RunEvents,
     ) -> None:
         self.end = previous_end
         self._lease_s = lease_s
-        self._confirmed_at = confirmed_at
-        self._may_lease = may_lease
+        self._worker_id = worker_id
+        self._events = events
         self._clock_ms = None
         self._clock_at = 0.0
 
@@ -66,7 +62,7 @@
 
         Returns None if there is an obstacle. Otherwise also advances `end`.
         """
-        confirmed = self._confirmed_at()
+        confirmed = self._events.confirmed_at()
         if self.find_obstacle() is not None or confirmed is None:
             return None
         assert self._clock_ms is not None
@@ -77,12 +73,12 @@
 
     def find_obstacle(self) -> Obstacle | None:
         """Return why the worker gets no lease at present, or None if it does."""
-        confirmed = self._confirmed_at()
+        confirmed = self._events.confirmed_at()
         if confirmed is None:
             return Obstacle.UNCONFIRMED
         if self._clock_ms is None:
             return Obstacle.CLOCK_UNKNOWN
-        if not self._may_lease():
+        if not self._events.may_lease(self._worker_id):
             return Obstacle.UNRECORDED
         now = asyncio.get_running_loop().time()
         if confirmed + self._lease_s - now < LEASE_MARGIN_S:
@@ -101,7 +97,7 @@
     def describe(self) -> dict[str, object]:
         """Return the fields of a log line that show what a decision relies on."""
         now = asyncio.get_running_loop().time()
-        confirmed = self._confirmed_at()
+        confirmed = self._events.confirmed_at()
         age_ms = None if confirmed is None else round((now - confirmed) * 1000)
         return {
             "lease_ms": round((self.end - now) * 1000),
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -92,10 +92,7 @@
         self.entry = entry
         self.fence = fence
         self.lease = worker_lease.WorkerLease(
-            lease_s,
-            previous_lease_end,
-            events.confirmed_at,
-            lambda: events.may_lease(entry.worker_id),
+            entry.worker_id, lease_s, previous_lease_end, events
         )
         self.runs = {}
         self.free_cpu = entry.cpu_millis
