Take a lease for ended only while ownership is confirmed after its end

What callers saw: one task ran on two workers, both started by one node.

Cause: an owner that is cut off from the store, and from the worker of a run, dropped the run once its own lease on that worker had ended, and started the task again on a worker that it still reached. But the store gives the partition away 1.5 s after the last confirmation. The next owner reaches the first worker, adopts the run and renews its lease, so that it never ends. Starts of the previous owner are allowed up to 5.25 s after its confirmation, and the next owner waits for those only before it starts something itself.

Class of fault: an inference from a permission that another process may hold by now.

Change: a lease has ended only if ownership was confirmed after its end. Until then no later owner had begun, and one that begins later finds no run to renew. Without the store nothing is lost: starts end before such a lease does, but for that fraction of a second. With the store a lapse is noticed up to one confirmation (0.4 s) later. Evacuations, which used the same inference, ask the same method.

--- a/clementinespar/jobs/owner_queries.py
+++ b/clementinespar/jobs/owner_queries.py
@@ -262,7 +262,7 @@
                 and run.status is worker_run.RunStatus.RUNNING
             ):
                 session.stop(run, "its host is to be taken away")
-        is_known = session.has_answered or loop.time() > session.lease.end
+        is_known = session.has_answered or session.lease.has_ended()
         if session.runs or not is_known:
             return False
         self._sessions.release()
--- a/clementinespar/jobs/worker_lease.py
+++ b/clementinespar/jobs/worker_lease.py
@@ -86,7 +86,14 @@
         return None
 
     def has_ended(self) -> bool:
-        """Whether no lease that this owner has granted lasts."""
+        """Whether no lease of this owner or of a later one lasts.
+
+        A later owner renews the leases on the workers that it reaches. So ownership has
+        to be confirmed after the end of this owner's lease.
+        """
+        confirmed = self._events.confirmed_at()
+        if confirmed is None or confirmed < self.end:
+            return False
         return asyncio.get_running_loop().time() >= self.end + LEASE_MARGIN_S
 
     def end_now(self) -> None:
