Keep hosts busy where no other pool could take them

plan_drains frees hosts of late work up to the home size without a look at where they could go. With a single pool it drains none now.

test_only_pool_keeps_its_hosts_for_late_work failed before (1 failed, 18 passed) and passes.

--- a/clementinespar/jobs/capacity.py
+++ b/clementinespar/jobs/capacity.py
@@ -372,6 +372,8 @@
     now : float
         Event-loop time in seconds.
     """
+    if len(views) == 1:
+        return []  # no other pool could take a host
     arriving: dict[str, int] = {}
     leaving: dict[str, int] = {}
     for move in moves:
--- a/clementinespar/jobs/tests/test_lending_hosts.py
+++ b/clementinespar/jobs/tests/test_lending_hosts.py
@@ -57,6 +57,16 @@
     assert drains == drainable[:wanted]
 
 
+@pytest.mark.parametrize("other", [True, False])
+def test_only_pool_keeps_its_hosts_for_late_work(other: bool) -> None:
+    """Guards against idle hosts beside late work that no other pool could take."""
+    hosts = [f"host-{number}" for number in range(4)]
+    late = make_view("late", 4, drainable=hosts, used_cores=64.0, late_cores=60.0)
+    views = [late, make_view("other", 4)] if other else [late]
+    peaks = {"late": capacity.PeakState(2), "other": capacity.PeakState(4)}
+    assert capacity.plan_drains(views, peaks, [], 0.0) == hosts[: 2 * other]
+
+
 @pytest.mark.parametrize(
     ("home_hosts", "late_cores", "waiting_cores", "wanted", "drained"),
     [
