Check the fence whenever generations of the group were missed

What callers would see: a task on two workers.

Cause: an owner took two confirmations less than the time to live apart for ownership without a break. The store may assign all partitions anew at any time, so within a second the partition can be another member's and this node's again; the generation then rises by two or more. The other member adopts the runs that it reaches and renews their leases. The first owner takes the lease for ended and starts the task again.

Change: owners check their fence, by an append, after a gap as long as the time to live or when a generation was missed. One owner appends once; until then it grants no lease.

--- a/clementinespar/jobs/ownership.py
+++ b/clementinespar/jobs/ownership.py
@@ -41,8 +41,8 @@
     owners_by_partition: dict[int, pool_owner.PoolOwner]
     is_fleet_owner: bool
     generation: int
-    # Gaps between two confirmations so long that another member may have owned the
-    # partitions in between.
+    # Gaps between two confirmations in which another member may have owned the
+    # partitions.
     gap_count: int
     assigned: frozenset[int]
     reached_at: float | None  # event-loop time of the last answer of the store
@@ -238,7 +238,7 @@
             await self._leave()
             return
         if assignment.generation != self.generation:
-            self._check_fences()
+            self._check_fences(assignment.generation)
             self._log_event(
                 "assignment",
                 generation=assignment.generation,
@@ -268,15 +268,18 @@
             if partition not in self.owners_by_partition and is_usable:
                 await self._start_owner(partition, epoch)
 
-    def _check_fences(self) -> None:
+    def _check_fences(self, generation: int) -> None:
         """Let no owner act whose partition may have been another's in between.
 
-        After a gap as long as the time to live, this node does not know the
-        assignments that it has missed.
+        That is so if generations were missed: the store may assign all partitions anew
+        at any time. After a gap as long as the time to live, one generation may hold
+        several changes.
         """
         confirmed_at = self._confirmed_at
-        now = asyncio.get_running_loop().time()
-        if confirmed_at is None or now - confirmed_at < self._group.ttl_s:
+        if confirmed_at is None:
+            return
+        gap_s = asyncio.get_running_loop().time() - confirmed_at
+        if generation == self.generation + 1 and gap_s < self._group.ttl_s:
             return
         self.gap_count += 1
         for owner in self.owners_by_partition.values():
