Wait for previous leases until ownership is confirmed after their end

Cause: an owner that cannot reach a worker waits until the leases of previous owners on it have ended, and then starts the tasks of adopted jobs elsewhere. It went by the clock alone. If it is cut off from the store while it waits, its successor may have adopted the runs on that worker and renewed their lease; the start follows within the last tenths of a second of its own lease, and ends as lapsed.

Change: such a lease has ended only if ownership was confirmed after its end. What the record for the next owner says stays by the clock: it is stored only if no later owner had begun.

--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -132,7 +132,7 @@
         self._directory = directory
         self._log_event = log_event
         self._lease_s = settings.lease_max_s * LEASE_SHARE
-        self._worker_use = worker_use.WorkerUse()
+        self._worker_use = worker_use.WorkerUse(self.confirmed_at)
         self._unsubscribe = _do_nothing
         self._run_times = demand.RunTimes()
         self._team_rates = team_rate.TeamRates(find_weight, log_event, metrics)
--- a/clementinespar/jobs/tests/test_worker_deaths.py
+++ b/clementinespar/jobs/tests/test_worker_deaths.py
@@ -275,11 +275,11 @@
 async def test_record_names_new_workers() -> None:
     """Guards against a worker that counts as listed in its first moments."""
     now = asyncio.get_running_loop().time()
-    use = worker_use.WorkerUse()
+    use = worker_use.WorkerUse(asyncio.get_running_loop().time)
     use.restore(b'{"used":["a","b"],"former":{"c":2.0},"new":["b"]}', now, 5.0)
     assert use.known_since("a") == use.known_since("c") == now - 1.5
     assert use.known_since("b") == now
-    old_build = worker_use.WorkerUse()
+    old_build = worker_use.WorkerUse(asyncio.get_running_loop().time)
     old_build.restore(b'{"used":["a"],"former":{"c":2.0}}', now, 5.0)
     assert old_build.known_since("a") == old_build.known_since("c") == now
     assert use.may_start("a")
@@ -301,7 +301,7 @@
 async def test_silent_worker_without_a_lease_makes_no_record_due() -> None:
     """Guards against a record with each append for as long as a worker is silent."""
     now = asyncio.get_running_loop().time()
-    use = worker_use.WorkerUse()
+    use = worker_use.WorkerUse(asyncio.get_running_loop().time)
     use.encode()
     use.add("a", now)  # while the append is on its way
     use.release_silent("a", now - 1.0)
--- a/clementinespar/jobs/worker_use.py
+++ b/clementinespar/jobs/worker_use.py
@@ -10,6 +10,7 @@
 import asyncio
 import json
 import math
+from collections.abc import Callable
 
 from clementinespar import decoding
 from clementinespar.jobs import worker_deaths
@@ -19,7 +20,14 @@
 
 
 class WorkerUse:
-    """Workers that this owner uses, and leases of previous owners."""
+    """Workers that this owner uses, and leases of previous owners.
+
+    Parameters
+    ----------
+    confirmed_at : callable
+        Returns the event-loop time at which the last call that confirmed ownership was
+        sent; None if it is not confirmed.
+    """
 
     answered: set[str]  # workers that refuse orders of previous owners
     in_use: set[str]  # workers on which a run of this owner may execute
@@ -39,7 +47,8 @@
     _recorded_lives: dict[str, float]  # `_known_since` as of the newest record
     _recorded_new: set[str]  # workers that the newest record names as new
 
-    def __init__(self) -> None:
+    def __init__(self, confirmed_at: Callable[[], float | None]) -> None:
+        self._confirmed_at = confirmed_at
         self.answered = set()
         self.in_use = set()
         self.stored = set()
@@ -131,11 +140,20 @@
         """
         now = asyncio.get_running_loop().time()
         return {
-            worker_id: end - now
+            worker_id: max(0.0, end - now)
             for worker_id, end in self._lease_ends.items()
-            if now <= end and worker_id not in self.answered
+            if worker_id not in self.answered and not self._has_ended(end)
         }
 
+    def _has_ended(self, lease_end: float) -> bool:
+        """Whether a lease of a previous owner has ended for good.
+
+        A later owner may have adopted runs and renewed it, unless ownership was
+        confirmed after its end.
+        """
+        confirmed = self._confirmed_at()
+        return confirmed is not None and confirmed > lease_end
+
     def is_due(self) -> bool:
         """Whether the record has to be stored again."""
         if self.in_use | self._unreached != self.stored:
@@ -205,7 +223,7 @@
             self._unreached = set()
             self._recorded_at = now
         for worker_id, end in list(self._lease_ends.items()):
-            if now > end or worker_id in self.answered:
+            if worker_id in self.answered or self._has_ended(end):
                 del self._lease_ends[worker_id]
         self._recorded = self.in_use | self._unreached
         self.stored &= self._recorded
@@ -218,7 +236,8 @@
         previous_leases = {
             worker_id: round(end - now, 3)
             for worker_id, end in sorted(lease_ends.items())
-            if worker_id not in self._recorded
+            # The record is stored only if no later owner had begun by then.
+            if worker_id not in self._recorded and now <= end
         }
         named = {*self._recorded, *previous_leases}
         self._recorded_lives = {
