Count a worker as known only once a report lists all its ends

What callers would see: tasks that are done run again after a change of owner.

Cause: a worker lists 500 ends at a time. The next owner counted a worker as answered after its first report, also a cut one, and then started the tasks of adopted jobs whose ends were still to come.

Change: a session has answered once a report had fewer than 500 ends. Until then its worker gets no work, and adopted jobs wait for it as for one that is silent.

--- a/clementinespar/jobs/session_events.py
+++ b/clementinespar/jobs/session_events.py
@@ -65,7 +65,8 @@
     def on_contact(self, session: worker_session.WorkerSession) -> None:
         """Record that the worker has answered and request a round of placement."""
         worker_id = session.entry.worker_id
-        self._worker_use.answered.add(worker_id)
+        if session.has_answered:
+            self._worker_use.answered.add(worker_id)
         self._crash_watch.on_contact(session)
         if not session.is_released():
             self._worker_use.add(worker_id, session.born_seen_at)
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -51,7 +51,8 @@
     free_cpu: int
     free_memory: int
     free_gpus: int
-    has_answered: bool  # it knows the fence, so it refuses orders of previous owners
+    # It knows the fence, so it refuses orders of previous owners; its ends are known.
+    has_answered: bool
     is_listed: bool  # the directory lists the worker
     is_silent: bool  # the last renewal was not answered
     _silent_since: float  # event-loop time, if it is silent
@@ -432,7 +433,8 @@
             for run in list(self.runs.values()):
                 if (run.key, run.number) not in listed:
                     self._settle_unlisted(run, sent_at)
-        self.has_answered = True
+        # Ends that are not listed yet may be those of tasks that seem to wait.
+        self.has_answered = self.has_answered or is_complete
         self._orders.resend_unanswered_stops()
         self._events.on_contact(self)
 
