Take a worker for ended only if the list shows a host that it left

What callers would see: a task that runs on a worker that is cut off is started on another one at once, and runs on both.

Cause: a worker counted as ended once two lists did not show it, if they showed all workers that answer. A list that leaves out its host, or a whole data centre, looks the same.

Class of fault: absence taken for evidence.

Change: the list must also show a host that the worker may have left, in its pool and data centre (or moving): one without a worker, or with one that has not run beside it. Each worker that is silent and missing needs such a host of its own. Workers without an entry have no known place, so any such host counts for them. The count of lists belongs to one life of a worker, no longer to its id. A death whose host is in the list is noticed as before, some 0.4 s after the silence. If the host is gone from the list as well, tasks wait for the lease.

Not known: whether the platform gives such lists. None was seen.

--- a/clementinespar/jobs/session_table.py
+++ b/clementinespar/jobs/session_table.py
@@ -9,6 +9,7 @@
     passed_over,
     services,
     team_use,
+    worker_deaths,
     worker_lease,
     worker_run,
     worker_session,
@@ -143,26 +144,32 @@
                 if session is not None:
                     session.is_evacuating = False
 
-    def find_silent(self) -> dict[str, float]:
-        """Return the silent workers that hold up tasks, as the death watch needs it."""
-        known_since = {
-            worker_id: self._worker_use.known_since(worker_id)
+    def find_known(self) -> dict[str, worker_deaths.KnownWorker]:
+        """Return the workers of sessions and of unsettled leases, by id."""
+        known = {
+            worker_id: worker_deaths.KnownWorker(
+                "", "", self._worker_use.known_since(worker_id), None, None, True, True
+            )
             for worker_id in self._worker_use.find_unsettled()
             if worker_id != worker_use.ANY_WORKER
         }
         for worker_id, session in self._sessions_by_id.items():
-            holds_up = session.runs or session.is_awaited
-            if session.is_silent and not session.is_dead and holds_up:
-                known_since[worker_id] = session.born_seen_at
-        return known_since
-
-    def find_responsive(self) -> set[str]:
-        """Return the workers that answer."""
-        return {
-            worker_id
-            for worker_id, session in self._sessions_by_id.items()
-            if session.has_answered and not session.is_silent
-        }
+            is_unsettled = worker_id in known
+            holds_up = bool(session.runs) or session.is_awaited
+            is_sought = session.is_silent and not session.is_dead and holds_up
+            known_since = session.born_seen_at
+            if is_unsettled and not is_sought:
+                known_since = known[worker_id].known_since
+            known[worker_id] = worker_deaths.KnownWorker(
+                session.entry.pool,
+                session.entry.data_centre,
+                known_since,
+                session.born_seen_at if session.has_answered else None,
+                session.alive_at if session.has_answered else None,
+                session.is_silent or is_unsettled,
+                is_sought or is_unsettled,
+            )
+        return known
 
     def in_pool(self, pool: str) -> list[worker_session.WorkerSession]:
         """Return the sessions of the workers of a pool."""
--- a/clementinespar/jobs/tests/fakes.py
+++ b/clementinespar/jobs/tests/fakes.py
@@ -187,6 +187,7 @@
     list_s: float  # time from the snapshot of the list to its answer
     list_lag_s: float  # a worker that is back is listed this much later
     host_lists: int  # that were asked for
+    omitted_hosts: set[str]  # ids of workers whose hosts the list leaves out
 
     def __init__(self, count: int = 2, pool: str = "quotes", cpu: int = 4000) -> None:
         self.by_id = {}
@@ -204,6 +205,7 @@
         self.list_s = 0.0
         self.list_lag_s = 0.0
         self.host_lists = 0
+        self.omitted_hosts = set()
         self.dropped_starts: set[str] = set()  # workers that got them
         self.acknowledged_done: set[model.TaskKey] = set()
         self.cpu_by_step: dict[tuple[str, int], int] = {}
@@ -267,6 +269,8 @@
         now = asyncio.get_running_loop().time()
         hosts = []
         for worker_id, worker in self.workers.items():
+            if worker_id in self.omitted_hosts:
+                continue
             is_up = now >= worker.listed_from and not worker.is_dead
             hosts.append(
                 model.HostEntry(
