Never give the epoch of a stopped owner again, and leave before joining anew

What callers would see: after an owner on a node has failed, or the node has left to larger ones, another task of their job may run under the number of an earlier run, and the end of one is taken for that of the other. Jobs that were taken over then may be lost by the next owner.

Cause: a node that leaves stops all its owners and forgets their epochs. If the call to leave is lost, the store still has the node as a member, and the next join returns the same generation. Each owner that had not failed itself then began again under the same epoch, so with the same run numbers and from sequence 0 of its log, which the store takes for repeats of appends that it has. A fleet owner began again with the same fencing token. A failed owner's partition had no owner until something else changed the group.

Class of fault: a call without an answer taken for one that was carried out.

Change: the epoch of each stopped owner counts as used, whatever stopped it. A node joins again only once the store has answered that it has left.

--- a/clementinespar/jobs/ownership.py
+++ b/clementinespar/jobs/ownership.py
@@ -53,9 +53,10 @@
     _fleet_partition: int
     _fleet_owner: FleetOwnerHandle | None
     _fleet_stack: contextlib.AsyncExitStack
-    _fleet_fenced_epoch: int  # last epoch of an owner of the fleet that was fenced out
+    _fleet_used_epoch: int  # last epoch of an owner of the fleet that was stopped
     _epochs: dict[int, int]  # generation in which each partition was assigned
-    _fenced_epochs: dict[int, int]  # last epoch that a later owner fenced out
+    _used_epochs: dict[int, int]  # last epoch of an owner that was stopped
+    _is_leaving: bool  # the store has not answered the call to leave
     _owner_names: dict[int, str]
     _owners_read_at: float  # event-loop time
     _larger_node_count: int  # larger owners at the last check
@@ -101,9 +102,10 @@
         self._fleet_partition = fleet_partition
         self._fleet_owner = None
         self._fleet_stack = contextlib.AsyncExitStack()
-        self._fleet_fenced_epoch = 0
+        self._fleet_used_epoch = 0
         self._epochs = {}
-        self._fenced_epochs = {}
+        self._used_epochs = {}
+        self._is_leaving = False
         self._owner_names = {}
         self._owners_read_at = -OWNERS_MAX_AGE_S
 
@@ -121,6 +123,8 @@
             if self.unanswered_since is None:
                 self.unanswered_since = sent_at
             try:
+                # The store would return the assignment that this node has given up.
+                await self._finish_leaving()
                 wait = await self._review()
                 if wait is not None:
                     self._mark_reached()
@@ -253,9 +257,8 @@
             del self._epochs[partition]
         for partition in assignment.partitions:
             # The epoch is the generation in which the partition was assigned. It stays
-            # as long as the assignment, unless a later owner has fenced it out.
-            fenced = self._fenced_epochs.get(partition, 0)
-            if self._epochs.get(partition, 0) <= fenced:
+            # as long as the assignment, unless its owner was stopped.
+            if self._epochs.get(partition, 0) <= self._used_epochs.get(partition, 0):
                 self._epochs[partition] = assignment.generation
         self.generation = assignment.generation
         self.assigned = assignment.partitions
@@ -264,7 +267,7 @@
         await self._apply_fleet(assignment.generation)
         for partition in assignment.partitions & self._wanted_partitions():
             epoch = self._epochs[partition]
-            is_usable = epoch > self._fenced_epochs.get(partition, 0)
+            is_usable = epoch > self._used_epochs.get(partition, 0)
             if partition not in self.owners_by_partition and is_usable:
                 await self._start_owner(partition, epoch)
 
@@ -289,12 +292,12 @@
         fleet_owner = self._fleet_owner
         if fleet_owner is not None and (fleet_owner.is_lost or not self.is_fleet_owner):
             self._fleet_owner = None
-            self._fleet_fenced_epoch = fleet_owner.epoch
+            self._fleet_used_epoch = fleet_owner.epoch
             await self._fleet_stack.aclose()
         if not self.is_fleet_owner or self._fleet_owner is not None:
             return
-        # After an owner was fenced out, the next one needs a later generation.
-        if generation > self._fleet_fenced_epoch:
+        # After an owner was stopped, the next one needs a later generation.
+        if generation > self._fleet_used_epoch:
             self._fleet_owner = await self._fleet_stack.enter_async_context(
                 self._own_fleet(generation)
             )
@@ -308,11 +311,11 @@
 
     async def _stop_owner(self, partition: int) -> None:
         owner = self.owners_by_partition.pop(partition)
-        if owner.is_lost:
-            # A fenced epoch is not used again: the next owner waits for a later
-            # generation.
-            self._fenced_epochs[partition] = owner.epoch
-            self._epochs.pop(partition, None)
+        # Two owners with one epoch would give the same run numbers, and the store would
+        # take records of the second for repeats. The next one waits for a later
+        # generation.
+        self._used_epochs[partition] = owner.epoch
+        self._epochs.pop(partition, None)
         owner.is_lost = True
         await self._stacks.pop(partition).aclose()
 
@@ -347,15 +350,22 @@
         """Stop all owners and leave the group."""
         for partition in list(self.owners_by_partition):
             await self._stop_owner(partition)
-        if self._fleet_owner is not None and self._fleet_owner.is_lost:
-            self._fleet_fenced_epoch = self._fleet_owner.epoch
+        if self._fleet_owner is not None:
+            self._fleet_used_epoch = self._fleet_owner.epoch
         self._fleet_owner = None
         await self._fleet_stack.aclose()
+        self._is_leaving = True
         try:
-            await self._group.leave()
+            await self._finish_leaving()
         except errors.ClementinesparError as error:
             self._log_event("leave_failed", code=int(error.code))
 
+    async def _finish_leaving(self) -> None:
+        """Call to leave, unless the store has answered that."""
+        if self._is_leaving:
+            await self._group.leave()
+            self._is_leaving = False
+
 
 @contextlib.asynccontextmanager
 async def run_ownership_manager(
--- a/clementinespar/jobs/tests/fakes.py
+++ b/clementinespar/jobs/tests/fakes.py
@@ -491,6 +491,7 @@
     drops_calls: bool
     owners: dict[int, str]
     leaves: int  # calls of `leave`
+    loses_leaves: bool  # calls of `leave` do nothing and get no answer
 
     def __init__(self, partitions: frozenset[int], generation: int = 1) -> None:
         self.member = "10.0.0.100:1/1/1000"
@@ -500,6 +501,7 @@
         self.drops_calls = False
         self.owners = {}
         self.leaves = 0
+        self.loses_leaves = False
 
     async def join(self, generation: int) -> services.Assignment:
         await asyncio.sleep(0.002)
@@ -512,6 +514,8 @@
     async def leave(self) -> None:
         """Count the call; the test sets the next assignment."""
         self.leaves += 1
+        if self.loses_leaves:
+            await _time_out_call()
 
     async def list_owners(self) -> Mapping[int, str]:
         if self.drops_calls:
--- a/clementinespar/jobs/tests/test_ownership.py
+++ b/clementinespar/jobs/tests/test_ownership.py
@@ -160,6 +160,25 @@
         assert harness.epochs == [1, 4]
 
 
+@paused_clock.test
+async def test_node_whose_leaving_was_lost_gives_no_epoch_twice() -> None:
+    """Guards against run numbers that are used again, as the store knows no leaving."""
+    harness = ManagerHarness(frozenset({PARTITION, FLEET_PARTITION}))
+    async with ownership.run_ownership_manager(harness.ownership_manager):
+        await asyncio.sleep(3.0)
+        harness.group.loses_leaves = True
+        harness.fleet_owners[0].is_lost = harness.fleet_owners[0].has_failed = True
+        await asyncio.sleep(3.0)
+        assert harness.epochs == [1]
+        assert not harness.ownership_manager.owners_by_partition
+        assert harness.group.leaves > 1
+        harness.group.loses_leaves = False
+        harness.assign(4, PARTITION, FLEET_PARTITION)
+        await asyncio.sleep(3.0)
+        assert harness.epochs == [1, 4]
+        assert [owner.epoch for owner in harness.fleet_owners] == [1, 4]
+
+
 @paused_clock.test
 async def test_fenced_fleet_owner_comes_back_with_a_later_generation() -> None:
     """Guards against waves that stop after the store has reassigned partitions."""
