Free a host only while ownership certainly lasts

What callers would see: lasting tasks end together, or short ones start over, as their host is moved or taken down for maintenance while they run.

Cause: the owner of a pool answers the owner of the hosts whether a worker is free. One that is cut off from the store answered from its own sessions for as long as it ran, though the store gives its partition away after the time to live (1.5 s), and the next owner may have started tasks on that worker. The list of owners, by which the other node finds it, may be 2 s old.

Class of fault: an answer for a partition that another process may own by now.

Change: a request to evacuate a worker is answered only while the ownership was confirmed so recently that it certainly lasts for another half second. Quotas had this rule; it is now `ownership.lasts` for both. Otherwise the answer is the one of a node that does not own the partition, so the caller reads the list of owners again. The owner of the hosts gives no orders itself without a confirmation of the last 1.2 s, so nothing is lost while the store is down for all.

Not covered: the order follows the answer by up to 3 s (`host_orders.FREE_MAX_AGE_S`), within which a next owner may begin, and it does not know of the evacuation.

Evidence: test_node_without_a_recent_confirmation_frees_no_host failed on (free 1.5 s after the last confirmation) and passes. 157 tests of ownership, quotas, service, fleet, orders to hosts, moved queues and early rejection pass.

--- a/clementinespar/jobs/ownership.py
+++ b/clementinespar/jobs/ownership.py
@@ -21,6 +21,25 @@
 # A node that stands by joins if the store has refused the list for this long; others do
 # so at once. One start of the store takes less.
 REFUSED_LIST_LIMIT_S = 5.0
+# Other nodes rely on an owner only if it was confirmed so recently that no other node
+# can be the owner for another half second.
+CONFIRMATION_MARGIN_S = 0.5
+
+
+def lasts(confirmed_at: float | None, ttl_s: float) -> bool:
+    """Whether ownership certainly lasts for `CONFIRMATION_MARGIN_S`.
+
+    Parameters
+    ----------
+    confirmed_at : float or None
+        Event-loop time at which the call that confirmed it was sent; None: none was.
+    ttl_s : float
+        As `services.OwnershipGroup.ttl_s`.
+    """
+    now = asyncio.get_running_loop().time()
+    return (
+        confirmed_at is not None and now - confirmed_at < ttl_s - CONFIRMATION_MARGIN_S
+    )
 
 
 class FleetOwnerHandle(Protocol):
@@ -113,6 +132,21 @@
         """Return when the last successful join was sent."""
         return self._confirmed_at
 
+    def check_lasting(self, partition: int) -> None:
+        """Raise unless this node certainly remains the owner for a while.
+
+        Raises
+        ------
+        errors.ClementinesparError
+            With ``JOB_OWNER_UNKNOWN``: another node may own the partition.
+        """
+        owner = self.owners_by_partition.get(partition)
+        if owner is None or not lasts(owner.confirmed_at(), self._group.ttl_s):
+            raise errors.ClementinesparError(
+                codes.ResultCode.JOB_OWNER_UNKNOWN,
+                "the ownership was not confirmed recently",
+            )
+
     async def run(self) -> None:
         """Join at intervals until cancelled."""
         loop = asyncio.get_running_loop()
--- a/clementinespar/jobs/quota_exchange.py
+++ b/clementinespar/jobs/quota_exchange.py
@@ -20,9 +20,6 @@
     telemetry,
 )
 
-# The ledger and the owners answer only while their ownership was confirmed so recently
-# that no other node can be the owner for another half second.
-CONFIRMATION_MARGIN_S = 0.5
 REQUEST_TIMEOUT_S = 0.4
 RECALL_TIMEOUT_S = 0.3
 # A request waits this long for recalls. Most are answered within a few milliseconds,
@@ -93,7 +90,7 @@
         self._wanted_partitions = wanted_partitions
         self._configuration = configuration
         self._transport = transport
-        self._confirmation_max_age_s = max(0.0, ttl_s - CONFIRMATION_MARGIN_S)
+        self._ttl_s = ttl_s
         self._caps_max_age_s = caps_max_age_s
         self._log_event = log_event
         self._metrics = metrics
@@ -130,11 +127,7 @@
 
     def may_act(self, confirmed_at: float | None) -> bool:
         """Whether ownership confirmed at a time certainly lasts for a while."""
-        now = asyncio.get_running_loop().time()
-        return (
-            confirmed_at is not None
-            and now - confirmed_at < self._confirmation_max_age_s
-        )
+        return ownership.lasts(confirmed_at, self._ttl_s)
 
     async def request(self, request: quota_messages.Request) -> quota_messages.Response:
         """Ask the ledger, here or at another node."""
--- a/clementinespar/jobs/service.py
+++ b/clementinespar/jobs/service.py
@@ -463,6 +463,7 @@
         parts = urllib.parse.urlsplit(path)
         _, kind, name = parts.path.split("/", 2)
         name = urllib.parse.unquote(name)
+        query = urllib.parse.parse_qs(parts.query)
         if kind == "jobs":
             job_state = owner.describe(name)
             return {"state": None if job_state is None else job_state.value}
@@ -479,12 +480,11 @@
         if kind == "waiting":
             return {"waiting": owner.count_waiting(name)}
         if kind == "evacuate":
-            query = urllib.parse.parse_qs(parts.query)
+            self.ownership_manager.check_lasting(owner.partition)
             kept_s = float(query["kept_s"][0])
             urgency = model.EvacuationUrgency(query["urgency"][0])
             return {"is_free": owner.evacuate(name, kept_s, urgency)}
         if kind == "load":
-            query = urllib.parse.parse_qs(parts.query)
             arriving = int(query.get("arriving", ["0"])[0])
             now = asyncio.get_running_loop().time()
             owner.waits.note_arriving_hosts(name, arriving, now)
--- a/clementinespar/jobs/tests/test_ownership.py
+++ b/clementinespar/jobs/tests/test_ownership.py
@@ -3,10 +3,19 @@
 import asyncio
 import contextlib
 import dataclasses
+import types
 from collections.abc import AsyncIterator, Mapping
 
-from clementinespar import codes, errors
-from clementinespar.jobs import ownership, pool_owner, services, standby, telemetry
+from clementinespar import codes, errors, http_calls
+from clementinespar.jobs import (
+    ownership,
+    partitions,
+    pool_owner,
+    service,
+    services,
+    standby,
+    telemetry,
+)
 from clementinespar.jobs.tests import fakes
 from clementinespar.tests import paused_clock
 
@@ -249,3 +258,32 @@
     member = standby.format_member("10.0.0.1:7060", 1_790_000_000_000, 516)
     assert standby.parse_core_millis(member) == 516
     assert standby.parse_core_millis("") == 0
+
+
+@paused_clock.test
+async def test_node_without_a_recent_confirmation_frees_no_host() -> None:
+    """Guards against a host that is taken away while the next owner uses it."""
+    harness = ManagerHarness(frozenset({PARTITION}))
+    jobs = service.JobService(
+        harness.ownership_manager,
+        partitions.PartitionMap(24),
+        types.SimpleNamespace(current=None, confirmed_at=None),
+        harness.store,
+        http_calls.HttpClient(),
+    )
+
+    def is_free() -> bool:
+        path = "/evacuate/quotes-0?kept_s=5&urgency=if_idle"
+        with contextlib.suppress(errors.ClementinesparError):
+            return bool(jobs.answer_peer(PARTITION, path)["is_free"])
+        return False
+
+    async with ownership.run_ownership_manager(harness.ownership_manager):
+        await asyncio.sleep(3.0)
+        assert is_free()
+        harness.group.is_down = True
+        await asyncio.sleep(harness.group.ttl_s)
+        assert not is_free()
+        harness.group.is_down = False
+        await asyncio.sleep(1.0)
+        assert is_free()
