--- a/clementinespar/jobs/ownership.py
+++ b/clementinespar/jobs/ownership.py
@@ -21,6 +21,25 @@
 # A node that stands by joins if the store has refused the list for this long; others do
 # so at once. One start of the store takes less.
 REFUSED_LIST_LIMIT_S = 5.0
+# Other nodes rely on an owner only if it was confirmed so recently that no other node
+# can be the owner for another half second.
+CONFIRMATION_MARGIN_S = 0.5
+
+
+def lasts(confirmed_at: float | None, ttl_s: float) -> bool:
+    """Whether ownership certainly lasts for `CONFIRMATION_MARGIN_S`.
+
+    Parameters
+    ----------
+    confirmed_at : float or None
+        Event-loop time at which the call that confirmed it was sent; None: none was.
+    ttl_s : float
+        As `services.OwnershipGroup.ttl_s`.
+    """
+    now = asyncio.get_running_loop().time()
+    return (
+        confirmed_at is not None and now - confirmed_at < ttl_s - CONFIRMATION_MARGIN_S
+    )
 
 
 class FleetOwnerHandle(Protocol):
@@ -53,9 +72,10 @@
     _fleet_partition: int
     _fleet_owner: FleetOwnerHandle | None
     _fleet_stack: contextlib.AsyncExitStack
-    _fleet_fenced_epoch: int  # last epoch of an owner of the fleet that was fenced out
+    _fleet_used_epoch: int  # last epoch of an owner of the fleet that was stopped
     _epochs: dict[int, int]  # generation in which each partition was assigned
-    _fenced_epochs: dict[int, int]  # last epoch that a later owner fenced out
+    _used_epochs: dict[int, int]  # last epoch of an owner that was stopped
+    _is_leaving: bool  # the store has not answered the call to leave
     _owner_names: dict[int, str]
     _owners_read_at: float  # event-loop time
     _larger_node_count: int  # larger owners at the last check
@@ -101,9 +121,10 @@
         self._fleet_partition = fleet_partition
         self._fleet_owner = None
         self._fleet_stack = contextlib.AsyncExitStack()
-        self._fleet_fenced_epoch = 0
+        self._fleet_used_epoch = 0
         self._epochs = {}
-        self._fenced_epochs = {}
+        self._used_epochs = {}
+        self._is_leaving = False
         self._owner_names = {}
         self._owners_read_at = -OWNERS_MAX_AGE_S
 
@@ -111,6 +132,21 @@
         """Return when the last successful join was sent."""
         return self._confirmed_at
 
+    def check_lasting(self, partition: int) -> None:
+        """Raise unless this node certainly remains the owner for a while.
+
+        Raises
+        ------
+        errors.ClementinesparError
+            With ``JOB_OWNER_UNKNOWN``: another node may own the partition.
+        """
+        owner = self.owners_by_partition.get(partition)
+        if owner is None or not lasts(owner.confirmed_at(), self._group.ttl_s):
+            raise errors.ClementinesparError(
+                codes.ResultCode.JOB_OWNER_UNKNOWN,
+                "the ownership was not confirmed recently",
+            )
+
     async def run(self) -> None:
         """Join at intervals until cancelled."""
         loop = asyncio.get_running_loop()
@@ -121,6 +157,8 @@
             if self.unanswered_since is None:
                 self.unanswered_since = sent_at
             try:
+                # The store would return the assignment that this node has given up.
+                await self._finish_leaving()
                 wait = await self._review()
                 if wait is not None:
                     self._mark_reached()
@@ -253,9 +291,8 @@
             del self._epochs[partition]
         for partition in assignment.partitions:
             # The epoch is the generation in which the partition was assigned. It stays
-            # as long as the assignment, unless a later owner has fenced it out.
-            fenced = self._fenced_epochs.get(partition, 0)
-            if self._epochs.get(partition, 0) <= fenced:
+            # as long as the assignment, unless its owner was stopped.
+            if self._epochs.get(partition, 0) <= self._used_epochs.get(partition, 0):
                 self._epochs[partition] = assignment.generation
         self.generation = assignment.generation
         self.assigned = assignment.partitions
@@ -264,7 +301,7 @@
         await self._apply_fleet(assignment.generation)
         for partition in assignment.partitions & self._wanted_partitions():
             epoch = self._epochs[partition]
-            is_usable = epoch > self._fenced_epochs.get(partition, 0)
+            is_usable = epoch > self._used_epochs.get(partition, 0)
             if partition not in self.owners_by_partition and is_usable:
                 await self._start_owner(partition, epoch)
 
@@ -292,12 +329,12 @@
         fleet_owner = self._fleet_owner
         if fleet_owner is not None and (fleet_owner.is_lost or not self.is_fleet_owner):
             self._fleet_owner = None
-            self._fleet_fenced_epoch = fleet_owner.epoch
+            self._fleet_used_epoch = fleet_owner.epoch
             await self._fleet_stack.aclose()
         if not self.is_fleet_owner or self._fleet_owner is not None:
             return
-        # After an owner was fenced out, the next one needs a later generation.
-        if generation > self._fleet_fenced_epoch:
+        # After an owner was stopped, the next one needs a later generation.
+        if generation > self._fleet_used_epoch:
             self._fleet_owner = await self._fleet_stack.enter_async_context(
                 self._own_fleet(generation)
             )
@@ -311,11 +348,11 @@
 
     async def _stop_owner(self, partition: int) -> None:
         owner = self.owners_by_partition.pop(partition)
-        if owner.is_lost:
-            # A fenced epoch is not used again: the next owner waits for a later
-            # generation.
-            self._fenced_epochs[partition] = owner.epoch
-            self._epochs.pop(partition, None)
+        # Two owners with one epoch would give the same run numbers, and the store would
+        # take records of the second for repeats. The next one waits for a later
+        # generation.
+        self._used_epochs[partition] = owner.epoch
+        self._epochs.pop(partition, None)
         owner.is_lost = True
         await self._stacks.pop(partition).aclose()
 
@@ -350,15 +387,22 @@
         """Stop all owners and leave the group."""
         for partition in list(self.owners_by_partition):
             await self._stop_owner(partition)
-        if self._fleet_owner is not None and self._fleet_owner.is_lost:
-            self._fleet_fenced_epoch = self._fleet_owner.epoch
+        if self._fleet_owner is not None:
+            self._fleet_used_epoch = self._fleet_owner.epoch
         self._fleet_owner = None
         await self._fleet_stack.aclose()
+        self._is_leaving = True
         try:
-            await self._group.leave()
+            await self._finish_leaving()
         except errors.ClementinesparError as error:
             self._log_event("leave_failed", code=int(error.code))
 
+    async def _finish_leaving(self) -> None:
+        """Call to leave, unless the store has answered that."""
+        if self._is_leaving:
+            await self._group.leave()
+            self._is_leaving = False
+
 
 @contextlib.asynccontextmanager
 async def run_ownership_manager(
--- a/clementinespar/jobs/tests/fakes.py
+++ b/clementinespar/jobs/tests/fakes.py
@@ -187,6 +187,7 @@
     list_s: float  # time from the snapshot of the list to its answer
     list_lag_s: float  # a worker that is back is listed this much later
     host_lists: int  # that were asked for
+    omitted_hosts: set[str]  # ids of workers whose hosts the list leaves out
 
     def __init__(self, count: int = 2, pool: str = "quotes", cpu: int = 4000) -> None:
         self.by_id = {}
@@ -204,6 +205,7 @@
         self.list_s = 0.0
         self.list_lag_s = 0.0
         self.host_lists = 0
+        self.omitted_hosts = set()
         self.dropped_starts: set[str] = set()  # workers that got them
         self.acknowledged_done: set[model.TaskKey] = set()
         self.cpu_by_step: dict[tuple[str, int], int] = {}
@@ -267,6 +269,8 @@
         now = asyncio.get_running_loop().time()
         hosts = []
         for worker_id, worker in self.workers.items():
+            if worker_id in self.omitted_hosts:
+                continue
             is_up = now >= worker.listed_from and not worker.is_dead
             hosts.append(
                 model.HostEntry(
@@ -487,6 +491,7 @@
     drops_calls: bool
     owners: dict[int, str]
     leaves: int  # calls of `leave`
+    loses_leaves: bool  # calls of `leave` do nothing and get no answer
 
     def __init__(self, partitions: frozenset[int], generation: int = 1) -> None:
         self.member = "10.0.0.100:1/1/1000"
@@ -496,6 +501,7 @@
         self.drops_calls = False
         self.owners = {}
         self.leaves = 0
+        self.loses_leaves = False
 
     async def join(self, generation: int) -> services.Assignment:
         await asyncio.sleep(0.002)
@@ -508,6 +514,8 @@
     async def leave(self) -> None:
         """Count the call; the test sets the next assignment."""
         self.leaves += 1
+        if self.loses_leaves:
+            await _time_out_call()
 
     async def list_owners(self) -> Mapping[int, str]:
         if self.drops_calls:
--- a/clementinespar/jobs/tests/test_ownership.py
+++ b/clementinespar/jobs/tests/test_ownership.py
@@ -3,10 +3,19 @@
 import asyncio
 import contextlib
 import dataclasses
+import types
 from collections.abc import AsyncIterator, Mapping
 
-from clementinespar import codes, errors
-from clementinespar.jobs import ownership, pool_owner, services, standby, telemetry
+from clementinespar import codes, errors, http_calls
+from clementinespar.jobs import (
+    ownership,
+    partitions,
+    pool_owner,
+    service,
+    services,
+    standby,
+    telemetry,
+)
 from clementinespar.jobs.tests import fakes
 from clementinespar.tests import paused_clock
 
@@ -160,6 +169,25 @@
         assert harness.epochs == [1, 4]
 
 
+@paused_clock.test
+async def test_node_whose_leaving_was_lost_gives_no_epoch_twice() -> None:
+    """Guards against run numbers that are used again, as the store knows no leaving."""
+    harness = ManagerHarness(frozenset({PARTITION, FLEET_PARTITION}))
+    async with ownership.run_ownership_manager(harness.ownership_manager):
+        await asyncio.sleep(3.0)
+        harness.group.loses_leaves = True
+        harness.fleet_owners[0].is_lost = harness.fleet_owners[0].has_failed = True
+        await asyncio.sleep(3.0)
+        assert harness.epochs == [1]
+        assert not harness.ownership_manager.owners_by_partition
+        assert harness.group.leaves > 1
+        harness.group.loses_leaves = False
+        harness.assign(4, PARTITION, FLEET_PARTITION)
+        await asyncio.sleep(3.0)
+        assert harness.epochs == [1, 4]
+        assert [owner.epoch for owner in harness.fleet_owners] == [1, 4]
+
+
 @paused_clock.test
 async def test_fenced_fleet_owner_comes_back_with_a_later_generation() -> None:
     """Guards against waves that stop after the store has reassigned partitions."""
@@ -230,3 +258,32 @@
     member = standby.format_member("10.0.0.1:7060", 1_790_000_000_000, 516)
     assert standby.parse_core_millis(member) == 516
     assert standby.parse_core_millis("") == 0
+
+
+@paused_clock.test
+async def test_node_without_a_recent_confirmation_frees_no_host() -> None:
+    """Guards against a host that is taken away while the next owner uses it."""
+    harness = ManagerHarness(frozenset({PARTITION}))
+    jobs = service.JobService(
+        harness.ownership_manager,
+        partitions.PartitionMap(24),
+        types.SimpleNamespace(current=None, confirmed_at=None),
+        harness.store,
+        http_calls.HttpClient(),
+    )
+
+    def is_free() -> bool:
+        path = "/evacuate/quotes-0?kept_s=5&urgency=if_idle"
+        with contextlib.suppress(errors.ClementinesparError):
+            return bool(jobs.answer_peer(PARTITION, path)["is_free"])
+        return False
+
+    async with ownership.run_ownership_manager(harness.ownership_manager):
+        await asyncio.sleep(3.0)
+        assert is_free()
+        harness.group.is_down = True
+        await asyncio.sleep(harness.group.ttl_s)
+        assert not is_free()
+        harness.group.is_down = False
+        await asyncio.sleep(1.0)
+        assert is_free()
