Place nothing while ownership is too old for a lease

What callers saw: nothing directly; what operators saw was an owner out of touch with the store that logged 40 starts a second for each task, each dropped at once, with a counted start, a run number and a `run_gone` line.

Cause: a round of placement asked only whether there had been a confirmation, while the order asked whether it still allows a lease, which it does not from 0.15 s before the end. `start` was logged and counted before the order asked.

Change: both ask worker_lease.find_owner_obstacle. Without a lease to grant, the round that is wanted waits, and looks for a new confirmation every 0.05 s; it is not left to the next report or to housekeeping. `start` is logged and counted once the order has its lease. A connection that is refused after that still counts as a start, as before; its number is not given back, since a second run under one number is worse than a gap.

--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -383,9 +383,9 @@
         while True:
             await self._jobs.schedule_wanted.wait()
             await asyncio.sleep(SCHEDULE_SPACING_S)
+            await worker_lease.wait_until_grantable(self.confirmed_at, self._lease_s)
             self._jobs.schedule_wanted.clear()
-            if self.is_loaded and self.confirmed_at() is not None:
-                self._round.run(asyncio.get_running_loop().time())
+            self._round.run(asyncio.get_running_loop().time())
 
     async def run_housekeeping(self) -> None:
         """Refresh sessions, open due occurrences and delete expired state."""
--- a/clementinespar/jobs/recorded_starts.py
+++ b/clementinespar/jobs/recorded_starts.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import dataclasses
+import functools
 from collections.abc import Sequence
 
 from clementinespar.jobs import crash_counts, services, state, telemetry, worker_run
@@ -106,17 +107,27 @@
             run.started_at = run.answered_at = run.percent_at = now
             if start.is_isolated:
                 run.session.isolated_until = now + crash_counts.PRIME_SUSPECT_S
-            self._metrics.count_start()
-            self._log_event(
-                "start",
-                job=job.spec.job_id,
-                task=run.key.name_in_job,
-                run=run.number,
-                worker=run.session.entry.worker_id,
-                slack_ms=int((job.deadline - now) * 1000),
-                **run.session.describe_lease(),
+            run.session.start(
+                run,
+                job.spec.payload,
+                start.task.saved,
+                functools.partial(self._record_sent, job, run),
+                start.ticket,
             )
-            run.session.start(run, job.spec.payload, start.task.saved, start.ticket)
+
+    def _record_sent(self, job: state.JobProgress, run: worker_run.Run) -> None:
+        """Log and count a start whose order has got a lease."""
+        now = asyncio.get_running_loop().time()
+        self._metrics.count_start()
+        self._log_event(
+            "start",
+            job=job.spec.job_id,
+            task=run.key.name_in_job,
+            run=run.number,
+            worker=run.session.entry.worker_id,
+            slack_ms=int((job.deadline - now) * 1000),
+            **run.session.describe_lease(),
+        )
 
 
 def _find_obstacle(item: _Unsent, now: float) -> str:
--- a/clementinespar/jobs/tests/test_two_owners.py
+++ b/clementinespar/jobs/tests/test_two_owners.py
@@ -154,3 +154,27 @@
         harness.assign(6, test_ownership.FLEET_PARTITION)
         await asyncio.sleep(1.0)
         assert [owner.fence_checks for owner in harness.fleet_owners] == [1]
+
+
+@pytest.mark.parametrize("outage_s", [7.0, 7.1, 7.2, 7.3, 7.4])
+@paused_clock.test
+async def test_owner_out_of_touch_places_nothing_and_starts_at_once_after_it(
+    outage_s: float,
+) -> None:
+    """Guards against starts without a lease, and late ones after an outage."""
+    workers = fakes.FakeWorkers(1)
+    harness = helpers.OwnerHarness(workers)
+    await harness.submit(helpers.make_spec("a", 1, is_lasting=True))
+    async with helpers.run_owner(harness) as owner:
+        await asyncio.sleep(3.0)
+        harness.confirmed_at = asyncio.get_running_loop().time()
+        await asyncio.sleep(outage_s)
+        (worker,) = workers.workers.values()
+        assert not worker.running
+        task = owner.jobs_by_id["a"].occurrences[0].steps[0].tasks[0]
+        assert task.last_run == 1
+        harness.confirmed_at = None
+        await asyncio.sleep(0.15)
+    events = [event for event, _ in harness.events if event in ("start", "run_gone")]
+    assert events == ["start", "start"]
+    assert [run for _, run, _ in workers.starts] == [1, 2]
--- a/clementinespar/jobs/worker_lease.py
+++ b/clementinespar/jobs/worker_lease.py
@@ -6,12 +6,16 @@
 
 import asyncio
 import enum
+from collections.abc import Callable
 
 from clementinespar.jobs import worker_run
 
 # A worker's clock may run 2% slow, so a lease lasts that much longer in real time.
 MIN_CLOCK_RATE = 0.98
 LEASE_MARGIN_S = 0.15  # network and timer delay beyond the end of a lease
+# An owner without a lease to grant looks this often for a new confirmation. Between two
+# joins of the group, `ownership.JOIN_INTERVAL_S`, it does so several times.
+CONFIRMATION_CHECK_S = 0.05
 
 
 class Obstacle(enum.Enum):
@@ -23,6 +27,44 @@
     UNRECORDED = "the store does not list the worker as in use"
 
 
+def find_owner_obstacle(
+    confirmed: float | None, lease_s: float, now: float
+) -> Obstacle | None:
+    """Return why an owner grants no lease to any worker, or None if it may.
+
+    Parameters
+    ----------
+    confirmed : float, optional
+        Event-loop time at which the last confirmation of ownership was sent.
+    lease_s : float
+        Longest lease in seconds, counted from the confirmation.
+    now : float
+        Event-loop time.
+    """
+    if confirmed is None:
+        return Obstacle.UNCONFIRMED
+    if confirmed + lease_s - now < LEASE_MARGIN_S:
+        return Obstacle.CONFIRMATION_OLD
+    return None
+
+
+async def wait_until_grantable(
+    confirmed_at: Callable[[], float | None], lease_s: float
+) -> None:
+    """Wait until an owner may grant leases; returns at once if it may now.
+
+    Parameters
+    ----------
+    confirmed_at : callable
+        Returns when the last call that confirmed ownership was sent.
+    lease_s : float
+        Longest lease in seconds, counted from the confirmation.
+    """
+    loop = asyncio.get_running_loop()
+    while find_owner_obstacle(confirmed_at(), lease_s, loop.time()) is not None:
+        await asyncio.sleep(CONFIRMATION_CHECK_S)
+
+
 class WorkerLease:
     """The lease on one worker, as one owner grants it.
 
@@ -73,16 +115,14 @@
 
     def find_obstacle(self) -> Obstacle | None:
         """Return why the worker gets no lease at present, or None if it does."""
-        confirmed = self._events.confirmed_at()
-        if confirmed is None:
-            return Obstacle.UNCONFIRMED
+        now = asyncio.get_running_loop().time()
+        obstacle = find_owner_obstacle(self._events.confirmed_at(), self._lease_s, now)
+        if obstacle is not None:
+            return obstacle
         if self._clock_ms is None:
             return Obstacle.CLOCK_UNKNOWN
         if not self._events.may_lease(self._worker_id):
             return Obstacle.UNRECORDED
-        now = asyncio.get_running_loop().time()
-        if confirmed + self._lease_s - now < LEASE_MARGIN_S:
-            return Obstacle.CONFIRMATION_OLD
         return None
 
     def has_ended(self) -> bool:
--- a/clementinespar/jobs/worker_orders.py
+++ b/clementinespar/jobs/worker_orders.py
@@ -5,7 +5,7 @@
 
 import asyncio
 import typing
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 
 from clementinespar import codes, errors
 from clementinespar.jobs import model, services, telemetry, worker_run
@@ -42,10 +42,21 @@
         return frozenset(self._pending)
 
     def start(
-        self, run: worker_run.Run, payload: str, saved: str, ticket: str = ""
+        self,
+        run: worker_run.Run,
+        payload: str,
+        saved: str,
+        on_sent: Callable[[], None],
+        ticket: str = "",
     ) -> None:
-        """Send the order to start a run, which must be tracked already."""
-        self._spawn(self._start(run, payload, saved, ticket), run)
+        """Send the order to start a run, which must be tracked already.
+
+        Parameters
+        ----------
+        on_sent : callable
+            Called once the order has got its lease, just before it is sent.
+        """
+        self._spawn(self._start(run, payload, saved, on_sent, ticket), run)
 
     def stop(self, run: worker_run.Run, reason: str) -> None:
         """Send the order to stop a run, unless it is being stopped already."""
@@ -103,7 +114,12 @@
                 run.status = worker_run.RunStatus.OPEN
 
     async def _start(
-        self, run: worker_run.Run, payload: str, saved: str, ticket: str
+        self,
+        run: worker_run.Run,
+        payload: str,
+        saved: str,
+        on_sent: Callable[[], None],
+        ticket: str,
     ) -> None:
         loop = asyncio.get_running_loop()
         obstacle = self._session.lease.find_obstacle()
@@ -115,6 +131,7 @@
         order = model.StartOrder(
             run.key, run.number, payload, until, self._session.fence, saved, ticket
         )
+        on_sent()
         try:
             answer = await self._client.start(self._session.entry, order)
         except errors.ClementinesparError as error:
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 
 from clementinespar import background, errors
 from clementinespar.jobs import (
@@ -231,10 +232,15 @@
         return True
 
     def start(
-        self, run: worker_run.Run, payload: str, saved: str, ticket: str = ""
+        self,
+        run: worker_run.Run,
+        payload: str,
+        saved: str,
+        on_sent: Callable[[], None],
+        ticket: str = "",
     ) -> None:
         """Send the order to start a run, which must be tracked already."""
-        self._orders.start(run, payload, saved, ticket)
+        self._orders.start(run, payload, saved, on_sent, ticket)
 
     def abandon(self, run: worker_run.Run, reason: str) -> None:
         """Drop a run whose start was not sent or not carried out."""
