Keep the run numbers of an owner below those of the next one

What callers saw: a task on two workers at once; or a lasting task that did not start for some seconds after a change of owner.

Cause: an epoch has 1,000 run numbers, and the next owner knows only the epoch that is stored. An owner that used more for one task reached into the numbers of the next one. A lasting task is restarted without a delay and without a limit, so 1,000 restarts within one epoch need no fault but its own. Then (1) an end that the next owner hears of late, of run 1001 of the former owner, freed the task while run 1001 of the next owner was executing; (2) workers refuse numbers up to the highest that ended there, so the task waited 26 ms for each number by which the former owner was beyond its range.

Change: an owner uses only numbers that are below those of the next one by what is stored. When fewer than 100 are left, it lowers the stored epoch from which the numbers of the job count (one range of 1,000 for each), and uses the new numbers once that is stored. Until then the task waits. Numbers of all later owners rise by the same amount.

It skips 0, which stands for none.

--- a/clementinespar/jobs/placement_round.py
+++ b/clementinespar/jobs/placement_round.py
@@ -228,8 +228,9 @@
         if self._is_held_back(pool, kind, free_capacity, now):
             return
         risk_version = job.risk_version
+        missing_ranges = job.missing_ranges
         self._placer.place(job, free_capacity, now)
-        if job.risk_version != risk_version:
+        if job.risk_version != risk_version or job.missing_ranges != missing_ranges:
             self._jobs.store_soon(job)
         if job.has_started:
             self._waits.note_start(job, now)
--- a/clementinespar/jobs/progress_writer.py
+++ b/clementinespar/jobs/progress_writer.py
@@ -117,6 +117,7 @@
             if not occurrence.is_stored
         ]
         versions = [(job, job.crash_version, job.risk_version) for job in dirty]
+        epochs = [(job, job.extended_epoch()) for job in dirty]
         finals = [job for job in dirty if job.is_final]
         if records:
             await self._append(records)
@@ -136,6 +137,9 @@
                 job.stored_crash_version = crash_version
                 job.stored_risk_version = risk_version
                 self._jobs.schedule_wanted.set()
+        for job, epoch in epochs:
+            if job.extend_ranges(epoch):
+                self._jobs.schedule_wanted.set()
         for occurrence in opened:
             occurrence.is_stored = True
             self._jobs.schedule_wanted.set()
--- a/clementinespar/jobs/state.py
+++ b/clementinespar/jobs/state.py
@@ -14,9 +14,12 @@
 from clementinespar import decoding
 from clementinespar.jobs import model, resources
 
-# Run numbers for each epoch. If a task has no more runs than this under one owner, all
-# its runs under the next owner have higher numbers.
+# Run numbers for each epoch. All numbers of an owner are below those of the next one,
+# which knows only the epoch that is stored with the job: see `JobProgress.may_use`.
 RUNS_PER_EPOCH = 1000
+# An owner adds numbers when fewer are left. At 40 starts a second, the most that
+# `worker_session.RENEW_SPACING_S` allows, they last longer than a record takes.
+SPARE_RUNS = 100
 _SPECS = pydantic.TypeAdapter(model.JobSpec)
 
 
@@ -135,6 +138,7 @@
         "state",
         "occurrences",
         "first_epoch",
+        "missing_ranges",
         "adopted_epoch",
         "is_adopted",
         "has_started",
@@ -155,7 +159,10 @@
     spec: model.JobSpec
     state: model.JobState
     occurrences: dict[int, Occurrence]
-    first_epoch: int  # epoch of the first owner that adopted the job; 0: none
+    # Epoch from which run numbers count: that of the first owner which adopted the job,
+    # less one for each range of numbers that was added; 0: none.
+    first_epoch: int
+    missing_ranges: int  # of `RUNS_PER_EPOCH` numbers, which the next record adds
     adopted_epoch: int  # this owner's epoch if it adopted the job, else `first_epoch`
     is_adopted: bool  # the adoption is stored, so tasks may start
     has_started: bool
@@ -179,6 +186,7 @@
         self.state = model.JobState.QUEUED
         self.occurrences = {}
         self.first_epoch = 0
+        self.missing_ranges = 0
         self.adopted_epoch = 0
         self.is_adopted = False
         self.has_started = False
@@ -246,6 +254,31 @@
         base = (epoch - self.first_epoch) * RUNS_PER_EPOCH
         return max(base, task.last_run) + 1
 
+    def may_use(self, run: int, epoch: int) -> bool:
+        """Whether a run number is below those of the next owner, by what is stored.
+
+        If it is not, or will soon not be, also sets `missing_ranges`, and the caller
+        has to store the job.
+        """
+        left = (epoch - self.first_epoch + 1) * RUNS_PER_EPOCH - run
+        missing = -((left - SPARE_RUNS) // RUNS_PER_EPOCH)
+        self.missing_ranges = max(self.missing_ranges, missing)
+        return left >= 0
+
+    def extended_epoch(self) -> int:
+        """Return the `first_epoch` of the next record, with the missing ranges."""
+        if not self.missing_ranges:
+            return self.first_epoch
+        return self.first_epoch - self.missing_ranges or -1  # 0 stands for none
+
+    def extend_ranges(self, stored_epoch: int) -> bool:
+        """Use the numbers that a stored record has added; False if there are none."""
+        if stored_epoch == self.first_epoch:
+            return False
+        self.first_epoch = stored_epoch
+        self.missing_ranges = 0
+        return True
+
     def remaining_ms(self, estimate_ms: Callable[[model.StepSpec], float]) -> float:
         """Return the estimated duration of the longest chain of remaining steps."""
         total = 0.0
@@ -272,7 +305,7 @@
 
 def encode_progress(job: JobProgress) -> bytes:
     """Return the stored form of a job's progress."""
-    fields: dict[str, object] = {"epoch": job.first_epoch}
+    fields: dict[str, object] = {"epoch": job.extended_epoch()}
     if job.is_final:
         fields["state"] = job.state.value
         fields["final_ms"] = job.final_ms
--- a/clementinespar/jobs/task_placer.py
+++ b/clementinespar/jobs/task_placer.py
@@ -102,6 +102,9 @@
         left = len(indexes)
         for index in sorted(indexes):
             task = step.tasks[index]
+            number = job.next_run(task, self._epoch)
+            if not job.may_use(number, self._epoch):
+                continue
             if not fits(job.spec.team, step.spec):
                 if (
                     self._is_lacking(job)
@@ -123,9 +126,7 @@
                 session.isolated_until = now + crash_counts.PRIME_SUSPECT_S
             counts[session.entry.worker_id] += 1
             ticket = tickets_by_worker_id.get(session.entry.worker_id, "")
-            run = self._add_run(
-                job, step, task, job.next_run(task, self._epoch), session
-            )
+            run = self._add_run(job, step, task, number, session)
             self._starts.submit(
                 job, [recorded_starts.Start(task, run, ticket, is_isolated)]
             )
@@ -225,6 +226,9 @@
         tickets_by_worker_id: dict[str, str],
     ) -> None:
         """Start all members under one run number, or none of them."""
+        number = max(job.next_run(task, self._epoch) for task in step.tasks)
+        if not job.may_use(number, self._epoch):
+            return
         if not self._quotas.shares.fits(job.spec.team, step.spec, len(step.tasks)):
             if (
                 self._is_lacking(job)
@@ -235,7 +239,6 @@
         chosen = free_capacity.choose_gang(step.spec, len(step.tasks))
         if chosen is None:
             return
-        number = max(job.next_run(task, self._epoch) for task in step.tasks)
         saved = max((task.saved for task in step.tasks), default="")
         starts = []
         for task, session in zip(step.tasks, chosen, strict=True):
