Give no epoch to a second owner on the same node

What callers saw: a task on two workers at once, both runs under one number and one fence. It needs an owner that has ended by itself, or a node that left the group to larger ones, with a call to leave that the store did not carry out.

Cause: the node joined again under its name, so the generation was as before, and with it the epoch of a partition that was assigned in that generation. Only epochs of owners that were lost were kept from being used again. The second owner took the jobs that the first had adopted for its own, so it did not wait for the leases of the first one, and its run numbers began at 1 again. The store took its first appends for repeats of those of the first owner.

Change: no epoch is used again, whatever ended its owner, and the same for the owner of the hosts. If a node joins in the generation that it has left without an answer, it leaves again until the store has answered or the generation has changed, as the partition would have no owner otherwise.

--- a/clementinespar/jobs/ownership.py
+++ b/clementinespar/jobs/ownership.py
@@ -53,9 +53,12 @@
     _fleet_partition: int
     _fleet_owner: FleetOwnerHandle | None
     _fleet_stack: contextlib.AsyncExitStack
-    _fleet_fenced_epoch: int  # last epoch of an owner of the fleet that was fenced out
+    _fleet_fenced_epoch: int  # of the last owner of the fleet that has ended here
     _epochs: dict[int, int]  # generation in which each partition was assigned
-    _fenced_epochs: dict[int, int]  # last epoch that a later owner fenced out
+    _used_epochs: dict[int, int]  # of the last owner that has ended here
+    # Generation that this node left without an answer, so it may still be a member as
+    # before; 0: none.
+    _open_generation: int
     _owner_names: dict[int, str]
     _owners_read_at: float  # event-loop time
     _larger_node_count: int  # larger owners at the last check
@@ -103,7 +106,8 @@
         self._fleet_stack = contextlib.AsyncExitStack()
         self._fleet_fenced_epoch = 0
         self._epochs = {}
-        self._fenced_epochs = {}
+        self._used_epochs = {}
+        self._open_generation = 0
         self._owner_names = {}
         self._owners_read_at = -OWNERS_MAX_AGE_S
 
@@ -225,6 +229,7 @@
 
     async def _leave(self) -> None:
         """Give up all partitions; the next join begins anew."""
+        self._open_generation = max(self._open_generation, self.generation)
         await self.close()
         self._epochs.clear()
         self.generation = 0
@@ -233,7 +238,8 @@
 
     async def _apply(self, assignment: services.Assignment, sent_at: float) -> None:
         owners = [*self.owners_by_partition.values(), self._fleet_owner]
-        if any(owner is not None and owner.has_failed for owner in owners):
+        has_failed = any(owner is not None and owner.has_failed for owner in owners)
+        if has_failed or assignment.generation == self._open_generation:
             # Only a later generation gives the partition an owner again.
             await self._leave()
             return
@@ -253,9 +259,9 @@
             del self._epochs[partition]
         for partition in assignment.partitions:
             # The epoch is the generation in which the partition was assigned. It stays
-            # as long as the assignment, unless a later owner has fenced it out.
-            fenced = self._fenced_epochs.get(partition, 0)
-            if self._epochs.get(partition, 0) <= fenced:
+            # as long as the assignment, unless its owner has ended.
+            used = self._used_epochs.get(partition, 0)
+            if self._epochs.get(partition, 0) <= used:
                 self._epochs[partition] = assignment.generation
         self.generation = assignment.generation
         self.assigned = assignment.partitions
@@ -264,7 +270,7 @@
         await self._apply_fleet(assignment.generation)
         for partition in assignment.partitions & self._wanted_partitions():
             epoch = self._epochs[partition]
-            is_usable = epoch > self._fenced_epochs.get(partition, 0)
+            is_usable = epoch > self._used_epochs.get(partition, 0)
             if partition not in self.owners_by_partition and is_usable:
                 await self._start_owner(partition, epoch)
 
@@ -308,11 +314,10 @@
 
     async def _stop_owner(self, partition: int) -> None:
         owner = self.owners_by_partition.pop(partition)
-        if owner.is_lost:
-            # A fenced epoch is not used again: the next owner waits for a later
-            # generation.
-            self._fenced_epochs[partition] = owner.epoch
-            self._epochs.pop(partition, None)
+        # Run numbers of an epoch would begin anew, so it is not used again: the next
+        # owner waits for a later generation.
+        self._used_epochs[partition] = owner.epoch
+        self._epochs.pop(partition, None)
         owner.is_lost = True
         await self._stacks.pop(partition).aclose()
 
@@ -347,7 +352,7 @@
         """Stop all owners and leave the group."""
         for partition in list(self.owners_by_partition):
             await self._stop_owner(partition)
-        if self._fleet_owner is not None and self._fleet_owner.is_lost:
+        if self._fleet_owner is not None:
             self._fleet_fenced_epoch = self._fleet_owner.epoch
         self._fleet_owner = None
         await self._fleet_stack.aclose()
@@ -355,6 +360,8 @@
             await self._group.leave()
         except errors.ClementinesparError as error:
             self._log_event("leave_failed", code=int(error.code))
+        else:
+            self._open_generation = 0
 
 
 @contextlib.asynccontextmanager
--- a/clementinespar/jobs/tests/fakes.py
+++ b/clementinespar/jobs/tests/fakes.py
@@ -487,6 +487,7 @@
     drops_calls: bool
     owners: dict[int, str]
     leaves: int  # calls of `leave`
+    lost_leaves: int  # next calls of `leave` that do nothing and are not answered
 
     def __init__(self, partitions: frozenset[int], generation: int = 1) -> None:
         self.member = "10.0.0.100:1/1/1000"
@@ -496,6 +497,7 @@
         self.drops_calls = False
         self.owners = {}
         self.leaves = 0
+        self.lost_leaves = 0
 
     async def join(self, generation: int) -> services.Assignment:
         await asyncio.sleep(0.002)
@@ -508,6 +510,9 @@
     async def leave(self) -> None:
         """Count the call; the test sets the next assignment."""
         self.leaves += 1
+        if self.lost_leaves:
+            self.lost_leaves -= 1
+            await _time_out_call()
 
     async def list_owners(self) -> Mapping[int, str]:
         if self.drops_calls:
--- a/clementinespar/jobs/tests/test_run_numbers.py
+++ b/clementinespar/jobs/tests/test_run_numbers.py
@@ -5,8 +5,8 @@
 import pytest
 from hypothesis import given, strategies
 
-from clementinespar.jobs import model, state
-from clementinespar.jobs.tests import fakes, helpers
+from clementinespar.jobs import model, ownership, services, state
+from clementinespar.jobs.tests import fakes, helpers, test_ownership
 from clementinespar.tests import paused_clock
 
 USED_UP = state.RUNS_PER_EPOCH + 100
@@ -101,3 +101,34 @@
         restored.occurrences[0].steps[0].tasks[0], epoch + 1
     )
     assert first_of_next > number
+
+
+@paused_clock.test
+async def test_epoch_is_not_used_again_where_leaving_the_group_has_failed() -> None:
+    """Guards against two runs of one number: the node is still a member as before.
+
+    The second owner has not heard of the worker of the first run.
+    """
+    partitions = frozenset({test_ownership.PARTITION, test_ownership.FLEET_PARTITION})
+    harness = test_ownership.ManagerHarness(partitions)
+    workers = harness.workers = fakes.FakeWorkers(2)
+    workers.lasting_jobs.add("a")
+    spec = helpers.make_spec("a", 1, is_lasting=True)
+    await harness.store.append(
+        services.Topic.COMMANDS,
+        test_ownership.PARTITION,
+        [services.KeyedRecord("ja", state.encode_spec(spec))],
+    )
+    async with ownership.run_ownership_manager(harness.ownership_manager):
+        await asyncio.sleep(3.0)
+        workers.cut_for.add((workers.starts[0][2], 1))
+        harness.group.lost_leaves = 3
+        harness.fleet_owners[0].is_lost = harness.fleet_owners[0].has_failed = True
+        await asyncio.sleep(6.0)
+        assert not workers.violations
+        assert harness.epochs == [1]
+        assert harness.group.leaves == 4
+        harness.assign(2, *partitions)
+        await asyncio.sleep(2.0)
+    assert not workers.violations
+    assert harness.epochs == [1, 2]
