--- a/clementinespar/jobs/ownership.py
+++ b/clementinespar/jobs/ownership.py
@@ -72,10 +72,12 @@
     _fleet_partition: int
     _fleet_owner: FleetOwnerHandle | None
     _fleet_stack: contextlib.AsyncExitStack
-    _fleet_used_epoch: int  # last epoch of an owner of the fleet that was stopped
+    _fleet_used_epoch: int  # of the last owner of the fleet that has ended here
     _epochs: dict[int, int]  # generation in which each partition was assigned
-    _used_epochs: dict[int, int]  # last epoch of an owner that was stopped
-    _is_leaving: bool  # the store has not answered the call to leave
+    _used_epochs: dict[int, int]  # of the last owner that has ended here
+    # Generation that this node left without an answer, so it may still be a member as
+    # before; 0: none.
+    _open_generation: int
     _owner_names: dict[int, str]
     _owners_read_at: float  # event-loop time
     _larger_node_count: int  # larger owners at the last check
@@ -124,7 +126,7 @@
         self._fleet_used_epoch = 0
         self._epochs = {}
         self._used_epochs = {}
-        self._is_leaving = False
+        self._open_generation = 0
         self._owner_names = {}
         self._owners_read_at = -OWNERS_MAX_AGE_S
 
@@ -157,8 +159,6 @@
             if self.unanswered_since is None:
                 self.unanswered_since = sent_at
             try:
-                # The store would return the assignment that this node has given up.
-                await self._finish_leaving()
                 wait = await self._review()
                 if wait is not None:
                     self._mark_reached()
@@ -263,6 +263,7 @@
 
     async def _leave(self) -> None:
         """Give up all partitions; the next join begins anew."""
+        self._open_generation = max(self._open_generation, self.generation)
         await self.close()
         self._epochs.clear()
         self.generation = 0
@@ -271,7 +272,8 @@
 
     async def _apply(self, assignment: services.Assignment, sent_at: float) -> None:
         owners = [*self.owners_by_partition.values(), self._fleet_owner]
-        if any(owner is not None and owner.has_failed for owner in owners):
+        has_failed = any(owner is not None and owner.has_failed for owner in owners)
+        if has_failed or assignment.generation == self._open_generation:
             # Only a later generation gives the partition an owner again.
             await self._leave()
             return
@@ -291,8 +293,9 @@
             del self._epochs[partition]
         for partition in assignment.partitions:
             # The epoch is the generation in which the partition was assigned. It stays
-            # as long as the assignment, unless its owner was stopped.
-            if self._epochs.get(partition, 0) <= self._used_epochs.get(partition, 0):
+            # as long as the assignment, unless its owner has ended.
+            used = self._used_epochs.get(partition, 0)
+            if self._epochs.get(partition, 0) <= used:
                 self._epochs[partition] = assignment.generation
         self.generation = assignment.generation
         self.assigned = assignment.partitions
@@ -333,7 +336,7 @@
             await self._fleet_stack.aclose()
         if not self.is_fleet_owner or self._fleet_owner is not None:
             return
-        # After an owner was stopped, the next one needs a later generation.
+        # After an owner has ended, the next one needs a later generation.
         if generation > self._fleet_used_epoch:
             self._fleet_owner = await self._fleet_stack.enter_async_context(
                 self._own_fleet(generation)
@@ -348,9 +351,8 @@
 
     async def _stop_owner(self, partition: int) -> None:
         owner = self.owners_by_partition.pop(partition)
-        # Two owners with one epoch would give the same run numbers, and the store would
-        # take records of the second for repeats. The next one waits for a later
-        # generation.
+        # Run numbers of an epoch would begin anew, so it is not used again: the next
+        # owner waits for a later generation.
         self._used_epochs[partition] = owner.epoch
         self._epochs.pop(partition, None)
         owner.is_lost = True
@@ -391,17 +393,12 @@
             self._fleet_used_epoch = self._fleet_owner.epoch
         self._fleet_owner = None
         await self._fleet_stack.aclose()
-        self._is_leaving = True
         try:
-            await self._finish_leaving()
+            await self._group.leave()
         except errors.ClementinesparError as error:
             self._log_event("leave_failed", code=int(error.code))
-
-    async def _finish_leaving(self) -> None:
-        """Call to leave, unless the store has answered that."""
-        if self._is_leaving:
-            await self._group.leave()
-            self._is_leaving = False
+        else:
+            self._open_generation = 0
 
 
 @contextlib.asynccontextmanager
--- a/clementinespar/jobs/tests/test_ownership.py
+++ b/clementinespar/jobs/tests/test_ownership.py
@@ -175,13 +175,13 @@
     harness = ManagerHarness(frozenset({PARTITION, FLEET_PARTITION}))
     async with ownership.run_ownership_manager(harness.ownership_manager):
         await asyncio.sleep(3.0)
-        harness.group.loses_leaves = True
+        harness.group.lost_leaves = 100
         harness.fleet_owners[0].is_lost = harness.fleet_owners[0].has_failed = True
         await asyncio.sleep(3.0)
         assert harness.epochs == [1]
         assert not harness.ownership_manager.owners_by_partition
         assert harness.group.leaves > 1
-        harness.group.loses_leaves = False
+        harness.group.lost_leaves = 0
         harness.assign(4, PARTITION, FLEET_PARTITION)
         await asyncio.sleep(3.0)
         assert harness.epochs == [1, 4]
