Fakes: lives of a worker with clocks of their own, and late calls

A fake worker that restarts has a clock that begins at 0, as the workers' protocol says; so far all lives shared the clock of the event loop. Starts and renewals can be carried out late and without an answer, by the life that the worker then has, and answers to starts can be late. No test changes what it checks.

--- a/clementinespar/jobs/tests/fakes.py
+++ b/clementinespar/jobs/tests/fakes.py
@@ -11,6 +11,7 @@
 
 from clementinespar import codes, errors, http_calls
 from clementinespar.jobs import model, services
+from clementinespar.jobs.tests import fake_worker
 
 
 def ignore_event(event: str, **fields: object) -> None:
@@ -18,6 +19,7 @@
 
 
 CALL_TIMEOUT_S = 1.0  # a call without an answer is given up after this long
+ORDER_TIMEOUT_S = 0.5  # the same of a call of a worker
 
 
 async def _time_out_call() -> None:
@@ -141,30 +143,6 @@
                 return services.RecordPage(list(records), offset + len(records))
 
 
-@dataclasses.dataclass
-class FakeWorker:
-    """State of one worker: its runs, ends, fence and lease."""
-
-    entry: model.WorkerEntry
-    born_ms: int = 1
-    fence: int = 0
-    lease_until_ms: float = 0.0
-    # Run and the event-loop time of its end, by task.
-    running: dict[model.TaskKey, tuple[int, float]] = dataclasses.field(
-        default_factory=dict
-    )
-    ended: list[model.EndedTask] = dataclasses.field(default_factory=list)
-    ended_runs: dict[model.TaskKey, int] = dataclasses.field(default_factory=dict)
-    next_number: int = 1
-    is_unresponsive: bool = False  # runs go on, but calls do nothing and time out
-    loses_answers: bool = False  # orders are carried out, but not answered
-    end_kind: model.EndKind = model.EndKind.DONE
-    loses_acknowledgements: bool = False  # acknowledgements never arrive
-    is_dead: bool = False  # its host lists no worker
-    listed_from: float = 0.0  # event-loop time at which its host lists it
-    drops_starts: bool = False  # starts do nothing and are not answered
-
-
 class FakeWorkers:
     """Fake workers.
 
@@ -173,7 +151,7 @@
     """
 
     by_id: dict[str, model.WorkerEntry]
-    workers: dict[str, FakeWorker]
+    workers: dict[str, fake_worker.FakeWorker]
     starts: list[tuple[model.TaskKey, int, str]]
     violations: list[str]
     task_s: float  # run time of tasks that are not lasting
@@ -186,6 +164,10 @@
     lists_hosts: bool  # else the calls for the list fail
     list_s: float  # time from the snapshot of the list to its answer
     list_lag_s: float  # a worker that is back is listed this much later
+    # By worker: starts and renewals get no answer and are carried out this much later,
+    # by the life that the worker then has.
+    late_s: dict[str, float]
+    start_answer_s: float  # time from a start to its answer, which a crash leaves
     host_lists: int  # that were asked for
 
     def __init__(self, count: int = 2, pool: str = "quotes", cpu: int = 4000) -> None:
@@ -203,6 +185,8 @@
         self.lists_hosts = True
         self.list_s = 0.0
         self.list_lag_s = 0.0
+        self.late_s = {}
+        self.start_answer_s = 0.0
         self.host_lists = 0
         self.dropped_starts: set[str] = set()  # workers that got them
         self.acknowledged_done: set[model.TaskKey] = set()
@@ -218,7 +202,7 @@
             worker_id, pool, "127.0.0.1:1", "a", False, cpu, 32_000, 0, (), "r", 0
         )
         self.by_id[worker_id] = entry
-        self.workers[worker_id] = FakeWorker(entry)
+        self.workers[worker_id] = fake_worker.FakeWorker(entry)
 
     def subscribe(self, listener: Callable[[], None]) -> Callable[[], None]:
         return lambda: None
@@ -248,7 +232,7 @@
         """End all runs on a worker as failed."""
         worker = self.workers[worker_id]
         for task, (run, _) in list(worker.running.items()):
-            self._end(worker, task, run, model.EndKind.FAILED)
+            worker.end_run(task, run, model.EndKind.FAILED)
 
     def _schedule_crash(self, worker_id: str) -> None:
         """Crash a worker that has started a deadly task; it is back later."""
@@ -292,59 +276,77 @@
         return False
 
     def crash(self, worker_id: str) -> None:
-        """Restart a worker under its id, without its runs and ends."""
+        """Restart a worker under its id, without its runs and ends; its clock is 0."""
         worker = self.workers[worker_id]
-        self.workers[worker_id] = FakeWorker(worker.entry, worker.born_ms + 1)
+        self.workers[worker_id] = fake_worker.FakeWorker(
+            worker.entry, worker.born_ms + 1, clock_zero=None
+        )
         if self.list_lag_s:
             now = asyncio.get_running_loop().time()
             self.workers[worker_id].listed_from = now + self.list_lag_s
 
-    def advance(self, worker: FakeWorker) -> None:
+    def advance(self, worker: fake_worker.FakeWorker) -> None:
         """End runs of a worker whose lease or run time has ended."""
         now = asyncio.get_running_loop().time()
         for task, (run, ends_at) in list(worker.running.items()):
-            is_lapsed = worker.lease_until_ms / 1000 < min(now, ends_at)
+            is_lapsed = worker.lease_end() < min(now, ends_at)
             if is_lapsed:
-                self._end(worker, task, run, model.EndKind.LAPSED)
+                worker.end_run(task, run, model.EndKind.LAPSED)
             elif ends_at <= now:
                 is_failing = task.job_id in self.failing_jobs
                 kind = model.EndKind.FAILED if is_failing else worker.end_kind
-                self._end(worker, task, run, kind)
+                worker.end_run(task, run, kind)
 
-    def _end(
-        self, worker: FakeWorker, task: model.TaskKey, run: int, kind: model.EndKind
-    ) -> None:
-        del worker.running[task]
-        worker.ended.append(model.EndedTask(worker.next_number, task, run, kind, ""))
-        worker.next_number += 1
-        worker.ended_runs[task] = max(run, worker.ended_runs.get(task, 0))
-
-    async def _reach(self, worker_id: str, fence: int) -> FakeWorker:
+    async def _reach(self, worker_id: str, fence: int) -> fake_worker.FakeWorker:
         await asyncio.sleep(0.002)
         worker = self.workers[worker_id]
         self.advance(worker)
         if worker.is_unresponsive or (worker_id, fence) in self.cut_for:
-            await asyncio.sleep(0.5)
+            await asyncio.sleep(ORDER_TIMEOUT_S)
             raise http_calls.CallUnansweredError("the worker does not answer")
         return worker
 
-    def _check_answer(self, worker: FakeWorker) -> None:
+    async def _delay(
+        self, worker_id: str, act: Callable[[fake_worker.FakeWorker], object]
+    ) -> None:
+        """Carry out a call late and without an answer, as `late_s` says."""
+        late_s = self.late_s.get(worker_id)
+        if late_s is None:
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(late_s, lambda: act(self.workers[worker_id]))
+        await asyncio.sleep(ORDER_TIMEOUT_S)
+        raise http_calls.CallUnansweredError("the call is late")
+
+    def _check_answer(self, worker: fake_worker.FakeWorker) -> None:
         if worker.loses_answers:
             raise http_calls.CallUnansweredError("the answer was lost")
 
     async def start(
         self, worker: model.WorkerEntry, order: model.StartOrder
     ) -> model.StartAnswer:
+        await self._delay(worker.worker_id, lambda fake: self._start(fake, order))
         fake = await self._reach(worker.worker_id, order.fence)
         if fake.drops_starts:
             self.dropped_starts.add(worker.worker_id)
             raise http_calls.CallUnansweredError("the start was lost")
+        answer = self._start(fake, order)
+        await asyncio.sleep(self.start_answer_s)
+        if answer.result is model.StartResult.STARTED:
+            if fake.is_dead:
+                raise http_calls.CallUnansweredError("the worker crashed")
+            self._check_answer(fake)
+        return answer
+
+    def _start(
+        self, fake: fake_worker.FakeWorker, order: model.StartOrder
+    ) -> model.StartAnswer:
+        self.advance(fake)
         now = asyncio.get_running_loop().time()
-        clock_ms = int(now * 1000)
-        if order.fence < fake.fence:
+        clock_ms = fake.clock_ms()
+        if not fake.accepts(order.fence):
             return model.StartAnswer(model.StartResult.FENCED, clock_ms)
-        fake.fence = order.fence
-        fake.lease_until_ms = max(fake.lease_until_ms, order.lease_until_ms)
+        fake.extend_lease(order.lease_until_ms)
         if order.lease_until_ms <= clock_ms:
             return model.StartAnswer(model.StartResult.LEASE_LATE, clock_ms)
         if order.run <= fake.ended_runs.get(order.task, 0):
@@ -357,13 +359,12 @@
                 float("inf") if lasts else now + self.task_s,
             )
             if (order.task.job_id, order.task.index) in self.deadly:
-                self._schedule_crash(worker.worker_id)
-        if fake.is_dead:
-            raise http_calls.CallUnansweredError("the worker crashed")
-        self._check_answer(fake)
+                self._schedule_crash(fake.entry.worker_id)
         return model.StartAnswer(model.StartResult.STARTED, clock_ms)
 
-    def _record_start(self, fake: FakeWorker, task: model.TaskKey, run: int) -> None:
+    def _record_start(
+        self, fake: fake_worker.FakeWorker, task: model.TaskKey, run: int
+    ) -> None:
         for other in self.workers.values():
             self.advance(other)
             if task in other.running:
@@ -383,12 +384,11 @@
         self, worker: model.WorkerEntry, task: model.TaskKey, run: int, fence: int
     ) -> bool:
         fake = await self._reach(worker.worker_id, fence)
-        if fence < fake.fence:
+        if not fake.accepts(fence):
             return False
-        fake.fence = fence
         running = fake.running.get(task)
         if running is not None and running[0] == run:
-            self._end(fake, task, run, model.EndKind.STOPPED)
+            fake.end_run(task, run, model.EndKind.STOPPED)
         fake.ended_runs[task] = max(run, fake.ended_runs.get(task, 0))
         self._check_answer(fake)
         return True
@@ -401,12 +401,12 @@
         lease_until_ms: int | None,
         wait_ms: int,
     ) -> model.WorkerReport | None:
+        await self._delay(
+            worker.worker_id, lambda fake: self._renew(fake, fence, lease_until_ms)
+        )
         fake = await self._reach(worker.worker_id, fence)
-        if fence < fake.fence:
+        if not self._renew(fake, fence, lease_until_ms):
             return None
-        fake.fence = fence
-        if lease_until_ms is not None:
-            fake.lease_until_ms = max(fake.lease_until_ms, lease_until_ms)
         for end in fake.ended:
             if end.number <= acknowledged and end.kind is model.EndKind.DONE:
                 self.acknowledged_done.add(end.task)
@@ -424,7 +424,7 @@
             raise http_calls.CallUnansweredError("the worker does not answer")
         now = asyncio.get_running_loop().time()
         return model.WorkerReport(
-            int(now * 1000),
+            fake.clock_ms(),
             fake.born_ms,
             [
                 # The progress changes with time, so that no run counts as stuck.
@@ -436,6 +436,17 @@
             list(fake.ended),
         )
 
+    def _renew(
+        self, fake: fake_worker.FakeWorker, fence: int, until_ms: int | None
+    ) -> bool:
+        """Carry out a renewal; False if it is refused."""
+        self.advance(fake)
+        if not fake.accepts(fence):
+            return False
+        if until_ms is not None:
+            fake.extend_lease(until_ms)
+        return True
+
     async def pace(
         self,
         worker: model.WorkerEntry,
@@ -447,36 +458,6 @@
         return True
 
 
-class FakeAdviser:
-    """`services.Adviser` that issues tickets for `allowed_ids` and may refuse calls."""
-
-    allowed_ids: set[str]
-    is_busy: bool
-    calls: int
-    asked: list[int]  # numbers of workers in the calls
-
-    def __init__(self) -> None:
-        self.allowed_ids = set()
-        self.is_busy = False
-        self.calls = 0
-        self.asked = []
-
-    async def request_tickets(
-        self, job_id: str, occurrence: int, step: int, worker_ids: Sequence[str]
-    ) -> model.IssuedTickets:
-        await asyncio.sleep(0.02)
-        self.calls += 1
-        self.asked.append(len(worker_ids))
-        if self.is_busy:
-            raise errors.ClementinesparError(
-                codes.ResultCode.PLATFORM_UNAVAILABLE, "busy"
-            )
-        allowed_ids = self.allowed_ids.intersection(worker_ids)
-        return model.IssuedTickets(
-            {worker_id: f"t-{worker_id}" for worker_id in allowed_ids}, 3.0
-        )
-
-
 class FakeGroup:
     """`services.OwnershipGroup` with one member, whose assignment the test sets."""
 
--- a/clementinespar/jobs/tests/helpers.py
+++ b/clementinespar/jobs/tests/helpers.py
@@ -5,7 +5,7 @@
 from collections.abc import AsyncIterator, Callable
 
 from clementinespar.jobs import model, pool_owner, services, state, telemetry
-from clementinespar.jobs.tests import fakes
+from clementinespar.jobs.tests import fake_adviser, fakes
 
 PARTITION = 3
 LEASE_MAX_S = 6.0
@@ -62,7 +62,7 @@
 
     store: fakes.FakeStore
     workers: fakes.FakeWorkers
-    adviser: fakes.FakeAdviser
+    adviser: fake_adviser.FakeAdviser
     confirmed_at: float | None  # None: ownership counts as confirmed just now
     owner: pool_owner.PoolOwner
     epoch: int
@@ -73,7 +73,7 @@
 
     def __init__(self, workers: fakes.FakeWorkers) -> None:
         self.store = fakes.FakeStore()
-        self.adviser = fakes.FakeAdviser()
+        self.adviser = fake_adviser.FakeAdviser()
         self.workers = workers
         self.confirmed_at = None
         self.epoch = 0
--- a/clementinespar/jobs/tests/quota_fleet.py
+++ b/clementinespar/jobs/tests/quota_fleet.py
@@ -20,7 +20,7 @@
     teams,
     telemetry,
 )
-from clementinespar.jobs.tests import fakes, helpers
+from clementinespar.jobs.tests import fake_adviser, fakes, helpers
 
 TTL_S = 1.5  # of a member of the group
 CAPS_MAX_AGE_S = 3.0
@@ -276,7 +276,7 @@
             self.store,
             self.workers[partition],
             self.workers[partition],
-            fakes.FakeAdviser(),
+            fake_adviser.FakeAdviser(),
             self.workers[partition],
             pool_owner.OwnerSettings(helpers.LEASE_MAX_S),
             self.log_event,
--- a/clementinespar/jobs/tests/shared_group.py
+++ b/clementinespar/jobs/tests/shared_group.py
@@ -7,7 +7,7 @@
 from collections.abc import AsyncIterator, Mapping
 
 from clementinespar.jobs import ownership, pool_owner, services, standby, telemetry
-from clementinespar.jobs.tests import fakes, helpers, test_ownership
+from clementinespar.jobs.tests import fake_adviser, fakes, helpers, test_ownership
 
 TTL_S = 1.5
 PARTITIONS = 24
@@ -133,7 +133,7 @@
             self._nodes.store,
             workers,
             workers,
-            fakes.FakeAdviser(),
+            fake_adviser.FakeAdviser(),
             workers,
             pool_owner.OwnerSettings(helpers.LEASE_MAX_S),
             fakes.ignore_event,
--- a/clementinespar/jobs/tests/test_moved_queues.py
+++ b/clementinespar/jobs/tests/test_moved_queues.py
@@ -17,7 +17,7 @@
     service,
     telemetry,
 )
-from clementinespar.jobs.tests import fakes, helpers
+from clementinespar.jobs.tests import fake_adviser, fakes, helpers
 from clementinespar.tests import paused_clock
 
 PARTITION_MAP = partitions.PartitionMap(12)
@@ -146,7 +146,7 @@
             self.store,
             self.workers,
             self.workers,
-            fakes.FakeAdviser(),
+            fake_adviser.FakeAdviser(),
             self.workers,
             pool_owner.OwnerSettings(6.0),
             fakes.ignore_event,
--- a/clementinespar/jobs/tests/test_ownership.py
+++ b/clementinespar/jobs/tests/test_ownership.py
@@ -7,7 +7,7 @@
 
 from clementinespar import codes, errors
 from clementinespar.jobs import ownership, pool_owner, services, standby, telemetry
-from clementinespar.jobs.tests import fakes
+from clementinespar.jobs.tests import fake_adviser, fakes
 from clementinespar.tests import paused_clock
 
 PARTITION = 3
@@ -63,7 +63,7 @@
             self.store,
             self.workers,
             self.workers,
-            fakes.FakeAdviser(),
+            fake_adviser.FakeAdviser(),
             self.workers,
             pool_owner.OwnerSettings(6.0),
             fakes.ignore_event,
--- a/clementinespar/jobs/tests/test_two_owners.py
+++ b/clementinespar/jobs/tests/test_two_owners.py
@@ -5,7 +5,7 @@
 import pytest
 
 from clementinespar.jobs import ownership, pool_owner, services, state, telemetry
-from clementinespar.jobs.tests import fakes, helpers, test_ownership
+from clementinespar.jobs.tests import fake_adviser, fakes, helpers, test_ownership
 from clementinespar.tests import paused_clock
 
 
@@ -107,7 +107,7 @@
             harness.store,
             workers,
             workers,
-            fakes.FakeAdviser(),
+            fake_adviser.FakeAdviser(),
             workers,
             pool_owner.OwnerSettings(helpers.LEASE_MAX_S),
             fakes.ignore_event,
