Take a worker's clock only from its reports

What callers would see: a task that runs on two workers.

Cause: the answer to a start set the clock of the worker. Answers on different connections overtake each other, so that of a former life can arrive after the first report of the next one, whose clock begins at 0. A start that follows before the next report then carries a lease on the former clock. The worker shortens it to 6 s from its arrival, while its owner counts 5.4 s from its confirmation: once the worker is silent, the task is started elsewhere while it still runs.

Change: only reports set the clock, since they say of which life they are. The renewal after a report follows within 25 ms, so the reading is at most 1.3 s older than before.

Evidence: test_lease_on_the_clock_of_a_former_life failed without the change in worker_orders.py ('runs twice') and passes with it.

--- /dev/null
+++ b/clementinespar/jobs/tests/test_reborn_workers.py
@@ -0,0 +1,57 @@
+"""Tests of orders that reach a later life of their worker, which has another clock."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from clementinespar.jobs.tests import fakes, helpers
+from clementinespar.tests import paused_clock
+
+WORKER = "quotes-0"
+TASK_WAIT_S = 20.0  # in which a task on a silent worker starts elsewhere
+
+
+async def _wait_event(harness: helpers.OwnerHarness, event: str) -> None:
+    """Wait until the owner logs an event once more."""
+    count = len(harness.events)
+    while all(name != event for name, _ in harness.events[count:]):
+        await asyncio.sleep(0.001)
+
+
+async def _submit_lasting(harness: helpers.OwnerHarness, job_id: str) -> None:
+    """Submit a lasting task and wait until its start is sent."""
+    await harness.submit(helpers.make_spec(job_id, 1, is_lasting=True))
+    await _wait_event(harness, "start")
+
+
+async def _overtake_answer(harness: helpers.OwnerHarness) -> None:
+    """Answer a start after a report of the next life, which is silent soon."""
+    workers = harness.workers
+    workers.start_answer_s = 0.4
+    await _submit_lasting(harness, "b")
+    await asyncio.sleep(0.05)
+    workers.crash(WORKER)
+    await asyncio.sleep(0.36)
+    workers.start_answer_s = 0.0
+    await _submit_lasting(harness, "a")
+    await asyncio.sleep(0.01)
+    workers.workers[WORKER].is_unresponsive = True
+
+
+@pytest.mark.parametrize("play", [_overtake_answer])
+@paused_clock.test
+async def test_lease_on_the_clock_of_a_former_life(
+    play: Callable[[helpers.OwnerHarness], Awaitable[None]],
+) -> None:
+    """Guards against a run that outlasts its lease in the next life of its worker."""
+    workers = fakes.FakeWorkers(1)
+    harness = helpers.OwnerHarness(workers)
+    async with helpers.run_owner(harness):
+        await asyncio.sleep(2.0)
+        await play(harness)
+        workers.add("other", "quotes")
+        await asyncio.sleep(TASK_WAIT_S)
+    used = [worker_id for task, _, worker_id in workers.starts if task.job_id == "a"]
+    assert used == [WORKER, "other"]
+    assert not workers.violations
--- a/clementinespar/jobs/worker_lease.py
+++ b/clementinespar/jobs/worker_lease.py
@@ -53,7 +53,10 @@
         self._clock_at = 0.0
 
     def set_clock(self, clock_ms: int) -> None:
-        """Set the worker's clock to the time in a response."""
+        """Set the worker's clock to the time in a report.
+
+        Answers to orders do not say of which life of the worker their time is.
+        """
         self._clock_ms = clock_ms
         self._clock_at = asyncio.get_running_loop().time()
 
--- a/clementinespar/jobs/worker_orders.py
+++ b/clementinespar/jobs/worker_orders.py
@@ -136,8 +136,6 @@
             )
             self._events.on_start_unanswered(self._session)
             return
-        if answer.clock_ms is not None:
-            self._session.lease.set_clock(answer.clock_ms)
         run.answered_at = loop.time()
         run.percent_at = run.answered_at
         self._session.alive_at = run.answered_at
