Count a lease longer where an order may have reached a later life of its worker

What callers would see: a task that runs on two workers.

Cause: a worker that restarts under its id has a clock that begins at 0. An order on the former clock that reaches it (in flight, or carried out late) lasts for the longest lease there, 6 s and up to 6.12 s in real time from its arrival. The owner counted 5.4 s from the confirmation before the order. If the worker is silent then, the task was started elsewhere too early. Three sequences: a start without an answer that the next life carries out; a start that the next life answers before its first report; a late renewal that extends what the next life has started. In the second the list of hosts, which lags behind the restart, even showed the run's worker as ended.

Change: the lease on a worker counts lives. The lease of a run whose start has no answer ends 3 s (LATE_ORDER_S) plus the longest lease after the newest grant, since the run may execute in a later life. Settled runs end with the life in which they were seen, so their lease stays as it was. When another life is seen, all that runs there may be extended by orders of the former one, so the end of the lease counts in the same way. An answer to a start whose clock is behind the one of the former life shows another life as well. The record for the next owner has the longer end of a silent worker.

--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -48,7 +48,6 @@
     worker_use,
 )
 
-LEASE_SHARE = 0.9  # of the longest lease that workers grant
 SCHEDULE_SPACING_S = 0.004  # batches events into one round of placement
 HOUSEKEEPING_INTERVAL_S = 0.5
 
@@ -79,7 +78,7 @@
     metrics: telemetry.JobMetrics
     quotas: owner_quotas.OwnerQuotas
     waits: wait_watch.WaitWatch
-    _lease_s: float  # longest lease that owners grant
+    _lease_max_s: float  # longest lease that workers grant
     _jobs: job_table.JobTable
     _worker_use: worker_use.WorkerUse
     _sessions: session_table.SessionTable
@@ -131,7 +130,7 @@
         self._store = store
         self._directory = directory
         self._log_event = log_event
-        self._lease_s = settings.lease_max_s * LEASE_SHARE
+        self._lease_max_s = settings.lease_max_s
         self._worker_use = worker_use.WorkerUse()
         self._unsubscribe = _do_nothing
         self._run_times = demand.RunTimes()
@@ -227,7 +226,7 @@
         self._sessions = session_table.SessionTable(
             self.sessions_by_id,
             epoch,
-            self._lease_s,
+            self._lease_max_s,
             owns_pool,
             directory,
             workers,
@@ -346,7 +345,7 @@
         if "workers" in values:
             # Leases of previous owners end at most this long after a confirmation that
             # preceded the fence.
-            lease_s = self._lease_s + worker_lease.LEASE_MARGIN_S
+            lease_s = worker_lease.find_previous_s(self._lease_max_s)
             owner_loading.restore_worker_use(
                 self._worker_use, values["workers"], fenced_at, lease_s, self._log_event
             )
--- a/clementinespar/jobs/session_table.py
+++ b/clementinespar/jobs/session_table.py
@@ -23,8 +23,8 @@
     ----------
     sessions_by_id : dict of str to worker_session.WorkerSession
         The sessions by worker id; changed in place.
-    lease_s : float
-        Longest lease that owners grant, in seconds.
+    lease_max_s : float
+        Longest lease that workers grant, in seconds.
     events : worker_run.RunEvents
         Handles the events of the sessions.
     """
@@ -38,7 +38,7 @@
         self,
         sessions_by_id: dict[str, worker_session.WorkerSession],
         epoch: int,
-        lease_s: float,
+        lease_max_s: float,
         owns_pool: Callable[[str], bool],
         directory: services.WorkerDirectory,
         workers: services.WorkerClient,
@@ -50,7 +50,7 @@
     ) -> None:
         self._sessions_by_id = sessions_by_id
         self._epoch = epoch
-        self._lease_s = lease_s
+        self._lease_max_s = lease_max_s
         self._owns_pool = owns_pool
         self._directory = directory
         self._workers = workers
@@ -77,7 +77,7 @@
                 session = worker_session.WorkerSession(
                     entry,
                     self._epoch,
-                    self._lease_s,
+                    self._lease_max_s,
                     self._worker_use.previous_lease_end(entry.worker_id),
                     self._workers,
                     self._events,
@@ -95,7 +95,7 @@
             if worker_id in self._directory.by_id:
                 continue
             session.is_listed = False
-            is_expired = session.lease.has_ended()
+            is_expired = session.lease.has_ended(is_start_settled=False)
             is_unresponsive = (
                 now - session.last_contact > worker_session.UNRESPONSIVE_AFTER_S
             )
@@ -129,7 +129,7 @@
             self._jobs.flush_wanted.set()
         for worker_id, session in self._sessions_by_id.items():
             if worker_id in self._worker_use.in_use and not session.is_responsive():
-                end = session.lease.end + worker_lease.LEASE_MARGIN_S
+                end = session.find_lease_end() + worker_lease.LEASE_MARGIN_S
                 self._worker_use.release_silent(worker_id, end)
                 self._jobs.flush_wanted.set()
 
--- a/clementinespar/jobs/tests/test_reborn_workers.py
+++ b/clementinespar/jobs/tests/test_reborn_workers.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from clementinespar.jobs import worker_deaths
 from clementinespar.jobs.tests import fakes, helpers
 from clementinespar.tests import paused_clock
 
@@ -25,6 +26,46 @@
     await _wait_event(harness, "start")
 
 
+async def _wait_renewal_of_a_former_life(workers: fakes.FakeWorkers) -> None:
+    """Wait until the lease on the worker is longer than its owner grants."""
+    worker = workers.workers[WORKER]
+    while worker.lease_until_ms - worker.clock_ms() < 5500:
+        await asyncio.sleep(0.001)
+
+
+async def _start_late(harness: helpers.OwnerHarness) -> None:
+    """Let a start without an answer reach the next life, which is always silent."""
+    workers = harness.workers
+    workers.late_s[WORKER] = 0.8
+    await _submit_lasting(harness, "a")
+    await asyncio.sleep(0.3)
+    workers.crash(WORKER)
+
+
+async def _answer_start(harness: helpers.OwnerHarness) -> None:
+    """Let the next life answer a start; its host is listed late, and it is silent."""
+    workers = harness.workers
+    workers.list_lag_s = worker_deaths.LIST_LAG_S
+    await _submit_lasting(harness, "a")
+    workers.crash(WORKER)
+    while not workers.starts:
+        await asyncio.sleep(0.001)
+    await asyncio.sleep(0.005)
+    workers.workers[WORKER].is_unresponsive = True
+
+
+async def _renew_late(harness: helpers.OwnerHarness) -> None:
+    """Let a renewal without an answer reach the next life, which has work by then."""
+    workers = harness.workers
+    workers.late_s[WORKER] = 2.5
+    await _wait_event(harness, "worker_silent")
+    del workers.late_s[WORKER]
+    workers.crash(WORKER)
+    await _submit_lasting(harness, "a")
+    await _wait_renewal_of_a_former_life(workers)
+    workers.workers[WORKER].is_unresponsive = True
+
+
 async def _overtake_answer(harness: helpers.OwnerHarness) -> None:
     """Answer a start after a report of the next life, which is silent soon."""
     workers = harness.workers
@@ -39,10 +80,13 @@
     workers.workers[WORKER].is_unresponsive = True
 
 
-@pytest.mark.parametrize("play", [_overtake_answer])
+@pytest.mark.parametrize("hand_over_s", [None, 2.0])
+@pytest.mark.parametrize(
+    "play", [_start_late, _answer_start, _renew_late, _overtake_answer]
+)
 @paused_clock.test
 async def test_lease_on_the_clock_of_a_former_life(
-    play: Callable[[helpers.OwnerHarness], Awaitable[None]],
+    play: Callable[[helpers.OwnerHarness], Awaitable[None]], hand_over_s: float | None
 ) -> None:
     """Guards against a run that outlasts its lease in the next life of its worker."""
     workers = fakes.FakeWorkers(1)
@@ -51,7 +95,11 @@
         await asyncio.sleep(2.0)
         await play(harness)
         workers.add("other", "quotes")
-        await asyncio.sleep(TASK_WAIT_S)
+        await asyncio.sleep(TASK_WAIT_S if hand_over_s is None else hand_over_s)
+    if hand_over_s is not None:
+        workers.cut_for.add((WORKER, 2))
+        async with helpers.run_owner(harness):
+            await asyncio.sleep(TASK_WAIT_S)
     used = [worker_id for task, _, worker_id in workers.starts if task.job_id == "a"]
     assert used == [WORKER, "other"]
     assert not workers.violations
--- a/clementinespar/jobs/worker_lease.py
+++ b/clementinespar/jobs/worker_lease.py
@@ -2,16 +2,43 @@
 
 All that runs on a worker ends with its lease. The lease counts from the newest
 confirmation of ownership, so the next owner knows when the last one of this owner ends.
+
+A worker that restarts under its id has a new clock. An order with a lease on the former
+clock may reach it, and then lasts for the longest time that workers grant, counted from
+its arrival.
 """
 
 import asyncio
+import dataclasses
 import enum
+import math
 
 from clementinespar.jobs import worker_run
 
 # A worker's clock may run 2% slow, so a lease lasts that much longer in real time.
 MIN_CLOCK_RATE = 0.98
 LEASE_MARGIN_S = 0.15  # network and timer delay beyond the end of a lease
+LEASE_SHARE = 0.9  # of the longest lease that workers grant
+LATE_ORDER_S = 3.0  # an order without an answer may be carried out this much later
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Grant:
+    """Lease of one order.
+
+    Attributes
+    ----------
+    until_ms : int
+        Its end on the worker's clock.
+    sent_ms : int
+        Time on that clock before which the order cannot arrive.
+    life : int
+        Number of the life of the worker to which the clock belongs.
+    """
+
+    until_ms: int
+    sent_ms: int
+    life: int
 
 
 class Obstacle(enum.Enum):
@@ -28,25 +55,34 @@
 
     Parameters
     ----------
-    lease_s : float
-        Longest lease in seconds, counted from the confirmation of ownership.
+    lease_max_s : float
+        Longest lease that the worker grants, in seconds. Leases of this owner are
+        shorter and count from the confirmation of ownership.
     previous_end : float
         Event-loop time at which the leases of previous owners have ended.
     """
 
-    end: float  # event-loop time by which all leases granted so far have ended
+    # Event-loop time by which all leases granted so far have ended, unless an order has
+    # reached a later life of the worker than the one that is known.
+    end: float
+    _longest_s: float  # longest duration of a lease in real time
+    _granted_at: float  # event-loop time of the newest grant
+    _life: int  # number of lives seen
     _clock_ms: int | None  # newest reading of the worker's clock
     _clock_at: float  # event-loop time of that reading
 
     def __init__(
         self,
         worker_id: str,
-        lease_s: float,
+        lease_max_s: float,
         previous_end: float,
         events: worker_run.RunEvents,
     ) -> None:
         self.end = previous_end
-        self._lease_s = lease_s
+        self._lease_s = lease_max_s * LEASE_SHARE
+        self._longest_s = find_longest_s(lease_max_s)
+        self._granted_at = -math.inf
+        self._life = 0
         self._worker_id = worker_id
         self._events = events
         self._clock_ms = None
@@ -60,8 +96,26 @@
         self._clock_ms = clock_ms
         self._clock_at = asyncio.get_running_loop().time()
 
-    def grant_until_ms(self) -> int | None:
-        """Return the end of the next lease on the worker's clock, in ms.
+    def begin_life(self) -> None:
+        """Record that the worker has begun another life, whose clock is not known yet.
+
+        Orders on the former clock may reach it and extend the lease of all that runs
+        there.
+        """
+        now = asyncio.get_running_loop().time()
+        self.end = max(self.end, now + self._longest_s, self._later_life_end())
+        self._life += 1
+        self._clock_ms = None
+
+    def check_answer(self, grant: Grant, clock_ms: int) -> bool:
+        """Whether the answer to an order shows that another life has begun."""
+        if grant.life != self._life or clock_ms >= grant.sent_ms:
+            return False
+        self.begin_life()
+        return True
+
+    def grant(self) -> Grant | None:
+        """Return the lease for the next order.
 
         Returns None if there is an obstacle. Otherwise also advances `end`.
         """
@@ -71,8 +125,13 @@
         assert self._clock_ms is not None
         end = confirmed + self._lease_s
         self.end = max(self.end, end)
-        left_s = end - self._clock_at
-        return self._clock_ms + int(MIN_CLOCK_RATE * left_s * 1000)
+        self._granted_at = asyncio.get_running_loop().time()
+        return Grant(
+            self._clock_ms + int(MIN_CLOCK_RATE * (end - self._clock_at) * 1000),
+            self._clock_ms
+            + int(MIN_CLOCK_RATE * (self._granted_at - self._clock_at) * 1000),
+            self._life,
+        )
 
     def find_obstacle(self) -> Obstacle | None:
         """Return why the worker gets no lease at present, or None if it does."""
@@ -88,16 +147,28 @@
             return Obstacle.CONFIRMATION_OLD
         return None
 
-    def has_ended(self) -> bool:
-        """Whether no lease of this owner or of a later one lasts.
+    def find_end(self, is_start_settled: bool) -> float:
+        """Return the event-loop time by which the lease of a run has ended.
+
+        A run whose start has no answer may execute in a later life of the worker.
+        """
+        return self.end if is_start_settled else max(self.end, self._later_life_end())
+
+    def _later_life_end(self) -> float:
+        """Return when the leases end that orders so far have in a later life."""
+        return self._granted_at + LATE_ORDER_S + self._longest_s
+
+    def has_ended(self, is_start_settled: bool = True) -> bool:
+        """Whether no lease of this owner or of a later one lasts for a run.
 
         A later owner renews the leases on the workers that it reaches. So ownership has
         to be confirmed after the end of this owner's lease.
         """
+        end = self.find_end(is_start_settled)
         confirmed = self._events.confirmed_at()
-        if confirmed is None or confirmed < self.end:
+        if confirmed is None or confirmed < end:
             return False
-        return asyncio.get_running_loop().time() >= self.end + LEASE_MARGIN_S
+        return asyncio.get_running_loop().time() >= end + LEASE_MARGIN_S
 
     def end_now(self) -> None:
         """Record that nothing runs on the worker."""
@@ -113,3 +184,35 @@
             "lease_ms": round((self.end - now) * 1000),
             "confirmed_age_ms": age_ms,
         }
+
+
+def find_previous_s(lease_max_s: float) -> float:
+    """Return how long to wait for leases that a previous owner granted.
+
+    Parameters
+    ----------
+    lease_max_s : float
+        Longest lease that a worker grants, in seconds.
+
+    Returns
+    -------
+    float
+        The time in seconds, counted from the last confirmation of that owner.
+    """
+    return lease_max_s * LEASE_SHARE + LEASE_MARGIN_S
+
+
+def find_longest_s(lease_max_s: float) -> float:
+    """Return the longest time for which a lease lasts after its order has arrived.
+
+    Parameters
+    ----------
+    lease_max_s : float
+        Longest lease that a worker grants, in seconds of its clock.
+
+    Returns
+    -------
+    float
+        The time in seconds of the event loop.
+    """
+    return lease_max_s / MIN_CLOCK_RATE
--- a/clementinespar/jobs/worker_orders.py
+++ b/clementinespar/jobs/worker_orders.py
@@ -110,10 +110,16 @@
         if obstacle is not None:
             self._session.abandon(run, obstacle.value)
             return
-        until = self._session.lease.grant_until_ms()
-        assert until is not None
+        grant = self._session.lease.grant()
+        assert grant is not None
         order = model.StartOrder(
-            run.key, run.number, payload, until, self._session.fence, saved, ticket
+            run.key,
+            run.number,
+            payload,
+            grant.until_ms,
+            self._session.fence,
+            saved,
+            ticket,
         )
         try:
             answer = await self._client.start(self._session.entry, order)
@@ -137,6 +143,9 @@
             self._events.on_start_unanswered(self._session)
             return
         run.answered_at = loop.time()
+        clock_ms = answer.clock_ms
+        if clock_ms is not None and self._session.lease.check_answer(grant, clock_ms):
+            self._session.born_seen_at = run.answered_at
         run.percent_at = run.answered_at
         self._session.alive_at = run.answered_at
         if answer.result is model.StartResult.STARTED:
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -82,7 +82,7 @@
         self,
         entry: model.WorkerEntry,
         fence: int,
-        lease_s: float,
+        lease_max_s: float,
         previous_lease_end: float,
         client: services.WorkerClient,
         events: worker_run.RunEvents,
@@ -92,7 +92,7 @@
         self.entry = entry
         self.fence = fence
         self.lease = worker_lease.WorkerLease(
-            entry.worker_id, lease_s, previous_lease_end, events
+            entry.worker_id, lease_max_s, previous_lease_end, events
         )
         self.runs = {}
         self.free_cpu = entry.cpu_millis
@@ -249,6 +249,12 @@
         """Send the order to limit a run to a share of its speed, in percent."""
         self._orders.pace(run, percent)
 
+    def find_lease_end(self) -> float:
+        """Return the event-loop time by which the leases of all runs have ended."""
+        return self.lease.find_end(
+            all(run.is_start_settled for run in self.runs.values())
+        )
+
     def describe_lease(self) -> dict[str, object]:
         """Return the fields of a log line that show what a decision relies on."""
         return {
@@ -283,14 +289,15 @@
             acknowledged = self.acknowledged
             if failures or acknowledged <= self._acknowledgement_seen:
                 acknowledged = 0
+            # An unresponsive worker gets no lease: a renewal without an answer may
+            # still arrive, and the lease would never certainly end.
+            grant = None if failures else self.lease.grant()
             try:
                 report = await self._client.renew(
                     self.entry,
                     self.fence,
                     acknowledged,
-                    # An unresponsive worker gets no lease: a renewal without an answer
-                    # may still arrive, and the lease would never certainly end.
-                    None if failures else self.lease.grant_until_ms(),
+                    None if grant is None else grant.until_ms,
                     0 if failures else wait_ms,
                 )
             except errors.ClementinesparError as error:
@@ -339,11 +346,12 @@
         )
 
     def _drop_lapsed_runs(self) -> None:
-        """Drop runs of an unresponsive worker once its lease has certainly ended."""
+        """Drop runs of an unresponsive worker once their lease has certainly ended."""
         if not self.lease.has_ended():
             return
         for run in list(self.runs.values()):
-            if run.status is not worker_run.RunStatus.STARTING:
+            is_sent = run.status is not worker_run.RunStatus.STARTING
+            if is_sent and self.lease.has_ended(run.is_start_settled):
                 self.drop_run(run)
                 self._events.on_lapse(self, run)
                 self._events.on_run_gone(self, run, "lease ended on a silent worker")
@@ -364,7 +372,6 @@
             self.lease.end_now()
 
     def _apply(self, report: model.WorkerReport, sent_at: float) -> None:
-        self.lease.set_clock(report.clock_ms)
         now = asyncio.get_running_loop().time()
         self.last_contact = now
         if report.born_ms != self.born_ms:
@@ -377,12 +384,14 @@
                     **{**self.describe_lease(), "born_ms": report.born_ms},
                 )
                 self._events.on_crash(self)
+                self.lease.begin_life()
             # A worker that was down when the session opened is new at its first answer.
             self.born_seen_at = now
             self.born_ms = report.born_ms
             self.processed = 0
             self.acknowledged = 0
             self._acknowledgement_seen = 0
+        self.lease.set_clock(report.clock_ms)
         self.alive_at = now
         self.is_silent = False
         self.is_dead = False
