Tell the next owner of leases that may be longer than it assumes

What callers would see: a task that runs on two workers, started by two owners.

Cause: the next owner waits 5.55 s for the leases on workers in use. A late order on the former clock of a worker that has restarted extends all that runs there by up to 6.12 s. The owner that saw the restart counts the longer end, but its record named it only for silent workers.

Change: the record also has the end of leases on workers in use that may be longer. The next owner takes the later of both ends.

Evidence: the row '_renew_late, 0.0' failed without the change ('runs twice') and passes. 51 tests of test_reborn_workers, test_two_owners, test_worker_deaths and test_standby pass.

--- a/clementinespar/jobs/progress_writer.py
+++ b/clementinespar/jobs/progress_writer.py
@@ -106,7 +106,9 @@
         # A worker may have got a run after it was released.
         for worker_id, session in self._sessions_by_id.items():
             if session.runs and session.has_answered and session.is_responsive():
-                self._worker_use.add(worker_id, session.born_seen_at)
+                self._worker_use.add(
+                    worker_id, session.born_seen_at, session.lease.extended_end
+                )
         is_use_due = self._worker_use.is_due()
         if is_use_due:
             records.append(services.KeyedRecord("workers", self._worker_use.encode()))
--- a/clementinespar/jobs/session_events.py
+++ b/clementinespar/jobs/session_events.py
@@ -68,7 +68,9 @@
         self._worker_use.answered.add(worker_id)
         self._crash_watch.on_contact(session)
         if not session.is_released():
-            self._worker_use.add(worker_id, session.born_seen_at)
+            self._worker_use.add(
+                worker_id, session.born_seen_at, session.lease.extended_end
+            )
             if not self._worker_use.may_start(worker_id):
                 self._jobs.flush_wanted.set()
         self._neighbours.add_report(session, asyncio.get_running_loop().time())
--- a/clementinespar/jobs/tests/test_reborn_workers.py
+++ b/clementinespar/jobs/tests/test_reborn_workers.py
@@ -80,9 +80,18 @@
     workers.workers[WORKER].is_unresponsive = True
 
 
-@pytest.mark.parametrize("hand_over_s", [None, 2.0])
 @pytest.mark.parametrize(
-    "play", [_start_late, _answer_start, _renew_late, _overtake_answer]
+    ("play", "hand_over_s"),
+    [
+        (_start_late, None),
+        (_start_late, 2.0),
+        (_answer_start, None),
+        (_answer_start, 2.0),
+        (_renew_late, None),
+        (_renew_late, 0.0),
+        (_overtake_answer, None),
+        (_overtake_answer, 0.0),
+    ],
 )
 @paused_clock.test
 async def test_lease_on_the_clock_of_a_former_life(
--- a/clementinespar/jobs/worker_lease.py
+++ b/clementinespar/jobs/worker_lease.py
@@ -65,6 +65,8 @@
     # Event-loop time by which all leases granted so far have ended, unless an order has
     # reached a later life of the worker than the one that is known.
     end: float
+    # The same of leases that may be longer than the next owner assumes.
+    extended_end: float
     _longest_s: float  # longest duration of a lease in real time
     _granted_at: float  # event-loop time of the newest grant
     _life: int  # number of lives seen
@@ -81,6 +83,7 @@
         self.end = previous_end
         self._lease_s = lease_max_s * LEASE_SHARE
         self._longest_s = find_longest_s(lease_max_s)
+        self.extended_end = -math.inf
         self._granted_at = -math.inf
         self._life = 0
         self._worker_id = worker_id
@@ -104,6 +107,7 @@
         """
         now = asyncio.get_running_loop().time()
         self.end = max(self.end, now + self._longest_s, self._later_life_end())
+        self.extended_end = self.end + LEASE_MARGIN_S
         self._life += 1
         self._clock_ms = None
 
--- a/clementinespar/jobs/worker_use.py
+++ b/clementinespar/jobs/worker_use.py
@@ -30,6 +30,8 @@
     _lease_ends: dict[str, float]  # worker id: event-loop end of previous leases
     # The same of this owner's leases on unresponsive workers with runs.
     _silent_lease_ends: dict[str, float]
+    # The same of this owner's leases that may be longer than the next owner assumes.
+    _extended_lease_ends: dict[str, float]
     _recorded_at: float  # event-loop time
     # Event-loop time since which the present life of a worker has been known, to this
     # owner or to a previous one.
@@ -47,6 +49,7 @@
         self._recorded = set()
         self._lease_ends = {}
         self._silent_lease_ends = {}
+        self._extended_lease_ends = {}
         self._recorded_at = 0.0
         self._known_since = {}
         self._unstored_lives = set()
@@ -71,16 +74,23 @@
         """
         return self._known_since.get(worker_id, math.inf)
 
-    def add(self, worker_id: str, known_since: float) -> None:
+    def add(
+        self, worker_id: str, known_since: float, extended_end: float = -math.inf
+    ) -> None:
         """Record a worker as in use.
 
         Parameters
         ----------
         known_since : float
             Event-loop time since which this owner has known its present life.
+        extended_end : float
+            Event-loop time until which runs may go on there, if that may be longer than
+            the longest lease of this owner.
         """
         self._silent_lease_ends.pop(worker_id, None)
         self.in_use.add(worker_id)
+        if extended_end > asyncio.get_running_loop().time():
+            self._extended_lease_ends[worker_id] = extended_end
         if self._known_since.get(worker_id) != known_since:
             self._known_since[worker_id] = known_since
             self._unstored_lives.add(worker_id)
@@ -145,7 +155,9 @@
         if self._recorded_new and not any(map(self._is_new, self._recorded_new)):
             return True  # the next owner need not wait for the list of hosts
         now = asyncio.get_running_loop().time()
-        has_ends = bool(self._lease_ends or self._silent_lease_ends)
+        has_ends = bool(
+            self._lease_ends or self._silent_lease_ends or self._extended_lease_ends
+        )
         return has_ends and now - self._recorded_at > RECORD_INTERVAL_S
 
     def wait_for_all(self, fenced_at: float, lease_s: float) -> None:
@@ -180,7 +192,7 @@
         }
         used = {str(worker_id) for worker_id in fields["used"]}
         for worker_id in used:
-            ends[worker_id] = fenced_at + lease_s
+            ends[worker_id] = max(ends.get(worker_id, 0.0), fenced_at + lease_s)
         # Builds that did not write the field knew nothing about the workers' ages.
         new = {str(worker_id) for worker_id in fields.get("new", ends)}
         self._known_since = {
@@ -220,6 +232,11 @@
             for worker_id, end in sorted(lease_ends.items())
             if worker_id not in self._recorded
         }
+        for worker_id, end in list(self._extended_lease_ends.items()):
+            if now > end or worker_id not in self.in_use:
+                del self._extended_lease_ends[worker_id]
+            else:
+                previous_leases[worker_id] = round(end - now, 3)
         named = {*self._recorded, *previous_leases}
         self._recorded_lives = {
             worker_id: since
