Stop a start without an answer in each later life of its worker

What callers would see: a task that runs on two workers.

Cause: a run whose start had no answer was given up once the worker had answered a stop and did not list it, or once its lease had ended. But a worker that restarts knows nothing of the stop. A start that is carried out late by its next life ran beside the next run of the task, until the owner saw it in a report and stopped it. The answer to a stop could also be that of a former life.

Change: for 30 s, an owner remembers starts without an answer that it has not seen carried out. With the first report of another life it sends their stops again, since a worker refuses a run that was stopped there. The run counts as in use until that is settled. The answer to a stop counts only in the life in which it was sent.

--- a/clementinespar/jobs/tests/test_reborn_workers.py
+++ b/clementinespar/jobs/tests/test_reborn_workers.py
@@ -112,3 +112,27 @@
     used = [worker_id for task, _, worker_id in workers.starts if task.job_id == "a"]
     assert used == [WORKER, "other"]
     assert not workers.violations
+
+
+@pytest.mark.parametrize("is_silent", [False, True])
+@paused_clock.test
+async def test_start_that_a_later_life_gets_after_its_run_was_given_up(
+    is_silent: bool,
+) -> None:
+    """Guards against two runs of a task whose first start is carried out very late."""
+    workers = fakes.FakeWorkers(1)
+    harness = helpers.OwnerHarness(workers)
+    async with helpers.run_owner(harness):
+        await asyncio.sleep(2.0)
+        workers.late_s[WORKER] = 15.0
+        await _submit_lasting(harness, "a")
+        await asyncio.sleep(0.005)
+        del workers.late_s[WORKER]
+        workers.add("other", "quotes")
+        workers.drain(WORKER)  # so that the task starts on the other one
+        workers.workers[WORKER].is_unresponsive = is_silent
+        await _wait_event(harness, "start")
+        workers.crash(WORKER)
+        await asyncio.sleep(TASK_WAIT_S)
+    assert [worker_id for _, _, worker_id in workers.starts] == ["other"]
+    assert not workers.violations
--- a/clementinespar/jobs/worker_orders.py
+++ b/clementinespar/jobs/worker_orders.py
@@ -1,6 +1,8 @@
 """Orders to one worker: starts, stops and paces of runs, and what their answers mean.
 
 A start without an answer leaves its run open; the session settles it by later reports.
+The worker may still carry it out in a later life, which does not know of a stop, so
+each new life gets a stop of its own.
 """
 
 import asyncio
@@ -13,11 +15,16 @@
 if typing.TYPE_CHECKING:
     from clementinespar.jobs import worker_session
 
+# For this long a new life of the worker gets stops of starts without an answer.
+UNANSWERED_KEPT_S = 30.0
+
 
 class WorkerOrders:
     """Sends the orders of a session to its worker, each in a task of its own."""
 
     _pending: set[asyncio.Task[None]]
+    # Starts without an answer, by task and run.
+    _unanswered: dict[tuple[model.TaskKey, int], worker_run.Run]
 
     def __init__(
         self,
@@ -31,6 +38,7 @@
         self._events = events
         self._log_event = log_event
         self._pending = set()
+        self._unanswered = {}
 
     def close(self) -> None:
         """Cancel the calls that have no answer yet."""
@@ -73,6 +81,30 @@
             ):
                 self._spawn(self._stop(run), run)
 
+    def stop_unanswered_starts(self) -> None:
+        """Let a new life of the worker refuse the starts that may still reach it.
+
+        A run that is not tracked any more is tracked until its stop is settled.
+        """
+        self._forget_unanswered()
+        for identity, run in self._unanswered.items():
+            tracked = self._session.runs.get(identity)
+            if tracked is None:
+                run.status = worker_run.RunStatus.STOPPING
+                run.stop_answered_at = None
+                self._session.add_run(run)
+            elif tracked.status is worker_run.RunStatus.STOPPING:
+                tracked.stop_answered_at = None
+
+    def _forget_unanswered(self) -> None:
+        """Forget old starts without an answer, and those that were carried out."""
+        now = asyncio.get_running_loop().time()
+        self._unanswered = {
+            identity: run
+            for identity, run in self._unanswered.items()
+            if not run.is_start_settled and now - run.answered_at <= UNANSWERED_KEPT_S
+        }
+
     def pace(self, run: worker_run.Run, percent: int) -> None:
         """Send the order to limit a run to a share of its speed, in percent."""
         run.pace = percent
@@ -121,13 +153,16 @@
             saved,
             ticket,
         )
+        self._unanswered[run.key, run.number] = run
         try:
             answer = await self._client.start(self._session.entry, order)
         except errors.ClementinesparError as error:
             if error.code is codes.ResultCode.CALL_NOT_SENT:
+                self._unanswered.pop((run.key, run.number), None)
                 self._session.mark_unresponsive()
                 self._session.abandon(run, error.message)
                 return
+            self._forget_unanswered()
             run.answered_at = loop.time()
             if run.status is worker_run.RunStatus.STARTING:
                 run.status = worker_run.RunStatus.OPEN
@@ -142,6 +177,7 @@
             )
             self._events.on_start_unanswered(self._session)
             return
+        self._unanswered.pop((run.key, run.number), None)
         run.answered_at = loop.time()
         clock_ms = answer.clock_ms
         if clock_ms is not None and self._session.lease.check_answer(grant, clock_ms):
@@ -164,11 +200,14 @@
 
     async def _stop(self, run: worker_run.Run) -> None:
         run.is_stop_in_flight = True
+        born_ms = self._session.born_ms
         try:
             if await self._client.stop(
                 self._session.entry, run.key, run.number, self._session.fence
             ):
-                run.stop_answered_at = asyncio.get_running_loop().time()
+                # The answer of a former life says nothing about the present one.
+                if born_ms == self._session.born_ms:
+                    run.stop_answered_at = asyncio.get_running_loop().time()
             else:
                 self._events.on_fenced()
         except errors.ClementinesparError as error:
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -374,7 +374,8 @@
     def _apply(self, report: model.WorkerReport, sent_at: float) -> None:
         now = asyncio.get_running_loop().time()
         self.last_contact = now
-        if report.born_ms != self.born_ms:
+        is_new_life = report.born_ms != self.born_ms
+        if is_new_life:
             if self.born_ms:
                 self._log_event(
                     "worker_reborn",
@@ -437,6 +438,8 @@
                 run.percent = item.percent
                 run.percent_at = now
             run.usage = item.usage
+        if is_new_life:
+            self._orders.stop_unanswered_starts()
         if is_complete:
             for run in list(self.runs.values()):
                 if (run.key, run.number) not in listed:
