--- a/clementinespar/jobs/tests/test_ownership.py
+++ b/clementinespar/jobs/tests/test_ownership.py
@@ -16,7 +16,7 @@
     standby,
     telemetry,
 )
-from clementinespar.jobs.tests import fakes
+from clementinespar.jobs.tests import fake_adviser, fakes
 from clementinespar.tests import paused_clock
 
 PARTITION = 3
@@ -72,7 +72,7 @@
             self.store,
             self.workers,
             self.workers,
-            fakes.FakeAdviser(),
+            fake_adviser.FakeAdviser(),
             self.workers,
             pool_owner.OwnerSettings(6.0),
             fakes.ignore_event,
--- a/clementinespar/jobs/tests/test_short_gaps.py
+++ b/clementinespar/jobs/tests/test_short_gaps.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from clementinespar.jobs import ownership, pool_owner, services, state, telemetry
-from clementinespar.jobs.tests import fakes, helpers, test_ownership
+from clementinespar.jobs.tests import fake_adviser, fakes, helpers, test_ownership
 from clementinespar.tests import paused_clock
 
 
@@ -42,7 +42,7 @@
             harness.store,
             workers,
             workers,
-            fakes.FakeAdviser(),
+            fake_adviser.FakeAdviser(),
             workers,
             pool_owner.OwnerSettings(helpers.LEASE_MAX_S),
             fakes.ignore_event,
