Ask for no lists of hosts while the owner can start nothing

Lists are limited and have a price. Without a lease to grant, no start follows a death, so none is looked for.

test_owner_out_of_touch_asks_for_few_lists_of_hosts failed before (98 lists, at most 20) and passes.

--- a/clementinespar/jobs/session_table.py
+++ b/clementinespar/jobs/session_table.py
@@ -145,7 +145,15 @@
                     session.is_evacuating = False
 
     def find_known(self) -> dict[str, worker_deaths.KnownWorker]:
-        """Return the workers of sessions and of unsettled leases, by id."""
+        """Return the workers of sessions and of unsettled leases, by id.
+
+        Empty while this owner can start nothing: it needs no deaths then.
+        """
+        lease_s = self._lease_max_s * worker_lease.LEASE_SHARE
+        now = asyncio.get_running_loop().time()
+        confirmed = self._events.confirmed_at()
+        if worker_lease.find_owner_obstacle(confirmed, lease_s, now) is not None:
+            return {}
         known = {
             worker_id: worker_deaths.KnownWorker(
                 "", "", self._worker_use.known_since(worker_id), None, None, True, True
--- a/clementinespar/jobs/tests/test_two_owners.py
+++ b/clementinespar/jobs/tests/test_two_owners.py
@@ -4,7 +4,14 @@
 
 import pytest
 
-from clementinespar.jobs import ownership, pool_owner, services, state, telemetry
+from clementinespar.jobs import (
+    ownership,
+    pool_owner,
+    services,
+    state,
+    telemetry,
+    worker_deaths,
+)
 from clementinespar.jobs.tests import fake_adviser, fakes, helpers, test_ownership
 from clementinespar.tests import paused_clock
 
@@ -73,6 +80,21 @@
     assert not workers.violations
 
 
+@paused_clock.test
+async def test_owner_out_of_touch_asks_for_few_lists_of_hosts() -> None:
+    """Guards against lists without end, as its runs are kept until a confirmation."""
+    workers = fakes.FakeWorkers(2)
+    harness = helpers.OwnerHarness(workers)
+    await harness.submit(helpers.make_spec("a", 1, is_lasting=True))
+    async with helpers.run_owner(harness):
+        await asyncio.sleep(3.0)
+        workers.workers[workers.starts[0][2]].is_unresponsive = True
+        harness.freeze_confirmation(asyncio.get_running_loop().time())
+        await asyncio.sleep(30.0)
+    # One each 0.3 s until the lease of the confirmation ends.
+    assert workers.host_lists <= helpers.LEASE_MAX_S / worker_deaths.CHECK_INTERVAL_S
+
+
 @paused_clock.test
 async def test_owner_whose_partition_was_another_ones_in_between_does_not_act() -> None:
     """Guards against two owners: one that has missed its loss is confirmed again.
