--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -382,7 +382,7 @@
             await self._jobs.schedule_wanted.wait()
             await asyncio.sleep(SCHEDULE_SPACING_S)
             await worker_lease.wait_until_grantable(
-                self.confirmed_at, self._lease_max_s * worker_lease.LEASE_SHARE
+                self.confirmed_at, worker_lease.find_granted_s(self._lease_max_s)
             )
             self._jobs.schedule_wanted.clear()
             self._round.run(asyncio.get_running_loop().time())
--- a/clementinespar/jobs/session_table.py
+++ b/clementinespar/jobs/session_table.py
@@ -149,7 +149,7 @@
 
         Empty while this owner can start nothing: it needs no deaths then.
         """
-        lease_s = self._lease_max_s * worker_lease.LEASE_SHARE
+        lease_s = worker_lease.find_granted_s(self._lease_max_s)
         now = asyncio.get_running_loop().time()
         confirmed = self._events.confirmed_at()
         if worker_lease.find_owner_obstacle(confirmed, lease_s, now) is not None:
--- a/clementinespar/jobs/tests/test_pool_owner.py
+++ b/clementinespar/jobs/tests/test_pool_owner.py
@@ -703,7 +703,7 @@
         await asyncio.sleep(2.0)
     used = workers.starts[0][2]
     workers.workers[used].is_unresponsive = True
-    granted_s = helpers.LEASE_MAX_S * worker_lease.LEASE_SHARE
+    granted_s = worker_lease.find_granted_s(helpers.LEASE_MAX_S)
     margin_s = worker_lease.LEASE_MARGIN_S + pool_owner.HOUSEKEEPING_INTERVAL_S
     async with helpers.run_owner(harness):
         await asyncio.sleep(granted_s + margin_s + 0.1)
--- a/clementinespar/jobs/worker_lease.py
+++ b/clementinespar/jobs/worker_lease.py
@@ -123,7 +123,7 @@
         events: worker_run.RunEvents,
     ) -> None:
         self.end = previous_end
-        self._lease_s = lease_max_s * LEASE_SHARE
+        self._lease_s = find_granted_s(lease_max_s)
         self._longest_s = find_longest_s(lease_max_s)
         self.extended_end = -math.inf
         self._granted_at = -math.inf
@@ -230,6 +230,22 @@
         }
 
 
+def find_granted_s(lease_max_s: float) -> float:
+    """Return the longest lease that owners grant.
+
+    Parameters
+    ----------
+    lease_max_s : float
+        Longest lease that a worker grants, in seconds.
+
+    Returns
+    -------
+    float
+        The lease in seconds, counted from a confirmation of ownership.
+    """
+    return lease_max_s * LEASE_SHARE
+
+
 def find_previous_s(lease_max_s: float) -> float:
     """Return how long to wait for leases that a previous owner granted.
 
@@ -243,7 +259,7 @@
     float
         The time in seconds, counted from the last confirmation of that owner.
     """
-    return lease_max_s * LEASE_SHARE + LEASE_MARGIN_S
+    return find_granted_s(lease_max_s) + LEASE_MARGIN_S
 
 
 def find_longest_s(lease_max_s: float) -> float:
