Soak: end although a handler was cancelled while it closed its connection

Cause: the end of a stand-in server cancels its handlers. One that waited for the end of its connection has cancelled that wait for all others too, so the second close raised CancelledError, of which none was asked for.

Change: the second close waits for the end of the first without taking over its error.

--- a/standins/stream_server.py
+++ b/standins/stream_server.py
@@ -59,5 +59,9 @@
 async def abort(writer: asyncio.StreamWriter) -> None:
     """Close a connection without sending what is still buffered."""
     writer.transport.abort()
-    with contextlib.suppress(OSError):
-        await writer.wait_closed()
+    # A task that was cancelled while it waited for the end has cancelled that wait for
+    # all others too, so this must not raise the error.
+    closed = asyncio.ensure_future(writer.wait_closed())
+    await asyncio.wait([closed])
+    if not closed.cancelled():
+        closed.exception()
