Soak: split the network between an owner and the other nodes

Cause: no fault of the soak cut off an owner together with some of the workers, as nodes reached workers and each other directly. So it could not show a task that is started by an owner and adopted by the next one.

Change: each node gets a proxy to each worker and to each other node; the stand-in of the store shows each caller the addresses of its own proxies. A split puts the owner of the pool and 1 to 3 of the 4 workers on one side, the store and the rest on the other, for 4 to 9 s; traffic between them is lost or reset. The workers are cut off up to 2 s before the store. Lasting jobs are submitted before each split. Its values come from a generator of its own. Each split is logged in splits.log.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -14,7 +14,7 @@
 from clementinespar import background
 from clementinespar.tests import known_failures
 from clementinespar_adapter import standin
-from soak import callers, faults, fleet, standstill
+from soak import callers, faults, fleet, splits, standstill
 
 SETTLE_TIMEOUT_S = 45.0  # for accepted jobs to end after the last fault, and a calm
 TIMEOUT_MARGIN_S = 90.0  # for a seed to end after its fault injection
@@ -48,18 +48,22 @@
     platform.put("keyed.op", "config", CONFIGURATION)
     async with (
         standin.serve(platform, POOLS) as store,
-        fleet.run_nodes(node_count, folder, store) as nodes,
+        fleet.run_nodes(node_count, folder, store, platform) as nodes,
         contextlib.AsyncExitStack() as stack,
     ):
         await wait_ready(nodes)
         load = callers.Callers(platform, nodes, random.Random(seed + 1))
         stack.push_async_callback(load.close)
         injector = faults.Injector(platform, nodes, rng)
+        splitter = splits.Splitter(
+            platform, nodes, load, random.Random(seed + 2), folder
+        )
         watch = standstill.StandstillWatch(platform, load)
         async with background.running(watch.run()):
             async with asyncio.TaskGroup() as group:
                 group.create_task(load.run(seconds))
-                group.create_task(injector.run(seconds))
+                group.create_task(injector.run(seconds, lambda: splitter.is_quiet))
+                group.create_task(splitter.run(seconds))
             injector.end_faults()
             problems = await settle(platform, load, watch)
     problems += platform.violations
@@ -70,7 +74,8 @@
         for job_id in sorted(load.refused & platform.started_jobs)
     ]
     click.echo(
-        f"seed {seed}: {injector.count} faults, {len(load.accepted)} jobs accepted,"
+        f"seed {seed}: {injector.count} faults, {splitter.count} splits,"
+        f" {len(load.accepted)} jobs accepted,"
         f" {len(load.refused)} refused, {len(load.failed)} failed,"
         f" {platform.starts} starts,"
         f" {len(problems)} problems, logs in {folder}"
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -90,7 +90,6 @@
         return response.status, reply
 
     async def _submit(self) -> None:
-        loop = asyncio.get_running_loop()
         job_id = f"{self._rng.getrandbits(64):016x}"
         is_lasting = self._rng.random() < LASTING_SHARE
         cpu = self._rng.choice([200, 500, 1200])
@@ -127,11 +126,36 @@
         elif is_lasting:
             cpu = LASTING_CPU
         self._platform.task_cpu_by_job_id[job_id] = cpu
+        if not await self._hand_in(job_id, steps, self._rng):
+            return
+        if is_lasting and self._rng.random() < KEPT_SHARE:
+            self.kept |= {job_id} & self.accepted
+            return
+        if job_id in self.accepted and (
+            is_lasting or self._rng.random() < CANCEL_SHARE
+        ):
+            await asyncio.sleep(self._rng.uniform(0.1, 3.0))
+            await self._cancel(job_id)
+
+    async def submit_lasting(self, rng: random.Random) -> None:
+        """Submit a job with a lasting task, which is not cancelled."""
+        job_id = f"{rng.getrandbits(64):016x}"
+        self._platform.lasting.add(job_id)
+        self._platform.task_cpu_by_job_id[job_id] = LASTING_CPU
+        step: dict[str, object] = {"count": 1, "cpu": LASTING_CPU, "longRunning": True}
+        await self._hand_in(job_id, [step], rng)
+        self.kept |= {job_id} & self.accepted
+
+    async def _hand_in(
+        self, job_id: str, steps: list[dict[str, object]], rng: random.Random
+    ) -> bool:
+        """Submit a job until it is accepted or it is too late; False if refused."""
+        loop = asyncio.get_running_loop()
         body = json.dumps({"spec": "x", "steps": steps}).encode()
         end = loop.time() + SUBMIT_TIMEOUT_S
         self.not_stored.add(job_id)
         while loop.time() < end:
-            node = self._rng.choice(self._nodes)
+            node = rng.choice(self._nodes)
             status = await self.call_for_status(node, "POST", f"/q/{job_id}", body)
             if status == 200:
                 self.accepted.add(job_id)
@@ -141,18 +165,11 @@
                 # Does not count after an unanswered attempt, which may have stored it.
                 self.refused.add(job_id)
                 self.not_stored.discard(job_id)
-                return
+                return False
             await asyncio.sleep(0.2)
             if status in (0, 502, 504):
                 self.not_stored.discard(job_id)
-        if is_lasting and self._rng.random() < KEPT_SHARE:
-            self.kept |= {job_id} & self.accepted
-            return
-        if job_id in self.accepted and (
-            is_lasting or self._rng.random() < CANCEL_SHARE
-        ):
-            await asyncio.sleep(self._rng.uniform(0.1, 3.0))
-            await self._cancel(job_id)
+        return True
 
     async def _cancel(self, job_id: str) -> None:
         for _ in range(20):
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -62,14 +62,19 @@
             self._leave_odd_entry,
         ]
 
-    async def run(self, seconds: float) -> None:
-        """Start faults for some seconds and wait until they end."""
+    async def run(self, seconds: float, is_held: Callable[[], bool]) -> None:
+        """Start faults for some seconds and wait until they end.
+
+        A fault that is due while `is_held` is true is left out.
+        """
         loop = asyncio.get_running_loop()
         end = loop.time() + seconds
         async with asyncio.TaskGroup() as group:
             while loop.time() < end:
-                self.count += 1
-                group.create_task(self._inject(self._rng.choice(self._faults)))
+                fault = self._rng.choice(self._faults)
+                if not is_held():
+                    self.count += 1
+                    group.create_task(self._inject(fault))
                 await asyncio.sleep(self._rng.uniform(*FAULT_INTERVAL_RANGE_S))
 
     def end_faults(self) -> None:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -10,6 +10,7 @@
 import sys
 from collections.abc import AsyncIterator
 
+from clementinespar_adapter import standin
 from soak import proxy
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -48,7 +49,9 @@
     """One node: its settings, its proxy to the store, its process."""
 
     callers: str  # ``IP:port`` for callers
+    internal: str  # ``IP:port`` for other nodes, which the name of a member begins with
     store_proxy: proxy.Proxy
+    links_by_target: dict[str, proxy.Proxy]  # by ``IP:port`` of a worker or node
     process: subprocess.Popen[bytes] | None
 
     def __init__(
@@ -56,7 +59,9 @@
     ) -> None:
         ports = find_ports(3)
         self.callers = f"127.0.0.1:{ports[0]}"
+        self.internal = f"127.0.0.1:{ports[2]}"
         self.store_proxy = store_proxy
+        self.links_by_target = {}
         self.process = None
         self._log = folder / f"node-{number}.log"
         self._settings = folder / f"node-{number}.ini"
@@ -92,14 +97,25 @@
 
 @contextlib.asynccontextmanager
 async def run_nodes(
-    count: int, folder: pathlib.Path, store: str
+    count: int, folder: pathlib.Path, store: str, platform: standin.Platform
 ) -> AsyncIterator[list[Node]]:
-    """Run nodes inside the context; kill their processes at the end."""
+    """Run nodes inside the context; kill their processes at the end.
+
+    Each node reaches each worker and each other node through a proxy of its own.
+    """
     async with contextlib.AsyncExitStack() as stack:
         nodes = []
         for number in range(count):
             store_proxy = await stack.enter_async_context(proxy.open_proxy(store))
             nodes.append(Node(number, folder, store_proxy))
+        for node in nodes:
+            caller = f"127.0.0.1:{node.store_proxy.port}"
+            targets = [f"127.0.0.1:{port}" for port in platform.workers_by_port]
+            targets += [other.internal for other in nodes if other is not node]
+            for target in targets:
+                link = await stack.enter_async_context(proxy.open_proxy(target))
+                node.links_by_target[target] = link
+                platform.addresses.replace(caller, target, f"127.0.0.1:{link.port}")
         try:
             for node in nodes:
                 node.start()
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -24,26 +24,41 @@
 class Proxy:
     """One proxy; the fault injector sets its mode."""
 
-    mode: Mode
     port: int
+    _mode: Mode
+    _cut: Mode | None  # takes the place of the mode while the network is split
     _target: tuple[str, int]
     _dropping_writers: set[asyncio.StreamWriter]
     _writers: set[asyncio.StreamWriter]
 
     def __init__(self, target: str) -> None:
         host, _, port = target.rpartition(":")
-        self.mode = Mode.PASS
         self.port = 0
+        self._mode = Mode.PASS
+        self._cut = None
         self._target = (host, int(port))
         self._dropping_writers = set()
         self._writers = set()
 
     def set_mode(self, mode: Mode) -> None:
         """Apply a mode to new and open connections."""
-        self.mode = mode
-        if mode is Mode.SILENT:
+        self._mode = mode
+        self._apply()
+
+    def set_cut(self, mode: Mode | None) -> None:
+        """Apply a mode, whatever `set_mode` sets, until called with None."""
+        self._cut = mode
+        self._apply()
+
+    @property
+    def mode(self) -> Mode:
+        """What the proxy does to connections now."""
+        return self._cut or self._mode
+
+    def _apply(self) -> None:
+        if self.mode is Mode.SILENT:
             self._dropping_writers |= self._writers
-        elif mode is Mode.RESET:
+        elif self.mode is Mode.RESET:
             for writer in self._writers:
                 writer.transport.abort()
 
--- /dev/null
+++ b/soak/splits.py
@@ -0,0 +1,178 @@
+"""Splits the network: the owner of a pool is alone with some of the workers."""
+
+import asyncio
+import json
+import pathlib
+import random
+import time
+
+from clementinespar.jobs import partitions, standby
+from clementinespar_adapter import standin
+from soak import callers, fleet, proxy
+
+POOL = "work"
+PARTITIONS = partitions.PartitionMap(24)  # as many as the stand-in of the store grants
+PAUSE_RANGE_S = (0.5, 3.0)  # before each split
+DURATION_RANGE_S = (4.0, 9.0)  # an owner's leases end 5.4 s after its confirmation
+TAIL_S = 4.0  # the last split ends at most this long after the last other fault
+# Routes fail one after the other: the store is cut off this long after the workers.
+# Renewals of leases are 0.8 s apart.
+LEAD_RANGE_S = (0.0, 2.0)
+WORKER_SHARES = (0.25, 0.5, 0.75)  # of the workers on the side of the owner
+FAR_TASKS_SHARE = 0.75  # of the splits with the most lasting tasks on the other side
+LASTING_JOBS = 3  # submitted before each split
+OWNER_AGE_S = 1.5  # an owner has found the runs on its workers by then
+OWNER_WAIT_S = 6.0  # for such an owner; then any owner or a random node is cut off
+QUIET_SHARE = 0.6  # of the splits during which no other fault starts
+MODES = (proxy.Mode.SILENT, proxy.Mode.RESET)
+DISTURB_INTERVAL_S = 0.5
+
+
+class Splitter:
+    """Splits the network again and again, with values that it draws from `rng`.
+
+    On one side are the owner of the pool and some of the workers, on the other the
+    store, the other nodes and the other workers. Callers reach all nodes. Each split is
+    written to a log beside those of the nodes. Lasting tasks run meanwhile.
+    """
+
+    count: int  # splits started
+    is_quiet: bool  # whether no other fault is to start now
+
+    def __init__(
+        self,
+        platform: standin.Platform,
+        nodes: list[fleet.Node],
+        load: callers.Callers,
+        rng: random.Random,
+        folder: pathlib.Path,
+    ) -> None:
+        self.count = 0
+        self.is_quiet = False
+        self._load = load
+        self._log = folder / "splits.log"
+        self._platform = platform
+        self._nodes = nodes
+        self._rng = rng
+
+    async def run(self, seconds: float) -> None:
+        """Split the network for some seconds and wait until the last split ends."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds + TAIL_S
+        async with asyncio.TaskGroup() as submissions:
+            while True:
+                rng = random.Random(self._rng.random())
+                for _ in range(LASTING_JOBS):
+                    submissions.create_task(self._load.submit_lasting(rng))
+                await asyncio.sleep(self._rng.uniform(*PAUSE_RANGE_S))
+                duration = self._rng.uniform(*DURATION_RANGE_S)
+                any_node = self._rng.choice(self._nodes)
+                node = await self._wait_owner() or any_node
+                lead = self._rng.uniform(*LEAD_RANGE_S)
+                if loop.time() + lead + duration > end:
+                    return
+                self.is_quiet = self._rng.random() < QUIET_SHARE
+                await self._split(node, lead, duration)
+                self.is_quiet = False
+
+    async def _split(self, node: fleet.Node, lead_s: float, duration_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        near = self._choose_near_workers()
+        links = self._find_links(node, near)
+        mode = self._rng.choice(MODES)
+        self.count += 1
+        self._write_log(node, near, mode, lead_s, duration_s)
+        self._platform.disturb()
+        for link in links:
+            link.set_cut(mode)
+        await asyncio.sleep(lead_s)
+        node.store_proxy.set_cut(mode)
+        end = loop.time() + duration_s
+        while loop.time() < end:
+            self._platform.disturb()
+            await asyncio.sleep(min(DISTURB_INTERVAL_S, end - loop.time()))
+        for link in (*links, node.store_proxy):
+            link.set_cut(None)
+        self._platform.disturb()
+
+    async def _wait_owner(self) -> fleet.Node | None:
+        """Wait for an owner that has lasting tasks running; return the present one."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + OWNER_WAIT_S
+        owner, since = self._find_owner(), loop.time()
+        while loop.time() < end:
+            await asyncio.sleep(standin.POLL_INTERVAL_S)
+            if (present := self._find_owner()) is not owner:
+                owner, since = present, loop.time()
+            ports = self._platform.workers_by_port
+            has_runs = any(self._list_lasting_runs(port) for port in ports)
+            if owner and has_runs and loop.time() > since + OWNER_AGE_S:
+                break
+        return owner
+
+    def _choose_near_workers(self) -> set[str]:
+        """Return the addresses of the workers on the side of the owner."""
+        ports = sorted(self._platform.workers_by_port)
+        count = round(self._rng.choice(WORKER_SHARES) * len(ports))
+        self._rng.shuffle(ports)
+        if self._rng.random() < FAR_TASKS_SHARE:
+            fullest = max(ports, key=lambda port: len(self._list_lasting_runs(port)))
+            ports.remove(fullest)
+            ports.append(fullest)
+        return {f"127.0.0.1:{port}" for port in ports[:count]}
+
+    def _list_lasting_runs(self, port: int) -> list[str]:
+        worker = self._platform.workers_by_port[port]
+        return [
+            f"{task} run {run} on {worker.worker_id}"
+            for task, (run, _, _) in worker.running.items()
+            if task.split(".")[0] in self._platform.lasting
+        ]
+
+    def _write_log(
+        self,
+        node: fleet.Node,
+        near: set[str],
+        mode: proxy.Mode,
+        lead_s: float,
+        duration_s: float,
+    ) -> None:
+        lasting_runs: dict[str, list[str]] = {"near": [], "far": []}
+        for port in self._platform.workers_by_port:
+            side = "near" if f"127.0.0.1:{port}" in near else "far"
+            lasting_runs[side] += self._list_lasting_runs(port)
+        line = {
+            "t": round(time.time(), 3),
+            "node": f"node-{self._nodes.index(node)}",
+            "is_owner": node is self._find_owner(),
+            "is_quiet": self.is_quiet,
+            "mode": mode.value,
+            "lead_s": round(lead_s, 2),
+            "duration_s": round(duration_s, 2),
+            "lasting_runs": lasting_runs,
+        }
+        with self._log.open("a") as log:
+            log.write(json.dumps(line) + "\n")
+
+    def _find_owner(self) -> fleet.Node | None:
+        partition = PARTITIONS.find(POOL)
+        owners = {
+            standby.parse_address(name)
+            for name, member in self._platform.members.items()
+            if partition in member.parts
+        }
+        return next((node for node in self._nodes if node.internal in owners), None)
+
+    def _find_links(self, node: fleet.Node, near: set[str]) -> list[proxy.Proxy]:
+        """Return the proxies between the two sides but that to the store."""
+        links = [
+            link for target, link in node.links_by_target.items() if target not in near
+        ]
+        for other in self._nodes:
+            if other is not node:
+                links += [
+                    link
+                    for target, link in other.links_by_target.items()
+                    if target in near or target == node.internal
+                ]
+        return links
