--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -66,7 +66,7 @@
                 group.create_task(splitter.run(seconds))
             injector.end_faults()
             problems = await settle(platform, load, watch)
-    problems += platform.violations
+    problems = platform.violations + problems
     if not load.accepted:
         problems.append("no job was accepted")
     problems += [
