--- a/clementinespar/jobs/tests/fakes.py
+++ b/clementinespar/jobs/tests/fakes.py
@@ -190,7 +190,7 @@
         self.start_answer_s = 0.0
         self.host_lists = 0
         self.omitted_hosts = set()
-        self.dropped_starts: set[str] = set()  # workers that got them
+        self.dropped_starts: dict[str, model.StartOrder] = {}  # the last by worker
         self.acknowledged_done: set[model.TaskKey] = set()
         self.cpu_by_step: dict[tuple[str, int], int] = {}
         self.lasting_jobs: set[str] = set()
@@ -332,7 +332,7 @@
         await self._delay(worker.worker_id, lambda fake: self._start(fake, order))
         fake = await self._reach(worker.worker_id, order.fence)
         if fake.drops_starts:
-            self.dropped_starts.add(worker.worker_id)
+            self.dropped_starts[worker.worker_id] = order
             raise http_calls.CallUnansweredError("the start was lost")
         answer = self._start(fake, order)
         await asyncio.sleep(self.start_answer_s)
--- a/clementinespar/jobs/tests/test_worker_deaths.py
+++ b/clementinespar/jobs/tests/test_worker_deaths.py
@@ -270,6 +270,30 @@
         assert not workers.starts
 
 
+@paused_clock.test
+async def test_stop_that_a_former_life_has_answered_settles_no_start() -> None:
+    """Guards against two runs: a worker that is back does not know of the stop."""
+    workers = fakes.FakeWorkers(2)
+    harness = helpers.OwnerHarness(workers)
+    async with helpers.run_owner(harness):
+        await asyncio.sleep(2.0)
+        for worker in workers.workers.values():
+            worker.drops_starts = True
+        await harness.submit(helpers.make_spec("a", 1, is_lasting=True))
+        while not any(worker.ended_runs for worker in workers.workers.values()):
+            await asyncio.sleep(0.001)
+        ((used, order),) = workers.dropped_starts.items()
+        workers.end(used)
+        workers.drain(used)  # so that the task starts on the other worker
+        for worker in workers.workers.values():
+            worker.drops_starts = False
+        await asyncio.sleep(1.0)
+        workers.crash(used)
+        await _wait_starts(workers, 1)
+        await workers.start(workers.by_id[used], order)  # carried out late
+        assert not workers.violations
+
+
 @paused_clock.test
 async def test_hosts_are_listed_only_while_a_worker_is_silent() -> None:
     """Guards against calls to the platform that nobody needs."""
