--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -251,7 +251,8 @@
         )
         self._death_watch = worker_deaths.WorkerDeathWatch(
             hosts,
-            self._sessions.find_known,
+            self._sessions.find_silent,
+            self._sessions.find_responsive,
             self._on_worker_death,
             log_event,
         )
--- a/clementinespar/jobs/session_table.py
+++ b/clementinespar/jobs/session_table.py
@@ -9,7 +9,6 @@
     passed_over,
     services,
     team_use,
-    worker_deaths,
     worker_lease,
     worker_run,
     worker_session,
@@ -144,8 +143,8 @@
                 if session is not None:
                     session.is_evacuating = False
 
-    def find_known(self) -> dict[str, worker_deaths.KnownWorker]:
-        """Return the workers of sessions and of unsettled leases, by id.
+    def find_silent(self) -> dict[str, float]:
+        """Return the silent workers that hold up tasks, as the death watch needs it.
 
         Empty while this owner can start nothing: it needs no deaths then.
         """
@@ -154,30 +153,24 @@
         confirmed = self._events.confirmed_at()
         if worker_lease.find_owner_obstacle(confirmed, lease_s, now) is not None:
             return {}
-        known = {
-            worker_id: worker_deaths.KnownWorker(
-                "", "", self._worker_use.known_since(worker_id), None, None, True, True
-            )
+        known_since = {
+            worker_id: self._worker_use.known_since(worker_id)
             for worker_id in self._worker_use.find_unsettled()
             if worker_id != worker_use.ANY_WORKER
         }
         for worker_id, session in self._sessions_by_id.items():
-            is_unsettled = worker_id in known
-            holds_up = bool(session.runs) or session.is_awaited
-            is_sought = session.is_silent and not session.is_dead and holds_up
-            known_since = session.born_seen_at
-            if is_unsettled and not is_sought:
-                known_since = known[worker_id].known_since
-            known[worker_id] = worker_deaths.KnownWorker(
-                session.entry.pool,
-                session.entry.data_centre,
-                known_since,
-                session.born_seen_at if session.has_answered else None,
-                session.alive_at if session.has_answered else None,
-                session.is_silent or is_unsettled,
-                is_sought or is_unsettled,
-            )
-        return known
+            holds_up = session.runs or session.is_awaited
+            if session.is_silent and not session.is_dead and holds_up:
+                known_since[worker_id] = session.born_seen_at
+        return known_since
+
+    def find_responsive(self) -> set[str]:
+        """Return the workers that answer."""
+        return {
+            worker_id
+            for worker_id, session in self._sessions_by_id.items()
+            if session.has_answered and not session.is_silent
+        }
 
     def in_pool(self, pool: str) -> list[worker_session.WorkerSession]:
         """Return the sessions of the workers of a pool."""
