--- a/soak/splits.py
+++ b/soak/splits.py
@@ -25,7 +25,7 @@
 OWNER_WAIT_S = 6.0  # for such an owner; then any owner or a random node is cut off
 QUIET_SHARE = 0.6  # of the splits during which no other fault starts
 MODES = (proxy.Mode.SILENT, proxy.Mode.RESET)
-DISTURB_INTERVAL_S = 0.5
+DISTURB_INTERVAL_S = 0.5  # tasks that stand still are not judged during a split
 
 
 class Splitter:
