Soak: abort both ends of a connection before waiting for either

At the end of a soak, its proxies cancel their handlers. One that waited for the end of one side then left the other side open, and the interpreter printed 'Event loop is closed' when that was collected (16 times in the first 14 of 50 seeds).

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -85,6 +85,9 @@
             ends = {writer, target_writer}
             self._writers -= ends
             self._dropping_writers -= ends
+            # Both before the first wait, in which the end of the server cancels this.
+            for end in ends:
+                end.transport.abort()
             for end in ends:
                 await stream_server.abort(end)
 
