--- a/clementinespar/jobs/session_events.py
+++ b/clementinespar/jobs/session_events.py
@@ -67,6 +67,8 @@
         worker_id = session.entry.worker_id
         if session.has_answered:
             self._worker_use.answered.add(worker_id)
+        else:
+            self._jobs.flush_wanted.set()  # it lists more once these are acknowledged
         self._crash_watch.on_contact(session)
         if not session.is_released():
             self._worker_use.add(
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -291,7 +291,7 @@
             sent_at = loop.time()
             wait_ms = RENEW_WAIT_MS
             if not self.has_answered:
-                wait_ms = 0
+                wait_ms = SETTLE_WAIT_MS if self.born_ms else 0
             elif any(
                 run.status in (worker_run.RunStatus.OPEN, worker_run.RunStatus.STOPPING)
                 for run in self.runs.values()
