--- a/clementinespar/jobs/tests/fakes.py
+++ b/clementinespar/jobs/tests/fakes.py
@@ -169,6 +169,7 @@
     late_s: dict[str, float]
     start_answer_s: float  # time from a start to its answer, which a crash leaves
     host_lists: int  # that were asked for
+    omitted_hosts: set[str]  # ids of workers whose hosts the list leaves out
 
     def __init__(self, count: int = 2, pool: str = "quotes", cpu: int = 4000) -> None:
         self.by_id = {}
@@ -188,6 +189,7 @@
         self.late_s = {}
         self.start_answer_s = 0.0
         self.host_lists = 0
+        self.omitted_hosts = set()
         self.dropped_starts: dict[str, model.StartOrder] = {}  # the last by worker
         self.acknowledged_done: set[model.TaskKey] = set()
         self.cpu_by_step: dict[tuple[str, int], int] = {}
@@ -251,6 +253,8 @@
         now = asyncio.get_running_loop().time()
         hosts = []
         for worker_id, worker in self.workers.items():
+            if worker_id in self.omitted_hosts:
+                continue
             is_up = now >= worker.listed_from and not worker.is_dead
             hosts.append(
                 model.HostEntry(
--- a/clementinespar/jobs/tests/test_worker_deaths.py
+++ b/clementinespar/jobs/tests/test_worker_deaths.py
@@ -153,6 +153,21 @@
     assert not workers.violations
 
 
+@paused_clock.test
+async def test_live_worker_that_a_partial_list_omits_keeps_its_task() -> None:
+    """Guards against two runs: the worker is cut off and its host is not listed."""
+    workers = fakes.FakeWorkers(3)
+    harness = helpers.OwnerHarness(workers)
+    await harness.submit(helpers.make_spec("a", 1, is_lasting=True))
+    async with helpers.run_owner(harness):
+        await asyncio.sleep(3.0)
+        cut_off = workers.starts[0][2]
+        workers.omitted_hosts.add(cut_off)
+        workers.workers[cut_off].is_unresponsive = True  # runs on
+        await asyncio.sleep(RESTART_S)
+    assert not workers.violations
+
+
 @pytest.mark.parametrize("is_lasting", [True, False])
 @paused_clock.test
 async def test_tasks_of_a_dead_worker_run_again_before_its_lease_ends(
