--- a/clementinespar/jobs/tests/test_ownership.py
+++ b/clementinespar/jobs/tests/test_ownership.py
@@ -4,7 +4,7 @@
 import contextlib
 import dataclasses
 import types
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Callable, Mapping
 
 from clementinespar import codes, errors, http_calls
 from clementinespar.jobs import (
@@ -14,9 +14,10 @@
     service,
     services,
     standby,
+    state,
     telemetry,
 )
-from clementinespar.jobs.tests import fake_adviser, fakes
+from clementinespar.jobs.tests import fake_adviser, fakes, helpers
 from clementinespar.tests import paused_clock
 
 PARTITION = 3
@@ -63,11 +64,19 @@
     def make_owner(self, partition: int, epoch: int) -> pool_owner.PoolOwner:
         """Return an owner on fakes."""
         self.epochs.append(epoch)
+        return self.make_other_owner(
+            partition, epoch, self.ownership_manager.confirmed_at
+        )
+
+    def make_other_owner(
+        self, partition: int, epoch: int, confirmed_at: Callable[[], float | None]
+    ) -> pool_owner.PoolOwner:
+        """Return an owner on fakes, as on another node."""
         return pool_owner.PoolOwner(
             partition,
             epoch,
             lambda pool: True,
-            self.ownership_manager.confirmed_at,
+            confirmed_at,
             lambda owner: None,
             self.store,
             self.workers,
@@ -90,6 +99,15 @@
         finally:
             self.open_fleet_owners -= 1
 
+    async def submit_lasting(self, job_id: str) -> fakes.FakeWorkers:
+        """Store a job of one lasting task, for two workers, and return these."""
+        self.workers = fakes.FakeWorkers(2)
+        self.workers.lasting_jobs.add(job_id)
+        spec = helpers.make_spec(job_id, 1, is_lasting=True)
+        record = services.KeyedRecord("j" + job_id, state.encode_spec(spec))
+        await self.store.append(services.Topic.COMMANDS, PARTITION, [record])
+        return self.workers
+
     def assign(self, generation: int, *partitions: int) -> None:
         """Set what the next join returns."""
         self.group.assignment = services.Assignment(generation, frozenset(partitions))
--- a/clementinespar/jobs/tests/test_run_numbers.py
+++ b/clementinespar/jobs/tests/test_run_numbers.py
@@ -5,7 +5,7 @@
 import pytest
 from hypothesis import given, strategies
 
-from clementinespar.jobs import model, ownership, services, state
+from clementinespar.jobs import model, ownership, state
 from clementinespar.jobs.tests import fakes, helpers, test_ownership
 from clementinespar.tests import paused_clock
 
@@ -111,14 +111,7 @@
     """
     partitions = frozenset({test_ownership.PARTITION, test_ownership.FLEET_PARTITION})
     harness = test_ownership.ManagerHarness(partitions)
-    workers = harness.workers = fakes.FakeWorkers(2)
-    workers.lasting_jobs.add("a")
-    spec = helpers.make_spec("a", 1, is_lasting=True)
-    await harness.store.append(
-        services.Topic.COMMANDS,
-        test_ownership.PARTITION,
-        [services.KeyedRecord("ja", state.encode_spec(spec))],
-    )
+    workers = await harness.submit_lasting("a")
     async with ownership.run_ownership_manager(harness.ownership_manager):
         await asyncio.sleep(3.0)
         workers.cut_for.add((workers.starts[0][2], 1))
--- a/clementinespar/jobs/tests/test_two_owners.py
+++ b/clementinespar/jobs/tests/test_two_owners.py
@@ -7,12 +7,9 @@
 from clementinespar.jobs import (
     ownership,
     pool_owner,
-    services,
-    state,
-    telemetry,
     worker_deaths,
 )
-from clementinespar.jobs.tests import fake_adviser, fakes, helpers, test_ownership
+from clementinespar.jobs.tests import fakes, helpers, test_ownership
 from clementinespar.tests import paused_clock
 
 
@@ -80,6 +77,34 @@
     assert not workers.violations
 
 
+@paused_clock.test
+async def test_run_that_the_next_owner_adopts_is_not_started_after_the_wait() -> None:
+    """Guards against two runs of a task whose owner waited for a previous lease.
+
+    The first owner has gone. The second one cannot reach the worker of the run, and is
+    cut off from the store while it waits. The third one reaches that worker, but not
+    the other one.
+    """
+    workers = fakes.FakeWorkers(2)
+    harness = helpers.OwnerHarness(workers)
+    await harness.submit(helpers.make_spec("a", 1, is_lasting=True))
+    loop = asyncio.get_running_loop()
+    async with helpers.run_owner(harness):
+        await asyncio.sleep(3.0)
+    used = workers.starts[0][2]
+    other = next(worker_id for worker_id in workers.workers if worker_id != used)
+    workers.cut_for |= {(used, 2), (other, 3)}
+    second = harness.make_owner()
+    async with pool_owner.own_partition(second):
+        await asyncio.sleep(1.0)
+        harness.freeze_confirmation(loop.time())
+        harness.store.cut_epochs.add(2)
+        await asyncio.sleep(1.6)
+        async with helpers.run_owner(harness):
+            await asyncio.sleep(6.0)
+    assert not workers.violations
+
+
 @paused_clock.test
 async def test_owner_out_of_touch_asks_for_few_lists_of_hosts() -> None:
     """Guards against lists without end, as its runs are kept until a confirmation."""
@@ -102,14 +127,7 @@
     The other one, cut off in turn, has a worker that the first cannot reach.
     """
     harness = test_ownership.ManagerHarness(frozenset({test_ownership.PARTITION}))
-    workers = harness.workers = fakes.FakeWorkers(2)
-    workers.lasting_jobs.add("a")
-    spec = helpers.make_spec("a", 1, is_lasting=True)
-    await harness.store.append(
-        services.Topic.COMMANDS,
-        test_ownership.PARTITION,
-        [services.KeyedRecord("ja", state.encode_spec(spec))],
-    )
+    workers = await harness.submit_lasting("a")
     loop = asyncio.get_running_loop()
     async with ownership.run_ownership_manager(harness.ownership_manager):
         await asyncio.sleep(3.0)
@@ -120,20 +138,8 @@
         harness.store.cut_epochs.add(1)
         await asyncio.sleep(1.6)
         confirmed_at = loop.time()
-        between = pool_owner.PoolOwner(
-            test_ownership.PARTITION,
-            5,
-            lambda pool: True,
-            lambda: confirmed_at,
-            lambda owner: None,
-            harness.store,
-            workers,
-            workers,
-            fake_adviser.FakeAdviser(),
-            workers,
-            pool_owner.OwnerSettings(helpers.LEASE_MAX_S),
-            fakes.ignore_event,
-            telemetry.JobMetrics(),
+        between = harness.make_other_owner(
+            test_ownership.PARTITION, 5, lambda: confirmed_at
         )
         async with pool_owner.own_partition(between):
             for _ in range(16):
@@ -148,6 +154,37 @@
     assert not workers.violations
 
 
+@paused_clock.test
+async def test_owner_that_missed_another_ones_turn_does_not_start_its_run() -> None:
+    """Guards against two runs of a task if all partitions are dealt anew at once.
+
+    Another member owns the partition for less than the time to live, adopts the run
+    and renews its lease. The first owner joins again after that. The store takes its
+    joins, but not its appends, and it cannot reach the worker of the run.
+    """
+    harness = test_ownership.ManagerHarness(frozenset({test_ownership.PARTITION}))
+    workers = await harness.submit_lasting("a")
+    loop = asyncio.get_running_loop()
+    async with ownership.run_ownership_manager(harness.ownership_manager):
+        await asyncio.sleep(3.0)
+        used = workers.starts[0][2]
+        other = next(worker_id for worker_id in workers.workers if worker_id != used)
+        workers.cut_for |= {(used, 1), (other, 5)}
+        harness.group.is_down = True  # its joins have no effect for 1.0 s
+        harness.store.cut_epochs.add(1)
+        confirmed_at = loop.time() + 0.9
+        between = harness.make_other_owner(
+            test_ownership.PARTITION, 5, lambda: min(confirmed_at, loop.time())
+        )
+        async with pool_owner.own_partition(between):
+            await asyncio.sleep(1.0)
+        harness.assign(6, test_ownership.PARTITION)
+        harness.group.is_down = False
+        await asyncio.sleep(6.0)
+        assert harness.ownership_manager.gap_count == 1
+    assert not workers.violations
+
+
 @paused_clock.test
 async def test_owner_acts_on_after_a_gap_in_which_no_other_began() -> None:
     """Guards against a pool that stands still after each outage of the store."""
