--- a/clementinespar/jobs/tests/test_many_ends.py
+++ b/clementinespar/jobs/tests/test_many_ends.py
@@ -4,32 +4,11 @@
 import collections
 import dataclasses
 
-from clementinespar.jobs import model, worker_session
+from clementinespar.jobs import model
 from clementinespar.jobs.tests import fakes, helpers
 from clementinespar.tests import paused_clock
 
 
-class BoundedWorkers(fakes.FakeWorkers):
-    """Workers that list their ends as the protocol says: 500 at a time."""
-
-    async def renew(
-        self,
-        worker: model.WorkerEntry,
-        fence: int,
-        acknowledged: int,
-        lease_until_ms: int | None,
-        wait_ms: int,
-    ) -> model.WorkerReport | None:
-        report = await super().renew(
-            worker, fence, acknowledged, lease_until_ms, wait_ms
-        )
-        if report is None:
-            return None
-        return dataclasses.replace(
-            report, ended=report.ended[: worker_session.REPORTED_ENDS]
-        )
-
-
 @paused_clock.test
 async def test_done_task_that_the_first_report_leaves_out_is_not_redone() -> None:
     """Guards against tasks that are done twice because of a long list of ends.
@@ -37,7 +16,7 @@
     The first owner is lost before it has stored the ends, and the next one learns of
     500 of them at a time.
     """
-    workers = BoundedWorkers(1, cpu=800_000)
+    workers = fakes.FakeWorkers(1, cpu=800_000)
     harness = helpers.OwnerHarness(workers)
     spec = helpers.make_spec("a", 700)
     step = dataclasses.replace(spec.steps[0], memory_mb=10)
@@ -49,6 +28,7 @@
         harness.store.cut_epochs.add(1)
         await asyncio.sleep(1.0)
     started = {task for task, _, _ in workers.starts}
+    workers.add("other", "quotes", 800_000)
     async with helpers.run_owner(harness):
         await harness.wait_state("a", model.JobState.DONE)
     counts = collections.Counter(task for task, _, _ in workers.starts)
