Soak: give nodes ports that nothing else takes while they are down

A run with 30 nodes ended with an error: a proxy had got the port that was found for a node, as both came from the range that Linux gives out. Ports of nodes lie below that range now.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import os
 import pathlib
 import signal
@@ -33,16 +34,23 @@
 """
 
 
+# Ports of a node are free while it is down. Linux gives out those from 32,768 on to
+# proxies and outgoing connections. Each process of the soak has a block of its own.
+FIRST_PORT = 12_000
+PORT_BLOCK = 200
+PORT_BLOCKS = 100
+_ports = itertools.count(FIRST_PORT + os.getpid() % PORT_BLOCKS * PORT_BLOCK)
+
+
 def find_ports(count: int) -> list[int]:
-    """Return free ports of the loopback address."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for bound in sockets:
-            bound.bind(("127.0.0.1", 0))
-        return [int(bound.getsockname()[1]) for bound in sockets]
-    finally:
-        for bound in sockets:
-            bound.close()
+    """Return free ports of the loopback address, other ones with each call."""
+    found: list[int] = []
+    while len(found) < count:
+        port = next(_ports)
+        with contextlib.suppress(OSError), socket.socket() as bound:
+            bound.bind(("127.0.0.1", port))
+            found.append(port)
+    return found
 
 
 class Node:
