--- a/clementinespar/jobs/tests/test_joint_waits.py
+++ b/clementinespar/jobs/tests/test_deaths_in_series.py
@@ -1,4 +1,4 @@
-"""Tests of waits that several safeguards against two runs cause together."""
+"""Tests of deaths that follow each other, with the hosts of earlier ones back."""
 
 import asyncio
 
@@ -22,8 +22,8 @@
 ) -> None:
     """Guards against a task that waits for a lease since another worker died before.
 
-    The host of the first worker has a new one, here or in another pool, so it counts
-    for no missing worker any more. The first worker still counts as missing.
+    The host of the first worker is down still, or has a new worker, here or in another
+    pool.
     """
     workers = fakes.FakeWorkers(4)
     harness = helpers.OwnerHarness(workers)
