Tests: a replaced owner starts tasks whose end is acknowledged

An owner is cut off from the store and from the worker of a run. The next owner adopts the run, sees it end as done, stores that and acknowledges it.

--- /dev/null
+++ b/clementinespar/jobs/tests/test_replaced_owners.py
@@ -0,0 +1,125 @@
+"""Tests of replaced owners, and of runs whose end only the next owner has seen."""
+
+import asyncio
+import dataclasses
+
+import pytest
+
+from clementinespar.jobs import crash_counts, model, pool_owner
+from clementinespar.jobs.tests import fakes, helpers
+from clementinespar.tests import paused_clock
+
+TAKEOVER_S = 1.5  # from the last confirmation of an owner to the next owner
+TASK_S = 4.0  # the task ends after the takeover
+# From the takeover until the next owner has stored and acknowledged that end. The
+# replaced owner can still grant leases then.
+ACKNOWLEDGED_S = 2.0
+
+
+def _make_chain() -> model.JobSpec:
+    """Return a job that is not done with its first task."""
+    spec = helpers.make_spec("a", 1)
+    (step,) = spec.steps
+    return dataclasses.replace(
+        spec, steps=(step, dataclasses.replace(step, after=(0,)))
+    )
+
+
+def _split(workers: fakes.FakeWorkers, replaced: int) -> str:
+    """Cut an owner off from the worker in use, and the next one from the other."""
+    used = workers.starts[0][2]
+    other = next(worker_id for worker_id in workers.workers if worker_id != used)
+    workers.cut_for |= {(used, replaced), (other, replaced + 1)}
+    return used
+
+
+async def _lose_worker(
+    harness: helpers.OwnerHarness, used: str, replaced: int, is_restarted: bool
+) -> None:
+    """End the worker after the next owner has acknowledged the end of its run.
+
+    If it restarts, only the replaced owner reaches its next life.
+    """
+    workers = harness.workers
+    await asyncio.sleep(ACKNOWLEDGED_S)
+    assert len(workers.acknowledged_done) == 1
+    if is_restarted:
+        workers.cut_for -= {(used, replaced)}
+        workers.cut_for |= {(used, replaced + 1)}
+        workers.crash(used)
+    else:
+        workers.end(used)
+    await asyncio.sleep(6.0)
+
+
+@pytest.mark.parametrize(
+    ("is_restarted", "is_stopped"),
+    [
+        pytest.param(False, False, id="its worker has ended"),
+        pytest.param(True, False, id="no longer listed"),
+        pytest.param(True, True, id="stopped before it started"),
+    ],
+)
+@paused_clock.test
+async def test_replaced_owner_starts_a_task_whose_end_is_acknowledged(
+    is_restarted: bool, is_stopped: bool
+) -> None:
+    """Guards against a start after an end that only the next owner has seen.
+
+    The replaced owner is cut off from the store and from the worker of the run, then
+    finds that the worker has ended or begun another life.
+    """
+    workers = fakes.FakeWorkers(2)
+    workers.task_s = TASK_S
+    harness = helpers.OwnerHarness(workers)
+    previous = harness.make_owner()
+    async with pool_owner.own_partition(previous):
+        await asyncio.sleep(3.0)
+        await harness.submit(_make_chain())
+        # A later start of the task need not be stored first if its worker dies.
+        await asyncio.sleep(crash_counts.SUSPECT_S + 0.5)
+        used = _split(workers, previous.epoch)
+        if is_stopped:
+            session = previous.sessions_by_id[used]
+            session.stop(next(iter(session.runs.values())), "a test")
+        harness.freeze_confirmation(asyncio.get_running_loop().time())
+        harness.store.cut_epochs.add(previous.epoch)
+        await asyncio.sleep(TAKEOVER_S)
+        async with helpers.run_owner(harness):
+            await _lose_worker(harness, used, previous.epoch, is_restarted)
+    assert not workers.violations
+
+
+@pytest.mark.parametrize(
+    "is_restarted",
+    [
+        pytest.param(False, id="its worker has ended"),
+        pytest.param(True, id="its worker answers in another life"),
+    ],
+)
+@paused_clock.test
+async def test_replaced_owner_ends_its_wait_for_a_run_whose_end_is_acknowledged(
+    is_restarted: bool,
+) -> None:
+    """Guards against a start after an end that only the owner after next has seen.
+
+    The second owner waits for the worker of a run of the first one and is cut off from
+    it and the store. The third one adopts the run.
+    """
+    workers = fakes.FakeWorkers(2)
+    workers.task_s = TASK_S
+    harness = helpers.OwnerHarness(workers)
+    async with helpers.run_owner(harness):
+        await asyncio.sleep(3.0)
+        await harness.submit(_make_chain())
+        await asyncio.sleep(crash_counts.SUSPECT_S + 0.5)
+    second = harness.make_owner()
+    used = _split(workers, second.epoch)
+    async with pool_owner.own_partition(second):
+        await asyncio.sleep(0.3)
+        harness.freeze_confirmation(asyncio.get_running_loop().time())
+        harness.store.cut_epochs.add(second.epoch)
+        await asyncio.sleep(TAKEOVER_S)
+        async with helpers.run_owner(harness):
+            await _lose_worker(harness, used, second.epoch, is_restarted)
+    assert not workers.violations
