Start a task again only after a confirmation that its run was not taken over

Now each conclusion without a listed end needs one (`conclusions.py`): a join sent after the observation, or an append, which the store refuses once a later owner has begun. Until then the run stays among the open runs of its task; its listed end, or the run itself, wins. A report of the life for which the run was started needs none: the worker would have refused it. The owner asks for an append at once, at most each 0.1 s. The evidence is gathered in `lost_runs.py`, out of `worker_session.py`.

--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -19,6 +19,7 @@
 from clementinespar import background, explanation
 from clementinespar.jobs import (
     command_intake,
+    conclusions,
     crash_watch,
     demand,
     held_tasks,
@@ -80,7 +81,9 @@
     waits: wait_watch.WaitWatch
     _lease_max_s: float  # longest lease that workers grant
     _jobs: job_table.JobTable
+    _conclusions: conclusions.Conclusions
     _worker_use: worker_use.WorkerUse
+    _events: session_events.SessionEvents
     _sessions: session_table.SessionTable
     _writer: progress_writer.ProgressWriter
     _intake: command_intake.CommandIntake
@@ -131,8 +134,11 @@
         self._directory = directory
         self._log_event = log_event
         self._lease_max_s = settings.lease_max_s
-        self._worker_use = worker_use.WorkerUse(self.confirmed_at)
-        self._unsubscribe = _do_nothing
+        self._conclusions = conclusions.Conclusions(
+            self.confirmed_at, self._jobs.flush_wanted, log_event
+        )
+        self._worker_use = worker_use.WorkerUse(self._conclusions.confirmed_at)
+        self._unsubscribe = lambda: None
         self._run_times = demand.RunTimes()
         self._team_rates = team_rate.TeamRates(find_weight, log_event, metrics)
         arrivals_by_pool: dict[str, demand.ArrivalRate] = {}
@@ -164,6 +170,7 @@
             self.sessions_by_id,
             self._worker_use,
             self.quotas,
+            self._conclusions,
             lambda: self.mark_lost("the store has seen a later owner"),
             log_event,
         )
@@ -189,6 +196,7 @@
             self._tickets,
             self._run_times,
             self.quotas,
+            self._conclusions,
             log_event,
             metrics,
         )
@@ -212,7 +220,7 @@
             log_event,
             metrics,
         )
-        events = session_events.SessionEvents(
+        self._events = session_events.SessionEvents(
             self._jobs,
             self._worker_use,
             self._ends,
@@ -220,6 +228,7 @@
             self._neighbours,
             self._run_watch,
             self._tickets,
+            self._conclusions,
             self.confirmed_at,
             self.mark_lost,
         )
@@ -230,7 +239,7 @@
             owns_pool,
             directory,
             workers,
-            events,
+            self._events,
             self._worker_use,
             self._jobs,
             self.quotas.use,
@@ -341,13 +350,9 @@
         )
         commands = await self._intake.list_all()
         values = {record.key: record.value for record in progress.records}
-        if "workers" in values:
-            # Leases of previous owners end at most this long after a confirmation that
-            # preceded the fence.
-            lease_s = worker_lease.find_previous_s(self._lease_max_s)
-            owner_loading.restore_worker_use(
-                self._worker_use, values["workers"], fenced_at, lease_s, self._log_event
-            )
+        owner_loading.restore_worker_use(
+            self._worker_use, values, fenced_at, self._lease_max_s, self._log_event
+        )
         restored = owner_loading.restore_jobs(values, commands.records, self._log_event)
         owner_loading.take_over_jobs(
             restored, self._jobs, self._restore_job, self._log_event
@@ -429,8 +434,7 @@
             open_runs=0 if session is None else len(session.runs),
             **({} if session is None else session.describe_lease()),
         )
-        self._worker_use.settle(worker_id)
-        self._crash_watch.on_death(worker_id)
+        self._events.on_death(worker_id)
         if session is not None:
             session.drop_ended()
         self._sessions.release()
@@ -454,6 +458,7 @@
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._intake.follow())
                 group.create_task(self._writer.run())
+                group.create_task(self._conclusions.run())
                 group.create_task(self.schedule())
                 group.create_task(self.run_housekeeping())
                 group.create_task(self._death_watch.run())
@@ -477,14 +482,7 @@
 
     async def wait_closed(self) -> None:
         """Wait until the calls that `close` has cancelled have ended."""
-        await asyncio.gather(
-            self._tickets.wait_closed(),
-            self._sessions.wait_closed(),
-        )
-
-
-def _do_nothing() -> None:
-    """Stand in for `PoolOwner._unsubscribe` until the owner has subscribed."""
+        await asyncio.gather(self._tickets.wait_closed(), self._sessions.wait_closed())
 
 
 @contextlib.asynccontextmanager
--- a/clementinespar/jobs/progress_writer.py
+++ b/clementinespar/jobs/progress_writer.py
@@ -7,6 +7,7 @@
 from clementinespar import errors
 from clementinespar.jobs import (
     command_intake,
+    conclusions,
     fenced_log,
     job_table,
     owner_quotas,
@@ -43,6 +44,7 @@
         sessions_by_id: Mapping[str, worker_session.WorkerSession],
         use: worker_use.WorkerUse,
         quotas: owner_quotas.OwnerQuotas,
+        drawn: conclusions.Conclusions,
         on_fenced: Callable[[], None],
         log_event: services.EventLog,
     ) -> None:
@@ -53,6 +55,7 @@
         self._sessions_by_id = sessions_by_id
         self._worker_use = use
         self._quotas = quotas
+        self._conclusions = drawn
         self._on_fenced = on_fenced
         self._log = fenced_log.FencedLog(
             store,
@@ -137,8 +140,12 @@
         versions = [(job, job.crash_version, job.risk_version) for job in dirty]
         epochs = [(job, job.extended_epoch()) for job in dirty]
         finals = [job for job in dirty if job.is_final]
+        if self._conclusions.is_append_wanted and not records:
+            records.append(self._owner_record())
+        self._conclusions.is_append_wanted = False
         if records:
             await self._append(records)
+            self._conclusions.note_append(began_at)
         if fence_checks != self._fence_checks:
             self._fence_checks = fence_checks
             self._checked_at = began_at
--- a/clementinespar/jobs/run_ends.py
+++ b/clementinespar/jobs/run_ends.py
@@ -1,10 +1,12 @@
 """Ends of runs: what they change in their tasks and jobs, and final states of jobs."""
 
 import asyncio
+import functools
 import time
 from collections.abc import Mapping
 
 from clementinespar.jobs import (
+    conclusions,
     crash_counts,
     demand,
     job_table,
@@ -30,6 +32,10 @@
     _tickets: tickets.TicketCache
     _run_times: demand.RunTimes
     _quotas: owner_quotas.OwnerQuotas
+    _conclusions: conclusions.Conclusions
+    # Runs that are over without a listed end, which is not confirmed yet. They stay
+    # among the open runs of their tasks.
+    _gone: set[tuple[model.TaskKey, int]]
     _log_event: services.EventLog
     _metrics: telemetry.JobMetrics
 
@@ -40,6 +46,7 @@
         ticket_cache: tickets.TicketCache,
         run_times: demand.RunTimes,
         quotas: owner_quotas.OwnerQuotas,
+        drawn: conclusions.Conclusions,
         log_event: services.EventLog,
         metrics: telemetry.JobMetrics,
     ) -> None:
@@ -48,6 +55,8 @@
         self._tickets = ticket_cache
         self._run_times = run_times
         self._quotas = quotas
+        self._conclusions = drawn
+        self._gone = set()
         self._log_event = log_event
         self._metrics = metrics
 
@@ -65,6 +74,7 @@
             return  # nothing to store; the next flush acknowledges it
         job, task = found
         step = job.find_step(end.task)
+        self._gone.discard((end.task, end.run))
         task.open_runs.discard(end.run)
         task.at_risk.pop(end.run, None)
         task.last_run = max(task.last_run, end.run)
@@ -104,8 +114,13 @@
         session: worker_session.WorkerSession,
         run: worker_run.Run,
         reason: str,
+        seen_at: float,
     ) -> None:
-        """Requeue the task of a run that certainly does not execute."""
+        """Requeue the task of a run that certainly does not execute.
+
+        That waits until ownership is confirmed after the observation: a later owner may
+        have adopted the run and seen it end.
+        """
         self._jobs.schedule_wanted.set()
         self._log_event(
             "run_gone",
@@ -116,12 +131,35 @@
             reason=reason,
             **session.describe_lease(),
         )
-        found = self._jobs.find_open_task(run.key)
-        if found is None:
-            return
-        job, task = found
-        task.open_runs.discard(run.number)
-        self._requeue(job.find_step(run.key), task, LOST_RETRY_DELAY_S)
+        self._gone.add((run.key, run.number))
+        self._conclusions.add(
+            seen_at,
+            f"{run.key.job_id} {run.key.name_in_job} run {run.number} on"
+            f" {session.entry.worker_id}: {reason}",
+            functools.partial(self._requeue_gone, run.key, run.number),
+        )
+
+    def close_gone(
+        self, key: model.TaskKey, number: int
+    ) -> tuple[state.JobProgress, state.TaskState] | None:
+        """Close a run that is gone, and return its task.
+
+        None if it was listed since, as running or as ended, or if its job is final.
+        """
+        if (key, number) not in self._gone:
+            return None
+        self._gone.discard((key, number))
+        found = self._jobs.find_open_task(key)
+        if found is not None:
+            found[1].open_runs.discard(number)
+        return found
+
+    def _requeue_gone(self, key: model.TaskKey, number: int) -> None:
+        found = self.close_gone(key, number)
+        if found is not None:
+            job, task = found
+            self._requeue(job.find_step(key), task, LOST_RETRY_DELAY_S)
+            self._jobs.schedule_wanted.set()
 
     def finish_occurrences(self, job: state.JobProgress) -> None:
         """Count the occurrences that are done, and finish the job after the last."""
--- a/clementinespar/jobs/session_events.py
+++ b/clementinespar/jobs/session_events.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from clementinespar.jobs import (
+    conclusions,
     crash_watch,
     job_table,
     model,
@@ -38,6 +39,7 @@
         neighbour_evidence: neighbours.Neighbours,
         watch: run_watch.RunWatch,
         ticket_cache: tickets.TicketCache,
+        drawn: conclusions.Conclusions,
         confirmed_at: Callable[[], float | None],
         mark_lost: Callable[[str], None],
     ) -> None:
@@ -48,6 +50,7 @@
         self._neighbours = neighbour_evidence
         self._run_watch = watch
         self._tickets = ticket_cache
+        self._conclusions = drawn
         self._confirmed_at = confirmed_at
         self._mark_lost = mark_lost
 
@@ -66,7 +69,7 @@
         """Record that the worker has answered and request a round of placement."""
         worker_id = session.entry.worker_id
         if session.has_answered:
-            self._worker_use.answered.add(worker_id)
+            self._settle(worker_id, "a worker has answered")
         else:
             self._jobs.flush_wanted.set()  # it lists more once these are acknowledged
         self._crash_watch.on_contact(session)
@@ -80,6 +83,21 @@
         self._run_watch.check(session)
         self._jobs.schedule_wanted.set()
 
+    def on_death(self, worker_id: str) -> None:
+        """Handle a worker that has ended, before its runs are dropped."""
+        self._settle(worker_id, "a worker has ended")
+        self._worker_use.give_up(worker_id)
+        self._crash_watch.on_death(worker_id)
+
+    def _settle(self, worker_id: str, reason: str) -> None:
+        """Let the tasks of previous owners wait no longer for a worker."""
+        if self._worker_use.settle(worker_id):
+            self._conclusions.add(
+                asyncio.get_running_loop().time(),
+                f"{worker_id}: {reason}",
+                self._jobs.schedule_wanted.set,
+            )
+
     def on_unresponsive(self, session: worker_session.WorkerSession) -> None:
         """Queue copies of the speculative tasks that run on an unresponsive worker."""
         self._crash_watch.mark_at_risk(session)
@@ -150,13 +168,15 @@
         session: worker_session.WorkerSession,
         run: worker_run.Run,
         reason: str,
+        seen_at: float,
     ) -> None:
         """Requeue the task of a run that certainly does not execute."""
-        self._ends.on_run_gone(session, run, reason)
+        self._ends.on_run_gone(session, run, reason, seen_at)
         self._crash_watch.on_run_gone(session, run)
 
     def on_unknown_run(
         self, session: worker_session.WorkerSession, listed: model.RunningTask
     ) -> worker_run.Run | None:
         """Adopt a run of a previous owner if its task still needs it."""
+        self._ends.close_gone(listed.task, listed.run)
         return owner_loading.adopt_run(self._jobs, session, listed)
--- a/clementinespar/jobs/session_table.py
+++ b/clementinespar/jobs/session_table.py
@@ -155,7 +155,7 @@
             return {}
         known_since = {
             worker_id: self._worker_use.known_since(worker_id)
-            for worker_id in self._worker_use.find_unsettled()
+            for worker_id in self._worker_use.find_unheard()
             if worker_id != worker_use.ANY_WORKER
         }
         for worker_id, session in self._sessions_by_id.items():
--- a/clementinespar/jobs/tests/test_replaced_owners.py
+++ b/clementinespar/jobs/tests/test_replaced_owners.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from clementinespar.jobs import crash_counts, model, pool_owner
+from clementinespar.jobs import crash_counts, model, pool_owner, run_ends
 from clementinespar.jobs.tests import fakes, helpers
 from clementinespar.tests import paused_clock
 
@@ -123,3 +123,61 @@
         async with helpers.run_owner(harness):
             await _lose_worker(harness, used, second.epoch, is_restarted)
     assert not workers.violations
+
+
+@pytest.mark.parametrize("is_join", [False, True])
+@pytest.mark.parametrize("is_listed_again", [False, True])
+@paused_clock.test
+async def test_conclusion_waits_for_a_confirmation_and_yields_to_the_run(
+    is_listed_again: bool, is_join: bool
+) -> None:
+    """Guards against tasks that wait for ever, or start beside a run that is back.
+
+    The owner is out of touch while a list of hosts lacks the worker, and then stays the
+    owner by the next join, or by the next append.
+    """
+    workers = fakes.FakeWorkers(2)
+    harness = helpers.OwnerHarness(workers)
+    await harness.submit(helpers.make_spec("a", 1, is_lasting=True))
+    async with helpers.run_owner(harness) as owner:
+        await asyncio.sleep(3.0)
+        worker = workers.workers[workers.starts[0][2]]
+        harness.confirmed_at = asyncio.get_running_loop().time()
+        harness.store.cut_epochs.add(owner.epoch)
+        worker.is_unresponsive = True
+        workers.omitted_hosts = {worker.entry.worker_id}
+        await asyncio.sleep(2.0)
+        assert "conclusions_pending" in dict(harness.events)
+        if is_listed_again:
+            worker.is_unresponsive = False
+            workers.omitted_hosts.clear()
+            await asyncio.sleep(1.0)
+        else:
+            workers.end(worker.entry.worker_id)
+        assert len(workers.starts) == 1
+        if is_join:
+            harness.confirmed_at = None
+        else:
+            harness.store.cut_epochs.clear()
+        await asyncio.sleep(1.2)  # the append is being tried again
+        assert "conclusions_confirmed" in dict(harness.events)
+        assert len(workers.starts) == (1 if is_listed_again else 2)
+        assert bool(worker.running) is is_listed_again
+    assert not workers.violations
+
+
+@paused_clock.test
+async def test_restart_after_a_death_waits_for_one_append_only() -> None:
+    """Guards against restarts that wait for a join, or until there is more to store."""
+    workers = fakes.FakeWorkers(2)
+    harness = helpers.OwnerHarness(workers)
+    await harness.submit(helpers.make_spec("a", 1, is_lasting=True))
+    async with helpers.run_owner(harness):
+        await asyncio.sleep(3.0)
+        harness.confirmed_at = asyncio.get_running_loop().time()
+        workers.end(workers.starts[0][2])
+        while "worker_dead" not in dict(harness.events):
+            await asyncio.sleep(0.001)
+        await asyncio.sleep(run_ends.LOST_RETRY_DELAY_S + 0.02)
+        assert len(workers.starts) == 2
+    assert not workers.violations
--- a/clementinespar/jobs/worker_run.py
+++ b/clementinespar/jobs/worker_run.py
@@ -140,9 +140,20 @@
         ...
 
     def on_run_gone(
-        self, session: "worker_session.WorkerSession", run: Run, reason: str
+        self,
+        session: "worker_session.WorkerSession",
+        run: Run,
+        reason: str,
+        seen_at: float,
     ) -> None:
-        """Handle a run that certainly does not execute although no end was listed."""
+        """Handle a run that certainly does not execute although no end was listed.
+
+        Parameters
+        ----------
+        seen_at : float
+            Event-loop time of the observation that shows it, before which a later owner
+            may have seen the run end; -inf if none can have.
+        """
         ...
 
     def on_unknown_run(
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -11,6 +11,7 @@
 
 from clementinespar import background, errors
 from clementinespar.jobs import (
+    lost_runs,
     model,
     passed_over,
     services,
@@ -78,6 +79,7 @@
     _log_event: services.EventLog
     _task: asyncio.Task[None] | None
     _orders: worker_orders.WorkerOrders
+    _lost_runs: lost_runs.LostRuns
     _returns: list[float]  # event-loop times at which it became responsive again
     _team_use: team_use.TeamUse  # of all workers of the partition
 
@@ -125,6 +127,7 @@
         self._log_event = log_event
         self._task = None
         self._orders = worker_orders.WorkerOrders(self, client, events, log_event)
+        self._lost_runs = lost_runs.LostRuns(self, events)
         self._returns = []
         self._team_use = team_use.TeamUse() if use is None else use
 
@@ -246,8 +249,15 @@
 
     def abandon(self, run: worker_run.Run, reason: str) -> None:
         """Drop a run whose start was not sent or not carried out."""
-        if self.drop_run(run):
-            self._events.on_run_gone(self, run, reason)
+        self._lost_runs.abandon(run, reason)
+
+    def drop_ended(self) -> None:
+        """Drop the runs of a worker that has ended."""
+        self.is_dead = True
+        self._events.on_crash(self)
+        self._lost_runs.drop_ended()
+        if not self.runs:
+            self.lease.end_now()
 
     def stop(self, run: worker_run.Run, reason: str) -> None:
         """Send the order to stop a run, unless it is being stopped already."""
@@ -259,14 +269,9 @@
 
     def find_lease_end(self) -> float:
         """Return the event-loop time by which the leases of all runs have ended."""
-        return self.lease.find_end(all(map(self._is_in_known_life, self.runs.values())))
-
-    def _is_in_known_life(self, run: worker_run.Run) -> bool:
-        """Whether no life of the worker that was not seen yet can execute a run.
-
-        A start without an answer may reach one, unless the list of hosts shows none.
-        """
-        return run.is_start_settled or self.is_dead
+        return self.lease.find_end(
+            all(map(self._lost_runs.is_in_known_life, self.runs.values()))
+        )
 
     def describe_lease(self) -> dict[str, object]:
         """Return the fields of a log line that show what a decision relies on."""
@@ -282,7 +287,7 @@
             self._log_event, "renewal", error, worker=self.entry.worker_id
         )
         self.mark_unresponsive()
-        self._drop_lapsed_runs()
+        self._lost_runs.drop_lapsed()
 
     async def _renew_lease(self) -> None:
         loop = asyncio.get_running_loop()
@@ -328,7 +333,7 @@
                         error=error.message,
                     )
                 self._events.on_unresponsive(self)
-                self._drop_lapsed_runs()
+                self._lost_runs.drop_lapsed()
                 await asyncio.sleep(RETRY_DELAY_S if failures < 20 else 0.5)
                 continue
             if report is None:
@@ -358,32 +363,6 @@
             pause_s=pause_s,
         )
 
-    def _drop_lapsed_runs(self) -> None:
-        """Drop runs of an unresponsive worker once their lease has certainly ended."""
-        if not self.lease.has_ended():
-            return
-        for run in list(self.runs.values()):
-            is_sent = run.status is not worker_run.RunStatus.STARTING
-            if is_sent and self.lease.has_ended(self._is_in_known_life(run)):
-                self.drop_run(run)
-                self._events.on_lapse(self, run)
-                self._events.on_run_gone(self, run, "lease ended on a silent worker")
-
-    def drop_ended(self) -> None:
-        """Drop the runs of a worker that has ended.
-
-        A start without an answer may still be carried out by a worker that comes back
-        under the same id, so its run is kept until the lease ends.
-        """
-        self.is_dead = True
-        self._events.on_crash(self)
-        for run in list(self.runs.values()):
-            if run.is_start_settled:
-                self.drop_run(run)
-                self._events.on_run_gone(self, run, "its worker has ended")
-        if not self.runs:
-            self.lease.end_now()
-
     def _apply(self, report: model.WorkerReport, sent_at: float) -> None:
         now = asyncio.get_running_loop().time()
         self.last_contact = now
@@ -452,9 +431,7 @@
         if is_new_life:
             self._orders.stop_unanswered_starts()
         if is_complete:
-            for run in list(self.runs.values()):
-                if (run.key, run.number) not in listed:
-                    self._settle_unlisted(run, sent_at)
+            self._lost_runs.settle_unlisted(listed, sent_at)
         # Ends that are not listed yet may be those of tasks that seem to wait.
         self.has_answered = self.has_answered or is_complete
         self._orders.resend_unanswered_stops()
@@ -472,20 +449,6 @@
             gpus=max(0, self.free_gpus),
         )
 
-    def _settle_unlisted(self, run: worker_run.Run, sent_at: float) -> None:
-        if run.status is worker_run.RunStatus.OPEN and run.answered_at < sent_at:
-            self.stop(run, "the start has no answer and is not listed")
-        elif run.status is worker_run.RunStatus.RUNNING and run.answered_at < sent_at:
-            self.drop_run(run)
-            self._events.on_run_gone(self, run, "no longer listed")
-        elif (
-            run.status is worker_run.RunStatus.STOPPING
-            and run.stop_answered_at is not None
-            and run.stop_answered_at < sent_at
-        ):
-            self.drop_run(run)
-            self._events.on_run_gone(self, run, "stopped before it started")
-
     def record_outcome(self, job_id: str, is_failure: bool) -> bool:
         """Record the outcome of a run; True if a failure ejects the worker."""
         if not is_failure:
--- a/clementinespar/jobs/worker_use.py
+++ b/clementinespar/jobs/worker_use.py
@@ -25,17 +25,18 @@
     Parameters
     ----------
     confirmed_at : callable
-        Returns the event-loop time at which the last call that confirmed ownership was
-        sent; None if it is not confirmed.
+        Returns the event-loop time up to which no later owner had begun; None if it is
+        unknown. See `conclusions.Conclusions`.
     """
 
-    answered: set[str]  # workers that refuse orders of previous owners
     in_use: set[str]  # workers on which a run of this owner may execute
     stored: set[str]  # workers in use according to the stored record
     # Used by the previous owner; recorded as in use until there was time to call them.
     _unreached: set[str]
     _recorded: set[str]  # workers in use by the newest record, stored or not
     _lease_ends: dict[str, float]  # worker id: event-loop end of previous leases
+    # Workers of `_lease_ends` that have answered or ended: event-loop time of that.
+    _settled_at: dict[str, float]
     # The same of this owner's leases on unresponsive workers with runs.
     _silent_lease_ends: dict[str, float]
     # The same of this owner's leases that may be longer than the next owner assumes.
@@ -51,12 +52,12 @@
 
     def __init__(self, confirmed_at: Callable[[], float | None]) -> None:
         self._confirmed_at = confirmed_at
-        self.answered = set()
         self.in_use = set()
         self.stored = set()
         self._unreached = set()
         self._recorded = set()
         self._lease_ends = {}
+        self._settled_at = {}
         self._silent_lease_ends = {}
         self._extended_lease_ends = {}
         self._recorded_at = 0.0
@@ -134,10 +135,21 @@
         self.in_use.discard(worker_id)
         self._silent_lease_ends[worker_id] = lease_end
 
-    def settle(self, worker_id: str) -> None:
-        """Record that no run of previous owners can execute on a worker."""
+    def settle(self, worker_id: str) -> bool:
+        """Record that no unknown run of previous owners executes on a worker.
+
+        It counts once ownership is confirmed after that: a later owner may have adopted
+        a run, and seen it end, before the worker ended or began another life. False if
+        it was recorded before, or nobody waits for the worker.
+        """
+        if worker_id not in self._lease_ends or worker_id in self._settled_at:
+            return False
+        self._settled_at[worker_id] = asyncio.get_running_loop().time()
+        return True
+
+    def give_up(self, worker_id: str) -> None:
+        """Record a worker of the previous owner as in use no longer."""
         self._unreached.discard(worker_id)
-        self._lease_ends.pop(worker_id, None)
 
     def is_settled(self) -> bool:
         """Whether no worker can execute runs of previous owners unknown to this one."""
@@ -152,17 +164,24 @@
         return {
             worker_id: max(0.0, end - now)
             for worker_id, end in self._lease_ends.items()
-            if worker_id not in self.answered and not self._has_ended(end)
+            if not self._is_over(worker_id, end)
         }
 
-    def _has_ended(self, lease_end: float) -> bool:
-        """Whether a lease of a previous owner has ended for good.
+    def find_unheard(self) -> set[str]:
+        """Return the unsettled workers that have neither answered nor ended."""
+        return set(self.find_unsettled()) - set(self._settled_at)
+
+    def _is_over(self, worker_id: str, lease_end: float) -> bool:
+        """Whether a worker executes no unknown runs of previous owners any more.
 
-        A later owner may have adopted runs and renewed it, unless ownership was
-        confirmed after its end.
+        A later owner may have adopted runs and renewed their lease, unless ownership
+        was confirmed after its end.
         """
         confirmed = self._confirmed_at()
-        return confirmed is not None and confirmed > lease_end
+        if confirmed is None:
+            return False
+        settled_at = self._settled_at.get(worker_id, math.inf)
+        return confirmed > lease_end or confirmed >= settled_at
 
     def is_due(self) -> bool:
         """Whether the record has to be stored again."""
@@ -235,8 +254,9 @@
             self._unreached = set()
             self._recorded_at = now
         for worker_id, end in list(self._lease_ends.items()):
-            if worker_id in self.answered or self._has_ended(end):
+            if self._is_over(worker_id, end):
                 del self._lease_ends[worker_id]
+                self._settled_at.pop(worker_id, None)
         self._recorded = self.in_use | self._unreached
         self.stored &= self._recorded
         lease_ends = dict(self._lease_ends)
