Log who acknowledged an end, what a takeover waited for, and gaps in ownership

The owner that acknowledges a done end of a run that it did not start logged nothing, nor did one that acknowledges an end whose task is not open. A new owner did not say for which workers it waited and why it stopped, and a gap in the ownership was only counted.

New lines: end with kind done for runs of other owners, end_without_task, end_not_applied, ends_stored, takeover_worker_silent, takeover_settled, ownership_gap and fence_checked. All end lines have origin, number, epoch and born_ms; worker_dead has the ages of the two lists of hosts, and the confirmation also without a session; pool_loaded has the age of the fence; ownership_confirmed_again says how long the node had no answer, also for a single join that was answered after the time to live. The end of a run is logged before what follows from it. There is at most one line for each end, none for done ends of the owner's own runs, and one for each silent worker of a takeover.

New metrics: clementinespar_ends_without_task, clementinespar_runs_gone and clementinespar_takeover_wait_seconds.

--- a/clementinespar/jobs/fleet.py
+++ b/clementinespar/jobs/fleet.py
@@ -228,6 +228,7 @@
         if wanted != self._fence_checks:
             await self._store_holder()
             self._fence_checks = wanted
+            self._log_event("fence_checked", subject="fleet", epoch=self.epoch)
         if not self._may_act():
             return
         self._sender.drop_planned()  # of a tick that has failed
--- a/clementinespar/jobs/owner_loading.py
+++ b/clementinespar/jobs/owner_loading.py
@@ -10,6 +10,7 @@
     services,
     state,
     telemetry,
+    worker_lease,
     worker_run,
     worker_session,
     worker_use,
@@ -87,20 +88,28 @@
 
 def restore_worker_use(
     use: worker_use.WorkerUse,
-    value: bytes,
+    progress: Mapping[str, bytes],
     fenced_at: float,
-    lease_s: float,
+    lease_max_s: float,
     log_event: services.EventLog,
 ) -> None:
     """Restore which workers the previous owners may still have leases on.
 
     Parameters
     ----------
+    progress : mapping of str to bytes
+        The newest progress records by key.
     fenced_at : float
         Event-loop time after which the previous owners could store nothing.
-    lease_s : float
-        Longest time for which their leases go on after that, in seconds.
+    lease_max_s : float
+        Longest lease that workers grant, in seconds.
     """
+    value = progress.get("workers")
+    if value is None:
+        return
+    # Leases of previous owners end at most this long after a confirmation that preceded
+    # the fence.
+    lease_s = worker_lease.find_previous_s(lease_max_s)
     try:
         use.restore(value, fenced_at, lease_s)
     except decoding.ERRORS as error:
--- a/clementinespar/jobs/ownership.py
+++ b/clementinespar/jobs/ownership.py
@@ -172,8 +172,14 @@
                     self._log_event("ownership_unconfirmed", code=int(error.code))
                 is_reached = False
             else:
-                if not is_reached:
-                    self._log_event("ownership_confirmed_again")
+                unanswered_s = loop.time() - self.unanswered_since
+                if not is_reached or unanswered_s >= self._group.ttl_s:
+                    self._log_event(
+                        "ownership_confirmed_again",
+                        unanswered_ms=round(unanswered_s * 1000),
+                        join_ms=round((loop.time() - sent_at) * 1000),
+                        generation=assignment.generation,
+                    )
                 is_reached = True
                 self._mark_reached()
                 self.store_latency_s = loop.time() - sent_at
@@ -322,6 +328,14 @@
         if generation == self.generation + 1 and gap_s < self._group.ttl_s:
             return
         self.gap_count += 1
+        self._log_event(
+            "ownership_gap",
+            gap_ms=round(gap_s * 1000),
+            former_generation=self.generation,
+            generation=generation,
+            partitions=sorted(self.owners_by_partition),
+            is_fleet_owner=self._fleet_owner is not None,
+        )
         for owner in self.owners_by_partition.values():
             owner.check_fence()
         if self._fleet_owner is not None:
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -21,6 +21,7 @@
     command_intake,
     crash_watch,
     demand,
+    end_log,
     held_tasks,
     job_table,
     model,
@@ -37,6 +38,7 @@
     session_events,
     session_table,
     state,
+    takeover_wait,
     task_placer,
     team_rate,
     telemetry,
@@ -93,7 +95,8 @@
     _neighbours: neighbours.Neighbours
     _crash_watch: crash_watch.CrashWatch
     _death_watch: worker_deaths.WorkerDeathWatch
-    _unsubscribe: Callable[[], None]
+    _takeover_wait: takeover_wait.TakeoverWait
+    _subscription: contextlib.ExitStack  # to the directory of workers
     _team_rates: team_rate.TeamRates
     _tickets: tickets.TicketCache
     _run_times: demand.RunTimes
@@ -132,7 +135,7 @@
         self._log_event = log_event
         self._lease_max_s = settings.lease_max_s
         self._worker_use = worker_use.WorkerUse(self.confirmed_at)
-        self._unsubscribe = _do_nothing
+        self._subscription = contextlib.ExitStack()
         self._run_times = demand.RunTimes()
         self._team_rates = team_rate.TeamRates(find_weight, log_event, metrics)
         arrivals_by_pool: dict[str, demand.ArrivalRate] = {}
@@ -156,6 +159,7 @@
             self.quotas.find_caps,
             metrics,
         )
+        ends = end_log.EndLog(self._jobs, log_event, metrics)
         self._writer = progress_writer.ProgressWriter(
             partition,
             epoch,
@@ -164,6 +168,7 @@
             self.sessions_by_id,
             self._worker_use,
             self.quotas,
+            ends,
             lambda: self.mark_lost("the store has seen a later owner"),
             log_event,
         )
@@ -189,6 +194,7 @@
             self._tickets,
             self._run_times,
             self.quotas,
+            ends,
             log_event,
             metrics,
         )
@@ -256,6 +262,9 @@
             self._on_worker_death,
             log_event,
         )
+        self._takeover_wait = takeover_wait.TakeoverWait(
+            partition, epoch, self._worker_use, self.sessions_by_id, log_event, metrics
+        )
         self._queries = owner_queries.OwnerQueries(
             epoch,
             self._jobs,
@@ -341,13 +350,10 @@
         )
         commands = await self._intake.list_all()
         values = {record.key: record.value for record in progress.records}
-        if "workers" in values:
-            # Leases of previous owners end at most this long after a confirmation that
-            # preceded the fence.
-            lease_s = worker_lease.find_previous_s(self._lease_max_s)
-            owner_loading.restore_worker_use(
-                self._worker_use, values["workers"], fenced_at, lease_s, self._log_event
-            )
+        owner_loading.restore_worker_use(
+            self._worker_use, values, fenced_at, self._lease_max_s, self._log_event
+        )
+        self._takeover_wait.begin(fenced_at)
         restored = owner_loading.restore_jobs(values, commands.records, self._log_event)
         owner_loading.take_over_jobs(
             restored, self._jobs, self._restore_job, self._log_event
@@ -355,7 +361,7 @@
         self._team_rates.mark_all(restored, time.time() * 1000)
         self._intake.apply_page(commands)
         self.is_loaded = True
-        self._unsubscribe = self._directory.subscribe(self._refresh_sessions)
+        self._subscription.callback(self._directory.subscribe(self._refresh_sessions))
         self._refresh_sessions()
         self._log_event(
             "pool_loaded",
@@ -363,7 +369,8 @@
             epoch=self.epoch,
             jobs=len(self.jobs_by_id),
             open_jobs=len(self._jobs.active),
-            former_workers=self._worker_use.previous_worker_count,
+            former_workers=len(self._worker_use.previous_lease_ends),
+            fenced_ago_ms=round((loop.time() - fenced_at) * 1000),
         )
 
     def _restore_job(self, job: state.JobProgress) -> None:
@@ -385,6 +392,7 @@
                 self.confirmed_at, worker_lease.find_granted_s(self._lease_max_s)
             )
             self._jobs.schedule_wanted.clear()
+            self._takeover_wait.review()
             self._round.run(asyncio.get_running_loop().time())
 
     async def run_housekeeping(self) -> None:
@@ -393,6 +401,7 @@
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
             self._refresh_sessions()
             self._sessions.release()
+            self._takeover_wait.review()
             self._crash_watch.acquit_survivors()
             self._neighbours.refresh(asyncio.get_running_loop().time())
             self._run_watch.move_where_it_pays()
@@ -423,12 +432,7 @@
     def _on_worker_death(self, worker_id: str) -> None:
         """Free the tasks of a worker that the platform reports as ended."""
         session = self.sessions_by_id.get(worker_id)
-        self._log_event(
-            "worker_dead",
-            worker=worker_id,
-            open_runs=0 if session is None else len(session.runs),
-            **({} if session is None else session.describe_lease()),
-        )
+        self._sessions.log_death(worker_id, self._death_watch.list_ages_ms(worker_id))
         self._worker_use.settle(worker_id)
         self._crash_watch.on_death(worker_id)
         if session is not None:
@@ -469,7 +473,7 @@
         Runs go on until the next owner decides about them or their leases end.
         """
         self.is_lost = True
-        self._unsubscribe()
+        self._subscription.close()
         self._tickets.close()
         self._neighbours.close()
         for session in self.sessions_by_id.values():
@@ -483,10 +487,6 @@
         )
 
 
-def _do_nothing() -> None:
-    """Stand in for `PoolOwner._unsubscribe` until the owner has subscribed."""
-
-
 @contextlib.asynccontextmanager
 async def own_partition(owner: PoolOwner) -> AsyncIterator[None]:
     """Run an owner inside the context and close it at the end."""
--- a/clementinespar/jobs/progress_writer.py
+++ b/clementinespar/jobs/progress_writer.py
@@ -7,6 +7,7 @@
 from clementinespar import errors
 from clementinespar.jobs import (
     command_intake,
+    end_log,
     fenced_log,
     job_table,
     owner_quotas,
@@ -43,6 +44,7 @@
         sessions_by_id: Mapping[str, worker_session.WorkerSession],
         use: worker_use.WorkerUse,
         quotas: owner_quotas.OwnerQuotas,
+        ends: end_log.EndLog,
         on_fenced: Callable[[], None],
         log_event: services.EventLog,
     ) -> None:
@@ -53,7 +55,9 @@
         self._sessions_by_id = sessions_by_id
         self._worker_use = use
         self._quotas = quotas
+        self._end_log = ends
         self._on_fenced = on_fenced
+        self._log_event = log_event
         self._log = fenced_log.FencedLog(
             store,
             services.Topic.PROGRESS,
@@ -142,6 +146,12 @@
         if fence_checks != self._fence_checks:
             self._fence_checks = fence_checks
             self._checked_at = began_at
+            self._log_event(
+                "fence_checked",
+                partition=self._partition,
+                epoch=self._epoch,
+                took_ms=round((asyncio.get_running_loop().time() - began_at) * 1000),
+            )
             self._jobs.schedule_wanted.set()
         if is_use_due:
             self._worker_use.mark_stored()
@@ -149,6 +159,7 @@
         for session, number, born_ms in processed:
             if session.born_ms == born_ms:
                 session.acknowledged = max(session.acknowledged, number)
+                self._end_log.report_stored(session, number)
         for job, crash_version, risk_version in versions:
             is_crash_stored = job.stored_crash_version == crash_version
             is_risk_stored = job.stored_risk_version == risk_version
--- a/clementinespar/jobs/run_ends.py
+++ b/clementinespar/jobs/run_ends.py
@@ -7,6 +7,7 @@
 from clementinespar.jobs import (
     crash_counts,
     demand,
+    end_log,
     job_table,
     model,
     owner_quotas,
@@ -25,6 +26,7 @@
 class RunEnds:
     """Applies the ends of runs for the owner of a partition."""
 
+    log: end_log.EndLog
     _jobs: job_table.JobTable
     _sessions_by_id: Mapping[str, worker_session.WorkerSession]
     _tickets: tickets.TicketCache
@@ -40,9 +42,11 @@
         ticket_cache: tickets.TicketCache,
         run_times: demand.RunTimes,
         quotas: owner_quotas.OwnerQuotas,
+        ends: end_log.EndLog,
         log_event: services.EventLog,
         metrics: telemetry.JobMetrics,
     ) -> None:
+        self.log = ends
         self._jobs = jobs
         self._sessions_by_id = sessions_by_id
         self._tickets = ticket_cache
@@ -61,6 +65,7 @@
         self._metrics.count_end(end.kind.value)
         self._jobs.schedule_wanted.set()
         found = self._jobs.find_open_task(end.task)
+        self.log.add(session, end, run, None if found is None else found[1])
         if found is None:
             return  # nothing to store; the next flush acknowledges it
         job, task = found
@@ -85,14 +90,6 @@
         elif is_failure:
             self._record_failure(session, job, step, task, end)
         if end.kind is not model.EndKind.DONE:
-            self._log_event(
-                "end",
-                job=job.spec.job_id,
-                task=end.task.name_in_job,
-                run=end.run,
-                worker=session.entry.worker_id,
-                kind=end.kind.value,
-            )
             delay = FAILED_RETRY_DELAY_S if is_failure else LOST_RETRY_DELAY_S
             self._requeue(step, task, 0.0 if step.spec.is_lasting else delay)
         self._jobs.mark_dirty(job)
@@ -107,15 +104,7 @@
     ) -> None:
         """Requeue the task of a run that certainly does not execute."""
         self._jobs.schedule_wanted.set()
-        self._log_event(
-            "run_gone",
-            job=run.key.job_id,
-            task=run.key.name_in_job,
-            run=run.number,
-            worker=session.entry.worker_id,
-            reason=reason,
-            **session.describe_lease(),
-        )
+        self.log.add_gone(session, run, reason)
         found = self._jobs.find_open_task(run.key)
         if found is None:
             return
--- a/clementinespar/jobs/session_events.py
+++ b/clementinespar/jobs/session_events.py
@@ -126,10 +126,14 @@
         run: worker_run.Run | None,
     ) -> None:
         """Apply the end of a run once, whichever owner started it."""
-        if run is not None:
-            now = asyncio.get_running_loop().time()
-            self._neighbours.add_end(session, run, end.kind, now)
-        self._ends.on_end(session, end, run)
+        try:
+            if run is not None:
+                now = asyncio.get_running_loop().time()
+                self._neighbours.add_end(session, run, end.kind, now)
+            self._ends.on_end(session, end, run)
+        except Exception:
+            self._ends.log.add_failed(session, end)
+            raise
 
     def on_start_unanswered(self, session: worker_session.WorkerSession) -> None:
         """Store where the run may execute, in case its worker has died."""
--- a/clementinespar/jobs/session_table.py
+++ b/clementinespar/jobs/session_table.py
@@ -172,6 +172,31 @@
             if session.has_answered and not session.is_silent
         }
 
+    def log_death(self, worker_id: str, list_ages_ms: list[int]) -> None:
+        """Log that a worker has ended.
+
+        Parameters
+        ----------
+        list_ages_ms : list of int
+            Ages of the lists of hosts without the worker.
+        """
+        session = self._sessions_by_id.get(worker_id)
+        if session is None:
+            confirmed_age_ms = worker_lease.find_age_ms(self._events.confirmed_at())
+            fields: dict[str, object] = {
+                "epoch": self._epoch,
+                "confirmed_age_ms": confirmed_age_ms,
+            }
+        else:
+            fields = session.describe_lease()
+        self._log_event(
+            "worker_dead",
+            worker=worker_id,
+            open_runs=0 if session is None else len(session.runs),
+            list_ages_ms=list_ages_ms,
+            **fields,
+        )
+
     def in_pool(self, pool: str) -> list[worker_session.WorkerSession]:
         """Return the sessions of the workers of a pool."""
         return [s for s in self._sessions_by_id.values() if s.entry.pool == pool]
--- a/clementinespar/jobs/telemetry.py
+++ b/clementinespar/jobs/telemetry.py
@@ -17,6 +17,8 @@
 
 _JOB_SECONDS = (0.25, 0.5, 1.0, 1.5, 2.0, 3.0, 5.0, 8.0, 15.0, 30.0)
 
+_TAKEOVER_SECONDS = (0.1, 0.3, 1.0, 2.0, 4.0, 6.0, 8.0, 10.0)
+
 _ERROR_SHARES = (-2.0, -1.0, -0.5, -0.25, 0.0, 0.25, 0.5, 1.0, 2.0)
 
 _ERROR_SECONDS = (-10.0, -3.0, -1.0, -0.5, 0.0, 0.5, 1.0, 3.0, 10.0)
@@ -64,6 +66,8 @@
     registry: prometheus_client.CollectorRegistry
     _starts: prometheus_client.Counter
     _ends: prometheus_client.Counter
+    _ends_without_task: prometheus_client.Counter
+    _runs_gone: prometheus_client.Counter
     _crashes: prometheus_client.Counter
     _quota_requests: prometheus_client.Counter
     _quota_recalls: prometheus_client.Counter
@@ -76,6 +80,7 @@
     _answers: prometheus_client.Counter
     _job_seconds: prometheus_client.Histogram
     _answer_seconds: prometheus_client.Histogram
+    _takeover_wait_seconds: prometheus_client.Histogram
     _wait_error_seconds: prometheus_client.Histogram
     _peak_height_error: prometheus_client.Histogram
     _peak_start_error_seconds: prometheus_client.Histogram
@@ -93,6 +98,18 @@
             ["kind"],
             registry=self.registry,
         )
+        self._ends_without_task = prometheus_client.Counter(
+            "clementinespar_ends_without_task",
+            "Ends that are acknowledged although their task is not open, by the cause.",
+            ["why"],
+            registry=self.registry,
+        )
+        self._runs_gone = prometheus_client.Counter(
+            "clementinespar_runs_gone",
+            "Runs that count as ended although no end was listed, by the reason.",
+            ["reason"],
+            registry=self.registry,
+        )
         self._crashes = prometheus_client.Counter(
             "clementinespar_task_crashes",
             "Runs whose worker died under them.",
@@ -161,7 +178,12 @@
             buckets=(0.005, 0.01, 0.02, 0.05, 0.1, 0.3, 1.0, 3.0),
             registry=self.registry,
         )
-
+        self._takeover_wait_seconds = prometheus_client.Histogram(
+            "clementinespar_takeover_wait_seconds",
+            "Time from a takeover until all workers of previous owners are settled.",
+            buckets=_TAKEOVER_SECONDS,
+            registry=self.registry,
+        )
         self._wait_error_seconds = prometheus_client.Histogram(
             "clementinespar_wait_estimate_error_seconds",
             "Wait of a job for its first start, less the estimate at its arrival.",
@@ -227,6 +249,18 @@
         """Count the end of a run."""
         self._ends.labels(kind).inc()
 
+    def count_end_without_task(self, why: str) -> None:
+        """Count an end whose task is not open."""
+        self._ends_without_task.labels(why).inc()
+
+    def count_run_gone(self, reason: str) -> None:
+        """Count a run that counts as ended although no end was listed."""
+        self._runs_gone.labels(reason).inc()
+
+    def observe_takeover_wait(self, seconds: float) -> None:
+        """Count a settled takeover, by the time since previous owners are fenced."""
+        self._takeover_wait_seconds.observe(seconds)
+
     def count_crash(self) -> None:
         """Count a run whose worker died under it."""
         self._crashes.inc()
--- a/clementinespar/jobs/tests/test_ownership.py
+++ b/clementinespar/jobs/tests/test_ownership.py
@@ -51,6 +51,7 @@
         self.epochs: list[int] = []
         self.fleet_owners: list[FakeFleetOwner] = []
         self.open_fleet_owners = 0
+        self.events: list[tuple[str, dict[str, object]]] = []
         self.ownership_manager = ownership.OwnershipManager(
             self.group,
             self.make_owner,
@@ -58,9 +59,12 @@
             fleet_partition,
             lambda: frozenset({PARTITION}),
             1_000,
-            fakes.ignore_event,
+            self._log_event,
         )
 
+    def _log_event(self, event: str, **fields: object) -> None:
+        self.events.append((event, fields))
+
     def make_owner(self, partition: int, epoch: int) -> pool_owner.PoolOwner:
         """Return an owner on fakes."""
         self.epochs.append(epoch)
@@ -84,7 +88,7 @@
             fake_adviser.FakeAdviser(),
             self.workers,
             pool_owner.OwnerSettings(6.0),
-            fakes.ignore_event,
+            self._log_event,
             telemetry.JobMetrics(),
         )
 
--- a/clementinespar/jobs/worker_deaths.py
+++ b/clementinespar/jobs/worker_deaths.py
@@ -33,6 +33,9 @@
         Called with the id of a worker that has ended.
     """
 
+    # Event-loop times of the calls for the newest lists without a worker, by its id.
+    _missed_at: dict[str, list[float]]
+
     def __init__(
         self,
         hosts: services.HostService,
@@ -46,20 +49,26 @@
         self._find_responsive = find_responsive
         self._on_death = on_death
         self._log_event = log_event
+        self._missed_at = {}
+
+    def list_ages_ms(self, worker_id: str) -> list[int]:
+        """Return the ages of the newest lists without a worker, the older one first."""
+        now = asyncio.get_running_loop().time()
+        missed_at = self._missed_at.get(worker_id, [])
+        return [round((now - sent_at) * 1000) for sent_at in missed_at]
 
     async def run(self) -> None:
         """Check at intervals until cancelled."""
         loop = asyncio.get_running_loop()
-        missing_counts: dict[str, int] = {}
         is_reached = True
         interval_s = FIRST_CHECK_S
         while True:
             await asyncio.sleep(interval_s)
             interval_s = CHECK_INTERVAL_S
             silent = self._find_silent()
-            missing_counts = {
-                worker_id: count
-                for worker_id, count in missing_counts.items()
+            self._missed_at = {
+                worker_id: missed_at
+                for worker_id, missed_at in self._missed_at.items()
                 if worker_id in silent
             }
             if not silent:
@@ -82,10 +91,12 @@
                 if worker_id not in silent:
                     continue
                 if worker_id in listed:
-                    missing_counts[worker_id] = 0
+                    self._missed_at[worker_id] = []
                 elif sent_at - known_since >= LIST_LAG_S:
-                    missing_counts[worker_id] = missing_counts.get(worker_id, 0) + 1
-                    if missing_counts[worker_id] >= LISTS_WITHOUT_WORKER:
+                    earlier = self._missed_at.get(worker_id, [])
+                    missed_at = [*earlier, sent_at][-LISTS_WITHOUT_WORKER:]
+                    self._missed_at[worker_id] = missed_at
+                    if len(missed_at) >= LISTS_WITHOUT_WORKER:
                         self._on_death(worker_id)
 
     def _is_plausible(self, listed: Set[str]) -> bool:
--- a/clementinespar/jobs/worker_lease.py
+++ b/clementinespar/jobs/worker_lease.py
@@ -222,14 +222,24 @@
     def describe(self) -> dict[str, object]:
         """Return the fields of a log line that show what a decision relies on."""
         now = asyncio.get_running_loop().time()
-        confirmed = self._events.confirmed_at()
-        age_ms = None if confirmed is None else round((now - confirmed) * 1000)
         return {
             "lease_ms": round((self.end - now) * 1000),
-            "confirmed_age_ms": age_ms,
+            "confirmed_age_ms": find_age_ms(self._events.confirmed_at()),
         }
 
 
+def find_age_ms(confirmed: float | None) -> int | None:
+    """Return the age of a confirmation of ownership as logged, in milliseconds.
+
+    Parameters
+    ----------
+    confirmed : float, optional
+        Event-loop time at which it was sent; None: ownership is not confirmed.
+    """
+    now = asyncio.get_running_loop().time()
+    return None if confirmed is None else round((now - confirmed) * 1000)
+
+
 def find_granted_s(lease_max_s: float) -> float:
     """Return the longest lease that owners grant.
 
--- a/clementinespar/jobs/worker_use.py
+++ b/clementinespar/jobs/worker_use.py
@@ -10,7 +10,7 @@
 import asyncio
 import json
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from clementinespar import decoding
 from clementinespar.jobs import worker_deaths
@@ -30,6 +30,7 @@
     """
 
     answered: set[str]  # workers that refuse orders of previous owners
+    ended: set[str]  # workers that lists of hosts do not show any more
     in_use: set[str]  # workers on which a run of this owner may execute
     stored: set[str]  # workers in use according to the stored record
     # Used by the previous owner; recorded as in use until there was time to call them.
@@ -50,8 +51,9 @@
     _recorded_new: set[str]  # workers that the newest record names as new
 
     def __init__(self, confirmed_at: Callable[[], float | None]) -> None:
-        self._confirmed_at = confirmed_at
+        self.confirmed_at = confirmed_at
         self.answered = set()
+        self.ended = set()
         self.in_use = set()
         self.stored = set()
         self._unreached = set()
@@ -66,9 +68,9 @@
         self._recorded_new = set()
 
     @property
-    def previous_worker_count(self) -> int:
-        """Number of workers on which a lease of a previous owner may last."""
-        return len(self._lease_ends)
+    def previous_lease_ends(self) -> Mapping[str, float]:
+        """Event-loop ends of previous owners' leases, by worker id."""
+        return self._lease_ends
 
     def previous_lease_end(self, worker_id: str) -> float:
         """Return the event-loop time at which previous leases on a worker end."""
@@ -136,6 +138,7 @@
 
     def settle(self, worker_id: str) -> None:
         """Record that no run of previous owners can execute on a worker."""
+        self.ended.add(worker_id)
         self._unreached.discard(worker_id)
         self._lease_ends.pop(worker_id, None)
 
@@ -161,7 +164,7 @@
         A later owner may have adopted runs and renewed it, unless ownership was
         confirmed after its end.
         """
-        confirmed = self._confirmed_at()
+        confirmed = self.confirmed_at()
         return confirmed is not None and confirmed > lease_end
 
     def is_due(self) -> bool:
