--- a/clementinespar/jobs/ownership.py
+++ b/clementinespar/jobs/ownership.py
@@ -328,14 +328,15 @@
         if generation == self.generation + 1 and gap_s < self._group.ttl_s:
             return
         self.gap_count += 1
-        self._log_event(
-            "ownership_gap",
-            gap_ms=round(gap_s * 1000),
-            former_generation=self.generation,
-            generation=generation,
-            partitions=sorted(self.owners_by_partition),
-            is_fleet_owner=self._fleet_owner is not None,
-        )
+        if self.owners_by_partition or self._fleet_owner is not None:
+            self._log_event(
+                "ownership_gap",
+                gap_ms=round(gap_s * 1000),
+                former_generation=self.generation,
+                generation=generation,
+                partitions=sorted(self.owners_by_partition),
+                is_fleet_owner=self._fleet_owner is not None,
+            )
         for owner in self.owners_by_partition.values():
             owner.check_fence()
         if self._fleet_owner is not None:
