Acknowledge an end only after it was handled without an error

Cause: a session counted an end as processed before it was handled. If that raised an unexpected error, the next append acknowledged the end although its effect was not stored, and the rest of the report was skipped. The next owner started the done task again. An error after a job had got its final state in memory kept that state from being stored, while later ends of its tasks were acknowledged.

Change: `WorkerEnds` keeps the number up to which all ends are handled. One that raises stays listed and is tried again with each report, later ends are handled beside it, and their acknowledgements wait. As a worker lists 500 ends at a time, one with 250 of them held up gets no new work. An end of a task that is not open stores its job unless its final state is stored. The limit of attempts is checked also for a failure that was counted before the error.

Measured: of the 10 cases of test_end_whose_handling_raises, 8 failed before: with an error in each attempt, 3 "starts after its end was acknowledged" and 1 start beyond the limit of attempts by the next owner; with one error, 4 jobs that their owner never finished. They pass now.

--- a/clementinespar/jobs/progress_writer.py
+++ b/clementinespar/jobs/progress_writer.py
@@ -105,7 +105,7 @@
         dirty = list(self._jobs.dirty.values())
         self._jobs.dirty.clear()
         processed = [
-            (session, session.processed, session.born_ms)
+            (session, session.ends.processed, session.born_ms)
             for session in self._sessions_by_id.values()
         ]
         records = []
@@ -148,7 +148,7 @@
             self._jobs.schedule_wanted.set()
         for session, number, born_ms in processed:
             if session.born_ms == born_ms:
-                session.acknowledged = max(session.acknowledged, number)
+                session.ends.note_stored(number)
         for job, crash_version, risk_version in versions:
             is_crash_stored = job.stored_crash_version == crash_version
             is_risk_stored = job.stored_risk_version == risk_version
--- a/clementinespar/jobs/run_ends.py
+++ b/clementinespar/jobs/run_ends.py
@@ -56,13 +56,21 @@
         session: worker_session.WorkerSession,
         end: model.EndedTask,
         run: worker_run.Run | None,
-    ) -> None:
-        """Apply the end of a run once, whichever owner started it."""
+    ) -> bool:
+        """Apply the end of a run once, whichever owner started it.
+
+        Returns
+        -------
+        bool
+            Whether the next append stores all that is needed of it, so that it may be
+            acknowledged then. It stays listed if not, or if this raises, and is applied
+            again.
+        """
         self._metrics.count_end(end.kind.value)
         self._jobs.schedule_wanted.set()
         found = self._jobs.find_open_task(end.task)
         if found is None:
-            return  # nothing to store; the next flush acknowledges it
+            return self._needs_nothing(end.task)
         job, task = found
         step = job.find_step(end.task)
         task.open_runs.discard(end.run)
@@ -98,6 +106,14 @@
         self._jobs.mark_dirty(job)
         if not job.is_final:
             self.finish_occurrences(job)
+        return True
+
+    def _needs_nothing(self, key: model.TaskKey) -> bool:
+        """Whether the end of a task that is not open may be acknowledged."""
+        job = self._jobs.by_id.get(key.job_id)
+        if job is not None and not job.is_final_stored:
+            self._jobs.mark_dirty(job)  # what made its task needless may not be stored
+        return True
 
     def on_run_gone(
         self,
@@ -170,16 +186,16 @@
         task: state.TaskState,
         end: model.EndedTask,
     ) -> None:
-        if end.run in task.failed_runs:
-            return
-        task.failed_runs.add(end.run)
-        task.failed_on.add(session.entry.worker_id)
-        if _may_blame_worker(job, step, session.entry.worker_id) and (
-            session.record_outcome(job.spec.job_id, True)
-        ):
-            self._log_event(
-                "worker_ejected", worker=session.entry.worker_id, reason="failures"
-            )
+        if end.run not in task.failed_runs:
+            task.failed_runs.add(end.run)
+            task.failed_on.add(session.entry.worker_id)
+            if _may_blame_worker(job, step, session.entry.worker_id) and (
+                session.record_outcome(job.spec.job_id, True)
+            ):
+                self._log_event(
+                    "worker_ejected", worker=session.entry.worker_id, reason="failures"
+                )
+        # The limit also holds if the end was applied in part before an error.
         attempts = len(task.failed_runs)
         if step.spec.is_gang:
             attempts = len(set().union(*(t.failed_runs for t in step.tasks)))
--- a/clementinespar/jobs/session_events.py
+++ b/clementinespar/jobs/session_events.py
@@ -124,12 +124,12 @@
         session: worker_session.WorkerSession,
         end: model.EndedTask,
         run: worker_run.Run | None,
-    ) -> None:
+    ) -> bool:
         """Apply the end of a run once, whichever owner started it."""
         if run is not None:
             now = asyncio.get_running_loop().time()
             self._neighbours.add_end(session, run, end.kind, now)
-        self._ends.on_end(session, end, run)
+        return self._ends.on_end(session, end, run)
 
     def on_start_unanswered(self, session: worker_session.WorkerSession) -> None:
         """Store where the run may execute, in case its worker has died."""
--- a/clementinespar/jobs/tests/fakes.py
+++ b/clementinespar/jobs/tests/fakes.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Mapping, Sequence
 
 from clementinespar import codes, errors, http_calls
-from clementinespar.jobs import model, services, worker_session
+from clementinespar.jobs import model, services, worker_ends
 from clementinespar.jobs.tests import fake_worker
 
 
@@ -437,7 +437,7 @@
                 else model.RunningTask(task, run, "", 100, 0)
                 for task, (run, _) in fake.running.items()
             ],
-            fake.ended[: worker_session.REPORTED_ENDS],
+            fake.ended[: worker_ends.REPORTED_ENDS],
         )
 
     def _renew(
--- a/clementinespar/jobs/tests/test_pool_owner.py
+++ b/clementinespar/jobs/tests/test_pool_owner.py
@@ -799,7 +799,7 @@
         task, run, worker_id = workers.starts[0]
         workers.task_s = 0.3
         await harness.submit(helpers.make_spec("a", 1))
-        while not owner.sessions_by_id[worker_id].processed:
+        while not owner.sessions_by_id[worker_id].ends.processed:
             await asyncio.sleep(0.001)
         workers.workers[worker_id].loses_answers = True
         while not owner.sessions_by_id[worker_id].is_silent:
--- a/clementinespar/jobs/worker_run.py
+++ b/clementinespar/jobs/worker_run.py
@@ -123,8 +123,8 @@
         session: "worker_session.WorkerSession",
         end: model.EndedTask,
         run: Run | None,
-    ) -> None:
-        """Apply the end of a run that the worker lists."""
+    ) -> bool:
+        """Apply the end of a run that the worker lists; False keeps it listed."""
         ...
 
     def on_start_unanswered(self, session: "worker_session.WorkerSession") -> None:
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -16,6 +16,7 @@
     services,
     team_use,
     telemetry,
+    worker_ends,
     worker_lease,
     worker_orders,
     worker_run,
@@ -24,7 +25,6 @@
 RENEW_WAIT_MS = 800  # a renewal waits at the worker this long for a run to end
 SETTLE_WAIT_MS = 60  # shorter wait while a start or a stop has no answer
 RENEW_SPACING_S = 0.025  # batches ends, since each renewal has a cost
-REPORTED_ENDS = 500  # that a worker lists at a time, by the protocol
 RETRY_DELAY_S = 0.15  # after a renewal without an answer
 UNRESPONSIVE_AFTER_S = 1.6  # no new work for a worker without contact for this long
 FAILURE_PAUSE_S = 0.5  # after an unexpected error, which may come again
@@ -66,9 +66,7 @@
     is_evacuating: bool
     last_contact: float  # event-loop time of the last report
     alive_at: float  # event-loop time of the last report or answer to a start
-    acknowledged: int  # number of the last end that is stored
-    processed: int  # number of the last end that is applied in memory
-    _acknowledgement_seen: int  # highest `acknowledged` that the worker has answered
+    ends: worker_ends.WorkerEnds
     born_ms: int
     failed_jobs: set[str]
     ejected_until: float
@@ -113,9 +111,7 @@
         self.is_evacuating = False
         self.last_contact = 0.0
         self.alive_at = 0.0
-        self.acknowledged = 0
-        self.processed = 0
-        self._acknowledgement_seen = 0
+        self.ends = worker_ends.WorkerEnds(entry.worker_id, self._on_end, log_event)
         self.born_ms = 0
         self.failed_jobs = set()
         self.ejected_until = 0.0
@@ -299,8 +295,8 @@
                 wait_ms = SETTLE_WAIT_MS
             # Sent once, and again only after another answer: a worker that has
             # restarted numbers its ends anew and would forget the first ones.
-            acknowledged = self.acknowledged
-            if failures or acknowledged <= self._acknowledgement_seen:
+            acknowledged = self.ends.acknowledged
+            if failures or acknowledged <= self.ends.acknowledgement_seen:
                 acknowledged = 0
             # An unresponsive worker gets no lease: a renewal without an answer may
             # still arrive, and the lease would never certainly end.
@@ -338,7 +334,7 @@
             if failures:
                 self._record_return(failures)
             failures = 0
-            self._acknowledgement_seen = max(self._acknowledgement_seen, acknowledged)
+            self.ends.note_seen(acknowledged)
             self._apply(report, sent_at)
             await asyncio.sleep(RENEW_SPACING_S)
 
@@ -402,22 +398,15 @@
             # A worker that was down when the session opened is new at its first answer.
             self.born_seen_at = now
             self.born_ms = report.born_ms
-            self.processed = 0
-            self.acknowledged = 0
-            self._acknowledgement_seen = 0
+            self.ends.begin_life()
         self.lease.set_clock(report.clock_ms)
         self.alive_at = now
         self.is_silent = False
         self.is_dead = False
-        for end in report.ended:
-            if end.number <= self.processed:
-                continue
-            self.processed = end.number
-            run = self.runs.get((end.task, end.run))
-            if run is not None:
-                self.drop_run(run)
-            self._events.on_end(self, end, run)
-        is_complete = len(report.ended) < REPORTED_ENDS
+        self.ends.apply(report.ended)
+        if self.ends.is_full():
+            self.eject()
+        is_complete = len(report.ended) < worker_ends.REPORTED_ENDS
         listed = set()
         for item in report.running:
             listed.add((item.task, item.run))
@@ -460,6 +449,13 @@
         self._orders.resend_unanswered_stops()
         self._events.on_contact(self)
 
+    def _on_end(self, end: model.EndedTask) -> bool:
+        """Apply the end of a run; False if its effect cannot be stored yet."""
+        run = self.runs.get((end.task, end.run))
+        if run is not None:
+            self.drop_run(run)
+        return self._events.on_end(self, end, run)
+
     def _rest_step(self) -> model.StepSpec:
         """Return a step that takes all free capacity, for a run of unknown size.
 
