Keep a job whose stored records cannot be read as it is

Cause: such a job was skipped at the load. With an unreadable progress record, its command made it a new job: its numbers began at 1 and no lease was awaited. With an unreadable command, it was unknown, so the ends of its runs were acknowledged without being stored, and the next owner that could read it started its done tasks again. An open job whose command is missing had no steps, and was finished as done.

Change: such a job is known, but no task of it starts, it is not stored, its ends stay listed, and its runs go on; they are stopped only if their needs are not known, as the command is unreadable. Callers get ENTRY_INVALID (503). A cancellation ends the job.

--- a/clementinespar/jobs/owner_loading.py
+++ b/clementinespar/jobs/owner_loading.py
@@ -23,6 +23,8 @@
 ) -> list[state.JobProgress]:
     """Return the jobs that previous owners had adopted.
 
+    One whose records cannot be read is returned as unreadable: it may have run.
+
     Parameters
     ----------
     progress : mapping of str to bytes
@@ -40,17 +42,23 @@
         if not key.startswith("p"):
             continue
         job_id = key[1:]
+        spec = None
+        try:
+            if job_id in specs:
+                spec = state.decode_spec(job_id, specs[job_id])
+        except decoding.ERRORS as error:
+            telemetry.log_invalid_entry(log_event, "j" + job_id, error)
+        known_spec = spec or model.JobSpec(job_id, "", "", "", ())
+        job = state.JobProgress(known_spec)
         try:
-            spec = (
-                state.decode_spec(job_id, specs[job_id])
-                if job_id in specs
-                else model.JobSpec(job_id, "", "", "", ())
-            )
-            job = state.JobProgress(spec)
             state.restore_progress(job, value)
+            if spec is None and not job.is_final:
+                raise decoding.DecodingError("an open job without a readable command")
         except decoding.ERRORS as error:
             telemetry.log_invalid_entry(log_event, key, error)
-            continue
+            job = state.JobProgress(known_spec)
+            job.occurrences.clear()
+            job.is_unreadable = True
         jobs.append(job)
     return jobs
 
@@ -63,8 +71,8 @@
 ) -> list[state.JobProgress]:
     """Take over jobs one by one, and return those that raised no error.
 
-    One that raises an error stays known, so that it is not taken for a new job, but
-    does not run under this owner.
+    One that raises an error, or that is unreadable, stays known, so that it is not
+    taken for a new job, but does not run under this owner.
 
     Parameters
     ----------
@@ -75,6 +83,8 @@
     for job in found:
         job_id = job.spec.job_id
         jobs.by_id[job_id] = job
+        if job.is_unreadable:
+            continue
         try:
             take_over(job)
         except Exception as error:
@@ -113,26 +123,50 @@
     session: worker_session.WorkerSession,
     listed: model.RunningTask,
 ) -> worker_run.Run | None:
-    """Return the run to track for one of a previous owner; None if unwanted."""
+    """Return the run to track for one of a previous owner; None if unwanted.
+
+    The runs of an unreadable job go on; their ends wait for an owner that can read it.
+    """
     found = jobs.find_open_task(listed.task)
     if found is None:
-        return None
+        return _adopt_unread(jobs.by_id.get(listed.task.job_id), session, listed)
     job, task = found
     step = job.find_step(listed.task)
     task.last_run = max(task.last_run, listed.run)
     if task.is_done or (task.open_runs and not step.spec.is_speculative):
         return None
-    now = asyncio.get_running_loop().time()
-    run = worker_run.Run(
-        listed.task, listed.run, step.spec, session, now, job.spec.team
-    )
-    run.status = worker_run.RunStatus.RUNNING
-    run.percent = listed.percent
+    run = _track_run(job, step.spec, session, listed)
     run.is_suspect = bool(task.crashed_runs)
-    run.is_adopted = True
     task.open_runs.add(listed.run)
     if task.at_risk.pop(listed.run, None) is not None:
         jobs.store_soon(job)
     step.waiting.discard(listed.task.index)
     job.mark_started()
     return run
+
+
+def _adopt_unread(
+    job: state.JobProgress | None,
+    session: worker_session.WorkerSession,
+    listed: model.RunningTask,
+) -> worker_run.Run | None:
+    """Return the run to track for one of an unreadable job; None if it is not one."""
+    if job is None or job.is_final or not job.is_unreadable:
+        return None
+    if not 0 <= listed.task.step < len(job.spec.steps):
+        return None
+    return _track_run(job, job.spec.steps[listed.task.step], session, listed)
+
+
+def _track_run(
+    job: state.JobProgress,
+    step: model.StepSpec,
+    session: worker_session.WorkerSession,
+    listed: model.RunningTask,
+) -> worker_run.Run:
+    now = asyncio.get_running_loop().time()
+    run = worker_run.Run(listed.task, listed.run, step, session, now, job.spec.team)
+    run.status = worker_run.RunStatus.RUNNING
+    run.percent = listed.percent
+    run.is_adopted = True
+    return run
--- a/clementinespar/jobs/owner_queries.py
+++ b/clementinespar/jobs/owner_queries.py
@@ -64,10 +64,16 @@
         Raises
         ------
         errors.ClementinesparError
-            The commands were not read recently enough to report a job as unknown.
+            The commands were not read recently enough to report a job as unknown, or
+            what is stored of the job cannot be read.
         """
         job = self._jobs.by_id.get(job_id)
         if job is not None:
+            if job.is_unreadable and not job.is_final:
+                raise errors.ClementinesparError(
+                    codes.ResultCode.ENTRY_INVALID,
+                    "what is stored of the job cannot be read",
+                )
             if job.is_final and not job.is_final_stored:
                 return model.JobState.RUNNING
             return job.state
--- a/clementinespar/jobs/run_ends.py
+++ b/clementinespar/jobs/run_ends.py
@@ -111,7 +111,11 @@
     def _needs_nothing(self, key: model.TaskKey) -> bool:
         """Whether the end of a task that is not open may be acknowledged."""
         job = self._jobs.by_id.get(key.job_id)
-        if job is not None and not job.is_final_stored:
+        if job is None:
+            return True  # the store has neither progress nor a command of it
+        if job.is_unreadable and not job.is_final:
+            return False
+        if not job.is_final_stored:
             self._jobs.mark_dirty(job)  # what made its task needless may not be stored
         return True
 
--- a/clementinespar/jobs/run_watch.py
+++ b/clementinespar/jobs/run_watch.py
@@ -82,7 +82,7 @@
         if run.status is not worker_run.RunStatus.RUNNING:
             return
         job = self._jobs_by_id.get(run.key.job_id)
-        if job is None or job.is_final:
+        if job is None or job.is_final or job.is_unreadable:
             return
         step = job.find_step(run.key)
         may_miss = step.spec.may_miss
@@ -180,6 +180,7 @@
         if (
             job is None
             or job.is_final
+            or job.is_unreadable
             or run.status is not worker_run.RunStatus.RUNNING
             or run.percent < 100
             or run.key in self._moved_at
--- a/clementinespar/jobs/state.py
+++ b/clementinespar/jobs/state.py
@@ -143,6 +143,7 @@
         "is_adopted",
         "has_started",
         "is_over_rate",
+        "is_unreadable",
         "final_ms",
         "deadline",
         "finished_occurrences",
@@ -167,6 +168,9 @@
     is_adopted: bool  # the adoption is stored, so tasks may start
     has_started: bool
     is_over_rate: bool  # its team had submitted more than its rate
+    # What previous owners have stored of it cannot be read, so this owner neither
+    # starts its tasks nor stores it, unless it is cancelled. It has no occurrences.
+    is_unreadable: bool
     final_ms: int  # Unix ms of the final state
     deadline: float  # event-loop time at which the objective of the job ends
     finished_occurrences: int
@@ -191,6 +195,7 @@
         self.is_adopted = False
         self.has_started = False
         self.is_over_rate = False
+        self.is_unreadable = False
         self.final_ms = 0
         self.deadline = 0.0
         self.finished_occurrences = 0
