--- a/clementinespar/jobs/end_log.py
+++ b/clementinespar/jobs/end_log.py
@@ -38,11 +38,11 @@
 
 
 class _Note(enum.Enum):
-    """Why the acknowledgement of an end is logged."""
+    """What an end is that has a line of its own."""
 
     FOREIGN_DONE = "foreign_done"
     WITHOUT_TASK = "without_task"
-    NOT_APPLIED = "not_applied"
+    NOT_DONE = "not_done"
 
 
 class EndLog:
@@ -81,21 +81,16 @@
         origin = _find_origin(end, run, task)
         is_done = end.kind is model.EndKind.DONE
         if task is None:
-            why = self._find_why_not_open(end.task)
-            self._metrics.count_end_without_task(why)
-            self._log("end_without_task", session, end, origin=origin.value, why=why)
-            self._note(session, end, _Note.WITHOUT_TASK)
+            if self._note(session, end, _Note.WITHOUT_TASK):
+                why = self._find_why_not_open(end.task)
+                self._metrics.count_end_without_task(why)
+                self._log(
+                    "end_without_task", session, end, origin=origin.value, why=why
+                )
         elif not is_done or origin is not Origin.STARTED:
-            self._log("end", session, end, origin=origin.value)
-            if is_done:
-                self._note(session, end, _Note.FOREIGN_DONE)
-
-    def add_failed(
-        self, session: worker_session.WorkerSession, end: model.EndedTask
-    ) -> None:
-        """Log an end whose handling has raised an error; it is not handled again."""
-        self._log("end_not_applied", session, end)
-        self._note(session, end, _Note.NOT_APPLIED)
+            note = _Note.FOREIGN_DONE if is_done else _Note.NOT_DONE
+            if self._note(session, end, note):
+                self._log("end", session, end, origin=origin.value)
 
     def report_stored(self, session: worker_session.WorkerSession, number: int) -> None:
         """Log noted ends that may be acknowledged from now on.
@@ -114,14 +109,15 @@
         if later:
             self._unstored_by_id[worker_id] = (born_ms, later)
         stored = [note for key, note in notes.items() if key <= number]
-        if stored:
+        if any(note is not _Note.NOT_DONE for note in stored):
             self._log_event(
                 "ends_stored",
                 worker=worker_id,
                 epoch=session.fence,
                 born_ms=born_ms,
                 number=number,
-                **{note.value: stored.count(note) for note in _Note},
+                foreign_done=stored.count(_Note.FOREIGN_DONE),
+                without_task=stored.count(_Note.WITHOUT_TASK),
             )
 
     def add_gone(
@@ -171,13 +167,16 @@
         session: worker_session.WorkerSession,
         end: model.EndedTask,
         note: _Note,
-    ) -> None:
+    ) -> bool:
+        """Note an end; False if it was noted before, so that it is tried again."""
         worker_id = session.entry.worker_id
         born_ms, notes = self._unstored_by_id.get(worker_id, (session.born_ms, {}))
         if born_ms != session.born_ms:
             notes = {}  # a former life's ends are not acknowledged any more
+        is_new = end.number not in notes
         notes[end.number] = note
         self._unstored_by_id[worker_id] = (session.born_ms, notes)
+        return is_new
 
     def _find_why_not_open(self, key: model.TaskKey) -> str:
         """Return why an end has no open task, as the label of a metric."""
