Grant no lease on a released worker while its record is on its way

An unresponsive worker is recorded with the end of its lease only. Until that record was encoded, which waits for the append before it, the worker still counted as stored in use. A renewal in between granted a longer lease, and the next owner waited up to 0.8 s too short. A release now ends the right to grant at once, also for a record that is on its way; the worker gets leases again once a later record has it in use.

--- a/clementinespar/jobs/worker_use.py
+++ b/clementinespar/jobs/worker_use.py
@@ -31,7 +31,8 @@
 
     answered: set[str]  # workers that refuse orders of previous owners
     in_use: set[str]  # workers on which a run of this owner may execute
-    stored: set[str]  # workers in use according to the stored record
+    # Workers in use according to the stored record, and not released since.
+    stored: set[str]
     # Used by the previous owner; recorded as in use until there was time to call them.
     _unreached: set[str]
     _recorded: set[str]  # workers in use by the newest record, stored or not
@@ -128,10 +129,11 @@
     def release_silent(self, worker_id: str, lease_end: float) -> None:
         """Record an unresponsive worker with the end of its lease only.
 
-        Its lease is not extended any more, so the next owner need not wait for a whole
-        one. The worker is in use again once it answers and that is stored.
+        Its lease is not extended from now on, so the next owner need not wait for a
+        whole one. The worker is in use again once it answers and that is stored.
         """
         self.in_use.discard(worker_id)
+        self.stored.discard(worker_id)
         self._silent_lease_ends[worker_id] = lease_end
 
     def settle(self, worker_id: str) -> None:
@@ -166,8 +168,10 @@
 
     def is_due(self) -> bool:
         """Whether the record has to be stored again."""
-        if self.in_use | self._unreached != self.stored:
+        if self.in_use | self._unreached != self._recorded:
             return True
+        if not self.in_use <= self.stored:
+            return True  # a released worker is in use again
         if any(self._is_new(worker_id) for worker_id in self._unstored_lives):
             return True
         if self._recorded_new and not any(map(self._is_new, self._recorded_new)):
@@ -221,6 +225,7 @@
         self._unreached = used
         self._lease_ends = ends
         self.stored = set(self._unreached)
+        self._recorded = set(self._unreached)
         self._recorded_at = fenced_at
 
     def encode(self) -> bytes:
@@ -278,8 +283,8 @@
         return json.dumps(fields, separators=(",", ":")).encode()
 
     def mark_stored(self) -> None:
-        """Set the workers of the newest record as stored."""
-        self.stored = set(self._recorded)
+        """Set the workers of the newest record as stored, but for those released."""
+        self.stored = self._recorded - self._silent_lease_ends.keys()
         self._unstored_lives = {
             worker_id
             for worker_id in self._unstored_lives
