End the session with a worker that has started again in another partition's pool

Cause: a session outlived the pool of its worker. If the worker started again under its id in a pool of another partition, its former owner went on calling it, stopped the runs of the new owner as unwanted and acknowledged their ends. Epochs are generations of one group, so both may have the same fence; else one of them lost its whole partition.

Change: once the entry shows a later life in a pool of another partition, the runs of the former life are dropped and the session ends, or ends when starts without an answer are settled.

--- a/clementinespar/jobs/session_table.py
+++ b/clementinespar/jobs/session_table.py
@@ -6,6 +6,7 @@
 from clementinespar import background
 from clementinespar.jobs import (
     job_table,
+    model,
     passed_over,
     services,
     team_use,
@@ -71,7 +72,7 @@
             session = self._sessions_by_id.get(entry.worker_id)
             if not self._owns_pool(entry.pool):
                 if session is not None:
-                    session.is_listed = False
+                    self._leave_to_other(session, entry)
                 continue
             if session is None:
                 session = worker_session.WorkerSession(
@@ -100,10 +101,30 @@
                 now - session.last_contact > worker_session.UNRESPONSIVE_AFTER_S
             )
             if is_expired and is_unresponsive and not session.runs:
-                session.close()
-                self._closing.start(session.wait_closed())
-                del self._sessions_by_id[worker_id]
-                self._worker_use.remove(worker_id)
+                self._close(session)
+
+    def _leave_to_other(
+        self, session: worker_session.WorkerSession, entry: model.WorkerEntry
+    ) -> None:
+        """Stop using a worker whose entry names a pool of another partition.
+
+        The session ends if the worker has started again for that pool: its runs and its
+        ends are those of another owner, which may have the same fence.
+        """
+        session.is_listed = False
+        if entry.born_ms == session.entry.born_ms:
+            return
+        if session.born_ms != entry.born_ms and not session.is_dead:
+            session.drop_ended()
+        if not session.runs:
+            self._close(session)
+
+    def _close(self, session: worker_session.WorkerSession) -> None:
+        worker_id = session.entry.worker_id
+        session.close()
+        self._closing.start(session.wait_closed())
+        del self._sessions_by_id[worker_id]
+        self._worker_use.remove(worker_id)
 
     async def wait_closed(self) -> None:
         """Wait until the calls of all closed sessions have ended."""
