--- a/clementinespar/jobs/progress_writer.py
+++ b/clementinespar/jobs/progress_writer.py
@@ -8,6 +8,7 @@
 from clementinespar.jobs import (
     command_intake,
     conclusions,
+    end_log,
     fenced_log,
     job_table,
     owner_quotas,
@@ -45,6 +46,7 @@
         use: worker_use.WorkerUse,
         quotas: owner_quotas.OwnerQuotas,
         drawn: conclusions.Conclusions,
+        ends: end_log.EndLog,
         on_fenced: Callable[[], None],
         log_event: services.EventLog,
     ) -> None:
@@ -56,7 +58,9 @@
         self._worker_use = use
         self._quotas = quotas
         self._conclusions = drawn
+        self._end_log = ends
         self._on_fenced = on_fenced
+        self._log_event = log_event
         self._log = fenced_log.FencedLog(
             store,
             services.Topic.PROGRESS,
@@ -108,7 +112,7 @@
         dirty = list(self._jobs.dirty.values())
         self._jobs.dirty.clear()
         processed = [
-            (session, session.processed, session.born_ms)
+            (session, session.ends.processed, session.born_ms)
             for session in self._sessions_by_id.values()
         ]
         records = []
@@ -149,13 +153,20 @@
         if fence_checks != self._fence_checks:
             self._fence_checks = fence_checks
             self._checked_at = began_at
+            self._log_event(
+                "fence_checked",
+                partition=self._partition,
+                epoch=self._epoch,
+                took_ms=round((asyncio.get_running_loop().time() - began_at) * 1000),
+            )
             self._jobs.schedule_wanted.set()
         if is_use_due:
             self._worker_use.mark_stored()
             self._jobs.schedule_wanted.set()
         for session, number, born_ms in processed:
             if session.born_ms == born_ms:
-                session.acknowledged = max(session.acknowledged, number)
+                session.ends.note_stored(number)
+                self._end_log.report_stored(session, number)
         for job, crash_version, risk_version in versions:
             is_crash_stored = job.stored_crash_version == crash_version
             is_risk_stored = job.stored_risk_version == risk_version
--- a/clementinespar/jobs/session_events.py
+++ b/clementinespar/jobs/session_events.py
@@ -69,7 +69,8 @@
         """Record that the worker has answered and request a round of placement."""
         worker_id = session.entry.worker_id
         if session.has_answered:
-            self._settle(worker_id, "a worker has answered")
+            is_news = self._worker_use.note_answer(worker_id)
+            self._conclude(is_news, f"{worker_id} has answered")
         else:
             self._jobs.flush_wanted.set()  # it lists more once these are acknowledged
         self._crash_watch.on_contact(session)
@@ -85,18 +86,15 @@
 
     def on_death(self, worker_id: str) -> None:
         """Handle a worker that has ended, before its runs are dropped."""
-        self._settle(worker_id, "a worker has ended")
-        self._worker_use.give_up(worker_id)
+        is_news = self._worker_use.note_death(worker_id)
+        self._conclude(is_news, f"{worker_id} has ended")
         self._crash_watch.on_death(worker_id)
 
-    def _settle(self, worker_id: str, reason: str) -> None:
-        """Let the tasks of previous owners wait no longer for a worker."""
-        if self._worker_use.settle(worker_id):
-            self._conclusions.add(
-                asyncio.get_running_loop().time(),
-                f"{worker_id}: {reason}",
-                self._jobs.schedule_wanted.set,
-            )
+    def _conclude(self, is_news: bool, name: str) -> None:
+        """Ask for a round of placement once a worker need not be waited for."""
+        if is_news:
+            now = asyncio.get_running_loop().time()
+            self._conclusions.add(now, name, self._jobs.schedule_wanted.set)
 
     def on_unresponsive(self, session: worker_session.WorkerSession) -> None:
         """Queue copies of the speculative tasks that run on an unresponsive worker."""
@@ -142,12 +140,12 @@
         session: worker_session.WorkerSession,
         end: model.EndedTask,
         run: worker_run.Run | None,
-    ) -> None:
+    ) -> bool:
         """Apply the end of a run once, whichever owner started it."""
         if run is not None:
             now = asyncio.get_running_loop().time()
             self._neighbours.add_end(session, run, end.kind, now)
-        self._ends.on_end(session, end, run)
+        return self._ends.on_end(session, end, run)
 
     def on_start_unanswered(self, session: worker_session.WorkerSession) -> None:
         """Store where the run may execute, in case its worker has died."""
--- a/clementinespar/jobs/session_table.py
+++ b/clementinespar/jobs/session_table.py
@@ -6,6 +6,7 @@
 from clementinespar import background
 from clementinespar.jobs import (
     job_table,
+    model,
     passed_over,
     services,
     team_use,
@@ -71,7 +72,7 @@
             session = self._sessions_by_id.get(entry.worker_id)
             if not self._owns_pool(entry.pool):
                 if session is not None:
-                    session.is_listed = False
+                    self._leave_to_other(session, entry)
                 continue
             if session is None:
                 session = worker_session.WorkerSession(
@@ -100,10 +101,30 @@
                 now - session.last_contact > worker_session.UNRESPONSIVE_AFTER_S
             )
             if is_expired and is_unresponsive and not session.runs:
-                session.close()
-                self._closing.start(session.wait_closed())
-                del self._sessions_by_id[worker_id]
-                self._worker_use.remove(worker_id)
+                self._close(session)
+
+    def _leave_to_other(
+        self, session: worker_session.WorkerSession, entry: model.WorkerEntry
+    ) -> None:
+        """Stop using a worker whose entry names a pool of another partition.
+
+        The session ends if the worker has started again for that pool: its runs and its
+        ends are those of another owner, which may have the same fence.
+        """
+        session.is_listed = False
+        if entry.born_ms <= session.entry.born_ms:
+            return  # the same life, or an entry of another writer
+        if session.born_ms != entry.born_ms and not session.is_dead:
+            session.drop_ended()
+        if not session.runs:
+            self._close(session)
+
+    def _close(self, session: worker_session.WorkerSession) -> None:
+        worker_id = session.entry.worker_id
+        session.close()
+        self._closing.start(session.wait_closed())
+        del self._sessions_by_id[worker_id]
+        self._worker_use.remove(worker_id)
 
     async def wait_closed(self) -> None:
         """Wait until the calls of all closed sessions have ended."""
@@ -172,6 +193,47 @@
             if session.has_answered and not session.is_silent
         }
 
+    def drop_ended(self, worker_id: str, list_ages_ms: list[int]) -> None:
+        """Free the tasks of a worker that the platform reports as ended.
+
+        Parameters
+        ----------
+        list_ages_ms : list of int
+            As `worker_deaths.WorkerDeathWatch.list_ages_ms`.
+        """
+        self._log_death(worker_id, list_ages_ms)
+        self._events.on_death(worker_id)
+        session = self._sessions_by_id.get(worker_id)
+        if session is not None:
+            session.drop_ended()
+        self.release()
+        self._jobs.schedule_wanted.set()
+
+    def _log_death(self, worker_id: str, list_ages_ms: list[int]) -> None:
+        """Log that a worker has ended.
+
+        Parameters
+        ----------
+        list_ages_ms : list of int
+            Ages of the lists of hosts without the worker.
+        """
+        session = self._sessions_by_id.get(worker_id)
+        if session is None:
+            confirmed_age_ms = worker_lease.find_age_ms(self._events.confirmed_at())
+            fields: dict[str, object] = {
+                "epoch": self._epoch,
+                "confirmed_age_ms": confirmed_age_ms,
+            }
+        else:
+            fields = session.describe_lease()
+        self._log_event(
+            "worker_dead",
+            worker=worker_id,
+            open_runs=0 if session is None else len(session.runs),
+            list_ages_ms=list_ages_ms,
+            **fields,
+        )
+
     def in_pool(self, pool: str) -> list[worker_session.WorkerSession]:
         """Return the sessions of the workers of a pool."""
         return [s for s in self._sessions_by_id.values() if s.entry.pool == pool]
--- a/clementinespar/jobs/worker_use.py
+++ b/clementinespar/jobs/worker_use.py
@@ -10,7 +10,7 @@
 import asyncio
 import json
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from clementinespar import decoding
 from clementinespar.jobs import worker_deaths
@@ -29,8 +29,11 @@
         unknown. See `conclusions.Conclusions`.
     """
 
+    answered: set[str]  # workers that refuse orders of previous owners
+    ended: set[str]  # workers that lists of hosts do not show any more
     in_use: set[str]  # workers on which a run of this owner may execute
-    stored: set[str]  # workers in use according to the stored record
+    # Workers in use according to the stored record, and not released since.
+    stored: set[str]
     # Used by the previous owner; recorded as in use until there was time to call them.
     _unreached: set[str]
     _recorded: set[str]  # workers in use by the newest record, stored or not
@@ -51,7 +54,9 @@
     _recorded_new: set[str]  # workers that the newest record names as new
 
     def __init__(self, confirmed_at: Callable[[], float | None]) -> None:
-        self._confirmed_at = confirmed_at
+        self.confirmed_at = confirmed_at
+        self.answered = set()
+        self.ended = set()
         self.in_use = set()
         self.stored = set()
         self._unreached = set()
@@ -67,9 +72,9 @@
         self._recorded_new = set()
 
     @property
-    def previous_worker_count(self) -> int:
-        """Number of workers on which a lease of a previous owner may last."""
-        return len(self._lease_ends)
+    def previous_lease_ends(self) -> Mapping[str, float]:
+        """Event-loop ends of previous owners' leases, by worker id."""
+        return self._lease_ends
 
     def previous_lease_end(self, worker_id: str) -> float:
         """Return the event-loop time at which previous leases on a worker end."""
@@ -129,28 +134,35 @@
     def release_silent(self, worker_id: str, lease_end: float) -> None:
         """Record an unresponsive worker with the end of its lease only.
 
-        Its lease is not extended any more, so the next owner need not wait for a whole
-        one. The worker is in use again once it answers and that is stored.
+        Its lease is not extended from now on, so the next owner need not wait for a
+        whole one. The worker is in use again once it answers and that is stored.
         """
         self.in_use.discard(worker_id)
+        self.stored.discard(worker_id)
         self._silent_lease_ends[worker_id] = lease_end
 
-    def settle(self, worker_id: str) -> bool:
-        """Record that no unknown run of previous owners executes on a worker.
+    def note_answer(self, worker_id: str) -> bool:
+        """Record that a worker refuses orders of previous owners; its runs are known.
 
-        It counts once ownership is confirmed after that: a later owner may have adopted
-        a run, and seen it end, before the worker ended or began another life. False if
-        it was recorded before, or nobody waits for the worker.
+        It counts once ownership is confirmed after that: if it is another life, a later
+        owner may have adopted a run in the former one, and seen it end. False if nobody
+        has waited for the worker.
         """
+        self.answered.add(worker_id)
+        return self._note_settled(worker_id)
+
+    def note_death(self, worker_id: str) -> bool:
+        """Record that a worker has ended; otherwise as `note_answer`."""
+        self.ended.add(worker_id)
+        self._unreached.discard(worker_id)
+        return self._note_settled(worker_id)
+
+    def _note_settled(self, worker_id: str) -> bool:
         if worker_id not in self._lease_ends or worker_id in self._settled_at:
             return False
         self._settled_at[worker_id] = asyncio.get_running_loop().time()
         return True
 
-    def give_up(self, worker_id: str) -> None:
-        """Record a worker of the previous owner as in use no longer."""
-        self._unreached.discard(worker_id)
-
     def is_settled(self) -> bool:
         """Whether no worker can execute runs of previous owners unknown to this one."""
         return not self.find_unsettled()
@@ -177,7 +189,7 @@
         A later owner may have adopted runs and renewed their lease, unless ownership
         was confirmed after its end.
         """
-        confirmed = self._confirmed_at()
+        confirmed = self.confirmed_at()
         if confirmed is None:
             return False
         settled_at = self._settled_at.get(worker_id, math.inf)
@@ -185,8 +197,10 @@
 
     def is_due(self) -> bool:
         """Whether the record has to be stored again."""
-        if self.in_use | self._unreached != self.stored:
+        if self.in_use | self._unreached != self._recorded:
             return True
+        if not self.in_use <= self.stored:
+            return True  # a released worker is in use again
         if any(self._is_new(worker_id) for worker_id in self._unstored_lives):
             return True
         if self._recorded_new and not any(map(self._is_new, self._recorded_new)):
@@ -240,6 +254,7 @@
         self._unreached = used
         self._lease_ends = ends
         self.stored = set(self._unreached)
+        self._recorded = set(self._unreached)
         self._recorded_at = fenced_at
 
     def encode(self) -> bytes:
@@ -298,8 +313,8 @@
         return json.dumps(fields, separators=(",", ":")).encode()
 
     def mark_stored(self) -> None:
-        """Set the workers of the newest record as stored."""
-        self.stored = set(self._recorded)
+        """Set the workers of the newest record as stored, but for those released."""
+        self.stored = self._recorded - self._silent_lease_ends.keys()
         self._unstored_lives = {
             worker_id
             for worker_id in self._unstored_lives
