--- a/clementinespar/jobs/owner_loading.py
+++ b/clementinespar/jobs/owner_loading.py
@@ -121,7 +121,7 @@
     # the fence.
     lease_s = worker_lease.find_previous_s(lease_max_s)
     try:
-        use.restore(value, fenced_at, lease_s)
+        use.restore(progress["workers"], fenced_at, lease_s)
     except decoding.ERRORS as error:
         telemetry.log_invalid_entry(log_event, "workers", error)
         use.wait_for_all(fenced_at, lease_s)
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -19,6 +19,7 @@
 from clementinespar import background, explanation
 from clementinespar.jobs import (
     command_intake,
+    conclusions,
     crash_watch,
     demand,
     end_log,
@@ -82,6 +83,7 @@
     waits: wait_watch.WaitWatch
     _lease_max_s: float  # longest lease that workers grant
     _jobs: job_table.JobTable
+    _conclusions: conclusions.Conclusions
     _worker_use: worker_use.WorkerUse
     _sessions: session_table.SessionTable
     _writer: progress_writer.ProgressWriter
@@ -134,7 +136,10 @@
         self._directory = directory
         self._log_event = log_event
         self._lease_max_s = settings.lease_max_s
-        self._worker_use = worker_use.WorkerUse(self.confirmed_at)
+        self._conclusions = conclusions.Conclusions(
+            self.confirmed_at, self._jobs.flush_wanted, log_event
+        )
+        self._worker_use = worker_use.WorkerUse(self._conclusions.confirmed_at)
         self._subscription = contextlib.ExitStack()
         self._run_times = demand.RunTimes()
         self._team_rates = team_rate.TeamRates(find_weight, log_event, metrics)
@@ -168,6 +173,7 @@
             self.sessions_by_id,
             self._worker_use,
             self.quotas,
+            self._conclusions,
             ends,
             lambda: self.mark_lost("the store has seen a later owner"),
             log_event,
@@ -194,6 +200,7 @@
             self._tickets,
             self._run_times,
             self.quotas,
+            self._conclusions,
             ends,
             log_event,
             metrics,
@@ -226,6 +233,7 @@
             self._neighbours,
             self._run_watch,
             self._tickets,
+            self._conclusions,
             self.confirmed_at,
             self.mark_lost,
         )
@@ -259,7 +267,9 @@
             hosts,
             self._sessions.find_silent,
             self._sessions.find_responsive,
-            self._on_worker_death,
+            lambda worker_id: self._sessions.drop_ended(
+                worker_id, self._death_watch.list_ages_ms(worker_id)
+            ),
             log_event,
         )
         self._takeover_wait = takeover_wait.TakeoverWait(
@@ -429,17 +439,6 @@
         if not self.is_lost:
             self._sessions.refresh()
 
-    def _on_worker_death(self, worker_id: str) -> None:
-        """Free the tasks of a worker that the platform reports as ended."""
-        session = self.sessions_by_id.get(worker_id)
-        self._sessions.log_death(worker_id, self._death_watch.list_ages_ms(worker_id))
-        self._worker_use.settle(worker_id)
-        self._crash_watch.on_death(worker_id)
-        if session is not None:
-            session.drop_ended()
-        self._sessions.release()
-        self._jobs.schedule_wanted.set()
-
     def mark_lost(self, reason: str) -> None:
         """Record that the partition is lost and stop acting as its owner."""
         if self.is_lost:
@@ -458,6 +457,7 @@
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._intake.follow())
                 group.create_task(self._writer.run())
+                group.create_task(self._conclusions.run())
                 group.create_task(self.schedule())
                 group.create_task(self.run_housekeeping())
                 group.create_task(self._death_watch.run())
@@ -481,10 +481,7 @@
 
     async def wait_closed(self) -> None:
         """Wait until the calls that `close` has cancelled have ended."""
-        await asyncio.gather(
-            self._tickets.wait_closed(),
-            self._sessions.wait_closed(),
-        )
+        await asyncio.gather(self._tickets.wait_closed(), self._sessions.wait_closed())
 
 
 @contextlib.asynccontextmanager
--- a/clementinespar/jobs/session_table.py
+++ b/clementinespar/jobs/session_table.py
@@ -176,7 +176,7 @@
             return {}
         known_since = {
             worker_id: self._worker_use.known_since(worker_id)
-            for worker_id in self._worker_use.find_unsettled()
+            for worker_id in self._worker_use.find_unheard()
             if worker_id != worker_use.ANY_WORKER
         }
         for worker_id, session in self._sessions_by_id.items():
@@ -193,7 +193,23 @@
             if session.has_answered and not session.is_silent
         }
 
-    def log_death(self, worker_id: str, list_ages_ms: list[int]) -> None:
+    def drop_ended(self, worker_id: str, list_ages_ms: list[int]) -> None:
+        """Free the tasks of a worker that the platform reports as ended.
+
+        Parameters
+        ----------
+        list_ages_ms : list of int
+            As `worker_deaths.WorkerDeathWatch.list_ages_ms`.
+        """
+        self._log_death(worker_id, list_ages_ms)
+        self._events.on_death(worker_id)
+        session = self._sessions_by_id.get(worker_id)
+        if session is not None:
+            session.drop_ended()
+        self.release()
+        self._jobs.schedule_wanted.set()
+
+    def _log_death(self, worker_id: str, list_ages_ms: list[int]) -> None:
         """Log that a worker has ended.
 
         Parameters
