Begin as the owner only once ownership is confirmed after the first append

The first append of an owner may take effect late. By then all partitions may have been dealt anew, and an earlier owner that got its partition back may have checked its fence: nobody had begun, so it keeps its epoch. If its appends are not answered after that, it does not learn of the late one, and both act: the late one on a lease from its only confirmation, the earlier one on its joins. The late one adopts a run, renews its lease, sees it end and acknowledges that; the earlier one takes the run for lapsed, as ownership is confirmed after the end of its own lease, and starts the task again as run 2.

An owner now calls no worker before a join that it has sent after its first append has answered that it still owns the partition. The join follows at once. If generations were missed until then, the fence is checked while it loads, and the leases of previous owners count from then on.

--- a/clementinespar/jobs/owner_loading.py
+++ b/clementinespar/jobs/owner_loading.py
@@ -10,6 +10,7 @@
     services,
     state,
     telemetry,
+    worker_lease,
     worker_run,
     worker_session,
     worker_use,
@@ -87,25 +88,31 @@
 
 def restore_worker_use(
     use: worker_use.WorkerUse,
-    value: bytes,
-    fenced_at: float,
-    lease_s: float,
+    progress: Mapping[str, bytes],
+    confirmed_until: float,
+    lease_max_s: float,
     log_event: services.EventLog,
 ) -> None:
     """Restore which workers the previous owners may still have leases on.
 
     Parameters
     ----------
-    fenced_at : float
-        Event-loop time after which the previous owners could store nothing.
-    lease_s : float
-        Longest time for which their leases go on after that, in seconds.
+    progress : mapping of str to bytes
+        The newest progress records by key.
+    confirmed_until : float
+        Event-loop time that no confirmation of the previous owners is later than, and
+        after which they could store nothing.
+    lease_max_s : float
+        Longest lease that a worker grants, in seconds.
     """
+    if "workers" not in progress:
+        return
+    lease_s = worker_lease.find_previous_s(lease_max_s)
     try:
-        use.restore(value, fenced_at, lease_s)
+        use.restore(progress["workers"], confirmed_until, lease_s)
     except decoding.ERRORS as error:
         telemetry.log_invalid_entry(log_event, "workers", error)
-        use.wait_for_all(fenced_at, lease_s)
+        use.wait_for_all(confirmed_until, lease_s)
 
 
 def adopt_run(
--- a/clementinespar/jobs/ownership.py
+++ b/clementinespar/jobs/ownership.py
@@ -14,6 +14,8 @@
 from clementinespar.jobs import pool_owner, services, standby, telemetry
 
 JOIN_INTERVAL_S = 0.4
+MIN_JOIN_SPACING_S = 0.05  # after a join that took the whole interval
+LOADING_CHECK_S = 0.01  # while an owner loads; its first append takes some milliseconds
 OWNERS_MAX_AGE_S = 2.0
 # Time between checks of the sizes of other nodes while no larger node owns a partition.
 # Otherwise, and for this long after the start, it is `standby.STANDBY_INTERVAL_S`.
@@ -178,7 +180,24 @@
                 self._mark_reached()
                 self.store_latency_s = loop.time() - sent_at
                 await self._apply(assignment, sent_at)
-            await asyncio.sleep(max(0.05, sent_at + JOIN_INTERVAL_S - loop.time()))
+            await self._wait_next_join(sent_at)
+
+    async def _wait_next_join(self, sent_at: float) -> None:
+        """Wait for the interval, or until an owner needs a confirmation to begin.
+
+        Parameters
+        ----------
+        sent_at : float
+            Event-loop time at which the last join was sent.
+        """
+        loop = asyncio.get_running_loop()
+        due_at = max(loop.time() + MIN_JOIN_SPACING_S, sent_at + JOIN_INTERVAL_S)
+        while (left_s := due_at - loop.time()) > 0:
+            owners = self.owners_by_partition.values()
+            if any(owner.awaits_confirmation(sent_at) for owner in owners):
+                return
+            is_loading = not all(owner.is_loaded for owner in owners)
+            await asyncio.sleep(min(left_s, LOADING_CHECK_S) if is_loading else left_s)
 
     def _mark_reached(self) -> None:
         self.reached_at = asyncio.get_running_loop().time()
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -1,7 +1,7 @@
 """The owner of a partition of worker pools: adopts jobs and places their tasks.
 
 Takeover: the first progress record carries the owner's epoch, which fences every
-previous owner out of the partition. The owner then reads progress and commands and
+previous owner out of the partition. Once ownership was confirmed after that, the owner
 calls each worker with the new fence. Jobs that a previous owner had adopted wait until
 every worker that it may have used has answered, or until the lease on that worker has
 certainly ended. Jobs that no owner had adopted start at once.
@@ -287,6 +287,10 @@
         confirmed_at = None if self.is_lost else self._confirmed_at()
         return self._writer.limit_confirmation(confirmed_at)
 
+    def awaits_confirmation(self, sent_at: float) -> bool:
+        """Whether it can begin once a join is answered that is later than `sent_at`."""
+        return not self.is_loaded and self._writer.is_fenced_after(sent_at)
+
     def check_fence(self) -> None:
         """Stop acting until the store has confirmed that no later owner has begun."""
         self._writer.check_fence()
@@ -332,22 +336,17 @@
 
     async def load(self) -> None:
         """Fence previous owners, then read progress and commands."""
-        loop = asyncio.get_running_loop()
         await self._writer.fence_previous()
-        fenced_at = loop.time()
         progress = await command_intake.retry_read(
             lambda: self._store.list_newest(services.Topic.PROGRESS, self.partition),
             self._log_event,
         )
+        fenced_at = await self._writer.wait_until_confirmed(self.confirmed_at)
         commands = await self._intake.list_all()
         values = {record.key: record.value for record in progress.records}
-        if "workers" in values:
-            # Leases of previous owners end at most this long after a confirmation that
-            # preceded the fence.
-            lease_s = worker_lease.find_previous_s(self._lease_max_s)
-            owner_loading.restore_worker_use(
-                self._worker_use, values["workers"], fenced_at, lease_s, self._log_event
-            )
+        owner_loading.restore_worker_use(
+            self._worker_use, values, fenced_at, self._lease_max_s, self._log_event
+        )
         restored = owner_loading.restore_jobs(values, commands.records, self._log_event)
         owner_loading.take_over_jobs(
             restored, self._jobs, self._restore_job, self._log_event
--- a/clementinespar/jobs/progress_writer.py
+++ b/clementinespar/jobs/progress_writer.py
@@ -17,6 +17,7 @@
 )
 
 FLUSH_INTERVAL_S = 0.6  # ends are acknowledged at least this often
+FENCED_CHECK_S = 0.01  # a join of the group takes a few milliseconds
 STATUS_RETENTION_MS = 150_000  # longer than callers may query a final state
 
 
@@ -33,6 +34,7 @@
     _wanted_fence_checks: int
     # Event-loop time up to which the last check has shown that no later owner began.
     _checked_at: float | None
+    _fenced_at: float | None  # event-loop time; None: previous owners may still append
 
     def __init__(
         self,
@@ -65,6 +67,7 @@
         self._fence_checks = 0
         self._wanted_fence_checks = 0
         self._checked_at = None
+        self._fenced_at = None
 
     def limit_confirmation(self, confirmed_at: float | None) -> float | None:
         """Return up to when ownership is confirmed, by the group and by the fence.
@@ -91,6 +94,39 @@
     async def fence_previous(self) -> None:
         """Fence previous owners out of the partition."""
         await self._append([self._owner_record()])
+        self._fenced_at = asyncio.get_running_loop().time()
+
+    def is_fenced_after(self, sent_at: float) -> bool:
+        """Whether previous owners are fenced out, but maybe not yet at a time."""
+        return self._fenced_at is not None and self._fenced_at > sent_at
+
+    async def wait_until_confirmed(
+        self, confirmed_at: Callable[[], float | None]
+    ) -> float:
+        """Wait for a confirmation of ownership that was sent after the fence.
+
+        The first append may take effect late, when an earlier owner has got the
+        partition back and its own check of the fence is done. That owner goes on under
+        its earlier epoch, so this one must not begin.
+
+        Parameters
+        ----------
+        confirmed_at : callable
+            Returns when the last call that confirmed ownership was sent.
+
+        Returns
+        -------
+        float
+            Event-loop time that no confirmation of a previous owner is later than.
+        """
+        loop = asyncio.get_running_loop()
+        assert self._fenced_at is not None
+        while (confirmed := confirmed_at()) is None or confirmed < self._fenced_at:
+            if self._fence_checks != self._wanted_fence_checks:
+                await self._flush()
+            await asyncio.sleep(FENCED_CHECK_S)
+        # Another owner may have been confirmed since the fence if a check was wanted.
+        return loop.time() if self._wanted_fence_checks else self._fenced_at
 
     async def run(self) -> None:
         """Store changed jobs, one append at a time, then acknowledge their ends."""
--- a/clementinespar/jobs/tests/test_ownership.py
+++ b/clementinespar/jobs/tests/test_ownership.py
@@ -101,9 +101,14 @@
 
     async def submit_lasting(self, job_id: str) -> fakes.FakeWorkers:
         """Store a job of one lasting task, for two workers, and return these."""
+        return await self.submit(job_id, is_lasting=True)
+
+    async def submit(self, job_id: str, is_lasting: bool) -> fakes.FakeWorkers:
+        """Store a job of one task, for two workers, and return these."""
         self.workers = fakes.FakeWorkers(2)
-        self.workers.lasting_jobs.add(job_id)
-        spec = helpers.make_spec(job_id, 1, is_lasting=True)
+        if is_lasting:
+            self.workers.lasting_jobs.add(job_id)
+        spec = helpers.make_spec(job_id, 1, is_lasting=is_lasting)
         record = services.KeyedRecord("j" + job_id, state.encode_spec(spec))
         await self.store.append(services.Topic.COMMANDS, PARTITION, [record])
         return self.workers
@@ -130,6 +135,18 @@
         assert harness.epochs == [1, 7]
 
 
+@paused_clock.test
+async def test_owner_begins_before_the_next_regular_join() -> None:
+    """Guards against takeovers that take longer by the interval of the joins."""
+    harness = ManagerHarness(frozenset({PARTITION}))
+    owners = harness.ownership_manager.owners_by_partition
+    async with ownership.run_ownership_manager(harness.ownership_manager):
+        while PARTITION not in owners:
+            await asyncio.sleep(0.001)
+        await asyncio.sleep(ownership.JOIN_INTERVAL_S / 2)
+        assert owners[PARTITION].is_loaded
+
+
 @paused_clock.test
 async def test_fenced_owner_waits_for_a_later_generation() -> None:
     """Guards against two owners that act under the same epoch."""
--- a/clementinespar/jobs/tests/test_two_owners.py
+++ b/clementinespar/jobs/tests/test_two_owners.py
@@ -1,6 +1,7 @@
 """Tests of a previous owner that still acts beside the next one."""
 
 import asyncio
+import math
 
 import pytest
 
@@ -185,6 +186,80 @@
     assert not workers.violations
 
 
+@pytest.mark.parametrize("is_lasting", [True, False])
+@paused_clock.test
+async def test_owner_whose_first_append_is_late_does_not_act(is_lasting: bool) -> None:
+    """Guards against two owners if one gets its partition back before the other began.
+
+    All partitions are dealt anew twice. The store carries out the first append of the
+    owner in between only after the first one has checked its fence. From then on, the
+    first one's joins are answered, but its appends are not, and it cannot reach the
+    worker of the run.
+    """
+    harness = test_ownership.ManagerHarness(frozenset({test_ownership.PARTITION}))
+    workers = await harness.submit("a", is_lasting)
+    workers.task_s = 6.0  # it ends while the late owner would renew its lease
+    loop = asyncio.get_running_loop()
+    async with ownership.run_ownership_manager(harness.ownership_manager):
+        await asyncio.sleep(3.0)
+        used = workers.starts[0][2]
+        other = next(worker_id for worker_id in workers.workers if worker_id != used)
+        workers.cut_for |= {(used, 1), (other, 5)}
+        await asyncio.sleep(1.2)
+        harness.group.is_down = True  # for the first one
+        harness.store.cut_epochs.add(5)
+        confirmed_at = loop.time()
+        between = harness.make_other_owner(
+            test_ownership.PARTITION, 5, lambda: confirmed_at
+        )
+        async with pool_owner.own_partition(between):
+            await asyncio.sleep(0.5)
+            harness.assign(6, test_ownership.PARTITION)
+            harness.group.is_down = False
+            await asyncio.sleep(0.5)
+            assert harness.ownership_manager.gap_count == 1
+            harness.store.cut_epochs = {1}
+            await asyncio.sleep(6.0)
+    assert not workers.violations
+
+
+@paused_clock.test
+async def test_owner_that_begins_late_waits_for_leases_granted_since_its_fence() -> (
+    None
+):
+    """Guards against a wait that is counted from a first append, though it was late.
+
+    The partition was the earlier owner's once more after that append, and that owner
+    alone reaches the worker of the run. Its appends are not answered.
+    """
+    harness = test_ownership.ManagerHarness(frozenset())
+    workers = await harness.submit_lasting("a")
+    loop = asyncio.get_running_loop()
+    last_confirmation = math.inf
+    earlier = harness.make_other_owner(
+        test_ownership.PARTITION, 1, lambda: min(last_confirmation, loop.time())
+    )
+    async with pool_owner.own_partition(earlier):
+        await asyncio.sleep(3.0)
+        used = workers.starts[0][2]
+        other = next(worker_id for worker_id in workers.workers if worker_id != used)
+        workers.cut_for |= {(used, 5), (other, 1)}
+        harness.store.cut_epochs = {5}
+        harness.assign(5, test_ownership.PARTITION)
+        async with ownership.run_ownership_manager(harness.ownership_manager):
+            await asyncio.sleep(0.5)
+            harness.group.is_down = True  # the later owner misses generation 6
+            harness.store.cut_epochs = {1}
+            await asyncio.sleep(3.0)
+            last_confirmation = loop.time()
+            harness.group.is_down = False
+            harness.assign(7, test_ownership.PARTITION)
+            await asyncio.sleep(7.0)
+        assert harness.epochs == [5]
+    assert len(workers.starts) == 2
+    assert not workers.violations
+
+
 @paused_clock.test
 async def test_owner_acts_on_after_a_gap_in_which_no_other_began() -> None:
     """Guards against a pool that stands still after each outage of the store."""
