--- a/clementinespar/jobs/owner_loading.py
+++ b/clementinespar/jobs/owner_loading.py
@@ -99,7 +99,7 @@
 def restore_worker_use(
     use: worker_use.WorkerUse,
     progress: Mapping[str, bytes],
-    fenced_at: float,
+    confirmed_until: float,
     lease_max_s: float,
     log_event: services.EventLog,
 ) -> None:
@@ -109,22 +109,20 @@
     ----------
     progress : mapping of str to bytes
         The newest progress records by key.
-    fenced_at : float
-        Event-loop time after which the previous owners could store nothing.
+    confirmed_until : float
+        Event-loop time that no confirmation of the previous owners is later than, and
+        after which they could store nothing.
     lease_max_s : float
-        Longest lease that workers grant, in seconds.
+        Longest lease that a worker grants, in seconds.
     """
-    value = progress.get("workers")
-    if value is None:
+    if "workers" not in progress:
         return
-    # Leases of previous owners end at most this long after a confirmation that preceded
-    # the fence.
     lease_s = worker_lease.find_previous_s(lease_max_s)
     try:
-        use.restore(progress["workers"], fenced_at, lease_s)
+        use.restore(progress["workers"], confirmed_until, lease_s)
     except decoding.ERRORS as error:
         telemetry.log_invalid_entry(log_event, "workers", error)
-        use.wait_for_all(fenced_at, lease_s)
+        use.wait_for_all(confirmed_until, lease_s)
 
 
 def adopt_run(
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -1,7 +1,7 @@
 """The owner of a partition of worker pools: adopts jobs and places their tasks.
 
 Takeover: the first progress record carries the owner's epoch, which fences every
-previous owner out of the partition. The owner then reads progress and commands and
+previous owner out of the partition. Once ownership was confirmed after that, the owner
 calls each worker with the new fence. Jobs that a previous owner had adopted wait until
 every worker that it may have used has answered, or until the lease on that worker has
 certainly ended. Jobs that no owner had adopted start at once.
@@ -306,6 +306,10 @@
         confirmed_at = None if self.is_lost else self._confirmed_at()
         return self._writer.limit_confirmation(confirmed_at)
 
+    def awaits_confirmation(self, sent_at: float) -> bool:
+        """Whether it can begin once a join is answered that is later than `sent_at`."""
+        return not self.is_loaded and self._writer.is_fenced_after(sent_at)
+
     def check_fence(self) -> None:
         """Stop acting until the store has confirmed that no later owner has begun."""
         self._writer.check_fence()
@@ -351,13 +355,12 @@
 
     async def load(self) -> None:
         """Fence previous owners, then read progress and commands."""
-        loop = asyncio.get_running_loop()
         await self._writer.fence_previous()
-        fenced_at = loop.time()
         progress = await command_intake.retry_read(
             lambda: self._store.list_newest(services.Topic.PROGRESS, self.partition),
             self._log_event,
         )
+        fenced_at = await self._writer.wait_until_confirmed(self.confirmed_at)
         commands = await self._intake.list_all()
         values = {record.key: record.value for record in progress.records}
         owner_loading.restore_worker_use(
@@ -380,7 +383,7 @@
             jobs=len(self.jobs_by_id),
             open_jobs=len(self._jobs.active),
             former_workers=len(self._worker_use.previous_lease_ends),
-            fenced_ago_ms=round((loop.time() - fenced_at) * 1000),
+            fenced_ago_ms=round((asyncio.get_running_loop().time() - fenced_at) * 1000),
         )
 
     def _restore_job(self, job: state.JobProgress) -> None:
