Let an error in one held conclusion cost only that one

Conclusions are applied from the writer and from a task of the owner, so an error in one would have ended the owner, and the next one as well. The new test failed before by the error.

--- a/clementinespar/jobs/conclusions.py
+++ b/clementinespar/jobs/conclusions.py
@@ -13,7 +13,7 @@
 import math
 from collections.abc import Callable
 
-from clementinespar.jobs import services, worker_lease
+from clementinespar.jobs import services, telemetry, worker_lease
 
 # Deaths come in groups, and a join of the group confirms each 0.4 s without an append.
 APPEND_SPACING_S = 0.1
@@ -89,7 +89,7 @@
         """
         confirmed = self.confirmed_at()
         if seen_at == -math.inf or (confirmed is not None and confirmed >= seen_at):
-            apply()
+            self._apply(_Conclusion(seen_at, name, apply))
             return
         self._pending.append(_Conclusion(seen_at, name, apply))
         self._has_pending.set()
@@ -130,7 +130,16 @@
         if counting:
             self._log_confirmed(counting)
         for item in counting:
+            self._apply(item)
+
+    def _apply(self, item: _Conclusion) -> None:
+        """Apply a conclusion; an error costs only its own task."""
+        try:
             item.apply()
+        except Exception as error:
+            telemetry.log_unexpected(
+                self._log_event, "conclusion", error, name=item.name
+            )
 
     def _log_wait(self) -> None:
         """Log once that some wait, until none does."""
