Soak: finite tasks and worker events inside splits

The splits of the soak had lasting tasks and tasks of 0.25 s only, no worker died or restarted on purpose inside them, and a node that lost the store lost the list of hosts as well. So an owner that concludes from the list of hosts or from a later life of a worker that a run is over was hardly ever tried while the next owner had acknowledged the end of that run.

Around each split, four jobs of tasks of 2 to 5 s are now submitted. Inside, a worker may die until the split ends, restart, restart and change the side, or restart and be reached from both; on the far side mostly right after an end that the next owner has acknowledged. The owner may be paused, orders across may arrive unanswered, and the list of hosts, which has a proxy of its own, stays in reach in three of five splits.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -56,7 +56,12 @@
         stack.push_async_callback(load.close)
         injector = faults.Injector(platform, nodes, rng)
         splitter = splits.Splitter(
-            platform, nodes, load, random.Random(seed + 2), folder
+            platform,
+            nodes,
+            load,
+            random.Random(seed + 2),
+            random.Random(seed + 3),
+            folder,
         )
         watch = standstill.StandstillWatch(platform, load)
         async with background.running(watch.run()):
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -17,6 +17,8 @@
 DEADLY_SHARE = 0.02  # of the jobs; one task crashes each worker that starts it
 MAX_DEADLY_JOBS = 4  # in one seed, so that it becomes calm after the last fault
 LASTING_CPU = 50  # thousandths of a core
+FINITE_CPU = 50
+MAX_FINITE_TASKS = 3  # of a job
 # Of the sixteen kinds of lasting jobs; the kinds up to the second number are fillers.
 SERVING_KINDS = 5
 FILLER_KINDS = 10
@@ -146,6 +148,19 @@
         await self._hand_in(job_id, [step], rng)
         self.kept |= {job_id} & self.accepted
 
+    async def submit_finite(
+        self, job_id: str, task_s: float, rng: random.Random
+    ) -> None:
+        """Submit a job whose tasks run for a given time."""
+        self._platform.task_s_by_job_id[job_id] = task_s
+        self._platform.task_cpu_by_job_id[job_id] = FINITE_CPU
+        step: dict[str, object] = {
+            "count": rng.randint(1, MAX_FINITE_TASKS),
+            "cpu": FINITE_CPU,
+            "estMs": int(task_s * 1000),
+        }
+        await self._hand_in(job_id, [step], rng)
+
     async def _hand_in(
         self, job_id: str, steps: list[dict[str, object]], rng: random.Random
     ) -> bool:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -85,7 +85,7 @@
             worker.loses_answers = False
         self._platform.disturb()
         for node in self._nodes:
-            node.store_proxy.set_mode(proxy.Mode.PASS)
+            node.set_platform_mode(proxy.Mode.PASS)
             node.signal(signal.SIGCONT)
             node.start()
 
@@ -138,9 +138,9 @@
 
     async def _disturb_store_connection(self) -> None:
         node = self._choose_node()
-        node.store_proxy.set_mode(self._rng.choice(list(proxy.Mode)))
+        node.set_platform_mode(self._rng.choice(list(proxy.Mode)))
         await self._wait_duration()
-        node.store_proxy.set_mode(proxy.Mode.PASS)
+        node.set_platform_mode(proxy.Mode.PASS)
 
     async def _disturb_store(self) -> None:
         self._platform.store_fault = self._rng.choice(["busy", "silent", "lost"])
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -28,7 +28,7 @@
 [store]
 address = 127.0.0.1:{store}
 [hosts]
-address = 127.0.0.1:{store}
+address = 127.0.0.1:{hosts}
 [jobs]
 lease_max_ms = 6000
 """
@@ -54,21 +54,27 @@
 
 
 class Node:
-    """One node: its settings, its proxy to the store, its process."""
+    """One node: its settings, its proxies to the store and the hosts, its process."""
 
     callers: str  # ``IP:port`` for callers
     internal: str  # ``IP:port`` for other nodes, which the name of a member begins with
     store_proxy: proxy.Proxy
+    hosts_proxy: proxy.Proxy  # to the list of hosts
     links_by_target: dict[str, proxy.Proxy]  # by ``IP:port`` of a worker or node
     process: subprocess.Popen[bytes] | None
 
     def __init__(
-        self, number: int, folder: pathlib.Path, store_proxy: proxy.Proxy
+        self,
+        number: int,
+        folder: pathlib.Path,
+        store_proxy: proxy.Proxy,
+        hosts_proxy: proxy.Proxy,
     ) -> None:
         ports = find_ports(3)
         self.callers = f"127.0.0.1:{ports[0]}"
         self.internal = f"127.0.0.1:{ports[2]}"
         self.store_proxy = store_proxy
+        self.hosts_proxy = hosts_proxy
         self.links_by_target = {}
         self.process = None
         self._log = folder / f"node-{number}.log"
@@ -80,10 +86,16 @@
                 readiness=ports[1],
                 internal=ports[2],
                 store=store_proxy.port,
+                hosts=hosts_proxy.port,
                 stop_limit=STOP_LIMIT_S,
             )
         )
 
+    def set_platform_mode(self, mode: proxy.Mode) -> None:
+        """Apply a mode to the connections to the store and the list of hosts."""
+        self.store_proxy.set_mode(mode)
+        self.hosts_proxy.set_mode(mode)
+
     def start(self) -> None:
         """Start the process unless it is running."""
         if self.process is not None and self.process.poll() is None:
@@ -115,7 +127,8 @@
         nodes = []
         for number in range(count):
             store_proxy = await stack.enter_async_context(proxy.open_proxy(store))
-            nodes.append(Node(number, folder, store_proxy))
+            hosts_proxy = await stack.enter_async_context(proxy.open_proxy(store))
+            nodes.append(Node(number, folder, store_proxy, hosts_proxy))
         for node in nodes:
             caller = f"127.0.0.1:{node.store_proxy.port}"
             targets = [f"127.0.0.1:{port}" for port in platform.workers_by_port]
