--- a/clementinespar/jobs/run_ends.py
+++ b/clementinespar/jobs/run_ends.py
@@ -1,12 +1,15 @@
 """Ends of runs: what they change in their tasks and jobs, and final states of jobs."""
 
 import asyncio
+import functools
 import time
 from collections.abc import Mapping
 
 from clementinespar.jobs import (
+    conclusions,
     crash_counts,
     demand,
+    end_log,
     job_table,
     model,
     owner_quotas,
@@ -25,11 +28,16 @@
 class RunEnds:
     """Applies the ends of runs for the owner of a partition."""
 
+    log: end_log.EndLog
     _jobs: job_table.JobTable
     _sessions_by_id: Mapping[str, worker_session.WorkerSession]
     _tickets: tickets.TicketCache
     _run_times: demand.RunTimes
     _quotas: owner_quotas.OwnerQuotas
+    _conclusions: conclusions.Conclusions
+    # Runs that are over without a listed end, which is not confirmed yet. They stay
+    # among the open runs of their tasks.
+    _gone: set[tuple[model.TaskKey, int]]
     _log_event: services.EventLog
     _metrics: telemetry.JobMetrics
 
@@ -40,14 +48,19 @@
         ticket_cache: tickets.TicketCache,
         run_times: demand.RunTimes,
         quotas: owner_quotas.OwnerQuotas,
+        drawn: conclusions.Conclusions,
+        ends: end_log.EndLog,
         log_event: services.EventLog,
         metrics: telemetry.JobMetrics,
     ) -> None:
+        self.log = ends
         self._jobs = jobs
         self._sessions_by_id = sessions_by_id
         self._tickets = ticket_cache
         self._run_times = run_times
         self._quotas = quotas
+        self._conclusions = drawn
+        self._gone = set()
         self._log_event = log_event
         self._metrics = metrics
 
@@ -56,15 +69,25 @@
         session: worker_session.WorkerSession,
         end: model.EndedTask,
         run: worker_run.Run | None,
-    ) -> None:
-        """Apply the end of a run once, whichever owner started it."""
+    ) -> bool:
+        """Apply the end of a run once, whichever owner started it.
+
+        Returns
+        -------
+        bool
+            Whether the next append stores all that is needed of it, so that it may be
+            acknowledged then. It stays listed if not, or if this raises, and is applied
+            again.
+        """
         self._metrics.count_end(end.kind.value)
         self._jobs.schedule_wanted.set()
         found = self._jobs.find_open_task(end.task)
+        self.log.add(session, end, run, None if found is None else found[1])
         if found is None:
-            return  # nothing to store; the next flush acknowledges it
+            return self._needs_nothing(end.task)
         job, task = found
         step = job.find_step(end.task)
+        self._gone.discard((end.task, end.run))
         task.open_runs.discard(end.run)
         task.at_risk.pop(end.run, None)
         task.last_run = max(task.last_run, end.run)
@@ -85,43 +108,67 @@
         elif is_failure:
             self._record_failure(session, job, step, task, end)
         if end.kind is not model.EndKind.DONE:
-            self._log_event(
-                "end",
-                job=job.spec.job_id,
-                task=end.task.name_in_job,
-                run=end.run,
-                worker=session.entry.worker_id,
-                kind=end.kind.value,
-            )
             delay = FAILED_RETRY_DELAY_S if is_failure else LOST_RETRY_DELAY_S
             self._requeue(step, task, 0.0 if step.spec.is_lasting else delay)
         self._jobs.mark_dirty(job)
         if not job.is_final:
             self.finish_occurrences(job)
+        return True
+
+    def _needs_nothing(self, key: model.TaskKey) -> bool:
+        """Whether the end of a task that is not open may be acknowledged."""
+        job = self._jobs.by_id.get(key.job_id)
+        if job is None:
+            return True  # the store has neither progress nor a command of it
+        if job.is_unreadable and not job.is_final:
+            return False
+        if not job.is_final_stored:
+            self._jobs.mark_dirty(job)  # what made its task needless may not be stored
+        return True
 
     def on_run_gone(
         self,
         session: worker_session.WorkerSession,
         run: worker_run.Run,
         reason: str,
+        seen_at: float,
     ) -> None:
-        """Requeue the task of a run that certainly does not execute."""
+        """Requeue the task of a run that certainly does not execute.
+
+        That waits until ownership is confirmed after the observation: a later owner may
+        have adopted the run and seen it end.
+        """
         self._jobs.schedule_wanted.set()
-        self._log_event(
-            "run_gone",
-            job=run.key.job_id,
-            task=run.key.name_in_job,
-            run=run.number,
-            worker=session.entry.worker_id,
-            reason=reason,
-            **session.describe_lease(),
+        self.log.add_gone(session, run, reason)
+        self._gone.add((run.key, run.number))
+        self._conclusions.add(
+            seen_at,
+            f"{run.key.job_id} {run.key.name_in_job} run {run.number} on"
+            f" {session.entry.worker_id}: {reason}",
+            functools.partial(self._requeue_gone, run.key, run.number),
         )
-        found = self._jobs.find_open_task(run.key)
-        if found is None:
-            return
-        job, task = found
-        task.open_runs.discard(run.number)
-        self._requeue(job.find_step(run.key), task, LOST_RETRY_DELAY_S)
+
+    def close_gone(
+        self, key: model.TaskKey, number: int
+    ) -> tuple[state.JobProgress, state.TaskState] | None:
+        """Close a run that is gone, and return its task.
+
+        None if it was listed since, as running or as ended, or if its job is final.
+        """
+        if (key, number) not in self._gone:
+            return None
+        self._gone.discard((key, number))
+        found = self._jobs.find_open_task(key)
+        if found is not None:
+            found[1].open_runs.discard(number)
+        return found
+
+    def _requeue_gone(self, key: model.TaskKey, number: int) -> None:
+        found = self.close_gone(key, number)
+        if found is not None:
+            job, task = found
+            self._requeue(job.find_step(key), task, LOST_RETRY_DELAY_S)
+            self._jobs.schedule_wanted.set()
 
     def finish_occurrences(self, job: state.JobProgress) -> None:
         """Count the occurrences that are done, and finish the job after the last."""
@@ -170,16 +217,16 @@
         task: state.TaskState,
         end: model.EndedTask,
     ) -> None:
-        if end.run in task.failed_runs:
-            return
-        task.failed_runs.add(end.run)
-        task.failed_on.add(session.entry.worker_id)
-        if _may_blame_worker(job, step, session.entry.worker_id) and (
-            session.record_outcome(job.spec.job_id, True)
-        ):
-            self._log_event(
-                "worker_ejected", worker=session.entry.worker_id, reason="failures"
-            )
+        if end.run not in task.failed_runs:
+            task.failed_runs.add(end.run)
+            task.failed_on.add(session.entry.worker_id)
+            if _may_blame_worker(job, step, session.entry.worker_id) and (
+                session.record_outcome(job.spec.job_id, True)
+            ):
+                self._log_event(
+                    "worker_ejected", worker=session.entry.worker_id, reason="failures"
+                )
+        # The limit also holds if the end was applied in part before an error.
         attempts = len(task.failed_runs)
         if step.spec.is_gang:
             attempts = len(set().union(*(t.failed_runs for t in step.tasks)))
--- a/clementinespar/jobs/worker_run.py
+++ b/clementinespar/jobs/worker_run.py
@@ -123,14 +123,18 @@
         session: "worker_session.WorkerSession",
         end: model.EndedTask,
         run: Run | None,
-    ) -> None:
-        """Apply the end of a run that the worker lists."""
+    ) -> bool:
+        """Apply the end of a run that the worker lists; False keeps it listed."""
         ...
 
     def on_start_unanswered(self, session: "worker_session.WorkerSession") -> None:
         """Handle a start whose effect is open."""
         ...
 
+    def on_death(self, worker_id: str) -> None:
+        """Handle a worker that has ended, before its session drops its runs."""
+        ...
+
     def on_crash(self, session: "worker_session.WorkerSession") -> None:
         """Handle the death of a worker, before its runs are dropped."""
         ...
@@ -140,9 +144,20 @@
         ...
 
     def on_run_gone(
-        self, session: "worker_session.WorkerSession", run: Run, reason: str
+        self,
+        session: "worker_session.WorkerSession",
+        run: Run,
+        reason: str,
+        seen_at: float,
     ) -> None:
-        """Handle a run that certainly does not execute although no end was listed."""
+        """Handle a run that certainly does not execute although no end was listed.
+
+        Parameters
+        ----------
+        seen_at : float
+            Event-loop time of the observation that shows it, before which a later owner
+            may have seen the run end; -inf if none can have.
+        """
         ...
 
     def on_unknown_run(
--- a/clementinespar/jobs/worker_use.py
+++ b/clementinespar/jobs/worker_use.py
@@ -10,7 +10,7 @@
 import asyncio
 import json
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from clementinespar import decoding
 from clementinespar.jobs import worker_deaths
@@ -25,17 +25,21 @@
     Parameters
     ----------
     confirmed_at : callable
-        Returns the event-loop time at which the last call that confirmed ownership was
-        sent; None if it is not confirmed.
+        Returns the event-loop time up to which no later owner had begun; None if it is
+        unknown. See `conclusions.Conclusions`.
     """
 
     answered: set[str]  # workers that refuse orders of previous owners
+    ended: set[str]  # workers that lists of hosts do not show any more
     in_use: set[str]  # workers on which a run of this owner may execute
-    stored: set[str]  # workers in use according to the stored record
+    # Workers in use according to the stored record, and not released since.
+    stored: set[str]
     # Used by the previous owner; recorded as in use until there was time to call them.
     _unreached: set[str]
     _recorded: set[str]  # workers in use by the newest record, stored or not
     _lease_ends: dict[str, float]  # worker id: event-loop end of previous leases
+    # Workers of `_lease_ends` that have answered or ended: event-loop time of that.
+    _settled_at: dict[str, float]
     # The same of this owner's leases on unresponsive workers with runs.
     _silent_lease_ends: dict[str, float]
     # The same of this owner's leases that may be longer than the next owner assumes.
@@ -50,13 +54,15 @@
     _recorded_new: set[str]  # workers that the newest record names as new
 
     def __init__(self, confirmed_at: Callable[[], float | None]) -> None:
-        self._confirmed_at = confirmed_at
+        self.confirmed_at = confirmed_at
         self.answered = set()
+        self.ended = set()
         self.in_use = set()
         self.stored = set()
         self._unreached = set()
         self._recorded = set()
         self._lease_ends = {}
+        self._settled_at = {}
         self._silent_lease_ends = {}
         self._extended_lease_ends = {}
         self._recorded_at = 0.0
@@ -66,9 +72,9 @@
         self._recorded_new = set()
 
     @property
-    def previous_worker_count(self) -> int:
-        """Number of workers on which a lease of a previous owner may last."""
-        return len(self._lease_ends)
+    def previous_lease_ends(self) -> Mapping[str, float]:
+        """Event-loop ends of previous owners' leases, by worker id."""
+        return self._lease_ends
 
     def previous_lease_end(self, worker_id: str) -> float:
         """Return the event-loop time at which previous leases on a worker end."""
@@ -128,16 +134,34 @@
     def release_silent(self, worker_id: str, lease_end: float) -> None:
         """Record an unresponsive worker with the end of its lease only.
 
-        Its lease is not extended any more, so the next owner need not wait for a whole
-        one. The worker is in use again once it answers and that is stored.
+        Its lease is not extended from now on, so the next owner need not wait for a
+        whole one. The worker is in use again once it answers and that is stored.
         """
         self.in_use.discard(worker_id)
+        self.stored.discard(worker_id)
         self._silent_lease_ends[worker_id] = lease_end
 
-    def settle(self, worker_id: str) -> None:
-        """Record that no run of previous owners can execute on a worker."""
+    def note_answer(self, worker_id: str) -> bool:
+        """Record that a worker refuses orders of previous owners; its runs are known.
+
+        It counts once ownership is confirmed after that: if it is another life, a later
+        owner may have adopted a run in the former one, and seen it end. False if nobody
+        has waited for the worker.
+        """
+        self.answered.add(worker_id)
+        return self._note_settled(worker_id)
+
+    def note_death(self, worker_id: str) -> bool:
+        """Record that a worker has ended; otherwise as `note_answer`."""
+        self.ended.add(worker_id)
         self._unreached.discard(worker_id)
-        self._lease_ends.pop(worker_id, None)
+        return self._note_settled(worker_id)
+
+    def _note_settled(self, worker_id: str) -> bool:
+        if worker_id not in self._lease_ends or worker_id in self._settled_at:
+            return False
+        self._settled_at[worker_id] = asyncio.get_running_loop().time()
+        return True
 
     def is_settled(self) -> bool:
         """Whether no worker can execute runs of previous owners unknown to this one."""
@@ -152,22 +176,31 @@
         return {
             worker_id: max(0.0, end - now)
             for worker_id, end in self._lease_ends.items()
-            if worker_id not in self.answered and not self._has_ended(end)
+            if not self._is_over(worker_id, end)
         }
 
-    def _has_ended(self, lease_end: float) -> bool:
-        """Whether a lease of a previous owner has ended for good.
+    def find_unheard(self) -> set[str]:
+        """Return the unsettled workers that have neither answered nor ended."""
+        return set(self.find_unsettled()) - set(self._settled_at)
+
+    def _is_over(self, worker_id: str, lease_end: float) -> bool:
+        """Whether a worker executes no unknown runs of previous owners any more.
 
-        A later owner may have adopted runs and renewed it, unless ownership was
-        confirmed after its end.
+        A later owner may have adopted runs and renewed their lease, unless ownership
+        was confirmed after its end.
         """
-        confirmed = self._confirmed_at()
-        return confirmed is not None and confirmed > lease_end
+        confirmed = self.confirmed_at()
+        if confirmed is None:
+            return False
+        settled_at = self._settled_at.get(worker_id, math.inf)
+        return confirmed > lease_end or confirmed >= settled_at
 
     def is_due(self) -> bool:
         """Whether the record has to be stored again."""
-        if self.in_use | self._unreached != self.stored:
+        if self.in_use | self._unreached != self._recorded:
             return True
+        if not self.in_use <= self.stored:
+            return True  # a released worker is in use again
         if any(self._is_new(worker_id) for worker_id in self._unstored_lives):
             return True
         if self._recorded_new and not any(map(self._is_new, self._recorded_new)):
@@ -221,6 +254,7 @@
         self._unreached = used
         self._lease_ends = ends
         self.stored = set(self._unreached)
+        self._recorded = set(self._unreached)
         self._recorded_at = fenced_at
 
     def encode(self) -> bytes:
@@ -235,8 +269,9 @@
             self._unreached = set()
             self._recorded_at = now
         for worker_id, end in list(self._lease_ends.items()):
-            if worker_id in self.answered or self._has_ended(end):
+            if self._is_over(worker_id, end):
                 del self._lease_ends[worker_id]
+                self._settled_at.pop(worker_id, None)
         self._recorded = self.in_use | self._unreached
         self.stored &= self._recorded
         lease_ends = dict(self._lease_ends)
@@ -278,8 +313,8 @@
         return json.dumps(fields, separators=(",", ":")).encode()
 
     def mark_stored(self) -> None:
-        """Set the workers of the newest record as stored."""
-        self.stored = set(self._recorded)
+        """Set the workers of the newest record as stored, but for those released."""
+        self.stored = self._recorded - self._silent_lease_ends.keys()
         self._unstored_lives = {
             worker_id
             for worker_id in self._unstored_lives
