Confirm each conclusion about a run by itself

A run that was taken for ended, listed again and then gone once more was requeued as soon as the first of both conclusions was confirmed: `_gone` did not tell them apart. The answer to a join that was sent in between may arrive after another owner has begun, seen the run end and acknowledged that. Now a conclusion counts only if it is the newest about its run.

Measured on fakes: test_confirmation_of_an_earlier_conclusion_does_not_confirm_a_later_one failed with "starts after its end was acknowledged" and passes, as do test_replaced_owners.py, test_conclusions.py and test_two_owners.py. `OwnerHarness.freeze_confirmation` takes an epoch.

--- a/clementinespar/jobs/run_ends.py
+++ b/clementinespar/jobs/run_ends.py
@@ -35,9 +35,9 @@
     _run_times: demand.RunTimes
     _quotas: owner_quotas.OwnerQuotas
     _conclusions: conclusions.Conclusions
-    # Runs that are over without a listed end, which is not confirmed yet. They stay
-    # among the open runs of their tasks.
-    _gone: set[tuple[model.TaskKey, int]]
+    # Runs that are over without a listed end, which is not confirmed yet, and since
+    # when (`seen_at` of `on_run_gone`). They stay among the open runs of their tasks.
+    _gone: dict[tuple[model.TaskKey, int], float]
     _log_event: services.EventLog
     _metrics: telemetry.JobMetrics
 
@@ -60,7 +60,7 @@
         self._run_times = run_times
         self._quotas = quotas
         self._conclusions = drawn
-        self._gone = set()
+        self._gone = {}
         self._log_event = log_event
         self._metrics = metrics
 
@@ -87,7 +87,7 @@
             return self._needs_nothing(end.task)
         job, task = found
         step = job.find_step(end.task)
-        self._gone.discard((end.task, end.run))
+        self._gone.pop((end.task, end.run), None)
         task.open_runs.discard(end.run)
         task.at_risk.pop(end.run, None)
         task.last_run = max(task.last_run, end.run)
@@ -140,12 +140,12 @@
         """
         self._jobs.schedule_wanted.set()
         self.log.add_gone(session, run, reason)
-        self._gone.add((run.key, run.number))
+        self._gone[run.key, run.number] = seen_at
         self._conclusions.add(
             seen_at,
             f"{run.key.job_id} {run.key.name_in_job} run {run.number} on"
             f" {session.entry.worker_id}: {reason}",
-            functools.partial(self._requeue_gone, run.key, run.number),
+            functools.partial(self._requeue_gone, run.key, run.number, seen_at),
         )
 
     def close_gone(
@@ -155,15 +155,16 @@
 
         None if it was listed since, as running or as ended, or if its job is final.
         """
-        if (key, number) not in self._gone:
+        if self._gone.pop((key, number), None) is None:
             return None
-        self._gone.discard((key, number))
         found = self._jobs.find_open_task(key)
         if found is not None:
             found[1].open_runs.discard(number)
         return found
 
-    def _requeue_gone(self, key: model.TaskKey, number: int) -> None:
+    def _requeue_gone(self, key: model.TaskKey, number: int, seen_at: float) -> None:
+        if self._gone.get((key, number)) != seen_at:
+            return  # it was listed since, and may be gone again
         found = self.close_gone(key, number)
         if found is not None:
             job, task = found
--- a/clementinespar/jobs/tests/helpers.py
+++ b/clementinespar/jobs/tests/helpers.py
@@ -115,9 +115,15 @@
     def _log_event(self, event: str, **fields: object) -> None:
         self.events.append((event, fields))
 
-    def freeze_confirmation(self, now: float) -> None:
-        """Fix the time of the current owner's confirmation, so that it ages."""
-        self._frozen_by_epoch.setdefault(self.epoch, now)
+    def freeze_confirmation(self, now: float, epoch: int | None = None) -> None:
+        """Fix the time of the confirmation of an owner, so that it ages.
+
+        That of the current owner is fixed once; another one's is replaced.
+        """
+        if epoch is None:
+            self._frozen_by_epoch.setdefault(self.epoch, now)
+        else:
+            self._frozen_by_epoch[epoch] = now
 
     async def submit(self, spec: model.JobSpec) -> None:
         """Store a job as a node does on submission."""
--- a/clementinespar/jobs/tests/test_replaced_owners.py
+++ b/clementinespar/jobs/tests/test_replaced_owners.py
@@ -33,6 +33,13 @@
     return used
 
 
+async def _wait_for(event: str, harness: helpers.OwnerHarness) -> None:
+    """Wait until an owner has logged an event."""
+    async with asyncio.timeout(5.0):
+        while event not in dict(harness.events):
+            await asyncio.sleep(0.01)
+
+
 async def _lose_worker(
     harness: helpers.OwnerHarness, used: str, replaced: int, is_restarted: bool
 ) -> None:
@@ -166,6 +173,48 @@
     assert not workers.violations
 
 
+@paused_clock.test
+async def test_confirmation_of_an_earlier_conclusion_does_not_confirm_a_later_one() -> (
+    None
+):
+    """Guards against a start after an end that was acknowledged since a confirmation.
+
+    The replaced owner takes a run for over twice, and finds it running in between. The
+    answer to its last join arrives after that. The next owner adopts the run meanwhile.
+    """
+    workers = fakes.FakeWorkers(2)
+    workers.task_s = TASK_S + 2.5
+    harness = helpers.OwnerHarness(workers)
+    loop = asyncio.get_running_loop()
+    previous = harness.make_owner()
+    async with pool_owner.own_partition(previous):
+        await asyncio.sleep(3.0)
+        await harness.submit(_make_chain())
+        await asyncio.sleep(crash_counts.SUSPECT_S + 0.5)
+        used = _split(workers, previous.epoch)
+        await _wait_for("worker_silent", harness)
+        harness.freeze_confirmation(loop.time())
+        harness.store.cut_epochs.add(previous.epoch)
+        workers.omitted_hosts = {used}
+        await _wait_for("run_gone", harness)
+        workers.omitted_hosts.clear()
+        workers.cut_for -= {(used, previous.epoch)}
+        await _wait_for("run_adopted", harness)
+        await asyncio.sleep(crash_counts.SUSPECT_S + 0.1)
+        workers.cut_for |= {(used, previous.epoch)}
+        sent_at = loop.time()
+        async with helpers.run_owner(harness):
+            async with asyncio.timeout(5.0):
+                while not workers.acknowledged_done:
+                    await asyncio.sleep(0.01)
+            workers.end(used)
+            await asyncio.sleep(1.0)
+            harness.freeze_confirmation(sent_at, previous.epoch)
+            await asyncio.sleep(1.0)
+    assert [event for event, _ in harness.events].count("run_gone") == 2
+    assert not workers.violations
+
+
 @paused_clock.test
 async def test_restart_after_a_death_waits_for_one_append_only() -> None:
     """Guards against restarts that wait for a join, or until there is more to store."""
