Start tasks in a new life of a worker only once ownership is confirmed after it

An owner that has been replaced keeps its leases for seconds. The next owner waits for no lease on a worker that has answered it, as the worker refuses orders of the replaced one. A later life of that worker refuses nothing. If only the replaced owner reaches it, it started tasks there that waited for room, 1.5 s after the restart, when the life no longer counts as new: the next owner had started them as well, or had acknowledged their ends. Now runs start in a life of a worker only once ownership is confirmed by a call that was sent after the life was seen. Usually that is the append of the record that names the life, which such starts wait for anyway.

--- a/clementinespar/jobs/tests/test_replaced_owners.py
+++ b/clementinespar/jobs/tests/test_replaced_owners.py
@@ -215,6 +215,45 @@
     assert not workers.violations
 
 
+@paused_clock.test
+async def test_replaced_owner_starts_no_waiting_task_in_a_new_life_of_a_worker() -> (
+    None
+):
+    """Guards against two runs of a task that waited for room at a replaced owner.
+
+    The next owner has heard the worker in its former life, so it waits for no lease
+    there, and only the replaced owner reaches the present life.
+    """
+    workers = fakes.FakeWorkers(2)
+    harness = helpers.OwnerHarness(workers)
+    previous = harness.make_owner()
+    async with pool_owner.own_partition(previous):
+        await asyncio.sleep(3.0)
+        await harness.submit(helpers.make_spec("a", 2, cpu=4000, is_lasting=True))
+        await asyncio.sleep(2.0)
+        await harness.submit(helpers.make_spec("b", 1, cpu=4000, is_lasting=True))
+        await asyncio.sleep(2.0)
+        used, other = [worker_id for _, _, worker_id in workers.starts]
+        session = previous.sessions_by_id[used]
+        last_contact = session.last_contact
+        while session.last_contact == last_contact:
+            await asyncio.sleep(0.005)
+        workers.add("quotes-2", "quotes")
+        workers.cut_for = {(worker_id, previous.epoch) for worker_id in workers.workers}
+        harness.freeze_confirmation(asyncio.get_running_loop().time())
+        harness.store.cut_epochs.add(previous.epoch)
+        await asyncio.sleep(0.5)
+        async with helpers.run_owner(harness) as owner:
+            await asyncio.sleep(0.35)
+            assert len(workers.starts) == 3
+            workers.crash(used)
+            workers.cut_for -= {(used, previous.epoch)}
+            workers.cut_for |= {(used, owner.epoch)}
+            await asyncio.sleep(5.0)
+            assert session.born_ms == workers.workers[used].born_ms
+    assert not workers.violations
+
+
 @paused_clock.test
 async def test_restart_after_a_death_waits_for_one_append_only() -> None:
     """Guards against restarts that wait for a join, or until there is more to store."""
--- a/clementinespar/jobs/worker_use.py
+++ b/clementinespar/jobs/worker_use.py
@@ -114,11 +114,15 @@
         """Whether runs may start on a worker.
 
         The next owner must wait for their lease, and must not take the worker for dead
-        while the list of hosts may lag behind it.
+        while the list of hosts may lag behind it. Nor may it have heard the worker in
+        an earlier life, and ended its wait: the present life does not know its fence.
         """
-        return worker_id in self.stored and not (
-            worker_id in self._unstored_lives and self._is_new(worker_id)
-        )
+        if worker_id not in self.stored:
+            return False
+        confirmed = self.confirmed_at()
+        if confirmed is None or confirmed < self.known_since(worker_id):
+            return False
+        return not (worker_id in self._unstored_lives and self._is_new(worker_id))
 
     def _is_new(self, worker_id: str) -> bool:
         now = asyncio.get_running_loop().time()
