--- a/clementinespar/jobs/worker_use.py
+++ b/clementinespar/jobs/worker_use.py
@@ -215,11 +215,11 @@
         )
         return has_ends and now - self._recorded_at > RECORD_INTERVAL_S
 
-    def wait_for_all(self, fenced_at: float, lease_s: float) -> None:
+    def wait_for_all(self, confirmed_until: float, lease_s: float) -> None:
         """Assume a lease on every worker, as the previous record is unreadable."""
-        self._lease_ends[ANY_WORKER] = fenced_at + lease_s
+        self._lease_ends[ANY_WORKER] = confirmed_until + lease_s
 
-    def restore(self, value: bytes, fenced_at: float, lease_s: float) -> None:
+    def restore(self, value: bytes, confirmed_until: float, lease_s: float) -> None:
         """Restore the record of the previous owner.
 
         The workers that it used count as stored, since the next owner reads the same
@@ -230,8 +230,9 @@
         ----------
         value : bytes
             The record.
-        fenced_at : float
-            Event-loop time after which the previous owner could store nothing.
+        confirmed_until : float
+            Event-loop time that no confirmation of the previous owners is later than,
+            and after which they could store nothing.
         lease_s : float
             Longest duration of its leases, in seconds.
 
@@ -242,16 +243,16 @@
         """
         fields = decoding.parse_object(value)
         ends = {
-            str(worker_id): fenced_at + float(left_s)
+            str(worker_id): confirmed_until + float(left_s)
             for worker_id, left_s in fields["former"].items()
         }
         used = {str(worker_id) for worker_id in fields["used"]}
         for worker_id in used:
-            ends[worker_id] = max(ends.get(worker_id, 0.0), fenced_at + lease_s)
+            ends[worker_id] = max(ends.get(worker_id, 0.0), confirmed_until + lease_s)
         # Builds that did not write the field knew nothing about the workers' ages.
         new = {str(worker_id) for worker_id in fields.get("new", ends)}
         self._known_since = {
-            worker_id: fenced_at
+            worker_id: confirmed_until
             - (0.0 if worker_id in new else worker_deaths.LIST_LAG_S)
             for worker_id in ends
         }
@@ -259,7 +260,7 @@
         self._lease_ends = ends
         self.stored = set(self._unreached)
         self._recorded = set(self._unreached)
-        self._recorded_at = fenced_at
+        self._recorded_at = confirmed_until
 
     def encode(self) -> bytes:
         """Return the record for the next owner.
