--- a/clementinespar/jobs/tests/test_moved_queues.py
+++ b/clementinespar/jobs/tests/test_moved_queues.py
@@ -1,216 +1,64 @@
 """Tests of requests about jobs whose queue has been sent to another pool."""
 
 import asyncio
-import contextlib
-import json
-from collections.abc import AsyncIterator, Callable
 
 import pytest
 
-from clementinespar import codes, errors, http_calls
-from clementinespar.jobs import (
-    model,
-    moved_queues,
-    ownership,
-    partitions,
-    pool_owner,
-    service,
-    telemetry,
-)
-from clementinespar.jobs.tests import fake_adviser, fakes, helpers
+from clementinespar import codes
+from clementinespar.jobs import model, service
+from clementinespar.jobs.tests import helpers, moved_deployment
 from clementinespar.tests import paused_clock
 
-PARTITION_MAP = partitions.PartitionMap(12)
-OLD, NEW = "quotes", "orders"  # pools of two partitions
-DEADLINE_S = 2.8
-OK = codes.ResultCode.OK
-
-
-def make_configuration(version: int, name: str, pool: str) -> model.JobConfiguration:
-    """Return a configuration whose only queue is in a pool."""
-    queue = model.Queue(name, "h", "/a/", pool, 3000, 600, 3, 0, 1.6)
-    pools = {pool: model.Pool(pool, False) for pool in (OLD, NEW)}
-    return model.JobConfiguration(version, {name: queue}, pools, 262_144)
-
-
-class Configurations:
-    """`services.ConfigurationSource` that follows the queue of one path."""
-
-    current: model.JobConfiguration | None
-    confirmed_at: float | None = None
-
-    def __init__(self, *versions: model.JobConfiguration) -> None:
-        self._known: dict[tuple[str, str], set[tuple[str, str]]] = {("h", "/a/"): set()}
-        self.queue: model.Queue
-        for version in versions:
-            self.apply(version)
-
-    def apply(self, configuration: model.JobConfiguration) -> None:
-        queues = configuration.queues_by_name.values()
-        self._known["h", "/a/"] |= {(queue.name, queue.pool) for queue in queues}
-        traced = moved_queues.trace_former(queues, self._known)
-        (self.queue,) = traced.values()
-        self.current = model.JobConfiguration(
-            configuration.version, traced, configuration.pools_by_name, 262_144
-        )
-
-
-BEFORE = make_configuration(1, "q", OLD)
-AFTER = make_configuration(7, "q-added", NEW)
-
-
-class PeerClient(http_calls.HttpClient):
-    """Passes queries to the node that owns the partitions."""
-
-    is_silent = False
-
-    def __init__(self, peer: service.JobService) -> None:
-        super().__init__()
-        self._peer = peer
-
-    async def call(
-        self,
-        address: str,
-        method: str,
-        path: str,
-        body: bytes = b"",
-        headers: str = "",
-        timeout_s: float = 1.0,
-        may_send: Callable[[], bool] | None = None,
-        limit_s: float | None = None,
-    ) -> http_calls.Response:
-        await asyncio.sleep(0.001)
-        if self.is_silent:
-            raise http_calls.CallNotSentError("no connection")
-        _, partition, query = path.split("/", 2)
-        try:
-            reply = self._peer.answer_peer(int(partition), f"/{query}", body)
-        except errors.ClementinesparError:
-            return http_calls.Response(503, b"{}")
-        return http_calls.Response(200, json.dumps(reply).encode())
-
-
-class Deployment:
-    """A node that owns the partitions of both pools, and one that owns nothing."""
-
-    def __init__(self) -> None:
-        self.store = fakes.FakeStore()
-        self.workers = fakes.FakeWorkers(2, OLD)
-        self.workers.task_s = 60.0
-        for number in range(2):
-            self.workers.add(f"{NEW}-{number}", NEW)
-        owned = frozenset(map(PARTITION_MAP.find, (OLD, NEW)))
-        self.managers: list[ownership.OwnershipManager] = []
-        self.first = self._make_node(owned, Configurations(BEFORE), None)
-
-    def start_node(self, *versions: model.JobConfiguration) -> service.JobService:
-        """Return another node, which has seen some versions of the configuration."""
-        client = PeerClient(self.first)
-        return self._make_node(frozenset(), Configurations(*versions), client)
-
-    def _make_node(
-        self,
-        owned: frozenset[int],
-        configurations: Configurations,
-        client: http_calls.HttpClient | None,
-    ) -> service.JobService:
-        group = fakes.FakeGroup(owned)
-        group.owners = dict.fromkeys(
-            map(PARTITION_MAP.find, (OLD, NEW)), "10.0.0.1:1/1/1000"
-        )
-        manager = ownership.OwnershipManager(
-            group,
-            self._make_owner,
-            lambda epoch: pytest.fail("the fleet partition is not assigned"),
-            PARTITION_MAP.fleet_partition,
-            lambda: owned,
-            1_000,
-            fakes.ignore_event,
-        )
-        self.managers.append(manager)
-        return service.JobService(
-            manager,
-            PARTITION_MAP,
-            configurations,
-            self.store,
-            client or http_calls.HttpClient(),
-        )
-
-    def _make_owner(self, partition: int, epoch: int) -> pool_owner.PoolOwner:
-        return pool_owner.PoolOwner(
-            partition,
-            epoch,
-            lambda pool: PARTITION_MAP.find(pool) == partition,
-            self.managers[0].confirmed_at,
-            lambda owner: None,
-            self.store,
-            self.workers,
-            self.workers,
-            fake_adviser.FakeAdviser(),
-            self.workers,
-            pool_owner.OwnerSettings(6.0),
-            fakes.ignore_event,
-            telemetry.JobMetrics(),
-        )
-
-
-@contextlib.asynccontextmanager
-async def run_deployment() -> AsyncIterator[Deployment]:
-    """Run the node that owns the partitions; a job lasts in the old pool."""
-    deployment = Deployment()
-    deployment.workers.lasting_jobs.add("a")
-    async with ownership.run_ownership_manager(deployment.managers[0]):
-        await asyncio.sleep(1.0)
-        spec = helpers.make_spec("a", is_lasting=True, pool=OLD)
-        assert await deployment.first.submit(OLD, spec, DEADLINE_S) is OK
-        await asyncio.sleep(1.0)
-        assert len(deployment.workers.starts) == 2
-        yield deployment
-        for node in deployment.managers:
-            await node.close()
-    assert not deployment.workers.violations
-
 
 async def repeat(node: service.JobService) -> codes.ResultCode:
     """Submit the job again, as its caller does."""
     queue = node.configuration.current.queues_by_name["q-added"]  # type: ignore[union-attr]
     spec = helpers.make_spec("a", is_lasting=True, pool=queue.pool)
-    return await node.submit(queue.pool, spec, DEADLINE_S, queue.former)
+    return await node.submit(
+        queue.pool, spec, moved_deployment.DEADLINE_S, queue.former
+    )
 
 
 async def cancel(node: service.JobService) -> codes.ResultCode:
     """Cancel the job, as its caller does."""
     queue = node.configuration.current.queues_by_name["q-added"]  # type: ignore[union-attr]
-    return await node.cancel(queue.pool, "a", DEADLINE_S, queue.former)
+    return await node.cancel(queue.pool, "a", moved_deployment.DEADLINE_S, queue.former)
 
 
 @pytest.mark.parametrize("node_kind", ["owner", "other", "restarted"])
 @paused_clock.test
 async def test_repeated_submission_remains_one_job(node_kind: str) -> None:
     """Guards against a job that runs in both pools after its queue was moved."""
-    async with run_deployment() as deployment:
+    async with moved_deployment.run_deployment() as deployment:
         owner_configurations = deployment.first.configuration
-        assert isinstance(owner_configurations, Configurations)
-        owner_configurations.apply(AFTER)
+        assert isinstance(owner_configurations, moved_deployment.Configurations)
+        owner_configurations.apply(moved_deployment.AFTER)
         node = deployment.first
         if node_kind != "owner":
-            seen = (BEFORE, AFTER) if node_kind == "other" else (AFTER,)
+            seen = (
+                (moved_deployment.BEFORE, moved_deployment.AFTER)
+                if node_kind == "other"
+                else (moved_deployment.AFTER,)
+            )
             node = deployment.start_node(*seen)
         if node_kind == "restarted":
             await node.moved_queues.learn(lambda: frozenset({2, 3}))
-        assert await repeat(node) is OK
+        assert await repeat(node) is moved_deployment.OK
         await asyncio.sleep(2.0)
         assert len(deployment.workers.starts) == 2
 
 
-@pytest.mark.parametrize("versions", [(BEFORE, AFTER), (AFTER,)])
+@pytest.mark.parametrize(
+    "versions",
+    [(moved_deployment.BEFORE, moved_deployment.AFTER), (moved_deployment.AFTER,)],
+)
 @paused_clock.test
 async def test_cancellation_reaches_the_earlier_pool(
     versions: tuple[model.JobConfiguration, ...],
 ) -> None:
     """Guards against an acknowledged cancellation of a job that runs on."""
-    async with run_deployment() as deployment:
-        assert await cancel(deployment.start_node(*versions)) is OK
+    async with moved_deployment.run_deployment() as deployment:
+        assert await cancel(deployment.start_node(*versions)) is moved_deployment.OK
         await asyncio.sleep(1.0)
         assert not any(w.running for w in deployment.workers.workers.values())
 
@@ -218,15 +66,15 @@
 @paused_clock.test
 async def test_outcome_is_unknown_while_the_earlier_pool_cannot_be_asked() -> None:
     """Guards against a second job, and against a refusal of one that runs."""
-    async with run_deployment() as deployment:
-        node = deployment.start_node(BEFORE, AFTER)
+    async with moved_deployment.run_deployment() as deployment:
+        node = deployment.start_node(moved_deployment.BEFORE, moved_deployment.AFTER)
         client = node._http_client
-        assert isinstance(client, PeerClient)
+        assert isinstance(client, moved_deployment.PeerClient)
         client.is_silent = True
         assert await repeat(node) is codes.ResultCode.STORE_UNANSWERED
         assert await cancel(node) is codes.ResultCode.STORE_UNANSWERED
         client.is_silent = False
-        assert await repeat(node) is OK
+        assert await repeat(node) is moved_deployment.OK
         await asyncio.sleep(1.0)
         assert len(deployment.workers.starts) == 2
 
@@ -234,30 +82,40 @@
 @paused_clock.test
 async def test_waiting_jobs_of_the_earlier_pool_are_counted() -> None:
     """Guards against a count without the jobs that were there before the change."""
-    async with run_deployment() as deployment:
+    async with moved_deployment.run_deployment() as deployment:
         for number in range(3):
-            spec = helpers.make_spec(f"b{number}", cpu=9_000, pool=OLD)
-            await deployment.first.submit(OLD, spec, DEADLINE_S)
+            spec = helpers.make_spec(f"b{number}", cpu=9_000, pool=moved_deployment.OLD)
+            await deployment.first.submit(
+                moved_deployment.OLD, spec, moved_deployment.DEADLINE_S
+            )
         await asyncio.sleep(1.0)
-        node = deployment.start_node(BEFORE, AFTER)
+        node = deployment.start_node(moved_deployment.BEFORE, moved_deployment.AFTER)
         configuration = node.configuration.current
         assert configuration is not None
         queue = configuration.queues_by_name["q-added"]
-        assert await node.count_waiting(queue, DEADLINE_S) == 3
+        assert await node.count_waiting(queue, moved_deployment.DEADLINE_S) == 3
 
 
 @paused_clock.test
 async def test_new_job_is_stored_in_the_present_pool_only() -> None:
     """Guards against jobs that go on to the earlier pool."""
-    async with run_deployment() as deployment:
-        node = deployment.start_node(BEFORE, AFTER)
-        spec = helpers.make_spec("c", pool=NEW)
-        assert await node.submit(NEW, spec, DEADLINE_S, {("q", OLD)}) is OK
+    async with moved_deployment.run_deployment() as deployment:
+        node = deployment.start_node(moved_deployment.BEFORE, moved_deployment.AFTER)
+        spec = helpers.make_spec("c", pool=moved_deployment.NEW)
+        assert (
+            await node.submit(
+                moved_deployment.NEW,
+                spec,
+                moved_deployment.DEADLINE_S,
+                {("q", moved_deployment.OLD)},
+            )
+            is moved_deployment.OK
+        )
         await asyncio.sleep(1.0)
         used = {
             worker
             for task, _, worker in deployment.workers.starts
             if task.job_id == "c"
         }
-        assert used <= {f"{NEW}-0", f"{NEW}-1"}
+        assert used <= {f"{moved_deployment.NEW}-0", f"{moved_deployment.NEW}-1"}
         assert used
