Let one pool run a job whose first request comes after the repetition

Cause: a node with the newer configuration asked the earlier pool for a job and then stored it in the new one. The first request, held up by a node with the earlier configuration or by an append that takes effect late, came to the earlier pool after the answer, and both ran the job.

Queues that have not moved cause no call.

--- a/clementinespar/jobs/command_intake.py
+++ b/clementinespar/jobs/command_intake.py
@@ -121,6 +121,8 @@
                 continue
             known = self._jobs.by_id.get(job_id)
             if known is None:
+                if self._jobs.released.hold(job_id, record.value):
+                    continue
                 added.extend(self._add_job(job_id, record.value))
             elif known.is_final_stored:
                 # Without its state, the next owner would take it for a new job.
--- a/clementinespar/jobs/job_location.py
+++ b/clementinespar/jobs/job_location.py
@@ -5,10 +5,12 @@
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
-from clementinespar import errors
+from clementinespar import codes, errors
 from clementinespar.jobs import model, moved_queues, partitions, services
 
 PRESENT_TIMEOUT_S = 0.5  # a change of owner takes longer, and the job is seldom moved
+# A release takes one append, usually a few milliseconds.
+RELEASE_POLL_S = 0.02
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -41,6 +43,12 @@
         self._configuration = configuration
         self._ask = ask
 
+    def partitions_with_pools(self) -> frozenset[int]:
+        """Return the partitions to which pools of the configuration belong."""
+        configuration = self._configuration.current
+        pools = () if configuration is None else configuration.pools_by_name
+        return frozenset(map(self._partition_map.find, pools))
+
     def other_partitions(
         self, pool: str, former: Iterable[tuple[str, str]]
     ) -> frozenset[int]:
@@ -51,18 +59,66 @@
         former : iterable of tuple of str
             Earlier names and pools of the queue.
         """
-        configuration = self._configuration.current
-        pools = () if configuration is None else configuration.pools_by_name
         found = self._moved.find_partitions(pool, former)
-        return found.union(map(self._partition_map.find, pools)) - {
-            self._partition_map.find(pool)
-        }
+        found |= self.partitions_with_pools()
+        return found - {self._partition_map.find(pool)}
+
+    async def claim(
+        self,
+        pool: str,
+        former: Iterable[tuple[str, str]],
+        job_id: str,
+        timeout_s: float,
+    ) -> FoundJob | None:
+        """Return a job that an earlier pool of its queue has, or None.
+
+        If it is None and the queue was moved recently, the earlier pools will not start
+        the job any more, so that `pool` may.
+
+        Raises
+        ------
+        errors.ClementinesparError
+            An earlier pool could not be asked in time.
+        """
+        asked = self._moved.find_partitions(pool, former)
+        self._moved.note_configuration(self._configuration.current)
+        is_recent = self._moved.is_recent(pool)
+        asking = self._partition_map.find(pool) if is_recent else None
+        return await self.find(asked, job_id, timeout_s, asking)
+
+    async def _ask_release(
+        self, partition: int, job_id: str, timeout_s: float, asking: int
+    ) -> dict[str, Any]:
+        """Return the answer of an owner that has the job or has released its id."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + timeout_s
+        path = f"/release/{job_id}?asking={asking}"
+        while True:
+            reply = await self._ask(partition, path, end - loop.time())
+            if reply["state"] is not None or reply["is_released"]:
+                return reply
+            if loop.time() + RELEASE_POLL_S > end:
+                raise errors.ClementinesparError(
+                    codes.ResultCode.JOB_OWNER_UNKNOWN,
+                    "the owner has not stored the release of the job in time",
+                )
+            await asyncio.sleep(RELEASE_POLL_S)
 
     async def find(
-        self, asked: Iterable[int], job_id: str, timeout_s: float
+        self,
+        asked: Iterable[int],
+        job_id: str,
+        timeout_s: float,
+        asking: int | None = None,
     ) -> FoundJob | None:
         """Return a job that one of some partitions has, or None.
 
+        Parameters
+        ----------
+        asking : int, optional
+            The partition for which the others have to release the job if they do not
+            have it.
+
         Raises
         ------
         errors.ClementinesparError
@@ -72,6 +128,8 @@
         replies = {
             partition: asyncio.ensure_future(
                 self._ask(partition, f"/jobs/{job_id}", timeout_s)
+                if asking is None
+                else self._ask_release(partition, job_id, timeout_s, asking)
             )
             for partition in sorted(asked)
         }
--- a/clementinespar/jobs/job_table.py
+++ b/clementinespar/jobs/job_table.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from clementinespar.jobs import model, state
+from clementinespar.jobs import model, released_jobs, state
 
 
 class JobTable:
@@ -14,6 +14,7 @@
     # Ids of jobs with a stored final state whose commands have to be deleted. A caller
     # may submit such a job again, which stores another one.
     finished_commands: set[str]
+    released: released_jobs.ReleasedJobs
     flush_wanted: asyncio.Event  # requests an append
     schedule_wanted: asyncio.Event  # requests a round of placement
 
@@ -24,6 +25,9 @@
         self.finished_commands = set()
         self.flush_wanted = asyncio.Event()
         self.schedule_wanted = asyncio.Event()
+        self.released = released_jobs.ReleasedJobs(
+            self.finished_commands, self.flush_wanted
+        )
 
     def find_open_task(
         self, key: model.TaskKey
--- a/clementinespar/jobs/moved_queues.py
+++ b/clementinespar/jobs/moved_queues.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable, Iterable, Mapping
 from typing import Any
 
@@ -65,6 +66,10 @@
 
     _stray_partitions: frozenset[int]  # that held moved jobs when this node started
     _strays_until: float  # event-loop time
+    _noted: model.JobConfiguration | None
+    # By host and path prefix: name, pool, and the earlier ones.
+    _histories: dict[tuple[str, str], tuple[str, str, frozenset[tuple[str, str]]]]
+    _moved_at: dict[str, float]  # by pool: when a queue was last moved to it
 
     def __init__(
         self,
@@ -75,6 +80,9 @@
         self._ask = ask
         self._stray_partitions = frozenset()
         self._strays_until = 0.0
+        self._noted = None
+        self._histories = {}
+        self._moved_at = {}
 
     def find_partitions(
         self, pool: str, former: Iterable[tuple[str, str]]
@@ -86,10 +94,53 @@
         former : iterable of tuple of str
             Earlier names and pools of the queue.
         """
-        found = {self._partition_map.find(former_pool) for _, former_pool in former}
+        found = frozenset(
+            self._partition_map.find(former_pool) for _, former_pool in former
+        )
         if asyncio.get_running_loop().time() < self._strays_until:
             found |= self._stray_partitions
-        return frozenset(found - {self._partition_map.find(pool)})
+        return found - {self._partition_map.find(pool)}
+
+    def note_configuration(self, configuration: model.JobConfiguration | None) -> None:
+        """Record when this node saw a queue move; idempotent."""
+        if configuration is None or configuration is self._noted:
+            return
+        self._noted = configuration
+        for queue in configuration.queues_by_name.values():
+            place = queue.host, queue.path_prefix
+            history = queue.name, queue.pool, queue.former
+            if queue.former and history != self._histories.get(place):
+                self._moved_at[queue.pool] = asyncio.get_running_loop().time()
+            self._histories[place] = history
+
+    def is_recent(self, pool: str) -> bool:
+        """Whether a job may be on its way to a pool that its queue had before `pool`.
+
+        That is so for a while after a queue was moved to `pool`.
+        """
+        now = asyncio.get_running_loop().time()
+        return now < self._strays_until or self._was_moved_recently(pool, now)
+
+    def has_left(
+        self,
+        partition: int,
+        jobs: Iterable[state.JobProgress],
+        configuration: model.JobConfiguration | None,
+    ) -> bool:
+        """Whether a partition has jobs, or may get some, whose queue is elsewhere."""
+        if configuration is None:
+            return False
+        self.note_configuration(configuration)
+        now = asyncio.get_running_loop().time()
+        return holds_moved_jobs(jobs, configuration) or any(
+            self._partition_map.find(former_pool) == partition
+            for queue in configuration.queues_by_name.values()
+            if self._was_moved_recently(queue.pool, now)
+            for _, former_pool in queue.former
+        )
+
+    def _was_moved_recently(self, pool: str, now: float) -> bool:
+        return now - self._moved_at.get(pool, -math.inf) < REPEAT_MAX_S
 
     async def learn(self, wanted: Callable[[], frozenset[int]]) -> None:
         """Ask all owners once for jobs that were moved before this node started.
--- a/clementinespar/jobs/node.py
+++ b/clementinespar/jobs/node.py
@@ -8,6 +8,7 @@
 from clementinespar import background, http_calls
 from clementinespar.jobs import (
     fleet,
+    late_jobs,
     options,
     ownership,
     partitions,
@@ -126,6 +127,9 @@
             platform_services.store,
             http_client,
         )
+        self.late_jobs = late_jobs.LateJobs(
+            self.ownership_manager, self.jobs, log_event
+        )
 
     @property
     def is_ready(self) -> bool:
@@ -181,4 +185,13 @@
         await stack.enter_async_context(
             background.running(node.jobs.moved_queues.learn(node.wanted_partitions))
         )
+        await stack.enter_async_context(
+            background.running(
+                background.keep_running(
+                    node.late_jobs.run,
+                    node.late_jobs.log_failure,
+                    late_jobs.FAILURE_PAUSE_S,
+                )
+            )
+        )
         yield
--- a/clementinespar/jobs/owner_queries.py
+++ b/clementinespar/jobs/owner_queries.py
@@ -77,6 +77,8 @@
             if job.is_final and not job.is_final_stored:
                 return model.JobState.RUNNING
             return job.state
+        if self._jobs.released.holds(job_id):
+            return model.JobState.QUEUED
         if not self._intake.is_fresh():
             raise errors.ClementinesparError(
                 codes.ResultCode.JOB_OWNER_UNKNOWN,
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -126,6 +126,7 @@
         self.has_failed = False
         self._jobs = job_table.JobTable()
         self.jobs_by_id = self._jobs.by_id
+        self.released = self._jobs.released
         self.sessions_by_id = {}
         self.metrics = metrics
         self._confirmed_at = confirmed_at
@@ -354,6 +355,7 @@
             self._worker_use, values, fenced_at, self._lease_max_s, self._log_event
         )
         self._takeover_wait.begin(fenced_at)
+        self.released.restore(values, self._log_event)
         restored = owner_loading.restore_jobs(values, commands.records, self._log_event)
         owner_loading.take_over_jobs(
             restored, self._jobs, self._restore_job, self._log_event
@@ -481,10 +483,7 @@
 
     async def wait_closed(self) -> None:
         """Wait until the calls that `close` has cancelled have ended."""
-        await asyncio.gather(
-            self._tickets.wait_closed(),
-            self._sessions.wait_closed(),
-        )
+        await asyncio.gather(self._tickets.wait_closed(), self._sessions.wait_closed())
 
 
 @contextlib.asynccontextmanager
--- a/clementinespar/jobs/progress_writer.py
+++ b/clementinespar/jobs/progress_writer.py
@@ -123,6 +123,9 @@
             records.append(
                 services.KeyedRecord("p" + job.spec.job_id, state.encode_progress(job))
             )
+        released = self._jobs.released
+        releases = released.take_changes()
+        records.extend(released.encode(releases))
         # A worker may have got a run after it was released.
         for worker_id, session in self._sessions_by_id.items():
             if session.runs and session.has_answered and session.is_responsive():
@@ -153,6 +156,7 @@
                 took_ms=round((asyncio.get_running_loop().time() - began_at) * 1000),
             )
             self._jobs.schedule_wanted.set()
+        released.mark_stored(releases)
         if is_use_due:
             self._worker_use.mark_stored()
             self._jobs.schedule_wanted.set()
@@ -219,10 +223,11 @@
         for job_id in expired:
             del self._jobs.by_id[job_id]
             forget(job_id)
-        if expired:
-            await self._append(
-                [services.KeyedRecord("p" + job_id, b"") for job_id in expired]
-            )
+        dropped = [services.KeyedRecord("p" + job_id, b"") for job_id in expired]
+        released = self._jobs.released
+        dropped += released.encode(released.drop_expired(now_ms))
+        if dropped:
+            await self._append(dropped)
 
     def _owner_record(self) -> services.KeyedRecord:
         return services.KeyedRecord("owner", b"%d" % self._epoch)
--- a/clementinespar/jobs/service.py
+++ b/clementinespar/jobs/service.py
@@ -39,10 +39,10 @@
     _partition_map: partitions.PartitionMap
     _http_client: http_calls.HttpClient
     _waiting_by_queue: dict[str, tuple[float, int]]
-    _routes: command_routes.CommandRoutes
+    routes: command_routes.CommandRoutes
     _load_views: admission.LoadViews
     moved_queues: moved_queues.MovedQueues
-    _locator: job_location.JobLocator
+    locator: job_location.JobLocator
 
     def __init__(
         self,
@@ -59,10 +59,10 @@
         self._waiting_by_queue = {}
         self._load_views = admission.LoadViews()
         self.moved_queues = moved_queues.MovedQueues(partition_map, self._ask_once)
-        self._locator = job_location.JobLocator(
+        self.locator = job_location.JobLocator(
             partition_map, self.moved_queues, configuration, self._ask_owner
         )
-        self._routes = command_routes.CommandRoutes(
+        self.routes = command_routes.CommandRoutes(
             ownership_manager, store, http_client, self._note_command_answer
         )
 
@@ -88,15 +88,15 @@
         end = loop.time() + timeout_s
         moved = self.moved_queues.find_partitions(pool, former)
         if moved:
-            if self._routes.has_stored("j" + spec.job_id):
+            if self.routes.has_stored("j" + spec.job_id):
                 return codes.ResultCode.OK
             try:
-                if await self._locator.find(moved, spec.job_id, timeout_s) is not None:
+                if await self.locator.claim(pool, former, spec.job_id, timeout_s):
                     return codes.ResultCode.OK
             except errors.ClementinesparError:
                 return codes.ResultCode.STORE_UNANSWERED
         record = services.KeyedRecord("j" + spec.job_id, state.encode_spec(spec))
-        return await self._routes.store(
+        return await self.routes.store(
             self._partition_map.find(pool), record, end - loop.time()
         )
 
@@ -110,7 +110,7 @@
             spec,
             self._load_views.find(partition, spec.pool),
             now,
-            self._routes.may_be_stored("j" + spec.job_id),
+            self.routes.may_be_stored("j" + spec.job_id),
         )
 
     def describe_waits(self, partition: int) -> dict[str, object]:
@@ -141,24 +141,24 @@
         loop = asyncio.get_running_loop()
         end = loop.time() + timeout_s
         record = services.KeyedRecord("c" + job_id, b"1")
-        code = await self._routes.store(
+        code = await self.routes.store(
             self._partition_map.find(pool), record, timeout_s
         )
         if code is not codes.ResultCode.OK:
             return code
         try:
-            found = await self._locator.find_elsewhere(
+            found = await self.locator.find_elsewhere(
                 pool, former, job_id, end - loop.time()
             )
         except errors.ClementinesparError:
             return codes.ResultCode.STORE_UNANSWERED
         if found is None:
             return code
-        return await self._routes.store(found.partition, record, end - loop.time())
+        return await self.routes.store(found.partition, record, end - loop.time())
 
     def suggest_return_s(self, pool: str, job_id: str) -> int:
         """Return when a caller should return whose submission the store refused."""
-        outage_s = self._routes.outage_s(self._partition_map.find(pool))
+        outage_s = self.routes.outage_s(self._partition_map.find(pool))
         return retry_after.after_outage(job_id, outage_s)
 
     async def describe(
@@ -181,8 +181,8 @@
         if reply["state"] is not None:
             return model.JobState(reply["state"])
         # The queue may have moved to another pool since the job was submitted.
-        others = self._locator.other_partitions(pool, former)
-        found = await self._locator.find(others, job_id, timeout_s)
+        others = self.locator.other_partitions(pool, former)
+        found = await self.locator.find(others, job_id, timeout_s)
         return None if found is None else found.state
 
     async def count_waiting(self, queue: model.Queue, timeout_s: float) -> int:
@@ -227,9 +227,7 @@
         if arriving_hosts:
             path += f"?arriving={arriving_hosts}"
         return await self._ask_owner(
-            self._partition_map.find(pool),
-            path,
-            PEER_TIMEOUT_S,
+            self._partition_map.find(pool), path, PEER_TIMEOUT_S
         )
 
     async def explain(self, job_id: str) -> dict[str, Any]:
@@ -374,11 +372,11 @@
         is_known = 0 <= partition < self._partition_map.count
         if not is_known or record.key[:1] not in ("j", "c") or not record.value:
             raise ValueError(f"no command for partition {partition}: {record.key!r}")
-        await self._routes.append_for_peer(partition, record)
+        await self.routes.append_for_peer(partition, record)
 
     async def close(self) -> None:
         """Cancel the appends that are not answered, and wait until they have ended."""
-        await self._routes.close()
+        await self.routes.close()
 
     async def _ask_owner(
         self, partition: int, path: str, timeout_s: float, body: bytes = b""
@@ -407,9 +405,8 @@
             raise errors.ClementinesparError(
                 codes.ResultCode.JOB_OWNER_UNKNOWN, "the partition has no owner"
             )
-        address = member.partition("/")[0]
         response = await self._http_client.call(
-            address,
+            member.partition("/")[0],
             "POST" if body else "GET",
             f"/{partition}{path}",
             body=body,
@@ -429,7 +426,7 @@
             ) from error
         now = asyncio.get_running_loop().time()
         self._load_views.note_answer(partition, reply.get("load"), now)
-        self._routes.note_report(partition, bool(reply.get("store_silent_ms")), now)
+        self.routes.note_report(partition, bool(reply.get("store_silent_ms")), now)
         return reply
 
     def answer_peer(
@@ -452,7 +449,7 @@
         load = owner.waits.describe(asyncio.get_running_loop().time())
         if load:
             reply["load"] = load
-        stall_s = self._routes.stall_s(partition)
+        stall_s = self.routes.stall_s(partition)
         if stall_s:
             reply["store_silent_ms"] = round(stall_s * 1000)
         return reply
@@ -468,15 +465,18 @@
             job_state = owner.describe(name)
             return {"state": None if job_state is None else job_state.value}
         if kind in ("explain", "images"):
-            explained = (
-                owner.explain(name) if kind == "explain" else owner.explain_image(name)
-            )
+            explain = owner.explain if kind == "explain" else owner.explain_image
+            explained = explain(name)
             if explained is None:
                 return {"state": None}
             return {**dataclasses.asdict(explained), "code": int(explained.code)}
         if kind == "moved":
             jobs, configuration = owner.jobs_by_id.values(), self.configuration.current
-            return {"has_moved": moved_queues.holds_moved_jobs(jobs, configuration)}
+            has_left = self.moved_queues.has_left(owner.partition, jobs, configuration)
+            return {"has_moved": has_left}
+        if kind == "release":
+            asking, known = int(query["asking"][0]), owner.describe
+            return owner.released.answer(name, owner.partition, asking, known)
         if kind == "waiting":
             return {"waiting": owner.count_waiting(name)}
         if kind == "evacuate":
@@ -496,5 +496,5 @@
         raise errors.ClementinesparError(
             codes.ResultCode.REQUEST_INVALID,
             f"unknown kind of query {kind}; expected jobs, explain, images, moved,"
-            " waiting, evacuate, load, team or placement",
+            " release, waiting, evacuate, load, team or placement",
         )
--- a/clementinespar/jobs/tests/fakes.py
+++ b/clementinespar/jobs/tests/fakes.py
@@ -33,17 +33,21 @@
     is_down: bool
     loses_answers: bool  # appends are done, but not answered
     drops_calls: bool  # appends are neither done nor answered
+    late_s: float  # appends get no answer and are done this much later; 0: at once
     cut_epochs: set[int]  # owners whose appends get no answer and do nothing
     # Time for which an append occupies its partition; the store is slow if it is long.
     append_s: float
+    fenced_append_s: float  # time that an append of an owner takes
     values: dict[tuple[services.Topic, int], dict[str, bytes]]
 
     def __init__(self) -> None:
         self.is_down = False
         self.loses_answers = False
         self.drops_calls = False
+        self.late_s = 0.0
         self.cut_epochs = set()
         self.append_s = 0.0
+        self.fenced_append_s = 0.003
         self._free_at: dict[tuple[services.Topic, int], float] = {}
         self.values = collections.defaultdict(dict)
         self._log: dict[tuple[services.Topic, int], list[services.KeyedRecord]] = (
@@ -69,6 +73,10 @@
         self._check()
         if self.drops_calls:
             await _time_out_call()
+        if self.late_s:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.late_s, self._apply, topic, partition, records)
+            await _time_out_call()
         await self._queue_append(topic, partition)
         self._apply(topic, partition, records)
         self._check_answer()
@@ -90,7 +98,7 @@
         sequence: int,
         records: Sequence[services.KeyedRecord],
     ) -> None:
-        await asyncio.sleep(0.003)
+        await asyncio.sleep(self.fenced_append_s)
         self._check()
         if epoch in self.cut_epochs:
             await _time_out_call()
--- a/clementinespar/jobs/tests/moved_deployment.py
+++ b/clementinespar/jobs/tests/moved_deployment.py
@@ -3,18 +3,20 @@
 import asyncio
 import contextlib
 import json
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Mapping
 
 import pytest
 
-from clementinespar import codes, errors, http_calls
+from clementinespar import background, codes, errors, http_calls
 from clementinespar.jobs import (
+    late_jobs,
     model,
     moved_queues,
     ownership,
     partitions,
     pool_owner,
     service,
+    services,
     telemetry,
 )
 from clementinespar.jobs.tests import fake_adviser, fakes, helpers
@@ -59,13 +61,14 @@
 
 
 class PeerClient(http_calls.HttpClient):
-    """Passes queries to the node that owns the partitions."""
+    """Passes queries to the node that owns the partition."""
 
     is_silent = False
+    answer_delay_s = 0.0
 
-    def __init__(self, peer: service.JobService) -> None:
+    def __init__(self, nodes_by_partition: Mapping[int, service.JobService]) -> None:
         super().__init__()
-        self._peer = peer
+        self._nodes_by_partition = nodes_by_partition
 
     async def call(
         self,
@@ -83,35 +86,68 @@
             raise http_calls.CallNotSentError("no connection")
         _, partition, query = path.split("/", 2)
         try:
-            reply = self._peer.answer_peer(int(partition), f"/{query}", body)
+            peer = self._nodes_by_partition[int(partition)]
+            reply = peer.answer_peer(int(partition), f"/{query}", body)
         except errors.ClementinesparError:
             return http_calls.Response(503, b"{}")
+        await asyncio.sleep(self.answer_delay_s)
         return http_calls.Response(200, json.dumps(reply).encode())
 
 
 class Deployment:
-    """A node that owns the partitions of both pools, and one that owns nothing."""
+    """Nodes that own the partitions of both pools, and others that own nothing.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    is_split : bool
+        Whether the owners are at two nodes, not at one.
+    """
+
+    def __init__(self, is_split: bool = False) -> None:
         self.store = fakes.FakeStore()
         self.workers = fakes.FakeWorkers(2, OLD)
         self.workers.task_s = 60.0
         for number in range(2):
             self.workers.add(f"{NEW}-{number}", NEW)
-        owned = frozenset(map(PARTITION_MAP.find, (OLD, NEW)))
+        old, new = map(PARTITION_MAP.find, (OLD, NEW))
         self.managers: list[ownership.OwnershipManager] = []
-        self.first = self._make_node(owned, Configurations(BEFORE), None)
+        self._groups: list[fakes.FakeGroup] = []
+        self._nodes_by_partition: dict[int, service.JobService] = {}
+        self.owner_nodes: list[service.JobService] = []
+        for owned in ({old}, {new}) if is_split else ({old, new},):
+            node = self._make_node(frozenset(owned), Configurations(BEFORE))
+            self.owner_nodes.append(node)
+            self._nodes_by_partition |= dict.fromkeys(owned, node)
+        self.first = self.owner_nodes[0]
 
     def start_node(self, *versions: model.JobConfiguration) -> service.JobService:
         """Return another node, which has seen some versions of the configuration."""
-        client = PeerClient(self.first)
-        return self._make_node(frozenset(), Configurations(*versions), client)
+        return self._make_node(frozenset(), Configurations(*versions))
+
+    def find_client(self, owner_node: int) -> PeerClient:
+        """Return the client of a node that owns partitions."""
+        client = self.owner_nodes[owner_node]._http_client
+        assert isinstance(client, PeerClient)
+        return client
+
+    def find_command(self, key: str, pool: str) -> bytes | None:
+        """Return the newest command with a key in the partition of a pool."""
+        topic = services.Topic.COMMANDS, PARTITION_MAP.find(pool)
+        return self.store.values[topic].get(key)
+
+    async def replace_owners(self) -> None:
+        """Take the partitions from their owners and let new ones begin."""
+        groups = self._groups[: len(self.owner_nodes)]
+        owned = [group.assignment.partitions for group in groups]
+        for generation, is_owned in ((2, False), (3, True)):
+            for group, partitions_owned in zip(groups, owned, strict=True):
+                group.assignment = services.Assignment(
+                    generation, partitions_owned if is_owned else frozenset()
+                )
+            await asyncio.sleep(2.0)
 
     def _make_node(
-        self,
-        owned: frozenset[int],
-        configurations: Configurations,
-        client: http_calls.HttpClient | None,
+        self, owned: frozenset[int], configurations: Configurations
     ) -> service.JobService:
         group = fakes.FakeGroup(owned)
         group.owners = dict.fromkeys(
@@ -127,12 +163,13 @@
             fakes.ignore_event,
         )
         self.managers.append(manager)
+        self._groups.append(group)
         return service.JobService(
             manager,
             PARTITION_MAP,
             configurations,
             self.store,
-            client or http_calls.HttpClient(),
+            PeerClient(self._nodes_by_partition),
         )
 
     def _make_owner(self, partition: int, epoch: int) -> pool_owner.PoolOwner:
@@ -154,17 +191,22 @@
 
 
 @contextlib.asynccontextmanager
-async def run_deployment() -> AsyncIterator[Deployment]:
-    """Run the node that owns the partitions; a job lasts in the old pool."""
-    deployment = Deployment()
+async def run_deployment(is_split: bool = False) -> AsyncIterator[Deployment]:
+    """Run the nodes that own the partitions; a job lasts in the old pool."""
+    deployment = Deployment(is_split)
     deployment.workers.lasting_jobs.add("a")
-    async with ownership.run_ownership_manager(deployment.managers[0]):
+    async with contextlib.AsyncExitStack() as stack:
+        for node in deployment.owner_nodes:
+            manager = node.ownership_manager
+            late = late_jobs.LateJobs(manager, node, fakes.ignore_event)
+            await stack.enter_async_context(ownership.run_ownership_manager(manager))
+            await stack.enter_async_context(background.running(late.run()))
         await asyncio.sleep(1.0)
         spec = helpers.make_spec("a", is_lasting=True, pool=OLD)
         assert await deployment.first.submit(OLD, spec, DEADLINE_S) is OK
         await asyncio.sleep(1.0)
         assert len(deployment.workers.starts) == 2
         yield deployment
-        for node in deployment.managers:
-            await node.close()
+        for manager in deployment.managers:
+            await manager.close()
     assert not deployment.workers.violations
