--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -1,7 +1,7 @@
 """The owner of a partition of worker pools: adopts jobs and places their tasks.
 
 Takeover: the first progress record carries the owner's epoch, which fences every
-previous owner out of the partition. The owner then reads progress and commands and
+previous owner out of the partition. Once ownership was confirmed after that, the owner
 calls each worker with the new fence. Jobs that a previous owner had adopted wait until
 every worker that it may have used has answered, or until the lease on that worker has
 certainly ended. Jobs that no owner had adopted start at once.
@@ -19,6 +19,7 @@
 from clementinespar import background, explanation
 from clementinespar.jobs import (
     command_intake,
+    conclusions,
     crash_watch,
     demand,
     end_log,
@@ -82,6 +83,7 @@
     waits: wait_watch.WaitWatch
     _lease_max_s: float  # longest lease that workers grant
     _jobs: job_table.JobTable
+    _conclusions: conclusions.Conclusions
     _worker_use: worker_use.WorkerUse
     _sessions: session_table.SessionTable
     _writer: progress_writer.ProgressWriter
@@ -135,7 +137,10 @@
         self._directory = directory
         self._log_event = log_event
         self._lease_max_s = settings.lease_max_s
-        self._worker_use = worker_use.WorkerUse(self.confirmed_at)
+        self._conclusions = conclusions.Conclusions(
+            self.confirmed_at, self._jobs.flush_wanted, log_event
+        )
+        self._worker_use = worker_use.WorkerUse(self._conclusions.confirmed_at)
         self._subscription = contextlib.ExitStack()
         self._run_times = demand.RunTimes()
         self._team_rates = team_rate.TeamRates(find_weight, log_event, metrics)
@@ -169,6 +174,7 @@
             self.sessions_by_id,
             self._worker_use,
             self.quotas,
+            self._conclusions,
             ends,
             lambda: self.mark_lost("the store has seen a later owner"),
             log_event,
@@ -195,6 +201,7 @@
             self._tickets,
             self._run_times,
             self.quotas,
+            self._conclusions,
             ends,
             log_event,
             metrics,
@@ -227,6 +234,7 @@
             self._neighbours,
             self._run_watch,
             self._tickets,
+            self._conclusions,
             self.confirmed_at,
             self.mark_lost,
         )
@@ -260,7 +268,9 @@
             hosts,
             self._sessions.find_silent,
             self._sessions.find_responsive,
-            self._on_worker_death,
+            lambda worker_id: self._sessions.drop_ended(
+                worker_id, self._death_watch.list_ages_ms(worker_id)
+            ),
             log_event,
         )
         self._takeover_wait = takeover_wait.TakeoverWait(
@@ -297,6 +307,10 @@
         confirmed_at = None if self.is_lost else self._confirmed_at()
         return self._writer.limit_confirmation(confirmed_at)
 
+    def awaits_confirmation(self, sent_at: float) -> bool:
+        """Whether it can begin once a join is answered that is later than `sent_at`."""
+        return not self.is_loaded and self._writer.is_fenced_after(sent_at)
+
     def check_fence(self) -> None:
         """Stop acting until the store has confirmed that no later owner has begun."""
         self._writer.check_fence()
@@ -342,13 +356,12 @@
 
     async def load(self) -> None:
         """Fence previous owners, then read progress and commands."""
-        loop = asyncio.get_running_loop()
         await self._writer.fence_previous()
-        fenced_at = loop.time()
         progress = await command_intake.retry_read(
             lambda: self._store.list_newest(services.Topic.PROGRESS, self.partition),
             self._log_event,
         )
+        fenced_at = await self._writer.wait_until_confirmed(self.confirmed_at)
         commands = await self._intake.list_all()
         values = {record.key: record.value for record in progress.records}
         owner_loading.restore_worker_use(
@@ -372,7 +385,7 @@
             jobs=len(self.jobs_by_id),
             open_jobs=len(self._jobs.active),
             former_workers=len(self._worker_use.previous_lease_ends),
-            fenced_ago_ms=round((loop.time() - fenced_at) * 1000),
+            fenced_ago_ms=round((asyncio.get_running_loop().time() - fenced_at) * 1000),
         )
 
     def _restore_job(self, job: state.JobProgress) -> None:
@@ -425,23 +438,10 @@
         self._intake.forget(job_id)
         self.waits.forget(job_id)
 
-    # Workers.
-
     def _refresh_sessions(self) -> None:
         if not self.is_lost:
             self._sessions.refresh()
 
-    def _on_worker_death(self, worker_id: str) -> None:
-        """Free the tasks of a worker that the platform reports as ended."""
-        session = self.sessions_by_id.get(worker_id)
-        self._sessions.log_death(worker_id, self._death_watch.list_ages_ms(worker_id))
-        self._worker_use.settle(worker_id)
-        self._crash_watch.on_death(worker_id)
-        if session is not None:
-            session.drop_ended()
-        self._sessions.release()
-        self._jobs.schedule_wanted.set()
-
     def mark_lost(self, reason: str) -> None:
         """Record that the partition is lost and stop acting as its owner."""
         if self.is_lost:
@@ -460,6 +460,7 @@
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._intake.follow())
                 group.create_task(self._writer.run())
+                group.create_task(self._conclusions.run())
                 group.create_task(self.schedule())
                 group.create_task(self.run_housekeeping())
                 group.create_task(self._death_watch.run())
--- a/clementinespar/jobs/worker_use.py
+++ b/clementinespar/jobs/worker_use.py
@@ -25,8 +25,8 @@
     Parameters
     ----------
     confirmed_at : callable
-        Returns the event-loop time at which the last call that confirmed ownership was
-        sent; None if it is not confirmed.
+        Returns the event-loop time up to which no later owner had begun; None if it is
+        unknown. See `conclusions.Conclusions`.
     """
 
     answered: set[str]  # workers that refuse orders of previous owners
@@ -38,6 +38,8 @@
     _unreached: set[str]
     _recorded: set[str]  # workers in use by the newest record, stored or not
     _lease_ends: dict[str, float]  # worker id: event-loop end of previous leases
+    # Workers of `_lease_ends` that have answered or ended: event-loop time of that.
+    _settled_at: dict[str, float]
     # The same of this owner's leases on unresponsive workers with runs.
     _silent_lease_ends: dict[str, float]
     # The same of this owner's leases that may be longer than the next owner assumes.
@@ -60,6 +62,7 @@
         self._unreached = set()
         self._recorded = set()
         self._lease_ends = {}
+        self._settled_at = {}
         self._silent_lease_ends = {}
         self._extended_lease_ends = {}
         self._recorded_at = 0.0
@@ -138,11 +141,27 @@
         self.stored.discard(worker_id)
         self._silent_lease_ends[worker_id] = lease_end
 
-    def settle(self, worker_id: str) -> None:
-        """Record that no run of previous owners can execute on a worker."""
+    def note_answer(self, worker_id: str) -> bool:
+        """Record that a worker refuses orders of previous owners; its runs are known.
+
+        It counts once ownership is confirmed after that: if it is another life, a later
+        owner may have adopted a run in the former one, and seen it end. False if nobody
+        has waited for the worker.
+        """
+        self.answered.add(worker_id)
+        return self._note_settled(worker_id)
+
+    def note_death(self, worker_id: str) -> bool:
+        """Record that a worker has ended; otherwise as `note_answer`."""
         self.ended.add(worker_id)
         self._unreached.discard(worker_id)
-        self._lease_ends.pop(worker_id, None)
+        return self._note_settled(worker_id)
+
+    def _note_settled(self, worker_id: str) -> bool:
+        if worker_id not in self._lease_ends or worker_id in self._settled_at:
+            return False
+        self._settled_at[worker_id] = asyncio.get_running_loop().time()
+        return True
 
     def is_settled(self) -> bool:
         """Whether no worker can execute runs of previous owners unknown to this one."""
@@ -157,17 +176,24 @@
         return {
             worker_id: max(0.0, end - now)
             for worker_id, end in self._lease_ends.items()
-            if worker_id not in self.answered and not self._has_ended(end)
+            if not self._is_over(worker_id, end)
         }
 
-    def _has_ended(self, lease_end: float) -> bool:
-        """Whether a lease of a previous owner has ended for good.
+    def find_unheard(self) -> set[str]:
+        """Return the unsettled workers that have neither answered nor ended."""
+        return set(self.find_unsettled()) - set(self._settled_at)
+
+    def _is_over(self, worker_id: str, lease_end: float) -> bool:
+        """Whether a worker executes no unknown runs of previous owners any more.
 
-        A later owner may have adopted runs and renewed it, unless ownership was
-        confirmed after its end.
+        A later owner may have adopted runs and renewed their lease, unless ownership
+        was confirmed after its end.
         """
         confirmed = self.confirmed_at()
-        return confirmed is not None and confirmed > lease_end
+        if confirmed is None:
+            return False
+        settled_at = self._settled_at.get(worker_id, math.inf)
+        return confirmed > lease_end or confirmed >= settled_at
 
     def is_due(self) -> bool:
         """Whether the record has to be stored again."""
@@ -243,8 +269,9 @@
             self._unreached = set()
             self._recorded_at = now
         for worker_id, end in list(self._lease_ends.items()):
-            if worker_id in self.answered or self._has_ended(end):
+            if self._is_over(worker_id, end):
                 del self._lease_ends[worker_id]
+                self._settled_at.pop(worker_id, None)
         self._recorded = self.in_use | self._unreached
         self.stored &= self._recorded
         lease_ends = dict(self._lease_ends)
