--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -128,6 +128,7 @@
         self.has_failed = False
         self._jobs = job_table.JobTable()
         self.jobs_by_id = self._jobs.by_id
+        self.released = self._jobs.released
         self.sessions_by_id = {}
         self.metrics = metrics
         self._confirmed_at = confirmed_at
@@ -367,6 +368,7 @@
             self._worker_use, values, fenced_at, self._lease_max_s, self._log_event
         )
         self._takeover_wait.begin(fenced_at)
+        self.released.restore(values, self._log_event)
         restored = owner_loading.restore_jobs(values, commands.records, self._log_event)
         owner_loading.take_over_jobs(
             restored, self._jobs, self._restore_job, self._log_event
@@ -436,8 +438,6 @@
         self._intake.forget(job_id)
         self.waits.forget(job_id)
 
-    # Workers.
-
     def _refresh_sessions(self) -> None:
         if not self.is_lost:
             self._sessions.refresh()
