--- a/clementinespar/jobs/tests/test_replaced_owners.py
+++ b/clementinespar/jobs/tests/test_replaced_owners.py
@@ -33,6 +33,13 @@
     return used
 
 
+async def _wait_for(event: str, harness: helpers.OwnerHarness) -> None:
+    """Wait until an owner has logged an event."""
+    async with asyncio.timeout(5.0):
+        while event not in dict(harness.events):
+            await asyncio.sleep(0.01)
+
+
 async def _lose_worker(
     harness: helpers.OwnerHarness, used: str, replaced: int, is_restarted: bool
 ) -> None:
@@ -166,6 +173,87 @@
     assert not workers.violations
 
 
+@paused_clock.test
+async def test_confirmation_of_an_earlier_conclusion_does_not_confirm_a_later_one() -> (
+    None
+):
+    """Guards against a start after an end that was acknowledged since a confirmation.
+
+    The replaced owner takes a run for over twice, and finds it running in between. The
+    answer to its last join arrives after that. The next owner adopts the run meanwhile.
+    """
+    workers = fakes.FakeWorkers(2)
+    workers.task_s = TASK_S + 2.5
+    harness = helpers.OwnerHarness(workers)
+    loop = asyncio.get_running_loop()
+    previous = harness.make_owner()
+    async with pool_owner.own_partition(previous):
+        await asyncio.sleep(3.0)
+        await harness.submit(_make_chain())
+        await asyncio.sleep(crash_counts.SUSPECT_S + 0.5)
+        used = _split(workers, previous.epoch)
+        await _wait_for("worker_silent", harness)
+        harness.freeze_confirmation(loop.time())
+        harness.store.cut_epochs.add(previous.epoch)
+        workers.omitted_hosts = {used}
+        await _wait_for("run_gone", harness)
+        workers.omitted_hosts.clear()
+        workers.cut_for -= {(used, previous.epoch)}
+        await _wait_for("run_adopted", harness)
+        await asyncio.sleep(crash_counts.SUSPECT_S + 0.1)
+        workers.cut_for |= {(used, previous.epoch)}
+        sent_at = loop.time()
+        async with helpers.run_owner(harness):
+            async with asyncio.timeout(5.0):
+                while not workers.acknowledged_done:
+                    await asyncio.sleep(0.01)
+            workers.end(used)
+            await asyncio.sleep(1.0)
+            harness.freeze_confirmation(sent_at, previous.epoch)
+            await asyncio.sleep(1.0)
+    assert [event for event, _ in harness.events].count("run_gone") == 2
+    assert not workers.violations
+
+
+@paused_clock.test
+async def test_replaced_owner_starts_no_waiting_task_in_a_new_life_of_a_worker() -> (
+    None
+):
+    """Guards against two runs of a task that waited for room at a replaced owner.
+
+    The next owner has heard the worker in its former life, so it waits for no lease
+    there, and only the replaced owner reaches the present life.
+    """
+    workers = fakes.FakeWorkers(2)
+    harness = helpers.OwnerHarness(workers)
+    previous = harness.make_owner()
+    async with pool_owner.own_partition(previous):
+        await asyncio.sleep(3.0)
+        await harness.submit(helpers.make_spec("a", 2, cpu=4000, is_lasting=True))
+        await asyncio.sleep(2.0)
+        await harness.submit(helpers.make_spec("b", 1, cpu=4000, is_lasting=True))
+        await asyncio.sleep(2.0)
+        used, other = [worker_id for _, _, worker_id in workers.starts]
+        session = previous.sessions_by_id[used]
+        last_contact = session.last_contact
+        while session.last_contact == last_contact:
+            await asyncio.sleep(0.005)
+        workers.add("quotes-2", "quotes")
+        workers.cut_for = {(worker_id, previous.epoch) for worker_id in workers.workers}
+        harness.freeze_confirmation(asyncio.get_running_loop().time())
+        harness.store.cut_epochs.add(previous.epoch)
+        await asyncio.sleep(0.5)
+        async with helpers.run_owner(harness) as owner:
+            await asyncio.sleep(0.35)
+            assert len(workers.starts) == 3
+            workers.crash(used)
+            workers.cut_for -= {(used, previous.epoch)}
+            workers.cut_for |= {(used, owner.epoch)}
+            await asyncio.sleep(5.0)
+            assert session.born_ms == workers.workers[used].born_ms
+    assert not workers.violations
+
+
 @paused_clock.test
 async def test_restart_after_a_death_waits_for_one_append_only() -> None:
     """Guards against restarts that wait for a join, or until there is more to store."""
