--- a/review/harness_2/callers.py
+++ b/review/harness_2/callers.py
@@ -127,6 +127,11 @@
         state = str(json.loads(answer).get("state", "")) if status == 200 else ""
         return status, state
 
+    async def count_waiting(self, node: system.Node, queue: Queue) -> int | None:
+        """Ask one node for the number of waiting jobs; None without an answer."""
+        status, answer = await self._call(node, "GET", queue, "", None)
+        return int(json.loads(answer)["waiting"]) if status == 200 else None
+
     async def cancel(self, node: system.Node, queue: Queue, job_id: str) -> int:
         """Cancel a job at one node; returns the status."""
         status, _ = await self._call(node, "DELETE", queue, job_id, None)
--- a/review/harness_2/minions.py
+++ b/review/harness_2/minions.py
@@ -123,6 +123,7 @@
         self.rack = rack
         self.kind = Kind()
         self.is_up = False
+        self.is_unhealthy = False  # it does nothing for a start and answers 503
         self.port = 0
         self.born = 0
         self.runs: dict[tuple[str, int], Run] = {}
@@ -252,6 +253,9 @@
 
     def _start(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         task, number = body["task"], body["run"]
+        if self.is_unhealthy:
+            self.world.log.add(f"503 to start {task} run {number}, {self.worker_id}")
+            return 503, {}
         if body["untilMs"] <= self._clock_ms():
             return 409, {"reason": "late"}
         self._extend(body["untilMs"])
