--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,53 +1,71 @@
-"""A done job, a queue that moves, the loss of all processes, a repeated request."""
+"""A minion that fails what it is told to start, and the number of waiting jobs."""
 
 import asyncio
-import dataclasses
 import pathlib
-import signal
 import sys
+import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 
 from harness_2 import callers, case  # noqa: E402
 
-JOBS = 4
-RESTART_S = 0.5
-LATER_S = 4.0  # half of the requests come so much later than the others
-QUEUE = callers.Queue("quick", "desk")
-MOVED = dataclasses.replace(QUEUE, service="dispatch")
-SERVICES = ["desk", "dispatch"]
-STEPS = [{"count": 1, "cpu": 1000, "memMb": 256, "estMs": 500}]
+MINIONS = 12
+FAILING_S = 6.4
+WAITING_S = 5.0  # the bounds `visible_ms` + 2 s
+JOBS = 16
+QUICK = callers.Queue("quick", "desk")
+BATCH = callers.Queue("batch", "desk")
+LASTING = [
+    {
+        "count": MINIONS - 1,
+        "cpu": 16_000,
+        "memMb": 256,
+        "longRunning": True,
+        "maxPerServer": 1,
+    }
+]
+SHORT = [{"count": 1, "cpu": 1000, "memMb": 256, "estMs": 1000}]
+
+
+async def check(stage: case.Stage, accepted: list[str]) -> None:
+    """Ask all nodes for the number of waiting jobs, and judge their answers."""
+    for node in stage.nodes:
+        now = time.monotonic()
+        # Those that have to be counted when the answer is given.
+        old = [
+            job_id
+            for job_id in accepted
+            if now - stage.callers.accepted_at[job_id] > WAITING_S
+        ]
+        shown = await stage.callers.count_waiting(node, QUICK)
+        begun = {task.split(".")[0] for _, task, _, _ in stage.world.starts}
+        waiting = [job_id for job_id in old if job_id not in begun]
+        if shown is not None and shown < len(waiting) / 2:
+            stage.log.add_break(
+                f"MIXED: {node.name} gives {shown} as waiting; {len(waiting)} jobs were"
+                f" accepted over {WAITING_S} s before and haven't begun"
+            )
 
 
 async def play(stage: case.Stage) -> None:
-    """Play one series of these events."""
-    async with stage.run(3, dict.fromkeys(SERVICES, 4), [QUEUE]):
-        accepted = [await stage.callers.submit(QUEUE, STEPS) for _ in range(JOBS)]
-        for job_id in accepted:
-            while (await stage.callers.ask(stage.nodes[0], QUEUE, job_id))[1] != "done":
-                await asyncio.sleep(0.1)
-        await asyncio.sleep(1.0)
+    """Let the only minion with room fail all starts while jobs come."""
+    async with stage.run(3, {"desk": MINIONS}, [QUICK, BATCH]):
+        await stage.callers.submit(BATCH, LASTING)
+        await asyncio.sleep(2.0)
+        (failing,) = (m for m in stage.world.minions if not m.runs)
         if stage.is_troubled:
-            stage.log.add("version 2 sends the queue to the other service")
-            fields = callers.configuration(2, [MOVED], SERVICES)
-            stage.store.put("keyed.op", "config", fields)
-            for node in stage.nodes:
-                node.signal(signal.SIGKILL)
-            await asyncio.sleep(RESTART_S)
-            for node in stage.nodes:
-                node.start()
-        if not await stage.callers.wait_served(QUEUE, 20.0):
-            raise RuntimeError("the system does not serve again")
-        for number, job_id in enumerate(accepted):
-            if number == JOBS // 2:
-                await asyncio.sleep(LATER_S)
-            stage.log.add(f"the request for job {job_id} arrives again")
-            await stage.callers.submit(QUEUE, STEPS, job_id)
-        await asyncio.sleep(3.0)
-        for job_id in accepted:
-            for node in stage.nodes:
-                await stage.callers.ask(node, QUEUE, job_id)
+            stage.log.add(f"{failing.worker_id} fails what it is told to start")
+            failing.is_unhealthy = True
+        began_at = time.monotonic()
+        accepted = [await stage.callers.submit(QUICK, SHORT) for _ in range(JOBS)]
+        while time.monotonic() < began_at + FAILING_S - 0.1:
+            await asyncio.sleep(0.3)
+            await check(stage, accepted)
+        failing.is_unhealthy = False
+        stage.log.add(f"{failing.worker_id} is sound")
+        await asyncio.sleep(6.0)
+        await check(stage, accepted)
 
 
 if __name__ == "__main__":
-    case.main(__file__, play, lambda task: 0.5)
+    case.main(__file__, play, lambda task: 1.0)
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,53 +1,53 @@
-"""A task whose minions crash three times, and its job."""
+"""A done job, a queue that moves, the loss of all processes, a repeated request."""
 
 import asyncio
+import dataclasses
 import pathlib
+import signal
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 
 from harness_2 import callers, case  # noqa: E402
 
-WORK_S = 2.0
-CRASHES = 3
-CRASH_AFTER_S = 0.6  # of the task's run
-DOWN_S = 0.4
+JOBS = 4
+RESTART_S = 0.5
+LATER_S = 4.0  # half of the requests come so much later than the others
 QUEUE = callers.Queue("quick", "desk")
-STEPS = [{"count": 1, "cpu": 1000, "memMb": 256, "estMs": 2000}]
+MOVED = dataclasses.replace(QUEUE, service="dispatch")
+SERVICES = ["desk", "dispatch"]
+STEPS = [{"count": 1, "cpu": 1000, "memMb": 256, "estMs": 500}]
 
 
 async def play(stage: case.Stage) -> None:
-    """Crash the minion that runs the task, three times, one minion at a time."""
-    async with stage.run(3, {"desk": 8}, [QUEUE]):
-        job_id = await stage.callers.submit(QUEUE, STEPS)
-        restarts = []
-        for _ in range(CRASHES if stage.is_troubled else 0):
-            running = None
-            while running is None:
-                await asyncio.sleep(0.01)
-                running = next((m for m in stage.world.minions if m.runs), None)
-            await asyncio.sleep(CRASH_AFTER_S)
-            running.crash()
-            restarts.append(asyncio.create_task(_restart(running)))
-        for number in range(20):
-            await asyncio.sleep(0.5)
-            node = stage.nodes[number % len(stage.nodes)]
-            status, state = await stage.callers.ask(node, QUEUE, job_id)
-            if status == 200 and state in ("failed", "cancelled"):
-                stage.log.add_break(
-                    f"LOST: job {job_id} is shown as {state}; no run of it has ended"
-                    " failed, and nobody has cancelled it"
-                )
-                break
-            if state == "done":
-                break
-        await asyncio.gather(*restarts)
-
-
-async def _restart(minion: object) -> None:
-    await asyncio.sleep(DOWN_S)
-    await minion.start()  # type: ignore[attr-defined]
+    """Play one series of these events."""
+    async with stage.run(3, dict.fromkeys(SERVICES, 4), [QUEUE]):
+        accepted = [await stage.callers.submit(QUEUE, STEPS) for _ in range(JOBS)]
+        for job_id in accepted:
+            while (await stage.callers.ask(stage.nodes[0], QUEUE, job_id))[1] != "done":
+                await asyncio.sleep(0.1)
+        await asyncio.sleep(1.0)
+        if stage.is_troubled:
+            stage.log.add("version 2 sends the queue to the other service")
+            fields = callers.configuration(2, [MOVED], SERVICES)
+            stage.store.put("keyed.op", "config", fields)
+            for node in stage.nodes:
+                node.signal(signal.SIGKILL)
+            await asyncio.sleep(RESTART_S)
+            for node in stage.nodes:
+                node.start()
+        if not await stage.callers.wait_served(QUEUE, 20.0):
+            raise RuntimeError("the system does not serve again")
+        for number, job_id in enumerate(accepted):
+            if number == JOBS // 2:
+                await asyncio.sleep(LATER_S)
+            stage.log.add(f"the request for job {job_id} arrives again")
+            await stage.callers.submit(QUEUE, STEPS, job_id)
+        await asyncio.sleep(3.0)
+        for job_id in accepted:
+            for node in stage.nodes:
+                await stage.callers.ask(node, QUEUE, job_id)
 
 
 if __name__ == "__main__":
-    case.main(__file__, play, lambda task: WORK_S)
+    case.main(__file__, play, lambda task: 0.5)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,37 +1,73 @@
-"""Minions that crash and begin again under their id, as a smaller kind."""
+"""A cancelled job whose queue has moved, and the loss of one node."""
 
 import asyncio
+import dataclasses
 import pathlib
+import signal
 import sys
+import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 
-from harness_2 import callers, case, minions  # noqa: E402
+from harness_2 import callers, case  # noqa: E402
 
-SMALLER = minions.Kind("b", 8_000, 32_768)
-DOWN_S = 1.0
-GAP_S = 5.0
-CRASHES = 3
-WORK_S = 1.5
-QUEUE = callers.Queue("batch", "desk")
-ANYWHERE = {"count": 120, "cpu": 4000, "memMb": 256, "estMs": 1500}
-ON_FIRST_KIND = {**ANYWHERE, "count": 240, "needs": "a"}
+CANCEL_S = 3.0  # the bound `cancel_ms`
+IN_FORCE_S = 3.0  # after the new version; the bound `configMs` is 2 s
+RESTART_S = 0.25
+WATCHED_S = 8.0
+QUEUE = callers.Queue("quick", "desk")
+OTHERS = [callers.Queue(f"other{n}", f"desk{n}") for n in range(4)]
+LONG = [{"count": 400, "cpu": 8000, "memMb": 256, "estMs": 1000}]
+SHORT = [{"count": 1, "cpu": 1000, "memMb": 256, "estMs": 300}]
 
 
 async def play(stage: case.Stage) -> None:
-    """Crash one minion after the other while tasks wait for room."""
-    async with stage.run(3, {"desk": 8}, [QUEUE]):
-        await stage.callers.submit(QUEUE, [ANYWHERE])
-        await stage.callers.submit(QUEUE, [ON_FIRST_KIND])
+    """Move the queue of a job, kill a node, and cancel the job there."""
+    minions = {queue.service: 2 for queue in OTHERS} | {QUEUE.service: 4}
+    async with stage.run(4, minions, [QUEUE, *OTHERS]):
+        seen = {
+            queue.name: await stage.callers.submit(queue, SHORT) for queue in OTHERS
+        }
+        job_id = await stage.callers.submit(QUEUE, LONG)
         await asyncio.sleep(1.0)
-        for number in range(CRASHES):
-            minion = stage.world.minions[number]
-            if stage.is_troubled:
-                minion.crash()
-                await asyncio.sleep(DOWN_S)
-                await minion.start(SMALLER)
-            await asyncio.sleep(GAP_S - DOWN_S)
+        holder = stage.find_holder(job_id)
+        target = next(
+            queue
+            for queue in OTHERS
+            if stage.find_holder(seen[queue.name]) not in (None, holder)
+        )
+        node = stage.find_holder(seen[target.name])
+        assert holder is not None
+        assert node is not None
+        stage.log.add(
+            f"{holder.name} holds the job, {node.name} that of {target.service}"
+        )
+        if stage.is_troubled:
+            stage.log.add(f"version 2 sends the queue to {target.service}")
+            moved = dataclasses.replace(QUEUE, service=target.service)
+            fields = callers.configuration(2, [moved, *OTHERS], sorted(minions))
+            stage.store.put("keyed.op", "config", fields)
+            await asyncio.sleep(IN_FORCE_S)
+            node.signal(signal.SIGKILL)
+            await asyncio.sleep(RESTART_S)
+            node.start()
+        while not await node.is_ready():
+            await asyncio.sleep(0.02)
+        stage.log.add(f"{node.name} is ready")
+        status = 0
+        while not 200 <= status < 300 and status != 410:
+            status = await stage.callers.cancel(node, QUEUE, job_id)
+        acked_at = time.monotonic()
+        await asyncio.sleep(CANCEL_S + WATCHED_S)
+        late = [start for start in stage.world.starts if start[0] - acked_at > CANCEL_S]
+        late = [start for start in late if start[1].startswith(job_id)]
+        if late:
+            stage.log.add_break(
+                f"UNASKED: {len(late)} tasks of job {job_id} start later than"
+                f" {CANCEL_S} s after its cancelling was acknowledged, the last one"
+                f" {late[-1][0] - acked_at:.1f} s after"
+            )
 
 
 if __name__ == "__main__":
-    case.main(__file__, play, lambda task: WORK_S)
+    case.main(__file__, play, lambda task: 1.0)
--- a/review/harness_2/case.py
+++ b/review/harness_2/case.py
@@ -69,6 +69,16 @@
                     await node.end()
                 self._keep_logs()
 
+    def find_holder(self, job_id: str) -> system.Node | None:
+        """Return the node that holds the partition in which a job was stored."""
+        for (_, number), partition in self.store.partitions.items():
+            if any(key.endswith(job_id) for key in partition.newest):
+                member = self.store.holder(number)
+                for node in self.nodes:
+                    if member.startswith(f"{node.ip}:"):
+                        return node
+        return None
+
     def _keep_logs(self) -> None:
         """Copy the nodes' logs to a folder that `KEEP_LOGS` names, for a look."""
         folder = os.environ.get("KEEP_LOGS")
--- a/review/harness_2/system.py
+++ b/review/harness_2/system.py
@@ -11,7 +11,7 @@
 import subprocess
 import tomllib
 
-from harness_2 import record, store
+from harness_2 import record, store, web
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 BOUNDS = {"graceS": 6, "leaseMs": 3000, "upkeepS": 2, "holdMaxMs": 6000}
@@ -56,6 +56,7 @@
         self.ip = f"127.0.1.{number}"
         self.internal_port = find_port(self.ip)
         self.callers = f"{self.ip}:{find_port(self.ip)}"
+        self.readiness = f"{self.ip}:{find_port(self.ip)}"
         self.process: subprocess.Popen[bytes] | None = None
         self._log = log
         self._output = folder / f"{self.name}.log"
@@ -67,7 +68,7 @@
             "ip": self.ip,
             "listen": {
                 "front": self.callers,
-                "ready": f"{self.ip}:{find_port(self.ip)}",
+                "ready": self.readiness,
             },
             "internalPorts": {"0": self.internal_port},
             "bounds": {**BOUNDS, "configMs": CONFIG_MS},
@@ -101,6 +102,11 @@
             self._log.add(f"{self.name} gets {number.name}")
             self.process.send_signal(number)
 
+    async def is_ready(self) -> bool:
+        """Ask for its readiness, as the platform does."""
+        status, _ = await web.call(self.readiness, "GET", "/v1/ready", timeout_s=0.5)
+        return status == 200
+
     def read_log(self) -> str:
         """Return what the process has written."""
         return self._output.read_text(errors="replace")
