--- a/review/6/case.py
+++ b/review/6/case.py
@@ -14,7 +14,8 @@
 RESTART_S = 0.5
 LATER_S = 4.0  # half of the requests come so much later than the others
 QUEUE = callers.Queue("quick", "desk")
-MOVED = dataclasses.replace(QUEUE, service="dispatch")
+# Another route for the same path, in place of the first one.
+MOVED = dataclasses.replace(QUEUE, service="dispatch", route="r-2")
 SERVICES = ["desk", "dispatch"]
 STEPS = [{"count": 1, "cpu": 1000, "memMb": 256, "estMs": 500}]
 
@@ -28,7 +29,7 @@
                 await asyncio.sleep(0.1)
         await asyncio.sleep(1.0)
         if stage.is_troubled:
-            stage.log.add("version 2 sends the queue to the other service")
+            stage.log.add("version 2 removes the route and adds one to dispatch")
             fields = callers.configuration(2, [MOVED], SERVICES)
             stage.store.put("keyed.op", "config", fields)
             for node in stage.nodes:
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -43,8 +43,10 @@
             f"{holder.name} holds the job, {node.name} that of {target.service}"
         )
         if stage.is_troubled:
-            stage.log.add(f"version 2 sends the queue to {target.service}")
-            moved = dataclasses.replace(QUEUE, service=target.service)
+            stage.log.add(
+                f"version 2 removes the route and adds one to {target.service}"
+            )
+            moved = dataclasses.replace(QUEUE, service=target.service, route="r-2")
             fields = callers.configuration(2, [moved, *OTHERS], sorted(minions))
             stage.store.put("keyed.op", "config", fields)
             await asyncio.sleep(IN_FORCE_S)
--- a/review/harness_2/callers.py
+++ b/review/harness_2/callers.py
@@ -16,10 +16,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class Queue:
-    """A route of the configuration."""
+    """A route of the configuration, and the queue that it is."""
 
     name: str
     service: str
+    route: str = "r-1"  # with the name, the name of the route
     host: str = "jobs.example"
     max_attempts: int = 4
 
@@ -37,7 +38,7 @@
         "version": version,
         "routes": [
             {
-                "name": f"r-{queue.name}",
+                "name": f"{queue.route}-{queue.name}",
                 "host": queue.host,
                 "pathPrefix": queue.prefix,
                 "kind": "unsafe",
