--- a/review/harness_2/minions.py
+++ b/review/harness_2/minions.py
@@ -68,6 +68,7 @@
         self.starts: list[tuple[float, str, int, str]] = []
         self.done_at: dict[str, float] = {}  # task: first end as done taken note of
         self._done_runs: dict[str, str] = {}
+        self._stopped: set[str] = set()  # tasks at work that an order has ended
 
     def find_step(self, task: str) -> dict[str, Any]:
         """Return the step of a task as submitted."""
@@ -106,6 +107,29 @@
                 " thousandths of a core"
             )
 
+    def note_stop(self, minion: "Minion", run: Run) -> None:
+        """Judge an order that stops a run."""
+        now = time.monotonic()
+        may_miss = self.find_step(run.task).get("mayMiss", 0)
+        if not may_miss or run.percent(now) < 100 or run.stops_at < float("inf"):
+            return
+        step = run.task.rpartition(".")[0]
+        at_work = {
+            known.task
+            for other in self.minions
+            for known in other.runs.values()
+            if known.percent(now) >= 100 and known.stops_at == float("inf")
+        }
+        self._stopped -= at_work
+        away = [task for task in self._stopped if task.rpartition(".")[0] == step]
+        self._stopped.add(run.task)
+        if len(away) >= may_miss:
+            self.log.add_break(
+                f"AVAIL: an order ends {run.task} at work on {minion.worker_id}, while"
+                f" {len(away)} others of its step are away by such orders, and"
+                f" {may_miss} may be"
+            )
+
     def note_done(self, task: str, text: str) -> None:
         """Record that an end as done was taken note of."""
         self.done_at.setdefault(task, time.monotonic())
@@ -282,6 +306,7 @@
         self.world.log.add(f"stop {task} run {number} at {self.worker_id}")
         run = self.runs.get((task, number))
         if run is not None:
+            self.world.note_stop(self, run)
             run.stops_at = min(run.stops_at, time.monotonic() + STOP_S)
         self._stopped[task] = max(number, self._stopped.get(task, 0))
 
