Count a job as waiting until a worker has begun a run of it

It is now two facts: has_begun, set by an answered start or by a run or an end that the worker lists, for the count, the state, the measured wait and the stored record; and is_placed, which a refused start takes back, for the order of placement and the claims of teams.

--- a/clementinespar/jobs/fair_share.py
+++ b/clementinespar/jobs/fair_share.py
@@ -174,7 +174,7 @@
         for job, work in jobs:
             team = job.spec.team
             if team:
-                works = self._claims if job.has_started else new_work
+                works = self._claims if job.is_placed else new_work
                 works[team] = add(works.get(team, NOTHING), work)
         demands = dict(self._claims)
         for team, work in new_work.items():
@@ -223,7 +223,7 @@
     kind, priority, slack = rank
     if shares is None:
         return OrderKey(False, kind, priority, False, slack)
-    is_exempt = job.is_lasting and job.has_started
+    is_exempt = job.is_lasting and job.is_placed
     return OrderKey(
         job.is_over_rate and not is_exempt,
         kind,
--- a/clementinespar/jobs/owner_loading.py
+++ b/clementinespar/jobs/owner_loading.py
@@ -148,7 +148,6 @@
     if task.at_risk.pop(listed.run, None) is not None:
         jobs.store_soon(job)
     step.waiting.discard(listed.task.index)
-    job.mark_started()
     return run
 
 
--- a/clementinespar/jobs/owner_queries.py
+++ b/clementinespar/jobs/owner_queries.py
@@ -142,7 +142,7 @@
             1
             for job in self._jobs.active.values()
             if job.spec.queue == queue
-            and not job.has_started
+            and not job.has_begun
             and not job.spec.occurrences
         )
 
--- a/clementinespar/jobs/placement.py
+++ b/clementinespar/jobs/placement.py
@@ -58,7 +58,7 @@
         return (LASTING, job.spec.priority, 0.0)
     chain_s = job.remaining_ms(estimate_ms) / 1000
     slack_s = job.deadline - now - chain_s
-    if job.has_started:
+    if job.is_placed:
         if slack_s >= -STARTED_TOLERANCE * chain_s:
             return (STARTED, job.spec.priority, slack_s)
     elif slack_s >= NEW_MARGIN * chain_s:
--- a/clementinespar/jobs/placement_round.py
+++ b/clementinespar/jobs/placement_round.py
@@ -143,9 +143,9 @@
                 # Other jobs of the team have started in this round.
                 heapq.heappush(queue, (key._replace(is_above=True), number, job))
                 continue
-            had_started = job.has_started
+            was_placed = job.is_placed
             self._place(job, key.kind, free_capacity_by_pool[job.spec.pool], now)
-            if shares and job.has_started and not had_started:
+            if shares and job.is_placed and not was_placed:
                 shares.claim(job.spec.team, work_by_id[job.spec.job_id])
 
     def preview(self, job: state.JobProgress, now: float) -> Preview:
@@ -232,8 +232,6 @@
         self._placer.place(job, free_capacity, now)
         if job.risk_version != risk_version or job.missing_ranges != missing_ranges:
             self._jobs.store_soon(job)
-        if job.has_started:
-            self._waits.note_start(job, now)
         is_timely = kind in (placement.STARTED, placement.NEW)
         if is_timely and crash_counts.has_ready_tasks(job, now):
             self._full_at_by_pool[pool] = now
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -203,6 +203,7 @@
             self.quotas,
             self._conclusions,
             ends,
+            self.waits,
             log_event,
             metrics,
         )
--- a/clementinespar/jobs/run_ends.py
+++ b/clementinespar/jobs/run_ends.py
@@ -17,6 +17,7 @@
     state,
     telemetry,
     tickets,
+    wait_watch,
     worker_run,
     worker_session,
 )
@@ -50,6 +51,7 @@
         quotas: owner_quotas.OwnerQuotas,
         drawn: conclusions.Conclusions,
         ends: end_log.EndLog,
+        waits: wait_watch.WaitWatch,
         log_event: services.EventLog,
         metrics: telemetry.JobMetrics,
     ) -> None:
@@ -60,6 +62,7 @@
         self._run_times = run_times
         self._quotas = quotas
         self._conclusions = drawn
+        self._waits = waits
         self._gone = {}
         self._log_event = log_event
         self._metrics = metrics
@@ -86,6 +89,7 @@
         if found is None:
             return self._needs_nothing(end.task)
         job, task = found
+        self.note_begun(job)
         step = job.find_step(end.task)
         self._gone.pop((end.task, end.run), None)
         task.open_runs.discard(end.run)
@@ -126,6 +130,12 @@
             self._jobs.mark_dirty(job)  # what made its task needless may not be stored
         return True
 
+    def note_begun(self, job: state.JobProgress) -> None:
+        """Record that a worker has begun a run of a job."""
+        if not job.has_begun:
+            job.mark_begun()
+            self._waits.note_start(job, asyncio.get_running_loop().time())
+
     def on_run_gone(
         self,
         session: worker_session.WorkerSession,
@@ -169,6 +179,7 @@
         if found is not None:
             job, task = found
             self._requeue(job.find_step(key), task, LOST_RETRY_DELAY_S)
+            job.review_placement()
             self._jobs.schedule_wanted.set()
 
     def finish_occurrences(self, job: state.JobProgress) -> None:
--- a/clementinespar/jobs/session_events.py
+++ b/clementinespar/jobs/session_events.py
@@ -147,6 +147,12 @@
             self._neighbours.add_end(session, run, end.kind, now)
         return self._ends.on_end(session, end, run)
 
+    def on_begun(self, run: worker_run.Run) -> None:
+        """Record that a worker has begun a run of a job."""
+        job = self._jobs.active.get(run.key.job_id)
+        if job is not None:
+            self._ends.note_begun(job)
+
     def on_start_unanswered(self, session: worker_session.WorkerSession) -> None:
         """Store where the run may execute, in case its worker has died."""
         self._crash_watch.mark_at_risk(session)
--- a/clementinespar/jobs/state.py
+++ b/clementinespar/jobs/state.py
@@ -141,7 +141,8 @@
         "missing_ranges",
         "adopted_epoch",
         "is_adopted",
-        "has_started",
+        "is_placed",
+        "has_begun",
         "is_over_rate",
         "is_unreadable",
         "final_ms",
@@ -166,7 +167,8 @@
     missing_ranges: int  # of `RUNS_PER_EPOCH` numbers, which the next record adds
     adopted_epoch: int  # this owner's epoch if it adopted the job, else `first_epoch`
     is_adopted: bool  # the adoption is stored, so tasks may start
-    has_started: bool
+    is_placed: bool  # a run of it has begun, or may: its start is decided
+    has_begun: bool  # a worker has begun a run of it
     is_over_rate: bool  # its team had submitted more than its rate
     # What previous owners have stored of it cannot be read, so this owner neither
     # starts its tasks nor stores it, unless it is cancelled. It has no occurrences.
@@ -193,7 +195,8 @@
         self.missing_ranges = 0
         self.adopted_epoch = 0
         self.is_adopted = False
-        self.has_started = False
+        self.is_placed = False
+        self.has_begun = False
         self.is_over_rate = False
         self.is_unreadable = False
         self.final_ms = 0
@@ -220,12 +223,22 @@
         """Whether the job runs until it is cancelled."""
         return any(step.is_lasting for step in self.spec.steps)
 
-    def mark_started(self) -> None:
-        """Record that a task of the job has started."""
-        if not self.has_started:
-            self.has_started = True
+    def mark_begun(self) -> None:
+        """Record that a worker has begun a run of the job."""
+        self.is_placed = True
+        self.has_begun = True
+        if self.state is model.JobState.QUEUED:
             self.state = model.JobState.RUNNING
 
+    def review_placement(self) -> None:
+        """Count the job as not placed if no run has begun and no start is left."""
+        self.is_placed = self.has_begun or any(
+            task.open_runs
+            for occurrence in self.occurrences.values()
+            for step in occurrence.steps
+            for task in step.tasks
+        )
+
     def find_task(self, key: model.TaskKey) -> TaskState | None:
         """Return a task, or None if the job has no task with this key."""
         occurrence = self.occurrences.get(key.occurrence)
@@ -317,7 +330,7 @@
         if any(job.leftover):
             fields["leftover"] = [job.leftover_team, *job.leftover]
         return json.dumps(fields, separators=(",", ":")).encode()
-    if job.has_started:
+    if job.has_begun:
         fields["started"] = 1
     if job.finished_occurrences:
         fields["finished"] = job.finished_occurrences
@@ -369,9 +382,8 @@
             job.leftover_team, *amounts = fields["leftover"]
             job.leftover = resources.Resources(*map(int, amounts))
         return
-    job.has_started = bool(fields.get("started"))
-    if job.has_started:
-        job.state = model.JobState.RUNNING
+    if fields.get("started"):
+        job.mark_begun()
     job.finished_occurrences = int(fields.get("finished", 0))
     for name, occurrence_fields in fields.get("occurrences", {}).items():
         number = int(name)
--- a/clementinespar/jobs/task_placer.py
+++ b/clementinespar/jobs/task_placer.py
@@ -287,5 +287,5 @@
         task.open_runs.add(number)
         step.waiting.discard(task.key.index)
         session.add_run(run)
-        job.mark_started()
+        job.is_placed = True
         return run
--- a/clementinespar/jobs/tests/fake_worker.py
+++ b/clementinespar/jobs/tests/fake_worker.py
@@ -30,6 +30,7 @@
     is_dead: bool = False  # its host lists no worker
     listed_from: float = 0.0  # event-loop time at which its host lists it
     drops_starts: bool = False  # starts do nothing and are not answered
+    is_unhealthy: bool = False  # starts are refused
     # Event-loop time at which its clock began; none: it begins when it is first read.
     clock_zero: float | None = 0.0
 
--- a/clementinespar/jobs/tests/fakes.py
+++ b/clementinespar/jobs/tests/fakes.py
@@ -356,6 +356,8 @@
         self.advance(fake)
         now = asyncio.get_running_loop().time()
         clock_ms = fake.clock_ms()
+        if fake.is_unhealthy:
+            return model.StartAnswer(model.StartResult.UNHEALTHY, clock_ms)
         if not fake.accepts(order.fence):
             return model.StartAnswer(model.StartResult.FENCED, clock_ms)
         fake.extend_lease(order.lease_until_ms)
--- a/clementinespar/jobs/tests/test_placement.py
+++ b/clementinespar/jobs/tests/test_placement.py
@@ -16,7 +16,7 @@
 
 
 @pytest.mark.parametrize(
-    ("is_lasting", "has_started", "slack_s", "wanted"),
+    ("is_lasting", "is_placed", "slack_s", "wanted"),
     [
         (True, False, -100.0, placement.LASTING),
         (False, True, 0.0, placement.STARTED),
@@ -28,11 +28,11 @@
     ],
 )
 def test_class_of_a_job(
-    is_lasting: bool, has_started: bool, slack_s: float, wanted: int
+    is_lasting: bool, is_placed: bool, slack_s: float, wanted: int
 ) -> None:
     """Guards against an order in which, under overload, all jobs end slightly late."""
     job = state.JobProgress(helpers.make_spec("a", is_lasting=is_lasting))
-    job.has_started = has_started
+    job.is_placed = is_placed
     job.deadline = 10.0 + 0.5 + slack_s  # the chain of steps takes 500 ms
     assert placement.rank(job, 10.0, estimate_ms)[0] == wanted
 
--- a/clementinespar/jobs/wait_watch.py
+++ b/clementinespar/jobs/wait_watch.py
@@ -83,7 +83,7 @@
 
     def note_arrival(self, job: state.JobProgress, now: float) -> None:
         """Record the estimate for a job that has just arrived."""
-        if job.is_lasting or job.spec.occurrences or job.has_started:
+        if job.is_lasting or job.spec.occurrences or job.has_begun:
             return
         estimated_ms, was_in_time = self.estimate(job, now)
         self._job_waits[job.spec.job_id] = _JobWait(now, estimated_ms, was_in_time)
--- a/clementinespar/jobs/worker_orders.py
+++ b/clementinespar/jobs/worker_orders.py
@@ -203,6 +203,7 @@
         self._session.alive_at = run.answered_at
         if answer.result is model.StartResult.STARTED:
             run.is_start_settled = True
+            self._events.on_begun(run)
             if run.status is worker_run.RunStatus.STARTING:
                 run.status = worker_run.RunStatus.RUNNING
             return
--- a/clementinespar/jobs/worker_run.py
+++ b/clementinespar/jobs/worker_run.py
@@ -127,6 +127,10 @@
         """Apply the end of a run that the worker lists; False keeps it listed."""
         ...
 
+    def on_begun(self, run: Run) -> None:
+        """Handle the first answer or report that shows that a run has begun."""
+        ...
+
     def on_start_unanswered(self, session: "worker_session.WorkerSession") -> None:
         """Handle a start whose effect is open."""
         ...
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -409,7 +409,9 @@
                         worker=self.entry.worker_id,
                         **self.describe_lease(),
                     )
-            run.is_start_settled = True
+            if not run.is_start_settled:
+                run.is_start_settled = True
+                self._events.on_begun(run)
             if run.status is worker_run.RunStatus.OPEN:
                 run.status = worker_run.RunStatus.RUNNING
                 run.answered_at = now
