Keep the pools of each queue in the store, and read them before a configuration is used

A configuration now comes into force at a node only once the store has its queues and the node has read those of all others after that. Partitions of earlier pools keep an owner, and explanations, counts, late jobs and quotas ask it.

test_image_is_explained_by_the_owners_of_all_pools sets the configuration in the source that the node was made with, as explanations now ask the locator for the partitions.

--- a/clementinespar/jobs/job_location.py
+++ b/clementinespar/jobs/job_location.py
@@ -44,9 +44,12 @@
         self._ask = ask
 
     def partitions_with_pools(self) -> frozenset[int]:
-        """Return the partitions to which pools of the configuration belong."""
+        """Return the partitions of the pools in which jobs may be.
+
+        It is empty before the first configuration.
+        """
         configuration = self._configuration.current
-        pools = () if configuration is None else configuration.pools_by_name
+        pools = () if configuration is None else configuration.pools_with_jobs()
         return frozenset(map(self._partition_map.find, pools))
 
     def other_partitions(
--- a/clementinespar/jobs/model.py
+++ b/clementinespar/jobs/model.py
@@ -93,8 +93,8 @@
     stretch: float
     needs_advice: bool = False
     is_public: bool = False  # calls need no key
-    # Names and pools that the queue of this host and path prefix had before, as far as
-    # this node has seen them. Jobs of that time are still in those pools.
+    # Names and pools that the queue of this host and path prefix had before. Jobs of
+    # that time are still in those pools.
     former: frozenset[tuple[str, str]] = frozenset()
 
 
@@ -123,6 +123,11 @@
     # None: the configuration has no teams, so calls need no key.
     teams_by_key_digest: Mapping[bytes, teams.Team] | None = None
     teams_by_name: Mapping[str, teams.Team] = dataclasses.field(default_factory=dict)
+    earlier_pools: frozenset[str] = frozenset()  # in `Queue.former` of its queues
+
+    def pools_with_jobs(self) -> frozenset[str]:
+        """Return the pools in force, and the earlier ones, where jobs may still be."""
+        return self.earlier_pools | self.pools_by_name.keys()
 
     def needs_key(self, queue: Queue) -> bool:
         """Whether calls of a queue must carry the key of a team."""
--- a/clementinespar/jobs/moved_queues.py
+++ b/clementinespar/jobs/moved_queues.py
@@ -1,14 +1,16 @@
 """Where jobs may be whose queue the configuration has sent to another pool since.
 
 A job stays in the partition of the pool that its queue had when it was submitted. A
-repeated submission or a cancellation has to find it there. Each node remembers the
-earlier pools of a queue; see `model.Queue.former`. A node that has just started asks
-the owners instead, which compare their jobs with the configuration.
+repeated submission or a cancellation has to find it there. The store keeps the earlier
+pools of a queue; see `queue_history` and `model.Queue.former`. Queues that were moved
+while all nodes were of a version without that record are in none. For these, a node
+that has just started asks the owners, which compare their jobs with the configuration.
 """
 
 import asyncio
+import dataclasses
 import math
-from collections.abc import Awaitable, Callable, Iterable, Mapping
+from collections.abc import Awaitable, Callable, Collection, Iterable, Mapping
 from typing import Any
 
 from clementinespar import errors
@@ -21,23 +23,28 @@
 REPEAT_MAX_S = 150.0
 
 
-def trace_former(
-    queues: Iterable[model.Queue], known: Mapping[tuple[str, str], set[tuple[str, str]]]
-) -> dict[str, model.Queue]:
-    """Return queues by name, with the names and pools that they had before.
+def with_history(
+    configuration: model.JobConfiguration,
+    known: Mapping[tuple[str, str], Collection[tuple[str, str]]],
+) -> model.JobConfiguration:
+    """Return a configuration whose queues have the names and pools of before.
 
     Parameters
     ----------
-    known : mapping of tuple to set of tuple
+    known : mapping of tuple to collection of tuple
         Names and pools by the host and the path prefix, which identify a queue for its
         callers.
     """
-    return {
+    queues = {
         queue.name: model.with_former(
-            queue, known.get((queue.host, queue.path_prefix), set())
+            queue, known.get((queue.host, queue.path_prefix), ())
         )
-        for queue in queues
+        for queue in configuration.queues_by_name.values()
     }
+    earlier = {pool for queue in queues.values() for _, pool in queue.former}
+    return dataclasses.replace(
+        configuration, queues_by_name=queues, earlier_pools=frozenset(earlier)
+    )
 
 
 def holds_moved_jobs(
--- a/clementinespar/jobs/node.py
+++ b/clementinespar/jobs/node.py
@@ -150,13 +150,8 @@
         return known[team].weight if team in known else team_rate.default_weight(team)
 
     def wanted_partitions(self) -> frozenset[int]:
-        """Return the partitions to which pools of the configuration belong."""
-        configuration = self._platform_services.configuration.current
-        if configuration is None:
-            return frozenset()
-        return frozenset(
-            self._partition_map.find(name) for name in configuration.pools_by_name
-        )
+        """Return the partitions that need an owner, as they may have jobs."""
+        return self.jobs.locator.partitions_with_pools()
 
     def needs_directory(self) -> bool:
         """Whether this node owns a partition with pools, so it must know workers."""
--- a/clementinespar/jobs/service.py
+++ b/clementinespar/jobs/service.py
@@ -232,9 +232,7 @@
 
     async def explain(self, job_id: str) -> dict[str, Any]:
         """Return why a job is in its state; raises with ``JOB_UNKNOWN``."""
-        configuration = self.configuration.current
-        pools = () if configuration is None else configuration.pools_by_name
-        for partition in sorted({self._partition_map.find(pool) for pool in pools}):
+        for partition in sorted(self.locator.partitions_with_pools()):
             reply = await self._ask_owner(
                 partition, f"/explain/{job_id}", PEER_TIMEOUT_S
             )
@@ -254,10 +252,9 @@
             tasks run or wait.
         """
         configuration = self.configuration.current
-        pools = () if configuration is None else configuration.pools_by_name
         team = None if configuration is None else configuration.teams_by_name.get(name)
         found: dict[str, dict[str, Any]] = {}
-        for partition in sorted({self._partition_map.find(pool) for pool in pools}):
+        for partition in sorted(self.locator.partitions_with_pools()):
             found[str(partition)] = await self._ask_owner(
                 partition, f"/team/{urllib.parse.quote(name, safe='')}", PEER_TIMEOUT_S
             )
@@ -293,12 +290,10 @@
         errors.ClementinesparError
             No owner answered in time.
         """
-        configuration = self.configuration.current
-        pools = () if configuration is None else configuration.pools_by_name
         name = urllib.parse.quote(image, safe="")
         states = []
         because: list[str] = []
-        for partition in sorted({self._partition_map.find(pool) for pool in pools}):
+        for partition in sorted(self.locator.partitions_with_pools()):
             reply = await self._ask_owner(partition, f"/images/{name}", PEER_TIMEOUT_S)
             if reply["state"] is not None:
                 states.append(reply["state"])
--- a/clementinespar/jobs/services.py
+++ b/clementinespar/jobs/services.py
@@ -13,6 +13,7 @@
 
     COMMANDS = "commands"  # requests of callers, written by any node
     PROGRESS = "progress"  # written only by the owner of the partition
+    QUEUES = "queues"  # the queues of all configurations, written by any node
     HOSTS = "hosts"  # waves and peaks, written only by the owner of the fleet
 
 
--- a/clementinespar/jobs/tests/moved_deployment.py
+++ b/clementinespar/jobs/tests/moved_deployment.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import random
 from collections.abc import AsyncIterator, Callable, Mapping
 
 import pytest
@@ -15,6 +16,7 @@
     ownership,
     partitions,
     pool_owner,
+    queue_history,
     service,
     services,
     telemetry,
@@ -34,8 +36,13 @@
     return model.JobConfiguration(version, {name: queue}, pools, 262_144)
 
 
+def make_history(store: fakes.FakeStore, seed: int = 0) -> queue_history.QueueHistory:
+    """Return the history of queues as a process knows it that has just started."""
+    return queue_history.QueueHistory(store, random.Random(seed), fakes.ignore_event)
+
+
 class Configurations:
-    """`services.ConfigurationSource` that follows the queue of one path."""
+    """`services.ConfigurationSource` that has seen some versions."""
 
     current: model.JobConfiguration | None
     confirmed_at: float | None = None
@@ -49,11 +56,12 @@
     def apply(self, configuration: model.JobConfiguration) -> None:
         queues = configuration.queues_by_name.values()
         self._known["h", "/a/"] |= {(queue.name, queue.pool) for queue in queues}
-        traced = moved_queues.trace_former(queues, self._known)
-        (self.queue,) = traced.values()
-        self.current = model.JobConfiguration(
-            configuration.version, traced, configuration.pools_by_name, 262_144
-        )
+        self.use(moved_queues.with_history(configuration, self._known))
+
+    def use(self, configuration: model.JobConfiguration) -> None:
+        """Bring a configuration with the earlier pools of its queue into force."""
+        (self.queue,) = configuration.queues_by_name.values()
+        self.current = configuration
 
 
 BEFORE = make_configuration(1, "q", OLD)
@@ -124,6 +132,16 @@
         """Return another node, which has seen some versions of the configuration."""
         return self._make_node(frozenset(), Configurations(*versions))
 
+    async def restart_node(
+        self, configuration: model.JobConfiguration
+    ) -> service.JobService:
+        """Return a node whose process has just read its first configuration."""
+        included = await make_history(self.store).include(configuration)
+        assert included is not None
+        configurations = Configurations()
+        configurations.use(included)
+        return self._make_node(frozenset(), configurations)
+
     def find_client(self, owner_node: int) -> PeerClient:
         """Return the client of a node that owns partitions."""
         client = self.owner_nodes[owner_node]._http_client
@@ -146,6 +164,13 @@
                 )
             await asyncio.sleep(2.0)
 
+    def drop_owner(self, pool: str) -> None:
+        """Take the partition of a pool from its owner, and give it to none."""
+        node = self._nodes_by_partition[PARTITION_MAP.find(pool)]
+        self._groups[self.owner_nodes.index(node)].assignment = services.Assignment(
+            2, frozenset()
+        )
+
     def _make_node(
         self, owned: frozenset[int], configurations: Configurations
     ) -> service.JobService:
@@ -201,6 +226,7 @@
             late = late_jobs.LateJobs(manager, node, fakes.ignore_event)
             await stack.enter_async_context(ownership.run_ownership_manager(manager))
             await stack.enter_async_context(background.running(late.run()))
+        assert await make_history(deployment.store).include(BEFORE) is not None
         await asyncio.sleep(1.0)
         spec = helpers.make_spec("a", is_lasting=True, pool=OLD)
         assert await deployment.first.submit(OLD, spec, DEADLINE_S) is OK
--- a/clementinespar/jobs/tests/test_moved_queues.py
+++ b/clementinespar/jobs/tests/test_moved_queues.py
@@ -25,7 +25,7 @@
     return await node.cancel(queue.pool, "a", moved_deployment.DEADLINE_S, queue.former)
 
 
-@pytest.mark.parametrize("node_kind", ["owner", "other", "restarted"])
+@pytest.mark.parametrize("node_kind", ["owner", "other", "restarted", "asking"])
 @paused_clock.test
 async def test_repeated_submission_remains_one_job(node_kind: str) -> None:
     """Guards against a job that runs in both pools after its queue was moved."""
@@ -34,14 +34,14 @@
         assert isinstance(owner_configurations, moved_deployment.Configurations)
         owner_configurations.apply(moved_deployment.AFTER)
         node = deployment.first
-        if node_kind != "owner":
-            seen = (
-                (moved_deployment.BEFORE, moved_deployment.AFTER)
-                if node_kind == "other"
-                else (moved_deployment.AFTER,)
+        if node_kind == "other":
+            node = deployment.start_node(
+                moved_deployment.BEFORE, moved_deployment.AFTER
             )
-            node = deployment.start_node(*seen)
-        if node_kind == "restarted":
+        elif node_kind == "restarted":
+            node = await deployment.restart_node(moved_deployment.AFTER)
+        elif node_kind == "asking":  # the queue was moved before the store kept that
+            node = deployment.start_node(moved_deployment.AFTER)
             await node.moved_queues.learn(lambda: frozenset({2, 3}))
         assert await repeat(node) is moved_deployment.OK
         await asyncio.sleep(2.0)
@@ -63,6 +63,24 @@
         assert not any(w.running for w in deployment.workers.workers.values())
 
 
+@paused_clock.test
+async def test_repeated_submission_of_a_done_job_after_the_loss_of_all_nodes() -> None:
+    """Guards against a second run in another pool, as a done job has no command."""
+    async with moved_deployment.run_deployment() as deployment:
+        deployment.workers.task_s = 0.5
+        spec = helpers.make_spec("b", pool=moved_deployment.OLD)
+        timeout_s = moved_deployment.DEADLINE_S
+        await deployment.first.submit(moved_deployment.OLD, spec, timeout_s)
+        await asyncio.sleep(3.0)
+        assert not deployment.find_command("jb", moved_deployment.OLD)
+        await deployment.replace_owners()
+        node = await deployment.restart_node(moved_deployment.AFTER)
+        assert await submit_b(node) is moved_deployment.OK
+        await asyncio.sleep(3.0)
+        assert find_starts_of_b(deployment) == [0, 1]
+        assert await describe_b(node) is model.JobState.DONE
+
+
 @paused_clock.test
 async def test_outcome_is_unknown_while_the_earlier_pool_cannot_be_asked() -> None:
     """Guards against a second job, and against a refusal of one that runs."""
@@ -79,8 +97,9 @@
         assert len(deployment.workers.starts) == 2
 
 
+@pytest.mark.parametrize("is_restarted", [False, True])
 @paused_clock.test
-async def test_waiting_jobs_of_the_earlier_pool_are_counted() -> None:
+async def test_waiting_jobs_of_the_earlier_pool_are_counted(is_restarted: bool) -> None:
     """Guards against a count without the jobs that were there before the change."""
     async with moved_deployment.run_deployment() as deployment:
         for number in range(3):
@@ -89,7 +108,11 @@
                 moved_deployment.OLD, spec, moved_deployment.DEADLINE_S
             )
         await asyncio.sleep(1.0)
-        node = deployment.start_node(moved_deployment.BEFORE, moved_deployment.AFTER)
+        if is_restarted:
+            node = await deployment.restart_node(moved_deployment.AFTER)
+        else:
+            versions = (moved_deployment.BEFORE, moved_deployment.AFTER)
+            node = deployment.start_node(*versions)
         configuration = node.configuration.current
         assert configuration is not None
         queue = configuration.queues_by_name["q-added"]
--- a/clementinespar/jobs/tests/test_neighbours.py
+++ b/clementinespar/jobs/tests/test_neighbours.py
@@ -238,7 +238,7 @@
         configuration = model.JobConfiguration(
             1, {}, {"quotes": model.Pool("quotes", False)}, 1
         )
-        service_harness.jobs.configuration = FixedConfiguration(configuration)
+        service_harness.jobs.configuration.current = configuration
         reply = await service_harness.jobs.explain_image(name)
         assert reply["state"] == "verdicts: 1"
         assert "bad beside one of registry/shop:1 adds 0." in reply["because"][0]
