Store a cancellation also where another pool may have a job that is held

A job whose command came late to a pool that had released it is held there, and its owner said that it was queued. So a cancellation was stored only there, and was lost if the owner found the job elsewhere and dropped the command before it had read the cancellation (UNASKED). The answer now says that the job is held, and the others are asked as well.

--- a/clementinespar/jobs/job_location.py
+++ b/clementinespar/jobs/job_location.py
@@ -20,6 +20,7 @@
 
     partition: int
     state: model.JobState
+    is_held: bool  # only its command is there, and another partition may have the job
 
 
 class JobLocator:
@@ -140,12 +141,13 @@
         try:
             for partition, reply in replies.items():
                 try:
-                    state = (await reply)["state"]
+                    found = await reply
                 except errors.ClementinesparError as error:
                     failure = error
                     continue
-                if state is not None:
-                    return FoundJob(partition, model.JobState(state))
+                if found["state"] is not None:
+                    state = model.JobState(found["state"])
+                    return FoundJob(partition, state, bool(found.get("is_held")))
         finally:
             for reply in replies.values():
                 reply.cancel()
@@ -176,7 +178,8 @@
         present = {self._partition_map.find(pool)}
         # Without an answer, what the others know decides.
         with contextlib.suppress(errors.ClementinesparError):
-            if await self.find(present, job_id, PRESENT_TIMEOUT_S) is not None:
+            found = await self.find(present, job_id, PRESENT_TIMEOUT_S)
+            if found is not None and not found.is_held:
                 return None
         others = self.other_partitions(pool, former)
         return await self.find(others, job_id, end - loop.time())
--- a/clementinespar/jobs/service.py
+++ b/clementinespar/jobs/service.py
@@ -458,7 +458,8 @@
         query = urllib.parse.parse_qs(parts.query)
         if kind == "jobs":
             job_state = owner.describe(name)
-            return {"state": None if job_state is None else job_state.value}
+            reply = {"state": None if job_state is None else job_state.value}
+            return {**reply, "is_held": owner.released.holds(name)}
         if kind in ("explain", "images"):
             explain = owner.explain if kind == "explain" else owner.explain_image
             explained = explain(name)
--- a/clementinespar/jobs/tests/test_moved_queues.py
+++ b/clementinespar/jobs/tests/test_moved_queues.py
@@ -321,9 +321,12 @@
         client = deployment.find_client(0)
         client.is_silent = True
         assert await submit_b(first) is moved_deployment.OK
+        await asyncio.sleep(0.1)  # until its command is held
         timeout_s = moved_deployment.DEADLINE_S
         code = await first.cancel(moved_deployment.OLD, "b", timeout_s)
         assert code is moved_deployment.OK
+        # The earlier pool may drop the job before it has read the cancellation.
+        assert deployment.find_command("cb", moved_deployment.NEW)
         client.is_silent = False
         await asyncio.sleep(2.0)
         assert find_starts_of_b(deployment) == [0, 1]
