Tests: let the stand-in for an owner hold no released jobs

The answer about a job says whether it is held. The stand-in raised an error for that, which ended the queries of test_callers_learn_the_outcome_early[silent appends, 36 nodes, queries]: 40 unknown outcomes, at most 22 allowed. The bound stays, and the case passes.

--- a/clementinespar/jobs/tests/test_store_outages.py
+++ b/clementinespar/jobs/tests/test_store_outages.py
@@ -71,6 +71,7 @@
     is_lost = False
     is_loaded = True
     waits = types.SimpleNamespace(describe=lambda now: {})
+    released = types.SimpleNamespace(holds=lambda job_id: False)
 
     def __init__(self, store: FaultyStore, partition: int) -> None:
         self._store = store
