Give a worker no work while its entry is of another life than its report

The life comes from the worker's report; the labels, room and state come from its entry, which is read later. Nothing compared them. Now the worker waits until they are of one life, and a start that is decided is given up before it is sent. Whether it drains is also taken from an entry of the reported life only, and an entry of an earlier life ends no session.

Fake workers write an entry of each life now, late if a test asks for it.

--- a/clementinespar/jobs/crash_watch.py
+++ b/clementinespar/jobs/crash_watch.py
@@ -248,4 +248,4 @@
 
 def _is_leaving(session: worker_session.WorkerSession) -> bool:
     """Whether a worker that has ended may have left as planned."""
-    return session.entry.is_draining or session.is_evacuating
+    return session.is_draining or session.is_evacuating
--- a/clementinespar/jobs/passed_over.py
+++ b/clementinespar/jobs/passed_over.py
@@ -12,6 +12,7 @@
     EVACUATED = "evacuated"
     DRAINING = "draining"
     EJECTED = "ejected"
+    RESTARTED = "restarted"  # its entry is of another life than its newest report
     UNRECORDED = "unrecorded"  # the store does not have it as in use yet
     # It cannot take this task.
     ISOLATED = "isolated"  # a suspect task has just started there
--- a/clementinespar/jobs/run_watch.py
+++ b/clementinespar/jobs/run_watch.py
@@ -67,7 +67,7 @@
             if is_stuck and not run.spec.is_filler:
                 session.stop(run, "no progress")
                 session.ejected_until = now + worker_session.EJECT_S
-            elif session.entry.is_draining and run.spec.is_lasting:
+            elif session.is_draining and run.spec.is_lasting:
                 self.move_lasting(run, "its worker is draining")
         placement.pace_fillers(
             session, now, self._neighbours.find_model(session.entry.pool)
@@ -86,7 +86,7 @@
             return
         step = job.find_step(run.key)
         may_miss = step.spec.may_miss
-        if may_miss is not None and not run.session.entry.is_draining:
+        if may_miss is not None and not run.session.is_draining:
             working = self._count_working(run.key)
             # The run itself may have started working since the last report.
             down = len(step.tasks) - working - (run.percent < 100)
@@ -221,6 +221,6 @@
             task=run.key.name_in_job,
             run=run.number,
             worker=run.session.entry.worker_id,
-            is_draining=run.session.entry.is_draining,
+            is_draining=run.session.is_draining,
             reason=reason,
         )
--- a/clementinespar/jobs/session_table.py
+++ b/clementinespar/jobs/session_table.py
@@ -112,8 +112,8 @@
         ends are those of another owner, which may have the same fence.
         """
         session.is_listed = False
-        if entry.born_ms <= session.entry.born_ms:
-            return  # the same life, or an entry of another writer
+        if entry.born_ms <= session.entry.born_ms or entry.born_ms < session.born_ms:
+            return  # the same or an earlier life, or an entry of another writer
         if session.born_ms != entry.born_ms and not session.is_dead:
             session.drop_ended()
         if not session.runs:
--- a/clementinespar/jobs/tests/fakes.py
+++ b/clementinespar/jobs/tests/fakes.py
@@ -8,6 +8,7 @@
 import collections
 import dataclasses
 from collections.abc import Callable, Mapping, Sequence
+from typing import Any
 
 from clementinespar import codes, errors, http_calls
 from clementinespar.jobs import model, services, worker_ends
@@ -198,6 +199,7 @@
         self.start_answer_s = 0.0
         self.host_lists = 0
         self.omitted_hosts = set()
+        self._listeners: list[Callable[[], None]] = []
         self.dropped_starts: dict[str, model.StartOrder] = {}  # the last by worker
         self.acknowledged_done: set[model.TaskKey] = set()
         self.cpu_by_step: dict[tuple[str, int], int] = {}
@@ -209,16 +211,22 @@
 
     def add(self, worker_id: str, pool: str, cpu: int = 4000) -> None:
         entry = model.WorkerEntry(
-            worker_id, pool, "127.0.0.1:1", "a", False, cpu, 32_000, 0, (), "r", 0
+            worker_id, pool, "127.0.0.1:1", "a", False, cpu, 32_000, 0, (), "r", 1
         )
         self.by_id[worker_id] = entry
         self.workers[worker_id] = fake_worker.FakeWorker(entry)
 
     def subscribe(self, listener: Callable[[], None]) -> Callable[[], None]:
-        return lambda: None
+        self._listeners.append(listener)
+        return lambda: self._listeners.remove(listener)
 
     async def refresh(self) -> None:
-        """Do nothing; the entries are always current."""
+        """Do nothing; `by_id` has all entries that are written."""
+
+    def _write(self, entry: model.WorkerEntry) -> None:
+        self.by_id[entry.worker_id] = entry
+        for listener in tuple(self._listeners):
+            listener()
 
     def drain(self, worker_id: str) -> None:
         """Let a worker report that it is draining."""
@@ -287,12 +295,27 @@
     ) -> bool:
         return False
 
-    def crash(self, worker_id: str) -> None:
-        """Restart a worker under its id, without its runs and ends; its clock is 0."""
+    def crash(self, worker_id: str, entry_lag_s: float = 0.0, **changes: Any) -> None:
+        """Restart a worker under its id, without its runs and ends; its clock is 0.
+
+        Parameters
+        ----------
+        entry_lag_s : float, optional
+            Time after which its entry is that of its new life.
+        **changes
+            Fields of `model.WorkerEntry` that differ in its new life.
+        """
         worker = self.workers[worker_id]
+        born_ms = worker.born_ms + 1
+        entry = dataclasses.replace(worker.entry, born_ms=born_ms, **changes)
         self.workers[worker_id] = fake_worker.FakeWorker(
-            worker.entry, worker.born_ms + 1, clock_zero=None
+            entry, born_ms, clock_zero=None
         )
+        if entry_lag_s:
+            loop = asyncio.get_running_loop()
+            loop.call_later(entry_lag_s, self._write, entry)
+        elif worker_id in self.by_id:
+            self._write(entry)
         if self.list_lag_s:
             now = asyncio.get_running_loop().time()
             self.workers[worker_id].listed_from = now + self.list_lag_s
--- a/clementinespar/jobs/tests/test_changed_pools.py
+++ b/clementinespar/jobs/tests/test_changed_pools.py
@@ -1,7 +1,6 @@
 """Tests of workers that start again under their id in a pool of another partition."""
 
 import asyncio
-import dataclasses
 
 import pytest
 
@@ -10,17 +9,6 @@
 from clementinespar.tests import paused_clock
 
 
-def change_pool(workers: fakes.FakeWorkers, worker_id: str, pool: str) -> None:
-    """Restart a worker under its id in another pool."""
-    workers.crash(worker_id)
-    entry = dataclasses.replace(
-        workers.by_id[worker_id],
-        pool=pool,
-        born_ms=workers.workers[worker_id].born_ms,
-    )
-    workers.by_id[worker_id] = workers.workers[worker_id].entry = entry
-
-
 @pytest.mark.parametrize("epochs", [(0, 0), (0, 5)])
 @paused_clock.test
 async def test_owner_of_the_former_pool_leaves_the_worker_alone(
@@ -40,7 +28,7 @@
     async with helpers.run_owner(former) as former_owner:
         async with helpers.run_owner(present) as present_owner:
             await former.wait_state("a", model.JobState.DONE)
-            change_pool(workers, "quotes-0", "orders")
+            workers.crash("quotes-0", pool="orders")
             await asyncio.sleep(2.0)
             for number in range(3):
                 spec = helpers.make_spec(f"b{number}", 1, pool="orders")
--- a/clementinespar/jobs/tests/test_owner_machine.py
+++ b/clementinespar/jobs/tests/test_owner_machine.py
@@ -90,7 +90,8 @@
 
     @stateful.rule(number=strategies.integers(0, WORKERS - 1))
     def crash_worker(self, number: int) -> None:
-        self.harness.workers.crash(f"quotes-{number}")
+        self.loop.call_soon(self.harness.workers.crash, f"quotes-{number}")
+        self.sleep(0.0)
 
     @stateful.rule(number=strategies.integers(0, WORKERS - 1))
     def end_worker(self, number: int) -> None:
--- a/clementinespar/jobs/tests/test_quota_machine.py
+++ b/clementinespar/jobs/tests/test_quota_machine.py
@@ -190,7 +190,8 @@
         elif fault == "lossy":
             worker.loses_answers = not worker.loses_answers
         else:
-            fake.crash(worker_id)
+            self.loop.call_soon(fake.crash, worker_id)
+            self.call(asyncio.sleep(0.0))
 
     @stateful.rule(is_lowered=strategies.booleans())
     def set_caps(self, is_lowered: bool) -> None:
--- a/clementinespar/jobs/worker_orders.py
+++ b/clementinespar/jobs/worker_orders.py
@@ -158,6 +158,9 @@
         if obstacle is not None:
             self._session.abandon(run, obstacle.value)
             return
+        if not self._session.is_entry_current():
+            self._session.abandon(run, "its worker has restarted")
+            return
         grant = self._session.lease.grant()
         assert grant is not None
         order = model.StartOrder(
--- a/clementinespar/jobs/worker_session.py
+++ b/clementinespar/jobs/worker_session.py
@@ -47,7 +47,8 @@
 class WorkerSession:
     """State and connections of one worker for the owner of its pool."""
 
-    entry: model.WorkerEntry
+    entry: model.WorkerEntry  # may be of an earlier or a later life than the reports
+    is_draining: bool  # the life of the newest report is
     fence: int
     lease: worker_lease.WorkerLease
     runs: dict[tuple[model.TaskKey, int], worker_run.Run]
@@ -93,6 +94,7 @@
         use: team_use.TeamUse | None = None,
     ) -> None:
         self.entry = entry
+        self.is_draining = entry.is_draining
         self.fence = fence
         self.lease = worker_lease.WorkerLease(
             entry.worker_id, lease_max_s, previous_lease_end, events
@@ -165,13 +167,22 @@
             return passed_over.Reason.UNLISTED
         if self.is_evacuating:
             return passed_over.Reason.EVACUATED
-        if self.entry.is_draining:
+        if self.is_draining or self.entry.is_draining:
             return passed_over.Reason.DRAINING
         is_unresponsive = now - self.last_contact >= UNRESPONSIVE_AFTER_S
         if not self.has_answered or self.is_silent or self.is_dead or is_unresponsive:
             return passed_over.Reason.SILENT
+        if not self.is_entry_current():
+            return passed_over.Reason.RESTARTED
         return passed_over.Reason.EJECTED if now < self.ejected_until else None
 
+    def is_entry_current(self) -> bool:
+        """Whether the entry is of the life that the newest report is of.
+
+        Pool, labels and capacity are those of one life.
+        """
+        return self.entry.born_ms == self.born_ms
+
     def is_responsive(self) -> bool:
         """Whether the worker has answered recently."""
         now = asyncio.get_running_loop().time()
@@ -195,6 +206,8 @@
         self.free_memory += entry.memory_mb - self.entry.memory_mb
         self.free_gpus += entry.gpus - self.entry.gpus
         self.entry = entry
+        if self.is_entry_current() or not self.born_ms:
+            self.is_draining = entry.is_draining
 
     def fits(self, spec: model.StepSpec) -> bool:
         """Whether the free capacity is enough for one more task of a step."""
@@ -369,6 +382,7 @@
                     "worker_reborn",
                     worker=self.entry.worker_id,
                     former_born_ms=self.born_ms,
+                    entry_born_ms=self.entry.born_ms,
                     open_runs=len(self.runs),
                     **{**self.describe_lease(), "born_ms": report.born_ms},
                 )
@@ -377,6 +391,7 @@
             # A worker that was down when the session opened is new at its first answer.
             self.born_seen_at = now
             self.born_ms = report.born_ms
+            self.is_draining = self.is_entry_current() and self.entry.is_draining
             self.ends.begin_life()
         self.lease.set_clock(report.clock_ms)
         self.alive_at = now
