Soak: move the queue between two pools, and let requests arrive again

The soak had one pool and one configuration, so it could not show that nodes which restart lose track of jobs in earlier pools. Lasting jobs that run although their cancellation was acknowledged are problems now, also without moves.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 BENCH_STAMP := $(VENV)/.bench-installed
 SOURCES := $(shell find clementinespar -name '*.py' -not -path '*/tests/*')
 
-.PHONY: setup test lint types check demo soak soak-many soak-regressions bench bench-capacity binary proto clean
+.PHONY: setup test lint types check demo soak soak-moves soak-many soak-regressions bench bench-capacity binary proto clean
 
 setup: $(STAMP)
 
@@ -49,6 +49,10 @@
 soak: $(STAMP)
 	PYTHONPATH=.:platform $(BIN)/python -m soak $(if $(SEED),--seed $(SEED))
 
+# As above, while the queue moves between two pools and its requests arrive again.
+soak-moves: $(STAMP)
+	PYTHONPATH=.:platform $(BIN)/python -m soak --moves $(if $(SEED),--seed $(SEED))
+
 soak-many: $(STAMP)
 	PYTHONPATH=.:platform $(BIN)/python -m soak --seeds 50
 
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -14,45 +14,39 @@
 from clementinespar import background
 from clementinespar.tests import known_failures
 from clementinespar_adapter import standin
-from soak import callers, faults, fleet, splits, standstill
+from soak import callers, faults, fleet, moves, splits, standstill
 
 SETTLE_TIMEOUT_S = 45.0  # for accepted jobs to end after the last fault, and a calm
 TIMEOUT_MARGIN_S = 90.0  # for a seed to end after its fault injection
 POOLS = {"work": 4}
+MOVE_POOLS = {"work": 4, "side": 4}  # between which the queue moves
 FINAL_STATES = ("done", "failed", "cancelled")
 MIN_DEATHS = 2  # of workers under one task of a job before the job may fail
 REGRESSION_SEEDS = pathlib.Path(__file__).with_name("regression_seeds.txt")
-CONFIGURATION = {
-    "version": 1,
-    "routes": [
-        {
-            "name": "q",
-            "host": "127.0.0.1",
-            "pathPrefix": "/q/",
-            "service": "work",
-            "maxAttempts": 3,
-            "targetDurationMs": 600,
-            "stretch": 1.6,
-        }
-    ],
-    "services": [{"name": "work"}],
-    "limits": {"maxBodyBytes": 262144},
-}
-
-
-async def run_seed(seed: int, seconds: float, node_count: int) -> list[str]:
+
+
+async def run_seed(
+    seed: int, seconds: float, node_count: int, has_moves: bool
+) -> list[str]:
     """Run one seed; return the problems found."""
+    pools = MOVE_POOLS if has_moves else POOLS
     rng = random.Random(seed)
     platform = standin.Platform()
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    platform.put("keyed.op", "config", CONFIGURATION)
+    platform.put("keyed.op", "config", moves.make_configuration(1, list(pools)))
     async with (
-        standin.serve(platform, POOLS) as store,
+        standin.serve(platform, pools) as store,
         fleet.run_nodes(node_count, folder, store, platform) as nodes,
         contextlib.AsyncExitStack() as stack,
     ):
         await wait_ready(nodes)
-        load = callers.Callers(platform, nodes, random.Random(seed + 1))
+        load = callers.Callers(
+            platform,
+            nodes,
+            random.Random(seed + 1),
+            random.Random(seed + 4) if has_moves else None,
+        )
+        mover = moves.QueueMover(platform, nodes, list(pools), random.Random(seed + 5))
         stack.push_async_callback(load.close)
         injector = faults.Injector(platform, nodes, rng)
         splitter = splits.Splitter(
@@ -69,9 +63,15 @@
                 group.create_task(load.run(seconds))
                 group.create_task(injector.run(seconds, lambda: splitter.is_quiet))
                 group.create_task(splitter.run(seconds))
+                if has_moves:
+                    group.create_task(mover.run(seconds))
             injector.end_faults()
             problems = await settle(platform, load, watch)
     problems = platform.violations + problems
+    problems += [
+        f"{job_id} lasts and runs although its cancellation was acknowledged"
+        for job_id in sorted(load.cancelled & platform.find_running_jobs())
+    ]
     if not load.accepted:
         problems.append("no job was accepted")
     problems += [
@@ -80,6 +80,7 @@
     ]
     click.echo(
         f"seed {seed}: {injector.count} faults, {splitter.count} splits,"
+        f" {mover.count} moves of the queue,"
         f" {len(load.accepted)} jobs accepted,"
         f" {len(load.refused)} refused, {len(load.failed)} failed,"
         f" {platform.starts} starts,"
@@ -190,8 +191,16 @@
     "--seconds", default=15.0, show_default=True, help="Duration of fault injection."
 )
 @click.option("--nodes", default=4, show_default=True, help="Number of nodes.")
+@click.option(
+    "--moves", "has_moves", is_flag=True, help="Move the queue; repeat its requests."
+)
 def main(
-    seed: int | None, seeds: int, regressions: bool, seconds: float, nodes: int
+    seed: int | None,
+    seeds: int,
+    regressions: bool,
+    seconds: float,
+    nodes: int,
+    has_moves: bool,
 ) -> None:
     """Run seeds and fail if a guarantee of the product was violated.
 
@@ -209,7 +218,8 @@
         try:
             problems = asyncio.run(
                 asyncio.wait_for(
-                    run_seed(number, seconds, nodes), seconds + TIMEOUT_MARGIN_S
+                    run_seed(number, seconds, nodes, has_moves),
+                    seconds + TIMEOUT_MARGIN_S,
                 )
             )
         except TimeoutError:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -4,13 +4,15 @@
 import json
 import random
 
-from clementinespar import errors, http_calls
+from clementinespar import background, errors, http_calls
 from clementinespar_adapter import standin
 from soak import fleet
 
 SUBMIT_INTERVAL_S = 0.06
 CALL_TIMEOUT_S = 3.0
 SUBMIT_TIMEOUT_S = 12.0  # after which a caller stops repeating a submission
+REPEAT_SHARE = 0.4  # of the accepted jobs, where their requests arrive again
+REPEAT_RANGE_S = (0.5, 8.0)  # after the answer
 CANCEL_SHARE = 0.1
 LASTING_SHARE = 0.05
 KEPT_SHARE = 0.4  # of the lasting jobs; they are not cancelled
@@ -34,9 +36,15 @@
     kept: set[str]  # accepted lasting jobs that are not cancelled
     not_stored: set[str]  # no attempt so far can have stored the job
     wrong_states: list[str]
+    _repeat_rng: random.Random | None  # None: accepted jobs are not submitted again
+    _repeats: background.Tasks
 
     def __init__(
-        self, platform: standin.Platform, nodes: list[fleet.Node], rng: random.Random
+        self,
+        platform: standin.Platform,
+        nodes: list[fleet.Node],
+        rng: random.Random,
+        repeat_rng: random.Random | None = None,
     ) -> None:
         self.accepted = set()
         self.refused = set()
@@ -48,10 +56,13 @@
         self._platform = platform
         self._nodes = nodes
         self._rng = rng
+        self._repeat_rng = repeat_rng
+        self._repeats = background.Tasks()
         self._http_client = http_calls.HttpClient()
 
     async def close(self) -> None:
         """Close all connections."""
+        await self._repeats.end()
         await self._http_client.close()
 
     async def run(self, seconds: float) -> None:
@@ -175,6 +186,9 @@
             if status == 200:
                 self.accepted.add(job_id)
                 self.not_stored.discard(job_id)
+                if self._repeat_rng and self._repeat_rng.random() < REPEAT_SHARE:
+                    delay_s = self._repeat_rng.uniform(*REPEAT_RANGE_S)
+                    self._repeats.start(self._repeat(job_id, body, delay_s))
                 break
             if status in (429, 503) and job_id in self.not_stored:
                 # Does not count after an unanswered attempt, which may have stored it.
@@ -186,6 +200,12 @@
                 self.not_stored.discard(job_id)
         return True
 
+    async def _repeat(self, job_id: str, body: bytes, delay_s: float) -> None:
+        """Let the request of an accepted job arrive again."""
+        await asyncio.sleep(delay_s)
+        node = self._rng.choice(self._nodes)
+        await self.call_for_status(node, "POST", f"/q/{job_id}", body)
+
     async def _cancel(self, job_id: str) -> None:
         for _ in range(20):
             node = self._rng.choice(self._nodes)
