--- a/clementinespar/jobs/tests/test_moved_queues.py
+++ b/clementinespar/jobs/tests/test_moved_queues.py
@@ -69,30 +69,28 @@
         assert not any(w.running for w in deployment.workers.workers.values())
 
 
+@pytest.mark.parametrize(
+    ("ownerless", "expected"),
+    [
+        (moved_deployment.NEW, moved_deployment.OK),
+        (moved_deployment.OLD, codes.ResultCode.STORE_UNANSWERED),
+    ],
+)
 @paused_clock.test
-async def test_cancellation_reaches_the_earlier_pool_beside_an_ownerless_one() -> None:
-    """Guards against an acknowledged cancellation whose job nobody was asked for."""
-    async with moved_deployment.run_deployment(is_split=True) as deployment:
-        await deployment.drop_owner(moved_deployment.NEW)
-        for node in (
-            deployment.start_node(moved_deployment.AFTER),
-            await deployment.restart_node(moved_deployment.AFTER),
-        ):
-            assert await cancel(node) is moved_deployment.OK
-            await asyncio.sleep(1.0)
-            assert not any(w.running for w in deployment.workers.workers.values())
-
-
-@paused_clock.test
-async def test_cancellation_is_not_acknowledged_by_an_ownerless_pool() -> None:
+async def test_cancellation_beside_a_pool_without_an_owner(
+    ownerless: str, expected: codes.ResultCode
+) -> None:
     """Guards against a failed question that is taken for the answer "not here"."""
     async with moved_deployment.run_deployment(is_split=True) as deployment:
-        await deployment.drop_owner(moved_deployment.OLD)
+        await deployment.drop_owner(ownerless)
         for node in (
             deployment.start_node(moved_deployment.AFTER),
             await deployment.restart_node(moved_deployment.AFTER),
         ):
-            assert await cancel(node) is codes.ResultCode.STORE_UNANSWERED
+            assert await cancel(node) is expected
+            await asyncio.sleep(1.0)
+            is_running = any(w.running for w in deployment.workers.workers.values())
+            assert is_running is (expected is not moved_deployment.OK)
 
 
 @paused_clock.test
