Refuse bodies over the limit before they are whole

Callers could end a node with a few bodies far over the limit, announced or only sent: the size was checked once the whole body was in memory, and the server took up to 100 MB of each.

The server for callers now counts what each connection sends and refuses a body (413) as soon as its announced or received size is over the limit of the configuration. The answer is written at once, and the rest of the body is discarded for up to 3 s, at 8 MB/s for all refused bodies together, since a connection that is closed with unread bytes is reset before the caller has read the answer. The limit applies as of the newest version of the configuration, also on open connections. Refusals, connections and held bytes are metrics; a line `callers_refused` a second at most has the counts.

--- a/clementinespar/jobs/model.py
+++ b/clementinespar/jobs/model.py
@@ -4,6 +4,7 @@
 import enum
 from collections.abc import Iterable, Mapping
 
+from clementinespar import intake
 from clementinespar.jobs import teams
 
 
@@ -127,6 +128,10 @@
     # Names and pools in the record of queues, also of those that are not in force.
     recorded_queues: frozenset[tuple[str, str]] = frozenset()
 
+    def caller_limits(self) -> intake.CallerLimits:
+        """Return the limits of each connection of a caller."""
+        return intake.CallerLimits(self.max_body_bytes)
+
     def pools_with_jobs(self) -> frozenset[str]:
         """Return the pools in force, and the earlier ones, where jobs may still be."""
         return self.earlier_pools | self.pools_by_name.keys()
--- a/clementinespar/jobs/telemetry.py
+++ b/clementinespar/jobs/telemetry.py
@@ -4,6 +4,7 @@
 import os
 import time
 import traceback
+from collections.abc import Mapping
 
 import prometheus_client
 
@@ -78,6 +79,9 @@
     _over_rate: prometheus_client.Counter
     _contended_rounds: prometheus_client.Counter
     _answers: prometheus_client.Counter
+    _caller_refusals: prometheus_client.Counter
+    _caller_connections: prometheus_client.Gauge
+    _caller_held_bytes: prometheus_client.Gauge
     _job_seconds: prometheus_client.Histogram
     _answer_seconds: prometheus_client.Histogram
     _takeover_wait_seconds: prometheus_client.Histogram
@@ -171,6 +175,22 @@
             buckets=_JOB_SECONDS,
             registry=self.registry,
         )
+        self._caller_refusals = prometheus_client.Counter(
+            "clementinespar_caller_refusals",
+            "Connections and unfinished requests that were ended, by reason.",
+            ["reason"],
+            registry=self.registry,
+        )
+        self._caller_connections = prometheus_client.Gauge(
+            "clementinespar_caller_connections",
+            "Open connections of callers.",
+            registry=self.registry,
+        )
+        self._caller_held_bytes = prometheus_client.Gauge(
+            "clementinespar_caller_held_bytes",
+            "Bytes held for requests that are not answered.",
+            registry=self.registry,
+        )
         self._answer_seconds = prometheus_client.Histogram(
             "clementinespar_job_answer_seconds",
             "Time to answer a caller.",
@@ -286,6 +306,15 @@
         self._answers.labels(call, str(status)).inc()
         self._answer_seconds.labels(call).observe(seconds)
 
+    def observe_callers(
+        self, connections: int, held_bytes: int, refusals: Mapping[str, int]
+    ) -> None:
+        """Set what is held for callers; `refusals` are those since the last call."""
+        self._caller_connections.set(connections)
+        self._caller_held_bytes.set(held_bytes)
+        for reason, count in refusals.items():
+            self._caller_refusals.labels(reason).inc(count)
+
     def render(self) -> bytes:
         """Return all metrics in the text format of Prometheus."""
         return prometheus_client.generate_latest(self.registry)
--- /dev/null
+++ b/clementinespar/tests/test_http_intake.py
@@ -0,0 +1,121 @@
+"""Tests of refusals of messages that are not whole, over HTTP."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+import pytest
+import tornado.httputil
+import tornado.netutil
+
+from clementinespar import http_intake, http_servers, intake
+
+MAX_BODY_BYTES = 50_000
+HEAD = "POST / HTTP/1.1\r\nHost: x\r\n"
+
+
+class Policy:
+    """`http_intake.Policy` whose refusals name the reason."""
+
+    def caller_limits(self) -> intake.CallerLimits:
+        return intake.CallerLimits(max_body_bytes=MAX_BODY_BYTES)
+
+    def make_refusal(
+        self, reason: intake.Reason, headers: tornado.httputil.HTTPHeaders
+    ) -> http_intake.Refusal:
+        return http_intake.Refusal(503, reason.value.encode(), {"Retry-After": "1"})
+
+    def report(self, state: intake.Intake) -> None:
+        pass
+
+
+class Handler(http_servers.Handler):
+    """Answers with the size of the body."""
+
+    def post(self) -> None:
+        self.finish(str(len(self.request.body)))
+
+
+@contextlib.asynccontextmanager
+async def run_server() -> AsyncIterator[tuple[http_intake.Server, int]]:
+    """Yield a server and its port."""
+    sockets = tornado.netutil.bind_sockets(0, "127.0.0.1")
+    application = http_servers.Application([("/", Handler)])
+    async with (
+        asyncio.timeout(20),
+        http_intake.serving(application, Policy(), sockets) as server,
+    ):
+        yield server, sockets[0].getsockname()[1]
+
+
+class Client:
+    """A connection of a caller."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.reader = reader
+        self.writer = writer
+
+    async def read_answer(self) -> tuple[str, bytes]:
+        """Return the status line and the body of an answer."""
+        head = (await self.reader.readuntil(b"\r\n\r\n")).decode()
+        headers = tornado.httputil.HTTPHeaders.parse(head.split("\r\n", 1)[1])
+        body = await self.reader.readexactly(int(headers["Content-Length"]))
+        return head.split("\r\n")[0], body
+
+
+@contextlib.asynccontextmanager
+async def connect(port: int, sent: str) -> AsyncIterator[Client]:
+    """Yield a connection on which something was sent."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    try:
+        writer.write(sent.encode())
+        yield Client(reader, writer)
+    finally:
+        writer.close()
+        with contextlib.suppress(ConnectionError):
+            await writer.wait_closed()
+
+
+def make_post(size: int, sent: int | None = None) -> str:
+    """Return a request, or its beginning."""
+    body = "x" * (size if sent is None else sent)
+    return f"{HEAD}Content-Length: {size}\r\n\r\n{body}"
+
+
+@pytest.mark.parametrize("is_chunked", [False, True])
+def test_sender_of_an_oversized_body_can_read_the_refusal(is_chunked: bool) -> None:
+    """Guards against a reset while the caller still sends, which hides the answer."""
+
+    async def main() -> None:
+        async with run_server() as (server, port):
+            size = 2_000_000
+            request = make_post(size)
+            if is_chunked:
+                body = "x" * size
+                request = f"{HEAD}Transfer-Encoding: chunked\r\n\r\n{size:x}\r\n{body}"
+                request += "\r\n0\r\n\r\n"
+            async with connect(port, request) as client:
+                await client.writer.drain()
+                status, reason = await client.read_answer()
+                assert status == "HTTP/1.1 503 Service Unavailable"
+                assert reason == intake.Reason.BODY_TOO_LARGE.value.encode()
+                assert await client.reader.read() == b""
+            assert server.state.held_bytes == 0
+
+    asyncio.run(main())
+
+
+def test_announced_body_is_refused_before_it_is_sent() -> None:
+    """Guards against a caller that waits for the leave to send and gets no answer."""
+
+    async def main() -> None:
+        async with run_server() as (_, port):
+            request = f"{HEAD}Expect: 100-continue\r\nContent-Length: 9999999\r\n\r\n"
+            async with connect(port, request) as client:
+                status, _ = await client.read_answer()
+                assert status == "HTTP/1.1 503 Service Unavailable"
+                assert await client.reader.read() == b""
+
+    asyncio.run(main())
