Bound what a node holds for requests that are not whole

A crowd of legal requests that stop short of their end could end a node: nothing limited the sum of their bodies and header blocks, and a parsed header field takes far more memory than its bytes.

An eighth of the memory of the machine (new setting memory_mb, 200 by default) is for requests that are not answered yet. Above that, those lose that have cost most, which is bytes held times the time for which they were held: a small request that arrives whole has cost next to nothing, and a whole request is never chosen. The caller gets 503 with Retry-After and code 651; nothing of its job was stored. Where most of what is held are header fields, which a refusal does not free, the connection is closed as well, and a block of more than a hundredth of the share is itself refused while memory is short.

--- a/clementinespar/codes.py
+++ b/clementinespar/codes.py
@@ -103,3 +103,4 @@
     WORKER_REFUSED = 630
     WORKER_SILENT = 631
     HOST_ACTION_REFUSED = 640
+    CALLERS_OVER_LIMIT = 651
--- a/clementinespar/http_intake.py
+++ b/clementinespar/http_intake.py
@@ -113,6 +113,10 @@
         fields = sum(1 for _ in headers.get_all())
         self._server.state.begin_body(self._stream.connection, fields)
         started = self._inner.headers_received(start_line, headers)
+        if self._server.state.is_head_too_large(self._stream.connection):
+            self.refuse(intake.Reason.MEMORY)
+            self._stream.close()
+            return started
         declared = headers.get("Content-Length", "")
         if declared.isdigit() and int(declared) > self._max_body_bytes():
             self.refuse(intake.Reason.BODY_TOO_LARGE)
@@ -170,17 +174,20 @@
     state: intake.Intake
     policy: Policy
     _stream_by_connection: dict[intake.Connection, _MeteredStream]
+    _is_relieving: bool
 
     def initialize(  # type: ignore[override]
         self,
         application: http_servers.Application,
+        limits: intake.Limits,
         policy: Policy,
     ) -> None:
         """Set the server up, as tornado's constructor does."""
         super().initialize(application, chunk_size=READ_BYTES, max_body_size=_UNLIMITED)
-        self.state = intake.Intake()
+        self.state = intake.Intake(limits)
         self.policy = policy
         self._stream_by_connection = {}
+        self._is_relieving = False
 
     def now(self) -> float:
         """Return the time of the event loop, in seconds."""
@@ -221,6 +228,17 @@
 
     def _count_read(self, stream: _MeteredStream, size: int) -> None:
         self.state.receive(stream.connection, size, self.now())
+        if self.state.is_over_memory() and not self._is_relieving:
+            # Not at once: the stream that reads may be one of those that are closed.
+            self._is_relieving = True
+            asyncio.get_running_loop().call_soon(self._relieve)
+
+    def _relieve(self) -> None:
+        self._is_relieving = False
+        if self.state.is_over_memory():
+            for connection in self.state.choose_messages(self.now()):
+                closes = not connection.frees_when_refused
+                self._end(connection, intake.Reason.MEMORY, closes)
 
     def _end(
         self, connection: intake.Connection, reason: intake.Reason, closes: bool
@@ -244,11 +262,12 @@
 @contextlib.asynccontextmanager
 async def serving(
     application: http_servers.Application,
+    limits: intake.Limits,
     policy: Policy,
     sockets: list[socket.socket],
 ) -> AsyncIterator[Server]:
     """Serve within limits while the context is entered; on exit, end connections."""
-    server = Server(application, policy=policy)
+    server = Server(application, limits=limits, policy=policy)
 
     async def sweep() -> None:
         while True:
--- a/clementinespar/intake.py
+++ b/clementinespar/intake.py
@@ -1,12 +1,25 @@
-"""Counts the unanswered bytes that a node holds for callers."""
+"""Decides how many unanswered bytes of callers a node holds.
+
+A caller may send header blocks and bodies, and never finish any of them. Under
+pressure, those lose that have cost most: bytes held times the time for which they were
+held. A small request that arrives whole has cost next to nothing.
+"""
 
 import collections
 import dataclasses
 import enum
+from collections.abc import Iterable
 
 FIELD_BYTES = 256  # of a parsed header field, beside its text
 LINGER_S = 3.0  # a refused body is discarded for so long, so that its sender reads why
 
+_MESSAGES_SHARE = 0.125  # of the memory, for messages that are not answered yet
+# Under pressure, a header block that takes more of that share is refused before the
+# others: it is freed at once, theirs only when their tasks have ended.
+_LARGE_HEAD_SHARE = 0.01
+# Each choice frees this share of the limit, so that choices are rare beside a crowd.
+_RELIEF_SHARE = 0.1
+
 
 class Phase(enum.Enum):
     """What a connection is doing."""
@@ -22,9 +35,17 @@
     """Why a connection or its message is refused; label of the counter."""
 
     BODY_TOO_LARGE = "body_too_large"
+    MEMORY = "memory"
     LINGERING = "lingering"  # a refused body that goes on
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """Limits of all connections of a listener together."""
+
+    held_bytes: int  # of messages that are not answered yet
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerLimits:
     """Limits of each connection."""
@@ -47,16 +68,32 @@
         """Return the bytes held for the message."""
         return self.head_bytes + self.body_bytes
 
+    @property
+    def frees_when_refused(self) -> bool:
+        """Whether a refusal frees most of the message while the connection is open."""
+        return self.body_bytes > self.head_bytes
+
+    def cost(self, now: float) -> float:
+        """Return the bytes held times the seconds for which they were."""
+        return self.held_bytes * (now - self.began_at)
+
+
+def derive_limits(memory_bytes: float) -> Limits:
+    """Return the limits of callers on a machine."""
+    return Limits(held_bytes=int(memory_bytes * _MESSAGES_SHARE))
+
 
 class Intake:
     """The connections of a listener, and what is held for them."""
 
+    limits: Limits
     connections: set[Connection]
     held_bytes: int
     count_by_phase: collections.Counter[Phase]
     count_by_reason: collections.Counter[Reason]
 
-    def __init__(self) -> None:
+    def __init__(self, limits: Limits) -> None:
+        self.limits = limits
         self.connections = set()
         self.held_bytes = 0
         self.count_by_phase = collections.Counter()
@@ -111,6 +148,33 @@
         connection.body_bytes = 0
         self._enter(connection, Phase.REFUSED, now)
 
+    def is_over_memory(self) -> bool:
+        """Whether the messages hold too many bytes."""
+        return self.held_bytes > self.limits.held_bytes
+
+    def is_head_too_large(self, connection: Connection) -> bool:
+        """Whether a whole header block is refused because there is no memory for it."""
+        large = self.limits.held_bytes * _LARGE_HEAD_SHARE
+        return self.is_over_memory() and connection.head_bytes > large
+
+    def choose_messages(self, now: float) -> list[Connection]:
+        """Return the incomplete messages that lose, so that memory is free again.
+
+        What is left of refused messages comes first.
+        """
+        excess = self.held_bytes - self.limits.held_bytes * (1 - _RELIEF_SHARE)
+        incomplete = (Phase.HEADERS, Phase.BODY, Phase.REFUSED)
+        chosen = []
+        for connection in sorted(
+            _by_cost((c for c in self.connections if c.phase in incomplete), now),
+            key=lambda c: c.phase is not Phase.REFUSED,
+        ):
+            if excess <= 0:
+                break
+            chosen.append(connection)
+            excess -= connection.held_bytes
+        return chosen
+
     def find_overdue(self, now: float) -> list[tuple[Connection, Reason]]:
         """Return the connections that have used up the time of their phase."""
         found = []
@@ -130,3 +194,7 @@
     def _release(self, connection: Connection) -> None:
         self.held_bytes -= connection.held_bytes
         connection.head_bytes = connection.body_bytes = 0
+
+
+def _by_cost(connections: Iterable[Connection], now: float) -> list[Connection]:
+    return sorted(connections, key=lambda c: c.cost(now), reverse=True)
--- a/clementinespar/jobs/options.py
+++ b/clementinespar/jobs/options.py
@@ -8,7 +8,7 @@
 import pydantic
 import pydantic.dataclasses
 
-from clementinespar import codes, errors, options
+from clementinespar import codes, errors, intake, options
 
 Milliseconds = Annotated[float, pydantic.Field(gt=0, le=86_400_000)]
 
@@ -28,12 +28,18 @@
     stop_limit_s: options.Seconds = 6.0  # time from SIGTERM to the kill
     cpu_share: float = pydantic.Field(default=1.0, gt=0)  # of one core of this machine
     cores: float = pydantic.Field(default=1.0, gt=0)  # relative speed of that core
+    # Limit of the process; the limits of callers follow from it.
+    memory_mb: float = pydantic.Field(default=200.0, ge=100)
 
     @property
     def core_millis(self) -> int:
         """Return the size of this machine, in thousandths of a core."""
         return int(self.cpu_share * self.cores * 1000)
 
+    def derive_caller_limits(self) -> intake.Limits:
+        """Return the limits of all callers together."""
+        return intake.derive_limits(self.memory_mb * 1e6)
+
 
 @pydantic.dataclasses.dataclass(frozen=True, slots=True, config=_CONFIG)
 class StoreSection:
--- a/clementinespar/tests/test_http_intake.py
+++ b/clementinespar/tests/test_http_intake.py
@@ -37,13 +37,16 @@
 
 
 @contextlib.asynccontextmanager
-async def run_server() -> AsyncIterator[tuple[http_intake.Server, int]]:
+async def run_server(
+    held_bytes: int = 1_000_000,
+) -> AsyncIterator[tuple[http_intake.Server, int]]:
     """Yield a server and its port."""
     sockets = tornado.netutil.bind_sockets(0, "127.0.0.1")
+    limits = intake.Limits(held_bytes)
     application = http_servers.Application([("/", Handler)])
     async with (
         asyncio.timeout(20),
-        http_intake.serving(application, Policy(), sockets) as server,
+        http_intake.serving(application, limits, Policy(), sockets) as server,
     ):
         yield server, sockets[0].getsockname()[1]
 
@@ -119,3 +122,23 @@
                 assert await client.reader.read() == b""
 
     asyncio.run(main())
+
+
+def test_stopped_bodies_make_way_for_a_small_one() -> None:
+    """Guards against a crowd of stopped bodies that keeps ordinary callers out."""
+
+    async def main() -> None:
+        async with run_server(held_bytes=100_000) as (_, port):
+            stopped = make_post(MAX_BODY_BYTES, MAX_BODY_BYTES - 1)
+            async with contextlib.AsyncExitStack() as stack:
+                crowd = [
+                    await stack.enter_async_context(connect(port, stopped))
+                    for _ in range(4)
+                ]
+                async with connect(port, make_post(500)) as client:
+                    assert (await client.read_answer())[1] == b"500"
+                status, body = await crowd[0].read_answer()
+                assert status == "HTTP/1.1 503 Service Unavailable"
+                assert body == intake.Reason.MEMORY.value.encode()
+
+    asyncio.run(main())
--- a/clementinespar/tests/test_intake.py
+++ b/clementinespar/tests/test_intake.py
@@ -1,7 +1,12 @@
-"""Tests of the count of what is held for callers."""
+"""Tests of the choice of connections and messages that lose under pressure."""
+
+import pytest
 
 from clementinespar import intake
 
+LIMITS = intake.Limits(held_bytes=100_000)
+CALLER_LIMITS = intake.CallerLimits()
+
 
 def open_body(state: intake.Intake, size: int, now: float) -> intake.Connection:
     """Return a connection on which part of a body has arrived."""
@@ -12,12 +17,28 @@
     return connection
 
 
+def test_message_that_cost_most_loses() -> None:
+    """Guards against a crowd that holds everything and keeps small requests out."""
+    state = intake.Intake(LIMITS)
+    stopped = open_body(state, 50_000, 0.0)
+    slow = open_body(state, 50_000, 8.0)
+    small = open_body(state, 500, 10.0)
+    assert state.is_over_memory()
+    assert state.choose_messages(10.0) == [stopped]
+    state.refuse(stopped, intake.Reason.MEMORY, 10.0)
+    assert not state.is_over_memory()
+    state.begin_answer(slow, 10.0)
+    open_body(state, 60_000, 10.0)
+    assert slow not in state.choose_messages(20.0)
+    assert small in state.connections
+
+
 def test_nothing_is_held_after_all_have_left() -> None:
     """Guards against a sum that drifts until every caller is refused."""
-    state = intake.Intake()
+    state = intake.Intake(LIMITS)
     left, refused, whole = (open_body(state, 1_000, 0.0) for _ in range(3))
     state.close(left)
-    state.refuse(refused, intake.Reason.BODY_TOO_LARGE, 1.0)
+    state.refuse(refused, intake.Reason.MEMORY, 1.0)
     state.receive(refused, 5_000, 2.0)
     state.begin_answer(whole, 1.0)
     state.receive(whole, 5_000, 2.0)
@@ -25,3 +46,11 @@
     state.close(refused)
     assert state.held_bytes == 0
     assert +state.count_by_phase == {intake.Phase.WAITING: 1}
+
+
+@pytest.mark.parametrize("memory_mb", [200, 300, 552])
+def test_limits_fit_the_machine(memory_mb: int) -> None:
+    """Guards against callers that may hold more than half of a machine."""
+    limits = intake.derive_limits(memory_mb * 1e6)
+    assert limits.held_bytes < memory_mb * 1e6 / 2
+    assert limits.held_bytes > 10 * CALLER_LIMITS.max_body_bytes
