Bound the connections of callers and the time that each may take

Connections that send nothing could take all descriptors of a node: then it could neither accept callers nor call the store, and no ordinary request was answered until idle connections were closed after 60 s. Of the four limits for clients in the operators' configuration only that of bodies was read.

Callers have a quarter of the memory at 64 KiB a connection, and at most half of the descriptors that are not reserved (new setting max_descriptors; a lower limit of the process counts). Above that, connections with a refused request are closed first, then those without an answer so far, and of these the ones that have cost most.

--- a/clementinespar/http_intake.py
+++ b/clementinespar/http_intake.py
@@ -23,7 +23,7 @@
 SWEEP_S = 1.0
 # Refused bodies are discarded at 8 MB/s in all, so that they leave the event loop time.
 _DISCARD_PAUSE_S = 0.002
-_MAX_BUFFER_BYTES = 1024 * 1024
+_MAX_BUFFER_BYTES = 1024 * 1024  # the larger limit is that of header blocks
 _UNLIMITED = 2**62  # tornado closes above its own limit without an answer that is read
 
 
@@ -196,7 +196,14 @@
     def handle_stream(
         self, stream: tornado.iostream.IOStream, address: tuple[Any, ...]
     ) -> None:
-        """Serve a new connection."""
+        """Serve a new connection; if there are too many, others are closed first."""
+        if self.state.is_full():
+            for chosen in self.state.choose_connections(self.now()):
+                self._end(chosen, intake.Reason.CONNECTIONS, closes=True)
+        if self.state.is_full():
+            self.state.count_by_reason[intake.Reason.CONNECTIONS] += 1
+            stream.close()
+            return
         connection = self.state.open(self.now())
         metered = _MeteredStream(stream.socket, connection, self._count_read)
         self._stream_by_connection[connection] = metered
@@ -207,6 +214,7 @@
     ) -> tornado.httputil.HTTPMessageDelegate:
         """Begin a message on a connection, with the limits that are in force now."""
         stream: _MeteredStream = server_conn.stream
+        self.conn_params.max_header_size = self.policy.caller_limits().max_header_bytes
         self.state.begin_message(stream.connection, self.now())
         inner = super().start_request(server_conn, request_conn)
         delegate = _LimitedDelegate(self, stream, request_conn, inner)
@@ -216,14 +224,19 @@
     def on_close(self, server_conn: Any) -> None:
         """Forget a connection whose serving has ended."""
         stream: _MeteredStream = server_conn.stream
+        if stream.connection.phase is intake.Phase.HEADERS and (
+            stream.connection.held_bytes > self.conn_params.max_header_size
+        ):
+            self.state.count_by_reason[intake.Reason.HEADERS_TOO_LARGE] += 1
         stream.delegate = None
         self._forget(stream.connection)
         super().on_close(server_conn)
 
     def sweep(self) -> None:
         """End what is overdue, and report."""
-        for connection, reason in self.state.find_overdue(self.now()):
-            self._end(connection, reason, closes=True)
+        limits = self.policy.caller_limits()
+        for connection, reason in self.state.find_overdue(limits, self.now()):
+            self._end(connection, reason, reason is not intake.Reason.BODY_STOPPED)
         self.policy.report(self.state)
 
     def _count_read(self, stream: _MeteredStream, size: int) -> None:
@@ -267,6 +280,11 @@
     sockets: list[socket.socket],
 ) -> AsyncIterator[Server]:
     """Serve within limits while the context is entered; on exit, end connections."""
+    for sock in sockets:
+        # Accepted sockets inherit it.
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, intake.RECEIVE_BUFFER_BYTES
+        )
     server = Server(application, limits=limits, policy=policy)
 
     async def sweep() -> None:
--- a/clementinespar/intake.py
+++ b/clementinespar/intake.py
@@ -1,8 +1,8 @@
-"""Decides how many unanswered bytes of callers a node holds.
+"""Decides how many connections and unanswered bytes of callers a node holds.
 
-A caller may send header blocks and bodies, and never finish any of them. Under
-pressure, those lose that have cost most: bytes held times the time for which they were
-held. A small request that arrives whole has cost next to nothing.
+A caller may open connections, send header blocks and bodies, and never finish any of
+them. Under pressure, those lose that have cost most: bytes held times the time for
+which they were held. A small request that arrives whole has cost next to nothing.
 """
 
 import collections
@@ -10,10 +10,17 @@
 import enum
 from collections.abc import Iterable
 
+# Most that a connection takes beside its message: objects and one read buffer in the
+# process, and the receive buffer of the kernel.
+RECEIVE_BUFFER_BYTES = 32 * 1024
+CONNECTION_BYTES = 32 * 1024 + RECEIVE_BUFFER_BYTES
 FIELD_BYTES = 256  # of a parsed header field, beside its text
+FILE_DESCRIPTORS = 200  # that the platform reserves for files
 LINGER_S = 3.0  # a refused body is discarded for so long, so that its sender reads why
 
+_CONNECTIONS_SHARE = 0.25  # of the memory, for connections
 _MESSAGES_SHARE = 0.125  # of the memory, for messages that are not answered yet
+_DESCRIPTORS_SHARE = 0.5  # of the descriptors; the rest is for the node's own calls
 # Under pressure, a header block that takes more of that share is refused before the
 # others: it is freed at once, theirs only when their tasks have ended.
 _LARGE_HEAD_SHARE = 0.01
@@ -35,7 +42,12 @@
     """Why a connection or its message is refused; label of the counter."""
 
     BODY_TOO_LARGE = "body_too_large"
+    HEADERS_TOO_LARGE = "headers_too_large"
+    HEADERS_TOO_SLOW = "headers_too_slow"
+    BODY_STOPPED = "body_stopped"  # nothing arrived for the idle time
+    IDLE = "idle"
     MEMORY = "memory"
+    CONNECTIONS = "connections"
     LINGERING = "lingering"  # a refused body that goes on
 
 
@@ -43,6 +55,7 @@
 class Limits:
     """Limits of all connections of a listener together."""
 
+    connections: int
     held_bytes: int  # of messages that are not answered yet
 
 
@@ -50,7 +63,10 @@
 class CallerLimits:
     """Limits of each connection."""
 
+    max_header_bytes: int = 16 * 1024
     max_body_bytes: int = 256 * 1024
+    header_timeout_s: float = 3.0  # from the first byte of a header block to its end
+    idle_timeout_s: float = 15.0  # without a byte, between messages and within a body
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -62,6 +78,7 @@
     phase: Phase = Phase.WAITING
     head_bytes: int = 0  # held until the message has ended, also if it is refused
     body_bytes: int = 0
+    answers: int = 0
 
     @property
     def held_bytes(self) -> int:
@@ -75,12 +92,17 @@
 
     def cost(self, now: float) -> float:
         """Return the bytes held times the seconds for which they were."""
-        return self.held_bytes * (now - self.began_at)
+        return (self.held_bytes + CONNECTION_BYTES) * (now - self.began_at)
 
 
-def derive_limits(memory_bytes: float) -> Limits:
+def derive_limits(memory_bytes: float, max_descriptors: int) -> Limits:
     """Return the limits of callers on a machine."""
-    return Limits(held_bytes=int(memory_bytes * _MESSAGES_SHARE))
+    descriptors = max(0, max_descriptors - FILE_DESCRIPTORS) * _DESCRIPTORS_SHARE
+    by_memory = memory_bytes * _CONNECTIONS_SHARE / CONNECTION_BYTES
+    return Limits(
+        connections=max(1, int(min(by_memory, descriptors))),
+        held_bytes=int(memory_bytes * _MESSAGES_SHARE),
+    )
 
 
 class Intake:
@@ -117,6 +139,8 @@
     def begin_message(self, connection: Connection, now: float) -> None:
         """Wait for the next message."""
         self._release(connection)
+        if connection.phase is Phase.ANSWERING:
+            connection.answers += 1
         self._enter(connection, Phase.WAITING, now)
 
     def receive(self, connection: Connection, size: int, now: float) -> None:
@@ -148,6 +172,10 @@
         connection.body_bytes = 0
         self._enter(connection, Phase.REFUSED, now)
 
+    def is_full(self) -> bool:
+        """Whether another connection is one too many."""
+        return len(self.connections) >= self.limits.connections
+
     def is_over_memory(self) -> bool:
         """Whether the messages hold too many bytes."""
         return self.held_bytes > self.limits.held_bytes
@@ -175,12 +203,35 @@
             excess -= connection.held_bytes
         return chosen
 
-    def find_overdue(self, now: float) -> list[tuple[Connection, Reason]]:
+    def choose_connections(self, now: float) -> list[Connection]:
+        """Return the connections that are closed so that others can be opened.
+
+        Those with a refused message come first, those that were answered before last.
+        A message that is whole is always answered.
+        """
+        count = int(self.limits.connections * _RELIEF_SHARE) + 1
+        open_now = [c for c in self.connections if c.phase is not Phase.ANSWERING]
+        ranked = sorted(
+            _by_cost(open_now, now),
+            key=lambda c: (c.phase is not Phase.REFUSED, c.answers > 0),
+        )
+        return ranked[:count]
+
+    def find_overdue(
+        self, limits: CallerLimits, now: float
+    ) -> list[tuple[Connection, Reason]]:
         """Return the connections that have used up the time of their phase."""
         found = []
         for connection in self.connections:
             since_began = now - connection.began_at
+            since_heard = now - connection.heard_at
             match connection.phase:
+                case Phase.WAITING if since_began > limits.idle_timeout_s:
+                    found.append((connection, Reason.IDLE))
+                case Phase.HEADERS if since_began > limits.header_timeout_s:
+                    found.append((connection, Reason.HEADERS_TOO_SLOW))
+                case Phase.BODY if since_heard > limits.idle_timeout_s:
+                    found.append((connection, Reason.BODY_STOPPED))
                 case Phase.REFUSED if since_began > LINGER_S:
                     found.append((connection, Reason.LINGERING))
         return found
--- a/clementinespar/jobs/model.py
+++ b/clementinespar/jobs/model.py
@@ -127,10 +127,18 @@
     earlier_pools: frozenset[str] = frozenset()  # in `Queue.former` of its queues
     # Names and pools in the record of queues, also of those that are not in force.
     recorded_queues: frozenset[tuple[str, str]] = frozenset()
+    max_header_bytes: int = 16 * 1024
+    header_timeout_ms: int = 3_000
+    idle_timeout_ms: int = 15_000
 
     def caller_limits(self) -> intake.CallerLimits:
         """Return the limits of each connection of a caller."""
-        return intake.CallerLimits(self.max_body_bytes)
+        return intake.CallerLimits(
+            self.max_header_bytes,
+            self.max_body_bytes,
+            self.header_timeout_ms / 1000,
+            self.idle_timeout_ms / 1000,
+        )
 
     def pools_with_jobs(self) -> frozenset[str]:
         """Return the pools in force, and the earlier ones, where jobs may still be."""
--- a/clementinespar/jobs/options.py
+++ b/clementinespar/jobs/options.py
@@ -3,6 +3,7 @@
 import configparser
 import dataclasses
 import pathlib
+import resource
 from typing import Annotated
 
 import pydantic
@@ -28,8 +29,9 @@
     stop_limit_s: options.Seconds = 6.0  # time from SIGTERM to the kill
     cpu_share: float = pydantic.Field(default=1.0, gt=0)  # of one core of this machine
     cores: float = pydantic.Field(default=1.0, gt=0)  # relative speed of that core
-    # Limit of the process; the limits of callers follow from it.
+    # Limits of the process; the limits of callers follow from them.
     memory_mb: float = pydantic.Field(default=200.0, ge=100)
+    max_descriptors: int = pydantic.Field(default=4_100, ge=256)
 
     @property
     def core_millis(self) -> int:
@@ -38,7 +40,12 @@
 
     def derive_caller_limits(self) -> intake.Limits:
         """Return the limits of all callers together."""
-        return intake.derive_limits(self.memory_mb * 1e6)
+        descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if descriptors == resource.RLIM_INFINITY:
+            descriptors = self.max_descriptors
+        return intake.derive_limits(
+            self.memory_mb * 1e6, min(descriptors, self.max_descriptors)
+        )
 
 
 @pydantic.dataclasses.dataclass(frozen=True, slots=True, config=_CONFIG)
--- a/clementinespar/tests/test_http_intake.py
+++ b/clementinespar/tests/test_http_intake.py
@@ -38,11 +38,11 @@
 
 @contextlib.asynccontextmanager
 async def run_server(
-    held_bytes: int = 1_000_000,
+    held_bytes: int = 1_000_000, connections: int = 20
 ) -> AsyncIterator[tuple[http_intake.Server, int]]:
     """Yield a server and its port."""
     sockets = tornado.netutil.bind_sockets(0, "127.0.0.1")
-    limits = intake.Limits(held_bytes)
+    limits = intake.Limits(connections, held_bytes)
     application = http_servers.Application([("/", Handler)])
     async with (
         asyncio.timeout(20),
@@ -142,3 +142,41 @@
                 assert body == intake.Reason.MEMORY.value.encode()
 
     asyncio.run(main())
+
+
+def test_silent_connections_make_way_for_a_caller() -> None:
+    """Guards against silent connections that use up the descriptors."""
+
+    async def main() -> None:
+        async with (
+            run_server(connections=5) as (server, port),
+            contextlib.AsyncExitStack() as stack,
+        ):
+            for _ in range(20):
+                await stack.enter_async_context(connect(port, ""))
+            async with connect(port, make_post(500)) as client:
+                assert (await client.read_answer())[1] == b"500"
+            assert len(server.state.connections) <= 5
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ("sent", "answer"),
+    [("", b""), ("POST / HT", b""), (make_post(100, 9), b"HTTP/1.1 503")],
+)
+def test_connections_that_stop_are_ended(sent: str, answer: bytes) -> None:
+    """Guards against header blocks and bodies that never end."""
+
+    async def main() -> None:
+        async with run_server() as (server, port), connect(port, sent) as client:
+            while not server.state.connections or (
+                sent and not server.state.held_bytes
+            ):
+                await asyncio.sleep(0.01)
+            (connection,) = server.state.connections
+            connection.began_at = connection.heard_at = server.now() - 100
+            server.sweep()
+            assert (await client.reader.read(12)) == answer
+
+    asyncio.run(main())
--- a/clementinespar/tests/test_intake.py
+++ b/clementinespar/tests/test_intake.py
@@ -4,8 +4,8 @@
 
 from clementinespar import intake
 
-LIMITS = intake.Limits(held_bytes=100_000)
-CALLER_LIMITS = intake.CallerLimits()
+LIMITS = intake.Limits(connections=20, held_bytes=100_000)
+CALLER_LIMITS = intake.CallerLimits(header_timeout_s=3.0, idle_timeout_s=15.0)
 
 
 def open_body(state: intake.Intake, size: int, now: float) -> intake.Connection:
@@ -48,9 +48,49 @@
     assert +state.count_by_phase == {intake.Phase.WAITING: 1}
 
 
-@pytest.mark.parametrize("memory_mb", [200, 300, 552])
-def test_limits_fit_the_machine(memory_mb: int) -> None:
+def test_refused_and_unanswered_connections_are_closed_first() -> None:
+    """Guards against callers that lose their connections to a crowd of silent ones."""
+    state = intake.Intake(LIMITS)
+    known = state.open(0.0)
+    state.receive(known, 100, 0.0)
+    state.begin_answer(known, 0.0)
+    state.begin_message(known, 0.0)
+    silent = state.open(5.0)
+    refused = open_body(state, 1_000, 9.0)
+    state.refuse(refused, intake.Reason.BODY_TOO_LARGE, 9.0)
+    assert state.choose_connections(10.0) == [refused, silent, known]
+
+
+@pytest.mark.parametrize(
+    ("phase", "age_s", "reason"),
+    [
+        (intake.Phase.WAITING, 14.0, None),
+        (intake.Phase.WAITING, 16.0, intake.Reason.IDLE),
+        (intake.Phase.HEADERS, 4.0, intake.Reason.HEADERS_TOO_SLOW),
+        (intake.Phase.BODY, 14.0, None),
+        (intake.Phase.BODY, 16.0, intake.Reason.BODY_STOPPED),
+        (intake.Phase.ANSWERING, 1_000.0, None),
+        (intake.Phase.REFUSED, 4.0, intake.Reason.LINGERING),
+    ],
+)
+def test_time_of_each_phase_is_limited(
+    phase: intake.Phase, age_s: float, reason: intake.Reason | None
+) -> None:
+    """Guards against connections that stay for ever without a complete message."""
+    state = intake.Intake(LIMITS)
+    connection = state.open(0.0)
+    connection.phase = phase
+    found = state.find_overdue(CALLER_LIMITS, age_s)
+    assert found == ([] if reason is None else [(connection, reason)])
+
+
+@pytest.mark.parametrize(
+    ("memory_mb", "max_descriptors"), [(200, 4_100), (300, 4_100), (552, 8_192)]
+)
+def test_limits_fit_the_machine(memory_mb: int, max_descriptors: int) -> None:
     """Guards against callers that may hold more than half of a machine."""
-    limits = intake.derive_limits(memory_mb * 1e6)
-    assert limits.held_bytes < memory_mb * 1e6 / 2
+    limits = intake.derive_limits(memory_mb * 1e6, max_descriptors)
+    most = limits.connections * intake.CONNECTION_BYTES + limits.held_bytes
+    assert most < memory_mb * 1e6 / 2
+    assert limits.connections < (max_descriptors - intake.FILE_DESCRIPTORS) / 2
     assert limits.held_bytes > 10 * CALLER_LIMITS.max_body_bytes
