Let others read between the small chunks of a crowd

A crowd of bodies in very small chunks kept renewals, reports and readiness waiting: tornado reads each chunk by itself and goes on for 256 chunks of a connection, so that one turn of the event loop grew with the number of connections.

The first 32 reads of a message, all that an ordinary one needs, do not count.

--- a/clementinespar/http_intake.py
+++ b/clementinespar/http_intake.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import functools
 import http
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
@@ -17,9 +18,10 @@
 import tornado.httputil
 import tornado.iostream
 
-from clementinespar import background, http_servers, intake
+from clementinespar import background, http_servers, intake, read_turns
 
 READ_BYTES = 16 * 1024  # at once from a connection
+FREE_READS = 32  # of each message: all that an ordinary one needs
 SWEEP_S = 1.0
 # Refused bodies are discarded at 8 MB/s in all, so that they leave the event loop time.
 _DISCARD_PAUSE_S = 0.002
@@ -52,17 +54,20 @@
 
 
 class _MeteredStream(tornado.iostream.IOStream):
-    """Stream that reports each read."""
+    """Stream that reports what is read, and lets others read in between."""
 
     connection: intake.Connection
     delegate: "_LimitedDelegate | None"  # of the message that is read
     _on_read: Callable[["_MeteredStream", int], None]
+    _turns: read_turns.ReadTurns
+    _free_reads: int  # left of this message; they do not count toward a turn
 
     def __init__(
         self,
         sock: socket.socket,
         connection: intake.Connection,
         on_read: Callable[["_MeteredStream", int], None],
+        turns: read_turns.ReadTurns,
     ) -> None:
         super().__init__(
             sock, max_buffer_size=_MAX_BUFFER_BYTES, read_chunk_size=READ_BYTES
@@ -70,6 +75,39 @@
         self.connection = connection
         self.delegate = None
         self._on_read = on_read
+        self._turns = turns
+        self._free_reads = FREE_READS
+
+    def begin_message(self, delegate: "_LimitedDelegate") -> None:
+        """Read the next message for a delegate."""
+        self.delegate = delegate
+        self._free_reads = FREE_READS
+
+    def read_until(
+        self, delimiter: bytes, max_bytes: int | None = None
+    ) -> Awaitable[bytes]:
+        """Read as the base class does, maybe in a later turn of the event loop."""
+        return self._read_in_turn(
+            functools.partial(super().read_until, delimiter, max_bytes)
+        )
+
+    def read_bytes(self, num_bytes: int, partial: bool = False) -> Awaitable[bytes]:
+        """Read as the base class does, maybe in a later turn of the event loop."""
+        return self._read_in_turn(
+            functools.partial(super().read_bytes, num_bytes, partial)
+        )
+
+    def _read_in_turn(self, read: Callable[[], Awaitable[bytes]]) -> Awaitable[bytes]:
+        if self._free_reads:
+            self._free_reads -= 1
+            return read()
+        if self._turns.take():
+            return read()
+        return asyncio.create_task(self._read_later(read))
+
+    async def _read_later(self, read: Callable[[], Awaitable[bytes]]) -> bytes:
+        await self._turns.wait()
+        return await read()
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Read as the base class does."""
@@ -174,6 +212,7 @@
     state: intake.Intake
     policy: Policy
     _stream_by_connection: dict[intake.Connection, _MeteredStream]
+    _turns: read_turns.ReadTurns
     _is_relieving: bool
 
     def initialize(  # type: ignore[override]
@@ -187,6 +226,7 @@
         self.state = intake.Intake(limits)
         self.policy = policy
         self._stream_by_connection = {}
+        self._turns = read_turns.ReadTurns()
         self._is_relieving = False
 
     def now(self) -> float:
@@ -205,7 +245,9 @@
             stream.close()
             return
         connection = self.state.open(self.now())
-        metered = _MeteredStream(stream.socket, connection, self._count_read)
+        metered = _MeteredStream(
+            stream.socket, connection, self._count_read, self._turns
+        )
         self._stream_by_connection[connection] = metered
         super().handle_stream(metered, address)
 
@@ -218,7 +260,7 @@
         self.state.begin_message(stream.connection, self.now())
         inner = super().start_request(server_conn, request_conn)
         delegate = _LimitedDelegate(self, stream, request_conn, inner)
-        stream.delegate = delegate
+        stream.begin_message(delegate)
         return delegate
 
     def on_close(self, server_conn: Any) -> None:
--- a/clementinespar/tests/test_http_intake.py
+++ b/clementinespar/tests/test_http_intake.py
@@ -2,15 +2,17 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable
 
 import pytest
 import tornado.httputil
+import tornado.iostream
 import tornado.netutil
 
 from clementinespar import http_intake, http_servers, intake
 
 MAX_BODY_BYTES = 50_000
+MOST_READS = 2_000  # between two turns of any other task
 HEAD = "POST / HTTP/1.1\r\nHost: x\r\n"
 
 
@@ -180,3 +182,46 @@
             assert (await client.reader.read(12)) == answer
 
     asyncio.run(main())
+
+
+def test_small_chunks_leave_the_event_loop_to_others(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against renewals and readiness that wait for a crowd of small chunks."""
+    reads = 0
+    read_until = tornado.iostream.IOStream.read_until
+
+    def count_read(
+        stream: tornado.iostream.IOStream, delimiter: bytes, max_bytes: int | None
+    ) -> Awaitable[bytes]:
+        nonlocal reads
+        reads += 1
+        return read_until(stream, delimiter, max_bytes)
+
+    monkeypatch.setattr(tornado.iostream.IOStream, "read_until", count_read)
+
+    async def main() -> int:
+        nonlocal reads
+        most = 0
+        head = f"{HEAD}Transfer-Encoding: chunked\r\n\r\n"
+        chunks = b"1\r\nx\r\n" * 2_000
+        async with (
+            run_server(connections=60) as (_, port),
+            contextlib.AsyncExitStack() as stack,
+        ):
+            crowd = [
+                await stack.enter_async_context(connect(port, head)) for _ in range(40)
+            ]
+            async with connect(port, head) as client:
+                for other in crowd:
+                    other.writer.write(chunks)
+                client.writer.write(chunks + b"0\r\n\r\n")
+                answer = asyncio.create_task(client.read_answer())
+                while not answer.done():
+                    reads = 0
+                    await asyncio.sleep(0)
+                    most = max(most, reads)
+                assert answer.result()[1] == b"2000"
+        return most
+
+    assert asyncio.run(main()) <= MOST_READS
