Limit the size of a response to 16 MiB

A store, worker, adviser or node whose response does not end could fill the memory of a node until the time limit of the call: nothing limited its size. A larger response now ends its connection and counts as no answer. The largest ones of the platform are pages of the store, 1 MB each.

test_response_over_the_limit_ends_the_call: before, the call returned all of the response.

--- a/clementinespar/http_calls.py
+++ b/clementinespar/http_calls.py
@@ -17,6 +17,7 @@
 CONNECT_TIMEOUT_S = 0.4  # round trips to all addresses take a few milliseconds
 MAX_IDLE_PER_ADDRESS = 8
 MAX_IDLE_S = 10.0  # not reused after that, as the peer may be unresponsive
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024  # body of a response; the store sends 1 MB a page
 
 
 class CallNotSentError(errors.ClementinesparError):
@@ -52,7 +53,7 @@
     _timer: asyncio.TimerHandle | None  # ends the call in flight
     _parser: httptools.HttpResponseParser
     _waiter: "asyncio.Future[Response] | None"
-    _chunks: list[bytes]
+    _body: bytearray
     _open_connections: "set[_Connection]"
 
     def __init__(self, open_connections: "set[_Connection]") -> None:
@@ -65,7 +66,7 @@
         self._timer = None
         self._parser = httptools.HttpResponseParser(self)
         self._waiter = None
-        self._chunks = []
+        self._body = bytearray()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -96,15 +97,24 @@
             self.close()
 
     def on_body(self, body: bytes) -> None:
-        """Append a part of the body."""
-        self._chunks.append(body)
+        """Append a part of the body; one that is too large ends the connection."""
+        self._body += body
+        if len(self._body) > MAX_RESPONSE_BYTES:
+            self._body.clear()
+            if self._waiter is not None and not self._waiter.done():
+                self._waiter.set_exception(
+                    CallUnansweredError(
+                        f"the response has over {MAX_RESPONSE_BYTES} bytes"
+                    )
+                )
+            self.close()
 
     def on_message_complete(self) -> None:
         """Complete the pending call with the response."""
         if not self._parser.should_keep_alive():
             self.is_closed = True
-        body = b"".join(self._chunks)
-        self._chunks = []
+        body = bytes(self._body)
+        self._body = bytearray()
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(Response(self._parser.get_status_code(), body))
 
--- a/clementinespar/tests/test_http_calls.py
+++ b/clementinespar/tests/test_http_calls.py
@@ -71,3 +71,19 @@
     else:
         with pytest.raises(http_calls.CallUnansweredError):
             asyncio.run(call())
+
+
+def test_response_over_the_limit_ends_the_call(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a store or worker whose endless response fills the memory."""
+    monkeypatch.setattr(http_calls, "MAX_RESPONSE_BYTES", 2 * len(PART))
+
+    async def call() -> None:
+        client = http_calls.HttpClient()
+        async with serve(10, 10) as address:
+            try:
+                await client.call(address, "GET", "/", timeout_s=5.0)
+            finally:
+                await client.close()
+
+    with pytest.raises(http_calls.CallUnansweredError, match="over 2000 bytes"):
+        asyncio.run(call())
