--- a/clementinespar/http_intake.py
+++ b/clementinespar/http_intake.py
@@ -10,6 +10,7 @@
 import dataclasses
 import functools
 import http
+import json
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from typing import Any, Protocol
@@ -18,7 +19,7 @@
 import tornado.httputil
 import tornado.iostream
 
-from clementinespar import background, http_servers, intake, read_turns
+from clementinespar import background, codes, http_servers, intake, read_turns
 
 READ_BYTES = 16 * 1024  # at once from a connection
 FREE_READS = 32  # of each message: all that an ordinary one needs
@@ -53,6 +54,33 @@
         """Take note of the state; called about once a second."""
 
 
+class FixedPolicy:
+    """`Policy` of a listener for other nodes and for the balancer."""
+
+    _limits: intake.CallerLimits
+
+    def __init__(self, limits: intake.CallerLimits) -> None:
+        self._limits = limits
+
+    def caller_limits(self) -> intake.CallerLimits:
+        """Return the limits, which do not change."""
+        return self._limits
+
+    def make_refusal(
+        self, reason: intake.Reason, headers: tornado.httputil.HTTPHeaders
+    ) -> Refusal:
+        """Return an answer that says that the message had no effect."""
+        status = 413 if reason is intake.Reason.BODY_TOO_LARGE else 503
+        body = {
+            "code": int(codes.ResultCode.CALLERS_OVER_LIMIT),
+            "message": reason.value,
+        }
+        return Refusal(status, json.dumps(body).encode())
+
+    def report(self, state: intake.Intake) -> None:
+        """Report nothing."""
+
+
 class _MeteredStream(tornado.iostream.IOStream):
     """Stream that reports what is read, and lets others read in between."""
 
--- a/clementinespar/intake.py
+++ b/clementinespar/intake.py
@@ -105,6 +105,15 @@
     )
 
 
+def derive_node_limits(memory_bytes: float, max_descriptors: int) -> Limits:
+    """Return the limits of other nodes on a machine: half of those of callers."""
+    descriptors = max(0, max_descriptors - FILE_DESCRIPTORS) * _DESCRIPTORS_SHARE
+    return Limits(
+        connections=max(1, int(descriptors / 2)),
+        held_bytes=int(memory_bytes * _MESSAGES_SHARE / 2),
+    )
+
+
 class Intake:
     """The connections of a listener, and what is held for them."""
 
--- a/clementinespar/jobs/node.py
+++ b/clementinespar/jobs/node.py
@@ -172,6 +172,7 @@
                 node.jobs,
                 node.quotas,
                 node.metrics,
+                settings.node.derive_node_limits(),
             )
         )
         await stack.enter_async_context(
--- a/clementinespar/jobs/options.py
+++ b/clementinespar/jobs/options.py
@@ -40,12 +40,17 @@
 
     def derive_caller_limits(self) -> intake.Limits:
         """Return the limits of all callers together."""
-        descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-        if descriptors == resource.RLIM_INFINITY:
-            descriptors = self.max_descriptors
-        return intake.derive_limits(
-            self.memory_mb * 1e6, min(descriptors, self.max_descriptors)
-        )
+        return intake.derive_limits(self.memory_mb * 1e6, self._find_descriptors())
+
+    def derive_node_limits(self) -> intake.Limits:
+        """Return the limits of all other nodes together."""
+        return intake.derive_node_limits(self.memory_mb * 1e6, self._find_descriptors())
+
+    def _find_descriptors(self) -> int:
+        limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if limit == resource.RLIM_INFINITY:
+            return self.max_descriptors
+        return min(limit, self.max_descriptors)
 
 
 @pydantic.dataclasses.dataclass(frozen=True, slots=True, config=_CONFIG)
--- a/clementinespar/jobs/peer_server.py
+++ b/clementinespar/jobs/peer_server.py
@@ -6,11 +6,10 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
 
-import tornado.httpserver
 import tornado.netutil
 import tornado.web
 
-from clementinespar import codes, errors, http_servers
+from clementinespar import codes, errors, http_intake, http_servers, intake
 from clementinespar.jobs import quota_exchange, service, services, telemetry
 
 _INVALID_CODES = frozenset(
@@ -27,6 +26,10 @@
         codes.ResultCode.TEAM_UNKNOWN,
     }
 )
+# The largest messages of nodes are commands, which the store limits to 256 KiB.
+_NODE_LIMITS = intake.CallerLimits(
+    max_body_bytes=4 * 1024 * 1024, idle_timeout_s=60.0, header_timeout_s=10.0
+)
 
 
 class _PeerRequestHandler(http_servers.Handler):
@@ -166,6 +169,7 @@
     jobs: service.JobService,
     quotas: quota_exchange.QuotaExchange,
     metrics: telemetry.JobMetrics,
+    limits: intake.Limits,
 ) -> AsyncIterator[None]:
     """Serve peers inside the context."""
     application = http_servers.Application(
@@ -193,7 +197,7 @@
             (r"/(\d+)/.*", _PeerRequestHandler, {"jobs": jobs}),
         ]
     )
-    server = tornado.httpserver.HTTPServer(application)
     sockets = tornado.netutil.bind_sockets(port, address)
-    async with http_servers.serving(server, application, sockets):
+    policy = http_intake.FixedPolicy(_NODE_LIMITS)
+    async with http_intake.serving(application, limits, policy, sockets):
         yield
--- a/clementinespar/jobs/tests/test_placement_preview.py
+++ b/clementinespar/jobs/tests/test_placement_preview.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from clementinespar import codes, errors, http_calls
+from clementinespar import codes, errors, http_calls, intake
 from clementinespar.jobs import (
     model,
     peer_server,
@@ -337,7 +337,15 @@
         client = http_calls.HttpClient()
         async with run((4000,)) as harness:
             jobs = harness.node.jobs
-            serving = peer_server.serve_peers("127.0.0.1", port, jobs, None, None)  # type: ignore[arg-type]
+            limits = intake.Limits(connections=20, held_bytes=1_000_000)
+            serving = peer_server.serve_peers(
+                "127.0.0.1",
+                port,
+                jobs,
+                None,  # type: ignore[arg-type]
+                None,  # type: ignore[arg-type]
+                limits,
+            )
             async with serving:
                 response = await client.call(
                     f"127.0.0.1:{port}", "POST", "/v1/placement", body
