Open due occurrences only while few tasks of their job are open

One small request with repeatCount 2^53 - 1 ended every node: its owner built an occurrence for each number that was due, and so did whoever took over.

Due occurrences now wait while 10,000 tasks of their job are open, and open as others are done. None is left out or refused.

test_due_occurrences_wait_while_many_tasks_are_open: 1,000 occurrences of 100 tasks were open at once before, 100 are now.

--- a/clementinespar/jobs/model.py
+++ b/clementinespar/jobs/model.py
@@ -78,6 +78,11 @@
     needs_advice: bool = False  # runs only on workers with a ticket of the adviser
     team: str = ""  # team of the call's key; empty: no team, so no cap applies
 
+    @property
+    def task_count(self) -> int:
+        """Return the number of tasks of each occurrence."""
+        return sum(step.task_count for step in self.steps)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Queue:
--- a/clementinespar/jobs/state.py
+++ b/clementinespar/jobs/state.py
@@ -20,6 +20,9 @@
 # An owner adds numbers when fewer are left. At 40 starts a second, the most that
 # `worker_session.RENEW_SPACING_S` allows, they last longer than a record takes.
 SPARE_RUNS = 100
+# Occurrences that are due open only while fewer tasks of their job are open: each task
+# takes memory, and a job may ask for any number of occurrences at once.
+MAX_OPEN_TASKS = 10_000
 _SPECS = pydantic.TypeAdapter(model.JobSpec)
 
 
@@ -252,7 +255,10 @@
         return self.occurrences[key.occurrence].steps[key.step]
 
     def open_due_occurrences(self, now_ms: float) -> bool:
-        """Create the occurrences that have become due; True if there were any."""
+        """Create the occurrences that have become due; True if there were any.
+
+        While many tasks are open, the others wait until some occurrences are done.
+        """
         opened = False
         spec = self.spec
         number = self.finished_occurrences + len(self.occurrences)
@@ -261,6 +267,7 @@
         while (
             number < spec.occurrences
             and spec.first_due_ms + number * spec.period_ms <= now_ms
+            and len(self.occurrences) * spec.task_count < MAX_OPEN_TASKS
         ):
             self.occurrences[number] = Occurrence(spec, number)
             number += 1
--- a/clementinespar/jobs/tests/test_state.py
+++ b/clementinespar/jobs/tests/test_state.py
@@ -94,6 +94,21 @@
     assert job.next_run(task, epoch + 1) > wanted + 100
 
 
+def test_due_occurrences_wait_while_many_tasks_are_open() -> None:
+    """Guards against a small request whose occurrences fill the owner's memory."""
+    spec = model.JobSpec(
+        "a", "q", "p", "", (model.StepSpec(100),), 0, 0, occurrences=1_000
+    )
+    job = state.JobProgress(spec)
+    assert job.open_due_occurrences(1_000)
+    assert len(job.occurrences) == state.MAX_OPEN_TASKS / 100
+    assert not job.open_due_occurrences(1_000)
+    job.occurrences.pop(0)
+    job.finished_occurrences = 1
+    assert job.open_due_occurrences(1_000)
+    assert max(job.occurrences) == state.MAX_OPEN_TASKS / 100
+
+
 def test_occurrences_open_when_due_and_finish_the_job() -> None:
     """Guards against an occurrence that opens early or is skipped."""
     spec = model.JobSpec(
