--- a/clementinespar/jobs/options.py
+++ b/clementinespar/jobs/options.py
@@ -13,6 +13,8 @@
 
 Milliseconds = Annotated[float, pydantic.Field(gt=0, le=86_400_000)]
 
+MAX_JOB_TASKS = 30_000  # of all steps of a job; each takes about 1.5 KB of its owner
+
 _CONFIG = pydantic.ConfigDict(extra="forbid")
 
 
@@ -81,6 +83,7 @@
     adviser: Annotated[
         options.Endpoint | None, pydantic.BeforeValidator(lambda text: text or None)
     ] = None  # empty: no queue needs tickets
+    max_job_tasks: int = pydantic.Field(default=MAX_JOB_TASKS, ge=1)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
