--- a/clementinespar/http_intake.py
+++ b/clementinespar/http_intake.py
@@ -18,6 +18,7 @@
 import tornado.httpserver
 import tornado.httputil
 import tornado.iostream
+import tornado.log
 
 from clementinespar import background, codes, http_servers, intake, read_turns
 
@@ -330,7 +331,9 @@
         stream = self._stream_by_connection.get(connection)
         if stream is None or stream.delegate is None:
             return
-        if connection.phase is not intake.Phase.REFUSED:
+        if connection.phase is intake.Phase.REFUSED:
+            self.state.count_by_reason[reason] += 1
+        else:
             stream.delegate.refuse(reason)
         if closes:
             stream.close()
@@ -362,8 +365,13 @@
             await asyncio.sleep(SWEEP_S)
             server.sweep()
 
+    sweeping = background.keep_running(sweep, _log_failure, SWEEP_S)
     async with (
         http_servers.serving(server, application, sockets),
-        background.running(sweep()),
+        background.running(sweeping),
     ):
         yield server
+
+
+def _log_failure(error: Exception) -> None:
+    tornado.log.app_log.error("a sweep of connections failed: %r", error)
--- a/clementinespar/tests/test_http_intake.py
+++ b/clementinespar/tests/test_http_intake.py
@@ -180,6 +180,10 @@
             connection.began_at = connection.heard_at = server.now() - 100
             server.sweep()
             assert (await client.reader.read(12)) == answer
+            # A refused body is not discarded for ever.
+            connection.began_at = server.now() - 100
+            server.sweep()
+            assert not server.state.connections
 
     asyncio.run(main())
 
