Let stopped bodies of requests make way for small ones

On the listener of requests/ a few bodies that stop short kept every other caller out with 429: they held the 32 MB that all bodies may take until their time limit of 75 s. A refusal closed the connection at once, so that a caller that was still sending could be reset before it had read it.

That listener now uses http_intake as the one for jobs does, in place of limits of its own: bodies that are not whole have 16 MB, of which those that cost most lose, and refused bodies are discarded for a while. Requests that are whole have the 32 MB as before.

--- a/clementinespar/requests/server.py
+++ b/clementinespar/requests/server.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 import contextlib
 import json
 import string
@@ -13,7 +14,6 @@
 from typing import Any
 
 import logbook
-import tornado.httpserver
 import tornado.httputil
 import tornado.iostream
 import tornado.netutil
@@ -21,7 +21,14 @@
 from opentelemetry import trace
 from opentelemetry.trace.propagation import tracecontext
 
-from clementinespar import codes, http_servers, identifiers, options
+from clementinespar import (
+    codes,
+    http_intake,
+    http_servers,
+    identifiers,
+    intake,
+    options,
+)
 from clementinespar.fleet import source as fleet_source
 from clementinespar.requests import model
 from clementinespar.requests import router as request_router
@@ -29,13 +36,12 @@
 MAX_ID_LENGTH = 120  # limit of `claims.messages.Claim.request_id`
 MAX_TEAM_LENGTH = 80
 _ID_CHARACTERS = frozenset(string.ascii_letters + string.digits + "-_.:")
-# Most bytes of bodies in memory at once. Connections are limited only in number, and a
-# node has 128 MB for everything.
+# Most bytes of bodies of requests in flight, and of requests that are not whole. A node
+# has 128 MB for everything.
 MAX_BUFFERED_BYTES = 32 * 1024 * 1024
+MAX_INCOMPLETE_BYTES = 16 * 1024 * 1024
 _MAX_RUN_MS = 86_400_000  # one day; services set lower limits for deadlines
-# The body of a refused request is read and discarded up to this size, so that the
-# caller can read the refusal; closing at once would reset the connection before that.
-_MAX_DISCARDED_BODY_BYTES = 64 * 1024 * 1024
+_NO_MEMORY = "the request bodies on this node would exceed the memory limit"
 
 _STATUS_BY_NOT_RUN_CODE = {
     codes.ResultCode.SERVICE_UNKNOWN: 404,
@@ -70,7 +76,7 @@
     settings: options.CallersSettings
     is_draining: bool
     _request_ids: dict[object, str]  # request id of each handler in flight
-    _bytes_by_handler: dict[object, int]  # bytes of the body read so far
+    _bytes_by_handler: dict[object, int]  # of the body
     _buffered_bytes: int  # sum over all handlers
     _idle: asyncio.Event  # set while no request is in flight
 
@@ -139,18 +145,11 @@
         default_handler_class=_UnknownPathHandler,
         default_handler_args={"server": server},
     )
-    http_server = _LimitedHttpServer(
-        application,
-        max_connections=settings.max_connections,
-        max_header_size=settings.max_header_bytes,
-        max_body_size=settings.max_body_bytes + _MAX_DISCARDED_BODY_BYTES,
-        chunk_size=64 * 1024,
-        idle_connection_timeout=settings.idle_timeout_s,
-        body_timeout=settings.idle_timeout_s,
-    )
     sockets = tornado.netutil.bind_sockets(settings.port, settings.address)
     server.port = sockets[0].getsockname()[1]
-    async with http_servers.serving(http_server, application, sockets):
+    limits = intake.Limits(settings.max_connections, MAX_INCOMPLETE_BYTES)
+    policy = _Policy(settings)
+    async with http_intake.serving(application, limits, policy, sockets) as http_server:
         try:
             yield server
         finally:
@@ -159,31 +158,61 @@
             await server._idle.wait()
 
 
-class _LimitedHttpServer(tornado.httpserver.HTTPServer):
-    """HTTP server with a limit on open connections."""
-
-    max_connections: int  # connections over this number are closed at once
-    open_connections: int
+class _Policy:
+    """`http_intake.Policy` of the listener for callers."""
 
-    def initialize(  # type: ignore[override]
-        self, *args: Any, max_connections: int, **kwargs: Any
-    ) -> None:
-        super().initialize(*args, **kwargs)
-        self.max_connections = max_connections
-        self.open_connections = 0
+    _limits: intake.CallerLimits
+    _reported: collections.Counter[intake.Reason]
 
-    def handle_stream(
-        self, stream: tornado.iostream.IOStream, address: tuple[Any, ...]
-    ) -> None:
-        if self.open_connections >= self.max_connections:
-            stream.close()
-            return
-        self.open_connections += 1
-        super().handle_stream(stream, address)
+    def __init__(self, settings: options.CallersSettings) -> None:
+        self._limits = intake.CallerLimits(
+            max_header_bytes=settings.max_header_bytes,
+            max_body_bytes=settings.max_body_bytes,
+            header_timeout_s=settings.idle_timeout_s,
+            idle_timeout_s=settings.idle_timeout_s,
+        )
+        self._reported = collections.Counter()
+
+    def caller_limits(self) -> intake.CallerLimits:
+        """Return the limits of the settings."""
+        return self._limits
+
+    def make_refusal(
+        self, reason: intake.Reason, headers: tornado.httputil.HTTPHeaders
+    ) -> http_intake.Refusal:
+        """Return the answer to a request that certainly did not run."""
+        if reason is intake.Reason.BODY_TOO_LARGE:
+            code = codes.ResultCode.REQUEST_TOO_LARGE
+            message = f"the body exceeds {self._limits.max_body_bytes} bytes"
+        elif reason is intake.Reason.BODY_STOPPED:
+            code = codes.ResultCode.REQUEST_INVALID
+            message = f"no part of the body for {self._limits.idle_timeout_s:g} s"
+        else:
+            code = codes.ResultCode.QUEUE_FULL
+            message = _NO_MEMORY
+        outcome = model.Outcome(model.OutcomeKind.NOT_RUN, code, message)
+        return http_intake.Refusal(
+            _find_status(outcome),
+            _describe_error(outcome),
+            {
+                "X-Request-Id": _request_id_of(headers),
+                "X-Outcome": outcome.kind.value,
+                "X-Result-Code": str(int(code)),
+                "Content-Type": "application/json",
+            },
+        )
 
-    def on_close(self, server_conn: object) -> None:
-        self.open_connections -= 1
-        super().on_close(server_conn)
+    def report(self, state: intake.Intake) -> None:
+        """Log the refusals since the last report."""
+        refusals = state.count_by_reason - self._reported
+        self._reported = state.count_by_reason.copy()
+        if refusals.keys() - {intake.Reason.IDLE}:
+            _log.warning(
+                "callers refused: {}; {} connections hold {} bytes",
+                ", ".join(f"{reason.value} {n}" for reason, n in refusals.items()),
+                len(state.connections),
+                state.held_bytes,
+            )
 
 
 class _JsonHandler(http_servers.Handler):
@@ -206,19 +235,11 @@
             self.set_header("Content-Type", outcome.content_type)
             self.written = self.finish(outcome.body)
             return
-        status = 504
-        if outcome.kind is model.OutcomeKind.NOT_RUN:
-            status = _STATUS_BY_NOT_RUN_CODE.get(outcome.code, 503)
         if self.server.is_draining:
             self.set_header("Connection", "close")
-        self.set_status(status)
+        self.set_status(_find_status(outcome))
         self.set_header("Content-Type", "application/json")
-        error = {
-            "code": int(outcome.code),
-            "name": outcome.code.name,
-            "message": outcome.reason,
-        }
-        self.written = self.finish(json.dumps(error))
+        self.written = self.finish(_describe_error(outcome))
 
     def write_error(self, status_code: int, **kwargs: Any) -> None:
         """Write an error that tornado raises or an exception of a handler."""
@@ -250,17 +271,24 @@
 class _RequestHandler(_JsonHandler):
     SUPPORTED_METHODS = ("POST",)
 
-    chunks: list[bytes]  # parts of the body read so far
-    size: int  # bytes of the body read so far
+    body: bytearray  # read so far
+    refusal: model.Outcome | None  # written once the body is whole, so that it is read
     request_id: str
     accepted_at: float  # event-loop time at which the headers were read
     task: "asyncio.Task[model.Outcome] | None"  # runs `Router.handle`
+    has_left: bool  # the caller, or its request was refused by the listener
 
-    def prepare(self) -> None:
-        """Refuse a request whose headers are invalid, before its body is read."""
-        self.chunks = []
-        self.size = 0
+    def initialize(self, server: CallersServer) -> None:
+        super().initialize(server)
+        self.body = bytearray()
+        self.refusal = None
         self.task = None
+        self.has_left = False
+
+    def prepare(self) -> None:
+        """Check the headers, before the body is read."""
+        if self.has_left:
+            return
         self.accepted_at = asyncio.get_running_loop().time()
         self.request_id = _request_id_of(self.request.headers)
         if self.request.method != "POST":
@@ -268,14 +296,11 @@
         try:
             self._check_head()
         except _RefusedError as error:
-            self.write_outcome(self.request_id, error.outcome)
+            self.refusal = error.outcome
         else:
             self.server.begin_request(self, self.request_id)
 
     def _check_head(self) -> None:
-        declared_size = self.request.headers.get("Content-Length", "0")
-        if declared_size.isdigit():
-            self._check_size(int(declared_size))
         if self.server.is_draining:
             raise _RefusedError(
                 codes.ResultCode.NODE_STOPPING, "this entry node is stopping"
@@ -286,35 +311,22 @@
             )
         check_headers(self.request.headers)
 
-    def _check_size(self, size: int) -> None:
-        limit = self.server.settings.max_body_bytes
-        if size > limit:
-            raise _RefusedError(
-                codes.ResultCode.REQUEST_TOO_LARGE,
-                f"the body exceeds {limit} bytes",
-            )
-
     def data_received(self, chunk: bytes) -> None:
-        """Append a part of the body; refuses a request whose body is too large."""
-        if self._finished:
-            return
-        self.size += len(chunk)
-        self.chunks.append(chunk)
-        try:
-            self._check_size(self.size)
-            if not self.server.reserve_body_bytes(self, len(chunk)):
-                raise _RefusedError(
-                    codes.ResultCode.QUEUE_FULL,
-                    "the request bodies on this node would exceed the memory limit",
-                )
-        except _RefusedError as error:
-            self.chunks.clear()
-            self.write_outcome(self.request_id, error.outcome)
-            self.server.end_request(self)
+        """Append a part of the body."""
+        if self.refusal is None:
+            self.body += chunk
 
     async def post(self, service: str, kind: str) -> None:
         """Route one request."""
-        if self._finished:
+        if self.refusal is None:
+            size = len(self.body)
+            if not self.server.reserve_body_bytes(self, size):
+                self.refusal = model.Outcome(
+                    model.OutcomeKind.NOT_RUN, codes.ResultCode.QUEUE_FULL, _NO_MEMORY
+                )
+        if self.refusal is not None:
+            self.write_outcome(self.request_id, self.refusal)
+            self.server.end_request(self)
             return
         span_context = _PROPAGATOR.extract(
             {"traceparent": self.request.headers.get("traceparent", "")}
@@ -346,6 +358,7 @@
     def on_connection_close(self) -> None:
         """Cancel the request of a caller that left."""
         super().on_connection_close()
+        self.has_left = True
         if self.task is not None:
             self.task.cancel()
         else:
@@ -387,7 +400,7 @@
             request_id=self.request_id,
             service=service,
             kind=kind,
-            body=b"".join(self.chunks),
+            body=bytes(self.body),
             content_type=headers.get("Content-Type", "application/octet-stream"),
             deadline=self.accepted_at + deadline_ms / 1000,
             team=headers.get("X-Team"),
@@ -397,6 +410,22 @@
         )
 
 
+def _find_status(outcome: model.Outcome) -> int:
+    """Return the HTTP status of an outcome without an answer."""
+    if outcome.kind is not model.OutcomeKind.NOT_RUN:
+        return 504
+    return _STATUS_BY_NOT_RUN_CODE.get(outcome.code, 503)
+
+
+def _describe_error(outcome: model.Outcome) -> bytes:
+    error = {
+        "code": int(outcome.code),
+        "name": outcome.code.name,
+        "message": outcome.reason,
+    }
+    return json.dumps(error).encode()
+
+
 def check_headers(headers: tornado.httputil.HTTPHeaders) -> None:
     """Raise `_RefusedError` for headers that are invalid for every service."""
     request_id = headers.get("X-Request-Id")
