Count nothing of a connection after it was closed

The serving of a connection ends a turn of the event loop after the connection was closed to make way for others. A header block that had just become whole was still added to the bytes held, and never taken off again, so the sum could have drifted until every caller was refused. Seen by reading; connections now have a final phase in which nothing is counted.

test_closed_connection_counts_no_more: one connection too many in the count of a phase before, none now.

--- a/clementinespar/intake.py
+++ b/clementinespar/intake.py
@@ -36,6 +36,7 @@
     BODY = "body"
     ANSWERING = "answering"  # the message is whole
     REFUSED = "refused"  # answered before it was whole; the rest is discarded
+    CLOSED = "closed"  # final; its serving may end a turn of the event loop later
 
 
 class Reason(enum.StrEnum):
@@ -139,11 +140,12 @@
 
     def close(self, connection: Connection) -> None:
         """Remove a connection, unless it was removed before."""
-        if connection not in self.connections:
+        if connection.phase is Phase.CLOSED:
             return
         self._release(connection)
         self.connections.discard(connection)
         self.count_by_phase[connection.phase] -= 1
+        connection.phase = Phase.CLOSED
 
     def begin_message(self, connection: Connection, now: float) -> None:
         """Wait for the next message."""
@@ -166,6 +168,8 @@
 
     def begin_body(self, connection: Connection, fields: int) -> None:
         """Count a header block that is whole; the time of its message goes on."""
+        if connection.phase is Phase.CLOSED:
+            return
         self._enter(connection, Phase.BODY, connection.began_at)
         connection.head_bytes += fields * FIELD_BYTES
         self.held_bytes += fields * FIELD_BYTES
@@ -246,6 +250,8 @@
         return found
 
     def _enter(self, connection: Connection, phase: Phase, now: float) -> None:
+        if connection.phase is Phase.CLOSED:
+            return
         self.count_by_phase[connection.phase] -= 1
         self.count_by_phase[phase] += 1
         connection.phase = phase
--- a/clementinespar/tests/test_intake.py
+++ b/clementinespar/tests/test_intake.py
@@ -94,3 +94,23 @@
     assert most < memory_mb * 1e6 / 2
     assert limits.connections < (max_descriptors - intake.FILE_DESCRIPTORS) / 2
     assert limits.held_bytes > 10 * CALLER_LIMITS.max_body_bytes
+
+
+def test_closed_connection_counts_no_more() -> None:
+    """Guards against a sum that drifts when a closed connection is still served.
+
+    The serving of a connection ends a turn of the event loop after it is closed.
+    """
+    state = intake.Intake(LIMITS)
+    connection = state.open(0.0)
+    state.receive(connection, 100, 0.0)
+    state.close(connection)
+    state.receive(connection, 100, 1.0)
+    state.begin_body(connection, 10)
+    state.receive(connection, 100, 1.0)
+    state.begin_answer(connection, 1.0)
+    state.begin_message(connection, 1.0)
+    state.close(connection)
+    assert state.held_bytes == 0
+    assert not +state.count_by_phase
+    assert not -state.count_by_phase
