Refuse odd lengths of bodies without an error

A Content-Length of thousands of digits, or with a digit that is not ASCII, raised in the check of announced sizes: the connection was closed without an answer, and each such request wrote a traceback, so that a crowd could fill the log.

test_odd_length_is_refused_without_an_error: no answer in two of three cases before.

--- a/clementinespar/http_intake.py
+++ b/clementinespar/http_intake.py
@@ -184,8 +184,10 @@
             self.refuse(intake.Reason.MEMORY)
             self._stream.close()
             return started
-        declared = headers.get("Content-Length", "")
-        if declared.isdigit() and int(declared) > self._max_body_bytes():
+        # Python refuses to convert thousands of digits; 18 exceed every limit.
+        declared = headers.get("Content-Length", "")[:18]
+        is_number = declared.isascii() and declared.isdigit()
+        if is_number and int(declared) > self._max_body_bytes():
             self.refuse(intake.Reason.BODY_TOO_LARGE)
             if "Expect" in headers:
                 self._request.finish()  # the caller sends no body after the refusal
--- a/clementinespar/tests/test_http_intake.py
+++ b/clementinespar/tests/test_http_intake.py
@@ -126,6 +126,25 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize(
+    ("length", "status"),
+    [("9" * 9_000, "503"), ("\u00b2", "400"), ("-1", "400")],
+)
+def test_odd_length_is_refused_without_an_error(
+    length: str, status: str, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against a traceback in the log for each malformed request."""
+
+    async def main() -> bytes:
+        async with run_server() as (_, port), connect(port, "") as client:
+            request = f"{HEAD}Content-Length: {length}\r\n\r\n"
+            client.writer.write(request.encode("latin1"))
+            return await client.reader.readline()
+
+    assert asyncio.run(main()).startswith(f"HTTP/1.1 {status}".encode())
+    assert not [record for record in caplog.records if record.exc_info]
+
+
 def test_stopped_bodies_make_way_for_a_small_one() -> None:
     """Guards against a crowd of stopped bodies that keeps ordinary callers out."""
 
