Say what limits the connections of nodes, and list what that leaves open

They have half of their descriptors, without the bound by memory; with all shares used up at once that is too much for 200 MB.

--- a/clementinespar/intake.py
+++ b/clementinespar/intake.py
@@ -107,7 +107,11 @@
 
 
 def derive_node_limits(memory_bytes: float, max_descriptors: int) -> Limits:
-    """Return the limits of other nodes on a machine: half of those of callers."""
+    """Return the limits of other nodes on a machine.
+
+    They have half of the bytes and of the descriptors of callers. Their connections are
+    not limited by memory, since one that is closed may lose a command.
+    """
     descriptors = max(0, max_descriptors - FILE_DESCRIPTORS) * _DESCRIPTORS_SHARE
     return Limits(
         connections=max(1, int(descriptors / 2)),
