Wait for the adviser as long as its configuration says

Cause: the client of the adviser gave up each call after 3 s. A call about 30 workers with decideMs 300 and eachMs 100 takes 3.3 s. The answer was lost, and the adviser, which handles the calls of a node in turn, was held up for the next call as well.

The configuration now keeps the times of the adviser. The limit of a call follows from them, from the number of workers named, and from what may be left of calls that were given up. The calls of all owners of a node go out one at a time. An overdue call doubles the next limit, as the adviser may be slower than configured; the factor ends at 4.

--- /dev/null
+++ b/clementinespar/jobs/advice_calls.py
@@ -0,0 +1,88 @@
+"""Calls of a node to the adviser: one at a time, each with a limit of its own."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Callable, Sequence
+
+from clementinespar import codes, errors
+from clementinespar.jobs import model, services
+
+# For a queue that is no longer in the configuration.
+UNKNOWN_TIMES = model.AdviceTimes(decide_s=1.0, each_s=0.1, valid_s=3.0)
+NETWORK_S = 0.5  # for the way there and back, and for a node that is slow
+MARGIN = 1.5  # of the time that the adviser should take
+# Largest factor by which the adviser is expected to take longer than its queue says.
+MAX_SLOWNESS = 4.0
+_LEAST_WORK_S = 0.001
+
+StepKey = tuple[str, int, int]  # job id, occurrence, number of the step
+
+
+class AdviceCalls:
+    """The adviser as all owners of a node call it.
+
+    The adviser handles the calls of one node in turn, also those that the node has
+    given up. So the limit of a call includes what may be left of them.
+    """
+
+    _free_at: float  # event-loop time by which it should have done all earlier calls
+    _slowness: float  # time taken by the last call, by the time it should take; from 1
+    _lock: asyncio.Lock
+
+    def __init__(
+        self,
+        adviser: services.Adviser,
+        find_configured: Callable[[str], model.AdviceTimes | None],
+    ) -> None:
+        """Take the adviser.
+
+        Parameters
+        ----------
+        find_configured : callable
+            Returns the times that the configuration in force has for a queue, by the
+            name of the queue; None if it has none.
+        """
+        self._adviser = adviser
+        self._find_configured = find_configured
+        self._free_at = 0.0
+        self._slowness = 1.0
+        self._lock = asyncio.Lock()
+
+    def find_times(self, queue: str) -> model.AdviceTimes:
+        """Return the times of the adviser for a queue."""
+        return self._find_configured(queue) or UNKNOWN_TIMES
+
+    @contextlib.asynccontextmanager
+    async def take_turn(self) -> AsyncIterator[None]:
+        """Wait until no other call of this node is in flight."""
+        async with self._lock:
+            yield
+
+    async def request_tickets(
+        self, step: StepKey, worker_ids: Sequence[str], times: model.AdviceTimes
+    ) -> model.IssuedTickets:
+        """Return the tickets for a step on some of the workers.
+
+        Only for the holder of the turn. Raises as `services.Adviser` does.
+        """
+        loop = asyncio.get_running_loop()
+        sent_at = loop.time()
+        begins_at = max(sent_at, self._free_at)
+        work_s = times.call_s(len(worker_ids))
+        ahead_s = begins_at - sent_at
+        timeout_s = NETWORK_S + ahead_s + MARGIN * self._slowness * work_s
+        self._free_at = begins_at + self._slowness * work_s
+        try:
+            issued = await self._adviser.request_tickets(*step, worker_ids, timeout_s)
+        except errors.ClementinesparError as error:
+            if error.code != codes.ResultCode.CALL_UNANSWERED:
+                self._free_at = begins_at  # the call was refused, or not sent
+            elif loop.time() - sent_at > timeout_s - NETWORK_S:  # not lost before
+                self._slowness = min(MAX_SLOWNESS, 2 * self._slowness)
+                self._free_at = begins_at + self._slowness * work_s
+            raise
+        self._free_at = loop.time()
+        worked_s = self._free_at - sent_at - NETWORK_S
+        slowness = worked_s / max(_LEAST_WORK_S, ahead_s + work_s)
+        self._slowness = min(MAX_SLOWNESS, max(1.0, slowness))
+        return issued
--- a/clementinespar/jobs/model.py
+++ b/clementinespar/jobs/model.py
@@ -84,6 +84,29 @@
         return sum(step.task_count for step in self.steps)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdviceTimes:
+    """Times of the adviser for the steps of a queue.
+
+    Attributes
+    ----------
+    decide_s : float
+        Time that any call takes, in seconds.
+    each_s : float
+        Time that each worker named in a call adds, in seconds.
+    valid_s : float
+        Time for which a ticket is valid, in seconds.
+    """
+
+    decide_s: float
+    each_s: float
+    valid_s: float
+
+    def call_s(self, worker_count: int) -> float:
+        """Return the time that a call takes once the adviser begins with it."""
+        return self.decide_s + self.each_s * worker_count
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Queue:
     """A queue of the configuration in force."""
@@ -97,12 +120,17 @@
     max_attempts: int
     priority: int
     stretch: float
-    needs_advice: bool = False
+    advice: AdviceTimes | None = None  # None: its jobs need no tickets
     is_public: bool = False  # calls need no key
     # Names and pools that the queue of this host and path prefix had before. Jobs of
     # that time are still in those pools.
     former: frozenset[tuple[str, str]] = frozenset()
 
+    @property
+    def needs_advice(self) -> bool:
+        """Whether its jobs run only on workers with a ticket of the adviser."""
+        return self.advice is not None
+
 
 def with_former(queue: Queue, names_and_pools: Iterable[tuple[str, str]]) -> Queue:
     """Return a queue with the names and pools that it had, less its present one."""
--- a/clementinespar/jobs/node.py
+++ b/clementinespar/jobs/node.py
@@ -7,8 +7,10 @@
 
 from clementinespar import background, http_calls
 from clementinespar.jobs import (
+    advice_calls,
     fleet,
     late_jobs,
+    model,
     options,
     ownership,
     partitions,
@@ -60,6 +62,9 @@
         self.is_stopping = False
         self._platform_services = platform_services
         self._partition_map = partitions.PartitionMap(settings.store.partitions)
+        advice = advice_calls.AdviceCalls(
+            platform_services.adviser, self._find_advice_times
+        )
         owner_settings = pool_owner.OwnerSettings(settings.jobs.lease_max_ms / 1000)
 
         def make_owner(partition: int, epoch: int) -> pool_owner.PoolOwner:
@@ -72,7 +77,7 @@
                 platform_services.store,
                 platform_services.directory,
                 platform_services.workers,
-                platform_services.adviser,
+                advice,
                 platform_services.hosts,
                 owner_settings,
                 log_event,
@@ -149,6 +154,12 @@
         known = {} if configuration is None else configuration.teams_by_name
         return known[team].weight if team in known else team_rate.default_weight(team)
 
+    def _find_advice_times(self, queue: str) -> model.AdviceTimes | None:
+        """Return the times of a queue's adviser in the configuration in force."""
+        configuration = self._platform_services.configuration.current
+        known = {} if configuration is None else configuration.queues_by_name
+        return known[queue].advice if queue in known else None
+
     def wanted_partitions(self) -> frozenset[int]:
         """Return the partitions that need an owner, as they may have jobs."""
         return self.jobs.locator.partitions_with_pools()
--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -18,6 +18,7 @@
 
 from clementinespar import background, explanation
 from clementinespar.jobs import (
+    advice_calls,
     command_intake,
     conclusions,
     crash_watch,
@@ -113,7 +114,7 @@
         store: services.JobStore,
         directory: services.WorkerDirectory,
         workers: services.WorkerClient,
-        adviser: services.Adviser,
+        advice: advice_calls.AdviceCalls,
         hosts: services.HostService,
         settings: OwnerSettings,
         log_event: services.EventLog,
@@ -180,7 +181,7 @@
             log_event,
         )
         self._tickets = tickets.TicketCache(
-            adviser, log_event, self._jobs.schedule_wanted
+            advice, log_event, self._jobs.schedule_wanted
         )
         placer = task_placer.TaskPlacer(
             epoch, self.sessions_by_id, self._tickets, log_event, metrics, self.quotas
--- a/clementinespar/jobs/services.py
+++ b/clementinespar/jobs/services.py
@@ -155,11 +155,26 @@
     """External service that decides which workers may run a step."""
 
     async def request_tickets(
-        self, job_id: str, occurrence: int, step: int, worker_ids: Sequence[str]
+        self,
+        job_id: str,
+        occurrence: int,
+        step: int,
+        worker_ids: Sequence[str],
+        timeout_s: float,
     ) -> model.IssuedTickets:
         """Return tickets for a step on some of the workers.
 
-        Raises `errors.ClementinesparError` if the adviser does not answer.
+        Parameters
+        ----------
+        timeout_s : float
+            Longest wait for the answer, in seconds.
+
+        Raises
+        ------
+        errors.ClementinesparError
+            The adviser has not answered, or has refused the call. With the code
+            ``CALL_UNANSWERED`` it may still work on the call, and begins with no other
+            call of this node before it is done.
         """
         ...
 
--- a/clementinespar/jobs/task_placer.py
+++ b/clementinespar/jobs/task_placer.py
@@ -90,7 +90,7 @@
         tickets_by_worker_id: dict[str, str] = {}
         if job.spec.needs_advice:
             tickets_by_worker_id = self._tickets.find_valid(
-                step, free_capacity.worker_ids()
+                job.spec.queue, step, free_capacity.worker_ids()
             )
             free_capacity = free_capacity.restrict(tickets_by_worker_id)
         if step.spec.is_gang:
--- a/clementinespar/jobs/tests/helpers.py
+++ b/clementinespar/jobs/tests/helpers.py
@@ -102,7 +102,7 @@
             self.store,
             self.workers,
             self.workers,
-            self.adviser,
+            fake_adviser.make_calls(self.adviser),
             self.workers,
             pool_owner.OwnerSettings(LEASE_MAX_S),
             self._log_event,
--- a/clementinespar/jobs/tests/moved_deployment.py
+++ b/clementinespar/jobs/tests/moved_deployment.py
@@ -208,7 +208,7 @@
             self.store,
             self.workers,
             self.workers,
-            fake_adviser.FakeAdviser(),
+            fake_adviser.make_calls(fake_adviser.FakeAdviser()),
             self.workers,
             pool_owner.OwnerSettings(6.0),
             fakes.ignore_event,
--- a/clementinespar/jobs/tests/quota_fleet.py
+++ b/clementinespar/jobs/tests/quota_fleet.py
@@ -276,7 +276,7 @@
             self.store,
             self.workers[partition],
             self.workers[partition],
-            fake_adviser.FakeAdviser(),
+            fake_adviser.make_calls(fake_adviser.FakeAdviser()),
             self.workers[partition],
             pool_owner.OwnerSettings(helpers.LEASE_MAX_S),
             self.log_event,
--- a/clementinespar/jobs/tests/shared_group.py
+++ b/clementinespar/jobs/tests/shared_group.py
@@ -133,7 +133,7 @@
             self._nodes.store,
             workers,
             workers,
-            fake_adviser.FakeAdviser(),
+            fake_adviser.make_calls(fake_adviser.FakeAdviser()),
             workers,
             pool_owner.OwnerSettings(helpers.LEASE_MAX_S),
             fakes.ignore_event,
--- a/clementinespar/jobs/tests/test_ownership.py
+++ b/clementinespar/jobs/tests/test_ownership.py
@@ -85,7 +85,7 @@
             self.store,
             self.workers,
             self.workers,
-            fake_adviser.FakeAdviser(),
+            fake_adviser.make_calls(fake_adviser.FakeAdviser()),
             self.workers,
             pool_owner.OwnerSettings(6.0),
             self._log_event,
--- a/clementinespar/jobs/tickets.py
+++ b/clementinespar/jobs/tickets.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from clementinespar import errors
-from clementinespar.jobs import model, services, state
+from clementinespar.jobs import advice_calls, model, services, state
 
 MAX_WORKERS_PER_REQUEST = 100
 # Share of a ticket's validity in which runs are started with it; the start takes time.
@@ -13,10 +13,10 @@
 
 
 class TicketCache:
-    """Tickets of one owner; requests them one at a time.
+    """Tickets of one owner.
 
-    The adviser serves one request from each machine at a time. A request is sent when
-    the owner would place a step; `find_valid` returns nothing until it is answered.
+    A request is sent when the owner would place a step; `find_valid` returns nothing
+    until it is answered.
     """
 
     _tickets: dict[tuple[str, int, int], dict[str, tuple[str, float]]]
@@ -24,26 +24,24 @@
     # Workers that got no ticket, by step. Other workers are asked about first; once all
     # got none, the requests begin anew.
     _denied: dict[tuple[str, int, int], set[str]]
-    _lock: asyncio.Lock
     _requests: set[asyncio.Task[None]]
 
     def __init__(
         self,
-        adviser: services.Adviser,
+        calls: advice_calls.AdviceCalls,
         log_event: services.EventLog,
         schedule_wanted: asyncio.Event,
     ) -> None:
-        self._adviser = adviser
+        self._calls = calls
         self._log_event = log_event
         self._schedule_wanted = schedule_wanted
         self._tickets = {}
         self._next_request_at = {}
         self._denied = {}
-        self._lock = asyncio.Lock()
         self._requests = set()
 
     def find_valid(
-        self, step: state.StepState, worker_ids: list[str]
+        self, queue: str, step: state.StepState, worker_ids: list[str]
     ) -> dict[str, str]:
         """Return valid tickets by worker id; if there are none, request them."""
         now = asyncio.get_running_loop().time()
@@ -67,6 +65,7 @@
                 unasked = worker_ids
             request = asyncio.create_task(
                 self._request(
+                    queue,
                     step_key,
                     unasked[:MAX_WORKERS_PER_REQUEST],
                     has_more=len(unasked) > MAX_WORKERS_PER_REQUEST,
@@ -97,7 +96,11 @@
         await asyncio.gather(*self._requests, return_exceptions=True)
 
     async def _request(
-        self, step_key: tuple[str, int, int], worker_ids: list[str], has_more: bool
+        self,
+        queue: str,
+        step_key: tuple[str, int, int],
+        worker_ids: list[str],
+        has_more: bool,
     ) -> None:
         """Request tickets for some workers.
 
@@ -108,8 +111,10 @@
         """
         loop = asyncio.get_running_loop()
         try:
-            async with self._lock:
-                issued = await self._adviser.request_tickets(*step_key, worker_ids)
+            async with self._calls.take_turn():
+                issued = await self._calls.request_tickets(
+                    step_key, worker_ids, self._calls.find_times(queue)
+                )
         except errors.ClementinesparError as error:
             self._log_event("advice_missing", job=step_key[0], code=int(error.code))
             self._next_request_at[step_key] = loop.time() + RETRY_S
