Ask the adviser about workers that waiting tasks need

Cause: tickets were requested only while no usable worker had a valid one. A ticket for a full worker hid all others for 0.8 of its validity.

A round of placement now reports the tasks that no worker with a ticket can take, and the owner asks about as many unasked workers as they need. Tickets and refusals are kept for a life of a worker.

--- a/clementinespar/jobs/placement.py
+++ b/clementinespar/jobs/placement.py
@@ -191,6 +191,17 @@
             scored.append((session, score))
         return scored
 
+    def rank(
+        self,
+        spec: model.StepSpec,
+        counts: collections.Counter[str],
+        avoided: set[str],
+    ) -> list[worker_session.WorkerSession]:
+        """Return the workers that can take one more task of a step, best first."""
+        scored = self._judge(spec, counts, avoided)
+        scored.sort(key=_SCORE_OF, reverse=True)  # equal ones keep their order
+        return [session for session, _ in scored]
+
     def explain_choice(
         self,
         spec: model.StepSpec,
@@ -246,10 +257,9 @@
             self._is_packed,
         )
 
-    def worker_ids(self) -> list[str]:
-        """Return the ids of the workers, by falling number of free cores."""
-        ranked = sorted(self._sessions, key=lambda session: -session.free_cpu)
-        return [session.entry.worker_id for session in ranked]
+    def sessions(self) -> list[worker_session.WorkerSession]:
+        """Return the workers, by falling number of free cores."""
+        return sorted(self._sessions, key=lambda session: -session.free_cpu)
 
     def choose_gang(
         self, spec: model.StepSpec, size: int
@@ -462,23 +472,29 @@
     return float(sum(1 for run in session.runs.values() if run.spec.latency_target_ms))
 
 
+def count_fitting(
+    session: worker_session.WorkerSession, spec: model.StepSpec, most: int
+) -> int:
+    """Return how many more tasks of a step a worker has room for, up to `most`."""
+    count = most
+    if spec.cpu_millis and not spec.is_filler:
+        count = min(count, session.free_cpu // spec.cpu_millis)
+    if spec.memory_mb:
+        count = min(count, session.free_memory // spec.memory_mb)
+    if spec.gpus:
+        count = min(count, session.free_gpus // spec.gpus)
+    if spec.label and spec.label not in session.entry.labels:
+        count = 0
+    return max(0, count)
+
+
 def _fill_group(
     group: list[worker_session.WorkerSession], spec: model.StepSpec, size: int
 ) -> list[worker_session.WorkerSession] | None:
     chosen: list[worker_session.WorkerSession] = []
     for session in sorted(group, key=lambda s: -s.free_cpu):
-        member_count = size
-        if spec.cpu_millis and not spec.is_filler:
-            member_count = min(member_count, session.free_cpu // spec.cpu_millis)
-        if spec.memory_mb:
-            member_count = min(member_count, session.free_memory // spec.memory_mb)
-        if spec.gpus:
-            member_count = min(member_count, session.free_gpus // spec.gpus)
-        if spec.max_per_worker:
-            member_count = min(member_count, spec.max_per_worker)
-        if spec.label and spec.label not in session.entry.labels:
-            member_count = 0
-        chosen.extend([session] * max(0, member_count))
+        most = min(size, spec.max_per_worker or size)
+        chosen.extend([session] * count_fitting(session, spec, most))
         if len(chosen) >= size:
             return chosen[:size]
     return None
--- a/clementinespar/jobs/session_events.py
+++ b/clementinespar/jobs/session_events.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from clementinespar.jobs import (
+    advice_names,
     conclusions,
     crash_watch,
     job_table,
@@ -114,7 +115,7 @@
         self, session: worker_session.WorkerSession, run: worker_run.Run
     ) -> None:
         """Drop the ticket, so that the adviser is asked for a new one."""
-        self._tickets.drop(run.key, session.entry.worker_id)
+        self._tickets.drop(run.key, advice_names.find_life(session))
 
     def on_fenced(self) -> None:
         """Stop acting as the owner: a later owner has called a worker."""
--- a/clementinespar/jobs/task_placer.py
+++ b/clementinespar/jobs/task_placer.py
@@ -4,6 +4,7 @@
 import collections
 
 from clementinespar.jobs import (
+    advised_capacity,
     crash_counts,
     model,
     owner_quotas,
@@ -87,15 +88,13 @@
         free_capacity: placement.FreeCapacity,
         now: float,
     ) -> None:
-        tickets_by_worker_id: dict[str, str] = {}
+        advised: advised_capacity.AdvisedCapacity | None = None
         if job.spec.needs_advice:
-            tickets_by_worker_id = self._tickets.find_valid(
-                job.spec.queue, step, free_capacity.worker_ids()
-            )
-            free_capacity = free_capacity.restrict(tickets_by_worker_id)
+            advised = self._tickets.find_advised(step, free_capacity)
+            free_capacity = advised.ticketed
         if step.spec.is_gang:
             if len(indexes) == len(step.tasks):
-                self._place_gang(job, step, free_capacity, tickets_by_worker_id)
+                self._place_gang(job, step, free_capacity, advised)
             return
         counts = self.count_per_worker(job, step)
         fits = self._quotas.shares.fits
@@ -114,10 +113,18 @@
                 break
             is_isolated = crash_counts.is_isolated(task, now)
             choices = free_capacity
+            quiet: set[str] | None = None
             if is_isolated:
-                choices = free_capacity.restrict(self._find_quiet(now))
+                quiet = self._find_quiet(now)
+                choices = free_capacity.restrict(quiet)
             avoided = self._find_avoided(step, task, now)
             session = choices.choose(step.spec, counts, avoided)
+            if advised is not None and (
+                session is None or session.entry.worker_id in avoided
+            ):
+                advised.note_lack(step.spec, counts, avoided, quiet)
+                if session is not None and advised.wanted and advised.is_answering:
+                    continue  # until the adviser has said who else may take it
             if session is None:
                 if not task.failed_on and not is_isolated:
                     break
@@ -125,12 +132,28 @@
             if is_isolated:
                 session.isolated_until = now + crash_counts.PRIME_SUSPECT_S
             counts[session.entry.worker_id] += 1
-            ticket = tickets_by_worker_id.get(session.entry.worker_id, "")
+            ticket = _find_ticket(advised, session)
             run = self._add_run(job, step, task, number, session)
             self._starts.submit(
                 job, [recorded_starts.Start(task, run, ticket, is_isolated)]
             )
             left -= 1
+        self._ask_for_advice(job, step, advised, counts, left)
+
+    def _ask_for_advice(
+        self,
+        job: state.JobProgress,
+        step: state.StepState,
+        advised: advised_capacity.AdvisedCapacity | None,
+        counts: collections.Counter[str],
+        left: int,
+    ) -> None:
+        """Ask the adviser about workers that the waiting tasks of a step need."""
+        if advised is None or not left:
+            return
+        need = advised.find_need(step.spec, counts, left)
+        if need is not None:
+            self._tickets.ask(job.spec.queue, step, need)
 
     def _is_lacking(self, job: state.JobProgress) -> bool:
         """Whether the team lacks room in this round, as an earlier step has shown.
@@ -223,27 +246,31 @@
         job: state.JobProgress,
         step: state.StepState,
         free_capacity: placement.FreeCapacity,
-        tickets_by_worker_id: dict[str, str],
+        advised: advised_capacity.AdvisedCapacity | None,
     ) -> None:
         """Start all members under one run number, or none of them."""
         number = max(job.next_run(task, self._epoch) for task in step.tasks)
         if not job.may_use(number, self._epoch):
             return
-        if not self._quotas.shares.fits(job.spec.team, step.spec, len(step.tasks)):
+        size = len(step.tasks)
+        choices = free_capacity if advised is None else advised
+        if not self._quotas.shares.fits(job.spec.team, step.spec, size):
             if (
                 self._is_lacking(job)
-                or free_capacity.choose_gang(step.spec, len(step.tasks)) is not None
+                or choices.choose_gang(step.spec, size) is not None
             ):
-                self._note_lack(job, step, len(step.tasks))
+                self._note_lack(job, step, size)
+            self._ask_for_advice(job, step, advised, collections.Counter(), size)
             return
-        chosen = free_capacity.choose_gang(step.spec, len(step.tasks))
+        chosen = choices.choose_gang(step.spec, size)
         if chosen is None:
+            self._ask_for_advice(job, step, advised, collections.Counter(), size)
             return
         saved = max((task.saved for task in step.tasks), default="")
         starts = []
         for task, session in zip(step.tasks, chosen, strict=True):
             task.saved = saved
-            ticket = tickets_by_worker_id.get(session.entry.worker_id, "")
+            ticket = _find_ticket(advised, session)
             run = self._add_run(job, step, task, number, session)
             starts.append(recorded_starts.Start(task, run, ticket))
         self._starts.submit(job, starts)
@@ -289,3 +316,13 @@
         session.add_run(run)
         job.is_placed = True
         return run
+
+
+def _find_ticket(
+    advised: advised_capacity.AdvisedCapacity | None,
+    session: worker_session.WorkerSession,
+) -> str:
+    """Return the ticket for a start on a worker; empty if none is needed."""
+    if advised is None:
+        return ""
+    return advised.tickets_by_worker_id[session.entry.worker_id]
--- a/clementinespar/jobs/tests/test_advice.py
+++ b/clementinespar/jobs/tests/test_advice.py
@@ -2,24 +2,36 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Callable
+from typing import Any
 
 import pytest
 
 from clementinespar.jobs import model
-from clementinespar.jobs.tests import fakes, helpers
+from clementinespar.jobs.tests import fake_adviser, fakes, helpers
 from clementinespar.tests import paused_clock
 
+LOST_AFTER_S = 3.0  # a job with room may have nothing running for this long
 
-def make_spec(job_id: str, task_count: int = 2, cpu: int = 1000) -> model.JobSpec:
+
+def make_spec(
+    job_id: str, task_count: int = 2, cpu: int = 1000, **step_fields: Any
+) -> model.JobSpec:
     """Return a job of one step that needs advice."""
     spec = helpers.make_spec(job_id, task_count, cpu)
-    return dataclasses.replace(spec, needs_advice=True)
+    step = dataclasses.replace(spec.steps[0], **step_fields)
+    return dataclasses.replace(spec, steps=(step,), needs_advice=True)
+
+
+def find_workers(workers: fakes.FakeWorkers, job_id: str) -> list[str]:
+    """Return the workers on which tasks of a job have started, in order."""
+    return [worker for key, _, worker in workers.starts if key.job_id == job_id]
 
 
 async def wait_started(workers: fakes.FakeWorkers, job_id: str, limit_s: float) -> None:
     """Wait until a task of a job has started."""
     async with asyncio.timeout(limit_s):
-        while not any(key.job_id == job_id for key, _, _ in workers.starts):
+        while not find_workers(workers, job_id):
             await asyncio.sleep(0.01)
 
 
@@ -50,3 +62,106 @@
         await harness.submit(make_spec("a"))
         await wait_started(workers, "a", limit_s)
     assert not harness.adviser.refused
+
+
+def join(workers: fakes.FakeWorkers, adviser: fake_adviser.FakeAdviser) -> None:
+    """Let a worker join that the policy allows."""
+    workers.add("late-0", "quotes")
+    adviser.allowed_ids.add("late-0")
+
+
+def restart(workers: fakes.FakeWorkers, adviser: fake_adviser.FakeAdviser) -> None:
+    """Restart a worker under its id; the policy allows its new life."""
+    adviser.allowed_ids.add("quotes-1")
+    workers.crash("quotes-1")
+
+
+def come_back(workers: fakes.FakeWorkers, adviser: fake_adviser.FakeAdviser) -> None:
+    """Let a worker answer again that the policy allows."""
+    adviser.allowed_ids.add("quotes-3")
+    workers.workers["quotes-3"].is_unresponsive = False
+
+
+@pytest.mark.parametrize("is_gang", [False, True])
+@pytest.mark.parametrize("change", [join, restart, come_back])
+@paused_clock.test
+async def test_worker_that_comes_later_gets_a_waiting_step(
+    change: Callable[[fakes.FakeWorkers, fake_adviser.FakeAdviser], None],
+    is_gang: bool,
+) -> None:
+    """Guards against a step that waits beside an empty worker it may run on.
+
+    A ticket for a worker without enough room kept the owner from asking about others.
+    """
+    workers = fakes.FakeWorkers(4)
+    workers.task_s = 60.0
+    workers.workers["quotes-3"].is_unresponsive = True
+    harness = helpers.OwnerHarness(workers)
+    harness.adviser.times = model.AdviceTimes(0.1, 0.01, 30.0)
+    harness.adviser.allowed_ids = {"quotes-0"}
+    async with helpers.run_owner(harness):
+        await harness.submit(make_spec("full", 4 - is_gang))
+        await wait_started(workers, "full", 2.0)
+        await harness.submit(make_spec("a", 2, is_gang=is_gang))
+        await asyncio.sleep(2.0)
+        assert not find_workers(workers, "a")
+        change(workers, harness.adviser)
+        await wait_started(workers, "a", LOST_AFTER_S)
+
+
+@paused_clock.test
+async def test_failed_task_gets_another_worker() -> None:
+    """Guards against starts where a task failed while others were not asked about."""
+    workers = fakes.FakeWorkers(3)
+    workers.task_s = 60.0
+    harness = helpers.OwnerHarness(workers)
+    harness.adviser.times = model.AdviceTimes(0.01, 1.0, 30.0)
+    harness.adviser.allowed_ids = {"quotes-1", "quotes-2"}
+    async with helpers.run_owner(harness):
+        await harness.submit(make_spec("a", 1))
+        await wait_started(workers, "a", 5.0)
+        failed_on = find_workers(workers, "a")[0]
+        workers.fail_runs(failed_on)
+        await asyncio.sleep(5.0)
+    first, second = find_workers(workers, "a")
+    assert first != second
+
+
+@pytest.mark.parametrize(
+    ("times", "allowed", "limit_s", "most_asked", "most_calls"),
+    [
+        pytest.param((0.3, 0.1, 20.0), 30, 1.0, 4, 1, id="any will do"),
+        pytest.param((0.05, 0.02, 3.0), 1, 2.5, 35, 8, id="one in forty"),
+        pytest.param((0.05, 0.1, 0.5), 3, 6.0, 2, 25, id="short validity"),
+        pytest.param((0.0, 0.0, 3.0), 40, 0.5, 40, 1, id="no cost"),
+    ],
+)
+@paused_clock.test
+async def test_calls_name_what_a_step_needs(
+    times: tuple[float, float, float],
+    allowed: int,
+    limit_s: float,
+    most_asked: int,
+    most_calls: int,
+) -> None:
+    """Guards against calls that are long for no use, and hold up all other steps."""
+    workers = fakes.FakeWorkers(40)
+    harness = helpers.OwnerHarness(workers)
+    harness.adviser.times = model.AdviceTimes(*times)
+    names = sorted(workers.workers)
+    harness.adviser.allowed_ids = set(names[-allowed:])
+    async with helpers.run_owner(harness):
+        await harness.submit(make_spec("a"))
+        await wait_started(workers, "a", limit_s)
+    assert max(harness.adviser.asked) <= most_asked
+    assert harness.adviser.calls <= most_calls
+
+
+@paused_clock.test
+async def test_hopeless_step_asks_ever_less_often() -> None:
+    """Guards against a step that no worker may run and that keeps the adviser busy."""
+    harness = helpers.OwnerHarness(fakes.FakeWorkers(4))
+    async with helpers.run_owner(harness):
+        await harness.submit(make_spec("a"))
+        await asyncio.sleep(60.0)
+    assert 5 <= harness.adviser.calls <= 15
--- a/clementinespar/jobs/tickets.py
+++ b/clementinespar/jobs/tickets.py
@@ -1,29 +1,62 @@
 """Tickets that the adviser issues for steps of jobs that need them."""
 
 import asyncio
+import dataclasses
 
 from clementinespar import errors
-from clementinespar.jobs import advice_calls, model, services, state
+from clementinespar.jobs import (
+    advice_calls,
+    advice_names,
+    advised_capacity,
+    model,
+    placement,
+    services,
+    state,
+)
 
-MAX_WORKERS_PER_REQUEST = 100
 # Share of a ticket's validity in which runs are started with it; the start takes time.
 VALIDITY_SHARE = 0.8
+# Pause of a step after a failed call, or after a worker has rejected its ticket. It
+# doubles with each failed call.
 RETRY_S = 0.25
-NO_WORKER_RETRY_S = 1.0  # after a request for which no worker got a ticket
+MAX_RETRY_S = 2.0
+# Pause before all workers are asked about again that got no ticket; it doubles as well.
+DENIED_RETRY_S = 1.0
+MAX_DENIED_RETRY_S = 8.0
+
+
+@dataclasses.dataclass(slots=True)
+class _StepAdvice:
+    """What is known and wanted for one step.
+
+    Attributes
+    ----------
+    need : advice_names.Need or None
+        What the newest round of placement lacked; None while no call waits.
+    ask_from : float
+        Event-loop time before which no call is made.
+    failures : int
+        Number of calls without an answer since the last answer.
+    denied_retry_s : float
+        Pause before all workers are asked about again.
+    """
+
+    answers: advice_names.Answers = dataclasses.field(
+        default_factory=advice_names.Answers
+    )
+    need: advice_names.Need | None = None
+    ask_from: float = 0.0
+    failures: int = 0
+    denied_retry_s: float = DENIED_RETRY_S
 
 
 class TicketCache:
-    """Tickets of one owner.
+    """Tickets of one owner, and the calls to the adviser for more of them.
 
-    A request is sent when the owner would place a step; `find_valid` returns nothing
-    until it is answered.
+    Each step has at most one call that waits or is in flight.
     """
 
-    _tickets: dict[tuple[str, int, int], dict[str, tuple[str, float]]]
-    _next_request_at: dict[tuple[str, int, int], float]
-    # Workers that got no ticket, by step. Other workers are asked about first; once all
-    # got none, the requests begin anew.
-    _denied: dict[tuple[str, int, int], set[str]]
+    _advice_by_step: dict[advice_calls.StepKey, _StepAdvice]
     _requests: set[asyncio.Task[None]]
 
     def __init__(
@@ -35,56 +68,69 @@
         self._calls = calls
         self._log_event = log_event
         self._schedule_wanted = schedule_wanted
-        self._tickets = {}
-        self._next_request_at = {}
-        self._denied = {}
+        self._advice_by_step = {}
         self._requests = set()
 
-    def find_valid(
-        self, queue: str, step: state.StepState, worker_ids: list[str]
-    ) -> dict[str, str]:
-        """Return valid tickets by worker id; if there are none, request them."""
+    def find_advised(
+        self, step: state.StepState, free_capacity: placement.FreeCapacity
+    ) -> advised_capacity.AdvisedCapacity:
+        """Return the free capacity for a step, by what the adviser has said."""
         now = asyncio.get_running_loop().time()
-        key = step.tasks[0].key
-        step_key = (key.job_id, key.occurrence, key.step)
-        valid_tickets = {
-            worker_id: ticket
-            for worker_id, (ticket, until) in self._tickets.get(step_key, {}).items()
-            if until > now and worker_id in worker_ids
-        }
-        if (
-            not valid_tickets
-            and now >= self._next_request_at.get(step_key, 0.0)
-            and worker_ids
-        ):
-            self._next_request_at[step_key] = float("inf")
-            denied = self._denied.setdefault(step_key, set())
-            unasked = [worker_id for worker_id in worker_ids if worker_id not in denied]
-            if not unasked:
-                denied.clear()
-                unasked = worker_ids
-            request = asyncio.create_task(
-                self._request(
-                    queue,
-                    step_key,
-                    unasked[:MAX_WORKERS_PER_REQUEST],
-                    has_more=len(unasked) > MAX_WORKERS_PER_REQUEST,
-                )
-            )
-            self._requests.add(request)
-            request.add_done_callback(self._requests.discard)
-        return valid_tickets
+        advice = self._find(step)
+        tickets: dict[str, str] = {}
+        unasked: set[str] = set()
+        for session in free_capacity.sessions():
+            life = advice_names.find_life(session)
+            ticket = advice.answers.find_ticket(life, now)
+            if ticket is not None:
+                tickets[session.entry.worker_id] = ticket
+            elif life not in advice.answers.denied:
+                unasked.add(session.entry.worker_id)
+        return advised_capacity.AdvisedCapacity(
+            tickets,
+            free_capacity.restrict(tickets),
+            free_capacity.restrict(unasked),
+            free_capacity.restrict(unasked.union(tickets)),
+            is_answering=not advice.failures,
+        )
+
+    def ask(self, queue: str, step: state.StepState, need: advice_names.Need) -> None:
+        """Ask the adviser about workers that tasks of a step need.
 
-    def drop(self, key: model.TaskKey, worker_id: str) -> None:
+        The newest need replaces that of a call that still waits.
+        """
+        now = asyncio.get_running_loop().time()
+        advice = self._find(step)
+        if advice.need is not None:
+            advice.need = need
+            return
+        if now < advice.ask_from:
+            return
+        if not need.with_room and not need.without_room:
+            if not advice.answers.denied or need.has_tickets:
+                return  # no worker is able, or those that may run the step are known
+            advice.answers.denied.clear()
+            advice.ask_from = now + advice.denied_retry_s
+            advice.denied_retry_s = min(MAX_DENIED_RETRY_S, 2 * advice.denied_retry_s)
+            return
+        advice.need = need
+        request = asyncio.create_task(self._request(queue, step, advice))
+        self._requests.add(request)
+        request.add_done_callback(self._requests.discard)
+
+    def drop(self, key: model.TaskKey, life: advice_names.Life) -> None:
         """Drop a ticket that a worker has rejected."""
-        step_key = (key.job_id, key.occurrence, key.step)
-        self._tickets.get(step_key, {}).pop(worker_id, None)
+        advice = self._advice_by_step.get((key.job_id, key.occurrence, key.step))
+        if advice is None or life not in advice.answers.tickets:
+            return
+        ticket, _ = advice.answers.tickets[life]
+        advice.answers.tickets[life] = (ticket, 0.0)
+        advice.ask_from = asyncio.get_running_loop().time() + RETRY_S
 
     def drop_job(self, job_id: str) -> None:
-        """Drop all tickets of a job."""
-        for cache in (self._tickets, self._next_request_at, self._denied):
-            for step_key in [step_key for step_key in cache if step_key[0] == job_id]:
-                cache.pop(step_key, None)
+        """Drop all that is known for a job."""
+        for step_key in [key for key in self._advice_by_step if key[0] == job_id]:
+            del self._advice_by_step[step_key]
 
     def close(self) -> None:
         """Cancel pending requests."""
@@ -95,50 +141,77 @@
         """Wait until the requests that `close` has cancelled have ended."""
         await asyncio.gather(*self._requests, return_exceptions=True)
 
+    def _find(self, step: state.StepState) -> _StepAdvice:
+        return self._advice_by_step.setdefault(_find_key(step), _StepAdvice())
+
     async def _request(
+        self, queue: str, step: state.StepState, advice: _StepAdvice
+    ) -> None:
+        """Request tickets for a step once it is its turn."""
+        try:
+            async with self._calls.take_turn():
+                if (
+                    advice.need is not None
+                    and step.waiting
+                    and self._advice_by_step.get(_find_key(step)) is advice
+                ):
+                    await self._call(queue, step, advice, advice.need)
+        finally:
+            advice.need = None
+        self._schedule_wanted.set()
+
+    async def _call(
         self,
         queue: str,
-        step_key: tuple[str, int, int],
-        worker_ids: list[str],
-        has_more: bool,
+        step: state.StepState,
+        advice: _StepAdvice,
+        need: advice_names.Need,
     ) -> None:
-        """Request tickets for some workers.
-
-        Parameters
-        ----------
-        has_more : bool
-            Whether other workers are left to ask about.
-        """
+        """Ask about as many workers as a step needs, and keep the answer."""
         loop = asyncio.get_running_loop()
+        key = _find_key(step)
+        times = self._calls.find_times(queue)
+        lives = [
+            advice_names.find_life(session)
+            for session in advice_names.choose_workers(need, advice.answers, times)
+        ]
+        began_at = loop.time()
         try:
-            async with self._calls.take_turn():
-                issued = await self._calls.request_tickets(
-                    step_key, worker_ids, self._calls.find_times(queue)
-                )
-        except errors.ClementinesparError as error:
-            self._log_event("advice_missing", job=step_key[0], code=int(error.code))
-            self._next_request_at[step_key] = loop.time() + RETRY_S
-        else:
-            now = loop.time()
-            until = now + VALIDITY_SHARE * issued.valid_s
-            self._tickets[step_key] = {
-                worker_id: (ticket, until)
-                for worker_id, ticket in issued.tickets_by_worker.items()
-            }
-            self._denied.setdefault(step_key, set()).update(
-                worker_id
-                for worker_id in worker_ids
-                if worker_id not in issued.tickets_by_worker
-            )
-            is_final = not issued.tickets_by_worker and not has_more
-            self._next_request_at[step_key] = now + (
-                NO_WORKER_RETRY_S if is_final else 0.0
+            issued = await self._calls.request_tickets(
+                key, [worker_id for worker_id, _ in lives], times
             )
+        except errors.ClementinesparError as error:
+            pause_s = min(MAX_RETRY_S, RETRY_S * 2**advice.failures)
+            advice.failures += 1
+            advice.ask_from = loop.time() + pause_s
             self._log_event(
-                "advice",
-                job=step_key[0],
-                step=step_key[2],
-                asked=len(worker_ids),
-                good=len(issued.tickets_by_worker),
+                "advice_missing",
+                job=key[0],
+                step=key[2],
+                asked=len(lives),
+                took_ms=round((loop.time() - began_at) * 1000),
+                code=int(error.code),
             )
-        self._schedule_wanted.set()
+            return
+        advice.failures = 0
+        until = loop.time() + VALIDITY_SHARE * (issued.valid_s or times.valid_s)
+        for life in lives:
+            ticket = issued.tickets_by_worker.get(life[0])
+            if ticket is None:
+                advice.answers.tickets.pop(life, None)
+                advice.answers.denied.add(life)
+            else:
+                advice.answers.tickets[life] = (ticket, until)
+        self._log_event(
+            "advice",
+            job=key[0],
+            step=key[2],
+            asked=len(lives),
+            good=len(issued.tickets_by_worker),
+            took_ms=round((loop.time() - began_at) * 1000),
+        )
+
+
+def _find_key(step: state.StepState) -> advice_calls.StepKey:
+    key = step.tasks[0].key
+    return key.job_id, key.occurrence, key.step
