Call the adviser for the most urgent step first

Cause: the lock around the calls to the adviser served steps in the order in which they came to it. An urgent step waited behind the calls of all steps that waited before it, also of those that no worker may run.

The turn now goes to the call with the lowest rank: first those that may let a task start now, then by the rank of the job in placement. Each round of placement renews the rank of a call that waits.

--- a/clementinespar/jobs/advice_calls.py
+++ b/clementinespar/jobs/advice_calls.py
@@ -1,8 +1,9 @@
-"""Calls of a node to the adviser: one at a time, each with a limit of its own."""
+"""Calls of a node to the adviser: one at a time, the most urgent first."""
 
 import asyncio
 import contextlib
 from collections.abc import AsyncIterator, Callable, Sequence
+from typing import Protocol
 
 from clementinespar import codes, errors
 from clementinespar.jobs import model, services
@@ -18,6 +19,12 @@
 StepKey = tuple[str, int, int]  # job id, occurrence, number of the step
 
 
+class Waiting(Protocol):
+    """A call that waits for its turn."""
+
+    rank: tuple[float, ...]  # the lowest goes first; may change while the call waits
+
+
 class AdviceCalls:
     """The adviser as all owners of a node call it.
 
@@ -27,7 +34,8 @@
 
     _free_at: float  # event-loop time by which it should have done all earlier calls
     _slowness: float  # time taken by the last call, by the time it should take; from 1
-    _lock: asyncio.Lock
+    _has_turn: bool  # whether a call is in flight
+    _waiting: list[tuple[Waiting, asyncio.Future[None]]]  # in the order of arrival
 
     def __init__(
         self,
@@ -46,17 +54,43 @@
         self._find_configured = find_configured
         self._free_at = 0.0
         self._slowness = 1.0
-        self._lock = asyncio.Lock()
+        self._has_turn = False
+        self._waiting = []
 
     def find_times(self, queue: str) -> model.AdviceTimes:
         """Return the times of the adviser for a queue."""
         return self._find_configured(queue) or UNKNOWN_TIMES
 
     @contextlib.asynccontextmanager
-    async def take_turn(self) -> AsyncIterator[None]:
-        """Wait until no other call of this node is in flight."""
-        async with self._lock:
+    async def take_turn(self, waiting: Waiting) -> AsyncIterator[None]:
+        """Wait until no call of this node is in flight and none of a lower rank waits.
+
+        The context holds the turn until it exits.
+        """
+        turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        entry = (waiting, turn)
+        self._waiting.append(entry)
+        self._give_turn()
+        try:
+            await turn
             yield
+        finally:
+            if turn.cancelled():
+                self._waiting.remove(entry)
+            else:
+                self._has_turn = False
+                self._give_turn()
+
+    def _give_turn(self) -> None:
+        """Let the most urgent waiting call go on if none is in flight."""
+        # A cancelled call is still listed until its task has gone on.
+        waiting = [entry for entry in self._waiting if not entry[1].cancelled()]
+        if self._has_turn or not waiting:
+            return
+        entry = min(waiting, key=lambda entry: entry[0].rank)
+        self._waiting.remove(entry)
+        self._has_turn = True
+        entry[1].set_result(None)
 
     async def request_tickets(
         self, step: StepKey, worker_ids: Sequence[str], times: model.AdviceTimes
--- a/clementinespar/jobs/placement_round.py
+++ b/clementinespar/jobs/placement_round.py
@@ -125,8 +125,8 @@
         if not shares_by_pool:
             waiting.sort(key=lambda job: rank_by_id[job.spec.job_id])
             for job in waiting:
-                kind = rank_by_id[job.spec.job_id][0]
-                self._place(job, kind, free_capacity_by_pool[job.spec.pool], now)
+                rank = rank_by_id[job.spec.job_id]
+                self._place(job, rank, free_capacity_by_pool[job.spec.pool], now)
             return
         self._metrics.count_contended_round()
         # The number keeps the order of jobs with equal keys.
@@ -144,7 +144,8 @@
                 heapq.heappush(queue, (key._replace(is_above=True), number, job))
                 continue
             was_placed = job.is_placed
-            self._place(job, key.kind, free_capacity_by_pool[job.spec.pool], now)
+            rank = rank_by_id[job.spec.job_id]
+            self._place(job, rank, free_capacity_by_pool[job.spec.pool], now)
             if shares and job.is_placed and not was_placed:
                 shares.claim(job.spec.team, work_by_id[job.spec.job_id])
 
@@ -213,7 +214,7 @@
     def _place(
         self,
         job: state.JobProgress,
-        kind: int,
+        rank: tuple[int, int, float],
         free_capacity: placement.FreeCapacity,
         now: float,
     ) -> None:
@@ -221,15 +222,16 @@
 
         Parameters
         ----------
-        kind : int
-            The class of `placement.rank`.
+        rank : tuple
+            As `placement.rank` returns it.
         """
         pool = job.spec.pool
+        kind = rank[0]
         if self._is_held_back(pool, kind, free_capacity, now):
             return
         risk_version = job.risk_version
         missing_ranges = job.missing_ranges
-        self._placer.place(job, free_capacity, now)
+        self._placer.place(job, rank, free_capacity, now)
         if job.risk_version != risk_version or job.missing_ranges != missing_ranges:
             self._jobs.store_soon(job)
         is_timely = kind in (placement.STARTED, placement.NEW)
--- a/clementinespar/jobs/task_placer.py
+++ b/clementinespar/jobs/task_placer.py
@@ -62,9 +62,19 @@
         self._starts.send_stored(now)
 
     def place(
-        self, job: state.JobProgress, free_capacity: placement.FreeCapacity, now: float
+        self,
+        job: state.JobProgress,
+        rank: tuple[int, int, float],
+        free_capacity: placement.FreeCapacity,
+        now: float,
     ) -> None:
-        """Start the ready tasks of a job, as far as the free capacity allows."""
+        """Start the ready tasks of a job, as far as the free capacity allows.
+
+        Parameters
+        ----------
+        rank : tuple
+            As `placement.rank` returns it; calls to the adviser go by it as well.
+        """
         if not free_capacity.has_any():
             return
         is_on_probation = crash_counts.is_on_probation(job)
@@ -78,11 +88,12 @@
                 if indexes and is_on_probation and not step.spec.is_gang:
                     indexes = crash_counts.choose_alone(job, step, indexes)
                 if indexes:
-                    self._place_step(job, step, indexes, free_capacity, now)
+                    self._place_step(job, rank, step, indexes, free_capacity, now)
 
     def _place_step(
         self,
         job: state.JobProgress,
+        rank: tuple[int, int, float],
         step: state.StepState,
         indexes: set[int],
         free_capacity: placement.FreeCapacity,
@@ -94,7 +105,7 @@
             free_capacity = advised.ticketed
         if step.spec.is_gang:
             if len(indexes) == len(step.tasks):
-                self._place_gang(job, step, free_capacity, advised)
+                self._place_gang(job, rank, step, free_capacity, advised)
             return
         counts = self.count_per_worker(job, step)
         fits = self._quotas.shares.fits
@@ -138,11 +149,12 @@
                 job, [recorded_starts.Start(task, run, ticket, is_isolated)]
             )
             left -= 1
-        self._ask_for_advice(job, step, advised, counts, left)
+        self._ask_for_advice(job, rank, step, advised, counts, left)
 
     def _ask_for_advice(
         self,
         job: state.JobProgress,
+        rank: tuple[int, int, float],
         step: state.StepState,
         advised: advised_capacity.AdvisedCapacity | None,
         counts: collections.Counter[str],
@@ -153,7 +165,7 @@
             return
         need = advised.find_need(step.spec, counts, left)
         if need is not None:
-            self._tickets.ask(job.spec.queue, step, need)
+            self._tickets.ask(job.spec.queue, step, need, rank)
 
     def _is_lacking(self, job: state.JobProgress) -> bool:
         """Whether the team lacks room in this round, as an earlier step has shown.
@@ -244,6 +256,7 @@
     def _place_gang(
         self,
         job: state.JobProgress,
+        rank: tuple[int, int, float],
         step: state.StepState,
         free_capacity: placement.FreeCapacity,
         advised: advised_capacity.AdvisedCapacity | None,
@@ -260,11 +273,11 @@
                 or choices.choose_gang(step.spec, size) is not None
             ):
                 self._note_lack(job, step, size)
-            self._ask_for_advice(job, step, advised, collections.Counter(), size)
+            self._ask_for_advice(job, rank, step, advised, collections.Counter(), size)
             return
         chosen = choices.choose_gang(step.spec, size)
         if chosen is None:
-            self._ask_for_advice(job, step, advised, collections.Counter(), size)
+            self._ask_for_advice(job, rank, step, advised, collections.Counter(), size)
             return
         saved = max((task.saved for task in step.tasks), default="")
         starts = []
--- a/clementinespar/jobs/tests/test_advice.py
+++ b/clementinespar/jobs/tests/test_advice.py
@@ -171,3 +171,49 @@
         assert 5 <= harness.adviser.calls <= 15
         join(workers, harness.adviser)
         await wait_started(workers, "a", LOST_AFTER_S)
+
+
+@pytest.mark.parametrize("priority", [0, 1])
+@paused_clock.test
+async def test_urgent_step_goes_before_others(priority: int) -> None:
+    """Guards against a step that waits behind all calls for less urgent ones.
+
+    None of those can start: the policy refuses them, and they came first.
+    """
+    workers = fakes.FakeWorkers(30)
+    harness = helpers.OwnerHarness(workers)
+    harness.adviser.times = model.AdviceTimes(0.3, 0.1, 20.0)
+    async with helpers.run_owner(harness):
+        for number in range(40):
+            spec = make_spec(f"other-{number}")
+            await harness.submit(dataclasses.replace(spec, priority=1))
+        await asyncio.sleep(40.0 if priority else 1.0)
+        harness.adviser.allowed_ids = set(workers.workers)
+        await harness.submit(dataclasses.replace(make_spec("a"), priority=priority))
+        await wait_started(workers, "a", LOST_AFTER_S)
+    assert not harness.adviser.refused
+
+
+@pytest.mark.parametrize("cancelled", [(0,), (1,), (2,), (0, 2)])
+@paused_clock.test
+async def test_turn_goes_on_after_a_cancelled_call(cancelled: tuple[int, ...]) -> None:
+    """Guards against a closed owner that keeps the turn of its node for good."""
+    calls = fake_adviser.make_calls(fake_adviser.FakeAdviser())
+    ended: list[int] = []
+
+    class Call:
+        def __init__(self, number: int) -> None:
+            self.number = number
+            self.rank: tuple[float, ...] = (-number,)
+
+        async def run(self) -> None:
+            async with calls.take_turn(self):
+                await asyncio.sleep(1.0)
+                ended.append(self.number)
+
+    tasks = [asyncio.create_task(Call(number).run()) for number in range(3)]
+    await asyncio.sleep(0.5)
+    for number in cancelled:
+        tasks[number].cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    assert ended == [number for number in (0, 2, 1) if number not in cancelled]
--- a/clementinespar/jobs/tickets.py
+++ b/clementinespar/jobs/tickets.py
@@ -33,6 +33,11 @@
     ----------
     need : advice_names.Need or None
         What the newest round of placement lacked; None while no call waits.
+    rank : tuple of float
+        Rank of the call that waits: whether no task could start at once, then the rank
+        of the job.
+    is_repeated : bool
+        Whether all workers have been refused and are asked about again.
     ask_from : float
         Event-loop time before which no call is made.
     failures : int
@@ -47,6 +52,8 @@
         default_factory=advice_names.Answers
     )
     need: advice_names.Need | None = None
+    rank: tuple[float, ...] = ()
+    is_repeated: bool = False
     ask_from: float = 0.0
     failures: int = 0
     denied_retry_s: float = DENIED_RETRY_S
@@ -60,6 +67,7 @@
         elif now >= self.begin_anew_at:
             self.begin_anew_at = None
             self.answers.denied.clear()
+            self.is_repeated = True
 
 
 class TicketCache:
@@ -106,13 +114,26 @@
             is_answering=not advice.failures,
         )
 
-    def ask(self, queue: str, step: state.StepState, need: advice_names.Need) -> None:
+    def ask(
+        self,
+        queue: str,
+        step: state.StepState,
+        need: advice_names.Need,
+        job_rank: tuple[int, int, float],
+    ) -> None:
         """Ask the adviser about workers that tasks of a step need.
 
-        The newest need replaces that of a call that still waits.
+        The newest need and rank replace those of a call that still waits.
+
+        Parameters
+        ----------
+        job_rank : tuple
+            As `placement.rank` returns it.
         """
         now = asyncio.get_running_loop().time()
         advice = self._find(step)
+        is_ahead = not need.with_room or advice.is_repeated
+        advice.rank = (float(is_ahead), *job_rank)
         if advice.need is not None:
             advice.need = need
             return
@@ -158,7 +179,7 @@
     ) -> None:
         """Request tickets for a step once it is its turn."""
         try:
-            async with self._calls.take_turn():
+            async with self._calls.take_turn(advice):
                 if (
                     advice.need is not None
                     and step.waiting
@@ -203,6 +224,7 @@
         advice.failures = 0
         if issued.tickets_by_worker:
             advice.denied_retry_s = DENIED_RETRY_S
+            advice.is_repeated = False
         until = loop.time() + VALIDITY_SHARE * (issued.valid_s or times.valid_s)
         for life in lives:
             ticket = issued.tickets_by_worker.get(life[0])
