Drop what the adviser said for occurrences that have ended

Cause: tickets and refusals were kept until the end of their job. A job that is repeated for long would take more and more memory of its owner: up to 100 tickets for each step of each occurrence.

test_advice_is_kept_only_for_open_occurrences: after 10 of 20 occurrences at most 11 steps are kept. Without the fix 20 are, and the test fails.

--- a/clementinespar/jobs/pool_owner.py
+++ b/clementinespar/jobs/pool_owner.py
@@ -101,7 +101,7 @@
     _takeover_wait: takeover_wait.TakeoverWait
     _subscription: contextlib.ExitStack  # to the directory of workers
     _team_rates: team_rate.TeamRates
-    _tickets: tickets.TicketCache
+    tickets: tickets.TicketCache
     _run_times: demand.RunTimes
 
     def __init__(
@@ -180,11 +180,11 @@
             lambda: self.mark_lost("the store has seen a later owner"),
             log_event,
         )
-        self._tickets = tickets.TicketCache(
+        self.tickets = tickets.TicketCache(
             advice, log_event, self._jobs.schedule_wanted
         )
         placer = task_placer.TaskPlacer(
-            epoch, self.sessions_by_id, self._tickets, log_event, metrics, self.quotas
+            epoch, self.sessions_by_id, self.tickets, log_event, metrics, self.quotas
         )
         self._neighbours = neighbours.Neighbours(log_event, metrics)
         self._run_watch = run_watch.RunWatch(
@@ -199,7 +199,7 @@
         self._ends = run_ends.RunEnds(
             self._jobs,
             self.sessions_by_id,
-            self._tickets,
+            self.tickets,
             self._run_times,
             self.quotas,
             self._conclusions,
@@ -235,7 +235,7 @@
             self._crash_watch,
             self._neighbours,
             self._run_watch,
-            self._tickets,
+            self.tickets,
             self._conclusions,
             self.confirmed_at,
             self.mark_lost,
@@ -479,13 +479,13 @@
         """
         self.is_lost = True
         self._subscription.close()
-        self._tickets.close()
+        self.tickets.close()
         self._neighbours.close()
         self._sessions.close()
 
     async def wait_closed(self) -> None:
         """Wait until the calls that `close` has cancelled have ended."""
-        await asyncio.gather(self._tickets.wait_closed(), self._sessions.wait_closed())
+        await asyncio.gather(self.tickets.wait_closed(), self._sessions.wait_closed())
 
 
 @contextlib.asynccontextmanager
--- a/clementinespar/jobs/run_ends.py
+++ b/clementinespar/jobs/run_ends.py
@@ -187,6 +187,7 @@
         for number, occurrence in list(job.occurrences.items()):
             if occurrence.is_done and not job.is_lasting:
                 del job.occurrences[number]
+                self._tickets.drop_occurrence(job.spec, number)
                 job.finished_occurrences += 1
         wanted = job.spec.occurrences or 1
         if job.finished_occurrences >= wanted:
--- a/clementinespar/jobs/tests/test_advice.py
+++ b/clementinespar/jobs/tests/test_advice.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -217,3 +218,22 @@
         tasks[number].cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
     assert ended == [number for number in (0, 2, 1) if number not in cancelled]
+
+
+@paused_clock.test
+async def test_advice_is_kept_only_for_open_occurrences() -> None:
+    """Guards against a node that runs out of memory over a job that is repeated."""
+    harness = helpers.OwnerHarness(fakes.FakeWorkers(2))
+    harness.adviser.allowed_ids = {"quotes-0"}
+    spec = dataclasses.replace(
+        make_spec("a"),
+        first_due_ms=int(time.time() * 1000) - 60_000,
+        period_ms=10,
+        occurrences=20,
+    )
+    async with helpers.run_owner(harness) as owner:
+        await harness.submit(spec)
+        async with asyncio.timeout(30.0):
+            while len(find_workers(harness.workers, "a")) < 10 * 2:
+                await asyncio.sleep(0.1)
+        assert len(owner.tickets) <= 11
--- a/clementinespar/jobs/tickets.py
+++ b/clementinespar/jobs/tickets.py
@@ -91,6 +91,10 @@
         self._advice_by_step = {}
         self._requests = set()
 
+    def __len__(self) -> int:
+        """Return the number of steps for which anything is kept."""
+        return len(self._advice_by_step)
+
     def find_advised(
         self, step: state.StepState, free_capacity: placement.FreeCapacity
     ) -> advised_capacity.AdvisedCapacity:
@@ -162,6 +166,11 @@
         for step_key in [key for key in self._advice_by_step if key[0] == job_id]:
             del self._advice_by_step[step_key]
 
+    def drop_occurrence(self, spec: model.JobSpec, occurrence: int) -> None:
+        """Drop all that is known for an occurrence of a job."""
+        for step in range(len(spec.steps)):
+            self._advice_by_step.pop((spec.job_id, occurrence, step), None)
+
     def close(self) -> None:
         """Cancel pending requests."""
         for request in self._requests:
