Keep lasting tasks where the adviser refused all other workers

Cause: the move of a lasting task off a draining worker, off a stuck one or away from its neighbours looked for room on any worker of the pool, also on those that the adviser has refused for its step. The task was stopped and had nowhere to go.

test_lasting_task_stays_where_no_other_worker_may_run_it fails without the fix: the task is stopped when its worker drains. It moves once an allowed worker joins.

--- a/clementinespar/jobs/run_watch.py
+++ b/clementinespar/jobs/run_watch.py
@@ -124,6 +124,7 @@
                 if session.can_take(now)
                 and session is not leaving
                 and session.entry.pool == job.spec.pool
+                and not self._placer.is_refused(job, step, session)
             ],
             self._neighbours.find_model(job.spec.pool),
         )
--- a/clementinespar/jobs/task_placer.py
+++ b/clementinespar/jobs/task_placer.py
@@ -205,6 +205,15 @@
             self._find_avoided(step, task, now),
         )
 
+    def is_refused(
+        self,
+        job: state.JobProgress,
+        step: state.StepState,
+        session: worker_session.WorkerSession,
+    ) -> bool:
+        """Whether the adviser has refused a ticket for a step on a worker."""
+        return job.spec.needs_advice and self._tickets.is_refused(step, session)
+
     def share_fits(self, job: state.JobProgress, step: state.StepState) -> bool:
         """Whether the team's share has room for the next start of a step."""
         count = len(step.tasks) if step.spec.is_gang else 1
--- a/clementinespar/jobs/tests/test_advice.py
+++ b/clementinespar/jobs/tests/test_advice.py
@@ -237,3 +237,21 @@
             while len(find_workers(harness.workers, "a")) < 10 * 2:
                 await asyncio.sleep(0.1)
         assert len(owner.tickets) <= 11
+
+
+@paused_clock.test
+async def test_lasting_task_stays_where_no_other_worker_may_run_it() -> None:
+    """Guards against a stop on a draining worker for the sake of refused ones."""
+    workers = fakes.FakeWorkers(4)
+    harness = helpers.OwnerHarness(workers)
+    harness.adviser.allowed_ids = {"quotes-0"}
+    spec = make_spec("a", 1, is_lasting=True, max_per_worker=1, may_miss=1)
+    async with helpers.run_owner(harness):
+        await harness.submit(spec)
+        await wait_started(workers, "a", 2.0)
+        workers.drain("quotes-0")
+        await asyncio.sleep(5.0)
+        assert workers.workers["quotes-0"].running
+        join(workers, harness.adviser)
+        await asyncio.sleep(5.0)
+    assert find_workers(workers, "a") == ["quotes-0", "late-0"]
--- a/clementinespar/jobs/tickets.py
+++ b/clementinespar/jobs/tickets.py
@@ -12,6 +12,7 @@
     placement,
     services,
     state,
+    worker_session,
 )
 
 # Share of a ticket's validity in which runs are started with it; the start takes time.
@@ -118,6 +119,14 @@
             is_answering=not advice.failures,
         )
 
+    def is_refused(
+        self, step: state.StepState, session: worker_session.WorkerSession
+    ) -> bool:
+        """Whether the adviser has refused a ticket for a step on a worker."""
+        advice = self._advice_by_step.get(_find_key(step))
+        life = advice_names.find_life(session)
+        return advice is not None and life in advice.answers.denied
+
     def ask(
         self,
         queue: str,
