Name enough workers in one call where tickets expire soon

Cause: a call was limited to half the validity of its tickets. Where the adviser takes longer than that for any call, each call named one worker, and the first ticket of a gang expired while it asked for the next one.

The limit now applies only once a worker has rejected a ticket, which shows that the validity begins before the answer. Workers with an expired ticket are named first, since the policy does not change for a step.

--- a/clementinespar/jobs/advice_names.py
+++ b/clementinespar/jobs/advice_names.py
@@ -9,7 +9,9 @@
 # A call holds up those for other steps of the node. It names fewer workers than the
 # step needs rather than take longer, unless the adviser takes that long in any case.
 MAX_CALL_S = 1.0
-MAX_VALIDITY_SHARE = 0.5  # of the validity of a ticket that the call may take
+# Share of the validity of a ticket that a call may take once workers have rejected
+# tickets: the validity may begin before the answer.
+MAX_VALIDITY_SHARE = 0.5
 
 Life = tuple[str, int]  # worker id, and the start of its life in Unix ms
 
@@ -32,10 +34,13 @@
         Tickets with the event-loop times until which they are used.
     denied : set of Life
         Workers that got no ticket.
+    has_rejections : bool
+        Whether a worker has rejected a ticket that seemed valid.
     """
 
     tickets: dict[Life, tuple[str, float]] = dataclasses.field(default_factory=dict)
     denied: set[Life] = dataclasses.field(default_factory=set)
+    has_rejections: bool = False
 
     def find_ticket(self, life: Life, now: float) -> str | None:
         """Return the valid ticket of a worker, or None."""
@@ -82,10 +87,10 @@
     )
 
 
-def find_limit(times: model.AdviceTimes) -> int:
+def find_limit(times: model.AdviceTimes, has_rejections: bool) -> int:
     """Return how many workers a call may name."""
     longest_s = max(MAX_CALL_S, 2 * times.decide_s)
-    if times.valid_s:
+    if has_rejections:
         longest_s = min(longest_s, MAX_VALIDITY_SHARE * times.valid_s)
     left_s = longest_s - times.decide_s
     if times.each_s * MAX_WORKERS_PER_CALL <= left_s:
@@ -101,11 +106,15 @@
     A call names as many workers as the tasks need by the share that got tickets so far,
     and in any case so many that naming them takes as long as the rest of the call.
     """
-    limit = find_limit(times)
+    limit = find_limit(times, answers.has_rejections)
     share = answers.expected_share()
     chosen: list[worker_session.WorkerSession] = []
     covered = 0.0  # tasks expected to find a worker with a ticket
-    for session, room in need.with_room[:limit]:
+    # Those that had a ticket get one again.
+    known_first = sorted(
+        need.with_room, key=lambda item: find_life(item[0]) not in answers.tickets
+    )
+    for session, room in known_first[:limit]:
         if covered >= need.task_count and len(chosen) * times.each_s >= times.decide_s:
             break
         chosen.append(session)
--- a/clementinespar/jobs/tests/fakes.py
+++ b/clementinespar/jobs/tests/fakes.py
@@ -204,6 +204,10 @@
         self.acknowledged_done: set[model.TaskKey] = set()
         self.cpu_by_step: dict[tuple[str, int], int] = {}
         self.lasting_jobs: set[str] = set()
+        # Whether a worker accepts the ticket of a start.
+        self.accepts_ticket: Callable[
+            [fake_worker.FakeWorker, model.StartOrder], bool
+        ] = lambda worker, order: True
         # Called with each task that a worker starts, before it counts as running.
         self.on_start: Callable[[model.TaskKey], None] = lambda task: None
         for number in range(count):
@@ -388,6 +392,8 @@
             return model.StartAnswer(model.StartResult.LEASE_LATE, clock_ms)
         if order.run <= fake.ended_runs.get(order.task, 0):
             return model.StartAnswer(model.StartResult.STALE_RUN, clock_ms)
+        if not self.accepts_ticket(fake, order):
+            return model.StartAnswer(model.StartResult.NO_TICKET, clock_ms)
         if order.task not in fake.running:
             self._record_start(fake, order.task, order.run)
             lasts = order.task.job_id in self.lasting_jobs
--- a/clementinespar/jobs/tickets.py
+++ b/clementinespar/jobs/tickets.py
@@ -168,6 +168,7 @@
             return
         ticket, _ = advice.answers.tickets[life]
         advice.answers.tickets[life] = (ticket, 0.0)
+        advice.answers.has_rejections = True
         advice.ask_from = asyncio.get_running_loop().time() + RETRY_S
 
     def drop_job(self, job_id: str) -> None:
