Give every fourth call to the adviser to the step that waited longest

Cause: with turns by rank alone, a step whose tickets expire before it can start asks again and again, and steps of a lower rank are never asked about.

test_all_jobs_are_done_after_troubles plays jobs, workers that come and go and an adviser that is slow, busy or loses answers.

--- a/clementinespar/jobs/advice_calls.py
+++ b/clementinespar/jobs/advice_calls.py
@@ -14,6 +14,8 @@
 MARGIN = 1.5  # of the time that the adviser should take
 # Largest factor by which the adviser is expected to take longer than its queue says.
 MAX_SLOWNESS = 4.0
+# Each so many turns, one goes to the call that has waited longest.
+FAIR_TURN = 4
 _LEAST_WORK_S = 0.001
 
 StepKey = tuple[str, int, int]  # job id, occurrence, number of the step
@@ -36,6 +38,7 @@
     _slowness: float  # time taken by the last call, by the time it should take; from 1
     _has_turn: bool  # whether a call is in flight
     _waiting: list[tuple[Waiting, asyncio.Future[None]]]  # in the order of arrival
+    _turns: int  # given so far
 
     def __init__(
         self,
@@ -56,6 +59,7 @@
         self._slowness = 1.0
         self._has_turn = False
         self._waiting = []
+        self._turns = 0
 
     def find_times(self, queue: str) -> model.AdviceTimes:
         """Return the times of the adviser for a queue."""
@@ -82,12 +86,19 @@
                 self._give_turn()
 
     def _give_turn(self) -> None:
-        """Let the most urgent waiting call go on if none is in flight."""
+        """Let a waiting call go on if none is in flight.
+
+        It is the most urgent one, or at times the oldest one: a step whose tickets
+        expire before it can start would else keep the turn for good.
+        """
         # A cancelled call is still listed until its task has gone on.
         waiting = [entry for entry in self._waiting if not entry[1].cancelled()]
         if self._has_turn or not waiting:
             return
-        entry = min(waiting, key=lambda entry: entry[0].rank)
+        self._turns += 1
+        entry = waiting[0]
+        if self._turns % FAIR_TURN:
+            entry = min(waiting, key=lambda entry: entry[0].rank)
         self._waiting.remove(entry)
         self._has_turn = True
         entry[1].set_result(None)
