Start a short gang on several racks rather than ask about all workers first

Cause: since a gang that prefers one rack waited beside workers with tickets until the adviser had been asked about all others, in calls of at most 1 s. In a trial with processes (30 workers, decideMs 300, eachMs 100, one call at a time, 12 jobs) gangs that run 0.5 s waited for up to 34 s; no call was refused and all jobs were done.

A gang now waits only if asking about all workers takes no longer than its run.

test_gang_waits_for_one_rack_only_where_it_pays: the short gang took longer than 3 s before the change, the long one is on one rack with and without it.

--- a/clementinespar/jobs/advised_capacity.py
+++ b/clementinespar/jobs/advised_capacity.py
@@ -22,7 +22,9 @@
     possible : placement.FreeCapacity
         Both of them.
     is_answering : bool
-        Whether it makes sense to wait for a ticket for a worker that suits better.
+        Whether the adviser has answered the last call for the step.
+    ask_s : float
+        Time that calls about all unasked workers take, in seconds.
     lacking : int
         Number of tasks that no worker with a ticket can take, or none that suits.
     wanted : list of WorkerSession
@@ -34,6 +36,7 @@
     unasked: placement.FreeCapacity
     possible: placement.FreeCapacity
     is_answering: bool
+    ask_s: float
     lacking: int = 0
     wanted: list[worker_session.WorkerSession] = dataclasses.field(default_factory=list)
 
@@ -68,10 +71,12 @@
         """Return a worker with a ticket for each member of a gang, or None.
 
         None also means that tickets for some workers would bring a gang that prefers
-        one rack onto one.
+        one rack onto one, and that asking takes less time than a run. On several racks
+        it would run for some times as long.
         """
         chosen = self.ticketed.choose_gang(spec, size)
-        if chosen is not None and not _is_spread(spec, chosen):
+        is_worth_asking = self.is_answering and self.ask_s * 1000 <= spec.estimate_ms
+        if chosen is not None and not (_is_spread(spec, chosen) and is_worth_asking):
             return chosen
         possible = self.possible.choose_gang(spec, size)
         if possible is None or (chosen is not None and _is_spread(spec, possible)):
@@ -85,7 +90,7 @@
         first = list(dict.fromkeys(missing))
         others = self.unasked.rank(spec, collections.Counter(), set())
         self.wanted = first + [s for s in others if s not in first]
-        return None if self.is_answering else chosen
+        return None
 
     def find_need(
         self, spec: model.StepSpec, counts: collections.Counter[str], left: int
--- a/clementinespar/jobs/task_placer.py
+++ b/clementinespar/jobs/task_placer.py
@@ -101,7 +101,7 @@
     ) -> None:
         advised: advised_capacity.AdvisedCapacity | None = None
         if job.spec.needs_advice:
-            advised = self._tickets.find_advised(step, free_capacity)
+            advised = self._tickets.find_advised(job.spec.queue, step, free_capacity)
             free_capacity = advised.ticketed
         if step.spec.is_gang:
             if len(indexes) == len(step.tasks):
--- a/clementinespar/jobs/tests/test_advice.py
+++ b/clementinespar/jobs/tests/test_advice.py
@@ -291,3 +291,33 @@
         await asyncio.sleep(30.0)
         await harness.submit(make_spec("a", 4, cpu=2000, is_gang=True))
         await wait_started(workers, "a", 20.0)
+
+
+@pytest.mark.parametrize(
+    ("estimate_ms", "limit_s", "racks"), [(500, 3.0, 2), (60_000, 20.0, 1)]
+)
+@paused_clock.test
+async def test_gang_waits_for_one_rack_only_where_it_pays(
+    estimate_ms: int, limit_s: float, racks: int
+) -> None:
+    """Guards against a short gang that waits for advice beside workers with tickets."""
+    workers = fakes.FakeWorkers(20)
+    for number, worker_id in enumerate(sorted(workers.workers)):
+        workers.workers[worker_id].entry = workers.by_id[worker_id] = (
+            dataclasses.replace(workers.by_id[worker_id], rack=f"r{number // 2}")
+        )
+    rack_by_id = {worker_id: entry.rack for worker_id, entry in workers.by_id.items()}
+    harness = helpers.OwnerHarness(workers)
+    harness.adviser.times = model.AdviceTimes(0.3, 0.1, 20.0)
+    harness.adviser.allowed_ids = set(sorted(workers.workers)[::2])
+    harness.adviser.allowed_ids |= set(sorted(workers.workers)[-2:])
+    spec = make_spec(
+        "a", 4, 2000, is_gang=True, is_same_rack=True, estimate_ms=estimate_ms
+    )
+    async with helpers.run_owner(harness):
+        await harness.submit(spec)
+        await wait_started(workers, "a", limit_s)
+        await asyncio.sleep(0.1)
+    started = find_workers(workers, "a")
+    assert len(started) == 4
+    assert len({rack_by_id[worker_id] for worker_id in started}) == racks
--- a/clementinespar/jobs/tickets.py
+++ b/clementinespar/jobs/tickets.py
@@ -97,7 +97,7 @@
         return len(self._advice_by_step)
 
     def find_advised(
-        self, step: state.StepState, free_capacity: placement.FreeCapacity
+        self, queue: str, step: state.StepState, free_capacity: placement.FreeCapacity
     ) -> advised_capacity.AdvisedCapacity:
         """Return the free capacity for a step, by what the adviser has said."""
         now = asyncio.get_running_loop().time()
@@ -117,6 +117,7 @@
             free_capacity.restrict(unasked),
             free_capacity.restrict(unasked.union(tickets)),
             is_answering=not advice.failures,
+            ask_s=self._calls.find_times(queue).call_s(len(unasked)),
         )
 
     def is_refused(
