--- a/clementinespar/jobs/tests/test_advice_plays.py
+++ b/clementinespar/jobs/tests/test_advice_plays.py
@@ -18,7 +18,7 @@
 class Play:
     """Jobs, workers that come and go, and an adviser that is slow or does not answer.
 
-    Every worker runs what it is ordered to run; all tasks fit on two workers at a time.
+    Workers accept only valid tickets. Each job fits on two workers.
     """
 
     def __init__(self, seed: int) -> None:
--- a/clementinespar/jobs/tickets.py
+++ b/clementinespar/jobs/tickets.py
@@ -33,7 +33,7 @@
     Attributes
     ----------
     need : advice_names.Need or None
-        What the newest round of placement lacked; None while no call waits.
+        What the newest round lacked; None while no call waits or is in flight.
     rank : tuple of float
         Rank of the call that waits: whether no task could start at once, then the rank
         of the job.
