Review: give the stand-ins of cases 1 to 10 the limits that the template reads

The settings template reads limits.memoryMb and limits.maxFds since. The tables of values in harness and harness_2 are older, so both keys were rendered empty, and each node refused its settings and ended: cases 1 to 10 could not be played. 300 MB and 4,100 descriptors are the figures of a machine of both sites of the cases (SYSTEM.md). Nothing else changes under review/.

--- a/review/harness/system.py
+++ b/review/harness/system.py
@@ -69,6 +69,8 @@
             "bounds.graceS": 6,
             "limits.cpuShare": 0.537,
             "limits.cores": 2,
+            "limits.memoryMb": 300,
+            "limits.maxFds": 4100,
             "platform.addr": f"{web.LOOPBACK}:{store_port}",
             "platform.ttlMinMs": 1000,
             "platform.parts": 24,
--- a/review/harness_2/system.py
+++ b/review/harness_2/system.py
@@ -72,7 +72,12 @@
             },
             "internalPorts": {"0": self.internal_port},
             "bounds": {**BOUNDS, "configMs": CONFIG_MS},
-            "limits": {"cpuShare": 0.537, "cores": 2},
+            "limits": {
+                "cpuShare": 0.537,
+                "cores": 2,
+                "memoryMb": 300,
+                "maxFds": 4100,
+            },
             "platform": {
                 "addr": platform,
                 "ttlMinMs": store.TTL_MIN_MS,
