Log refused settings of a job node line by line, and exit with 2

An operator saw the traceback of an ExceptionGroup and exit status 1 where the settings were invalid; the settings to correct stood between stack frames. Missing and unknown ones all had the code 102, and an unknown section was ignored.

load_job_settings now shares the reader and the errors of the entry node's settings, so that both have the same codes. The program logs one line for each (setting_refused) and exits with errors.ExitStatus.BAD_INPUT, which moves to errors because the job node does not install click. An empty limit stays refused: docs/design/settings.md.

--- a/clementinespar/commands/exits.py
+++ b/clementinespar/commands/exits.py
@@ -1,6 +1,5 @@
-"""Exit statuses of the command line and the errors that cause them."""
+"""Errors that end a command, with their exit statuses."""
 
-import enum
 from collections.abc import Iterator, Sequence
 from typing import NoReturn
 
@@ -9,45 +8,34 @@
 from clementinespar import errors
 
 
-class ExitStatus(enum.IntEnum):
-    """Exit status of a command."""
-
-    DONE = 0
-    REFUSED = 1  # a node refused the command
-    BAD_INPUT = 2  # invalid settings, document or arguments; nothing sent or started
-    UNREACHABLE = 3  # no node replied, or the result is unknown
-
-
 class CommandError(click.ClickException):
     """Ends a command with a message and an exit status."""
 
-    exit_code = int(ExitStatus.REFUSED)
+    exit_code = int(errors.ExitStatus.REFUSED)
 
 
 class BadInputError(CommandError):
     """Settings, a document or arguments are invalid."""
 
-    exit_code = int(ExitStatus.BAD_INPUT)
+    exit_code = int(errors.ExitStatus.BAD_INPUT)
 
 
 class RefusedError(CommandError):
     """A node refused the command."""
 
-    exit_code = int(ExitStatus.REFUSED)
+    exit_code = int(errors.ExitStatus.REFUSED)
 
 
 class UnreachableError(CommandError):
     """No node replied, or the result of the command is unknown."""
 
-    exit_code = int(ExitStatus.UNREACHABLE)
+    exit_code = int(errors.ExitStatus.UNREACHABLE)
 
 
 def problem_lines(group: BaseExceptionGroup[BaseException]) -> Iterator[str]:
     """Yield one line for each problem in a group, with its result code."""
-    for problem in group.exceptions:
-        if isinstance(problem, BaseExceptionGroup):
-            yield from problem_lines(problem)
-        elif isinstance(problem, errors.ClementinesparError):
+    for problem in errors.iter_problems(group):
+        if isinstance(problem, errors.ClementinesparError):
             yield f"{int(problem.code)} {problem.code.name}: {problem.message}"
         else:
             yield str(problem)
--- a/clementinespar/commands/tests/test_commands.py
+++ b/clementinespar/commands/tests/test_commands.py
@@ -10,8 +10,8 @@
 import pytest
 from click import testing
 
-from clementinespar import cli, codes
-from clementinespar.commands import client, exits, submissions
+from clementinespar import cli, codes, errors
+from clementinespar.commands import client, submissions
 from clementinespar.commands.tests import fake_admin
 from clementinespar.documents import loading
 
@@ -117,7 +117,7 @@
 def test_publish_and_promote_put_a_document_into_force() -> None:
     """Guards against commands that disagree about the document or its revision."""
     with _documents() as (documents, node):
-        assert _publish(node).exit_code == exits.ExitStatus.DONE
+        assert _publish(node).exit_code == errors.ExitStatus.DONE
         again = _publish(node)
         assert "nothing was sent" in again.output
         promoted = _run("promote", "--author", "ann", "--node", node)
@@ -139,7 +139,7 @@
     with _documents() as (documents, node):
         documents.put("trial", 0, "bob", {**_PLAIN, "user": "other"})
         result = _publish(node, "--replaces", "0")
-        assert result.exit_code == exits.ExitStatus.REFUSED
+        assert result.exit_code == errors.ExitStatus.REFUSED
         assert "DOCUMENT_CONFLICT" in result.output
 
 
@@ -152,7 +152,7 @@
         documents.lost_replies = 1
         documents.lost_effects = lost_effects
         result = _publish(node, "--node", node)
-        assert result.exit_code == exits.ExitStatus.DONE, result.output
+        assert result.exit_code == errors.ExitStatus.DONE, result.output
         assert len(documents.posts) == 1 + lost_effects
         assert [p["code"] for p in documents.history] == [0]
 
@@ -162,7 +162,7 @@
     with _documents() as (documents, node):
         documents.lost_replies = documents.lost_effects = 1
         result = _publish(node)
-        assert result.exit_code == exits.ExitStatus.UNREACHABLE
+        assert result.exit_code == errors.ExitStatus.UNREACHABLE
         assert "history" in result.output
 
 
@@ -172,7 +172,7 @@
         documents.put("trial", 0, "bob", {**_PLAIN, "user": "other"})
         documents.lost_replies = documents.lost_effects = 1
         result = _publish(node, "--replaces", "0")
-        assert result.exit_code == exits.ExitStatus.REFUSED
+        assert result.exit_code == errors.ExitStatus.REFUSED
         assert "bob" in result.output
 
 
@@ -191,7 +191,7 @@
 
     with fake_admin.serve(handle) as first, fake_admin.serve(handle) as second:
         result = _publish(first.node, "--node", second.node)
-    assert result.exit_code == exits.ExitStatus.UNREACHABLE
+    assert result.exit_code == errors.ExitStatus.UNREACHABLE
     assert len(posts) == 1
 
 
@@ -200,7 +200,7 @@
     with _documents() as (_, node):
         down = _unused_node()
         result = _publish(down, "--node", node)
-        assert result.exit_code == exits.ExitStatus.DONE, result.output
+        assert result.exit_code == errors.ExitStatus.DONE, result.output
 
 
 def test_unresponsive_node_is_tried_last_from_then_on() -> None:
@@ -213,20 +213,20 @@
 @pytest.mark.parametrize(
     ("arguments", "status"),
     [
-        (("status", "--node", "NODE"), exits.ExitStatus.UNREACHABLE),
-        (("status", "--node", "localhost:1"), exits.ExitStatus.BAD_INPUT),
-        (("status",), exits.ExitStatus.BAD_INPUT),
-        (("explain", "rack", "r1", "--node", "NODE"), exits.ExitStatus.BAD_INPUT),
-        (("explain", "job", "--node", "NODE"), exits.ExitStatus.BAD_INPUT),
-        (("explain", "placement", "--node", "NODE"), exits.ExitStatus.BAD_INPUT),
+        (("status", "--node", "NODE"), errors.ExitStatus.UNREACHABLE),
+        (("status", "--node", "localhost:1"), errors.ExitStatus.BAD_INPUT),
+        (("status",), errors.ExitStatus.BAD_INPUT),
+        (("explain", "rack", "r1", "--node", "NODE"), errors.ExitStatus.BAD_INPUT),
+        (("explain", "job", "--node", "NODE"), errors.ExitStatus.BAD_INPUT),
+        (("explain", "placement", "--node", "NODE"), errors.ExitStatus.BAD_INPUT),
         (("explain", "placement", "x", "--queue", "q", "--node", "NODE"), 2),
         (("explain", "job", "1", "--queue", "q", "--node", "NODE"), 2),
         (("publish", "x.toml", "--env", "trial", "--node", "NODE"), 2),
-        (("diff", "--env", "trial", "--node", "NODE"), exits.ExitStatus.BAD_INPUT),
-        (("check", "README.md"), exits.ExitStatus.BAD_INPUT),
-        (("check", str(_EXAMPLE)), exits.ExitStatus.DONE),
-        (("check", str(_EXAMPLE.with_name("node.ini"))), exits.ExitStatus.DONE),
-        (("node", "--settings", "nowhere.ini"), exits.ExitStatus.BAD_INPUT),
+        (("diff", "--env", "trial", "--node", "NODE"), errors.ExitStatus.BAD_INPUT),
+        (("check", "README.md"), errors.ExitStatus.BAD_INPUT),
+        (("check", str(_EXAMPLE)), errors.ExitStatus.DONE),
+        (("check", str(_EXAMPLE.with_name("node.ini"))), errors.ExitStatus.DONE),
+        (("node", "--settings", "nowhere.ini"), errors.ExitStatus.BAD_INPUT),
     ],
 )
 def test_exit_statuses(arguments: tuple[str, ...], status: int) -> None:
@@ -241,7 +241,7 @@
     (tmp_path / "node.ini").write_text("[node]\nname = n\n")
     (tmp_path / "d.toml").write_text("user = 1\n")
     result = _run("check", str(tmp_path / "node.ini"), str(tmp_path / "d.toml"))
-    assert result.exit_code == exits.ExitStatus.BAD_INPUT
+    assert result.exit_code == errors.ExitStatus.BAD_INPUT
     assert "101 SETTING_MISSING: [node] data_centre: required" in result.output
     assert "111 DOCUMENT_INVALID: user = '1'" in result.output
 
@@ -255,7 +255,7 @@
     )
     (tmp_path / "node.ini").write_text("[node]\nname = n\n")
     result = _run("node", "--settings", str(tmp_path / "node.ini"))
-    assert result.exit_code == exits.ExitStatus.BAD_INPUT
+    assert result.exit_code == errors.ExitStatus.BAD_INPUT
 
 
 _PLACEMENT = {
@@ -322,7 +322,7 @@
     ):
         nodes = ("--node", first.node, "--node", second.node)
         result = _run("explain", "request", "1-a", *nodes)
-        assert result.exit_code == exits.ExitStatus.DONE
+        assert result.exit_code == errors.ExitStatus.DONE
         assert "the queue is full" in result.output
         assert "303 QUEUE_FULL" in result.output
         assert first.calls == second.calls == [("GET", "/v1/requests/1-a")]
--- a/clementinespar/errors.py
+++ b/clementinespar/errors.py
@@ -1,8 +1,20 @@
-"""Exceptions that carry a numbered result code."""
+"""Exceptions that carry a numbered result code, and exit statuses of programs."""
+
+import enum
+from collections.abc import Iterator
 
 from clementinespar import codes
 
 
+class ExitStatus(enum.IntEnum):
+    """Exit status of a command or a program."""
+
+    DONE = 0
+    REFUSED = 1  # a node refused the command
+    BAD_INPUT = 2  # invalid settings, document or arguments; nothing sent or started
+    UNREACHABLE = 3  # no node replied, or the result is unknown
+
+
 class ClementinesparError(Exception):
     """Base class of the errors that clementinespar raises.
 
@@ -69,3 +81,12 @@
 
     def __init__(self, message: str) -> None:
         super().__init__(codes.ResultCode.PLATFORM_REFUSED, message)
+
+
+def iter_problems(group: BaseExceptionGroup[BaseException]) -> Iterator[BaseException]:
+    """Yield the errors of a group and of the groups in it."""
+    for problem in group.exceptions:
+        if isinstance(problem, BaseExceptionGroup):
+            yield from iter_problems(problem)
+        else:
+            yield problem
--- a/clementinespar/jobs/options.py
+++ b/clementinespar/jobs/options.py
@@ -1,6 +1,5 @@
 """Settings of a node for jobs, read from an INI file."""
 
-import configparser
 import dataclasses
 import pathlib
 import resource
@@ -9,7 +8,7 @@
 import pydantic
 import pydantic.dataclasses
 
-from clementinespar import codes, errors, intake, options
+from clementinespar import intake, options
 
 Milliseconds = Annotated[float, pydantic.Field(gt=0, le=86_400_000)]
 
@@ -86,22 +85,14 @@
     max_job_tasks: int = pydantic.Field(default=MAX_JOB_TASKS, ge=1)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@pydantic.dataclasses.dataclass(frozen=True, slots=True, config=_CONFIG)
 class JobNodeSettings:
-    """All settings of a node for jobs."""
+    """All settings of a node for jobs, one attribute for each INI section."""
 
     node: NodeSection
     store: StoreSection
     hosts: HostsSection
-    jobs: JobsSection
-
-
-_SECTIONS: dict[str, type] = {
-    "node": NodeSection,
-    "store": StoreSection,
-    "hosts": HostsSection,
-    "jobs": JobsSection,
-}
+    jobs: JobsSection = dataclasses.field(default_factory=JobsSection)
 
 
 def load_job_settings(path: pathlib.Path) -> JobNodeSettings:
@@ -110,30 +101,12 @@
     Raises
     ------
     ExceptionGroup
-        Of `errors.ClementinesparError`, one for each invalid setting.
+        One `options.SettingError` for each invalid section, key or value.
     """
-    parser = configparser.ConfigParser(interpolation=None)
-    problems: list[Exception] = []
+    values = options.read_sections(path)
     try:
-        parser.read_string(path.read_text())
-    except (OSError, configparser.Error, UnicodeDecodeError) as error:
-        problem = errors.ClementinesparError(
-            codes.ResultCode.SETTINGS_UNREADABLE, f"{path}: {error}"
-        )
-        raise ExceptionGroup("settings", [problem]) from error
-    sections: dict[str, object] = {}
-    for name, section_type in _SECTIONS.items():
-        values = dict(parser[name]) if parser.has_section(name) else {}
-        try:
-            sections[name] = section_type(**values)
-        except pydantic.ValidationError as error:
-            problems.extend(
-                errors.ClementinesparError(
-                    codes.ResultCode.SETTING_INVALID,
-                    f"[{name}] {'.'.join(map(str, detail['loc']))}: {detail['msg']}",
-                )
-                for detail in error.errors()
-            )
-    if problems:
-        raise ExceptionGroup("settings", problems)
-    return JobNodeSettings(**sections)  # type: ignore[arg-type]
+        return pydantic.TypeAdapter(JobNodeSettings).validate_python(values)
+    except pydantic.ValidationError as error:
+        raise ExceptionGroup(
+            f"settings in {path} are not valid", options.list_problems(error)
+        ) from None
--- a/clementinespar/jobs/telemetry.py
+++ b/clementinespar/jobs/telemetry.py
@@ -8,7 +8,7 @@
 
 import prometheus_client
 
-from clementinespar import codes, decoding
+from clementinespar import codes, decoding, errors
 from clementinespar.jobs import services
 
 LINES_PER_S = 400.0  # above this rate, lines are dropped and counted
@@ -35,6 +35,15 @@
     )
 
 
+def log_refused_settings(
+    log_event: services.EventLog, group: ExceptionGroup[Exception]
+) -> None:
+    """Log one line for each setting that keeps the node from starting."""
+    for problem in errors.iter_problems(group):
+        if isinstance(problem, errors.ClementinesparError):
+            log_event("setting_refused", code=int(problem.code), error=problem.message)
+
+
 def log_unexpected(
     log_event: services.EventLog, subject: str, error: Exception, **fields: object
 ) -> None:
--- a/clementinespar/options.py
+++ b/clementinespar/options.py
@@ -187,23 +187,13 @@
         self.expected = expected
 
 
-def load_settings(path: pathlib.Path) -> Settings:
-    """Read and validate an INI file.
-
-    Parameters
-    ----------
-    path : pathlib.Path
-        The INI file.
-
-    Returns
-    -------
-    Settings
-        The validated settings.
+def read_sections(path: pathlib.Path) -> dict[str, dict[str, str]]:
+    """Return the values of an INI file, as written, by section and key.
 
     Raises
     ------
     ExceptionGroup
-        One `SettingError` for each invalid section, key or value.
+        Of one `SettingError`, if the file cannot be read.
     """
     parser = configparser.ConfigParser(interpolation=None)
     try:
@@ -218,12 +208,38 @@
                 )
             ],
         ) from error
-    values = {section: dict(parser[section]) for section in parser.sections()}
+    return {section: dict(parser[section]) for section in parser.sections()}
+
+
+def list_problems(error: pydantic.ValidationError) -> list[SettingError]:
+    """Return one error for each invalid section, key or value."""
+    return [_setting_error(detail) for detail in error.errors()]
+
+
+def load_settings(path: pathlib.Path) -> Settings:
+    """Read and validate an INI file.
+
+    Parameters
+    ----------
+    path : pathlib.Path
+        The INI file.
+
+    Returns
+    -------
+    Settings
+        The validated settings.
+
+    Raises
+    ------
+    ExceptionGroup
+        One `SettingError` for each invalid section, key or value.
+    """
+    values = read_sections(path)
     problems = list(_combination_problems(values))
     try:
         settings = pydantic.TypeAdapter(Settings).validate_python(values)
     except pydantic.ValidationError as error:
-        problems = [_setting_error(detail) for detail in error.errors()] + problems
+        problems = list_problems(error) + problems
     else:
         if not problems:
             return settings
@@ -310,12 +326,15 @@
     code = _CODES_BY_ERROR_TYPE.get(detail["type"], codes.ResultCode.SETTING_INVALID)
     value = detail["input"]
     is_scalar = isinstance(value, str | int | float)
+    expected = _EXPECTED_BY_ERROR_TYPE.get(
+        detail["type"], detail["msg"].removeprefix("Value error, ")
+    )
+    if value == "":
+        expected = f"the value is empty: {expected}"
     return SettingError(
         code,
         location[0] if location else "",
         location[1] if len(location) > 1 else "",
         str(value) if is_scalar else "",
-        _EXPECTED_BY_ERROR_TYPE.get(
-            detail["type"], detail["msg"].removeprefix("Value error, ")
-        ),
+        expected,
     )
