--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 BENCH_STAMP := $(VENV)/.bench-installed
 SOURCES := $(shell find clementinespar -name '*.py' -not -path '*/tests/*')
 
-.PHONY: setup test lint types check demo soak soak-moves soak-many soak-regressions bench bench-capacity binary proto clean
+.PHONY: setup test lint types check demo soak soak-moves soak-many soak-regressions review bench bench-capacity binary proto clean
 
 setup: $(STAMP)
 
@@ -59,6 +59,10 @@
 soak-regressions: $(STAMP)
 	PYTHONPATH=.:platform $(BIN)/python -m soak --regressions --seconds 8
 
+# By hand before each landing; takes some five minutes and needs the build of deploy/system.toml.
+review: $(STAMP)
+	PYTHONPATH=.:platform $(BIN)/python -m soak.review_cases $(if $(JOBS),--jobs $(JOBS))
+
 bench: $(BENCH_STAMP)
 	$(BIN)/python -m bench
 
