Reset the connection of a call that is given up

Sockets of http_calls linger for 0 s, so that each close resets the connection and drops what has not arrived, also when the process is killed.

--- a/clementinespar/http_calls.py
+++ b/clementinespar/http_calls.py
@@ -2,12 +2,14 @@
 
 An owner makes hundreds of calls a second, and tornado's curl client takes 5 to 10 ms
 per call on the operators' machines. httptools parses the responses. A connection
-carries one call at a time.
+carries one call at a time, and is reset when the call is given up, so that a request
+which is still on its way is not carried out late.
 """
 
 import asyncio
 import dataclasses
 import socket
+import struct
 from collections.abc import Callable
 
 import httptools
@@ -17,6 +19,9 @@
 CONNECT_TIMEOUT_S = 0.4  # round trips to all addresses take a few milliseconds
 MAX_IDLE_PER_ADDRESS = 8
 MAX_IDLE_S = 10.0  # not reused after that, as the peer may be unresponsive
+# Linger for 0 s: closing resets the connection, and the kernel drops what it has not
+# delivered. It applies to the end of the process as well.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024  # body of a response; the store sends 1 MB a page
 
 
@@ -75,6 +80,7 @@
         sock = transport.get_extra_info("socket")
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.is_closed = True
@@ -165,7 +171,7 @@
         )
 
     def close(self) -> None:
-        """Abort the connection; bytes not yet sent are lost."""
+        """Reset the connection; bytes that have not arrived are lost."""
         self.is_closed = True
         if self.transport is not None:
             self.transport.abort()
--- a/clementinespar/tests/test_http_calls.py
+++ b/clementinespar/tests/test_http_calls.py
@@ -1,8 +1,9 @@
-"""Tests of the time limits of calls, against a server with a narrow link."""
+"""Tests of calls that are given up, and of their time limits on a narrow link."""
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+import sys
+from collections.abc import AsyncIterator, Awaitable, Callable
 
 import pytest
 
@@ -87,3 +88,68 @@
 
     with pytest.raises(http_calls.CallUnansweredError, match="over 2000 bytes"):
         asyncio.run(call())
+
+
+async def _give_up(client: http_calls.HttpClient, address: str) -> None:
+    with pytest.raises(http_calls.CallUnansweredError):
+        await client.call(address, "POST", "/order", timeout_s=0.1)
+
+
+async def _cancel(client: http_calls.HttpClient, address: str) -> None:
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.1):
+            await client.call(address, "POST", "/order", timeout_s=5.0)
+
+
+async def _close_client(client: http_calls.HttpClient, address: str) -> None:
+    call = asyncio.create_task(client.call(address, "POST", "/order", timeout_s=5.0))
+    await asyncio.sleep(0.1)
+    await client.close()
+    with pytest.raises(http_calls.CallUnansweredError):
+        await call
+
+
+async def _end_process(client: http_calls.HttpClient, address: str) -> None:
+    program = (
+        "import asyncio, os; from clementinespar import http_calls\n"
+        "async def main():\n"
+        "    asyncio.get_running_loop().call_later(0.1, os._exit, 0)\n"
+        f"    await http_calls.HttpClient().call({address!r}, 'POST', '/order')\n"
+        "asyncio.run(main())"
+    )
+    process = await asyncio.create_subprocess_exec(sys.executable, "-c", program)
+    await process.wait()
+
+
+@pytest.mark.parametrize("end", [_give_up, _cancel, _close_client, _end_process])
+def test_call_that_ends_unanswered_is_reset(
+    end: Callable[[http_calls.HttpClient, str], Awaitable[None]],
+) -> None:
+    """Guards against an order that a cut holds up and that takes effect after it.
+
+    What the kernel still holds of a request is dropped by a reset only; after an
+    orderly close it is sent once the link works again.
+    """
+
+    async def play() -> None:
+        was_reset = asyncio.get_running_loop().create_future()
+
+        async def serve_nothing(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            try:
+                await reader.read(-1)
+                was_reset.set_result(False)
+            except ConnectionResetError:
+                was_reset.set_result(True)
+            writer.close()
+
+        server = await asyncio.start_server(serve_nothing, "127.0.0.1", 0)
+        async with server:
+            client = http_calls.HttpClient()
+            await end(client, f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
+            async with asyncio.timeout(5.0):
+                assert await was_reset
+            await client.close()
+
+    asyncio.run(play())
