Retrieve the error of a connection whose abort is cancelled

The task that aborts a connection of a proxy may be cancelled while it waits for the end, and then nobody retrieved the error. A callback does it.

--- a/standins/stream_server.py
+++ b/standins/stream_server.py
@@ -62,6 +62,11 @@
     # A task that was cancelled while it waited for the end has cancelled that wait for
     # all others too, so this must not raise the error.
     closed = asyncio.ensure_future(writer.wait_closed())
+    # In a callback, since this task may be cancelled once more while it waits.
+    closed.add_done_callback(_retrieve_error)
     await asyncio.wait([closed])
+
+
+def _retrieve_error(closed: "asyncio.Future[None]") -> None:
     if not closed.cancelled():
         closed.exception()
