--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 BENCH_STAMP := $(VENV)/.bench-installed
 SOURCES := $(shell find clementinespar -name '*.py' -not -path '*/tests/*')
 
-.PHONY: setup test lint types check demo soak soak-moves soak-many soak-regressions review bench bench-capacity binary proto clean
+.PHONY: setup test lint types check demo soak soak-moves soak-many soak-regressions review bench bench-capacity bench-takeover binary proto clean
 
 setup: $(STAMP)
 
@@ -69,6 +69,9 @@
 bench-capacity: $(BENCH_STAMP)
 	$(BIN)/python -m bench.capacity
 
+bench-takeover: $(STAMP)
+	PYTHONPATH=.:platform $(BIN)/python -m bench.takeover
+
 # Regenerates the committed gRPC code; only needed after a change of a .proto file.
 proto: $(STAMP)
 	$(BIN)/pip install --quiet -r requirements-codegen.txt
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -18,3 +18,12 @@
     # The command name, in parentheses, may contain spaces: split the text after it.
     fields = text.rpartition(")")[2].split()
     return (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
+
+
+def peak_resident_bytes(pid: int | str) -> int:
+    """Return the largest resident memory that a process has had, in bytes."""
+    status = pathlib.Path(f"/proc/{pid}/status").read_text(encoding="ascii")
+    for line in status.splitlines():
+        if line.startswith("VmHWM:"):
+            return int(line.split()[1]) * 1024
+    raise ValueError(f"/proc/{pid}/status has no VmHWM")
