--- a/soak/review_cases.py
+++ b/soak/review_cases.py
@@ -11,6 +11,7 @@
 import os
 import pathlib
 import shutil
+import signal
 import sys
 import tempfile
 import time
@@ -30,7 +31,7 @@
 KEPT_STATE = "store.json"
 KEPT_STATE_AGE_S = 205.0
 HELD, BROKEN, NOT_PLAYED = "held", "broken", "not played"
-_VERDICTS = {0: HELD, 1: BROKEN}
+_VERDICTS: dict[int | None, str] = {0: HELD, 1: BROKEN}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,7 +45,7 @@
     @property
     def verdict(self) -> str:
         """Return what the exit status says of the rule."""
-        return NOT_PLAYED if self.status is None else _verdict(self.status)
+        return _VERDICTS.get(self.status, NOT_PLAYED)
 
     @property
     def is_as_expected(self) -> bool:
@@ -52,10 +53,6 @@
         return self.verdict == self.expected
 
 
-def _verdict(status: int) -> str:
-    return _VERDICTS.get(status, NOT_PLAYED)
-
-
 def read_expected() -> dict[str, str]:
     """Return the verdicts of KNOWN-RED.txt by case."""
     parts = (line.partition(" ") for line in known_failures.read("review"))
@@ -99,7 +96,7 @@
         return None
     finally:
         with contextlib.suppress(ProcessLookupError):
-            os.killpg(process.pid, 9)
+            os.killpg(process.pid, signal.SIGKILL)
         await process.wait()
 
 
