--- a/bench/takeover.py
+++ b/bench/takeover.py
@@ -10,12 +10,12 @@
 import pathlib
 import tempfile
 import time
-from collections.abc import Iterator, Sequence
+from collections.abc import Sequence
 
 import click
 
 from bench import processes, tables
-from clementinespar.jobs import model, partitions, services, state
+from clementinespar.jobs import model, partitions, state
 from clementinespar_adapter import standin
 from soak import fleet, moves
 
@@ -61,33 +61,25 @@
     )
 
 
-def _make_records(kind: str, count: int) -> Iterator[tuple[str, services.KeyedRecord]]:
-    """Yield the topics and records of earlier jobs, and one job that has to start."""
-    for number in range(count):
-        job_id = f"{number:016x}"
-        spec = _make_spec(job_id)
-        if kind == "cancellations":
-            yield "keyed.commands", services.KeyedRecord("c" + job_id, b"1")
-        elif kind == "waiting jobs":
-            value = state.encode_spec(spec)
-            yield "keyed.commands", services.KeyedRecord("j" + job_id, value)
-        else:
-            job = state.JobProgress(spec)
-            job.state = model.JobState.DONE
-            job.final_ms = int(time.time() * 1000)
-            value = state.encode_progress(job)
-            yield "keyed.progress", services.KeyedRecord("p" + job_id, value)
-    last = "f" * 16
-    value = state.encode_spec(_make_spec(last))
-    yield "keyed.commands", services.KeyedRecord("j" + last, value)
+def _make_record(kind: str, job_id: str) -> tuple[str, str, bytes]:
+    """Return the topic, key and value of the record that a job has left."""
+    if kind == "cancellations":
+        return "keyed.commands", f"c{job_id}", b"1"
+    spec = _make_spec(job_id)
+    if kind == "waiting jobs":
+        return "keyed.commands", f"j{job_id}", state.encode_spec(spec)
+    job = state.JobProgress(spec)
+    job.state = model.JobState.DONE
+    job.final_ms = spec.accepted_ms
+    return "keyed.progress", f"p{job_id}", state.encode_progress(job)
 
 
 def _fill(platform: standin.Platform, kind: str, count: int) -> None:
-    number = partitions.PartitionMap(PARTITIONS).find(POOL)
-    for topic, record in _make_records(kind, count):
-        key = record.key.encode()
-        content = bytes((len(key),)) + key + record.value
-        platform.partition(topic, number).append(content)
+    """Write the records of earlier jobs, and one waiting job that has to start."""
+    partition = partitions.PartitionMap(PARTITIONS).find(POOL)
+    for number in range(count):
+        platform.put_raw(*_make_record(kind, f"{number:016x}"), partition)
+    platform.put_raw(*_make_record("waiting jobs", "f" * 16), partition)
 
 
 async def measure(kind: str, count: int) -> Measurement:
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -6,10 +6,11 @@
 import sys
 import tempfile
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 import click
 
+from clementinespar import errors
 from demo import deployment, processes, scenario, table
 
 _USERS = ("teranga", "al-batinah")
@@ -43,7 +44,7 @@
             )
         except* (processes.StartError, deployment.CommandFailedError) as group:
             raise click.ClickException(
-                "\n".join(str(error) for error in _flatten(group))
+                "\n".join(str(error) for error in errors.iter_problems(group))
             ) from None
         except* asyncio.CancelledError:
             raise click.ClickException(
@@ -55,15 +56,6 @@
     sys.exit(1 if any(report.violations for report in reports) else 0)
 
 
-def _flatten(group: BaseExceptionGroup[BaseException]) -> Iterator[BaseException]:
-    """Yield the exceptions inside a group, including those of nested groups."""
-    for error in group.exceptions:
-        if isinstance(error, BaseExceptionGroup):
-            yield from _flatten(error)
-        else:
-            yield error
-
-
 async def _run(
     program: pathlib.Path,
     directory: pathlib.Path,
